--- a/cli/cometspindled/main.c
+++ b/cli/cometspindled/main.c
@@ -5,8 +5,10 @@
 #include <argtable2.h>
 #include <curl/curl.h>
 #include <libcometspindle/adapters/daemon.h>
+#include <libcometspindle/adapters/gateway.h>
 #include <libcometspindle/log.h>
 #include <libcometspindle/settings.h>
+#include <platform/directory.h>
 #include <sodium.h>
 #include <stdbool.h>
 #include <stdio.h>
@@ -43,18 +45,60 @@
 }
 
 static int
-run(const char *path, bool check_only)
+run_gateway(const struct comet_gateway_settings *settings, const char *path)
 {
 	GError *error = NULL;
-	struct comet_settings *settings = comet_settings_load(path, &error);
-	int result = EXIT_SUCCESS;
+	struct comet_gateway *gateway =
+		comet_gateway_create(settings, path, &comet_platform_port, &error);
 
-	if (settings == NULL)
+	if (gateway == NULL)
 	{
-		fprintf(stderr, "%s: %s\n%s\n", PROGRAM, path, error->message);
+		comet_log(COMET_LOG_ERR, "event=start_failed error=\"%s\"", error->message);
 		g_clear_error(&error);
 		return EXIT_FAILURE;
 	}
+	comet_gateway_run(gateway);
+	comet_gateway_destroy(gateway);
+	return EXIT_SUCCESS;
+}
+
+static int
+report_settings(const char *path, GError *error)
+{
+	fprintf(stderr, "%s: %s\n%s\n", PROGRAM, path, error->message);
+	g_clear_error(&error);
+	return EXIT_FAILURE;
+}
+
+/* Settings with a "gateway" are a gateway's. */
+static int
+start_gateway(const char *path, const char *text, size_t length, bool check_only)
+{
+	GError *error = NULL;
+	struct comet_gateway_settings *settings =
+		comet_gateway_settings_parse(text, length, &error);
+	int result = EXIT_SUCCESS;
+
+	if (settings == NULL)
+		return report_settings(path, error);
+	comet_log_init(PROGRAM, (enum comet_log_level)settings->log_level);
+	if (check_only)
+		printf("%s: settings are good\n", path);
+	else
+		result = run_gateway(settings, path);
+	talloc_free(settings);
+	return result;
+}
+
+static int
+start_daemon(const char *path, const char *text, size_t length, bool check_only)
+{
+	GError *error = NULL;
+	struct comet_settings *settings = comet_settings_parse(text, length, &error);
+	int result = EXIT_SUCCESS;
+
+	if (settings == NULL)
+		return report_settings(path, error);
 	comet_log_init(PROGRAM, (enum comet_log_level)settings->log_level);
 	if (check_only)
 		printf("%s: settings are good\n", path);
@@ -64,6 +108,22 @@
 	return result;
 }
 
+static int
+run(const char *path, bool check_only)
+{
+	GError *error = NULL;
+	char *text = NULL;
+	gsize length = 0;
+
+	if (!g_file_get_contents(path, &text, &length, &error))
+		return report_settings(path, error);
+	int result = comet_gateway_settings_match(text, length)
+			     ? start_gateway(path, text, length, check_only)
+			     : start_daemon(path, text, length, check_only);
+	g_free(text);
+	return result;
+}
+
 static void
 print_help(void **table)
 {
--- /dev/null
+++ b/libcometspindle/adapters/front.c
@@ -0,0 +1,552 @@
+/*
+ * front.c
+ * the caller side: an HTTP/1.1 server that hands over whole requests
+ */
+#include <libcometspindle/adapters/front.h>
+
+#include <errno.h>
+#include <libcometspindle/adapters/socket.h>
+#include <libcometspindle/error.h>
+#include <libcometspindle/log.h>
+#include <netinet/in.h>
+#include <string.h>
+#include <strings.h>
+#include <sys/socket.h>
+#include <talloc.h>
+#include <unistd.h>
+
+/* Bytes of a next request that are taken in while one is open: one usual head and body. */
+#define READ_AHEAD_BYTES (64 * 1024)
+
+/* After an early answer: how long the rest of a request is read and thrown away, so that the
+ * answer is not lost to a reset. A second covers any round trip between caller and VM. */
+#define LINGER_US 1000000
+
+/* Connections accepted in one turn of the loop; the rest wait for the next turn. */
+#define ACCEPTS_PER_TURN 32
+
+/* Descriptors running out: accepting is tried again after this time. */
+#define ACCEPT_RETRY_US 50000
+
+enum connection_state
+{
+	CONNECTION_READING,   /* a request, or the pause before one */
+	CONNECTION_OPEN,      /* a request is handed over and not answered in full */
+	CONNECTION_LINGERING, /* the last answer is out: reading to the caller's end */
+};
+
+struct comet_front
+{
+	struct tevent_context *ev;
+	struct comet_timers *timers;
+	struct tevent_fd *listener;
+	struct comet_timer *accept_again;
+	const struct comet_front_events *events;
+	void *ctx;
+	struct comet_front_limits limits;
+	struct comet_front_counts counts;
+	GHashTable *connections;
+	uint16_t port;
+	int fd;
+	bool closing;
+};
+
+struct connection
+{
+	struct comet_front_request request; /* first member: a request is its connection */
+	struct comet_front *front;
+	struct comet_socket *socket;
+	struct comet_http_reader *reader;
+	struct comet_timer *timer;
+	GByteArray *ahead; /* read and not yet parsed */
+	GByteArray *body;
+	enum connection_state state;
+	bool got_byte;   /* a request has begun to arrive */
+	bool got_head;   /* its head is complete */
+	bool complete;   /* it is complete */
+	bool keep_alive; /* the caller allows another request */
+	bool too_large;  /* its body is over the limit */
+	bool chunked;    /* the answer goes out in chunks */
+	bool has_length; /* the answer's length was told */
+	bool no_body;    /* the answer carries none: HEAD, 204, 304 */
+	bool started;    /* the answer's head is out */
+	bool parsing;    /* inside read_on() */
+};
+
+static void
+read_on(struct connection *connection);
+
+static struct connection *
+connection_of(const struct comet_front_request *request)
+{
+	return (struct connection *)request;
+}
+
+static void
+drop(struct connection *connection)
+{
+	talloc_free(connection);
+}
+
+static int
+connection_destroy(struct connection *connection)
+{
+	g_hash_table_remove(connection->front->connections, connection);
+	connection->front->counts.connections--;
+	g_byte_array_free(connection->ahead, TRUE);
+	g_byte_array_free(connection->body, TRUE);
+	return 0;
+}
+
+static void
+on_linger_over(void *ctx)
+{
+	struct connection *connection = ctx;
+
+	connection->timer = NULL;
+	drop(connection);
+}
+
+/* The last answer of this connection is out. */
+static void
+linger(struct connection *connection)
+{
+	connection->state = CONNECTION_LINGERING;
+	comet_timer_cancel(&connection->timer);
+	comet_socket_shutdown(connection->socket);
+	connection->timer = comet_timers_add(
+		connection->front->timers, connection, LINGER_US, on_linger_over, connection);
+}
+
+static void
+on_timeout(void *ctx)
+{
+	struct connection *connection = ctx;
+
+	connection->timer = NULL;
+	if (connection->got_byte && !connection->complete)
+	{
+		connection->keep_alive = false;
+		comet_front_answer(&connection->request, 408, NULL, "", 0);
+		return;
+	}
+	linger(connection);
+}
+
+static void
+set_timer(struct connection *connection, uint64_t delay_ms)
+{
+	comet_timer_cancel(&connection->timer);
+	if (delay_ms > 0)
+		connection->timer = comet_timers_add(connection->front->timers, connection,
+			delay_ms * 1000, on_timeout, connection);
+}
+
+static bool
+on_head(void *ctx, struct comet_http_head *head)
+{
+	struct connection *connection = ctx;
+
+	connection->got_head = true;
+	connection->request.head = head;
+	const char *expect = comet_http_head_get(head, "Expect");
+	if (expect != NULL && strcasecmp(expect, "100-continue") == 0)
+		comet_socket_write(connection->socket, "HTTP/1.1 100 Continue\r\n\r\n", 25);
+	return false;
+}
+
+static void
+on_body(void *ctx, const char *data, size_t length)
+{
+	struct connection *connection = ctx;
+
+	connection->too_large =
+		connection->too_large ||
+		connection->body->len + length > connection->front->limits.body_bytes;
+	if (!connection->too_large)
+		g_byte_array_append(connection->body, (const guint8 *)data, (guint)length);
+}
+
+static void
+on_end(void *ctx, bool keep_alive)
+{
+	struct connection *connection = ctx;
+
+	connection->complete = true;
+	connection->keep_alive = keep_alive;
+}
+
+static const struct comet_http_reader_events reader_events = {
+	.head = on_head, .body = on_body, .end = on_end};
+
+/* Refuses what is not a proper request; the connection cannot be used further. */
+static void
+refuse_malformed(struct connection *connection, unsigned int status)
+{
+	connection->front->counts.malformed++;
+	connection->keep_alive = false;
+	connection->state = CONNECTION_OPEN;
+	comet_front_answer(&connection->request, status, NULL, "", 0);
+}
+
+static void
+hand_over(struct connection *connection)
+{
+	struct comet_front *front = connection->front;
+
+	comet_timer_cancel(&connection->timer);
+	connection->state = CONNECTION_OPEN;
+	connection->request.body = connection->body;
+	connection->request.user = NULL;
+	front->counts.requests++;
+	front->events->request(front->ctx, &connection->request);
+}
+
+/* Parses what has arrived. @return false when there is nothing more to do now. */
+static bool
+parse_some(struct connection *connection)
+{
+	size_t taken = 0;
+	enum comet_http_reader_result result = COMET_HTTP_READER_MORE;
+
+	if (connection->state != CONNECTION_READING || connection->ahead->len == 0)
+		return false;
+	if (!connection->got_byte)
+	{
+		connection->got_byte = true;
+		connection->request.received_us = comet_timers_now_us();
+		set_timer(connection, connection->front->limits.header_timeout_ms);
+	}
+	result = comet_http_reader_feed(connection->reader, (const char *)connection->ahead->data,
+		connection->ahead->len, &taken);
+	if (result == COMET_HTTP_READER_BAD)
+		refuse_malformed(connection, 400);
+	else if (result == COMET_HTTP_READER_TOO_BIG)
+		refuse_malformed(connection, 431);
+	else if (connection->too_large)
+		refuse_malformed(connection, 413);
+	else
+	{
+		g_byte_array_remove_range(connection->ahead, 0, (guint)taken);
+		if (connection->complete)
+			hand_over(connection);
+		else if (connection->got_head)
+			set_timer(connection, connection->front->limits.idle_timeout_ms);
+	}
+	return true;
+}
+
+/* Goes on parsing until a request is open or the bytes are used up. */
+static void
+read_on(struct connection *connection)
+{
+	if (connection->parsing)
+		return; /* an answer was given from within: the loop below goes on */
+	connection->parsing = true;
+	while (parse_some(connection))
+		;
+	connection->parsing = false;
+	comet_socket_pause(connection->socket,
+		connection->state == CONNECTION_OPEN && connection->ahead->len >= READ_AHEAD_BYTES);
+}
+
+static void
+on_data(void *ctx, const char *data, size_t length)
+{
+	struct connection *connection = ctx;
+
+	if (connection->state == CONNECTION_LINGERING)
+		return;
+	g_byte_array_append(connection->ahead, (const guint8 *)data, (guint)length);
+	read_on(connection);
+}
+
+static void
+on_closed(void *ctx, bool orderly)
+{
+	struct connection *connection = ctx;
+	struct comet_front *front = connection->front;
+
+	(void)orderly;
+	if (connection->state == CONNECTION_OPEN)
+	{
+		front->counts.left++;
+		front->events->gone(front->ctx, &connection->request);
+	}
+	drop(connection);
+}
+
+static void
+on_drained(void *ctx)
+{
+	struct connection *connection = ctx;
+	struct comet_front *front = connection->front;
+
+	if (connection->state == CONNECTION_OPEN && front->events->drained != NULL)
+		front->events->drained(front->ctx, &connection->request);
+}
+
+static const struct comet_socket_events socket_events = {
+	.data = on_data, .closed = on_closed, .drained = on_drained};
+
+static void
+take_connection(struct comet_front *front, int fd)
+{
+	struct connection *connection = talloc_zero(front, struct connection);
+
+	connection->front = front;
+	connection->ahead = g_byte_array_new();
+	connection->body = g_byte_array_new();
+	connection->reader = comet_http_reader_create(
+		connection, true, front->limits.header_bytes, &reader_events, connection);
+	connection->socket =
+		comet_socket_accepted(connection, front->ev, fd, &socket_events, connection);
+	front->counts.accepted++;
+	front->counts.connections++;
+	g_hash_table_add(front->connections, connection);
+	talloc_set_destructor(connection, connection_destroy);
+	set_timer(connection, front->limits.idle_timeout_ms);
+}
+
+static void
+on_accept_again(void *ctx)
+{
+	struct comet_front *front = ctx;
+
+	front->accept_again = NULL;
+	if (front->listener != NULL)
+		tevent_fd_set_flags(front->listener, TEVENT_FD_READ);
+}
+
+static void
+on_acceptable(struct tevent_context *ev, struct tevent_fd *event, uint16_t flags, void *data)
+{
+	struct comet_front *front = data;
+
+	(void)ev;
+	(void)flags;
+	for (int i = 0; i < ACCEPTS_PER_TURN; i++)
+	{
+		int fd = accept4(front->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+		if (fd >= 0)
+		{
+			take_connection(front, fd);
+			continue;
+		}
+		if (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR ||
+			errno == ECONNABORTED)
+			return;
+		comet_log(COMET_LOG_WARNING, "event=accept_failed error=\"%s\" open=%u",
+			g_strerror(errno), front->counts.connections);
+		tevent_fd_set_flags(event, 0);
+		front->accept_again = comet_timers_add(
+			front->timers, front, ACCEPT_RETRY_US, on_accept_again, front);
+		return;
+	}
+}
+
+static int
+front_destroy(struct comet_front *front)
+{
+	GHashTableIter at;
+	gpointer connection = NULL;
+
+	g_hash_table_iter_init(&at, front->connections);
+	while (g_hash_table_iter_next(&at, &connection, NULL))
+		talloc_set_destructor((struct connection *)connection, NULL);
+	g_hash_table_destroy(front->connections);
+	comet_front_stop_listening(front);
+	return 0;
+}
+
+struct comet_front *
+comet_front_create(void *parent, struct tevent_context *ev, struct comet_timers *timers,
+	const char *address, const struct comet_front_events *events, void *ctx, GError **error)
+{
+	struct sockaddr_in at;
+	socklen_t length = sizeof at;
+
+	if (!comet_socket_parse_address(address, &at))
+	{
+		g_set_error(error, COMET_ERROR, COMET_ERROR_INVALID,
+			"%s: not an address of the form IP:PORT", address);
+		return NULL;
+	}
+	int fd = comet_socket_listen(&at);
+	if (fd < 0 || getsockname(fd, (struct sockaddr *)&at, &length) != 0)
+	{
+		g_set_error(error, COMET_ERROR, COMET_ERROR_IO, "cannot listen on %s: %s", address,
+			g_strerror(errno));
+		return NULL;
+	}
+	struct comet_front *front = talloc_zero(parent, struct comet_front);
+	front->ev = ev;
+	front->timers = timers;
+	front->events = events;
+	front->ctx = ctx;
+	front->fd = fd;
+	front->port = ntohs(at.sin_port);
+	front->connections = g_hash_table_new(NULL, NULL);
+	front->listener = tevent_add_fd(ev, front, fd, TEVENT_FD_READ, on_acceptable, front);
+	talloc_set_destructor(front, front_destroy);
+	return front;
+}
+
+void
+comet_front_set_limits(struct comet_front *front, const struct comet_front_limits *limits)
+{
+	GHashTableIter at;
+	gpointer connection = NULL;
+
+	front->limits = *limits;
+	g_hash_table_iter_init(&at, front->connections);
+	while (g_hash_table_iter_next(&at, &connection, NULL))
+		comet_http_reader_set_max_head(
+			((struct connection *)connection)->reader, limits->header_bytes);
+}
+
+uint16_t
+comet_front_port(const struct comet_front *front)
+{
+	return front->port;
+}
+
+void
+comet_front_set_closing(struct comet_front *front)
+{
+	front->closing = true;
+}
+
+void
+comet_front_stop_listening(struct comet_front *front)
+{
+	if (front->listener == NULL)
+		return;
+	comet_timer_cancel(&front->accept_again);
+	TALLOC_FREE(front->listener);
+	close(front->fd);
+}
+
+void
+comet_front_close_idle(struct comet_front *front)
+{
+	GList *all = g_hash_table_get_keys(front->connections);
+
+	for (GList *at = all; at != NULL; at = at->next)
+	{
+		struct connection *connection = at->data;
+		if (connection->state == CONNECTION_READING && !connection->got_byte)
+			linger(connection);
+	}
+	g_list_free(all);
+}
+
+const struct comet_front_counts *
+comet_front_counts(const struct comet_front *front)
+{
+	return &front->counts;
+}
+
+void
+comet_front_start(struct comet_front_request *request, unsigned int status, const char *reason,
+	const char *headers, int64_t length)
+{
+	struct connection *connection = connection_of(request);
+	const struct comet_http_head *head = request->head;
+	GString *out = g_string_sized_new(512);
+	bool head_only =
+		head != NULL && strcmp(head->method != NULL ? head->method : "", "HEAD") == 0;
+
+	if (connection->front->closing)
+		connection->keep_alive = false;
+	connection->started = true;
+	connection->no_body = head_only || status == 204 || status == 304;
+	bool unknown = length < 0 && !connection->no_body;
+	connection->chunked = unknown && !head->http_1_0;
+	connection->has_length = length >= 0;
+	if (unknown && head->http_1_0)
+		connection->keep_alive = false;
+	g_string_append_printf(out, "HTTP/1.1 %u %s\r\n", status,
+		reason != NULL && *reason != '\0' ? reason : comet_http_reason(status));
+	if (headers != NULL)
+		g_string_append(out, headers);
+	if (connection->chunked)
+		comet_http_write_header(out, "Transfer-Encoding", "chunked");
+	else if (length >= 0 && status != 204)
+		g_string_append_printf(out, "Content-Length: %" G_GINT64_FORMAT "\r\n", length);
+	if (!connection->keep_alive)
+		comet_http_write_header(out, "Connection", "close");
+	g_string_append(out, "\r\n");
+	comet_socket_write(connection->socket, out->str, out->len);
+	g_string_free(out, TRUE);
+}
+
+void
+comet_front_send(struct comet_front_request *request, const char *data, size_t length)
+{
+	struct connection *connection = connection_of(request);
+
+	if (length == 0 || connection->no_body)
+		return;
+	if (!connection->chunked)
+	{
+		comet_socket_write(connection->socket, data, length);
+		return;
+	}
+	GString *chunk = g_string_sized_new(length + 16);
+	g_string_append_printf(chunk, "%zx\r\n", length);
+	g_string_append_len(chunk, data, (gssize)length);
+	g_string_append(chunk, "\r\n");
+	comet_socket_write(connection->socket, chunk->str, chunk->len);
+	g_string_free(chunk, TRUE);
+}
+
+void
+comet_front_finish(struct comet_front_request *request)
+{
+	struct connection *connection = connection_of(request);
+
+	if (connection->chunked)
+		comet_socket_write(connection->socket, "0\r\n\r\n", 5);
+	if (!connection->keep_alive)
+	{
+		linger(connection);
+		return;
+	}
+	connection->state = CONNECTION_READING;
+	connection->got_byte = false;
+	connection->got_head = false;
+	connection->complete = false;
+	connection->started = false;
+	connection->too_large = false;
+	connection->request.head = NULL;
+	g_byte_array_set_size(connection->body, 0);
+	set_timer(connection, connection->front->limits.idle_timeout_ms);
+	read_on(connection);
+}
+
+void
+comet_front_answer(struct comet_front_request *request, unsigned int status, const char *headers,
+	const char *body, size_t length)
+{
+	comet_front_start(request, status, NULL, headers, (int64_t)length);
+	comet_front_send(request, body, length);
+	comet_front_finish(request);
+}
+
+void
+comet_front_abort(struct comet_front_request *request)
+{
+	struct connection *connection = connection_of(request);
+
+	/* Chunks and lengths show by themselves that the end is missing. */
+	if (!connection->chunked && !connection->has_length)
+		comet_socket_set_reset(connection->socket);
+	drop(connection);
+}
+
+size_t
+comet_front_queued(const struct comet_front_request *request)
+{
+	return comet_socket_queued(connection_of(request)->socket);
+}
--- /dev/null
+++ b/libcometspindle/adapters/front.h
@@ -0,0 +1,111 @@
+/*
+ * front.h
+ * the caller side: an HTTP/1.1 server that hands over whole requests
+ *
+ * One request at a time on a connection; what follows it waits unread. While a
+ * request is open the connection is watched, so that a caller that leaves is
+ * noticed at once. An answer that cannot be finished ends in a reset, so that
+ * it never looks complete.
+ */
+#ifndef COMETSPINDLE_ADAPTERS_FRONT_H
+#define COMETSPINDLE_ADAPTERS_FRONT_H
+
+#include <libcometspindle/adapters/http_reader.h>
+#include <libcometspindle/adapters/timers.h>
+#include <stdbool.h>
+#include <stdint.h>
+#include <tevent.h>
+
+/** Bounds of what a caller may send and how long it may take. */
+struct comet_front_limits
+{
+	uint32_t header_bytes;
+	uint32_t body_bytes;
+	uint32_t header_timeout_ms; /**< from a request's first byte to the end of its head */
+	uint32_t idle_timeout_ms;   /**< without a byte, between and inside requests */
+};
+
+/** A request that has been read in full. Owned by the front. */
+struct comet_front_request
+{
+	const struct comet_http_head *head;
+	const GByteArray *body;
+	uint64_t received_us; /**< when its first byte came */
+	void *user;           /**< for the handler; NULL at first */
+};
+
+struct comet_front_events
+{
+	/** Answer it by the calls below, now or later. */
+	void (*request)(void *ctx, struct comet_front_request *request);
+	/** The caller left before its answer was complete; request is gone after this. */
+	void (*gone)(void *ctx, struct comet_front_request *request);
+	/** The last byte that was queued for it is on its way; may be NULL. */
+	void (*drained)(void *ctx, struct comet_front_request *request);
+};
+
+/** Counts for metrics; monotonic but for connections. */
+struct comet_front_counts
+{
+	uint32_t connections; /**< open now */
+	uint64_t accepted;
+	uint64_t requests;
+	uint64_t malformed;
+	uint64_t left; /**< callers that left before their answer */
+};
+
+struct comet_front;
+
+/** Starts listening on "a.b.c.d:port"; NULL and error when that fails. */
+struct comet_front *
+comet_front_create(void *parent, struct tevent_context *ev, struct comet_timers *timers,
+	const char *address, const struct comet_front_events *events, void *ctx, GError **error);
+
+void
+comet_front_set_limits(struct comet_front *front, const struct comet_front_limits *limits);
+
+/** The port that is listened on. */
+uint16_t
+comet_front_port(const struct comet_front *front);
+
+/** From now on answers ask callers to close, and idle connections end with their next answer. */
+void
+comet_front_set_closing(struct comet_front *front);
+
+/** Stops accepting connections. */
+void
+comet_front_stop_listening(struct comet_front *front);
+
+/** Closes connections that carry no request. */
+void
+comet_front_close_idle(struct comet_front *front);
+
+const struct comet_front_counts *
+comet_front_counts(const struct comet_front *front);
+
+/** A whole small answer. headers: further header lines, each with its line's end, or NULL. */
+void
+comet_front_answer(struct comet_front_request *request, unsigned int status, const char *headers,
+	const char *body, size_t length);
+
+/** Starts an answer; length < 0: unknown, it is sent in chunks. */
+void
+comet_front_start(struct comet_front_request *request, unsigned int status, const char *reason,
+	const char *headers, int64_t length);
+
+void
+comet_front_send(struct comet_front_request *request, const char *data, size_t length);
+
+/** The answer is complete; request is gone after this. */
+void
+comet_front_finish(struct comet_front_request *request);
+
+/** The answer cannot be completed: resets the connection; request is gone after this. */
+void
+comet_front_abort(struct comet_front_request *request);
+
+/** Bytes of this answer that wait for a slow reader. */
+size_t
+comet_front_queued(const struct comet_front_request *request);
+
+#endif
--- /dev/null
+++ b/libcometspindle/adapters/gateway.c
@@ -0,0 +1,498 @@
+/*
+ * gateway.c
+ * a VM that relays plain HTTP: reads its routes and endpoints from a directory
+ */
+#include <libcometspindle/adapters/gateway_private.h>
+
+#include <arpa/inet.h>
+#include <libcometspindle/adapters/socket.h>
+#include <libcometspindle/error.h>
+#include <libcometspindle/log.h>
+#include <netinet/in.h>
+#include <signal.h>
+#include <sodium.h>
+#include <string.h>
+#include <talloc.h>
+
+/* How often waiting requests, views and silent VMs are looked at: half the shortest interval of
+ * views. */
+#define TICK_US 50000
+
+/* A stop ends this long before the process would be killed. */
+#define STOP_MARGIN_US 400000
+
+/* Answers to other VMs and to the readiness check are small and quick. */
+#define SMALL_TIMEOUT_MS 3000
+#define SMALL_HEADER_BYTES (16 * 1024)
+#define IDLE_TIMEOUT_MS 20000
+
+/* Bounds before the first routing document is read. */
+static const struct comet_front_limits first_limits = {
+	.header_bytes = SMALL_HEADER_BYTES,
+	.body_bytes = 4 * 1024 * 1024,
+	.header_timeout_ms = SMALL_TIMEOUT_MS,
+	.idle_timeout_ms = IDLE_TIMEOUT_MS,
+};
+
+/* Another VM may be ahead for this long: our own read of the same change is under way. */
+#define BEHIND_US 400000
+
+/* A copy of the directory from another VM is waited for so long: a connect and an answer. */
+#define COPY_TIMEOUT_US 1000000
+
+/* Most seeds that a settings file names usefully. */
+#define SEEDS_MAX 16
+
+uint32_t
+comet_gateway_draw(struct comet_gateway *gateway)
+{
+	/* xorshift64*: draws need not be secret, only spread. */
+	gateway->random ^= gateway->random >> 12;
+	gateway->random ^= gateway->random << 25;
+	gateway->random ^= gateway->random >> 27;
+	return (uint32_t)(gateway->random * 0x2545F4914F6CDD1DULL >> 32);
+}
+
+static void
+on_routes(void *ctx, struct comet_route_table *table)
+{
+	struct comet_gateway *gateway = ctx;
+	uint64_t version = comet_route_table_version(table);
+
+	if (gateway->table != NULL && version <= comet_route_table_version(gateway->table))
+	{
+		comet_route_table_unref(table); /* never an older one */
+		return;
+	}
+	comet_log(COMET_LOG_NOTICE, "event=routes_taken version=%" G_GUINT64_FORMAT, version);
+	comet_route_table_unref(gateway->table);
+	gateway->table = table;
+	comet_allowance_set_teams(gateway->allowance, table, comet_timers_now_us());
+	const struct comet_route_limits *limits = comet_route_table_limits(table);
+	struct comet_front_limits front = {
+		.header_bytes = limits->header_bytes,
+		.body_bytes = limits->body_bytes,
+		.header_timeout_ms = limits->header_timeout_ms,
+		.idle_timeout_ms = limits->idle_timeout_ms,
+	};
+	comet_front_set_limits(gateway->callers, &front);
+}
+
+static void
+on_instance(void *ctx, const struct comet_instance_record *record)
+{
+	struct comet_gateway *gateway = ctx;
+	const struct comet_instance *known = comet_instances_find(gateway->instances, record->id);
+
+	if (known == NULL || known->draining != record->draining || !known->listed)
+		comet_log(COMET_LOG_NOTICE,
+			"event=endpoint_listed endpoint=%s service=%s address=%s zone=%s slots=%u "
+			"draining=%d",
+			record->id, record->service, record->address, record->zone, record->slots,
+			record->draining);
+	comet_instances_put(gateway->instances, record, comet_timers_now_us());
+	if (record->draining)
+		comet_upstream_forget(gateway->upstream, record->id);
+}
+
+static void
+on_dropped(void *ctx, const char *id)
+{
+	struct comet_gateway *gateway = ctx;
+
+	comet_log(COMET_LOG_NOTICE, "event=endpoint_gone endpoint=%s", id);
+	comet_upstream_forget(gateway->upstream, id);
+}
+
+static void
+on_instance_gone(void *ctx, const char *id, bool doubtful)
+{
+	struct comet_gateway *gateway = ctx;
+
+	if (doubtful)
+	{
+		comet_log(COMET_LOG_NOTICE, "event=endpoint_lapsed endpoint=%s", id);
+		comet_instances_lapse(gateway->instances, id,
+			comet_timers_now_us() + (uint64_t)gateway->settings->lapse_ms * 1000);
+		return;
+	}
+	on_dropped(gateway, id);
+	comet_instances_remove(gateway->instances, id);
+}
+
+static void
+on_revision(void *ctx, uint64_t revision)
+{
+	struct comet_gateway *gateway = ctx;
+
+	gateway->listed = true;
+	gateway->revision = revision;
+	comet_views_set_revision(gateway->views, revision);
+	comet_placement_run(gateway->placement, comet_timers_now_us());
+}
+
+static void
+on_dependency(void *ctx, bool there, const char *why)
+{
+	(void)ctx;
+	comet_log(there ? COMET_LOG_NOTICE : COMET_LOG_WARNING, "event=directory_%s reason=%s",
+		there ? "regained" : "lost", why);
+}
+
+static const struct comet_directory_events directory_events = {
+	.routes = on_routes,
+	.instance = on_instance,
+	.instance_gone = on_instance_gone,
+	.revision = on_revision,
+	.dependency = on_dependency,
+};
+
+static void
+on_view(void *ctx, const uint8_t *data, size_t length)
+{
+	struct comet_gateway *gateway = ctx;
+
+	if (!comet_views_receive(gateway->views, data, length, comet_timers_now_us()))
+		comet_log(COMET_LOG_WARNING, "event=view_malformed bytes=%zu", length);
+}
+
+static void
+send_view(void *ctx, uint32_t address, const uint8_t *data, size_t length)
+{
+	struct comet_gateway *gateway = ctx;
+
+	comet_view_link_send(gateway->link, address, data, length);
+}
+
+static void
+on_vm_changed(void *ctx, uint32_t address, bool there, const char *why)
+{
+	struct in_addr at = {.s_addr = htonl(address)};
+	char text[INET_ADDRSTRLEN];
+
+	(void)ctx;
+	inet_ntop(AF_INET, &at, text, sizeof text);
+	comet_log(COMET_LOG_NOTICE, "event=vm_%s vm=%s reason=%s", there ? "heard" : "lost", text,
+		why);
+}
+
+static const struct comet_views_ops views_ops = {.send = send_view, .changed = on_vm_changed};
+
+/* A copy of the directory arrives from another VM. */
+static void
+on_copy_head(void *ctx, const struct comet_http_head *head)
+{
+	(void)ctx;
+	(void)head;
+}
+
+static void
+on_copy_data(void *ctx, const char *data, size_t length)
+{
+	struct comet_gateway *gateway = ctx;
+
+	g_byte_array_append(gateway->copied, (const guint8 *)data, (guint)length);
+}
+
+static void
+on_copy_end(void *ctx, enum comet_exchange_end end)
+{
+	struct comet_gateway *gateway = ctx;
+	GError *error = NULL;
+
+	gateway->copying = NULL;
+	comet_timer_cancel(&gateway->copy_timer);
+	if (end == COMET_EXCHANGE_WHOLE &&
+		!gateway->directory->ops->offer(gateway->directory,
+			(const char *)gateway->copied->data, gateway->copied->len, &error))
+	{
+		comet_log(COMET_LOG_WARNING, "event=copy_refused error=\"%s\"", error->message);
+		g_clear_error(&error);
+	}
+	g_byte_array_set_size(gateway->copied, 0);
+}
+
+static const struct comet_exchange_events copy_events = {
+	.head = on_copy_head, .data = on_copy_data, .end = on_copy_end};
+
+static void
+on_copy_timeout(void *ctx)
+{
+	struct comet_gateway *gateway = ctx;
+
+	gateway->copy_timer = NULL;
+	TALLOC_FREE(gateway->copying);
+	g_byte_array_set_size(gateway->copied, 0);
+	comet_log(COMET_LOG_NOTICE, "event=copy_failed reason=timeout");
+}
+
+static void
+ask_copy(struct comet_gateway *gateway, uint32_t vm)
+{
+	static const char bytes[] = "GET /v1/directory HTTP/1.1\r\nHost: vm\r\n\r\n";
+	struct in_addr at = {.s_addr = htonl(vm)};
+	char ip[INET_ADDRSTRLEN];
+
+	inet_ntop(AF_INET, &at, ip, sizeof ip);
+	/* All VMs use the same port for control. */
+	char *address = g_strconcat(ip, strrchr(gateway->settings->control, ':'), NULL);
+	struct comet_exchange_request request = {
+		.instance = address,
+		.address = address,
+		.bytes = bytes,
+		.length = sizeof bytes - 1,
+	};
+	comet_log(COMET_LOG_NOTICE, "event=copy_asked vm=%s revision=%" G_GUINT64_FORMAT, ip,
+		gateway->revision);
+	gateway->copying =
+		comet_upstream_send(gateway->upstream, gateway, &request, &copy_events, gateway);
+	gateway->copy_timer = comet_timers_add(
+		gateway->timers, gateway, COPY_TIMEOUT_US, on_copy_timeout, gateway);
+	g_free(address);
+}
+
+/* Reads the directory's copy of a VM that knows more, when our own reads do not get through. */
+static void
+copy_from_peer(struct comet_gateway *gateway, uint64_t now_us)
+{
+	uint32_t vm = comet_views_newer(gateway->views, gateway->revision);
+
+	if (vm == 0)
+	{
+		gateway->behind_us = 0;
+		return;
+	}
+	if (gateway->behind_us == 0)
+		gateway->behind_us = now_us;
+	if (gateway->copying != NULL || now_us - gateway->behind_us < BEHIND_US)
+		return;
+	gateway->behind_us = now_us;
+	ask_copy(gateway, vm);
+}
+
+/* Goes on with a stop: closes what is idle, and ends once nothing is open. */
+static void
+continue_stop(struct comet_gateway *gateway, uint64_t now_us)
+{
+	uint64_t passed_us = now_us - gateway->stop_us;
+	uint64_t grace_us = (uint64_t)gateway->settings->grace_ms * 1000;
+
+	if (passed_us < (uint64_t)gateway->settings->leave_ms * 1000)
+		return;
+	comet_front_stop_listening(gateway->callers);
+	comet_front_close_idle(gateway->callers);
+	bool open = gateway->calls > 0 || comet_front_counts(gateway->callers)->connections > 0;
+	if (open && passed_us + STOP_MARGIN_US < grace_us)
+		return;
+	comet_log(COMET_LOG_NOTICE, "event=stopped open=%u after_ms=%" G_GUINT64_FORMAT,
+		gateway->calls, passed_us / 1000);
+	gateway->over = true;
+}
+
+static void
+on_tick(void *ctx)
+{
+	struct comet_gateway *gateway = ctx;
+	uint64_t now_us = comet_timers_now_us();
+	uint32_t known = 0;
+	uint32_t heard = 0;
+
+	comet_timers_add(gateway->timers, gateway, TICK_US, on_tick, gateway);
+	comet_views_tick(gateway->views, now_us);
+	comet_views_count(gateway->views, &known, &heard);
+	comet_allowance_set_heard(
+		gateway->allowance, (double)(heard + 1) / (double)(known + 1), now_us);
+	if (known > 0)
+		comet_retry_budget_set_vms(gateway->retries, known + 1);
+	comet_instances_tick(gateway->instances, now_us, on_dropped, gateway);
+	comet_placement_run(gateway->placement, now_us);
+	copy_from_peer(gateway, now_us);
+	if (gateway->stop_us != 0)
+		continue_stop(gateway, now_us);
+}
+
+static void
+on_stop(struct tevent_context *ev, struct tevent_signal *event, int number, int count, void *info,
+	void *data)
+{
+	struct comet_gateway *gateway = data;
+
+	(void)ev;
+	(void)event;
+	(void)count;
+	(void)info;
+	if (gateway->stop_us != 0)
+		return;
+	gateway->stop_us = comet_timers_now_us();
+	comet_log(COMET_LOG_NOTICE, "event=stopping signal=%d open=%u", number, gateway->calls);
+	comet_front_set_closing(gateway->callers);
+	comet_views_leave(gateway->views, gateway->stop_us);
+}
+
+static void
+on_reload(struct tevent_context *ev, struct tevent_signal *event, int number, int count, void *info,
+	void *data)
+{
+	struct comet_gateway *gateway = data;
+	GError *error = NULL;
+	char *text = NULL;
+	gsize length = 0;
+
+	(void)ev;
+	(void)event;
+	(void)number;
+	(void)count;
+	(void)info;
+	struct comet_gateway_settings *settings = NULL;
+	if (g_file_get_contents(gateway->settings_path, &text, &length, &error))
+		settings = comet_gateway_settings_parse(text, length, &error);
+	g_free(text);
+	if (settings == NULL)
+	{
+		comet_log(
+			COMET_LOG_ERR, "event=reload_failed error=\"%s\" kept=old", error->message);
+		g_clear_error(&error);
+		return;
+	}
+	/* Addresses cannot change in a running process; the log's level and bounds can. */
+	comet_log_init("cometspindled", (enum comet_log_level)settings->log_level);
+	comet_log(COMET_LOG_NOTICE, "event=reloaded path=%s", gateway->settings_path);
+	talloc_free(settings);
+}
+
+/* Reads the addresses of the seeds; their ports are those of another service. */
+static size_t
+read_seeds(const char *text, uint32_t seeds[SEEDS_MAX])
+{
+	char **words = g_strsplit(text, ",", -1);
+	size_t count = 0;
+
+	for (char **word = words; *word != NULL && count < SEEDS_MAX; word++)
+	{
+		struct sockaddr_in at;
+		if (**word == '\0')
+			continue;
+		if (comet_socket_parse_address(*word, &at))
+			seeds[count++] = ntohl(at.sin_addr.s_addr);
+		else
+			comet_log(COMET_LOG_WARNING, "event=seed_ignored seed=\"%s\"", *word);
+	}
+	g_strfreev(words);
+	return count;
+}
+
+static void
+create_views(struct comet_gateway *gateway)
+{
+	uint32_t seeds[SEEDS_MAX];
+	struct comet_views_config config = {
+		.address = comet_view_link_address(gateway->link),
+		.seeds = seeds,
+		.n_seeds = read_seeds(gateway->settings->seeds, seeds),
+		.bytes_per_s = gateway->settings->peer_bytes_per_s,
+	};
+
+	randombytes_buf(&config.incarnation, sizeof config.incarnation);
+	gateway->views = comet_views_create(
+		gateway, &config, gateway->instances, gateway->allowance, &views_ops, gateway);
+}
+
+/* Opens what the gateway listens on. @return false with error set. */
+static bool
+open_sockets(struct comet_gateway *gateway, GError **error)
+{
+	const struct comet_gateway_settings *settings = gateway->settings;
+
+	gateway->callers = comet_front_create(gateway, gateway->ev, gateway->timers,
+		settings->callers, &comet_gateway_call_events, gateway, error);
+	if (gateway->callers == NULL)
+		return false;
+	gateway->readiness = comet_front_create(gateway, gateway->ev, gateway->timers,
+		settings->readiness, &comet_gateway_readiness_events, gateway, error);
+	if (gateway->readiness == NULL)
+		return false;
+	gateway->control = comet_front_create(gateway, gateway->ev, gateway->timers,
+		settings->control, &comet_gateway_control_events, gateway, error);
+	if (gateway->control == NULL)
+		return false;
+	comet_front_set_limits(gateway->callers, &first_limits);
+	comet_front_set_limits(gateway->readiness, &first_limits);
+	comet_front_set_limits(gateway->control, &first_limits);
+	gateway->link = comet_view_link_create(
+		gateway, gateway->ev, settings->peers, on_view, gateway, error);
+	return gateway->link != NULL;
+}
+
+static void
+create_decisions(struct comet_gateway *gateway)
+{
+	const struct comet_gateway_settings *settings = gateway->settings;
+
+	gateway->instances = comet_instances_create(gateway, settings->zone);
+	gateway->allowance = comet_allowance_create(gateway, &settings->allowance);
+	gateway->retries = comet_retry_budget_create(gateway, &settings->retries);
+	gateway->placement = comet_placement_create(
+		gateway, gateway->instances, settings->zone, &comet_gateway_placement_ops, gateway);
+}
+
+struct comet_gateway *
+comet_gateway_create(const struct comet_gateway_settings *settings, const char *settings_path,
+	const struct comet_gateway_port *port, GError **error)
+{
+	struct comet_gateway *gateway = talloc_zero(NULL, struct comet_gateway);
+
+	gateway->settings = settings;
+	gateway->settings_path = settings_path;
+	gateway->names = port->names;
+	gateway->copied = g_byte_array_new();
+	randombytes_buf(&gateway->random, sizeof gateway->random);
+	gateway->ev = tevent_context_init(gateway);
+	gateway->timers = comet_timers_create(gateway, gateway->ev);
+	if (gateway->timers == NULL)
+	{
+		g_set_error(error, COMET_ERROR, COMET_ERROR_IO, "cannot create a timerfd");
+		comet_gateway_destroy(gateway);
+		return NULL;
+	}
+	gateway->upstream = comet_upstream_create(gateway, gateway->ev, gateway->timers);
+	if (!open_sockets(gateway, error))
+	{
+		comet_gateway_destroy(gateway);
+		return NULL;
+	}
+	create_decisions(gateway);
+	create_views(gateway);
+	struct comet_directory_context context = {
+		.ev = gateway->ev,
+		.timers = gateway->timers,
+		.upstream = gateway->upstream,
+		.address = settings->directory,
+		.events = &directory_events,
+		.ctx = gateway,
+	};
+	gateway->directory = port->create_directory(gateway, &context);
+	tevent_add_signal(gateway->ev, gateway, SIGTERM, 0, on_stop, gateway);
+	tevent_add_signal(gateway->ev, gateway, SIGINT, 0, on_stop, gateway);
+	tevent_add_signal(gateway->ev, gateway, SIGHUP, 0, on_reload, gateway);
+	return gateway;
+}
+
+void
+comet_gateway_run(struct comet_gateway *gateway)
+{
+	comet_log(COMET_LOG_NOTICE,
+		"event=started version=" COMET_VERSION " vm=%s zone=%s callers=%s",
+		gateway->settings->name, gateway->settings->zone, gateway->settings->callers);
+	gateway->directory->ops->start(gateway->directory);
+	comet_timers_add(gateway->timers, gateway, 0, on_tick, gateway);
+	while (!gateway->over && tevent_loop_once(gateway->ev) == 0)
+		;
+}
+
+void
+comet_gateway_destroy(struct comet_gateway *gateway)
+{
+	g_byte_array_free(gateway->copied, TRUE);
+	comet_route_table_unref(gateway->table);
+	talloc_free(gateway);
+}
--- /dev/null
+++ b/libcometspindle/adapters/gateway_pages.c
@@ -0,0 +1,150 @@
+/*
+ * gateway_pages.c
+ * what a gateway answers on its readiness and control addresses
+ */
+#include <libcometspindle/adapters/gateway_private.h>
+
+#include <string.h>
+
+/* Other VMs ask here for a copy of what the directory says. */
+#define COPY_PATH "/v1/directory"
+#define METRICS_PATH "/metrics"
+
+const char *
+comet_gateway_not_ready(const struct comet_gateway *gateway)
+{
+	if (gateway->stop_us != 0)
+		return "stopping";
+	if (gateway->table == NULL)
+		return "no_routes";
+	if (!gateway->listed)
+		return "no_endpoints";
+	return NULL;
+}
+
+static void
+on_readiness(void *ctx, struct comet_front_request *request)
+{
+	const char *why = comet_gateway_not_ready(ctx);
+
+	if (why == NULL)
+		comet_front_answer(request, 200, NULL, "ready\n", 6);
+	else
+		comet_front_answer(request, 503, NULL, why, strlen(why));
+}
+
+static void
+on_gone(void *ctx, struct comet_front_request *request)
+{
+	(void)ctx;
+	(void)request;
+}
+
+static void
+put(GString *out, const char *name, const char *type, double value)
+{
+	g_string_append_printf(
+		out, "# TYPE comet_%s %s\ncomet_%s %.10g\n", name, type, name, value);
+}
+
+static void
+put_outcomes(GString *out, const struct comet_gateway_counts *counts)
+{
+	const struct
+	{
+		const char *name;
+		uint64_t value;
+	} rows[] = {
+		{"served", counts->served},
+		{"relayed_error", counts->relayed_errors},
+		{"refused_early", counts->refused_early},
+		{"refused_team", counts->refused_team},
+		{"refused_other", counts->refused_other},
+		{"failed", counts->failed},
+		{"cut", counts->cut},
+		{"caller_left", counts->left},
+	};
+
+	g_string_append(out, "# TYPE comet_requests_total counter\n");
+	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++)
+		g_string_append_printf(out,
+			"comet_requests_total{outcome=\"%s\"} %" G_GUINT64_FORMAT "\n",
+			rows[i].name, rows[i].value);
+}
+
+static void
+put_instance(void *ctx, struct comet_instance *instance)
+{
+	GString *out = ctx;
+
+	g_string_append_printf(out,
+		"comet_endpoint_running{endpoint=\"%s\",service=\"%s\"} %u\n"
+		"comet_endpoint_pace{endpoint=\"%s\",service=\"%s\"} %.3f\n"
+		"comet_endpoint_avoided{endpoint=\"%s\",service=\"%s\"} %d\n",
+		instance->id, instance->service, instance->own, instance->id, instance->service,
+		instance->pace, instance->id, instance->service, instance->avoid_us != 0);
+}
+
+static void
+answer_metrics(struct comet_gateway *gateway, struct comet_front_request *request)
+{
+	const struct comet_upstream_counts *up = comet_upstream_counts(gateway->upstream);
+	GString *out = g_string_new(NULL);
+	uint32_t known = 0;
+	uint32_t heard = 0;
+
+	comet_views_count(gateway->views, &known, &heard);
+	put_outcomes(out, &gateway->counts);
+	put(out, "requests_open", "gauge", gateway->calls);
+	put(out, "requests_waiting", "gauge", comet_placement_waiting_all(gateway->placement));
+	put(out, "dispatches_total", "counter", (double)gateway->counts.dispatched);
+	put(out, "repeats_total", "counter", (double)gateway->counts.repeated);
+	put(out, "resumes_total", "counter", (double)gateway->counts.resumed);
+	put(out, "vms_known", "gauge", known);
+	put(out, "vms_heard", "gauge", heard);
+	put(out, "endpoint_connections_opened_total", "counter", (double)up->opened);
+	put(out, "endpoint_connections_reused_total", "counter", (double)up->reused);
+	put(out, "endpoint_connections_open", "gauge", up->open);
+	put(out, "foreign_answers_total", "counter", (double)up->foreign_answers);
+	put(out, "routes_version", "gauge",
+		gateway->table != NULL ? (double)comet_route_table_version(gateway->table) : 0);
+	comet_instances_each(gateway->instances, put_instance, out);
+	comet_front_answer(
+		request, 200, "Content-Type: text/plain; version=0.0.4\r\n", out->str, out->len);
+	g_string_free(out, TRUE);
+}
+
+static void
+answer_copy(struct comet_gateway *gateway, struct comet_front_request *request)
+{
+	GBytes *copy = gateway->directory->ops->snapshot(gateway->directory);
+	gsize length = 0;
+
+	if (copy == NULL)
+	{
+		comet_front_answer(request, 503, NULL, "", 0);
+		return;
+	}
+	const char *data = g_bytes_get_data(copy, &length);
+	comet_front_answer(request, 200, "Content-Type: application/json\r\n", data, length);
+	g_bytes_unref(copy);
+}
+
+static void
+on_control(void *ctx, struct comet_front_request *request)
+{
+	const char *target = request->head->target;
+
+	if (strcmp(target, COPY_PATH) == 0)
+		answer_copy(ctx, request);
+	else if (strcmp(target, METRICS_PATH) == 0)
+		answer_metrics(ctx, request);
+	else
+		comet_front_answer(request, 404, NULL, "", 0);
+}
+
+const struct comet_front_events comet_gateway_readiness_events = {
+	.request = on_readiness, .gone = on_gone};
+
+const struct comet_front_events comet_gateway_control_events = {
+	.request = on_control, .gone = on_gone};
--- /dev/null
+++ b/libcometspindle/adapters/gateway_private.h
@@ -0,0 +1,81 @@
+/*
+ * gateway_private.h
+ * what the gateway's files share
+ */
+#ifndef COMETSPINDLE_ADAPTERS_GATEWAY_PRIVATE_H
+#define COMETSPINDLE_ADAPTERS_GATEWAY_PRIVATE_H
+
+#include <libcometspindle/adapters/front.h>
+#include <libcometspindle/adapters/gateway.h>
+#include <libcometspindle/adapters/view_link.h>
+#include <libcometspindle/gateway/placement.h>
+#include <libcometspindle/gateway/views.h>
+
+/** Counts of how requests ended; monotonic. */
+struct comet_gateway_counts
+{
+	uint64_t admitted;
+	uint64_t dispatched;
+	uint64_t repeated;
+	uint64_t resumed;
+	uint64_t served;
+	uint64_t relayed_errors;
+	uint64_t refused_early; /**< not run, told when to come back */
+	uint64_t refused_team;  /**< over the team's limit */
+	uint64_t refused_other;
+	uint64_t failed; /**< may have run */
+	uint64_t cut;    /**< an answer that could not be completed */
+	uint64_t left;   /**< the caller left */
+};
+
+struct comet_gateway
+{
+	const struct comet_gateway_settings *settings;
+	const char *settings_path;
+	const struct comet_wire_names *names;
+	struct tevent_context *ev;
+	struct comet_timers *timers;
+	struct comet_upstream *upstream;
+	struct comet_front *callers;
+	struct comet_front *readiness;
+	struct comet_front *control;
+	struct comet_directory *directory;
+	struct comet_instances *instances;
+	struct comet_placement *placement;
+	struct comet_allowance *allowance;
+	struct comet_retry_budget *retries;
+	struct comet_views *views;
+	struct comet_view_link *link;
+	struct comet_route_table *table; /**< NULL until one has been read */
+	struct comet_gateway_counts counts;
+	uint32_t calls; /**< requests that are open */
+	uint64_t random;
+	uint64_t stop_us;               /**< when the stop began; 0: none */
+	struct comet_exchange *copying; /**< reading the directory's copy from another VM */
+	struct comet_timer *copy_timer;
+	uint64_t behind_us; /**< since when another VM has read more; 0: none has */
+	uint64_t revision;  /**< of the directory, as far as read */
+	GByteArray *copied;
+	bool listed; /**< the endpoints have been told once */
+	bool over;
+};
+
+/** Handles a request of a caller (gateway_call.c). */
+extern const struct comet_front_events comet_gateway_call_events;
+
+/** What placement asks for (gateway_call.c). */
+extern const struct comet_placement_ops comet_gateway_placement_ops;
+
+/** Answers on the readiness and control addresses (gateway_pages.c). */
+extern const struct comet_front_events comet_gateway_readiness_events;
+extern const struct comet_front_events comet_gateway_control_events;
+
+/** NULL when this VM takes requests, else why not (gateway_pages.c). */
+const char *
+comet_gateway_not_ready(const struct comet_gateway *gateway);
+
+/** A draw in [0, 2^32). */
+uint32_t
+comet_gateway_draw(struct comet_gateway *gateway);
+
+#endif
--- /dev/null
+++ b/libcometspindle/adapters/socket.c
@@ -0,0 +1,303 @@
+/*
+ * socket.c
+ * a non-blocking TCP connection on a tevent loop, with a queue of bytes to write
+ */
+#include <libcometspindle/adapters/socket.h>
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <netinet/tcp.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <talloc.h>
+#include <unistd.h>
+
+/* Read at once: a page run that one event rarely exceeds. */
+#define READ_BYTES 16384
+
+/* A peer that acknowledges nothing for so long is gone: a few round trips of any zone. */
+#define USER_TIMEOUT_MS 5000
+
+/* Connections that wait to be accepted; a burst of callers opens dozens at once. */
+#define LISTEN_BACKLOG 512
+
+struct comet_socket
+{
+	struct tevent_fd *event;
+	const struct comet_socket_events *events;
+	void *ctx;
+	GByteArray *queue;
+	size_t written; /* part of the queue that is gone */
+	int fd;
+	bool connecting;
+	bool paused;
+	bool ended;    /* the other side's stream has ended */
+	bool shutting; /* end our direction once the queue is empty */
+	bool broken;
+};
+
+bool
+comet_socket_parse_address(const char *text, struct sockaddr_in *address)
+{
+	char host[INET_ADDRSTRLEN];
+	const char *colon = strrchr(text, ':');
+	char *end = NULL;
+
+	if (colon == NULL || (size_t)(colon - text) >= sizeof host)
+		return false;
+	memcpy(host, text, (size_t)(colon - text));
+	host[colon - text] = '\0';
+	long port = strtol(colon + 1, &end, 10);
+	if (*end != '\0' || end == colon + 1 || port < 0 || port > UINT16_MAX)
+		return false;
+	memset(address, 0, sizeof *address);
+	address->sin_family = AF_INET;
+	address->sin_port = htons((uint16_t)port);
+	return inet_pton(AF_INET, host, &address->sin_addr) == 1;
+}
+
+static void
+update_flags(struct comet_socket *socket)
+{
+	uint16_t flags = 0;
+
+	if (socket->broken)
+	{
+		tevent_fd_set_flags(socket->event, 0);
+		return;
+	}
+	if (!socket->paused && !socket->ended && !socket->connecting)
+		flags |= TEVENT_FD_READ;
+	if (socket->connecting || socket->queue->len > socket->written)
+		flags |= TEVENT_FD_WRITE;
+	tevent_fd_set_flags(socket->event, flags);
+}
+
+/* The connection is of no more use; told at most once. */
+static void
+report_closed(struct comet_socket *socket, bool orderly)
+{
+	if (socket->ended || socket->broken)
+		return;
+	socket->ended = true;
+	socket->broken = !orderly;
+	update_flags(socket);
+	socket->events->closed(socket->ctx, orderly);
+}
+
+static void
+finish_connect(struct comet_socket *socket)
+{
+	int code = 0;
+	socklen_t length = sizeof code;
+
+	if (getsockopt(socket->fd, SOL_SOCKET, SO_ERROR, &code, &length) != 0 || code != 0)
+	{
+		report_closed(socket, false);
+		return;
+	}
+	socket->connecting = false;
+	update_flags(socket);
+	socket->events->connected(socket->ctx);
+}
+
+/* Writes what the kernel takes. @return false when the connection broke. */
+static bool
+flush(struct comet_socket *socket)
+{
+	while (socket->queue->len > socket->written)
+	{
+		ssize_t done = send(socket->fd, socket->queue->data + socket->written,
+			socket->queue->len - socket->written, MSG_NOSIGNAL);
+		if (done < 0 && errno == EINTR)
+			continue;
+		if (done < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
+			return true;
+		if (done < 0)
+			return false;
+		socket->written += (size_t)done;
+	}
+	g_byte_array_set_size(socket->queue, 0);
+	socket->written = 0;
+	if (socket->shutting)
+		shutdown(socket->fd, SHUT_WR);
+	return true;
+}
+
+static void
+on_writable(struct comet_socket *socket)
+{
+	if (socket->connecting)
+	{
+		finish_connect(socket);
+		return;
+	}
+	if (!flush(socket))
+	{
+		report_closed(socket, false);
+		return;
+	}
+	update_flags(socket);
+	if (socket->queue->len == 0 && socket->events->drained != NULL)
+		socket->events->drained(socket->ctx);
+}
+
+static void
+on_readable(struct comet_socket *socket)
+{
+	char buffer[READ_BYTES];
+	ssize_t got = recv(socket->fd, buffer, sizeof buffer, 0);
+
+	if (got > 0)
+		socket->events->data(socket->ctx, buffer, (size_t)got);
+	else if (got == 0)
+		report_closed(socket, true);
+	else if (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR)
+		report_closed(socket, false);
+}
+
+static void
+on_ready(struct tevent_context *ev, struct tevent_fd *event, uint16_t flags, void *data)
+{
+	struct comet_socket *socket = data;
+
+	(void)ev;
+	(void)event;
+	/* One kind an event: a callback may free the socket. tevent calls again. */
+	if ((flags & TEVENT_FD_WRITE) != 0)
+		on_writable(socket);
+	else if ((flags & TEVENT_FD_READ) != 0)
+		on_readable(socket);
+}
+
+static int
+socket_destroy(struct comet_socket *socket)
+{
+	talloc_free(socket->event);
+	close(socket->fd);
+	g_byte_array_free(socket->queue, TRUE);
+	return 0;
+}
+
+static struct comet_socket *
+wrap(void *parent, struct tevent_context *ev, int fd, bool connecting,
+	const struct comet_socket_events *events, void *ctx)
+{
+	struct comet_socket *socket = talloc_zero(parent, struct comet_socket);
+	int on = 1;
+	unsigned int timeout_ms = USER_TIMEOUT_MS;
+
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms, sizeof timeout_ms);
+	socket->fd = fd;
+	socket->connecting = connecting;
+	socket->events = events;
+	socket->ctx = ctx;
+	socket->queue = g_byte_array_new();
+	socket->event = tevent_add_fd(
+		ev, socket, fd, connecting ? TEVENT_FD_WRITE : TEVENT_FD_READ, on_ready, socket);
+	talloc_set_destructor(socket, socket_destroy);
+	return socket;
+}
+
+struct comet_socket *
+comet_socket_accepted(void *parent, struct tevent_context *ev, int fd,
+	const struct comet_socket_events *events, void *ctx)
+{
+	return wrap(parent, ev, fd, false, events, ctx);
+}
+
+struct comet_socket *
+comet_socket_connect(void *parent, struct tevent_context *ev, const struct sockaddr_in *address,
+	const struct comet_socket_events *events, void *ctx)
+{
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+
+	if (fd < 0)
+		return NULL;
+	if (connect(fd, (const struct sockaddr *)address, sizeof *address) != 0 &&
+		errno != EINPROGRESS)
+	{
+		int code = errno;
+		close(fd);
+		errno = code;
+		return NULL;
+	}
+	return wrap(parent, ev, fd, true, events, ctx);
+}
+
+void
+comet_socket_write(struct comet_socket *socket, const char *data, size_t length)
+{
+	if (socket->broken)
+		return;
+	g_byte_array_append(socket->queue, (const guint8 *)data, (guint)length);
+	if (!socket->connecting && !flush(socket))
+	{
+		/* Seen again as a failing read or write event: closed() is told from there. */
+		g_byte_array_set_size(socket->queue, 0);
+		socket->written = 0;
+	}
+	update_flags(socket);
+}
+
+size_t
+comet_socket_queued(const struct comet_socket *socket)
+{
+	return socket->queue->len - socket->written;
+}
+
+void
+comet_socket_pause(struct comet_socket *socket, bool paused)
+{
+	socket->paused = paused;
+	update_flags(socket);
+}
+
+void
+comet_socket_shutdown(struct comet_socket *socket)
+{
+	socket->shutting = true;
+	if (socket->queue->len == socket->written)
+		shutdown(socket->fd, SHUT_WR);
+}
+
+bool
+comet_socket_is_quiet(const struct comet_socket *socket)
+{
+	char byte = 0;
+
+	if (socket->broken || socket->ended)
+		return false;
+	ssize_t got = recv(socket->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+	return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+void
+comet_socket_set_reset(struct comet_socket *socket)
+{
+	struct linger at_once = {.l_onoff = 1, .l_linger = 0};
+
+	setsockopt(socket->fd, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+}
+
+int
+comet_socket_listen(const struct sockaddr_in *address)
+{
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	int on = 1;
+
+	if (fd < 0)
+		return -1;
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+	if (bind(fd, (const struct sockaddr *)address, sizeof *address) != 0 ||
+		listen(fd, LISTEN_BACKLOG) != 0)
+	{
+		int code = errno;
+		close(fd);
+		errno = code;
+		return -1;
+	}
+	return fd;
+}
--- /dev/null
+++ b/libcometspindle/adapters/timers.c
@@ -0,0 +1,159 @@
+/*
+ * timers.c
+ * one-shot timers on the monotonic clock, for a tevent loop
+ */
+#include <libcometspindle/adapters/timers.h>
+
+#include <glib.h>
+#include <sys/timerfd.h>
+#include <talloc.h>
+#include <time.h>
+#include <unistd.h>
+
+struct comet_timers
+{
+	struct tevent_fd *event;
+	GSequence *queue;  /* of comet_timer, earliest first */
+	uint64_t armed_us; /* what the timerfd is set to; 0: not set */
+	int fd;
+};
+
+struct comet_timer
+{
+	struct comet_timers *timers;
+	GSequenceIter *place; /* NULL once it is due */
+	uint64_t due_us;
+	comet_timer_handler handler;
+	void *ctx;
+};
+
+uint64_t
+comet_timers_now_us(void)
+{
+	struct timespec now;
+
+	clock_gettime(CLOCK_MONOTONIC, &now);
+	return (uint64_t)now.tv_sec * 1000000 + (uint64_t)now.tv_nsec / 1000;
+}
+
+static gint
+compare_due(gconstpointer left, gconstpointer right, gpointer ctx)
+{
+	const struct comet_timer *a = left;
+	const struct comet_timer *b = right;
+
+	(void)ctx;
+	if (a->due_us == b->due_us)
+		return 0;
+	return a->due_us < b->due_us ? -1 : 1;
+}
+
+/* Sets the timerfd to the earliest timer, if that is earlier than what it is set to. */
+static void
+arm(struct comet_timers *timers)
+{
+	GSequenceIter *first = g_sequence_get_begin_iter(timers->queue);
+
+	if (g_sequence_iter_is_end(first))
+		return;
+	const struct comet_timer *timer = g_sequence_get(first);
+	if (timers->armed_us != 0 && timers->armed_us <= timer->due_us)
+		return;
+	struct itimerspec when = {
+		.it_value = {(time_t)(timer->due_us / 1000000),
+			(long)(timer->due_us % 1000000) * 1000},
+	};
+	timers->armed_us = timer->due_us;
+	timerfd_settime(timers->fd, TFD_TIMER_ABSTIME, &when, NULL);
+}
+
+static void
+on_ready(struct tevent_context *ev, struct tevent_fd *event, uint16_t flags, void *data)
+{
+	struct comet_timers *timers = data;
+	uint64_t expirations = 0;
+
+	(void)ev;
+	(void)event;
+	(void)flags;
+	if (read(timers->fd, &expirations, sizeof expirations) < 0)
+		return; /* not due yet: woken for nothing */
+	timers->armed_us = 0;
+	uint64_t now_us = comet_timers_now_us();
+	for (;;)
+	{
+		GSequenceIter *first = g_sequence_get_begin_iter(timers->queue);
+		if (g_sequence_iter_is_end(first))
+			break;
+		struct comet_timer *timer = g_sequence_get(first);
+		if (timer->due_us > now_us)
+			break;
+		comet_timer_handler handler = timer->handler;
+		void *ctx = timer->ctx;
+		talloc_free(timer);
+		handler(ctx);
+	}
+	arm(timers);
+}
+
+static int
+timer_destroy(struct comet_timer *timer)
+{
+	if (timer->place != NULL)
+		g_sequence_remove(timer->place);
+	return 0;
+}
+
+static int
+timers_destroy(struct comet_timers *timers)
+{
+	GSequenceIter *at = g_sequence_get_begin_iter(timers->queue);
+
+	for (; !g_sequence_iter_is_end(at); at = g_sequence_iter_next(at))
+	{
+		struct comet_timer *timer = g_sequence_get(at);
+		timer->place = NULL;
+	}
+	g_sequence_free(timers->queue);
+	talloc_free(timers->event);
+	close(timers->fd);
+	return 0;
+}
+
+struct comet_timers *
+comet_timers_create(void *parent, struct tevent_context *ev)
+{
+	int fd = timerfd_create(CLOCK_MONOTONIC, TFD_NONBLOCK | TFD_CLOEXEC);
+
+	if (fd < 0)
+		return NULL;
+	struct comet_timers *timers = talloc_zero(parent, struct comet_timers);
+	timers->fd = fd;
+	timers->queue = g_sequence_new(NULL);
+	timers->event = tevent_add_fd(ev, timers, fd, TEVENT_FD_READ, on_ready, timers);
+	talloc_set_destructor(timers, timers_destroy);
+	return timers;
+}
+
+struct comet_timer *
+comet_timers_add(struct comet_timers *timers, void *parent, uint64_t delay_us,
+	comet_timer_handler handler, void *ctx)
+{
+	struct comet_timer *timer = talloc_zero(parent, struct comet_timer);
+
+	timer->timers = timers;
+	timer->due_us = comet_timers_now_us() + delay_us;
+	timer->handler = handler;
+	timer->ctx = ctx;
+	timer->place = g_sequence_insert_sorted(timers->queue, timer, compare_due, NULL);
+	talloc_set_destructor(timer, timer_destroy);
+	arm(timers);
+	return timer;
+}
+
+void
+comet_timer_cancel(struct comet_timer **timer)
+{
+	talloc_free(*timer);
+	*timer = NULL;
+}
--- /dev/null
+++ b/libcometspindle/adapters/upstream.c
@@ -0,0 +1,486 @@
+/*
+ * upstream.c
+ * the endpoint side: sends requests over kept HTTP/1.1 connections
+ */
+#include <libcometspindle/adapters/upstream.h>
+
+#include <errno.h>
+#include <libcometspindle/adapters/socket.h>
+#include <libcometspindle/log.h>
+#include <netinet/in.h>
+#include <stdlib.h>
+#include <string.h>
+#include <talloc.h>
+
+/* A connection that is not there by then is given up: the fleet's zones are about a millisecond
+ * apart, and the kernel repeats a lost first packet only after a second. */
+#define CONNECT_TIMEOUT_US 300000
+
+/* Idle connections are closed after this time unless the endpoint names a shorter one. */
+#define IDLE_DEFAULT_US 4000000
+
+/* An idle connection is not used within this time of its announced end: a request must not cross
+ * the endpoint's close. */
+#define IDLE_MARGIN_US 1000000
+
+/* Idle connections kept to one endpoint's process; more than its batch are never busy at once. */
+#define IDLE_MAX 16
+
+/* Heads of answers: as large as servers commonly allow. */
+#define HEAD_MAX_BYTES (64 * 1024)
+
+struct comet_upstream
+{
+	struct tevent_context *ev;
+	struct comet_timers *timers;
+	GHashTable *pools; /* instance -> GQueue of idle links, newest first */
+	struct comet_upstream_counts counts;
+};
+
+/* A connection to an endpoint. */
+struct link
+{
+	struct comet_upstream *upstream;
+	struct comet_socket *socket;
+	struct comet_http_reader *reader;
+	struct comet_exchange *exchange; /* NULL: idle */
+	struct comet_timer *idle_timer;
+	char *instance;
+	uint64_t idle_us; /* how long it may rest */
+	bool connected;
+	bool feeding; /* inside the reader: must not be freed */
+	bool doomed;  /* to be freed once the reader returns */
+	bool foreign; /* the answer being read belongs to another request */
+	bool ended;   /* the answer is complete */
+	bool keep_alive;
+};
+
+struct comet_exchange
+{
+	struct link *link;
+	struct comet_upstream *upstream;
+	const struct comet_exchange_events *events;
+	void *ctx;
+	GByteArray *bytes; /* the request until it is written */
+	char *id_header;
+	char *id;
+	struct comet_timer *timer;
+	bool sent;
+	bool head_only;
+};
+
+static GQueue *
+pool_of(struct comet_upstream *upstream, const char *instance)
+{
+	GQueue *pool = g_hash_table_lookup(upstream->pools, instance);
+
+	if (pool == NULL)
+	{
+		pool = g_queue_new();
+		g_hash_table_insert(upstream->pools, g_strdup(instance), pool);
+	}
+	return pool;
+}
+
+static int
+link_destroy(struct link *link)
+{
+	struct comet_upstream *upstream = link->upstream;
+
+	upstream->counts.open--;
+	if (link->exchange != NULL)
+		link->exchange->link = NULL;
+	else if (upstream->pools != NULL && g_queue_remove(pool_of(upstream, link->instance), link))
+		upstream->counts.idle--;
+	return 0;
+}
+
+/* Ends an exchange: its link is closed unless it was put aside before. */
+static void
+finish(struct comet_exchange *exchange, enum comet_exchange_end end)
+{
+	const struct comet_exchange_events *events = exchange->events;
+	void *ctx = exchange->ctx;
+
+	talloc_free(exchange);
+	events->end(ctx, end);
+}
+
+static void
+on_idle_over(void *ctx)
+{
+	struct link *link = ctx;
+
+	link->idle_timer = NULL;
+	talloc_free(link);
+}
+
+/* Keeps a link whose answer was read to its end. */
+static void
+put_aside(struct link *link)
+{
+	struct comet_upstream *upstream = link->upstream;
+	GQueue *pool = pool_of(upstream, link->instance);
+
+	link->exchange->link = NULL;
+	link->exchange = NULL;
+	if (!link->keep_alive || link->idle_us == 0 || g_queue_get_length(pool) >= IDLE_MAX)
+	{
+		talloc_free(link);
+		return;
+	}
+	link->ended = false;
+	comet_socket_pause(link->socket, false);
+	g_queue_push_head(pool, link);
+	upstream->counts.idle++;
+	link->idle_timer =
+		comet_timers_add(upstream->timers, link, link->idle_us, on_idle_over, link);
+}
+
+/* How long an idle connection may be used, from what the endpoint says of it. */
+static uint64_t
+idle_time(const struct comet_http_head *head)
+{
+	const char *value = comet_http_head_get(head, "Keep-Alive");
+	const char *timeout = value != NULL ? strstr(value, "timeout=") : NULL;
+
+	if (timeout == NULL)
+		return IDLE_DEFAULT_US;
+	uint64_t told_us = strtoull(timeout + strlen("timeout="), NULL, 10) * 1000000;
+	if (told_us <= IDLE_MARGIN_US)
+		return told_us / 2;
+	return MIN(told_us - IDLE_MARGIN_US, IDLE_DEFAULT_US);
+}
+
+static bool
+on_head(void *ctx, struct comet_http_head *head)
+{
+	struct link *link = ctx;
+	struct comet_exchange *exchange = link->exchange;
+
+	link->foreign = false;
+	if (exchange == NULL || head->status < 200)
+	{
+		link->foreign = true; /* an interim answer, or nobody waits: read past */
+		return false;
+	}
+	if (exchange->id_header != NULL)
+	{
+		const char *id = comet_http_head_get(head, exchange->id_header);
+		link->foreign = id == NULL || strcmp(id, exchange->id) != 0;
+	}
+	if (link->foreign)
+	{
+		link->upstream->counts.foreign_answers++;
+		comet_log(COMET_LOG_WARNING,
+			"event=foreign_answer endpoint=%s request=%s status=%u", link->instance,
+			exchange->id, head->status);
+		return false;
+	}
+	link->idle_us = idle_time(head);
+	exchange->events->head(exchange->ctx, head);
+	return link->exchange != NULL && exchange->head_only;
+}
+
+static void
+on_body(void *ctx, const char *data, size_t length)
+{
+	struct link *link = ctx;
+
+	if (!link->foreign && link->exchange != NULL)
+		link->exchange->events->data(link->exchange->ctx, data, length);
+}
+
+static void
+on_end(void *ctx, bool keep_alive)
+{
+	struct link *link = ctx;
+
+	link->keep_alive = keep_alive;
+	link->ended = !link->foreign;
+}
+
+static const struct comet_http_reader_events reader_events = {
+	.head = on_head, .body = on_body, .end = on_end};
+
+/* The answer is whole: what follows it on the connection belongs to no request. */
+static void
+answer_complete(struct link *link, bool bytes_follow)
+{
+	struct comet_exchange *exchange = link->exchange;
+
+	link->keep_alive = link->keep_alive && !bytes_follow;
+	put_aside(link);
+	finish(exchange, COMET_EXCHANGE_WHOLE);
+}
+
+static void
+on_data(void *ctx, const char *data, size_t length)
+{
+	struct link *link = ctx;
+
+	if (link->exchange == NULL)
+	{
+		link->upstream->counts.foreign_answers++;
+		talloc_free(link); /* an idle connection has nothing to say */
+		return;
+	}
+	while (length > 0)
+	{
+		size_t taken = 0;
+		link->feeding = true;
+		enum comet_http_reader_result result =
+			comet_http_reader_feed(link->reader, data, length, &taken);
+		link->feeding = false;
+		if (link->doomed)
+		{
+			talloc_free(link);
+			return;
+		}
+		data += taken;
+		length -= taken;
+		if (result == COMET_HTTP_READER_END && link->ended)
+		{
+			answer_complete(link, length > 0);
+			return;
+		}
+		if (result == COMET_HTTP_READER_END && link->keep_alive)
+			continue; /* past an answer that is not ours */
+		if (result != COMET_HTTP_READER_MORE)
+		{
+			link->upstream->counts.malformed++;
+			finish(link->exchange, COMET_EXCHANGE_BROKEN);
+			return;
+		}
+	}
+}
+
+static void
+on_closed(void *ctx, bool orderly)
+{
+	struct link *link = ctx;
+	struct comet_exchange *exchange = link->exchange;
+
+	if (exchange == NULL)
+	{
+		talloc_free(link);
+		return;
+	}
+	if (!link->connected)
+	{
+		link->upstream->counts.connect_failures++;
+		finish(exchange, COMET_EXCHANGE_UNREACHED);
+		return;
+	}
+	/* An answer without a length ends with its connection, if that ends in order. */
+	if (orderly && comet_http_reader_inside(link->reader) &&
+		comet_http_reader_feed_eof(link->reader) == COMET_HTTP_READER_END && link->ended)
+	{
+		answer_complete(link, true);
+		return;
+	}
+	finish(exchange, COMET_EXCHANGE_BROKEN);
+}
+
+/* Writes the request; from here on it may have run. */
+static void
+write_request(struct comet_exchange *exchange)
+{
+	struct link *link = exchange->link;
+
+	comet_timer_cancel(&exchange->timer);
+	exchange->sent = true;
+	comet_socket_write(link->socket, (const char *)exchange->bytes->data, exchange->bytes->len);
+	g_byte_array_set_size(exchange->bytes, 0);
+}
+
+static void
+on_connected(void *ctx)
+{
+	struct link *link = ctx;
+
+	link->connected = true;
+	write_request(link->exchange);
+}
+
+static const struct comet_socket_events socket_events = {
+	.connected = on_connected, .data = on_data, .closed = on_closed};
+
+static void
+on_unreached(void *ctx)
+{
+	struct comet_exchange *exchange = ctx;
+
+	exchange->timer = NULL;
+	exchange->upstream->counts.connect_failures++;
+	finish(exchange, COMET_EXCHANGE_UNREACHED);
+}
+
+/* Opens a new connection. @return NULL when that cannot even start. */
+static struct link *
+open_link(struct comet_upstream *upstream, const struct comet_exchange_request *request)
+{
+	struct sockaddr_in address;
+
+	if (!comet_socket_parse_address(request->address, &address))
+		return NULL;
+	struct link *link = talloc_zero(upstream, struct link);
+	link->socket = comet_socket_connect(link, upstream->ev, &address, &socket_events, link);
+	if (link->socket == NULL)
+	{
+		comet_log(COMET_LOG_WARNING, "event=connect_failed endpoint=%s error=\"%s\"",
+			request->instance, g_strerror(errno));
+		talloc_free(link);
+		return NULL;
+	}
+	link->upstream = upstream;
+	link->instance = talloc_strdup(link, request->instance);
+	link->reader = comet_http_reader_create(link, false, HEAD_MAX_BYTES, &reader_events, link);
+	upstream->counts.open++;
+	upstream->counts.opened++;
+	talloc_set_destructor(link, link_destroy);
+	return link;
+}
+
+/* Takes the idle connection used last, if one still stands. */
+static struct link *
+take_idle(struct comet_upstream *upstream, const char *instance)
+{
+	GQueue *pool = pool_of(upstream, instance);
+	struct link *link = NULL;
+
+	while ((link = g_queue_peek_head(pool)) != NULL)
+	{
+		if (comet_socket_is_quiet(link->socket))
+		{
+			g_queue_pop_head(pool);
+			upstream->counts.idle--;
+			upstream->counts.reused++;
+			comet_timer_cancel(&link->idle_timer);
+			return link;
+		}
+		talloc_free(link);
+	}
+	return NULL;
+}
+
+static int
+exchange_destroy(struct comet_exchange *exchange)
+{
+	g_byte_array_free(exchange->bytes, TRUE);
+	struct link *link = exchange->link;
+
+	if (link == NULL)
+		return 0;
+	/* The endpoint notices the close and stops working on it. */
+	link->exchange = NULL;
+	if (link->feeding)
+		link->doomed = true;
+	else
+		talloc_free(link);
+	return 0;
+}
+
+struct comet_exchange *
+comet_upstream_send(struct comet_upstream *upstream, void *parent,
+	const struct comet_exchange_request *request, const struct comet_exchange_events *events,
+	void *ctx)
+{
+	struct comet_exchange *exchange = talloc_zero(parent, struct comet_exchange);
+
+	exchange->upstream = upstream;
+	exchange->events = events;
+	exchange->ctx = ctx;
+	exchange->head_only = request->head_only;
+	exchange->id_header = talloc_strdup(exchange, request->id_header);
+	exchange->id = talloc_strdup(exchange, request->id);
+	exchange->bytes = g_byte_array_new();
+	g_byte_array_append(
+		exchange->bytes, (const guint8 *)request->bytes, (guint)request->length);
+	talloc_set_destructor(exchange, exchange_destroy);
+	struct link *link = take_idle(upstream, request->instance);
+	if (link == NULL)
+		link = open_link(upstream, request);
+	exchange->link = link;
+	if (link == NULL)
+	{
+		exchange->timer =
+			comet_timers_add(upstream->timers, exchange, 0, on_unreached, exchange);
+		return exchange;
+	}
+	link->exchange = exchange;
+	if (link->connected)
+		write_request(exchange);
+	else
+		exchange->timer = comet_timers_add(
+			upstream->timers, exchange, CONNECT_TIMEOUT_US, on_unreached, exchange);
+	return exchange;
+}
+
+bool
+comet_exchange_sent(const struct comet_exchange *exchange)
+{
+	return exchange->sent;
+}
+
+void
+comet_exchange_pause(struct comet_exchange *exchange, bool paused)
+{
+	if (exchange->link != NULL && exchange->link->connected)
+		comet_socket_pause(exchange->link->socket, paused);
+}
+
+void
+comet_upstream_forget(struct comet_upstream *upstream, const char *instance)
+{
+	GQueue *pool = g_hash_table_lookup(upstream->pools, instance);
+	struct link *link = NULL;
+
+	if (pool == NULL)
+		return;
+	while ((link = g_queue_peek_head(pool)) != NULL)
+		talloc_free(link);
+	g_hash_table_remove(upstream->pools, instance);
+}
+
+const struct comet_upstream_counts *
+comet_upstream_counts(const struct comet_upstream *upstream)
+{
+	return &upstream->counts;
+}
+
+static void
+free_pool(gpointer pool)
+{
+	g_queue_free(pool);
+}
+
+static int
+upstream_destroy(struct comet_upstream *upstream)
+{
+	GHashTableIter at;
+	gpointer pool = NULL;
+
+	g_hash_table_iter_init(&at, upstream->pools);
+	while (g_hash_table_iter_next(&at, NULL, &pool))
+	{
+		struct link *link = NULL;
+		while ((link = g_queue_peek_head(pool)) != NULL)
+			talloc_free(link);
+	}
+	g_hash_table_destroy(upstream->pools);
+	upstream->pools = NULL;
+	return 0;
+}
+
+struct comet_upstream *
+comet_upstream_create(void *parent, struct tevent_context *ev, struct comet_timers *timers)
+{
+	struct comet_upstream *upstream = talloc_zero(parent, struct comet_upstream);
+
+	upstream->ev = ev;
+	upstream->timers = timers;
+	upstream->pools = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_pool);
+	talloc_set_destructor(upstream, upstream_destroy);
+	return upstream;
+}
--- /dev/null
+++ b/libcometspindle/adapters/upstream.h
@@ -0,0 +1,85 @@
+/*
+ * upstream.h
+ * the endpoint side: sends requests over kept HTTP/1.1 connections
+ *
+ * A request is written to one connection once; nothing here sends it again.
+ * An answer is taken only if it names the request it belongs to; one that
+ * belongs to an earlier request of the connection is read past.
+ */
+#ifndef COMETSPINDLE_ADAPTERS_UPSTREAM_H
+#define COMETSPINDLE_ADAPTERS_UPSTREAM_H
+
+#include <libcometspindle/adapters/http_reader.h>
+#include <libcometspindle/adapters/timers.h>
+#include <stdbool.h>
+#include <stdint.h>
+#include <tevent.h>
+
+/** How an exchange ended. */
+enum comet_exchange_end
+{
+	COMET_EXCHANGE_WHOLE,     /**< the whole answer was read */
+	COMET_EXCHANGE_BROKEN,    /**< the connection ended, or sent what is not an answer */
+	COMET_EXCHANGE_UNREACHED, /**< no connection: not a byte of the request left */
+};
+
+struct comet_exchange_events
+{
+	void (*head)(void *ctx, const struct comet_http_head *head);
+	void (*data)(void *ctx, const char *data, size_t length);
+	/** It is over; the exchange is freed after this. */
+	void (*end)(void *ctx, enum comet_exchange_end end);
+};
+
+/** Where and what to send; copied. */
+struct comet_exchange_request
+{
+	const char *instance; /**< id of the endpoint's process: connections are kept by it */
+	const char *address;  /**< "a.b.c.d:port" */
+	const char *bytes;    /**< the whole request */
+	size_t length;
+	const char *id_header; /**< header that an answer repeats; NULL: not looked at */
+	const char *id;
+	bool head_only; /**< HEAD: the answer has no body */
+};
+
+/** Counts for metrics; monotonic but for the first two. */
+struct comet_upstream_counts
+{
+	uint32_t open;
+	uint32_t idle;
+	uint64_t opened;
+	uint64_t reused;
+	uint64_t connect_failures;
+	uint64_t foreign_answers; /**< answers of other requests that were read past */
+	uint64_t malformed;
+};
+
+struct comet_upstream;
+struct comet_exchange;
+
+struct comet_upstream *
+comet_upstream_create(void *parent, struct tevent_context *ev, struct comet_timers *timers);
+
+/** Starts an exchange; events come later, never from within. Free to cancel: closes. */
+struct comet_exchange *
+comet_upstream_send(struct comet_upstream *upstream, void *parent,
+	const struct comet_exchange_request *request, const struct comet_exchange_events *events,
+	void *ctx);
+
+/** @return whether any byte of the request may have left. */
+bool
+comet_exchange_sent(const struct comet_exchange *exchange);
+
+/** Stops or goes on reading the answer. */
+void
+comet_exchange_pause(struct comet_exchange *exchange, bool paused);
+
+/** Closes the idle connections to an endpoint's process. */
+void
+comet_upstream_forget(struct comet_upstream *upstream, const char *instance);
+
+const struct comet_upstream_counts *
+comet_upstream_counts(const struct comet_upstream *upstream);
+
+#endif
--- /dev/null
+++ b/libcometspindle/adapters/view_link.c
@@ -0,0 +1,106 @@
+/*
+ * view_link.c
+ * sends and receives views between VMs by UDP
+ */
+#include <libcometspindle/adapters/view_link.h>
+
+#include <errno.h>
+#include <libcometspindle/adapters/socket.h>
+#include <libcometspindle/error.h>
+#include <libcometspindle/gateway/views.h>
+#include <sys/socket.h>
+#include <talloc.h>
+#include <unistd.h>
+
+/* Datagrams taken in one turn of the loop; the rest wait for the next turn. */
+#define DATAGRAMS_PER_TURN 64
+
+struct comet_view_link
+{
+	struct tevent_fd *event;
+	comet_view_link_handler handler;
+	void *ctx;
+	uint64_t unsent;
+	uint32_t address;
+	uint16_t port;
+	int fd;
+};
+
+static void
+on_ready(struct tevent_context *ev, struct tevent_fd *event, uint16_t flags, void *data)
+{
+	struct comet_view_link *link = data;
+	uint8_t buffer[COMET_VIEW_BYTES_MAX + 1];
+
+	(void)ev;
+	(void)event;
+	(void)flags;
+	for (int i = 0; i < DATAGRAMS_PER_TURN; i++)
+	{
+		ssize_t length = recv(link->fd, buffer, sizeof buffer, 0);
+		if (length < 0)
+			return; /* none left, or an error of an earlier send */
+		link->handler(link->ctx, buffer, (size_t)length);
+	}
+}
+
+static int
+link_destroy(struct comet_view_link *link)
+{
+	talloc_free(link->event);
+	close(link->fd);
+	return 0;
+}
+
+struct comet_view_link *
+comet_view_link_create(void *parent, struct tevent_context *ev, const char *address,
+	comet_view_link_handler handler, void *ctx, GError **error)
+{
+	struct sockaddr_in at;
+
+	if (!comet_socket_parse_address(address, &at))
+	{
+		g_set_error(error, COMET_ERROR, COMET_ERROR_INVALID,
+			"%s: not an address of the form IP:PORT", address);
+		return NULL;
+	}
+	int fd = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	if (fd < 0 || bind(fd, (const struct sockaddr *)&at, sizeof at) != 0)
+	{
+		g_set_error(error, COMET_ERROR, COMET_ERROR_IO, "cannot bind %s: %s", address,
+			g_strerror(errno));
+		if (fd >= 0)
+			close(fd);
+		return NULL;
+	}
+	struct comet_view_link *link = talloc_zero(parent, struct comet_view_link);
+	link->fd = fd;
+	link->address = ntohl(at.sin_addr.s_addr);
+	link->port = ntohs(at.sin_port);
+	link->handler = handler;
+	link->ctx = ctx;
+	link->event = tevent_add_fd(ev, link, fd, TEVENT_FD_READ, on_ready, link);
+	talloc_set_destructor(link, link_destroy);
+	return link;
+}
+
+void
+comet_view_link_send(
+	struct comet_view_link *link, uint32_t address, const uint8_t *data, size_t length)
+{
+	struct sockaddr_in to = {
+		.sin_family = AF_INET,
+		.sin_port = htons(link->port),
+		.sin_addr.s_addr = htonl(address),
+	};
+
+	/* A view that does not leave is like one that is lost: the next one makes it good. */
+	if (sendto(link->fd, data, length, 0, (const struct sockaddr *)&to, sizeof to) < 0)
+		link->unsent++;
+}
+
+uint32_t
+comet_view_link_address(const struct comet_view_link *link)
+{
+	return link->address;
+}
--- /dev/null
+++ b/libcometspindle/adapters/view_link.h
@@ -0,0 +1,35 @@
+/*
+ * view_link.h
+ * sends and receives views between VMs by UDP
+ *
+ * Only the newest view of a VM matters, so a lost datagram is nothing to
+ * repeat, and one from before a cut or a pause is never delivered late, as a
+ * queue on a connection would do.
+ */
+#ifndef COMETSPINDLE_ADAPTERS_VIEW_LINK_H
+#define COMETSPINDLE_ADAPTERS_VIEW_LINK_H
+
+#include <glib.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <tevent.h>
+
+struct comet_view_link;
+
+typedef void (*comet_view_link_handler)(void *ctx, const uint8_t *data, size_t length);
+
+/** Binds to "a.b.c.d:port"; NULL and error when that fails. */
+struct comet_view_link *
+comet_view_link_create(void *parent, struct tevent_context *ev, const char *address,
+	comet_view_link_handler handler, void *ctx, GError **error);
+
+/** Sends to the same port of another VM (IPv4, host order). */
+void
+comet_view_link_send(
+	struct comet_view_link *link, uint32_t address, const uint8_t *data, size_t length);
+
+/** This VM's own IPv4 address, host order. */
+uint32_t
+comet_view_link_address(const struct comet_view_link *link);
+
+#endif
--- a/libcometspindle/check.c
+++ b/libcometspindle/check.c
@@ -204,6 +204,28 @@
 	return number;
 }
 
+double
+comet_check_number(
+	struct comet_check_object *object, const char *key, double min, double max, double fallback)
+{
+	struct json_object *value = NULL;
+	char rule[96];
+
+	if (object->value == NULL)
+		return fallback;
+	g_hash_table_add(object->known, (gpointer)key);
+	if (!json_object_object_get_ex(object->value, key, &value))
+		return fallback;
+	bool numeric = json_object_is_type(value, json_type_int) ||
+		       json_object_is_type(value, json_type_double);
+	double number = numeric ? json_object_get_double(value) : min - 1;
+	if (number >= min && number <= max)
+		return number;
+	g_snprintf(rule, sizeof rule, "must be a number from %g to %g", min, max);
+	fault_at(object, key, rule);
+	return fallback;
+}
+
 bool
 comet_check_bool(struct comet_check_object *object, const char *key, bool fallback)
 {
--- a/libcometspindle/check.h
+++ b/libcometspindle/check.h
@@ -55,6 +55,11 @@
 comet_check_int(struct comet_check_object *object, const char *key, int64_t min, int64_t max,
 	int64_t fallback);
 
+/** Reads a number, whole or not, within [min, max]; absent: fallback. */
+double
+comet_check_number(struct comet_check_object *object, const char *key, double min, double max,
+	double fallback);
+
 bool
 comet_check_bool(struct comet_check_object *object, const char *key, bool fallback);
 
--- /dev/null
+++ b/libcometspindle/gateway/directory.h
@@ -0,0 +1,53 @@
+/*
+ * directory.h
+ * port: where the routing document and the endpoints are read from
+ *
+ * Behind a vtable: the platform's adapter implements it. Nothing is ever
+ * written there. What one VM has read can be handed to another that cannot
+ * reach the directory; the form of such a copy is the adapter's own.
+ */
+#ifndef COMETSPINDLE_GATEWAY_DIRECTORY_H
+#define COMETSPINDLE_GATEWAY_DIRECTORY_H
+
+#include <glib.h>
+#include <libcometspindle/gateway/instances.h>
+#include <libcometspindle/gateway/routes.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+struct comet_directory_events
+{
+	/** A newer routing document; the reference passes to the callee. */
+	void (*routes)(void *ctx, struct comet_route_table *table);
+	/** An endpoint's process is there, or changed. */
+	void (*instance)(void *ctx, const struct comet_instance_record *record);
+	/** It is listed no more. doubtful: the directory was out just now, so it may come back. */
+	void (*instance_gone)(void *ctx, const char *id, bool doubtful);
+	/** Everything up to this revision has been told. */
+	void (*revision)(void *ctx, uint64_t revision);
+	/** The directory answers again (there), or does not. */
+	void (*dependency)(void *ctx, bool there, const char *why);
+};
+
+struct comet_directory;
+
+struct comet_directory_ops
+{
+	/** Starts reading; goes on until the directory is freed. */
+	void (*start)(struct comet_directory *directory);
+	/** A copy of what is known, for another VM; NULL when nothing is. */
+	GBytes *(*snapshot)(struct comet_directory *directory);
+	/** A copy from another VM: taken if it is newer. */
+	gboolean (*offer)(
+		struct comet_directory *directory, const char *data, size_t length, GError **error);
+};
+
+/** Vtable first; adapters extend it. */
+struct comet_directory
+{
+	const struct comet_directory_ops *ops;
+	const struct comet_directory_events *events;
+	void *ctx;
+};
+
+#endif
--- /dev/null
+++ b/libcometspindle/gateway/event_stream.h
@@ -0,0 +1,49 @@
+/*
+ * event_stream.h
+ * cuts a stream of server-sent events into whole events
+ *
+ * A reader of ours never sees part of an event: what a broken endpoint left
+ * unfinished is dropped, and another may go on after the last whole one.
+ */
+#ifndef COMETSPINDLE_GATEWAY_EVENT_STREAM_H
+#define COMETSPINDLE_GATEWAY_EVENT_STREAM_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+struct comet_event_stream;
+
+struct comet_event_stream *
+comet_event_stream_create(void *parent);
+
+/** Adds bytes. @return the length of the whole events that lie ready. */
+size_t
+comet_event_stream_add(struct comet_event_stream *stream, const char *data, size_t length);
+
+/** The whole events that lie ready. */
+const char *
+comet_event_stream_ready(const struct comet_event_stream *stream);
+
+/** Removes them; counts them and takes over the last id. */
+void
+comet_event_stream_taken(struct comet_event_stream *stream);
+
+/** Forgets an unfinished event; what comes next is from another endpoint. */
+void
+comet_event_stream_restart(struct comet_event_stream *stream);
+
+/** @return whether an unfinished event lies here. */
+bool
+comet_event_stream_inside(const struct comet_event_stream *stream);
+
+/** Id of the last event that was taken; NULL when none had one. */
+const char *
+comet_event_stream_last_id(const struct comet_event_stream *stream);
+
+/** Events taken so far. */
+uint32_t
+comet_event_stream_count(const struct comet_event_stream *stream);
+
+#endif
--- /dev/null
+++ b/libcometspindle/gateway/instances.c
@@ -0,0 +1,448 @@
+/*
+ * instances.c
+ * the endpoints that this VM knows of: what runs there, how fast, how healthy
+ */
+#include <libcometspindle/gateway/instances.h>
+
+#include <libcometspindle/hash.h>
+#include <string.h>
+#include <talloc.h>
+
+/* Weight of a new sample of an instance's pace: about the last ten requests count. */
+#define PACE_WEIGHT 0.1
+
+/* Bounds of a learned pace: hardware generations differ threefold, trouble makes it tenfold. */
+#define PACE_MIN 0.2
+#define PACE_MAX 20.0
+
+/* Weight of a new sample of a service's usual times. */
+#define USUAL_WEIGHT 0.02
+
+/* A service's sums are faded by this factor a sample, so that about 200 samples count. */
+#define FIT_FADE 0.995
+
+/* Until something is learned: a plausible first token and token time of a current engine. */
+#define FIRST_DEFAULT_US 100000.0
+#define PROMPT_DEFAULT_US 30.0
+#define TOKEN_DEFAULT_US 8000.0
+#define PLAIN_DEFAULT_US 50000.0
+
+/* Slow start: how much longer a cold instance is expected to take. */
+#define COLD_FACTOR 2.0
+
+/* Failures in a row before an instance is avoided, and for how long: doubling to the longest. */
+#define FAILURES_TO_AVOID 2
+#define AVOID_FIRST_US 500000
+#define AVOID_LONGEST_US 4000000
+
+/* An instance that fails this part of its requests of late is avoided as well. */
+#define ERROR_RATE_TO_AVOID 0.45
+
+/* Weight of one result in an instance's error rate: about the last eight count. */
+#define ERROR_WEIGHT 0.12
+
+/* A view of other VMs' dispatches older than this says nothing any more. */
+#define VIEW_STALE_US 3000000
+
+/* Usual times of a service, over all its instances. */
+struct usual
+{
+	double n; /* faded sums of a line through (prompt tokens, first event) */
+	double x;
+	double y;
+	double xx;
+	double xy;
+	double token_us; /* of an answer, per token expected of it; 0: not learned */
+	double event_us; /* between two events; 0: not learned */
+	double plain_us; /* 0: not learned */
+};
+
+struct comet_instances
+{
+	char *own_zone;
+	GHashTable *by_id;    /* id -> comet_instance */
+	GHashTable *by_key;   /* key -> comet_instance */
+	GHashTable *services; /* service -> GPtrArray of comet_instance */
+	GHashTable *usual;    /* service -> struct usual */
+};
+
+static void
+free_array(gpointer array)
+{
+	g_ptr_array_free(array, TRUE);
+}
+
+static int
+instances_destroy(struct comet_instances *instances)
+{
+	g_hash_table_destroy(instances->by_id);
+	g_hash_table_destroy(instances->by_key);
+	g_hash_table_destroy(instances->services);
+	g_hash_table_destroy(instances->usual);
+	return 0;
+}
+
+struct comet_instances *
+comet_instances_create(void *parent, const char *own_zone)
+{
+	struct comet_instances *instances = talloc_zero(parent, struct comet_instances);
+
+	instances->own_zone = talloc_strdup(instances, own_zone);
+	instances->by_id = g_hash_table_new(g_str_hash, g_str_equal);
+	instances->by_key = g_hash_table_new(NULL, NULL);
+	instances->services = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_array);
+	instances->usual = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	talloc_set_destructor(instances, instances_destroy);
+	return instances;
+}
+
+static struct usual *
+usual_of(struct comet_instances *instances, const char *service)
+{
+	struct usual *usual = g_hash_table_lookup(instances->usual, service);
+
+	if (usual == NULL)
+	{
+		usual = g_new0(struct usual, 1);
+		g_hash_table_insert(instances->usual, g_strdup(service), usual);
+	}
+	return usual;
+}
+
+static struct comet_instance *
+add(struct comet_instances *instances, const struct comet_instance_record *record)
+{
+	struct comet_instance *instance = talloc_zero(instances, struct comet_instance);
+
+	instance->id = talloc_strdup(instance, record->id);
+	instance->key = comet_hash_name(record->id);
+	instance->service = talloc_strdup(instance, record->service);
+	instance->pace = 1.0;
+	g_hash_table_insert(instances->by_id, instance->id, instance);
+	g_hash_table_insert(instances->by_key, GUINT_TO_POINTER(instance->key), instance);
+	GPtrArray *array = g_hash_table_lookup(instances->services, record->service);
+	if (array == NULL)
+	{
+		array = g_ptr_array_new();
+		g_hash_table_insert(instances->services, g_strdup(record->service), array);
+	}
+	g_ptr_array_add(array, instance);
+	return instance;
+}
+
+struct comet_instance *
+comet_instances_put(struct comet_instances *instances, const struct comet_instance_record *record,
+	uint64_t now_us)
+{
+	struct comet_instance *instance = comet_instances_find(instances, record->id);
+
+	if (instance != NULL && strcmp(instance->service, record->service) != 0)
+	{
+		comet_instances_remove(instances, record->id);
+		instance = NULL;
+	}
+	if (instance == NULL)
+		instance = add(instances, record);
+	if (instance->address == NULL || strcmp(instance->address, record->address) != 0)
+	{
+		talloc_free(instance->address);
+		instance->address = talloc_strdup(instance, record->address);
+	}
+	if (instance->zone == NULL || strcmp(instance->zone, record->zone) != 0)
+	{
+		talloc_free(instance->zone);
+		instance->zone = talloc_strdup(instance, record->zone);
+	}
+	instance->slots = record->slots > 0 ? record->slots : 1;
+	instance->draining = record->draining;
+	instance->warm_us =
+		record->warm_up_ms > 0 ? now_us + (uint64_t)record->warm_up_ms * 1000 : 0;
+	instance->listed = true;
+	instance->lapse_us = 0;
+	return instance;
+}
+
+void
+comet_instances_remove(struct comet_instances *instances, const char *id)
+{
+	struct comet_instance *instance = comet_instances_find(instances, id);
+
+	if (instance == NULL)
+		return;
+	GPtrArray *array = g_hash_table_lookup(instances->services, instance->service);
+	g_ptr_array_remove(array, instance);
+	g_hash_table_remove(instances->by_id, instance->id);
+	g_hash_table_remove(instances->by_key, GUINT_TO_POINTER(instance->key));
+	talloc_free(instance);
+}
+
+void
+comet_instances_lapse(struct comet_instances *instances, const char *id, uint64_t until_us)
+{
+	struct comet_instance *instance = comet_instances_find(instances, id);
+
+	if (instance == NULL)
+		return;
+	instance->listed = false;
+	instance->lapse_us = until_us;
+}
+
+void
+comet_instances_tick(struct comet_instances *instances, uint64_t now_us,
+	void (*dropped)(void *ctx, const char *id), void *ctx)
+{
+	GList *all = g_hash_table_get_values(instances->by_id);
+
+	for (GList *at = all; at != NULL; at = at->next)
+	{
+		struct comet_instance *instance = at->data;
+		if (instance->lapse_us == 0 || instance->lapse_us > now_us)
+			continue;
+		dropped(ctx, instance->id);
+		comet_instances_remove(instances, instance->id);
+	}
+	g_list_free(all);
+}
+
+struct comet_instance *
+comet_instances_find(struct comet_instances *instances, const char *id)
+{
+	return g_hash_table_lookup(instances->by_id, id);
+}
+
+struct comet_instance *
+comet_instances_find_key(struct comet_instances *instances, uint32_t key)
+{
+	return g_hash_table_lookup(instances->by_key, GUINT_TO_POINTER(key));
+}
+
+const GPtrArray *
+comet_instances_of(struct comet_instances *instances, const char *service)
+{
+	const GPtrArray *array = g_hash_table_lookup(instances->services, service);
+
+	return array != NULL && array->len > 0 ? array : NULL;
+}
+
+void
+comet_instances_each(struct comet_instances *instances,
+	void (*visit)(void *ctx, struct comet_instance *instance), void *ctx)
+{
+	GHashTableIter at;
+	gpointer instance = NULL;
+
+	g_hash_table_iter_init(&at, instances->by_id);
+	while (g_hash_table_iter_next(&at, NULL, &instance))
+		visit(ctx, instance);
+}
+
+uint32_t
+comet_instance_load(const struct comet_instance *instance, uint64_t now_us)
+{
+	bool viewed = instance->others_us != 0 && now_us - instance->others_us < VIEW_STALE_US;
+	bool told = instance->told_us != 0 && now_us - instance->told_us < VIEW_STALE_US;
+
+	if (told && (!viewed || instance->told_us > instance->others_us))
+	{
+		/* What it told, corrected by what we sent and got back since. */
+		int64_t total = (int64_t)instance->told_total + instance->own - instance->told_own;
+		return total > (int64_t)instance->own ? (uint32_t)total : instance->own;
+	}
+	return instance->own + (viewed ? instance->others : 0);
+}
+
+/* The usual time until the first event, from the fitted line. */
+static double
+usual_first_us(const struct usual *usual, uint32_t prompt_tokens)
+{
+	double spread = usual->n * usual->xx - usual->x * usual->x;
+
+	if (usual->n < 3)
+		return FIRST_DEFAULT_US + PROMPT_DEFAULT_US * prompt_tokens;
+	double slope = spread > 1.0 ? (usual->n * usual->xy - usual->x * usual->y) / spread : 0;
+	slope = CLAMP(slope, 0.0, 10 * PROMPT_DEFAULT_US);
+	double base = (usual->y - slope * usual->x) / usual->n;
+	return MAX(base, 1000.0) + slope * prompt_tokens;
+}
+
+/* Prompt tokens alone, as part of the time until the first event. */
+static double
+usual_prompt_us(const struct usual *usual, uint32_t prompt_tokens)
+{
+	return usual_first_us(usual, prompt_tokens) - usual_first_us(usual, 0);
+}
+
+void
+comet_instance_expect(struct comet_instances *instances, const struct comet_instance *instance,
+	const struct comet_job *job, uint64_t now_us, uint64_t *first_us, uint64_t *whole_us)
+{
+	const struct usual *usual = usual_of(instances, instance->service);
+	double cold = instance->warm_us > now_us ? COLD_FACTOR : 1.0;
+
+	if (!job->stream)
+	{
+		double plain = usual->plain_us > 0 ? usual->plain_us : PLAIN_DEFAULT_US;
+		*first_us = (uint64_t)(plain * instance->pace * cold);
+		*whole_us = *first_us;
+		return;
+	}
+	double token = usual->token_us > 0 ? usual->token_us : TOKEN_DEFAULT_US;
+	double ahead = usual_prompt_us(usual, instance->own_prompt + instance->others_prompt);
+	double first = usual_first_us(usual, job->prompt_tokens) + ahead;
+	*first_us = (uint64_t)(first * instance->pace * cold);
+	*whole_us = (uint64_t)((first + token * job->output_tokens) * instance->pace * cold);
+}
+
+void
+comet_instance_started(struct comet_instance *instance, const struct comet_job *job)
+{
+	instance->own++;
+	instance->own_prompt += job->prompt_tokens;
+}
+
+static void
+learn_pace(struct comet_instance *instance, double taken_us, double usual_us)
+{
+	double sample = CLAMP(taken_us / MAX(usual_us, 1.0), PACE_MIN, PACE_MAX);
+
+	instance->samples++;
+	double weight = MAX(PACE_WEIGHT, 1.0 / (1.0 + instance->samples));
+	instance->pace += weight * (sample - instance->pace);
+}
+
+/* One more point for the line of a service's first events. */
+static void
+learn_first(struct usual *usual, double prompt_tokens, double first_us)
+{
+	usual->n = usual->n * FIT_FADE + 1;
+	usual->x = usual->x * FIT_FADE + prompt_tokens;
+	usual->y = usual->y * FIT_FADE + first_us;
+	usual->xx = usual->xx * FIT_FADE + prompt_tokens * prompt_tokens;
+	usual->xy = usual->xy * FIT_FADE + prompt_tokens * first_us;
+}
+
+void
+comet_instance_first(struct comet_instances *instances, struct comet_instance *instance,
+	const struct comet_job *job, uint64_t first_us)
+{
+	struct usual *usual = usual_of(instances, instance->service);
+
+	instance->own_prompt -= MIN(instance->own_prompt, job->prompt_tokens);
+	if (!job->stream)
+		return;
+	/* Waiting behind others says nothing of the usual time: only calm samples are taken. */
+	if (instance->own + instance->others <= instance->slots)
+		learn_first(usual, job->prompt_tokens, (double)first_us / instance->pace);
+}
+
+/* Moves a usual time a little towards a sample. */
+static void
+learn_usual(double *usual_us, double sample_us)
+{
+	if (*usual_us <= 0)
+		*usual_us = sample_us;
+	*usual_us += USUAL_WEIGHT * (sample_us - *usual_us);
+}
+
+/* Learns speeds from a whole answer. */
+static void
+learn_speed(struct comet_instances *instances, struct comet_instance *instance,
+	const struct comet_job *job, uint64_t stream_us, uint32_t events)
+{
+	struct usual *usual = usual_of(instances, instance->service);
+
+	if (!job->stream)
+	{
+		double plain = usual->plain_us > 0 ? usual->plain_us : (double)stream_us;
+		learn_pace(instance, (double)stream_us, plain);
+		learn_usual(&usual->plain_us, (double)stream_us);
+		return;
+	}
+	if (events < 2 || job->output_tokens == 0)
+		return;
+	double event_us = (double)stream_us / (events - 1);
+	learn_pace(instance, event_us, usual->event_us > 0 ? usual->event_us : event_us);
+	learn_usual(&usual->event_us, event_us / instance->pace);
+	learn_usual(&usual->token_us, (double)stream_us / job->output_tokens / instance->pace);
+}
+
+/* A bad end: avoids the instance once there are too many of them. */
+static bool
+learn_failure(struct comet_instance *instance, enum comet_dispatch_result result, uint64_t now_us)
+{
+	bool trusted = instance->avoid_us == 0;
+
+	if (result != COMET_DISPATCH_ERROR)
+		instance->failures++; /* an answered error counts by its rate alone */
+	instance->error_rate += ERROR_WEIGHT * (1.0 - instance->error_rate);
+	/* No connection says at once that nobody is there. */
+	bool clear = result == COMET_DISPATCH_UNREACHED || result == COMET_DISPATCH_WRONG ||
+		     instance->on_trial;
+	if (!clear && instance->failures < FAILURES_TO_AVOID &&
+		instance->error_rate < ERROR_RATE_TO_AVOID)
+		return false;
+	uint64_t pause_us = (uint64_t)AVOID_FIRST_US << MIN(instance->failures, 4);
+	pause_us = MIN(pause_us / 2, AVOID_LONGEST_US);
+	instance->avoid_us = now_us + pause_us;
+	instance->on_trial = false;
+	return trusted;
+}
+
+static bool
+learn_success(struct comet_instance *instance)
+{
+	bool avoided = instance->avoid_us != 0;
+
+	instance->failures = 0;
+	instance->error_rate -= ERROR_WEIGHT * instance->error_rate;
+	instance->avoid_us = 0;
+	instance->on_trial = false;
+	return avoided;
+}
+
+bool
+comet_instance_ended(struct comet_instances *instances, struct comet_instance *instance,
+	const struct comet_job *job, bool had_first, enum comet_dispatch_result result,
+	uint64_t stream_us, uint32_t events, uint64_t now_us)
+{
+	instance->own -= MIN(instance->own, 1);
+	if (!had_first)
+		instance->own_prompt -= MIN(instance->own_prompt, job->prompt_tokens);
+	switch (result)
+	{
+	case COMET_DISPATCH_SERVED:
+		learn_speed(instances, instance, job, stream_us, events);
+		return learn_success(instance);
+	case COMET_DISPATCH_CANCELLED:
+		instance->on_trial = false;
+		return false;
+	case COMET_DISPATCH_REFUSED:
+		instance->on_trial = false;
+		return false;
+	default:
+		return learn_failure(instance, result, now_us);
+	}
+}
+
+void
+comet_instance_doubt(struct comet_instance *instance, uint64_t now_us)
+{
+	instance->avoid_us = MAX(instance->avoid_us, now_us + AVOID_FIRST_US);
+}
+
+void
+comet_instance_told(struct comet_instance *instance, uint32_t total, uint64_t now_us)
+{
+	instance->told_total = total;
+	instance->told_own = instance->own;
+	instance->told_us = now_us;
+}
+
+const char *
+comet_dispatch_result_name(enum comet_dispatch_result result)
+{
+	static const char *const names[] = {"served", "error", "refused", "broken", "silent",
+		"unreached", "cancelled", "wrong_instance"};
+
+	return names[result];
+}
--- /dev/null
+++ b/libcometspindle/gateway/instances.h
@@ -0,0 +1,150 @@
+/*
+ * instances.h
+ * the endpoints that this VM knows of: what runs there, how fast, how healthy
+ *
+ * An instance is one life of an endpoint's process, told by the directory. No
+ * sockets and no clock in here: times are passed in.
+ */
+#ifndef COMETSPINDLE_GATEWAY_INSTANCES_H
+#define COMETSPINDLE_GATEWAY_INSTANCES_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+/** What the directory tells of an instance. */
+struct comet_instance_record
+{
+	const char *id;
+	const char *service;
+	const char *address; /**< "a.b.c.d:port" */
+	const char *zone;
+	uint32_t slots;      /**< requests it works on at once */
+	uint32_t warm_up_ms; /**< how much longer it is slow from its start */
+	bool draining;       /**< it takes no new work */
+};
+
+/** The size of a request, as far as it is known. */
+struct comet_job
+{
+	uint32_t prompt_tokens;
+	uint32_t output_tokens; /**< expected; 0 for plain requests */
+	bool stream;
+};
+
+/** How a dispatch ended, for what is learned from it. */
+enum comet_dispatch_result
+{
+	COMET_DISPATCH_SERVED,    /**< a whole answer */
+	COMET_DISPATCH_ERROR,     /**< it ran and failed there */
+	COMET_DISPATCH_REFUSED,   /**< full: not run */
+	COMET_DISPATCH_BROKEN,    /**< the connection broke */
+	COMET_DISPATCH_SILENT,    /**< no word in a time in which there should be one */
+	COMET_DISPATCH_UNREACHED, /**< no connection */
+	COMET_DISPATCH_CANCELLED, /**< the caller left: says nothing of the endpoint */
+	COMET_DISPATCH_WRONG,     /**< another process has its address */
+};
+
+struct comet_instance
+{
+	char *id;
+	uint32_t key; /**< comet_hash_name(id) */
+	char *service;
+	char *address;
+	char *zone;
+	uint32_t slots;
+	bool draining;
+	bool listed;         /**< the directory names it */
+	uint64_t lapse_us;   /**< unlisted during an outage: dropped then; 0: not so */
+	uint64_t warm_us;    /**< slow until then */
+	uint32_t own;        /**< our dispatches there */
+	uint32_t own_prompt; /**< prompt tokens of ours whose first event is not there */
+	uint32_t others;     /**< dispatches of other VMs, from their views */
+	uint32_t others_prompt;
+	uint64_t others_us;  /**< age of the newest of these views */
+	uint32_t told_total; /**< running and waiting, as its last answer told */
+	uint32_t told_own;   /**< ours at that time */
+	uint64_t told_us;    /**< when; 0: never */
+	double pace;         /**< time it takes, relative to its service's usual */
+	uint32_t samples;
+	uint32_t failures; /**< in a row */
+	double error_rate; /**< of late, 0 to 1 */
+	uint64_t avoid_us; /**< no work but one trial before then; 0: trusted */
+	bool on_trial;
+};
+
+struct comet_instances;
+
+struct comet_instances *
+comet_instances_create(void *parent, const char *own_zone);
+
+/** Takes over what the directory tells. @return the instance. */
+struct comet_instance *
+comet_instances_put(struct comet_instances *instances, const struct comet_instance_record *record,
+	uint64_t now_us);
+
+/** The directory names it no more. */
+void
+comet_instances_remove(struct comet_instances *instances, const char *id);
+
+/** Marks it as unlisted since an outage: it is used on, and dropped at until_us. */
+void
+comet_instances_lapse(struct comet_instances *instances, const char *id, uint64_t until_us);
+
+/** Drops lapsed instances whose time is over; calls dropped for each id before. */
+void
+comet_instances_tick(struct comet_instances *instances, uint64_t now_us,
+	void (*dropped)(void *ctx, const char *id), void *ctx);
+
+struct comet_instance *
+comet_instances_find(struct comet_instances *instances, const char *id);
+
+struct comet_instance *
+comet_instances_find_key(struct comet_instances *instances, uint32_t key);
+
+/** Instances of a service; NULL when there are none. Of struct comet_instance pointers. */
+const GPtrArray *
+comet_instances_of(struct comet_instances *instances, const char *service);
+
+/** Calls visit for each instance. */
+void
+comet_instances_each(struct comet_instances *instances,
+	void (*visit)(void *ctx, struct comet_instance *instance), void *ctx);
+
+/** Requests that are believed to be at an instance now, ours and others'. */
+uint32_t
+comet_instance_load(const struct comet_instance *instance, uint64_t now_us);
+
+/** Expected time until the first event (or the whole plain answer) and until the end. */
+void
+comet_instance_expect(struct comet_instances *instances, const struct comet_instance *instance,
+	const struct comet_job *job, uint64_t now_us, uint64_t *first_us, uint64_t *whole_us);
+
+/** A dispatch starts. */
+void
+comet_instance_started(struct comet_instance *instance, const struct comet_job *job);
+
+/** Its first event came after first_us. */
+void
+comet_instance_first(struct comet_instances *instances, struct comet_instance *instance,
+	const struct comet_job *job, uint64_t first_us);
+
+/** A dispatch is over. @return true when trust in the instance changed. */
+bool
+comet_instance_ended(struct comet_instances *instances, struct comet_instance *instance,
+	const struct comet_job *job, bool had_first, enum comet_dispatch_result result,
+	uint64_t stream_us, uint32_t events, uint64_t now_us);
+
+/** Nothing was heard of a dispatch that should have begun: no more work until a trial. */
+void
+comet_instance_doubt(struct comet_instance *instance, uint64_t now_us);
+
+/** Its answer told how many requests run and wait there. */
+void
+comet_instance_told(struct comet_instance *instance, uint32_t total, uint64_t now_us);
+
+const char *
+comet_dispatch_result_name(enum comet_dispatch_result result);
+
+#endif
--- /dev/null
+++ b/libcometspindle/gateway/placement.h
@@ -0,0 +1,95 @@
+/*
+ * placement.h
+ * which endpoint a request goes to, when, and what is refused early
+ *
+ * Requests that find no room wait in order of rank; each is offered as soon as
+ * an endpoint has room for its rank, or refused once it could not be answered
+ * in a time in which its caller still waits.
+ */
+#ifndef COMETSPINDLE_GATEWAY_PLACEMENT_H
+#define COMETSPINDLE_GATEWAY_PLACEMENT_H
+
+#include <libcometspindle/gateway/instances.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+/** Endpoints that one request may be kept from: it was there already. */
+#define COMET_PLACEMENT_TRIED_MAX 4
+
+/** A request that is to be placed; embedded in its owner. */
+struct comet_placement_item
+{
+	const char *service;
+	struct comet_job job;
+	uint32_t team_rank;  /**< goes first: 0 is the most urgent */
+	uint32_t route_rank; /**< among equal team_rank */
+	bool repeatable;     /**< a failure on an endpoint of doubtful health can be made good */
+	uint64_t latest_us;  /**< to be dispatched by then or not at all */
+	uint64_t early_us;   /**< a refusal before then costs its caller little */
+	uint32_t tried[COMET_PLACEMENT_TRIED_MAX]; /**< keys of instances it was sent to */
+	uint32_t n_tried;
+	void *owner;
+	/* placement's own */
+	GSequenceIter *place;
+	uint64_t since_us;
+	uint64_t order;
+};
+
+struct comet_placement_ops
+{
+	/** Send it there now. */
+	void (*dispatch)(
+		void *ctx, struct comet_placement_item *item, struct comet_instance *instance);
+	/** It has not run; come back after retry_after_ms. */
+	void (*refuse)(void *ctx, struct comet_placement_item *item, uint32_t retry_after_ms);
+};
+
+/** Why the last choice fell on an instance, for the log. */
+struct comet_placement_reason
+{
+	uint32_t load;
+	uint32_t slots;
+	uint32_t candidates;
+	uint32_t with_room;
+	uint64_t first_us;
+	uint64_t whole_us;
+	uint64_t waited_us;
+	uint64_t view_age_us; /**< of what is known of its load */
+};
+
+struct comet_placement;
+
+struct comet_placement *
+comet_placement_create(void *parent, struct comet_instances *instances, const char *own_zone,
+	const struct comet_placement_ops *ops, void *ctx);
+
+/** A request is to be placed; answered by dispatch or refuse, perhaps before this returns. */
+void
+comet_placement_submit(
+	struct comet_placement *placement, struct comet_placement_item *item, uint64_t now_us);
+
+/** It is not to be placed any more; nothing happens if it does not wait. */
+void
+comet_placement_withdraw(struct comet_placement *placement, struct comet_placement_item *item);
+
+/** Room may have come up, or time has passed. */
+void
+comet_placement_run(struct comet_placement *placement, uint64_t now_us);
+
+/** Requests that wait for a service. */
+uint32_t
+comet_placement_waiting(const struct comet_placement *placement, const char *service);
+
+/** Requests that wait in all. */
+uint32_t
+comet_placement_waiting_all(const struct comet_placement *placement);
+
+/** How long one more request of the item's rank would wait, as things stand. */
+uint64_t
+comet_placement_wait_us(struct comet_placement *placement, const struct comet_placement_item *item,
+	uint64_t now_us);
+
+const struct comet_placement_reason *
+comet_placement_reason(const struct comet_placement *placement);
+
+#endif
--- /dev/null
+++ b/libcometspindle/gateway/retry_budget.c
@@ -0,0 +1,98 @@
+/*
+ * retry_budget.c
+ * how many requests may be sent to a second endpoint, per service
+ */
+#include <libcometspindle/gateway/retry_budget.h>
+
+#include <glib.h>
+#include <talloc.h>
+
+/* Part of the bound that is used: VMs come and go, and their parts overlap for a moment. */
+#define USED_PART 0.6
+
+/* Until other VMs are known, the slack is shared with this many. */
+#define VMS_DEFAULT 16
+
+struct bucket
+{
+	double level;
+	uint64_t filled_us;
+};
+
+struct comet_retry_budget
+{
+	struct comet_retry_bounds bounds;
+	GHashTable *buckets; /* service -> struct bucket */
+	uint32_t vms;
+};
+
+static int
+budget_destroy(struct comet_retry_budget *budget)
+{
+	g_hash_table_destroy(budget->buckets);
+	return 0;
+}
+
+struct comet_retry_budget *
+comet_retry_budget_create(void *parent, const struct comet_retry_bounds *bounds)
+{
+	struct comet_retry_budget *budget = talloc_zero(parent, struct comet_retry_budget);
+
+	budget->bounds = *bounds;
+	budget->vms = VMS_DEFAULT;
+	budget->buckets = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	talloc_set_destructor(budget, budget_destroy);
+	return budget;
+}
+
+void
+comet_retry_budget_set_vms(struct comet_retry_budget *budget, uint32_t vms)
+{
+	budget->vms = MAX(vms, 1);
+}
+
+/* This VM's part of the slack in one window. */
+static double
+own_slack(const struct comet_retry_budget *budget)
+{
+	return USED_PART * budget->bounds.slack / budget->vms;
+}
+
+/* Half of the slack may be spent at once, the other half comes back over a window. */
+static struct bucket *
+filled(struct comet_retry_budget *budget, const char *service, uint64_t now_us)
+{
+	struct bucket *bucket = g_hash_table_lookup(budget->buckets, service);
+	double capacity = own_slack(budget) / 2;
+
+	if (bucket == NULL)
+	{
+		bucket = g_new0(struct bucket, 1);
+		bucket->filled_us = now_us;
+		bucket->level = MAX(capacity, 1.0);
+		g_hash_table_insert(budget->buckets, g_strdup(service), bucket);
+	}
+	double windows = (double)(now_us - bucket->filled_us) / 1000 / budget->bounds.window_ms;
+	bucket->filled_us = now_us;
+	bucket->level = MIN(bucket->level + capacity * windows, MAX(capacity, 1.0));
+	return bucket;
+}
+
+void
+comet_retry_budget_first(struct comet_retry_budget *budget, const char *service, uint64_t now_us)
+{
+	struct bucket *bucket = filled(budget, service, now_us);
+
+	bucket->level += USED_PART * budget->bounds.ratio;
+}
+
+bool
+comet_retry_budget_take(struct comet_retry_budget *budget, const char *service, uint64_t now_us)
+{
+	struct bucket *bucket = filled(budget, service, now_us);
+
+	if (bucket->level < 1.0)
+		return false;
+	bucket->level -= 1.0;
+	return true;
+}
--- /dev/null
+++ b/libcometspindle/gateway/settings.c
@@ -0,0 +1,108 @@
+/*
+ * settings.c
+ * the settings of a gateway, from JSON with comments
+ */
+#include <libcometspindle/gateway/settings.h>
+
+#include <libcometspindle/check.h>
+#include <libcometspindle/log.h>
+#include <string.h>
+#include <talloc.h>
+
+#define HOUR_S 3600.0
+#define HOUR_MS 3600000
+
+/* Defaults of the times below; the deploy file sets those that the platform tells. */
+#define GRACE_DEFAULT_S 8.0
+#define TEAM_WINDOW_DEFAULT_S 8.0
+#define RETRY_WINDOW_DEFAULT_S 10.0
+
+static char *
+read_text(struct comet_gateway_settings *settings, struct comet_check_object *object,
+	const char *key, const char *fallback)
+{
+	return talloc_strdup(settings, comet_check_string(object, key, fallback));
+}
+
+static uint32_t
+read_seconds(struct comet_check_object *object, const char *key, double fallback_s)
+{
+	return (uint32_t)(comet_check_number(object, key, 0.1, HOUR_S, fallback_s) * 1000);
+}
+
+static void
+read_times(struct comet_gateway_settings *settings, struct comet_check_object *object)
+{
+	settings->grace_ms = read_seconds(object, "grace_s", GRACE_DEFAULT_S);
+	settings->leave_ms = (uint32_t)comet_check_int(object, "leave_ms", 0, HOUR_MS, 3000);
+	settings->lapse_ms = (uint32_t)comet_check_int(object, "lapse_ms", 0, HOUR_MS, 2500);
+}
+
+static void
+read_limits(struct comet_gateway_settings *settings, struct comet_check_object *object)
+{
+	struct comet_allowance_bounds *teams = &settings->allowance;
+	struct comet_retry_bounds *retries = &settings->retries;
+
+	teams->window_ms = read_seconds(object, "team_window_s", TEAM_WINDOW_DEFAULT_S);
+	teams->overage = comet_check_number(object, "team_overage", 0, 100, 0.1);
+	teams->slack = comet_check_number(object, "team_slack", 0, 1e12, 0);
+	retries->window_ms = read_seconds(object, "retry_window_s", RETRY_WINDOW_DEFAULT_S);
+	retries->ratio = comet_check_number(object, "retry_ratio", 0, 100, 0.1);
+	retries->slack = (uint32_t)comet_check_number(object, "retry_slack", 0, 1e9, 20);
+}
+
+static void
+read_gateway(struct comet_gateway_settings *settings, struct comet_check *check,
+	struct json_object *root)
+{
+	struct comet_check_object *object = comet_check_object_begin(check, root, "gateway");
+
+	settings->name = read_text(settings, object, "name", NULL);
+	settings->zone = read_text(settings, object, "zone", NULL);
+	settings->callers = read_text(settings, object, "callers", NULL);
+	settings->readiness = read_text(settings, object, "readiness", NULL);
+	settings->control = read_text(settings, object, "control", NULL);
+	settings->peers = read_text(settings, object, "peers", NULL);
+	settings->seeds = read_text(settings, object, "seeds", "");
+	settings->directory = read_text(settings, object, "directory", NULL);
+	settings->peer_bytes_per_s =
+		(uint32_t)comet_check_int(object, "peer_bytes_per_s", 256, 100000000, 4096);
+	read_times(settings, object);
+	settings->log_level =
+		comet_log_level_parse(comet_check_string(object, "log_level", "info"));
+	if (settings->log_level < 0)
+		comet_check_fault(check, "gateway.log_level",
+			"must be one of err, warning, notice, info, debug");
+	read_limits(settings, object);
+	comet_check_object_end(object);
+}
+
+bool
+comet_gateway_settings_match(const char *text, size_t length)
+{
+	struct json_object *root = comet_check_parse(text, length, NULL);
+	bool found = root != NULL && json_object_object_get_ex(root, "gateway", NULL);
+
+	json_object_put(root);
+	return found;
+}
+
+struct comet_gateway_settings *
+comet_gateway_settings_parse(const char *text, size_t length, GError **error)
+{
+	struct json_object *root = comet_check_parse(text, length, error);
+
+	if (root == NULL)
+		return NULL;
+	struct comet_gateway_settings *settings = talloc_zero(NULL, struct comet_gateway_settings);
+	struct comet_check *check = comet_check_create();
+	struct comet_check_object *object = comet_check_object_begin(check, root, "");
+	read_gateway(settings, check, comet_check_member(object, "gateway", true));
+	comet_check_object_end(object);
+	if (!comet_check_finish(check, error))
+		TALLOC_FREE(settings);
+	comet_check_destroy(check);
+	json_object_put(root);
+	return settings;
+}
--- /dev/null
+++ b/libcometspindle/gateway/settings.h
@@ -0,0 +1,41 @@
+/*
+ * settings.h
+ * the settings of a gateway, from JSON with comments
+ */
+#ifndef COMETSPINDLE_GATEWAY_SETTINGS_H
+#define COMETSPINDLE_GATEWAY_SETTINGS_H
+
+#include <glib.h>
+#include <libcometspindle/gateway/allowance.h>
+#include <libcometspindle/gateway/retry_budget.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+struct comet_gateway_settings
+{
+	char *name;        /**< this VM's name, for logs */
+	char *zone;        /**< its availability zone */
+	char *callers;     /**< IP:PORT that callers connect to */
+	char *readiness;   /**< IP:PORT that answers whether this VM takes requests */
+	char *control;     /**< IP:PORT for other VMs and for metrics */
+	char *peers;       /**< IP:PORT for views, by UDP; the port is the same on all VMs */
+	char *seeds;       /**< IP:PORT of some VMs' control, separated by commas */
+	char *directory;   /**< IP:PORT of the platform's store */
+	uint32_t grace_ms; /**< a stop may take so long before the process is killed */
+	uint32_t leave_ms; /**< a stopping VM still takes requests for this time */
+	uint32_t lapse_ms; /**< endpoints unlisted in an outage are used on for so long */
+	uint32_t peer_bytes_per_s; /**< most that is sent to other VMs */
+	struct comet_allowance_bounds allowance;
+	struct comet_retry_bounds retries;
+	int log_level; /**< enum comet_log_level */
+};
+
+/** @return whether the settings in this text are a gateway's. */
+bool
+comet_gateway_settings_match(const char *text, size_t length);
+
+/** Parses and checks; NULL and error with every fault. Free with talloc_free. */
+struct comet_gateway_settings *
+comet_gateway_settings_parse(const char *text, size_t length, GError **error);
+
+#endif
--- /dev/null
+++ b/libcometspindle/gateway/views.c
@@ -0,0 +1,473 @@
+/*
+ * views.c
+ * the other VMs, as their views tell: who is there, what they send where
+ */
+#include <libcometspindle/gateway/views.h>
+
+#include <pb_decode.h>
+#include <pb_encode.h>
+#include <string.h>
+#include <talloc.h>
+
+/* Rounds of views come no closer than this: a tenth of the shortest aims. */
+#define INTERVAL_MIN_US 100000
+
+/* And no further apart: the window of team limits is some seconds long. */
+#define INTERVAL_MAX_US 2000000
+
+/* A VM that was silent for so many rounds (and at least the time below) is not heard. */
+#define SILENT_ROUNDS 5
+#define SILENT_MIN_US 1000000
+
+/* A silent VM is asked again this often, and forgotten after the second time: a cut or a frozen VM
+ * lasts seconds, a replaced one never comes back. */
+#define RETRY_US 1000000
+#define FORGET_US 20000000
+
+/* Bytes on the wire beside the view itself: IP and UDP headers. */
+#define HEADER_BYTES 28
+
+struct peer
+{
+	uint32_t address;
+	uint64_t incarnation;
+	uint64_t number;
+	uint64_t heard_us; /* 0: never */
+	uint64_t known_us; /* first heard of */
+	uint64_t asked_us; /* last sent to */
+	uint64_t revision;
+	bool leaving;
+	bool silent;
+	bool seed;
+	GArray *busy;      /* of comet_Busy */
+	GHashTable *spent; /* team -> uint64_t, as last told */
+};
+
+struct comet_views
+{
+	uint32_t address;
+	uint64_t incarnation;
+	uint64_t number;
+	uint64_t revision;
+	uint32_t bytes_per_s;
+	struct comet_instances *instances;
+	struct comet_allowance *allowance;
+	const struct comet_views_ops *ops;
+	void *ctx;
+	GHashTable *peers; /* address -> struct peer */
+	size_t last_bytes; /* size of the last view */
+	uint64_t sent_us;
+	uint32_t spent_turn; /* where the list of teams goes on */
+	bool leaving;
+	bool stale; /* others' dispatches are to be summed anew */
+	comet_View scratch;
+};
+
+static void
+free_peer(gpointer data)
+{
+	struct peer *peer = data;
+
+	g_array_free(peer->busy, TRUE);
+	g_hash_table_destroy(peer->spent);
+	g_free(peer);
+}
+
+static int
+views_destroy(struct comet_views *views)
+{
+	g_hash_table_destroy(views->peers);
+	return 0;
+}
+
+static struct peer *
+peer_of(struct comet_views *views, uint32_t address)
+{
+	struct peer *peer = g_hash_table_lookup(views->peers, GUINT_TO_POINTER(address));
+
+	if (peer == NULL)
+	{
+		peer = g_new0(struct peer, 1);
+		peer->address = address;
+		peer->busy = g_array_new(FALSE, FALSE, sizeof(comet_Busy));
+		peer->spent = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+		g_hash_table_insert(views->peers, GUINT_TO_POINTER(address), peer);
+	}
+	return peer;
+}
+
+struct comet_views *
+comet_views_create(void *parent, const struct comet_views_config *config,
+	struct comet_instances *instances, struct comet_allowance *allowance,
+	const struct comet_views_ops *ops, void *ctx)
+{
+	struct comet_views *views = talloc_zero(parent, struct comet_views);
+
+	views->address = config->address;
+	views->incarnation = config->incarnation;
+	views->bytes_per_s = config->bytes_per_s;
+	views->instances = instances;
+	views->allowance = allowance;
+	views->ops = ops;
+	views->ctx = ctx;
+	views->last_bytes = 100;
+	views->peers = g_hash_table_new_full(NULL, NULL, NULL, free_peer);
+	talloc_set_destructor(views, views_destroy);
+	for (size_t i = 0; i < config->n_seeds; i++)
+	{
+		if (config->seeds[i] != views->address)
+			peer_of(views, config->seeds[i])->seed = true;
+	}
+	return views;
+}
+
+/* Charges what a peer's team has spent since its last view. */
+static void
+take_spent(struct comet_views *views, struct peer *peer, const comet_Spent *spent, bool restarted,
+	uint64_t now_us)
+{
+	gpointer key = GUINT_TO_POINTER(spent->team);
+	uint64_t *before = g_hash_table_lookup(peer->spent, key);
+
+	if (before == NULL)
+	{
+		before = g_new0(uint64_t, 1);
+		/* First word of a process that was running before we knew it: what it spent is
+		 * past. One that restarted, or that we have heard all along, began at zero. */
+		*before = restarted || now_us - peer->known_us > SILENT_MIN_US ? 0 : spent->amount;
+		g_hash_table_insert(peer->spent, key, before);
+	}
+	if (spent->amount > *before)
+		comet_allowance_spent_elsewhere(
+			views->allowance, spent->team, spent->amount - *before, now_us);
+	*before = spent->amount;
+}
+
+static void
+take_peers(struct comet_views *views, const comet_View *view, uint64_t now_us)
+{
+	for (pb_size_t i = 0; i < view->peers_count; i++)
+	{
+		if (view->peers[i] == views->address || view->peers[i] == 0)
+			continue;
+		struct peer *peer = peer_of(views, view->peers[i]);
+		if (peer->known_us == 0)
+			peer->known_us = now_us;
+	}
+}
+
+static void
+take_view(struct comet_views *views, struct peer *peer, const comet_View *view, uint64_t now_us)
+{
+	bool restarted = peer->heard_us != 0 && peer->incarnation != view->incarnation;
+
+	if (peer->known_us == 0)
+		peer->known_us = now_us;
+	if (restarted)
+		g_hash_table_remove_all(peer->spent);
+	if (peer->heard_us == 0 || peer->silent || restarted)
+		views->ops->changed(
+			views->ctx, peer->address, true, restarted ? "restarted" : "heard");
+	peer->incarnation = view->incarnation;
+	peer->number = view->number;
+	peer->heard_us = now_us;
+	peer->silent = false;
+	peer->leaving = view->leaving;
+	peer->revision = view->revision;
+	g_array_set_size(peer->busy, 0);
+	g_array_append_vals(peer->busy, view->busy, view->busy_count);
+	for (pb_size_t i = 0; i < view->spent_count; i++)
+		take_spent(views, peer, &view->spent[i], restarted, now_us);
+	views->stale = true;
+}
+
+bool
+comet_views_receive(struct comet_views *views, const uint8_t *data, size_t length, uint64_t now_us)
+{
+	comet_View *view = &views->scratch;
+	pb_istream_t stream = pb_istream_from_buffer(data, length);
+
+	memset(view, 0, sizeof *view);
+	if (!pb_decode(&stream, comet_View_fields, view) || view->address == 0)
+		return false;
+	if (view->address == views->address)
+		return true; /* our own address, or that of the VM we replaced */
+	struct peer *peer = peer_of(views, view->address);
+	/* An older datagram of the same process came late. */
+	if (peer->incarnation == view->incarnation && view->number <= peer->number)
+		return true;
+	take_view(views, peer, view, now_us);
+	take_peers(views, view, now_us);
+	return true;
+}
+
+static uint32_t
+count_known(const struct comet_views *views)
+{
+	uint32_t known = 0;
+	uint32_t heard = 0;
+
+	comet_views_count(views, &known, &heard);
+	return known;
+}
+
+uint64_t
+comet_views_interval_us(const struct comet_views *views)
+{
+	uint64_t round_bytes =
+		(uint64_t)(views->last_bytes + HEADER_BYTES) * MAX(count_known(views), 1);
+	uint64_t interval_us = round_bytes * 1000000 / MAX(views->bytes_per_s, 1);
+
+	return CLAMP(interval_us, INTERVAL_MIN_US, INTERVAL_MAX_US);
+}
+
+static void
+put_busy(void *ctx, struct comet_instance *instance)
+{
+	comet_View *view = ctx;
+
+	if (instance->own == 0 || view->busy_count >= G_N_ELEMENTS(view->busy))
+		return;
+	view->busy[view->busy_count++] = (comet_Busy){
+		.instance = instance->key,
+		.running = instance->own,
+		.prompt_tokens = instance->own_prompt,
+	};
+}
+
+struct put_spent
+{
+	comet_View *view;
+	uint32_t skip;
+	uint32_t seen;
+};
+
+/* Puts teams in turn: those that do not fit are told in the next views. */
+static void
+put_spent(void *ctx, uint32_t team_id, uint64_t spent)
+{
+	struct put_spent *put = ctx;
+	comet_View *view = put->view;
+
+	if (put->seen++ < put->skip || view->spent_count >= G_N_ELEMENTS(view->spent))
+		return;
+	view->spent[view->spent_count++] = (comet_Spent){.team = team_id, .amount = spent};
+}
+
+static void
+put_peers(struct comet_views *views, comet_View *view)
+{
+	GHashTableIter at;
+	gpointer value = NULL;
+	uint32_t skip = g_hash_table_size(views->peers) > G_N_ELEMENTS(view->peers)
+				? (uint32_t)(views->number % g_hash_table_size(views->peers))
+				: 0;
+
+	/* Two passes from a turning start, so that all of them are named in time. */
+	for (int pass = 0; pass < 2; pass++)
+	{
+		uint32_t index = 0;
+		g_hash_table_iter_init(&at, views->peers);
+		while (g_hash_table_iter_next(&at, NULL, &value))
+		{
+			const struct peer *peer = value;
+			bool mine = pass == 0 ? index >= skip : index < skip;
+			index++;
+			if (mine && !peer->silent && !peer->leaving && peer->heard_us != 0 &&
+				view->peers_count < G_N_ELEMENTS(view->peers))
+				view->peers[view->peers_count++] = peer->address;
+		}
+	}
+}
+
+/* Builds this VM's view. @return its length. */
+static size_t
+build(struct comet_views *views, uint8_t data[COMET_VIEW_BYTES_MAX])
+{
+	comet_View *view = &views->scratch;
+	struct put_spent put = {.view = view, .skip = views->spent_turn};
+	pb_ostream_t stream = pb_ostream_from_buffer(data, COMET_VIEW_BYTES_MAX);
+
+	memset(view, 0, sizeof *view);
+	view->incarnation = views->incarnation;
+	view->number = ++views->number;
+	view->address = views->address;
+	view->leaving = views->leaving;
+	view->revision = views->revision;
+	comet_instances_each(views->instances, put_busy, view);
+	comet_allowance_each_spent(views->allowance, put_spent, &put);
+	views->spent_turn += view->spent_count;
+	if (views->spent_turn >= put.seen)
+		views->spent_turn = 0;
+	put_peers(views, view);
+	while (!pb_encode(&stream, comet_View_fields, view) && view->busy_count > 0)
+	{
+		view->busy_count /= 2; /* too large for one frame: the rest stays untold */
+		stream = pb_ostream_from_buffer(data, COMET_VIEW_BYTES_MAX);
+	}
+	return stream.bytes_written;
+}
+
+/* Is it time to send to this VM? Silent ones, and seeds never heard, are asked now and then. */
+static bool
+is_due(const struct peer *peer, uint64_t now_us)
+{
+	bool there = peer->heard_us != 0 && !peer->silent && !peer->leaving;
+
+	return there || peer->asked_us == 0 || now_us - peer->asked_us >= RETRY_US;
+}
+
+static void
+send_round(struct comet_views *views, uint64_t now_us)
+{
+	uint8_t data[COMET_VIEW_BYTES_MAX];
+	size_t length = build(views, data);
+	GHashTableIter at;
+	gpointer value = NULL;
+
+	views->last_bytes = length;
+	views->sent_us = now_us;
+	g_hash_table_iter_init(&at, views->peers);
+	while (g_hash_table_iter_next(&at, NULL, &value))
+	{
+		struct peer *peer = value;
+		if (!is_due(peer, now_us))
+			continue;
+		peer->asked_us = now_us;
+		views->ops->send(views->ctx, peer->address, data, length);
+	}
+}
+
+/* Finds VMs that went silent, and forgets those that stayed so. */
+static void
+look_for_silent(struct comet_views *views, uint64_t now_us)
+{
+	uint64_t bound_us = MAX(SILENT_ROUNDS * comet_views_interval_us(views), SILENT_MIN_US);
+	GHashTableIter at;
+	gpointer value = NULL;
+
+	g_hash_table_iter_init(&at, views->peers);
+	while (g_hash_table_iter_next(&at, NULL, &value))
+	{
+		struct peer *peer = value;
+		uint64_t last_us = MAX(peer->heard_us, peer->known_us);
+		if (!peer->silent && peer->heard_us != 0 && now_us - peer->heard_us > bound_us)
+		{
+			peer->silent = true;
+			g_array_set_size(peer->busy, 0);
+			views->stale = true;
+			views->ops->changed(views->ctx, peer->address, false, "silent");
+		}
+		if (!peer->seed && last_us != 0 && now_us - last_us > FORGET_US)
+			g_hash_table_iter_remove(&at);
+	}
+}
+
+static void
+clear_others(void *ctx, struct comet_instance *instance)
+{
+	(void)ctx;
+	instance->others = 0;
+	instance->others_prompt = 0;
+}
+
+/* Sums what the other VMs have at each endpoint. */
+static void
+sum_others(struct comet_views *views)
+{
+	GHashTableIter at;
+	gpointer value = NULL;
+
+	comet_instances_each(views->instances, clear_others, NULL);
+	g_hash_table_iter_init(&at, views->peers);
+	while (g_hash_table_iter_next(&at, NULL, &value))
+	{
+		const struct peer *peer = value;
+		for (guint i = 0; i < peer->busy->len; i++)
+		{
+			const comet_Busy *busy = &g_array_index(peer->busy, comet_Busy, i);
+			struct comet_instance *instance =
+				comet_instances_find_key(views->instances, busy->instance);
+			if (instance == NULL)
+				continue;
+			instance->others += busy->running;
+			instance->others_prompt += busy->prompt_tokens;
+		}
+	}
+	views->stale = false;
+}
+
+struct mark
+{
+	uint64_t now_us;
+};
+
+static void
+mark_viewed(void *ctx, struct comet_instance *instance)
+{
+	instance->others_us = ((struct mark *)ctx)->now_us;
+}
+
+void
+comet_views_tick(struct comet_views *views, uint64_t now_us)
+{
+	look_for_silent(views, now_us);
+	if (views->stale)
+	{
+		struct mark mark = {now_us};
+		sum_others(views);
+		comet_instances_each(views->instances, mark_viewed, &mark);
+	}
+	if (!views->leaving && now_us - views->sent_us >= comet_views_interval_us(views))
+		send_round(views, now_us);
+}
+
+void
+comet_views_set_revision(struct comet_views *views, uint64_t revision)
+{
+	views->revision = revision;
+}
+
+void
+comet_views_leave(struct comet_views *views, uint64_t now_us)
+{
+	views->leaving = true;
+	send_round(views, now_us);
+}
+
+void
+comet_views_count(const struct comet_views *views, uint32_t *known, uint32_t *heard)
+{
+	GHashTableIter at;
+	gpointer value = NULL;
+
+	*known = 0;
+	*heard = 0;
+	g_hash_table_iter_init(&at, views->peers);
+	while (g_hash_table_iter_next(&at, NULL, &value))
+	{
+		const struct peer *peer = value;
+		if (peer->heard_us == 0 || peer->leaving)
+			continue;
+		(*known)++;
+		*heard += peer->silent ? 0 : 1;
+	}
+}
+
+uint32_t
+comet_views_newer(const struct comet_views *views, uint64_t revision)
+{
+	GHashTableIter at;
+	gpointer value = NULL;
+	const struct peer *best = NULL;
+
+	g_hash_table_iter_init(&at, views->peers);
+	while (g_hash_table_iter_next(&at, NULL, &value))
+	{
+		const struct peer *peer = value;
+		if (!peer->silent && peer->revision > revision &&
+			(best == NULL || peer->revision > best->revision))
+			best = peer;
+	}
+	return best != NULL ? best->address : 0;
+}
--- /dev/null
+++ b/libcometspindle/gateway/views.h
@@ -0,0 +1,73 @@
+/*
+ * views.h
+ * the other VMs, as their views tell: who is there, what they send where
+ *
+ * Views are datagrams: the newest replaces what came before, a lost one is
+ * made good by the next. VMs are found from seeds and from each other's views.
+ * No sockets and no clock in here.
+ */
+#ifndef COMETSPINDLE_GATEWAY_VIEWS_H
+#define COMETSPINDLE_GATEWAY_VIEWS_H
+
+#include <libcometspindle/gateway/allowance.h>
+#include <libcometspindle/gateway/instances.h>
+#include <libcometspindle/proto/view.pb.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+/** Largest datagram: one Ethernet frame, so that no part of it can be lost alone. */
+#define COMET_VIEW_BYTES_MAX 1400
+
+struct comet_views_config
+{
+	uint32_t address; /**< IPv4 of this VM, host order */
+	uint64_t incarnation;
+	const uint32_t *seeds;
+	size_t n_seeds;
+	uint32_t bytes_per_s; /**< most that is sent, over all VMs */
+};
+
+struct comet_views_ops
+{
+	void (*send)(void *ctx, uint32_t address, const uint8_t *data, size_t length);
+	/** A VM was first heard of, or came back (there), or went silent. */
+	void (*changed)(void *ctx, uint32_t address, bool there, const char *why);
+};
+
+struct comet_views;
+
+struct comet_views *
+comet_views_create(void *parent, const struct comet_views_config *config,
+	struct comet_instances *instances, struct comet_allowance *allowance,
+	const struct comet_views_ops *ops, void *ctx);
+
+/** A datagram arrived. @return false when it is not a view. */
+bool
+comet_views_receive(struct comet_views *views, const uint8_t *data, size_t length, uint64_t now_us);
+
+/** Sends what is due; call some tens of times a second. */
+void
+comet_views_tick(struct comet_views *views, uint64_t now_us);
+
+/** The directory's revision that this VM has read. */
+void
+comet_views_set_revision(struct comet_views *views, uint64_t revision);
+
+/** Tells everybody at once that this VM stops. */
+void
+comet_views_leave(struct comet_views *views, uint64_t now_us);
+
+/** VMs known and not left, and how many of them are heard of late; without this one. */
+void
+comet_views_count(const struct comet_views *views, uint32_t *known, uint32_t *heard);
+
+/** @return a VM whose directory is newer than revision, or 0. */
+uint32_t
+comet_views_newer(const struct comet_views *views, uint64_t revision);
+
+/** Time between two rounds of views, as it follows from the number of VMs. */
+uint64_t
+comet_views_interval_us(const struct comet_views *views);
+
+#endif
--- /dev/null
+++ b/libcometspindle/gateway/wire_names.c
@@ -0,0 +1,56 @@
+/*
+ * wire_names.c
+ * the values of headers that callers and endpoints use
+ */
+#include <libcometspindle/gateway/wire_names.h>
+
+#include <stddef.h>
+#include <stdlib.h>
+
+/* Parses numbers separated by commas. @return false unless there are just so many. */
+static bool
+parse_numbers(const char *text, uint32_t *numbers, size_t count)
+{
+	for (size_t i = 0; i < count; i++)
+	{
+		char *end = NULL;
+		if (*text < '0' || *text > '9')
+			return false;
+		unsigned long long value = strtoull(text, &end, 10);
+		char after = i + 1 < count ? ',' : '\0';
+		if (value > UINT32_MAX || *end != after)
+			return false;
+		numbers[i] = (uint32_t)value;
+		text = end + 1;
+	}
+	return true;
+}
+
+bool
+comet_wire_parse_tokens(const char *text, uint32_t *prompt, uint32_t *output)
+{
+	uint32_t numbers[2];
+
+	if (!parse_numbers(text, numbers, 2))
+		return false;
+	*prompt = numbers[0];
+	*output = numbers[1];
+	return true;
+}
+
+bool
+comet_wire_parse_load(const char *text, struct comet_wire_load *load)
+{
+	uint32_t numbers[3];
+
+	if (!parse_numbers(text, numbers, 3))
+		return false;
+	*load = (struct comet_wire_load){numbers[0], numbers[1], numbers[2]};
+	return true;
+}
+
+bool
+comet_wire_parse_ms(const char *text, uint32_t *ms)
+{
+	return parse_numbers(text, ms, 1);
+}
--- /dev/null
+++ b/libcometspindle/gateway/wire_names.h
@@ -0,0 +1,48 @@
+/*
+ * wire_names.h
+ * port: the header names that callers and endpoints use for what we mean
+ */
+#ifndef COMETSPINDLE_GATEWAY_WIRE_NAMES_H
+#define COMETSPINDLE_GATEWAY_WIRE_NAMES_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/** Names of headers; none is NULL. */
+struct comet_wire_names
+{
+	const char *request_id;      /**< the caller's id of one attempt, repeated by the answer */
+	const char *deadline_ms;     /**< how long whoever asks will wait */
+	const char *team;            /**< set by us: whose key it was */
+	const char *expect_instance; /**< set by us: any other process refuses */
+	const char *stamp;           /**< on answers that an endpoint gave itself */
+	const char *not_run;         /**< on an endpoint's refusals that ran nothing */
+	const char *load;            /**< on answers: running, waiting, slots */
+	const char *tokens;          /**< prompt tokens and most output tokens */
+	const char *output_hint;     /**< expected output tokens */
+	const char *last_event;      /**< id of the last event a reader has */
+	const char *authorization;
+	const char *key_scheme; /**< word before the key in authorization */
+};
+
+/** What a load header tells. */
+struct comet_wire_load
+{
+	uint32_t running;
+	uint32_t waiting;
+	uint32_t slots;
+};
+
+/** Parses "prompt,output"; false when it is not two whole numbers. */
+bool
+comet_wire_parse_tokens(const char *text, uint32_t *prompt, uint32_t *output);
+
+/** Parses "running,waiting,slots"; false when it is not three whole numbers. */
+bool
+comet_wire_parse_load(const char *text, struct comet_wire_load *load);
+
+/** Parses a whole number of milliseconds; false when it is not one. */
+bool
+comet_wire_parse_ms(const char *text, uint32_t *ms);
+
+#endif
