Unit tests of the gateway; a stop begins nothing late; strict header names

Now every connection ends with the answer under way once listening has stopped, and what still comes is refused as not run, with a time to come back. Cause 2 (found by the new tests): a team's bucket started empty instead of with its starting part; "Content-Length : 3" was taken as another header's name, so that the body would have been read as a next request. Ruled out: a late readiness answer (callers were moved within 2 s).

--- a/libcometspindle/adapters/front.c
+++ b/libcometspindle/adapters/front.c
@@ -508,7 +508,9 @@
 
 	if (connection->chunked)
 		comet_socket_write(connection->socket, "0\r\n\r\n", 5);
-	if (!connection->keep_alive)
+	/* One that was told it may stay is closed all the same once nothing more is accepted: what
+	 * it sends from now on would be taken by a process that is about to end. */
+	if (!connection->keep_alive || connection->front->listener == NULL)
 	{
 		linger(connection);
 		return;
--- a/libcometspindle/adapters/front.h
+++ b/libcometspindle/adapters/front.h
@@ -72,7 +72,7 @@
 void
 comet_front_set_closing(struct comet_front *front);
 
-/** Stops accepting connections. */
+/** Stops accepting connections; those that are open end with the answer under way. */
 void
 comet_front_stop_listening(struct comet_front *front);
 
--- a/libcometspindle/adapters/gateway.c
+++ b/libcometspindle/adapters/gateway.c
@@ -279,6 +279,7 @@
 
 	if (passed_us < (uint64_t)gateway->settings->leave_ms * 1000)
 		return;
+	gateway->refusing = true;
 	comet_front_stop_listening(gateway->callers);
 	comet_front_close_idle(gateway->callers);
 	bool open = gateway->calls > 0 || comet_front_counts(gateway->callers)->connections > 0;
--- a/libcometspindle/adapters/gateway_call.c
+++ b/libcometspindle/adapters/gateway_call.c
@@ -37,6 +37,9 @@
 /* A VM that knows no routes yet asks to come back after this time: a start takes about as long. */
 #define NOT_READY_RETRY_S "0.5"
 
+/* A VM that stops sends callers to the others, which are there. */
+#define STOPPING_RETRY_S "0.05"
+
 struct call
 {
 	struct comet_gateway *gateway;
@@ -831,6 +834,13 @@
 		comet_front_answer(request, 503, "Retry-After: " NOT_READY_RETRY_S "\r\n", "", 0);
 		return;
 	}
+	if (gateway->refusing)
+	{
+		/* Too late to be finished before this process ends: others take it at once. */
+		gateway->counts.refused_early++;
+		comet_front_answer(request, 503, "Retry-After: " STOPPING_RETRY_S "\r\n", "", 0);
+		return;
+	}
 	struct call *call = talloc_zero(gateway, struct call);
 	gateway->calls++;
 	talloc_set_destructor(call, call_destroy);
--- a/libcometspindle/adapters/http_reader.c
+++ b/libcometspindle/adapters/http_reader.c
@@ -23,6 +23,7 @@
 	bool in_value; /* the last header callback was for a value */
 	bool inside;
 	bool too_big;
+	bool bad; /* a header that is none */
 };
 
 const char *
@@ -128,6 +129,31 @@
 	return count_head(reader, length);
 }
 
+/* Is this a header's name as RFC 9110 has it? The parser also takes blanks in it, by which one
+ * side may see a length that the other does not. */
+static bool
+is_token(const GString *name)
+{
+	for (gsize i = 0; i < name->len; i++)
+	{
+		char c = name->str[i];
+		if (!g_ascii_isalnum(c) && strchr("!#$%&'*+-.^_`|~", c) == NULL)
+			return false;
+	}
+	return name->len > 0;
+}
+
+static bool
+is_clean(const GString *value)
+{
+	for (gsize i = 0; i < value->len; i++)
+	{
+		if (value->str[i] == '\r' || value->str[i] == '\n' || value->str[i] == '\0')
+			return false;
+	}
+	return true;
+}
+
 /* Takes over the header that is complete now. */
 static void
 finish_header(struct comet_http_reader *reader)
@@ -136,6 +162,7 @@
 
 	if (reader->name->len == 0)
 		return;
+	reader->bad = reader->bad || !is_token(reader->name) || !is_clean(reader->value);
 	head->headers =
 		talloc_realloc(head, head->headers, struct comet_http_header, head->n_headers + 1);
 	struct comet_http_header *header = &head->headers[head->n_headers++];
@@ -174,6 +201,8 @@
 	struct comet_http_head *head = reader->head;
 
 	finish_header(reader);
+	if (reader->bad)
+		return -1;
 	head->http_1_0 = parser->http_major < 1 || parser->http_minor < 1;
 	head->framed = (parser->flags & (F_CHUNKED | F_CONTENTLENGTH)) != 0;
 	if (parser->type == HTTP_REQUEST)
--- a/libcometspindle/gateway/allowance.c
+++ b/libcometspindle/gateway/allowance.c
@@ -91,6 +91,7 @@
 	{
 		bucket = g_new0(struct bucket, 1);
 		bucket->filled_us = set->now_us;
+		bucket->capacity = capacity;
 		bucket->level = START_PART * capacity;
 		g_hash_table_insert(set->allowance->buckets, GUINT_TO_POINTER(team->id), bucket);
 	}
--- a/libcometspindle/gateway/settings.c
+++ b/libcometspindle/gateway/settings.c
@@ -34,7 +34,7 @@
 read_times(struct comet_gateway_settings *settings, struct comet_check_object *object)
 {
 	settings->grace_ms = read_seconds(object, "grace_s", GRACE_DEFAULT_S);
-	settings->leave_ms = (uint32_t)comet_check_int(object, "leave_ms", 0, HOUR_MS, 3000);
+	settings->leave_ms = (uint32_t)comet_check_int(object, "leave_ms", 0, HOUR_MS, 2700);
 	settings->lapse_ms = (uint32_t)comet_check_int(object, "lapse_ms", 0, HOUR_MS, 2200);
 }
 
--- /dev/null
+++ b/tests/unit/test_gateway_placement.cc
@@ -0,0 +1,406 @@
+/*
+ * test_gateway_placement.cc
+ * instances, placement, event streams and views, under virtual time
+ */
+#include <gtest/gtest.h>
+
+extern "C"
+{
+#include <libcometspindle/gateway/event_stream.h>
+#include <libcometspindle/gateway/placement.h>
+#include <libcometspindle/gateway/views.h>
+#include <libcometspindle/hash.h>
+}
+#include <cstring>
+#include <map>
+#include <string>
+#include <talloc.h>
+#include <vector>
+
+namespace
+{
+
+struct sent
+{
+	std::string instance;
+	comet_placement_item *item;
+};
+
+/* A placement with one service of two-slot instances. */
+class PlacementTest : public ::testing::Test
+{
+      public:
+	comet_instances *instances = nullptr;
+	comet_placement *placement = nullptr;
+	std::vector<sent> dispatched;
+	std::vector<std::pair<comet_placement_item *, uint32_t>> refused;
+	uint64_t now_us = 1000000;
+
+      protected:
+	static void
+	on_dispatch(void *ctx, comet_placement_item *item, comet_instance *instance)
+	{
+		auto *test = static_cast<PlacementTest *>(ctx);
+		comet_instance_started(instance, &item->job);
+		test->dispatched.push_back({instance->id, item});
+	}
+
+	static void
+	on_refuse(void *ctx, comet_placement_item *item, uint32_t retry_after_ms)
+	{
+		static_cast<PlacementTest *>(ctx)->refused.emplace_back(item, retry_after_ms);
+	}
+
+	void
+	SetUp() override
+	{
+		static const comet_placement_ops ops = {on_dispatch, on_refuse};
+		instances = comet_instances_create(nullptr, "z1");
+		placement = comet_placement_create(instances, instances, "z1", &ops, this);
+	}
+
+	void
+	TearDown() override
+	{
+		talloc_free(instances);
+	}
+
+	comet_instance *
+	add(const char *id, const char *zone = "z1", bool draining = false)
+	{
+		comet_instance_record record = {id, "llm", "127.0.0.1:1", zone, 2, 0, draining};
+		return comet_instances_put(instances, &record, now_us);
+	}
+
+	comet_placement_item
+	item(uint32_t rank)
+	{
+		comet_placement_item item = {};
+		item.service = "llm";
+		item.job = {1000, 100, true};
+		item.route_rank = rank;
+		item.latest_us = now_us + 2000000;
+		item.early_us = now_us + 100000;
+		return item;
+	}
+
+	void
+	end(const sent &one, comet_dispatch_result result)
+	{
+		comet_instance *instance = comet_instances_find(instances, one.instance.c_str());
+		comet_instance_ended(
+			instances, instance, &one.item->job, false, result, 0, 0, now_us);
+	}
+};
+
+TEST_F(PlacementTest, SpreadsOverWhatHasRoomAndPrefersItsZone)
+{
+	add("far", "z2");
+	add("near", "z1");
+	std::vector<comet_placement_item> items(4, item(2));
+
+	for (auto &one : items)
+		comet_placement_submit(placement, &one, now_us);
+	ASSERT_EQ(dispatched.size(), 4U);
+	EXPECT_EQ(dispatched[0].instance, "near");
+	std::map<std::string, int> count;
+	for (auto &one : dispatched)
+		count[one.instance]++;
+	EXPECT_EQ(count["near"], 2);
+	EXPECT_EQ(count["far"], 2);
+}
+
+TEST_F(PlacementTest, UrgentRanksGoFirstAndHaveHeadroom)
+{
+	add("a");
+	std::vector<comet_placement_item> low(4, item(2));
+	for (auto &one : low)
+	{
+		one.latest_us = now_us + 20000000;
+		comet_placement_submit(placement, &one, now_us);
+	}
+	EXPECT_EQ(dispatched.size(), 2U);
+	comet_placement_item urgent = item(0);
+	comet_placement_submit(placement, &urgent, now_us);
+	comet_placement_run(placement, now_us);
+	ASSERT_EQ(dispatched.size(), 3U);
+	EXPECT_EQ(dispatched[2].item, &urgent);
+	/* a slot that comes free goes to the next in order, not to a newcomer */
+	end(dispatched[0], COMET_DISPATCH_SERVED);
+	end(dispatched[2], COMET_DISPATCH_SERVED);
+	comet_placement_run(placement, now_us);
+	ASSERT_EQ(dispatched.size(), 4U);
+	EXPECT_EQ(dispatched[3].item, &low[2]);
+}
+
+TEST_F(PlacementTest, RefusesWhatCannotBeInTimeAndTellsWhenToComeBack)
+{
+	add("a");
+	std::vector<comet_placement_item> items(12, item(2));
+
+	for (auto &one : items)
+		comet_placement_submit(placement, &one, now_us);
+	/* two are placed; a queue that would outlast their callers' patience is not built up */
+	EXPECT_EQ(dispatched.size(), 2U);
+	EXPECT_GE(refused.size(), 1U);
+	for (auto &one : refused)
+		EXPECT_GE(one.second, 100U);
+	size_t early = refused.size();
+	now_us += 2000001;
+	comet_placement_run(placement, now_us);
+	EXPECT_EQ(refused.size(), 10U);
+	EXPECT_GT(refused.size(), early);
+	EXPECT_EQ(comet_placement_waiting(placement, "llm"), 0U);
+}
+
+TEST_F(PlacementTest, ALeavingInstanceGetsNothingNew)
+{
+	add("a");
+	add("a", "z1", true);
+	comet_placement_item one = item(0);
+
+	comet_placement_submit(placement, &one, now_us);
+	EXPECT_EQ(dispatched.size(), 0U);
+	/* nobody serves it: it waits only while a refusal is still cheap */
+	now_us += 100001;
+	comet_placement_run(placement, now_us);
+	EXPECT_EQ(refused.size(), 1U);
+}
+
+TEST_F(PlacementTest, IsNotSentTwiceToTheSameInstance)
+{
+	add("a");
+	add("b");
+	comet_placement_item one = item(0);
+
+	comet_placement_submit(placement, &one, now_us);
+	comet_placement_submit(placement, &one, now_us);
+	ASSERT_EQ(dispatched.size(), 2U);
+	EXPECT_NE(dispatched[0].instance, dispatched[1].instance);
+	comet_placement_submit(placement, &one, now_us);
+	EXPECT_EQ(refused.size(), 1U);
+}
+
+TEST_F(PlacementTest, AnUnreachableInstanceIsAvoidedAndTriedAgain)
+{
+	add("a");
+	add("b");
+	comet_placement_item one = item(0);
+	comet_placement_submit(placement, &one, now_us);
+	std::string bad = dispatched[0].instance;
+	end(dispatched[0], COMET_DISPATCH_UNREACHED);
+
+	std::vector<comet_placement_item> items(3, item(0));
+	for (auto &next : items)
+		comet_placement_submit(placement, &next, now_us);
+	for (size_t i = 1; i < dispatched.size(); i++)
+		EXPECT_NE(dispatched[i].instance, bad);
+	/* later one request that may be repeated is its trial, and only one */
+	now_us += 1500000;
+	std::vector<comet_placement_item> trials(4, item(0));
+	size_t before = dispatched.size();
+	for (auto &next : trials)
+	{
+		next.repeatable = true;
+		comet_placement_submit(placement, &next, now_us);
+	}
+	unsigned int tried = 0;
+	for (size_t i = before; i < dispatched.size(); i++)
+		tried += dispatched[i].instance == bad;
+	EXPECT_EQ(tried, 1U);
+}
+
+TEST_F(PlacementTest, WhatOthersSendThereCounts)
+{
+	comet_instance *instance = add("a");
+	instance->others = 2;
+	instance->others_us = now_us;
+	EXPECT_EQ(comet_instance_load(instance, now_us), 2U);
+	/* newer word from the endpoint itself goes before, corrected by our own sends */
+	comet_instance_told(instance, 5, now_us + 1);
+	comet_job job = {10, 10, true};
+	comet_instance_started(instance, &job);
+	EXPECT_EQ(comet_instance_load(instance, now_us + 1), 6U);
+	/* and old word says nothing */
+	EXPECT_EQ(comet_instance_load(instance, now_us + 60000000), 1U);
+}
+
+TEST(EventStream, PassesOnlyWholeEvents)
+{
+	comet_event_stream *stream = comet_event_stream_create(nullptr);
+	const char *text = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3\nda";
+
+	/* byte by byte: the ends of events must not depend on how they arrive */
+	std::string passed;
+	for (const char *at = text; *at != '\0'; at++)
+	{
+		size_t ready = comet_event_stream_add(stream, at, 1);
+		passed.append(comet_event_stream_ready(stream), ready);
+		if (ready > 0)
+			comet_event_stream_taken(stream);
+	}
+	EXPECT_EQ(passed, "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n");
+	EXPECT_STREQ(comet_event_stream_last_id(stream), "2");
+	EXPECT_EQ(comet_event_stream_count(stream), 2U);
+	EXPECT_TRUE(comet_event_stream_inside(stream));
+	comet_event_stream_restart(stream);
+	EXPECT_FALSE(comet_event_stream_inside(stream));
+	EXPECT_STREQ(comet_event_stream_last_id(stream), "2");
+	talloc_free(stream);
+}
+
+/* Some VMs whose datagrams are delivered by hand. */
+struct vm
+{
+	comet_instances *instances;
+	comet_allowance *allowance;
+	comet_views *views;
+	std::vector<std::pair<uint32_t, std::string>> outbox;
+};
+
+struct vms
+{
+	std::map<uint32_t, vm> all;
+	comet_route_table *table;
+
+	explicit vms(int count)
+	{
+		comet_route_limits limits = {};
+		comet_route_team team = {};
+		team.name = const_cast<char *>("t");
+		team.rate_per_s = 1000;
+		team.burst = 1000;
+		team.in_tokens = true;
+		table = comet_route_table_create(1, &limits);
+		comet_route_table_add_team(table, &team, nullptr, 0);
+		for (int i = 1; i <= count; i++)
+			start((uint32_t)i, (uint64_t)i);
+	}
+
+	~vms()
+	{
+		for (auto &one : all)
+			talloc_free(one.second.instances);
+		comet_route_table_unref(table);
+	}
+
+	void
+	start(uint32_t address, uint64_t incarnation)
+	{
+		static const comet_views_ops ops = {on_send, on_changed};
+		static const uint32_t seeds[] = {1};
+		comet_allowance_bounds bounds = {8000, 0, 0};
+		vm &one = all[address];
+		one.instances = comet_instances_create(nullptr, "z");
+		one.allowance = comet_allowance_create(one.instances, &bounds);
+		comet_allowance_set_teams(one.allowance, table, 0);
+		comet_instance_record record = {"i", "llm", "127.0.0.1:1", "z", 4, 0, false};
+		comet_instances_put(one.instances, &record, 0);
+		comet_views_config config = {address, incarnation, seeds, 1, 1000000};
+		one.views = comet_views_create(
+			one.instances, &config, one.instances, one.allowance, &ops, &one);
+	}
+
+	static void
+	on_send(void *ctx, uint32_t address, const uint8_t *data, size_t length)
+	{
+		static_cast<vm *>(ctx)->outbox.emplace_back(
+			address, std::string((const char *)data, length));
+	}
+
+	static void
+	on_changed(void *, uint32_t, bool, const char *)
+	{
+	}
+
+	/* One step: everybody ticks, then what was sent arrives, but for those cut off. */
+	void
+	step(uint64_t now_us, uint32_t cut = 0)
+	{
+		for (auto &one : all)
+			comet_views_tick(one.second.views, now_us);
+		for (auto &one : all)
+		{
+			for (auto &mail : one.second.outbox)
+			{
+				if (one.first == cut || mail.first == cut ||
+					all.count(mail.first) == 0)
+					continue;
+				comet_views_receive(all[mail.first].views,
+					(const uint8_t *)mail.second.data(), mail.second.size(),
+					now_us);
+			}
+			one.second.outbox.clear();
+		}
+	}
+};
+
+TEST(Views, VmsFindEachOtherFromOneSeed)
+{
+	vms fleet(9);
+	uint64_t now_us = 1000000;
+
+	for (int i = 0; i < 40; i++, now_us += 50000)
+		fleet.step(now_us);
+	for (auto &one : fleet.all)
+	{
+		uint32_t known = 0;
+		uint32_t heard = 0;
+		comet_views_count(one.second.views, &known, &heard);
+		EXPECT_EQ(known, 8U);
+		EXPECT_EQ(heard, 8U);
+	}
+}
+
+TEST(Views, DispatchesAndSpendingAreTold)
+{
+	vms fleet(3);
+	uint64_t now_us = 1000000;
+	comet_job job = {500, 10, true};
+	for (int i = 0; i < 40; i++, now_us += 50000)
+		fleet.step(now_us);
+	comet_instance_started(comet_instances_find(fleet.all[2].instances, "i"), &job);
+	comet_allowance_spend(fleet.all[2].allowance, comet_hash_name("t"), 100, now_us);
+	for (int i = 0; i < 8; i++, now_us += 50000)
+		fleet.step(now_us);
+	comet_instance *instance = comet_instances_find(fleet.all[3].instances, "i");
+	EXPECT_EQ(instance->others, 1U);
+	EXPECT_EQ(instance->others_prompt, 500U);
+	/* full by then, less what the other VM has spent */
+	EXPECT_EQ(comet_allowance_left(fleet.all[3].allowance, comet_hash_name("t")), 900);
+}
+
+TEST(Views, ASilentVmIsNoticedAndItsDispatchesForgotten)
+{
+	vms fleet(3);
+	uint64_t now_us = 1000000;
+	comet_job job = {500, 10, true};
+	comet_instance_started(comet_instances_find(fleet.all[2].instances, "i"), &job);
+	for (int i = 0; i < 40; i++, now_us += 50000)
+		fleet.step(now_us);
+	EXPECT_EQ(comet_instances_find(fleet.all[3].instances, "i")->others, 1U);
+	for (int i = 0; i < 40; i++, now_us += 50000)
+		fleet.step(now_us, 2);
+	uint32_t known = 0;
+	uint32_t heard = 0;
+	comet_views_count(fleet.all[3].views, &known, &heard);
+	EXPECT_EQ(known, 2U);
+	EXPECT_EQ(heard, 1U);
+	EXPECT_EQ(comet_instances_find(fleet.all[3].instances, "i")->others, 0U);
+	/* it comes back by itself once the cut heals */
+	for (int i = 0; i < 60; i++, now_us += 50000)
+		fleet.step(now_us);
+	comet_views_count(fleet.all[3].views, &known, &heard);
+	EXPECT_EQ(heard, 2U);
+}
+
+TEST(Views, GarbageIsRefused)
+{
+	vms fleet(1);
+	const uint8_t junk[] = {0xff, 0x01, 0x02, 0x80};
+
+	EXPECT_FALSE(comet_views_receive(fleet.all[1].views, junk, sizeof junk, 1));
+	EXPECT_FALSE(comet_views_receive(fleet.all[1].views, junk, 0, 1));
+}
+
+} // namespace
