System test of the gateway against a stand-in of the store and servers

15 sessions over real sockets under the sanitizers: relay, keys, routes, framing in two ways, refusals, broken and foreign answers, cut and resumed streams, a caller that leaves, configuration order, leaving servers, a store that is away, a planned stop, bad settings. A check keeps the platform's names in platform/.

--- a/scripts/checks.sh
+++ b/scripts/checks.sh
@@ -54,6 +54,13 @@
 		--warnings-as-errors='*'
 }
 
+# The names of the users' platform stay in platform/ (and in the tests' stand-in for it).
+check_names()
+{
+	! git grep -nE 'X-Cometspindle|kv-watch|kv-range|op/config|private_key|path_prefix=|machine_class|since_rev' \
+		-- 'libcometspindle/*.[ch]' 'cli/*.[ch]'
+}
+
 mkdir -p out
 export ASAN_OPTIONS=detect_leaks=1:abort_on_error=0
 # glib hands small blocks from thread to thread out of the sanitizers' sight: have it use malloc
@@ -69,6 +76,7 @@
 	check "$(basename "$session" .py) (asan)" env COMET_BUILD=build-asan timeout 120 python3 "$session"
 done
 check "test_path (tsan)" env COMET_BUILD=build-tsan timeout 120 python3 tests/system/test_path.py
+check "names" check_names
 check "format" check_format
 check "clang-tidy" check_tidy
 if [ -s KNOWN-RED.txt ]
--- /dev/null
+++ b/tests/system/platform_standin.py
@@ -0,0 +1,216 @@
+"""platform_standin.py: a small stand-in for the platform's store and its servers
+
+The store answers lists and watches from a dictionary; each server runs a script that the test
+gives it by path. Everything listens on loopback, on ports of the kernel's choice.
+"""
+import base64
+import json
+import socket
+import threading
+import time
+import urllib.parse
+
+
+def listen(address="127.0.0.1"):
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.bind((address, 0))
+    sock.listen(64)
+    return sock
+
+
+class Reader:
+    """Reads HTTP messages from a socket."""
+
+    def __init__(self, sock):
+        self.sock = sock
+        self.data = b""
+
+    def more(self):
+        got = self.sock.recv(65536)
+        self.data += got
+        return bool(got)
+
+    def until(self, mark):
+        while mark not in self.data:
+            if not self.more():
+                return None
+        part, self.data = self.data.split(mark, 1)
+        return part
+
+    def exactly(self, length):
+        while len(self.data) < length:
+            if not self.more():
+                return None
+        part, self.data = self.data[:length], self.data[length:]
+        return part
+
+    def head(self):
+        """First line and headers (names in lower case), or None at the end."""
+        head = self.until(b"\r\n\r\n")
+        if head is None:
+            return None, None
+        lines = head.decode().split("\r\n")
+        pairs = [line.split(": ", 1) for line in lines[1:]]
+        return lines[0], {name.lower(): value for name, value in pairs}
+
+    def body(self, headers):
+        """(body, whole)"""
+        if "content-length" in headers:
+            body = self.exactly(int(headers["content-length"]))
+            return (body, True) if body is not None else (self.data, False)
+        if headers.get("transfer-encoding") != "chunked":
+            return b"", True
+        body = b""
+        while True:
+            size = self.until(b"\r\n")
+            if size is None:
+                return body, False
+            chunk = self.exactly(int(size, 16) + 2)
+            if chunk is None:
+                return body + self.data, False
+            if int(size, 16) == 0:
+                return body, True
+            body += chunk[:-2]
+
+
+class Store:
+    """The platform's store: items, a revision, and watches that wait."""
+
+    def __init__(self):
+        self.sock = listen()
+        self.port = self.sock.getsockname()[1]
+        self.lock = threading.Condition()
+        self.items = {}
+        self.log = []
+        self.revision = 0
+        self.down = False
+        self.forgotten = 0  # revisions up to this one are history no more
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def put(self, key, value):
+        text = value if isinstance(value, str) else json.dumps(value)
+        with self.lock:
+            self.revision += 1
+            item = {"private_key": key, "revision": self.revision,
+                    "value": base64.b64encode(text.encode()).decode()}
+            self.items[key] = item
+            self.log.append(item)
+            self.lock.notify_all()
+
+    def remove(self, key):
+        with self.lock:
+            self.revision += 1
+            del self.items[key]
+            self.log.append({"private_key": key, "revision": self.revision, "removed": True})
+            self.lock.notify_all()
+
+    def accept(self):
+        while True:
+            sock, _ = self.sock.accept()
+            threading.Thread(target=self.serve, args=(sock,), daemon=True).start()
+
+    def serve(self, sock):
+        reader = Reader(sock)
+        while True:
+            line, _ = reader.head()
+            if line is None:
+                return
+            path, _, query = line.split()[1].partition("?")
+            args = dict(urllib.parse.parse_qsl(query))
+            status, answer = self.answer(path, args)
+            body = json.dumps(answer).encode()
+            sock.sendall(b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n" % (status, len(body)) + body)
+
+    def answer(self, path, args):
+        with self.lock:
+            if self.down:
+                return 503, {}
+            if path == "/kv-range":
+                # two to a page, so that pages are exercised
+                keys = sorted(k for k in self.items if k > args.get("since_rev", ""))
+                return 200, {"entries": [self.items[k] for k in keys[:2]],
+                             "has_more": len(keys) > 2, "current_rev": self.revision}
+            since = int(args["since_rev"])
+            if since < self.forgotten:
+                return 410, {}
+            self.lock.wait_for(lambda: self.down or self.revision > since,
+                               int(args["wait_ms"]) / 1000)
+            if self.down:
+                return 503, {}
+            return 200, {"events": [e for e in self.log if e["revision"] > since],
+                         "current_rev": self.revision}
+
+
+class Server:
+    """One server: runs scripts by the last part of the path and writes down what it ran."""
+
+    def __init__(self, store, name, service, slots=4):
+        self.sock = listen()
+        self.port = self.sock.getsockname()[1]
+        self.name = name
+        self.runs = []    # (id, path, headers, body)
+        self.closed = []  # ids whose connection was closed before the answer
+        self.scripts = {}
+        self.entry = {"service": service, "address": f"127.0.0.1:{self.port}", "zone": "z",
+                      "slots": slots, "state": "ready", "sequence": 1, "version": "v1"}
+        self.store = store
+        self.publish()
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def publish(self, **change):
+        self.entry.update(change)
+        self.store.put("servers/" + self.name, self.entry)
+
+    def accept(self):
+        while True:
+            sock, _ = self.sock.accept()
+            threading.Thread(target=self.serve, args=(sock,), daemon=True).start()
+
+    def serve(self, sock):
+        reader = Reader(sock)
+        try:
+            while True:
+                line, headers = reader.head()
+                if line is None:
+                    return
+                body, _ = reader.body(headers)
+                path = line.split()[1]
+                script = self.scripts.get(path.split("/")[-1], Server.plain)
+                if script(self, sock, path, headers, body) is False:
+                    sock.close()
+                    return
+        except OSError:
+            return
+
+    def ran(self, path, headers, body):
+        self.runs.append((headers["x-cometspindle-request-id"], path, headers, body))
+
+    def write_head(self, sock, headers, status=200, extra="", length=None):
+        ident = headers["x-cometspindle-request-id"]
+        size = f"Content-Length: {length}\r\n" if length is not None else \
+            "Transfer-Encoding: chunked\r\n"
+        sock.sendall((f"HTTP/1.1 {status} Word\r\nX-Cometspindle-Request-Id: {ident}\r\n"
+                      f"X-Cometspindle-Server-Stamp: {self.name}\r\n{extra}{size}\r\n").encode())
+
+    def plain(self, sock, path, headers, body):
+        self.ran(path, headers, body)
+        answer = b"%s got %s" % (self.name.encode(), body)
+        self.write_head(sock, headers, length=len(answer))
+        sock.sendall(answer)
+
+    def chunk(self, sock, data):
+        sock.sendall(b"%x\r\n%s\r\n" % (len(data), data))
+
+    def events(self, sock, first, last):
+        for number in range(first, last + 1):
+            self.chunk(sock, b"id: %d\ndata: %s\n\n" % (number, self.name.encode()))
+
+
+def wait_for(condition, seconds=20):
+    """Waits until condition() holds; the bound only ends a test that has failed anyway."""
+    end = time.monotonic() + seconds
+    while not condition():
+        if time.monotonic() > end:
+            raise AssertionError("waited in vain")
+        time.sleep(0.01)
--- /dev/null
+++ b/tests/system/test_gateway.py
@@ -0,0 +1,434 @@
+"""test_gateway.py: the gateway's wire, from callers' and servers' sides, against the stand-in"""
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import threading
+
+from platform_standin import Reader, Server, Store, listen, wait_for
+
+BUILD = os.environ.get("COMET_BUILD", "build")
+HOST = "h.example"
+
+
+# A loopback address of this process alone: a port that the kernel has named stays free on it.
+ADDRESS = f"127.{1 + os.getpid() % 250}.{1 + os.getpid() // 250 % 250}.1"
+
+
+def free_port():
+    sock = listen(ADDRESS)
+    port = sock.getsockname()[1]
+    sock.close()
+    return port
+
+
+class Gateway:
+    def __init__(self, store, **settings):
+        self.ports = {name: free_port() for name in ("callers", "readiness", "control", "peers")}
+        values = {name: f"{ADDRESS}:{port}" for name, port in self.ports.items()}
+        values.update(name="vm", zone="z", seeds="", directory=f"127.0.0.1:{store.port}",
+                      leave_ms=200)
+        values.update(settings)
+        self.file = tempfile.NamedTemporaryFile("w", suffix=".json")
+        json.dump({"gateway": values}, self.file)
+        self.file.flush()
+        self.log = tempfile.TemporaryFile()
+        self.process = subprocess.Popen(
+            [f"{BUILD}/cli/cometspindled", "--settings", self.file.name], stdout=self.log,
+            stderr=self.log)
+
+    def ready(self):
+        try:
+            return get(self.ports["readiness"], "/readyz")[0] == 200
+        except OSError:
+            return False
+
+    def end(self):
+        if self.process.poll() is None:
+            self.process.send_signal(signal.SIGTERM)
+        code = self.process.wait(30)
+        self.log.seek(0)
+        text = self.log.read().decode()
+        assert code == 0, text[-3000:]
+        assert "Sanitizer" not in text and "runtime error" not in text, text[-3000:]
+        return text
+
+
+def connect(port):
+    sock = socket.create_connection((ADDRESS, port))
+    sock.settimeout(20)
+    return sock
+
+
+def get(port, path):
+    sock = connect(port)
+    sock.sendall(f"GET {path} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
+    return answer_of(sock)
+
+
+def answer_of(sock):
+    """(status, headers, body, whole)"""
+    reader = Reader(sock)
+    line, headers = reader.head()
+    if line is None:
+        return 0, {}, b"", False
+    body, whole = reader.body(headers)
+    return int(line.split()[1]), headers, body, whole
+
+
+counter = [0]
+
+
+def request(path, method="GET", body=b"", key="k1", **headers):
+    counter[0] += 1
+    ident = f"{counter[0]:016x}"
+    lines = [f"{method} {path} HTTP/1.1", f"Host: {HOST}", f"X-Cometspindle-Request-Id: {ident}",
+             "X-Cometspindle-Deadline-Ms: 5000"]
+    if key:
+        lines.append(f"Authorization: Token {key}")
+    if body or method == "POST":
+        lines.append(f"Content-Length: {len(body)}")
+    lines += [f"{name.replace('_', '-')}: {value}" for name, value in headers.items()]
+    return ident, ("\r\n".join(lines) + "\r\n\r\n").encode() + body
+
+
+def call(gateway, path, **more):
+    ident, data = request(path, **more)
+    sock = connect(gateway.ports["callers"])
+    sock.sendall(data)
+    answer = answer_of(sock)
+    sock.close()
+    return (ident,) + answer
+
+
+def route(name, kind, attempts, **more):
+    return dict(name=name, hostname=HOST, path_prefix=f"/{name}/", type=kind, timeout_ms=5000,
+                target_latency_ms=400, priority=1, service="svc", max_attempts=attempts, **more)
+
+
+def document(version, keys=("k1", "k2")):
+    return {"version": version, "routes": [
+        route("safe", "safe", 2), route("once", "unsafe", 1), route("open", "safe", 1, public=True),
+        route("sse", "streaming", 1), route("again", "streaming", 2, resumable=True)],
+        "services": [{"name": "svc", "health_path": "/healthz"}],
+        "limits": {"max_header_bytes": 2000, "max_body_bytes": 5000, "header_timeout_ms": 3000,
+                   "idle_timeout_ms": 15000},
+        "tenants": [{"name": "team", "api_keys": list(keys), "unit": "token_stream",
+                     "plain_tokens": 10, "rate_per_s": 1000000, "burst": 1000000}]}
+
+
+class World:
+    def __init__(self, servers=2, **settings):
+        self.store = Store()
+        self.store.put("op/config", document(1))
+        self.servers = [Server(self.store, f"i-{n}", "svc") for n in range(servers)]
+        self.gateway = Gateway(self.store, **settings)
+        wait_for(self.gateway.ready)
+
+    def runs(self, ident):
+        return sum(run[0] == ident for server in self.servers for run in server.runs)
+
+    def script(self, name, function):
+        for server in self.servers:
+            server.scripts[name] = function
+
+
+def test_relay(world):
+    gateway = world.gateway
+    ident, status, headers, body, whole = call(gateway, "/once/x?y=z", method="POST", body=b"abc",
+                                               X_Cometspindle_Tenant="forged", X_Other="kept")
+    assert (status, whole) == (200, True) and body.endswith(b" got abc"), (status, body)
+    run = next(run for server in world.servers for run in server.runs if run[0] == ident)
+    seen = run[2]
+    assert run[1] == "/once/x?y=z" and run[3] == b"abc"
+    assert seen["x-cometspindle-tenant"] == "team" and seen["x-other"] == "kept"
+    assert "authorization" not in seen
+    assert 0 < int(seen["x-cometspindle-deadline-ms"]) <= 5000
+    assert headers["x-cometspindle-server-stamp"] == seen["x-cometspindle-expect-instance"]
+    assert call(gateway, "/safe/x", key="nobody")[1] == 401
+    assert call(gateway, "/safe/x", key=None)[1] == 401
+    assert call(gateway, "/open/x", key=None)[1] == 200
+    assert call(gateway, "/none/x")[1] == 404
+    assert call(gateway, "/once/x", method="POST", body=b"a" * 6000)[1] == 413
+    assert call(gateway, "/once/x", X_Long="a" * 3000)[1] == 431
+
+
+def test_smuggling(world):
+    for extra in ("Content-Length: 3\r\nTransfer-Encoding: chunked", "Content-Length : 3",
+                  "Content-Length: 3\r\nContent-Length: 4", "Content-Length: -1"):
+        ident, _ = request("/once/x", method="POST")
+        sock = connect(world.gateway.ports["callers"])
+        sock.sendall((f"POST /once/x HTTP/1.1\r\nHost: {HOST}\r\nX-Cometspindle-Request-Id: "
+                      f"{ident}\r\n{extra}\r\n\r\nabcGET /once/y HTTP/1.1\r\n\r\n").encode())
+        status, headers, _, _ = answer_of(sock)
+        assert status == 400 and headers["connection"] == "close", (extra, status)
+        assert Reader(sock).head() == (None, None)
+        assert world.runs(ident) == 0
+
+
+def test_kept_connection(world):
+    sock = connect(world.gateway.ports["callers"])
+    first, data = request("/safe/a")
+    second, more = request("/safe/b")
+    sock.sendall(data + more)  # the second waits behind the first
+    reader = Reader(sock)
+    for ident in (first, second):
+        line, headers = reader.head()
+        reader.body(headers)
+        assert line.split()[1] == "200" and headers["x-cometspindle-request-id"] == ident
+    chunked, data = request("/once/c", method="POST", Transfer_Encoding="chunked")
+    data = data.replace(b"Content-Length: 0\r\n", b"") + b"3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
+    for byte in data:
+        sock.sendall(bytes([byte]))
+    line, headers = reader.head()
+    assert reader.body(headers)[0].endswith(b" got abcde")
+
+
+def test_refused_by_server(world):
+    def full(server, sock, path, headers, body):
+        server.write_head(sock, headers, 503, "X-Cometspindle-Not-Executed: 1\r\n", 0)
+    world.servers[0].scripts["full"] = full
+    world.servers[1].scripts["full"] = full
+    for _ in range(4):
+        ident, status, headers, _, _ = call(world.gateway, "/once/full", method="POST")
+        assert status == 503 and float(headers["retry-after"]) > 0
+        assert "x-cometspindle-server-stamp" not in headers
+    world.servers[1].scripts.pop("full")
+    assert any(call(world.gateway, "/safe/full")[1] == 200 for _ in range(4))
+
+
+def test_broken_before_answer(world):
+    def run_and_close(server, sock, path, headers, body):
+        server.ran(path, headers, body)
+        return False
+    world.script("close", run_and_close)
+    ident, status, headers, _, _ = call(world.gateway, "/once/close", method="POST")
+    assert status == 502 and world.runs(ident) == 1  # it may have run: neither 503 nor again
+    ident, status, _, _, _ = call(world.gateway, "/safe/close")
+    assert status == 502 and world.runs(ident) <= 2
+
+
+def test_foreign_answer(world):
+    def foreign(server, sock, path, headers, body):
+        server.ran(path, headers, body)
+        server.write_head(sock, {"x-cometspindle-request-id": "f" * 16}, length=3)
+        sock.sendall(b"bad")
+        server.write_head(sock, headers, length=4)
+        sock.sendall(b"good")
+    def surplus(server, sock, path, headers, body):
+        Server.plain(server, sock, path, headers, body)
+        server.write_head(sock, headers, length=3)
+        sock.sendall(b"bad")
+    world.script("foreign", foreign)
+    world.script("surplus", surplus)
+    for _ in range(5):
+        ident, status, _, body, whole = call(world.gateway, "/once/foreign", method="POST")
+        assert (status, body, whole) == (200, b"good", True)
+        assert call(world.gateway, "/once/surplus", method="POST")[3].endswith(b" got ")
+        assert call(world.gateway, "/once/x", method="POST")[3].endswith(b" got ")
+
+
+def test_unframed_and_cut(world):
+    def unframed(server, sock, path, headers, body):
+        ident = headers["x-cometspindle-request-id"]
+        sock.sendall((f"HTTP/1.1 200 OK\r\nX-Cometspindle-Request-Id: {ident}\r\n"
+                      f"X-Cometspindle-Server-Stamp: s\r\n\r\nwhole").encode())
+        return False
+    def cut(server, sock, path, headers, body):
+        server.write_head(sock, headers, length=600000)
+        sock.sendall(b"x" * 400000)
+        return False
+    def unstamped(server, sock, path, headers, body):
+        ident = headers["x-cometspindle-request-id"]
+        sock.sendall((f"HTTP/1.1 200 OK\r\nX-Cometspindle-Request-Id: {ident}\r\n"
+                      f"Content-Length: 2\r\n\r\nno").encode())
+    world.script("unframed", unframed)
+    world.script("cut", cut)
+    world.script("unstamped", unstamped)
+    assert call(world.gateway, "/once/unframed", method="POST")[3:] == (b"whole", True)
+    _, status, _, body, whole = call(world.gateway, "/once/cut", method="POST")
+    assert status == 200 and not whole and len(body) <= 400000
+    assert call(world.gateway, "/once/unstamped", method="POST")[1] == 502
+
+
+def test_streams(world):
+    def whole(server, sock, path, headers, body):
+        server.ran(path, headers, body)
+        server.write_head(sock, headers, extra="Content-Type: text/event-stream\r\n")
+        server.events(sock, 1, 5)
+        sock.sendall(b"0\r\n\r\n")
+    def torn(server, sock, path, headers, body):
+        """Breaks off inside an event; asked to go on, goes on."""
+        server.ran(path, headers, body)
+        server.write_head(sock, headers, extra="Content-Type: text/event-stream\r\n")
+        if "last-event-id" in headers:
+            server.events(sock, int(headers["last-event-id"]) + 1, 6)
+            sock.sendall(b"0\r\n\r\n")
+            return True
+        server.events(sock, 1, 3)
+        server.chunk(sock, b"id: 4\nda")
+        return False
+    world.script("whole", whole)
+    world.script("torn", torn)
+    _, status, headers, body, complete = call(world.gateway, "/sse/whole", method="POST")
+    assert status == 200 and complete and body.count(b"id: ") == 5
+    ident, status, headers, body, complete = call(world.gateway, "/sse/torn", method="POST")
+    assert status == 200 and not complete and body.count(b"\n\n") == 3 and b"id: 4" not in body
+    assert world.runs(ident) == 1
+    ident, status, headers, body, complete = call(world.gateway, "/again/torn", method="POST")
+    assert complete and [f"id: {n}" for n in range(1, 7)] == \
+        [line for line in body.decode().split("\n") if line.startswith("id")]
+    assert world.runs(ident) == 2  # at another server, from the event after the last whole one
+    assert headers["x-cometspindle-server-stamp"] in body.decode().split("\n")[1]
+
+
+def test_caller_leaves(world):
+    started = threading.Event()
+    left = threading.Event()
+
+    def slow(server, sock, path, headers, body):
+        started.set()
+        if sock.recv(1) == b"":
+            left.set()
+        return False
+    world.script("slow", slow)
+    _, data = request("/once/slow", method="POST")
+    sock = connect(world.gateway.ports["callers"])
+    sock.sendall(data)
+    assert started.wait(20)
+    sock.close()
+    assert left.wait(20)
+
+
+def test_configuration(world):
+    store = world.store
+    sock = connect(world.gateway.ports["callers"])
+
+    def status_with(key):
+        sock.sendall(request("/safe/x", key=key)[1])
+        return answer_of(sock)[0]
+    assert status_with("k2") == 200
+    store.put("op/config", document(2, keys=("k1",)))
+    wait_for(lambda: status_with("k2") == 401)
+    store.put("op/config", "{garbage")
+    store.put("op/config", document(1))  # older: never
+    assert status_with("k1") == 200 and status_with("k2") == 401
+    store.forgotten = store.revision  # history is gone: it lists again
+    store.put("op/config", document(3))
+    wait_for(lambda: status_with("k2") == 200)
+
+
+def test_servers_leave(world):
+    one, two = world.servers
+    one.publish(state="draining")
+    store = world.store
+
+    def served_by():
+        return call(world.gateway, "/safe/x")[3].split()[0].decode()
+    wait_for(lambda: all(served_by() == "i-1" for _ in range(4)))
+    store.remove("servers/i-1")
+    wait_for(lambda: call(world.gateway, "/safe/x")[1] == 503)
+    one.publish(state="ready")
+    two.publish()
+    wait_for(lambda: {served_by() for _ in range(20)} >= {"i-0", "i-1"})
+
+
+def test_store_away():
+    """Without a store: 503, not 404; once it is there, served; away again, still served."""
+    store = Store()
+    store.down = True
+    gateway = Gateway(store)
+    wait_for(lambda: b"no_routes" in get_or_empty(gateway, "readiness"))
+    _, status, headers, _, _ = call(gateway, "/safe/x")
+    assert status == 503 and float(headers["retry-after"]) > 0
+    store.put("op/config", document(1))
+    server = Server(store, "i-0", "svc")
+    store.down = False
+    wait_for(gateway.ready)
+    store.down = True
+    assert call(gateway, "/safe/x")[1] == 200
+    text = gateway.end()
+    for line in ("event=started", "event=directory_lost", "event=directory_regained",
+                 "event=stopping", "event=stopped"):
+        assert line in text, line
+    assert server.runs
+
+
+def get_or_empty(gateway, port):
+    try:
+        return get(gateway.ports[port], "/")[2]
+    except OSError:
+        return b""
+
+
+def test_planned_stop():
+    world = World(leave_ms=2000)
+    going_on = threading.Event()
+
+    def slow(server, sock, path, headers, body):
+        server.ran(path, headers, body)
+        going_on.wait(20)
+        answer = b"late"
+        server.write_head(sock, headers, length=len(answer))
+        sock.sendall(answer)
+    world.script("slow", slow)
+    ident, data = request("/once/slow", method="POST")
+    sock = connect(world.gateway.ports["callers"])
+    sock.sendall(data)
+    wait_for(lambda: world.runs(ident) == 1)
+    world.gateway.process.send_signal(signal.SIGTERM)
+    wait_for(lambda: get(world.gateway.ports["readiness"], "/readyz")[0] == 503)
+    # still served, and told to go elsewhere with the next
+    _, status, headers, _, _ = call(world.gateway, "/safe/x")
+    assert status == 200 and headers["connection"] == "close"
+    going_on.set()
+    status, headers, body, whole = answer_of(sock)
+    assert (status, body, whole) == (200, b"late", True)
+    world.gateway.end()
+
+
+def test_pages(world):
+    status, _, body, _ = get(world.gateway.ports["control"], "/metrics")
+    assert status == 200 and b'comet_requests_total{outcome="served"}' in body
+    status, _, body, _ = get(world.gateway.ports["control"], "/v1/directory")
+    assert status == 200 and len(json.loads(body)["entries"]) == 3
+    assert get(world.gateway.ports["control"], "/other")[0] == 404
+    world.gateway.process.send_signal(signal.SIGHUP)
+
+
+def test_bad_settings():
+    with tempfile.NamedTemporaryFile("w") as file:
+        file.write('{"gateway": {"name": 5}}')
+        file.flush()
+        done = subprocess.run([f"{BUILD}/cli/cometspindled", "--settings", file.name],
+                              capture_output=True, text=True, check=False)
+    assert done.returncode == 1 and "gateway.name: must be a string" in done.stderr, done.stderr
+    done = subprocess.run([f"{BUILD}/cli/cometspindled", "--settings", "/nonexistent"],
+                          capture_output=True, text=True, check=False)
+    assert done.returncode == 1 and "/nonexistent" in done.stderr
+
+
+def main():
+    with_world = [test_relay, test_smuggling, test_kept_connection, test_refused_by_server,
+                  test_broken_before_answer, test_foreign_answer, test_unframed_and_cut,
+                  test_streams, test_caller_leaves, test_configuration, test_servers_leave,
+                  test_pages]
+    alone = [test_store_away, test_planned_stop, test_bad_settings]
+    only = sys.argv[1:]
+    for test in with_world + alone:
+        if only and test.__name__ not in only:
+            continue
+        if test in alone:
+            test()
+        else:
+            world = World()
+            test(world)
+            world.gateway.end()
+        print(test.__name__, "ok", flush=True)
+
+
+if __name__ == "__main__":
+    main()
