Team limits over a sliding span, learned from the others after a restart

Ruled out: the lowered limit (the team asked less than it).

Change: accounts of what was spent in the last span, own and told by views; a VM that starts takes over what others know, or assumes 0.6 of the limit spent; what others spend before they tell is taken to be what we spend meanwhile.

--- a/libcometspindle/adapters/gateway.c
+++ b/libcometspindle/adapters/gateway.c
@@ -53,6 +53,23 @@
 	return (uint32_t)(gateway->random * 0x2545F4914F6CDD1DULL >> 32);
 }
 
+static void
+log_team(void *ctx, const struct comet_route_team *team)
+{
+	struct comet_gateway *gateway = ctx;
+	const struct comet_route_team *before =
+		gateway->table != NULL ? comet_route_table_team(gateway->table, team->id) : NULL;
+
+	if (before != NULL && before->rate_per_s == team->rate_per_s &&
+		before->burst == team->burst && before->priority == team->priority)
+		return;
+	comet_log(COMET_LOG_NOTICE,
+		"event=team_limit team=%s rate_per_s=%" G_GUINT64_FORMAT " burst=%" G_GUINT64_FORMAT
+		" unit=%s priority=%u",
+		team->name, team->rate_per_s, team->burst, team->in_tokens ? "tokens" : "requests",
+		team->priority);
+}
+
 static void
 on_routes(void *ctx, struct comet_route_table *table)
 {
@@ -65,6 +82,7 @@
 		return;
 	}
 	comet_log(COMET_LOG_NOTICE, "event=routes_taken version=%" G_GUINT64_FORMAT, version);
+	comet_route_table_each_team(table, log_team, gateway);
 	comet_route_table_unref(gateway->table);
 	gateway->table = table;
 	comet_allowance_set_teams(gateway->allowance, table, comet_timers_now_us());
@@ -301,8 +319,7 @@
 	comet_timers_add(gateway->timers, gateway, TICK_US, on_tick, gateway);
 	comet_views_tick(gateway->views, now_us);
 	comet_views_count(gateway->views, &known, &heard);
-	comet_allowance_set_heard(
-		gateway->allowance, (double)(heard + 1) / (double)(known + 1), now_us);
+	comet_allowance_set_vms(gateway->allowance, heard + 1, known + 1);
 	if (known > 0)
 		comet_retry_budget_set_vms(gateway->retries, known + 1);
 	comet_instances_tick(gateway->instances, now_us, on_dropped, gateway);
@@ -430,7 +447,8 @@
 	const struct comet_gateway_settings *settings = gateway->settings;
 
 	gateway->instances = comet_instances_create(gateway, settings->zone);
-	gateway->allowance = comet_allowance_create(gateway, &settings->allowance);
+	gateway->allowance =
+		comet_allowance_create(gateway, &settings->allowance, comet_timers_now_us());
 	gateway->retries = comet_retry_budget_create(gateway, &settings->retries);
 	gateway->placement = comet_placement_create(
 		gateway, gateway->instances, settings->zone, &comet_gateway_placement_ops, gateway);
--- a/libcometspindle/adapters/gateway_call.c
+++ b/libcometspindle/adapters/gateway_call.c
@@ -173,7 +173,8 @@
 	}
 	gateway->counts.refused_early++;
 	if (call->team != NULL)
-		comet_allowance_give_back(gateway->allowance, call->team->id, call->charge);
+		comet_allowance_give_back(
+			gateway->allowance, call->team->id, call->charge, comet_timers_now_us());
 	answer_own(call, 503, reason, retry_after_ms);
 }
 
--- a/libcometspindle/gateway/allowance.c
+++ b/libcometspindle/gateway/allowance.c
@@ -5,68 +5,127 @@
 #include <libcometspindle/gateway/allowance.h>
 
 #include <glib.h>
+#include <string.h>
 #include <talloc.h>
 
-/* Part of the permitted excess that a bucket may hold: the rest covers what other VMs spend
- * between two views. */
-#define EXCESS_PART 0.35
+/* Parts of a span: what was spent in the oldest part comes free at once. */
+#define PARTS 16
 
-/* Part of a full bucket that a process starts with: others may have spent just before. */
-#define START_PART 0.4
+/* Part of the permitted excess that is used. It makes up for spans that begin elsewhere than
+ * ours; the rest covers what other VMs spend between two views. */
+#define EXCESS_PART 0.2
+
+/* Part of the limit that is taken for spent before this process began, if nobody can tell. When
+ * all VMs restart at once, a span around that moment then holds 1.2 limits at most. */
+#define ASSUMED_PART 0.6
 
 /* A refusal names at least this time to come back. */
 #define RETRY_AFTER_MIN_MS 200
 
-struct bucket
+struct account
 {
-	double level;
-	double rate_per_s; /* 0: no limit */
-	double capacity;
-	uint64_t filled_us;
-	uint64_t spent; /* by this VM since its start */
-	bool listed;
+	double limit;          /* over a span; 0: none */
+	double counted[PARTS]; /* what we know to be spent, by part of the span */
+	double assumed[PARTS]; /* spent before this process began */
+	uint64_t part;         /* number of the newest part */
+	uint64_t spent;        /* by this VM since its start */
+	double untold[2];      /* by this VM in this round of views and the one before */
+	bool told;             /* assumed is what another VM told */
 };
 
 struct comet_allowance
 {
 	struct comet_allowance_bounds bounds;
-	GHashTable *buckets; /* team id -> struct bucket */
-	double heard;
+	GHashTable *accounts; /* team id -> struct account */
+	uint64_t began_us;
+	uint32_t heard_vms;
+	uint32_t known_vms;
 };
 
 static int
 allowance_destroy(struct comet_allowance *allowance)
 {
-	g_hash_table_destroy(allowance->buckets);
+	g_hash_table_destroy(allowance->accounts);
 	return 0;
 }
 
 struct comet_allowance *
-comet_allowance_create(void *parent, const struct comet_allowance_bounds *bounds)
+comet_allowance_create(void *parent, const struct comet_allowance_bounds *bounds, uint64_t now_us)
 {
 	struct comet_allowance *allowance = talloc_zero(parent, struct comet_allowance);
 
 	allowance->bounds = *bounds;
-	allowance->heard = 1.0;
-	allowance->buckets = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+	allowance->heard_vms = 1;
+	allowance->known_vms = 1;
+	allowance->began_us = now_us;
+	allowance->accounts = g_hash_table_new_full(NULL, NULL, NULL, g_free);
 	talloc_set_destructor(allowance, allowance_destroy);
 	return allowance;
 }
 
-static struct bucket *
+static struct account *
 find(const struct comet_allowance *allowance, uint32_t team_id)
 {
-	return g_hash_table_lookup(allowance->buckets, GUINT_TO_POINTER(team_id));
+	return g_hash_table_lookup(allowance->accounts, GUINT_TO_POINTER(team_id));
+}
+
+static uint64_t
+part_us(const struct comet_allowance *allowance)
+{
+	return (uint64_t)allowance->bounds.window_ms * 1000 / PARTS;
+}
+
+/* Forgets the parts that have left the span. */
+static void
+advance(const struct comet_allowance *allowance, struct account *account, uint64_t now_us)
+{
+	uint64_t part = now_us / part_us(allowance);
+
+	if (part - account->part >= PARTS)
+	{
+		memset(account->counted, 0, sizeof account->counted);
+		memset(account->assumed, 0, sizeof account->assumed);
+		account->part = part;
+	}
+	while (account->part < part)
+	{
+		account->part++;
+		account->counted[account->part % PARTS] = 0;
+		account->assumed[account->part % PARTS] = 0;
+	}
+}
+
+static double
+sum_of(const double parts[PARTS])
+{
+	double sum = 0;
+
+	for (int i = 0; i < PARTS; i++)
+		sum += parts[i];
+	return sum;
+}
+
+/* Parts of the current span that lie before this process began. */
+static uint64_t
+parts_before(const struct comet_allowance *allowance, const struct account *account)
+{
+	uint64_t passed = account->part - allowance->began_us / part_us(allowance);
+
+	return passed >= PARTS ? 0 : PARTS - passed;
 }
 
+/* Spreads an amount over the parts before this process began. */
 static void
-fill(const struct comet_allowance *allowance, struct bucket *bucket, uint64_t now_us)
+assume(const struct comet_allowance *allowance, struct account *account, double amount)
 {
-	double passed_s = (double)(now_us - bucket->filled_us) / 1e6;
+	uint64_t parts = parts_before(allowance, account);
 
-	bucket->filled_us = now_us;
-	bucket->level += bucket->rate_per_s * allowance->heard * passed_s;
-	bucket->level = MIN(bucket->level, bucket->capacity);
+	memset(account->assumed, 0, sizeof account->assumed);
+	for (uint64_t i = 0; i < parts; i++)
+	{
+		uint64_t part = account->part + 1 + i; /* the oldest of the span comes first */
+		account->assumed[part % PARTS] = amount / (double)parts;
+	}
 }
 
 struct set_teams
@@ -79,29 +138,23 @@
 set_team(void *ctx, const struct comet_route_team *team)
 {
 	struct set_teams *set = ctx;
-	const struct comet_allowance_bounds *bounds = &set->allowance->bounds;
-	struct bucket *bucket = find(set->allowance, team->id);
+	struct comet_allowance *allowance = set->allowance;
+	const struct comet_allowance_bounds *bounds = &allowance->bounds;
+	struct account *account = find(allowance, team->id);
 	double limit = (double)team->rate_per_s * bounds->window_ms / 1000 + (double)team->burst;
 	/* The slack is told in tokens; for requests only the overage counts. */
 	double excess = bounds->overage * limit + (team->in_tokens ? bounds->slack : 0);
-	double capacity = (double)team->burst + EXCESS_PART * excess;
-	bool is_new = bucket == NULL;
+	bool is_new = account == NULL;
 
 	if (is_new)
 	{
-		bucket = g_new0(struct bucket, 1);
-		bucket->filled_us = set->now_us;
-		bucket->capacity = capacity;
-		bucket->level = START_PART * capacity;
-		g_hash_table_insert(set->allowance->buckets, GUINT_TO_POINTER(team->id), bucket);
+		account = g_new0(struct account, 1);
+		account->part = set->now_us / part_us(allowance);
+		g_hash_table_insert(allowance->accounts, GUINT_TO_POINTER(team->id), account);
 	}
-	fill(set->allowance, bucket, set->now_us);
-	if (!is_new && bucket->rate_per_s == 0)
-		bucket->level = START_PART * capacity;
-	bucket->rate_per_s = (double)team->rate_per_s;
-	bucket->capacity = capacity;
-	bucket->level = MIN(bucket->level, capacity);
-	bucket->listed = true;
+	account->limit = team->rate_per_s > 0 ? limit + EXCESS_PART * excess : 0;
+	if (is_new)
+		assume(allowance, account, ASSUMED_PART * account->limit);
 }
 
 void
@@ -114,41 +167,63 @@
 }
 
 void
-comet_allowance_set_heard(struct comet_allowance *allowance, double part, uint64_t now_us)
+comet_allowance_set_vms(struct comet_allowance *allowance, uint32_t heard, uint32_t known)
 {
-	GHashTableIter at;
-	gpointer bucket = NULL;
+	allowance->heard_vms = heard;
+	allowance->known_vms = MAX(known, 1);
+}
 
-	if (part == allowance->heard)
-		return;
-	g_hash_table_iter_init(&at, allowance->buckets);
-	while (g_hash_table_iter_next(&at, NULL, &bucket))
-		fill(allowance, bucket, now_us);
-	allowance->heard = part;
+/* The limit, as far as the VMs that we hear may use it. */
+static double
+limit_of(const struct comet_allowance *allowance, const struct account *account)
+{
+	return account->limit * allowance->heard_vms / allowance->known_vms;
+}
+
+static double
+left_of(const struct comet_allowance *allowance, const struct account *account)
+{
+	double others = (account->untold[0] + account->untold[1]) * (allowance->heard_vms - 1);
+
+	return limit_of(allowance, account) - sum_of(account->counted) - sum_of(account->assumed) -
+	       others;
+}
+
+/* How long until needed is free again, as the parts of the span go by. */
+static uint32_t
+wait_ms(const struct comet_allowance *allowance, const struct account *account, double needed)
+{
+	double left = left_of(allowance, account);
+	uint64_t parts = 0;
+
+	for (; parts < PARTS && left < needed; parts++)
+	{
+		uint64_t part = account->part + 1 + parts;
+		left += account->counted[part % PARTS] + account->assumed[part % PARTS];
+	}
+	uint64_t ms = parts * part_us(allowance) / 1000;
+	return (uint32_t)MAX(ms, RETRY_AFTER_MIN_MS);
 }
 
 uint32_t
 comet_allowance_spend(
 	struct comet_allowance *allowance, uint32_t team_id, uint64_t amount, uint64_t now_us)
 {
-	struct bucket *bucket = find(allowance, team_id);
+	struct account *account = find(allowance, team_id);
 
-	if (bucket == NULL)
+	if (account == NULL)
 		return 0;
-	if (bucket->rate_per_s > 0)
+	advance(allowance, account, now_us);
+	if (account->limit > 0)
 	{
-		fill(allowance, bucket, now_us);
-		/* A request larger than the bucket goes out of a full one. */
-		double needed = MIN((double)amount, bucket->capacity);
-		if (bucket->level < needed)
-		{
-			double rate = bucket->rate_per_s * MAX(allowance->heard, 0.01);
-			double wait_ms = (needed - bucket->level) / rate * 1000;
-			return (uint32_t)MAX(wait_ms, RETRY_AFTER_MIN_MS);
-		}
-		bucket->level -= (double)amount;
+		/* A request larger than the limit goes out of an untouched one. */
+		double needed = MIN((double)amount, limit_of(allowance, account));
+		if (left_of(allowance, account) < needed)
+			return wait_ms(allowance, account, needed);
 	}
-	bucket->spent += amount;
+	account->counted[account->part % PARTS] += (double)amount;
+	account->untold[0] += (double)amount;
+	account->spent += amount;
 	return 0;
 }
 
@@ -156,47 +231,80 @@
 comet_allowance_spent_elsewhere(
 	struct comet_allowance *allowance, uint32_t team_id, uint64_t amount, uint64_t now_us)
 {
-	struct bucket *bucket = find(allowance, team_id);
+	struct account *account = find(allowance, team_id);
 
-	if (bucket == NULL || bucket->rate_per_s == 0)
+	if (account == NULL)
 		return;
-	fill(allowance, bucket, now_us);
-	bucket->level -= (double)amount;
-	/* Debt beyond a full bucket would outlast the window that the limit is about. */
-	bucket->level = MAX(bucket->level, -bucket->capacity);
+	advance(allowance, account, now_us);
+	account->counted[account->part % PARTS] += (double)amount;
 }
 
 void
-comet_allowance_give_back(struct comet_allowance *allowance, uint32_t team_id, uint64_t amount)
+comet_allowance_told_recent(
+	struct comet_allowance *allowance, uint32_t team_id, uint64_t recent, uint64_t now_us)
 {
-	struct bucket *bucket = find(allowance, team_id);
+	struct account *account = find(allowance, team_id);
 
-	if (bucket == NULL)
+	if (account == NULL)
+		return;
+	advance(allowance, account, now_us);
+	if (account->told || parts_before(allowance, account) == 0)
 		return;
-	bucket->level = MIN(bucket->level + (double)amount, bucket->capacity);
-	bucket->spent -= MIN(bucket->spent, amount);
+	account->told = true;
+	double before = (double)recent - sum_of(account->counted);
+	assume(allowance, account, MAX(before, 0));
 }
 
 void
-comet_allowance_each_spent(struct comet_allowance *allowance,
-	void (*visit)(void *ctx, uint32_t team_id, uint64_t spent), void *ctx)
+comet_allowance_give_back(
+	struct comet_allowance *allowance, uint32_t team_id, uint64_t amount, uint64_t now_us)
+{
+	struct account *account = find(allowance, team_id);
+
+	if (account == NULL)
+		return;
+	advance(allowance, account, now_us);
+	double *newest = &account->counted[account->part % PARTS];
+	*newest = MAX(*newest - (double)amount, 0);
+	account->untold[0] = MAX(account->untold[0] - (double)amount, 0);
+	account->spent -= MIN(account->spent, amount);
+}
+
+void
+comet_allowance_each(struct comet_allowance *allowance, uint64_t now_us,
+	void (*visit)(void *ctx, const struct comet_allowance_report *report), void *ctx)
 {
 	GHashTableIter at;
 	gpointer key = NULL;
-	gpointer bucket = NULL;
+	gpointer value = NULL;
 
-	g_hash_table_iter_init(&at, allowance->buckets);
-	while (g_hash_table_iter_next(&at, &key, &bucket))
+	g_hash_table_iter_init(&at, allowance->accounts);
+	while (g_hash_table_iter_next(&at, &key, &value))
 	{
-		if (((struct bucket *)bucket)->spent > 0)
-			visit(ctx, GPOINTER_TO_UINT(key), ((struct bucket *)bucket)->spent);
+		struct account *account = value;
+		struct comet_allowance_report report = {
+			.team_id = GPOINTER_TO_UINT(key),
+			.spent = account->spent,
+		};
+		advance(allowance, account, now_us);
+		/* What we only guess is not to be passed on as knowledge. */
+		if (account->told || parts_before(allowance, account) == 0)
+			report.recent =
+				(uint64_t)(sum_of(account->counted) + sum_of(account->assumed));
+		account->untold[1] = account->untold[0];
+		account->untold[0] = 0;
+		if (report.spent > 0 || report.recent > 0)
+			visit(ctx, &report);
 	}
 }
 
 double
-comet_allowance_left(const struct comet_allowance *allowance, uint32_t team_id)
+comet_allowance_left(struct comet_allowance *allowance, uint32_t team_id, uint64_t now_us)
 {
-	const struct bucket *bucket = find(allowance, team_id);
+	struct account *account = find(allowance, team_id);
 
-	return bucket != NULL ? bucket->level : 0;
+	if (account == NULL)
+		return 0;
+	advance(allowance, account, now_us);
+	return left_of(allowance, account);
 }
--- a/libcometspindle/gateway/views.c
+++ b/libcometspindle/gateway/views.c
@@ -141,6 +141,8 @@
 		comet_allowance_spent_elsewhere(
 			views->allowance, spent->team, spent->amount - *before, now_us);
 	*before = spent->amount;
+	if (spent->recent > 0)
+		comet_allowance_told_recent(views->allowance, spent->team, spent->recent, now_us);
 }
 
 static void
@@ -244,14 +246,18 @@
 
 /* Puts teams in turn: those that do not fit are told in the next views. */
 static void
-put_spent(void *ctx, uint32_t team_id, uint64_t spent)
+put_spent(void *ctx, const struct comet_allowance_report *report)
 {
 	struct put_spent *put = ctx;
 	comet_View *view = put->view;
 
 	if (put->seen++ < put->skip || view->spent_count >= G_N_ELEMENTS(view->spent))
 		return;
-	view->spent[view->spent_count++] = (comet_Spent){.team = team_id, .amount = spent};
+	view->spent[view->spent_count++] = (comet_Spent){
+		.team = report->team_id,
+		.amount = report->spent,
+		.recent = report->recent,
+	};
 }
 
 static void
@@ -282,7 +288,7 @@
 
 /* Builds this VM's view. @return its length. */
 static size_t
-build(struct comet_views *views, uint8_t data[COMET_VIEW_BYTES_MAX])
+build(struct comet_views *views, uint8_t data[COMET_VIEW_BYTES_MAX], uint64_t now_us)
 {
 	comet_View *view = &views->scratch;
 	struct put_spent put = {.view = view, .skip = views->spent_turn};
@@ -295,7 +301,7 @@
 	view->leaving = views->leaving;
 	view->revision = views->revision;
 	comet_instances_each(views->instances, put_busy, view);
-	comet_allowance_each_spent(views->allowance, put_spent, &put);
+	comet_allowance_each(views->allowance, now_us, put_spent, &put);
 	views->spent_turn += view->spent_count;
 	if (views->spent_turn >= put.seen)
 		views->spent_turn = 0;
@@ -321,7 +327,7 @@
 send_round(struct comet_views *views, uint64_t now_us)
 {
 	uint8_t data[COMET_VIEW_BYTES_MAX];
-	size_t length = build(views, data);
+	size_t length = build(views, data, now_us);
 	GHashTableIter at;
 	gpointer value = NULL;
 
