Views by zone, costs spread by draws, sums kept when all VMs restart

Views now go often within a zone and less often between zones, and costs are raised by up to a half at random. What each VM had spent before the others heard of it was counted by nobody, and each took itself for the only one. Views tell the sender's age; until no new VM comes up, sums are shared with 128; 0.9 of a limit is taken for spent before a start.

--- a/libcometspindle/adapters/gateway.c
+++ b/libcometspindle/adapters/gateway.c
@@ -40,6 +40,13 @@
 /* A copy of the directory from another VM is waited for so long: a connect and an answer. */
 #define COPY_TIMEOUT_US 1000000
 
+/* A process that starts has found the others once no new one has come up for some rounds of views,
+ * and at the latest after the second time. Until then it shares sums with at least so many: all may
+ * have started at once, and each knows only itself. */
+#define FOUND_AFTER_US 400000
+#define FIND_LONGEST_US 2500000
+#define VMS_ASSUMED 128
+
 /* Most seeds that a settings file names usefully. */
 #define SEEDS_MAX 16
 
@@ -308,6 +315,32 @@
 	gateway->over = true;
 }
 
+/* Is this process still finding out who else is there? */
+static bool
+is_finding(struct comet_gateway *gateway, uint32_t known, uint64_t now_us)
+{
+	if (known > gateway->known_vms)
+	{
+		gateway->known_vms = known;
+		gateway->found_us = now_us;
+	}
+	uint64_t last_us = MAX(gateway->found_us, gateway->began_us);
+	return now_us - last_us < FOUND_AFTER_US && now_us - gateway->began_us < FIND_LONGEST_US;
+}
+
+/* Shares sums with the VMs that there are, or must be taken to be there. */
+static void
+set_vms(struct comet_gateway *gateway, uint32_t heard, uint32_t known, uint64_t now_us)
+{
+	if (is_finding(gateway, known, now_us))
+	{
+		known = MAX(known, VMS_ASSUMED);
+		heard = known;
+	}
+	comet_allowance_set_vms(gateway->allowance, heard, known);
+	comet_retry_budget_set_vms(gateway->retries, known);
+}
+
 static void
 on_tick(void *ctx)
 {
@@ -319,9 +352,7 @@
 	comet_timers_add(gateway->timers, gateway, TICK_US, on_tick, gateway);
 	comet_views_tick(gateway->views, now_us);
 	comet_views_count(gateway->views, &known, &heard);
-	comet_allowance_set_vms(gateway->allowance, heard + 1, known + 1);
-	if (known > 0)
-		comet_retry_budget_set_vms(gateway->retries, known + 1);
+	set_vms(gateway, heard + 1, known + 1, now_us);
 	comet_instances_tick(gateway->instances, now_us, on_dropped, gateway);
 	comet_placement_run(gateway->placement, now_us);
 	copy_from_peer(gateway, now_us);
@@ -407,7 +438,11 @@
 		.address = comet_view_link_address(gateway->link),
 		.seeds = seeds,
 		.n_seeds = read_seeds(gateway->settings->seeds, seeds),
-		.bytes_per_s = gateway->settings->peer_bytes_per_s,
+		.now_us = gateway->began_us,
+		.window_ms = gateway->settings->allowance.window_ms,
+		.zone = gateway->settings->zone,
+		.near_bytes_per_s = gateway->settings->near_bytes_per_s,
+		.far_bytes_per_s = gateway->settings->far_bytes_per_s,
 	};
 
 	randombytes_buf(&config.incarnation, sizeof config.incarnation);
@@ -450,8 +485,8 @@
 	gateway->allowance =
 		comet_allowance_create(gateway, &settings->allowance, comet_timers_now_us());
 	gateway->retries = comet_retry_budget_create(gateway, &settings->retries);
-	gateway->placement = comet_placement_create(
-		gateway, gateway->instances, settings->zone, &comet_gateway_placement_ops, gateway);
+	gateway->placement = comet_placement_create(gateway, gateway->instances, settings->zone,
+		&comet_gateway_placement_ops, gateway, gateway->random);
 }
 
 struct comet_gateway *
@@ -464,6 +499,7 @@
 	gateway->settings_path = settings_path;
 	gateway->names = port->names;
 	gateway->copied = g_byte_array_new();
+	gateway->began_us = comet_timers_now_us();
 	randombytes_buf(&gateway->random, sizeof gateway->random);
 	gateway->ev = tevent_context_init(gateway);
 	gateway->timers = comet_timers_create(gateway, gateway->ev);
--- a/libcometspindle/adapters/gateway_private.h
+++ b/libcometspindle/adapters/gateway_private.h
@@ -50,6 +50,9 @@
 	struct comet_gateway_counts counts;
 	uint32_t calls; /**< requests that are open */
 	uint64_t random;
+	uint64_t began_us;
+	uint64_t found_us;              /**< when another VM was last heard of for the first time */
+	uint32_t known_vms;             /**< most VMs known at a time, with this one */
 	uint64_t stop_us;               /**< when the stop began; 0: none */
 	struct comet_exchange *copying; /**< reading the directory's copy from another VM */
 	struct comet_timer *copy_timer;
--- a/libcometspindle/gateway/allowance.c
+++ b/libcometspindle/gateway/allowance.c
@@ -13,11 +13,12 @@
 
 /* Part of the permitted excess that is used. It makes up for spans that begin elsewhere than
  * ours; the rest covers what other VMs spend between two views. */
-#define EXCESS_PART 0.2
+#define EXCESS_PART 0.1
 
 /* Part of the limit that is taken for spent before this process began, if nobody can tell. When
- * all VMs restart at once, a span around that moment then holds 1.2 limits at most. */
-#define ASSUMED_PART 0.6
+ * all VMs restart at once, a span around that moment, or around two of them, then holds about the
+ * limit. */
+#define ASSUMED_PART 0.9
 
 /* A refusal names at least this time to come back. */
 #define RETRY_AFTER_MIN_MS 200
@@ -29,7 +30,7 @@
 	double assumed[PARTS]; /* spent before this process began */
 	uint64_t part;         /* number of the newest part */
 	uint64_t spent;        /* by this VM since its start */
-	double untold[2];      /* by this VM in this round of views and the one before */
+	double untold;         /* by this VM since it last told all others */
 	bool told;             /* assumed is what another VM told */
 };
 
@@ -81,6 +82,8 @@
 {
 	uint64_t part = now_us / part_us(allowance);
 
+	if (part <= account->part)
+		return;
 	if (part - account->part >= PARTS)
 	{
 		memset(account->counted, 0, sizeof account->counted);
@@ -183,7 +186,7 @@
 static double
 left_of(const struct comet_allowance *allowance, const struct account *account)
 {
-	double others = (account->untold[0] + account->untold[1]) * (allowance->heard_vms - 1);
+	double others = account->untold * (allowance->heard_vms - 1);
 
 	return limit_of(allowance, account) - sum_of(account->counted) - sum_of(account->assumed) -
 	       others;
@@ -222,7 +225,7 @@
 			return wait_ms(allowance, account, needed);
 	}
 	account->counted[account->part % PARTS] += (double)amount;
-	account->untold[0] += (double)amount;
+	account->untold += (double)amount;
 	account->spent += amount;
 	return 0;
 }
@@ -266,10 +269,21 @@
 	advance(allowance, account, now_us);
 	double *newest = &account->counted[account->part % PARTS];
 	*newest = MAX(*newest - (double)amount, 0);
-	account->untold[0] = MAX(account->untold[0] - (double)amount, 0);
+	account->untold = MAX(account->untold - (double)amount, 0);
 	account->spent -= MIN(account->spent, amount);
 }
 
+void
+comet_allowance_told(struct comet_allowance *allowance)
+{
+	GHashTableIter at;
+	gpointer account = NULL;
+
+	g_hash_table_iter_init(&at, allowance->accounts);
+	while (g_hash_table_iter_next(&at, NULL, &account))
+		((struct account *)account)->untold = 0;
+}
+
 void
 comet_allowance_each(struct comet_allowance *allowance, uint64_t now_us,
 	void (*visit)(void *ctx, const struct comet_allowance_report *report), void *ctx)
@@ -291,8 +305,6 @@
 		if (account->told || parts_before(allowance, account) == 0)
 			report.recent =
 				(uint64_t)(sum_of(account->counted) + sum_of(account->assumed));
-		account->untold[1] = account->untold[0];
-		account->untold[0] = 0;
 		if (report.spent > 0 || report.recent > 0)
 			visit(ctx, &report);
 	}
--- a/libcometspindle/gateway/allowance.h
+++ b/libcometspindle/gateway/allowance.h
@@ -67,7 +67,11 @@
 	uint64_t recent; /**< by all VMs in the last span; 0: not known */
 };
 
-/** A round of views: calls visit for each team of which there is something to tell. */
+/** All VMs have been told what this one has spent until now. */
+void
+comet_allowance_told(struct comet_allowance *allowance);
+
+/** Calls visit for each team of which there is something to tell. */
 void
 comet_allowance_each(struct comet_allowance *allowance, uint64_t now_us,
 	void (*visit)(void *ctx, const struct comet_allowance_report *report), void *ctx);
--- a/libcometspindle/gateway/placement.c
+++ b/libcometspindle/gateway/placement.c
@@ -21,6 +21,10 @@
 /* What an endpoint in another availability zone costs: round trip and bytes between zones. */
 #define OTHER_ZONE_US 4000
 
+/* Costs are raised by up to this part at random: VMs that have the same view of the endpoints
+ * would all send to the same one. */
+#define SPREAD 0.5
+
 /* An instance that is avoided gets a request that may not be repeated only so much later. */
 #define TRIAL_PATIENCE_US 2000000
 
@@ -52,6 +56,7 @@
 	void *ctx;
 	GHashTable *queues; /* service -> struct queue */
 	struct comet_placement_reason reason;
+	uint64_t random; /* state of the draws below */
 	uint64_t next_order;
 	bool running;
 	bool again;
@@ -76,12 +81,13 @@
 
 struct comet_placement *
 comet_placement_create(void *parent, struct comet_instances *instances, const char *own_zone,
-	const struct comet_placement_ops *ops, void *ctx)
+	const struct comet_placement_ops *ops, void *ctx, uint64_t seed)
 {
 	struct comet_placement *placement = talloc_zero(parent, struct comet_placement);
 
 	placement->instances = instances;
 	placement->own_zone = talloc_strdup(placement, own_zone);
+	placement->random = seed != 0 ? seed : 1;
 	placement->ops = ops;
 	placement->ctx = ctx;
 	placement->queues = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_queue);
@@ -165,6 +171,16 @@
 	return item->repeatable || now_us - instance->avoid_us > TRIAL_PATIENCE_US;
 }
 
+/* A draw in [0, 1). */
+static double
+draw(struct comet_placement *placement)
+{
+	placement->random ^= placement->random >> 12;
+	placement->random ^= placement->random << 25;
+	placement->random ^= placement->random >> 27;
+	return (double)(placement->random * 0x2545F4914F6CDD1DULL >> 11) / (double)(1ULL << 53);
+}
+
 /* What sending it there costs: the time until the answer begins, and part of what it takes. */
 static double
 cost_of(struct comet_placement *placement, const struct comet_placement_item *item,
@@ -179,8 +195,9 @@
 	/* Plain services slow down as they fill. */
 	double crowd = item->job.stream ? 0 : (double)reason->whole_us * load / instance->slots / 2;
 	double zone = strcmp(instance->zone, placement->own_zone) == 0 ? 0 : OTHER_ZONE_US;
-	return wait + crowd + zone + (double)reason->first_us +
-	       WHOLE_WEIGHT * (double)(reason->whole_us - reason->first_us);
+	double cost = wait + crowd + zone + (double)reason->first_us +
+		      WHOLE_WEIGHT * (double)(reason->whole_us - reason->first_us);
+	return cost * (1 + SPREAD * draw(placement));
 }
 
 /* The cheapest instance with room, or NULL. candidates: any that could ever take it. */
--- a/libcometspindle/gateway/retry_budget.c
+++ b/libcometspindle/gateway/retry_budget.c
@@ -10,9 +10,6 @@
 /* Part of the bound that is used: VMs come and go, and their parts overlap for a moment. */
 #define USED_PART 0.6
 
-/* Until other VMs are known, the slack is shared with this many. */
-#define VMS_DEFAULT 16
-
 struct bucket
 {
 	double level;
@@ -39,7 +36,7 @@
 	struct comet_retry_budget *budget = talloc_zero(parent, struct comet_retry_budget);
 
 	budget->bounds = *bounds;
-	budget->vms = VMS_DEFAULT;
+	budget->vms = 1;
 	budget->buckets = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	talloc_set_destructor(budget, budget_destroy);
 	return budget;
--- a/libcometspindle/gateway/settings.c
+++ b/libcometspindle/gateway/settings.c
@@ -12,6 +12,9 @@
 #define HOUR_S 3600.0
 #define HOUR_MS 3600000
 
+/* More than any link of an entry VM carries in a second. */
+#define BYTES_MAX 1000000000
+
 /* Defaults of the times below; the deploy file sets those that the platform tells. */
 #define GRACE_DEFAULT_S 8.0
 #define TEAM_WINDOW_DEFAULT_S 8.0
@@ -66,8 +69,10 @@
 	settings->peers = read_text(settings, object, "peers", NULL);
 	settings->seeds = read_text(settings, object, "seeds", "");
 	settings->directory = read_text(settings, object, "directory", NULL);
-	settings->peer_bytes_per_s =
-		(uint32_t)comet_check_int(object, "peer_bytes_per_s", 256, 100000000, 4096);
+	settings->near_bytes_per_s =
+		(uint32_t)comet_check_int(object, "near_bytes_per_s", 256, BYTES_MAX, 16384);
+	settings->far_bytes_per_s =
+		(uint32_t)comet_check_int(object, "far_bytes_per_s", 256, BYTES_MAX, 8192);
 	read_times(settings, object);
 	settings->log_level =
 		comet_log_level_parse(comet_check_string(object, "log_level", "info"));
--- a/libcometspindle/gateway/settings.h
+++ b/libcometspindle/gateway/settings.h
@@ -24,7 +24,8 @@
 	uint32_t grace_ms; /**< a stop may take so long before the process is killed */
 	uint32_t leave_ms; /**< a stopping VM still takes requests for this time */
 	uint32_t lapse_ms; /**< endpoints unlisted in an outage are used on for so long */
-	uint32_t peer_bytes_per_s; /**< most that is sent to other VMs */
+	uint32_t near_bytes_per_s; /**< most that is sent to VMs of the own zone */
+	uint32_t far_bytes_per_s;  /**< most that is sent to VMs of other zones */
 	struct comet_allowance_bounds allowance;
 	struct comet_retry_bounds retries;
 	int log_level; /**< enum comet_log_level */
--- a/libcometspindle/gateway/views.c
+++ b/libcometspindle/gateway/views.c
@@ -4,6 +4,7 @@
  */
 #include <libcometspindle/gateway/views.h>
 
+#include <libcometspindle/hash.h>
 #include <pb_decode.h>
 #include <pb_encode.h>
 #include <string.h>
@@ -36,8 +37,10 @@
 	uint64_t known_us; /* first heard of */
 	uint64_t asked_us; /* last sent to */
 	uint64_t revision;
+	uint32_t zone; /* 0: not known */
 	bool leaving;
 	bool silent;
+	bool followed; /* its spending has been told before */
 	bool seed;
 	GArray *busy;      /* of comet_Busy */
 	GHashTable *spent; /* team -> uint64_t, as last told */
@@ -48,15 +51,20 @@
 	uint32_t address;
 	uint64_t incarnation;
 	uint64_t number;
+	uint64_t began_us;
 	uint64_t revision;
-	uint32_t bytes_per_s;
+	uint32_t window_ms;
+	uint32_t zone;
+	uint32_t near_bytes_per_s;
+	uint32_t far_bytes_per_s;
 	struct comet_instances *instances;
 	struct comet_allowance *allowance;
 	const struct comet_views_ops *ops;
 	void *ctx;
 	GHashTable *peers; /* address -> struct peer */
 	size_t last_bytes; /* size of the last view */
-	uint64_t sent_us;
+	uint64_t near_sent_us;
+	uint64_t far_sent_us;
 	uint32_t spent_turn; /* where the list of teams goes on */
 	bool leaving;
 	bool stale; /* others' dispatches are to be summed anew */
@@ -105,7 +113,11 @@
 
 	views->address = config->address;
 	views->incarnation = config->incarnation;
-	views->bytes_per_s = config->bytes_per_s;
+	views->began_us = config->now_us;
+	views->window_ms = config->window_ms;
+	views->zone = comet_hash_name(config->zone);
+	views->near_bytes_per_s = config->near_bytes_per_s;
+	views->far_bytes_per_s = config->far_bytes_per_s;
 	views->instances = instances;
 	views->allowance = allowance;
 	views->ops = ops;
@@ -121,9 +133,9 @@
 	return views;
 }
 
-/* Charges what a peer's team has spent since its last view. */
+/* Charges what a team has spent through a peer since its last view. */
 static void
-take_spent(struct comet_views *views, struct peer *peer, const comet_Spent *spent, bool restarted,
+take_spent(struct comet_views *views, struct peer *peer, const comet_Spent *spent, bool young,
 	uint64_t now_us)
 {
 	gpointer key = GUINT_TO_POINTER(spent->team);
@@ -132,9 +144,9 @@
 	if (before == NULL)
 	{
 		before = g_new0(uint64_t, 1);
-		/* First word of a process that was running before we knew it: what it spent is
-		 * past. One that restarted, or that we have heard all along, began at zero. */
-		*before = restarted || now_us - peer->known_us > SILENT_MIN_US ? 0 : spent->amount;
+		/* A process that began within the span spent all of it within the span. Of an older
+		 * one that we did not know, what it spent until now is past. */
+		*before = young || peer->followed ? 0 : spent->amount;
 		g_hash_table_insert(peer->spent, key, before);
 	}
 	if (spent->amount > *before)
@@ -166,7 +178,10 @@
 	if (peer->known_us == 0)
 		peer->known_us = now_us;
 	if (restarted)
+	{
 		g_hash_table_remove_all(peer->spent);
+		peer->followed = false;
+	}
 	if (peer->heard_us == 0 || peer->silent || restarted)
 		views->ops->changed(
 			views->ctx, peer->address, true, restarted ? "restarted" : "heard");
@@ -176,10 +191,12 @@
 	peer->silent = false;
 	peer->leaving = view->leaving;
 	peer->revision = view->revision;
+	peer->zone = view->zone;
 	g_array_set_size(peer->busy, 0);
 	g_array_append_vals(peer->busy, view->busy, view->busy_count);
 	for (pb_size_t i = 0; i < view->spent_count; i++)
-		take_spent(views, peer, &view->spent[i], restarted, now_us);
+		take_spent(views, peer, &view->spent[i], view->age_ms < views->window_ms, now_us);
+	peer->followed = true;
 	views->stale = true;
 }
 
@@ -203,24 +220,26 @@
 	return true;
 }
 
-static uint32_t
-count_known(const struct comet_views *views)
+static bool
+is_near(const struct comet_views *views, const struct peer *peer)
 {
-	uint32_t known = 0;
-	uint32_t heard = 0;
-
-	comet_views_count(views, &known, &heard);
-	return known;
+	return peer->zone == views->zone;
 }
 
-uint64_t
-comet_views_interval_us(const struct comet_views *views)
+/* Time between two rounds of views to near or to far VMs, as their number and the budget allow. */
+static uint64_t
+interval_us(const struct comet_views *views, bool near)
 {
-	uint64_t round_bytes =
-		(uint64_t)(views->last_bytes + HEADER_BYTES) * MAX(count_known(views), 1);
-	uint64_t interval_us = round_bytes * 1000000 / MAX(views->bytes_per_s, 1);
+	uint64_t bytes_per_s = near ? views->near_bytes_per_s : views->far_bytes_per_s;
+	uint64_t count = 0;
+	GHashTableIter at;
+	gpointer peer = NULL;
 
-	return CLAMP(interval_us, INTERVAL_MIN_US, INTERVAL_MAX_US);
+	g_hash_table_iter_init(&at, views->peers);
+	while (g_hash_table_iter_next(&at, NULL, &peer))
+		count += is_near(views, peer) == near ? 1 : 0;
+	uint64_t round_bytes = (views->last_bytes + HEADER_BYTES) * count;
+	return CLAMP(round_bytes * 1000000 / MAX(bytes_per_s, 1), INTERVAL_MIN_US, INTERVAL_MAX_US);
 }
 
 static void
@@ -288,7 +307,7 @@
 
 /* Builds this VM's view. @return its length. */
 static size_t
-build(struct comet_views *views, uint8_t data[COMET_VIEW_BYTES_MAX], uint64_t now_us)
+build(struct comet_views *views, uint8_t data[COMET_VIEW_BYTES_MAX], bool far, uint64_t now_us)
 {
 	comet_View *view = &views->scratch;
 	struct put_spent put = {.view = view, .skip = views->spent_turn};
@@ -300,8 +319,12 @@
 	view->address = views->address;
 	view->leaving = views->leaving;
 	view->revision = views->revision;
+	view->zone = views->zone;
+	view->age_ms = (uint32_t)MIN((now_us - views->began_us) / 1000, UINT32_MAX);
 	comet_instances_each(views->instances, put_busy, view);
 	comet_allowance_each(views->allowance, now_us, put_spent, &put);
+	if (far)
+		comet_allowance_told(views->allowance);
 	views->spent_turn += view->spent_count;
 	if (views->spent_turn >= put.seen)
 		views->spent_turn = 0;
@@ -323,21 +346,24 @@
 	return there || peer->asked_us == 0 || now_us - peer->asked_us >= RETRY_US;
 }
 
+/* Sends this VM's view to the near VMs, and with far to all. */
 static void
-send_round(struct comet_views *views, uint64_t now_us)
+send_round(struct comet_views *views, bool far, uint64_t now_us)
 {
 	uint8_t data[COMET_VIEW_BYTES_MAX];
-	size_t length = build(views, data, now_us);
+	size_t length = build(views, data, far, now_us);
 	GHashTableIter at;
 	gpointer value = NULL;
 
 	views->last_bytes = length;
-	views->sent_us = now_us;
+	views->near_sent_us = now_us;
+	if (far)
+		views->far_sent_us = now_us;
 	g_hash_table_iter_init(&at, views->peers);
 	while (g_hash_table_iter_next(&at, NULL, &value))
 	{
 		struct peer *peer = value;
-		if (!is_due(peer, now_us))
+		if (!is_due(peer, now_us) || (!far && !is_near(views, peer)))
 			continue;
 		peer->asked_us = now_us;
 		views->ops->send(views->ctx, peer->address, data, length);
@@ -348,7 +374,8 @@
 static void
 look_for_silent(struct comet_views *views, uint64_t now_us)
 {
-	uint64_t bound_us = MAX(SILENT_ROUNDS * comet_views_interval_us(views), SILENT_MIN_US);
+	uint64_t near_us = MAX(SILENT_ROUNDS * interval_us(views, true), SILENT_MIN_US);
+	uint64_t far_us = MAX(SILENT_ROUNDS * interval_us(views, false), SILENT_MIN_US);
 	GHashTableIter at;
 	gpointer value = NULL;
 
@@ -357,6 +384,7 @@
 	{
 		struct peer *peer = value;
 		uint64_t last_us = MAX(peer->heard_us, peer->known_us);
+		uint64_t bound_us = is_near(views, peer) ? near_us : far_us;
 		if (!peer->silent && peer->heard_us != 0 && now_us - peer->heard_us > bound_us)
 		{
 			peer->silent = true;
@@ -424,8 +452,10 @@
 		sum_others(views);
 		comet_instances_each(views->instances, mark_viewed, &mark);
 	}
-	if (!views->leaving && now_us - views->sent_us >= comet_views_interval_us(views))
-		send_round(views, now_us);
+	bool far = now_us - views->far_sent_us >= interval_us(views, false);
+	bool near = now_us - views->near_sent_us >= interval_us(views, true);
+	if (!views->leaving && (near || far))
+		send_round(views, far, now_us);
 }
 
 void
@@ -438,7 +468,7 @@
 comet_views_leave(struct comet_views *views, uint64_t now_us)
 {
 	views->leaving = true;
-	send_round(views, now_us);
+	send_round(views, true, now_us);
 }
 
 void
--- a/libcometspindle/gateway/views.h
+++ b/libcometspindle/gateway/views.h
@@ -2,7 +2,9 @@
  * views.h
  * the other VMs, as their views tell: who is there, what they send where
  *
- * Views are datagrams: the newest replaces what came before, a lost one is
+ * VMs of the same availability zone hear from each other often, since they send
+ * to the same endpoints first; the others less often, as bytes between zones
+ * cost. Views are datagrams: the newest replaces what came before, a lost one is
  * made good by the next. VMs are found from seeds and from each other's views.
  * No sockets and no clock in here.
  */
@@ -23,9 +25,13 @@
 {
 	uint32_t address; /**< IPv4 of this VM, host order */
 	uint64_t incarnation;
+	uint64_t now_us;
+	uint32_t window_ms; /**< span of the teams' limits */
 	const uint32_t *seeds;
 	size_t n_seeds;
-	uint32_t bytes_per_s; /**< most that is sent, over all VMs */
+	const char *zone;
+	uint32_t near_bytes_per_s; /**< most that is sent to VMs of the own zone */
+	uint32_t far_bytes_per_s;  /**< most that is sent to all others */
 };
 
 struct comet_views_ops
@@ -66,8 +72,4 @@
 uint32_t
 comet_views_newer(const struct comet_views *views, uint64_t revision);
 
-/** Time between two rounds of views, as it follows from the number of VMs. */
-uint64_t
-comet_views_interval_us(const struct comet_views *views);
-
 #endif
