--- a/libcometspindle/gateway/directory.h
+++ b/libcometspindle/gateway/directory.h
@@ -35,6 +35,8 @@
 {
 	/** Starts reading; goes on until the directory is freed. */
 	void (*start)(struct comet_directory *directory);
+	/** So many VMs read the same directory: the more, the less each needs to ask. */
+	void (*set_vms)(struct comet_directory *directory, uint32_t vms);
 	/** A copy of what is known, for another VM; NULL when nothing is. */
 	GBytes *(*snapshot)(struct comet_directory *directory);
 	/** A copy from another VM: taken if it is newer. */
