Logs on standard output: one form, bounded, never blocking

Change: logfmt lines (ts, level, program, pid, event, fields) on standard output, written only when the pipe takes a line at once; a budget of lines a second whose last third is for what failed; what is left out is told once a second by event with a sample request. Lines about refusals and errors count as weighty.

--- a/cli/cometspindled/main.c
+++ b/cli/cometspindled/main.c
@@ -9,6 +9,7 @@
 #include <libcometspindle/log.h>
 #include <libcometspindle/settings.h>
 #include <platform/directory.h>
+#include <signal.h>
 #include <sodium.h>
 #include <stdbool.h>
 #include <stdio.h>
@@ -82,6 +83,7 @@
 	if (settings == NULL)
 		return report_settings(path, error);
 	comet_log_init(PROGRAM, (enum comet_log_level)settings->log_level);
+	comet_log_set_budget(settings->log_lines_per_s);
 	if (check_only)
 		printf("%s: settings are good\n", path);
 	else
@@ -144,6 +146,8 @@
 	};
 	void *table[] = {
 		options.settings, options.check, options.help, options.version, options.end};
+	/* A log's reader or a caller that is gone is an error of that write, not the end. */
+	signal(SIGPIPE, SIG_IGN);
 	int errors = arg_parse(argc, argv, table);
 	int result = EXIT_SUCCESS;
 
--- a/libcometspindle/adapters/gateway.c
+++ b/libcometspindle/adapters/gateway.c
@@ -339,6 +339,7 @@
 	}
 	comet_allowance_set_vms(gateway->allowance, heard, known);
 	comet_retry_budget_set_vms(gateway->retries, known);
+	gateway->directory->ops->set_vms(gateway->directory, heard);
 }
 
 static void
@@ -350,6 +351,7 @@
 	uint32_t heard = 0;
 
 	comet_timers_add(gateway->timers, gateway, TICK_US, on_tick, gateway);
+	comet_log_tick();
 	comet_views_tick(gateway->views, now_us);
 	comet_views_count(gateway->views, &known, &heard);
 	set_vms(gateway, heard + 1, known + 1, now_us);
@@ -405,6 +407,7 @@
 	}
 	/* Addresses cannot change in a running process; the log's level and bounds can. */
 	comet_log_init("cometspindled", (enum comet_log_level)settings->log_level);
+	comet_log_set_budget(settings->log_lines_per_s);
 	comet_log(COMET_LOG_NOTICE, "event=reloaded path=%s", gateway->settings_path);
 	talloc_free(settings);
 }
--- a/libcometspindle/adapters/gateway_call.c
+++ b/libcometspindle/adapters/gateway_call.c
@@ -149,7 +149,7 @@
 	if (retry_after_ms > 0)
 		g_snprintf(headers, sizeof headers, "Retry-After: %u.%03u\r\n",
 			retry_after_ms / 1000, retry_after_ms % 1000);
-	comet_log(COMET_LOG_INFO,
+	comet_log(COMET_LOG_NOTICE,
 		"event=refused request=%s status=%u reason=%s retry_after_ms=%u "
 		"held_ms=%" G_GUINT64_FORMAT " attempts=%u",
 		call->id, status, reason, retry_after_ms,
@@ -478,7 +478,7 @@
 {
 	uint64_t now_us = comet_timers_now_us();
 
-	comet_log(COMET_LOG_INFO,
+	comet_log(status < 400 ? COMET_LOG_INFO : COMET_LOG_NOTICE,
 		"event=answered request=%s status=%u endpoint=%s total_ms=%" G_GUINT64_FORMAT
 		" first_ms=%" G_GUINT64_FORMAT " events=%u attempts=%u",
 		call->id, status, call->instance, since_ms(call->arrived_us, now_us),
--- a/libcometspindle/gateway/settings.c
+++ b/libcometspindle/gateway/settings.c
@@ -12,6 +12,10 @@
 #define HOUR_S 3600.0
 #define HOUR_MS 3600000
 
+/* Five lines for each of 100 requests a second: about five times an entry VM's usual share. */
+#define LOG_LINES_DEFAULT 500
+#define LOG_LINES_MAX 1000000
+
 /* More than any link of an entry VM carries in a second. */
 #define BYTES_MAX 1000000000
 
@@ -74,6 +78,8 @@
 	settings->far_bytes_per_s =
 		(uint32_t)comet_check_int(object, "far_bytes_per_s", 256, BYTES_MAX, 8192);
 	read_times(settings, object);
+	settings->log_lines_per_s = (uint32_t)comet_check_int(
+		object, "log_lines_per_s", 0, LOG_LINES_MAX, LOG_LINES_DEFAULT);
 	settings->log_level =
 		comet_log_level_parse(comet_check_string(object, "log_level", "info"));
 	if (settings->log_level < 0)
--- a/libcometspindle/gateway/settings.h
+++ b/libcometspindle/gateway/settings.h
@@ -28,7 +28,8 @@
 	uint32_t far_bytes_per_s;  /**< most that is sent to VMs of other zones */
 	struct comet_allowance_bounds allowance;
 	struct comet_retry_bounds retries;
-	int log_level; /**< enum comet_log_level */
+	uint32_t log_lines_per_s; /**< most lines written; 0: no bound */
+	int log_level;            /**< enum comet_log_level */
 };
 
 /** @return whether the settings in this text are a gateway's. */
--- a/libcometspindle/log.c
+++ b/libcometspindle/log.c
@@ -1,24 +1,42 @@
 /*
  * log.c
- * syslog-style lines on standard error
+ * structured lines on standard output
  */
 #include <libcometspindle/log.h>
 
+#include <libcometspindle/log_budget.h>
+#include <poll.h>
+#include <pthread.h>
 #include <stdarg.h>
 #include <stdatomic.h>
+#include <stdbool.h>
+#include <stdint.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <time.h>
 #include <unistd.h>
 
+/* A line and its head fit a pipe's atomic write (4,096 bytes) with room to spare. */
 #define LINE_MAX_BYTES 1024
+#define HEAD_MAX_BYTES 160
 
 static const char *log_program = "comet";
 static enum comet_log_level log_threshold = COMET_LOG_INFO;
 static comet_log_sink log_sink;
 static void *log_sink_ctx;
 static atomic_ulong violations;
+static pthread_mutex_t budget_lock = PTHREAD_MUTEX_INITIALIZER;
+static struct comet_log_budget budget;
+
+static uint64_t
+now_us(void)
+{
+	struct timespec now;
+
+	clock_gettime(CLOCK_MONOTONIC, &now);
+	return (uint64_t)now.tv_sec * 1000000 + (uint64_t)now.tv_nsec / 1000;
+}
 
 void
 comet_log_init(const char *program, enum comet_log_level threshold)
@@ -34,23 +52,81 @@
 	log_sink_ctx = ctx;
 }
 
-static void
-write_stderr(enum comet_log_level level, const char *text)
+void
+comet_log_set_budget(unsigned int lines_per_s)
+{
+	pthread_mutex_lock(&budget_lock);
+	comet_log_budget_init(&budget, lines_per_s, now_us());
+	pthread_mutex_unlock(&budget_lock);
+}
+
+static const char *
+level_name(enum comet_log_level level)
+{
+	static const char *const names[] = {"err", "warning", "notice", "info", "debug"};
+
+	return names[level - COMET_LOG_ERR];
+}
+
+/* Writes a line unless that would block. @return false when it was not written. */
+static bool
+write_line(enum comet_log_level level, const char *text)
 {
-	char line[LINE_MAX_BYTES + 96];
+	char line[LINE_MAX_BYTES + HEAD_MAX_BYTES];
+	struct pollfd out = {.fd = STDOUT_FILENO, .events = POLLOUT};
 	struct timespec now;
 	struct tm parts;
 	char stamp[32];
 
+	if (poll(&out, 1, 0) != 1 || (out.revents & POLLOUT) == 0)
+		return false;
 	clock_gettime(CLOCK_REALTIME, &now);
 	gmtime_r(&now.tv_sec, &parts);
 	strftime(stamp, sizeof stamp, "%Y-%m-%dT%H:%M:%S", &parts);
-	int length = snprintf(line, sizeof line, "<%d>%s.%06ldZ %s[%d]: %s\n", (int)level, stamp,
-		now.tv_nsec / 1000, log_program, (int)getpid(), text);
+	int length = snprintf(line, sizeof line, "ts=%s.%06ldZ level=%s program=%s pid=%d %s\n",
+		stamp, now.tv_nsec / 1000, level_name(level), log_program, (int)getpid(), text);
 	if (length <= 0)
+		return false;
+	if ((size_t)length >= sizeof line)
+	{
+		length = (int)sizeof line - 1;
+		line[length - 1] = '\n';
+	}
+	return write(STDOUT_FILENO, line, (size_t)length) == length;
+}
+
+/* Writes what was left out, if it is time to; the lock is held. */
+static void
+write_summary(void)
+{
+	char text[LINE_MAX_BYTES];
+
+	struct comet_log_budget before = budget;
+	if (comet_log_budget_summary(&budget, text, sizeof text, now_us()) &&
+		!write_line(COMET_LOG_WARNING, text))
+		budget = before; /* told with the next */
+}
+
+void
+comet_log_tick(void)
+{
+	if (log_sink != NULL)
 		return;
-	ssize_t written = write(STDERR_FILENO, line, (size_t)length);
-	(void)written; /* nowhere left to complain */
+	pthread_mutex_lock(&budget_lock);
+	write_summary();
+	pthread_mutex_unlock(&budget_lock);
+}
+
+/* Writes within the budget. */
+static void
+write_bounded(enum comet_log_level level, const char *text)
+{
+	pthread_mutex_lock(&budget_lock);
+	if (!comet_log_budget_take(&budget, level <= COMET_LOG_NOTICE, now_us()) ||
+		!write_line(level, text))
+		comet_log_budget_leave_out(&budget, text);
+	write_summary();
+	pthread_mutex_unlock(&budget_lock);
 }
 
 static void
@@ -62,7 +138,7 @@
 	if (log_sink != NULL)
 		log_sink(log_sink_ctx, level, text);
 	else
-		write_stderr(level, text);
+		write_bounded(level, text);
 }
 
 void
--- a/libcometspindle/log.h
+++ b/libcometspindle/log.h
@@ -1,6 +1,9 @@
 /*
  * log.h
- * syslog-style lines on standard error
+ * structured lines on standard output: ts=... level=... pid=... event=...
+ *
+ * One form for all processes (logfmt: it greps by id, and tools split it into
+ * fields). Writing never blocks: a full or closed pipe costs lines, not time.
  */
 #ifndef COMETSPINDLE_LOG_H
 #define COMETSPINDLE_LOG_H
@@ -22,11 +25,19 @@
 void
 comet_log_init(const char *program, enum comet_log_level threshold);
 
-/** Sends lines to sink instead of standard error; NULL restores it. */
+/** Bounds the volume: so many lines a second; 0: no bound. What is left out is told in a line. */
+void
+comet_log_set_budget(unsigned int lines_per_s);
+
+/** Tells what was left out, if a second has passed; call now and then. */
+void
+comet_log_tick(void);
+
+/** Sends lines to sink instead of standard output; NULL restores it. */
 void
 comet_log_set_sink(comet_log_sink sink, void *ctx);
 
-/** Writes one line: "<level>program: text". Never prompts, answers or keys. */
+/** Writes one line; text begins with "event=NAME". Never prompts, answers or keys. */
 void
 comet_log(enum comet_log_level level, const char *format, ...)
 	__attribute__((format(printf, 2, 3)));
--- /dev/null
+++ b/libcometspindle/log_budget.c
@@ -0,0 +1,114 @@
+/*
+ * log_budget.c
+ * how many log lines may be written, and what is told of those that were not
+ */
+#include <libcometspindle/log_budget.h>
+
+#include <stdio.h>
+#include <string.h>
+
+/* Part of a second's lines that only weighty ones may use. */
+#define KEPT_PART 0.33
+
+/* What was left out is told this often. */
+#define SUMMARY_US 1000000
+
+/* Event of lines beyond the kinds that are counted apart. */
+#define OTHER_EVENT "other"
+
+void
+comet_log_budget_init(struct comet_log_budget *budget, uint32_t lines_per_s, uint64_t now_us)
+{
+	memset(budget, 0, sizeof *budget);
+	budget->lines_per_s = lines_per_s;
+	budget->level = lines_per_s;
+	budget->filled_us = now_us;
+	budget->summed_us = now_us;
+}
+
+bool
+comet_log_budget_take(struct comet_log_budget *budget, bool weighty, uint64_t now_us)
+{
+	if (budget->lines_per_s <= 0)
+		return true;
+	budget->level += budget->lines_per_s * (double)(now_us - budget->filled_us) / 1e6;
+	if (budget->level > budget->lines_per_s)
+		budget->level = budget->lines_per_s;
+	budget->filled_us = now_us;
+	if (budget->level < (weighty ? 1.0 : 1.0 + KEPT_PART * budget->lines_per_s))
+		return false;
+	budget->level -= 1.0;
+	return true;
+}
+
+/* Copies the value of key from a line of key=value pairs; "" when it has none. */
+static void
+copy_value(const char *line, const char *key, char *value, size_t size)
+{
+	const char *at = strstr(line, key);
+
+	value[0] = '\0';
+	if (at == NULL)
+		return;
+	at += strlen(key);
+	size_t length = strcspn(at, " ");
+	if (length >= size)
+		length = size - 1;
+	memcpy(value, at, length);
+	value[length] = '\0';
+}
+
+static struct comet_log_left_out *
+kind_of(struct comet_log_budget *budget, const char *event)
+{
+	for (size_t i = 0; i < budget->n_left_out; i++)
+	{
+		if (strcmp(budget->left_out[i].event, event) == 0)
+			return &budget->left_out[i];
+	}
+	if (budget->n_left_out == COMET_LOG_KINDS)
+		return NULL;
+	struct comet_log_left_out *kind = &budget->left_out[budget->n_left_out++];
+	memset(kind, 0, sizeof *kind);
+	snprintf(kind->event, sizeof kind->event, "%s", event);
+	return kind;
+}
+
+void
+comet_log_budget_leave_out(struct comet_log_budget *budget, const char *line)
+{
+	char event[sizeof budget->left_out[0].event];
+
+	copy_value(line, "event=", event, sizeof event);
+	if (event[0] == '\0' || budget->n_left_out + 1 >= COMET_LOG_KINDS)
+		snprintf(event, sizeof event, OTHER_EVENT);
+	struct comet_log_left_out *kind = kind_of(budget, event);
+	if (kind == NULL)
+		return;
+	if (kind->sample[0] == '\0')
+		copy_value(line, "request=", kind->sample, sizeof kind->sample);
+	kind->count++;
+}
+
+bool
+comet_log_budget_summary(struct comet_log_budget *budget, char *line, size_t size, uint64_t now_us)
+{
+	size_t at = 0;
+
+	if (budget->n_left_out == 0 || now_us - budget->summed_us < SUMMARY_US)
+		return false;
+	at += (size_t)snprintf(line, size, "event=lines_left_out ms=%llu",
+		(unsigned long long)((now_us - budget->summed_us) / 1000));
+	for (size_t i = 0; i < budget->n_left_out && at < size; i++)
+	{
+		const struct comet_log_left_out *kind = &budget->left_out[i];
+		at += (size_t)snprintf(line + at, size - at, " %s=%llu", kind->event,
+			(unsigned long long)kind->count);
+		if (kind->sample[0] != '\0' && at < size)
+			at += (size_t)snprintf(
+				line + at, size - at, " %s_sample=%s", kind->event, kind->sample);
+	}
+	budget->n_left_out = 0;
+	budget->summed_us = now_us;
+	return true;
+}
--- a/tests/system/test_gateway.py
+++ b/tests/system/test_gateway.py
@@ -26,7 +26,7 @@
 
 
 class Gateway:
-    def __init__(self, store, **settings):
+    def __init__(self, store, log=None, **settings):
         self.ports = {name: free_port() for name in ("callers", "readiness", "control", "peers")}
         values = {name: f"{ADDRESS}:{port}" for name, port in self.ports.items()}
         values.update(name="vm", zone="z", seeds="", directory=f"127.0.0.1:{store.port}",
@@ -37,7 +37,7 @@
         self.file.flush()
         self.log = tempfile.TemporaryFile()
         self.process = subprocess.Popen(
-            [f"{BUILD}/cli/cometspindled", "--settings", self.file.name], stdout=self.log,
+            [f"{BUILD}/cli/cometspindled", "--settings", self.file.name], stdout=log or self.log,
             stderr=self.log)
 
     def ready(self):
@@ -399,6 +399,29 @@
     world.gateway.process.send_signal(signal.SIGHUP)
 
 
+def test_log_reader_stops():
+    """A reader of the log that stops, or is gone, costs lines, never service."""
+    for closes in (False, True):
+        store = Store()
+        store.put("op/config", document(1))
+        Server(store, "i-0", "svc")
+        reader, writer = os.pipe()
+        gateway = Gateway(store, log=writer, leave_ms=200, log_lines_per_s=0)
+        os.close(writer)
+        if closes:
+            os.close(reader)
+        wait_for(gateway.ready)
+        for _ in range(300):  # more lines than a pipe holds
+            assert call(gateway, "/safe/x")[1] == 200
+        if not closes:
+            text = os.read(reader, 65536).decode()
+            wait_for(lambda: "event=lines_left_out" in os.read(reader, 65536).decode())
+            assert "event=answered" in text
+            os.close(reader)
+        gateway.process.send_signal(signal.SIGTERM)
+        assert gateway.process.wait(30) == 0
+
+
 def test_bad_settings():
     with tempfile.NamedTemporaryFile("w") as file:
         file.write('{"gateway": {"name": 5}}')
@@ -416,7 +439,7 @@
                   test_broken_before_answer, test_foreign_answer, test_unframed_and_cut,
                   test_streams, test_caller_leaves, test_configuration, test_servers_leave,
                   test_pages]
-    alone = [test_store_away, test_planned_stop, test_bad_settings]
+    alone = [test_store_away, test_planned_stop, test_log_reader_stops, test_bad_settings]
     only = sys.argv[1:]
     for test in with_world + alone:
         if only and test.__name__ not in only:
