spindlectl trace; answers that would end too late go to faster endpoints

Change: the cost of an endpoint counts an end after the request's deadline, at twice the expected length. spindlectl trace prints the life of one request from the logs of several processes, with what they believed, and a restart under it.

--- a/cli/spindlectl/main.c
+++ b/cli/spindlectl/main.c
@@ -31,6 +31,7 @@
 	{"key", "hash", spindlectl_key_hash, "hash a team's bearer key for the bundle"},
 	{"settings", "check", spindlectl_settings_check, "check a daemon's settings"},
 	{NULL, "status", spindlectl_status, "one table over all VMs"},
+	{NULL, "trace", spindlectl_trace, "the life of one request, from logs of several VMs"},
 	{NULL, "explain", spindlectl_explain, "explain a decision's log line, term by term"},
 };
 
--- a/cli/spindlectl/spindlectl.h
+++ b/cli/spindlectl/spindlectl.h
@@ -40,6 +40,8 @@
 spindlectl_status(int argc, char **argv);
 int
 spindlectl_explain(int argc, char **argv);
+int
+spindlectl_trace(int argc, char **argv);
 
 /** Prints "program: place: message" and frees the error. */
 int
--- a/libcometspindle/adapters/gateway_call.c
+++ b/libcometspindle/adapters/gateway_call.c
@@ -744,6 +744,7 @@
 	}
 	call->item.latest_us =
 		call->arrived_us + (uint64_t)((double)patience_ms * 1000 * (1 - WORK_PART));
+	call->item.end_us = call->end_us;
 	call->item.early_us = call->arrived_us + (uint64_t)route->aim_ms * 1000 / EARLY_PART;
 }
 
--- a/libcometspindle/gateway/placement.c
+++ b/libcometspindle/gateway/placement.c
@@ -18,6 +18,12 @@
 /* Part of the time an answer takes that counts against the time until it begins. */
 #define WHOLE_WEIGHT 0.5
 
+/* Estimates of an answer's length are right at the median only; this covers most of the rest. */
+#define LENGTH_DOUBT 2.0
+
+/* A second by which an answer would end too late counts as so many seconds of waiting. */
+#define LATE_WEIGHT 2.0
+
 /* What an endpoint in another availability zone costs: round trip and bytes between zones. */
 #define OTHER_ZONE_US 4000
 
@@ -197,6 +203,11 @@
 	double zone = strcmp(instance->zone, placement->own_zone) == 0 ? 0 : OTHER_ZONE_US;
 	double cost = wait + crowd + zone + (double)reason->first_us +
 		      WHOLE_WEIGHT * (double)(reason->whole_us - reason->first_us);
+	/* Lengths are guessed: an answer that may take twice as long must still be whole in time.
+	 */
+	double end = (double)now_us + wait + LENGTH_DOUBT * (double)reason->whole_us;
+	if (item->end_us != 0 && end > (double)item->end_us)
+		cost += LATE_WEIGHT * (end - (double)item->end_us);
 	return cost * (1 + SPREAD * draw(placement));
 }
 
--- a/libcometspindle/gateway/placement.h
+++ b/libcometspindle/gateway/placement.h
@@ -24,6 +24,7 @@
 	uint32_t team_rank;  /**< goes first: 0 is the most urgent */
 	uint32_t route_rank; /**< among equal team_rank */
 	bool repeatable;     /**< a failure on an endpoint of doubtful health can be made good */
+	uint64_t end_us;     /**< an answer that is not whole by then is lost; 0: no bound */
 	uint64_t latest_us;  /**< to be dispatched by then or not at all */
 	uint64_t early_us;   /**< a refusal before then costs its caller little */
 	uint32_t tried[COMET_PLACEMENT_TRIED_MAX]; /**< keys of instances it was sent to */
