--- a/libcometspindle/adapters/gateway_call.c
+++ b/libcometspindle/adapters/gateway_call.c
@@ -715,6 +715,7 @@
 	if (tokens == NULL ||
 		!comet_wire_parse_tokens(tokens, &job->prompt_tokens, &job->output_tokens))
 		return;
+	job->output_most = job->output_tokens;
 	if (call->team != NULL && call->team->in_tokens)
 		call->charge = (uint64_t)job->prompt_tokens + job->output_tokens;
 	if (hint != NULL && comet_wire_parse_ms(hint, &expected) && expected > 0)
@@ -858,11 +859,12 @@
 	call->service = talloc_strdup(
 		call, comet_route_pick_service(call->route, comet_gateway_draw(gateway)));
 	comet_log(COMET_LOG_INFO,
-		"event=admitted request=%s route=%s service=%s team=%s prompt=%u output=%u "
+		"event=admitted request=%s route=%s service=%s team=%s prompt=%u output=%u most=%u "
 		"version=%" G_GUINT64_FORMAT,
 		call->id, call->route->name, call->service,
 		call->team != NULL ? call->team->name : "-", call->item.job.prompt_tokens,
-		call->item.job.output_tokens, comet_route_table_version(call->table));
+		call->item.job.output_tokens, call->item.job.output_most,
+		comet_route_table_version(call->table));
 	place(call, now_us);
 }
 
--- a/libcometspindle/gateway/instances.h
+++ b/libcometspindle/gateway/instances.h
@@ -30,6 +30,7 @@
 {
 	uint32_t prompt_tokens;
 	uint32_t output_tokens; /**< expected; 0 for plain requests */
+	uint32_t output_most;   /**< most that it may generate; 0: not told */
 	bool stream;
 };
 
--- a/tests/unit/test_gateway_placement.cc
+++ b/tests/unit/test_gateway_placement.cc
@@ -77,7 +77,7 @@
 	{
 		comet_placement_item item = {};
 		item.service = "llm";
-		item.job = {1000, 100, true};
+		item.job = {1000, 100, 100, true};
 		item.route_rank = rank;
 		item.latest_us = now_us + 2000000;
 		item.early_us = now_us + 100000;
@@ -234,7 +234,7 @@
 	EXPECT_EQ(comet_instance_load(instance, now_us), 2U);
 	/* newer word from the endpoint itself goes before, corrected by our own sends */
 	comet_instance_told(instance, 5, now_us + 1);
-	comet_job job = {10, 10, true};
+	comet_job job = {10, 10, 10, true};
 	comet_instance_started(instance, &job);
 	EXPECT_EQ(comet_instance_load(instance, now_us + 1), 6U);
 	/* and old word says nothing */
@@ -374,7 +374,7 @@
 	vms fleet(3);
 	uint64_t now_us = 1000000;
 	uint32_t team = comet_hash_name("t");
-	comet_job job = {500, 10, true};
+	comet_job job = {500, 10, 10, true};
 	/* longer than a span, so that nothing is assumed of the time before */
 	for (int i = 0; i < 400; i++, now_us += 50000)
 		fleet.step(now_us);
@@ -408,7 +408,7 @@
 {
 	vms fleet(3);
 	uint64_t now_us = 1000000;
-	comet_job job = {500, 10, true};
+	comet_job job = {500, 10, 10, true};
 	comet_instance_started(comet_instances_find(fleet.all[2].instances, "i"), &job);
 	for (int i = 0; i < 40; i++, now_us += 50000)
 		fleet.step(now_us);
