New VMs greet each other at once; found only after two quiet rounds

Far views came every 1.4 s, but a VM took the others for found after 0.4 s without a new one. Change: a VM sends its view at once to those it is new to; the others count as found after two rounds of views without a new one.

--- a/libcometspindle/adapters/gateway.c
+++ b/libcometspindle/adapters/gateway.c
@@ -44,7 +44,8 @@
  * and at the latest after the second time. Until then it shares sums with at least so many: all may
  * have started at once, and each knows only itself. */
 #define FOUND_AFTER_US 400000
-#define FIND_LONGEST_US 2500000
+#define FOUND_AFTER_ROUNDS 2
+#define FIND_LONGEST_US 4000000
 #define VMS_ASSUMED 128
 
 /* Most seeds that a settings file names usefully. */
@@ -325,7 +326,9 @@
 		gateway->found_us = now_us;
 	}
 	uint64_t last_us = MAX(gateway->found_us, gateway->began_us);
-	return now_us - last_us < FOUND_AFTER_US && now_us - gateway->began_us < FIND_LONGEST_US;
+	uint64_t quiet_us =
+		MAX(FOUND_AFTER_US, FOUND_AFTER_ROUNDS * comet_views_interval_us(gateway->views));
+	return now_us - last_us < quiet_us && now_us - gateway->began_us < FIND_LONGEST_US;
 }
 
 /* Shares sums with the VMs that there are, or must be taken to be there. */
--- a/libcometspindle/gateway/views.c
+++ b/libcometspindle/gateway/views.c
@@ -40,6 +40,7 @@
 	uint32_t zone; /* 0: not known */
 	bool leaving;
 	bool silent;
+	bool owed;     /* it is new to us, so that we are to it: it gets our view at once */
 	bool followed; /* its spending has been told before */
 	bool seed;
 	GArray *busy;      /* of comet_Busy */
@@ -166,7 +167,10 @@
 			continue;
 		struct peer *peer = peer_of(views, view->peers[i]);
 		if (peer->known_us == 0)
+		{
 			peer->known_us = now_us;
+			peer->owed = true;
+		}
 	}
 }
 
@@ -182,6 +186,7 @@
 		g_hash_table_remove_all(peer->spent);
 		peer->followed = false;
 	}
+	peer->owed = peer->owed || peer->heard_us == 0 || restarted;
 	if (peer->heard_us == 0 || peer->silent || restarted)
 		views->ops->changed(
 			views->ctx, peer->address, true, restarted ? "restarted" : "heard");
@@ -370,6 +375,29 @@
 	}
 }
 
+/* Sends this VM's view to those that it is new to, without waiting for a round. */
+static void
+greet(struct comet_views *views, uint64_t now_us)
+{
+	uint8_t data[COMET_VIEW_BYTES_MAX];
+	size_t length = 0;
+	GHashTableIter at;
+	gpointer value = NULL;
+
+	g_hash_table_iter_init(&at, views->peers);
+	while (g_hash_table_iter_next(&at, NULL, &value))
+	{
+		struct peer *peer = value;
+		if (!peer->owed)
+			continue;
+		if (length == 0)
+			length = build(views, data, false, now_us);
+		peer->owed = false;
+		peer->asked_us = now_us;
+		views->ops->send(views->ctx, peer->address, data, length);
+	}
+}
+
 /* Finds VMs that went silent, and forgets those that stayed so. */
 static void
 look_for_silent(struct comet_views *views, uint64_t now_us)
@@ -454,8 +482,11 @@
 	}
 	bool far = now_us - views->far_sent_us >= interval_us(views, false);
 	bool near = now_us - views->near_sent_us >= interval_us(views, true);
-	if (!views->leaving && (near || far))
+	if (views->leaving)
+		return;
+	if (near || far)
 		send_round(views, far, now_us);
+	greet(views, now_us);
 }
 
 void
@@ -490,6 +521,12 @@
 	}
 }
 
+uint64_t
+comet_views_interval_us(const struct comet_views *views)
+{
+	return interval_us(views, false);
+}
+
 uint32_t
 comet_views_newer(const struct comet_views *views, uint64_t revision)
 {
--- a/libcometspindle/gateway/views.h
+++ b/libcometspindle/gateway/views.h
@@ -68,6 +68,10 @@
 void
 comet_views_count(const struct comet_views *views, uint32_t *known, uint32_t *heard);
 
+/** Time between two rounds of views to all VMs. */
+uint64_t
+comet_views_interval_us(const struct comet_views *views);
+
 /** @return a VM whose directory is newer than revision, or 0. */
 uint32_t
 comet_views_newer(const struct comet_views *views, uint64_t revision);
