--- a/libcometspindle/adapters/gateway_call.c
+++ b/libcometspindle/adapters/gateway_call.c
@@ -319,11 +319,10 @@
 	}
 	struct comet_instance *instance =
 		comet_instances_find(call->gateway->instances, call->instance);
-	if (instance != NULL)
-		comet_instance_doubt(instance, now_us);
+	bool doubted = instance != NULL && comet_instance_doubt(instance, last_us, now_us);
 	comet_log(COMET_LOG_NOTICE,
-		"event=silent request=%s endpoint=%s silent_ms=%" G_GUINT64_FORMAT, call->id,
-		call->instance, since_ms(last_us, now_us));
+		"event=silent request=%s endpoint=%s silent_ms=%" G_GUINT64_FORMAT " doubted=%d",
+		call->id, call->instance, since_ms(last_us, now_us), doubted);
 	if (call->paused || !comet_route_repeatable(call->route) || !may_repeat(call))
 		return; /* all that is left is to wait */
 	call->may_have_run = true;
@@ -390,6 +389,8 @@
 	struct comet_instance *instance =
 		comet_instances_find(call->gateway->instances, call->instance);
 
+	if (instance != NULL)
+		comet_instance_heard(instance, now_us);
 	if (instance != NULL && load_text != NULL && comet_wire_parse_load(load_text, &load))
 		comet_instance_told(instance, load.running + load.waiting, now_us);
 	call->not_run = head->status == 421 || comet_http_head_get(head, names->not_run) != NULL;
@@ -457,11 +458,14 @@
 	struct call *call = ctx;
 	uint64_t now_us = comet_timers_now_us();
 
+	struct comet_instance *instance =
+		comet_instances_find(call->gateway->instances, call->instance);
+
 	call->last_us = now_us;
+	if (instance != NULL)
+		comet_instance_heard(instance, now_us);
 	if (call->first_us == 0)
 	{
-		struct comet_instance *instance =
-			comet_instances_find(call->gateway->instances, call->instance);
 		call->first_us = now_us;
 		if (instance != NULL)
 			comet_instance_first(call->gateway->instances, instance, &call->item.job,
--- a/libcometspindle/gateway/instances.c
+++ b/libcometspindle/gateway/instances.c
@@ -425,9 +425,18 @@
 }
 
 void
-comet_instance_doubt(struct comet_instance *instance, uint64_t now_us)
+comet_instance_heard(struct comet_instance *instance, uint64_t now_us)
 {
+	instance->heard_us = now_us;
+}
+
+bool
+comet_instance_doubt(struct comet_instance *instance, uint64_t since_us, uint64_t now_us)
+{
+	if (instance->heard_us > since_us)
+		return false;
 	instance->avoid_us = MAX(instance->avoid_us, now_us + AVOID_FIRST_US);
+	return true;
 }
 
 void
--- a/libcometspindle/gateway/instances.h
+++ b/libcometspindle/gateway/instances.h
@@ -69,6 +69,7 @@
 	uint64_t told_us;    /**< when; 0: never */
 	double pace;         /**< time it takes, relative to its service's usual */
 	uint32_t samples;
+	uint64_t heard_us; /**< when it last sent anything on any connection; 0: never */
 	uint32_t failures; /**< in a row */
 	double error_rate; /**< of late, 0 to 1 */
 	uint64_t avoid_us; /**< no work but one trial before then; 0: trusted */
@@ -137,9 +138,17 @@
 	const struct comet_job *job, bool had_first, enum comet_dispatch_result result,
 	uint64_t stream_us, uint32_t events, uint64_t now_us);
 
-/** Nothing was heard of a dispatch that should have begun: no more work until a trial. */
+/** It sent something, on whatever connection. */
 void
-comet_instance_doubt(struct comet_instance *instance, uint64_t now_us);
+comet_instance_heard(struct comet_instance *instance, uint64_t now_us);
+
+/**
+ * Nothing was heard of a dispatch since since_us. If nothing else was heard of
+ * the instance either, it gets no more work until a trial; else the request is
+ * slow, not the instance. @return whether it is doubted.
+ */
+bool
+comet_instance_doubt(struct comet_instance *instance, uint64_t since_us, uint64_t now_us);
 
 /** Its answer told how many requests run and wait there. */
 void
--- a/tests/unit/test_gateway_placement.cc
+++ b/tests/unit/test_gateway_placement.cc
@@ -226,6 +226,23 @@
 	EXPECT_EQ(tried, 1U);
 }
 
+/* Found in the logs of a recorded day: long requests made their endpoints doubted, which others
+ * kept from, though they answered everything else. */
+TEST_F(PlacementTest, ASlowRequestDoesNotCondemnItsEndpoint)
+{
+	comet_instance *instance = add("a");
+
+	comet_instance_heard(instance, now_us + 300000);
+	EXPECT_FALSE(comet_instance_doubt(instance, now_us, now_us + 600000));
+	comet_placement_item one = item(0);
+	comet_placement_submit(placement, &one, now_us + 600000);
+	EXPECT_EQ(dispatched.size(), 1U);
+	EXPECT_TRUE(comet_instance_doubt(instance, now_us + 400000, now_us + 1000000));
+	comet_placement_item two = item(0);
+	comet_placement_submit(placement, &two, now_us + 1000000);
+	EXPECT_EQ(dispatched.size(), 1U);
+}
+
 TEST_F(PlacementTest, WhatOthersSendThereCounts)
 {
 	comet_instance *instance = add("a");
