An endpoint's fresh word of its load goes before the views of others

Each round of views marked every endpoint as just viewed, so that what endpoints told in their answers was never used. Change: what was told counts for 0.4 s, with our own sends since; then views.

--- a/libcometspindle/gateway/instances.c
+++ b/libcometspindle/gateway/instances.c
@@ -44,6 +44,10 @@
 /* A view of other VMs' dispatches older than this says nothing any more. */
 #define VIEW_STALE_US 3000000
 
+/* What an endpoint told of its load goes before views for this time: about as long as a request
+ * takes there. */
+#define TOLD_FRESH_US 400000
+
 /* Usual times of a service, over all its instances. */
 struct usual
 {
@@ -240,15 +244,13 @@
 comet_instance_load(const struct comet_instance *instance, uint64_t now_us)
 {
 	bool viewed = instance->others_us != 0 && now_us - instance->others_us < VIEW_STALE_US;
-	bool told = instance->told_us != 0 && now_us - instance->told_us < VIEW_STALE_US;
+	bool told = instance->told_us != 0 && now_us - instance->told_us < TOLD_FRESH_US;
+	uint32_t others = viewed ? instance->others : 0;
 
-	if (told && (!viewed || instance->told_us > instance->others_us))
-	{
-		/* What it told, corrected by what we sent and got back since. */
-		int64_t total = (int64_t)instance->told_total + instance->own - instance->told_own;
-		return total > (int64_t)instance->own ? (uint32_t)total : instance->own;
-	}
-	return instance->own + (viewed ? instance->others : 0);
+	/* Its own word is exact when it is fresh; views are summed from older ones. */
+	if (told)
+		others = instance->told_total - MIN(instance->told_total, instance->told_own);
+	return instance->own + others;
 }
 
 /* The usual time until the first event, from the fitted line. */
