Waits reckoned from slots and speeds; the only endpoint may be tried again

Change: a wait is what the queue ahead needs at the usual speed of all usable slots, by the part of the load that is this VM's. An endpoint's error is passed on when there is no other; a broken connection to the only one is tried again.

--- a/libcometspindle/adapters/gateway_call.c
+++ b/libcometspindle/adapters/gateway_call.c
@@ -257,6 +257,8 @@
 		reason, call->attempts);
 	if (call->answer != NULL)
 		g_byte_array_set_size(call->answer, 0);
+	if (!comet_placement_has_other(gateway->placement, &call->item))
+		call->item.n_tried = 0; /* the only one there is may take it again */
 	call->item.latest_us = MAX(call->item.latest_us, now_us + (call->end_us - now_us) / 2);
 	comet_placement_submit(gateway->placement, &call->item, now_us);
 }
@@ -587,7 +589,10 @@
 		return;
 	}
 	call->may_have_run = true;
-	if (server_error && comet_route_repeatable(call->route) && may_repeat(call))
+	/* The same endpoint would only fail again: then its answer is the best there is. */
+	if (server_error && comet_route_repeatable(call->route) &&
+		comet_placement_has_other(call->gateway->placement, &call->item) &&
+		may_repeat(call))
 	{
 		end_sending(call, COMET_DISPATCH_ERROR);
 		place_again(call, "endpoint_error");
--- a/libcometspindle/gateway/instances.c
+++ b/libcometspindle/gateway/instances.c
@@ -26,6 +26,7 @@
 #define PROMPT_DEFAULT_US 30.0
 #define TOKEN_DEFAULT_US 8000.0
 #define PLAIN_DEFAULT_US 50000.0
+#define SLOT_DEFAULT_US 500000.0
 
 /* Slow start: how much longer a cold instance is expected to take. */
 #define COLD_FACTOR 2.0
@@ -64,6 +65,7 @@
 	double token_us; /* of an answer, per token expected of it; 0: not learned */
 	double event_us; /* between two events; 0: not learned */
 	double plain_us; /* 0: not learned */
+	double slot_us;  /* that a request holds a slot, of whatever size; 0: not learned */
 };
 
 struct comet_instances
@@ -301,6 +303,16 @@
 	*whole_us = (uint64_t)((first + token * job->output_tokens) * instance->pace * cold);
 }
 
+uint64_t
+comet_instances_usual_us(struct comet_instances *instances, const char *service)
+{
+	const struct usual *usual = usual_of(instances, service);
+
+	if (usual->plain_us > 0)
+		return (uint64_t)usual->plain_us;
+	return (uint64_t)(usual->slot_us > 0 ? usual->slot_us : SLOT_DEFAULT_US);
+}
+
 void
 comet_instance_started(struct comet_instance *instance, const struct comet_job *job)
 {
@@ -366,6 +378,8 @@
 		learn_usual(&usual->plain_us, (double)stream_us);
 		return;
 	}
+	double first = usual_first_us(usual, job->prompt_tokens);
+	learn_usual(&usual->slot_us, first + (double)stream_us / instance->pace);
 	if (events < 2 || job->output_tokens == 0)
 		return;
 	double event_us = (double)stream_us / (events - 1);
--- a/libcometspindle/gateway/instances.h
+++ b/libcometspindle/gateway/instances.h
@@ -126,6 +126,10 @@
 comet_instance_expect(struct comet_instances *instances, const struct comet_instance *instance,
 	const struct comet_job *job, uint64_t now_us, uint64_t *first_us, uint64_t *whole_us);
 
+/** How long a usual request of a service holds a slot of an instance of usual pace. */
+uint64_t
+comet_instances_usual_us(struct comet_instances *instances, const char *service);
+
 /** A dispatch starts. */
 void
 comet_instance_started(struct comet_instance *instance, const struct comet_job *job);
--- a/libcometspindle/gateway/placement.c
+++ b/libcometspindle/gateway/placement.c
@@ -34,11 +34,13 @@
 /* An instance that is avoided gets a request that may not be repeated only so much later. */
 #define TRIAL_PATIENCE_US 2000000
 
-/* Dispatches a second are counted with this time constant. */
-#define RATE_TIME_US 1000000.0
+/* Least part of a service's endpoints that a VM takes for its own when it reckons how fast its
+ * queue moves: more VMs than this bring only a few requests each. */
+#define SHARE_MIN 0.02
 
-/* The least rate that a wait is computed from: one a second. */
-#define RATE_MIN_PER_S 1.0
+/* While no endpoint of a service can be used, the next is reckoned with after this time: as long as
+ * one takes to be listed after its start. */
+#define NOBODY_US 1000000.0
 
 /* Bounds of what a refused caller is told: long enough for a slot to come free, and no longer
  * than a burst lasts. */
@@ -50,8 +52,6 @@
 {
 	char *service;
 	GSequence *items;
-	double per_s; /* dispatches a second, fading */
-	uint64_t rated_us;
 };
 
 struct comet_placement
@@ -132,15 +132,6 @@
 	return a->order < b->order ? -1 : 1;
 }
 
-static void
-fade_rate(struct queue *queue, uint64_t now_us)
-{
-	double passed = (double)(now_us - queue->rated_us) / RATE_TIME_US;
-
-	queue->per_s *= passed < 10 ? 1.0 / (1.0 + passed) : 0.0;
-	queue->rated_us = now_us;
-}
-
 static bool
 was_tried(const struct comet_placement_item *item, uint32_t key)
 {
@@ -258,6 +249,31 @@
 	return (uint32_t)CLAMP(wait_us / 1000, RETRY_AFTER_MIN_MS, RETRY_AFTER_MAX_MS);
 }
 
+/* How fast a service's queue moves here: the time between two slots that come free for this VM. */
+static double
+slot_interval_us(struct comet_placement *placement, const char *service, uint64_t now_us)
+{
+	const GPtrArray *all = comet_instances_of(placement->instances, service);
+	double usual_us = (double)comet_instances_usual_us(placement->instances, service);
+	double per_us = 0;
+	double own = 0;
+	double load = 0;
+
+	for (guint i = 0; all != NULL && i < all->len; i++)
+	{
+		const struct comet_instance *instance = all->pdata[i];
+		if (instance->draining || instance->replaced || instance->avoid_us > now_us)
+			continue;
+		per_us += instance->slots / (usual_us * instance->pace);
+		own += instance->own;
+		load += comet_instance_load(instance, now_us);
+	}
+	if (per_us == 0)
+		return NOBODY_US;
+	double share = CLAMP((own + 1) / (load + 1), SHARE_MIN, 1.0);
+	return 1 / per_us / share;
+}
+
 uint64_t
 comet_placement_wait_us(
 	struct comet_placement *placement, const struct comet_placement_item *item, uint64_t now_us)
@@ -268,16 +284,28 @@
 	probe.order = UINT64_MAX;
 	GSequenceIter *at = g_sequence_search(queue->items, &probe, compare_items, NULL);
 	int ahead = g_sequence_iter_get_position(at);
-	fade_rate(queue, now_us);
-	return (uint64_t)((ahead + 1) * 1e6 / MAX(queue->per_s, RATE_MIN_PER_S));
+	return (uint64_t)((ahead + 1) * slot_interval_us(placement, item->service, now_us));
+}
+
+bool
+comet_placement_has_other(
+	const struct comet_placement *placement, const struct comet_placement_item *item)
+{
+	const GPtrArray *all = comet_instances_of(placement->instances, item->service);
+
+	for (guint i = 0; all != NULL && i < all->len; i++)
+	{
+		const struct comet_instance *instance = all->pdata[i];
+		if (!instance->draining && !instance->replaced && !was_tried(item, instance->key))
+			return true;
+	}
+	return false;
 }
 
 static void
-dispatch(struct comet_placement *placement, struct queue *queue, struct comet_placement_item *item,
-	struct comet_instance *instance, uint64_t now_us)
+dispatch(struct comet_placement *placement, struct comet_placement_item *item,
+	struct comet_instance *instance)
 {
-	fade_rate(queue, now_us);
-	queue->per_s += 1e6 / RATE_TIME_US;
 	instance->on_trial = instance->avoid_us != 0;
 	if (item->n_tried < COMET_PLACEMENT_TRIED_MAX)
 		item->tried[item->n_tried++] = instance->key;
@@ -325,7 +353,7 @@
 		if (instance == NULL)
 			continue;
 		take_out(item);
-		dispatch(placement, queue, item, instance, now_us);
+		dispatch(placement, item, instance);
 	}
 }
 
@@ -367,7 +395,7 @@
 	struct comet_instance *instance = queued ? NULL : choose(placement, item, now_us);
 	if (instance != NULL)
 	{
-		dispatch(placement, queue, item, instance, now_us);
+		dispatch(placement, item, instance);
 		return;
 	}
 	uint64_t wait_us = comet_placement_wait_us(placement, item, now_us);
--- a/libcometspindle/gateway/placement.h
+++ b/libcometspindle/gateway/placement.h
@@ -91,6 +91,11 @@
 comet_placement_wait_us(struct comet_placement *placement, const struct comet_placement_item *item,
 	uint64_t now_us);
 
+/** @return whether there is an instance that the item was not sent to yet. */
+bool
+comet_placement_has_other(
+	const struct comet_placement *placement, const struct comet_placement_item *item);
+
 const struct comet_placement_reason *
 comet_placement_reason(const struct comet_placement *placement);
 
--- a/tests/system/test_gateway.py
+++ b/tests/system/test_gateway.py
@@ -285,6 +285,29 @@
     assert headers["x-cometspindle-server-stamp"] in body.decode().split("\n")[1]
 
 
+def test_only_server_fails():
+    """Its error is passed on with its stamp; a broken connection to it is tried once more."""
+    world = World(servers=1)
+    seen = []
+
+    def error(server, sock, path, headers, body):
+        server.ran(path, headers, body)
+        server.write_head(sock, headers, 500, length=0)
+
+    def breaks_once(server, sock, path, headers, body):
+        seen.append(headers["x-cometspindle-request-id"])
+        if len(seen) == 1:
+            return False
+        return Server.plain(server, sock, path, headers, body)
+    world.script("error", error)
+    world.script("breaks", breaks_once)
+    ident, status, headers, _, _ = call(world.gateway, "/safe/error")
+    assert status == 500 and headers["x-cometspindle-server-stamp"] == "i-0"
+    assert world.runs(ident) == 1
+    assert call(world.gateway, "/safe/breaks")[1] == 200 and len(set(seen)) == 1
+    world.gateway.end()
+
+
 def test_caller_leaves(world):
     started = threading.Event()
     left = threading.Event()
@@ -439,7 +462,7 @@
                   test_broken_before_answer, test_foreign_answer, test_unframed_and_cut,
                   test_streams, test_caller_leaves, test_configuration, test_servers_leave,
                   test_pages]
-    alone = [test_store_away, test_planned_stop, test_log_reader_stops, test_bad_settings]
+    alone = [test_store_away, test_only_server_fails, test_planned_stop, test_log_reader_stops, test_bad_settings]
     only = sys.argv[1:]
     for test in with_world + alone:
         if only and test.__name__ not in only:
--- a/tests/unit/test_gateway_placement.cc
+++ b/tests/unit/test_gateway_placement.cc
@@ -169,6 +169,21 @@
 	EXPECT_EQ(comet_placement_waiting(placement, "llm"), 0U);
 }
 
+/* Found by a score: waits reckoned from a request's own size refused most of the largest. */
+TEST_F(PlacementTest, ALargeRequestIsNotRefusedForItsSize)
+{
+	add("a");
+	std::vector<comet_placement_item> items(4, item(2));
+	comet_placement_item small = item(2);
+	comet_placement_item large = item(2);
+
+	large.job.output_tokens = 20000;
+	for (auto &one : items)
+		comet_placement_submit(placement, &one, now_us);
+	EXPECT_EQ(comet_placement_wait_us(placement, &small, now_us),
+		comet_placement_wait_us(placement, &large, now_us));
+}
+
 TEST_F(PlacementTest, ALeavingInstanceGetsNothingNew)
 {
 	add("a");
