--- a/libcometspindle/adapters/gateway_call.c
+++ b/libcometspindle/adapters/gateway_call.c
@@ -492,6 +492,16 @@
 		call->events != NULL ? comet_event_stream_count(call->events) : 0, call->attempts);
 }
 
+static void
+count_times(const struct call *call)
+{
+	struct comet_gateway_times *times = &call->gateway->times[call->route->kind];
+
+	if (call->first_us != 0)
+		comet_latency_add(&times->first, call->first_us - call->arrived_us);
+	comet_latency_add(&times->whole, comet_timers_now_us() - call->arrived_us);
+}
+
 /* The whole answer is here and is passed on. */
 static void
 deliver(struct call *call, enum comet_dispatch_result result)
@@ -508,6 +518,7 @@
 		comet_front_send(request, (const char *)call->answer->data, call->answer->len);
 	}
 	log_served(call, call->head->status);
+	count_times(call);
 	if (result == COMET_DISPATCH_SERVED)
 		call->gateway->counts.served++;
 	else
@@ -658,6 +669,9 @@
 		call->id, instance->id, reason->load, reason->slots, reason->candidates,
 		reason->with_room, reason->waited_us / 1000, reason->first_us / 1000,
 		reason->view_age_us / 1000, instance->pace, call->attempts + 1);
+	if (call->attempts == 0)
+		comet_latency_add(
+			&gateway->times[call->route->kind].waited, now_us - call->arrived_us);
 	if (call->attempts == 0)
 		comet_retry_budget_first(gateway->retries, call->service, now_us);
 	if (call->resuming)
--- a/libcometspindle/adapters/gateway_pages.c
+++ b/libcometspindle/adapters/gateway_pages.c
@@ -85,6 +85,26 @@
 		instance->pace, instance->id, instance->service, instance->avoid_us != 0);
 }
 
+static void
+put_times(GString *out, const struct comet_gateway *gateway)
+{
+	static const char *const labels[COMET_ROUTE_KINDS] = {
+		"kind=\"safe\"", "kind=\"unsafe\"", "kind=\"stream\""};
+
+	g_string_append(out, "# TYPE comet_first_byte_seconds histogram\n");
+	for (size_t i = 0; i < COMET_ROUTE_KINDS; i++)
+		comet_latency_print(
+			&gateway->times[i].first, out, "comet_first_byte_seconds", labels[i]);
+	g_string_append(out, "# TYPE comet_answer_seconds histogram\n");
+	for (size_t i = 0; i < COMET_ROUTE_KINDS; i++)
+		comet_latency_print(
+			&gateway->times[i].whole, out, "comet_answer_seconds", labels[i]);
+	g_string_append(out, "# TYPE comet_waited_seconds histogram\n");
+	for (size_t i = 0; i < COMET_ROUTE_KINDS; i++)
+		comet_latency_print(
+			&gateway->times[i].waited, out, "comet_waited_seconds", labels[i]);
+}
+
 static void
 answer_metrics(struct comet_gateway *gateway, struct comet_front_request *request)
 {
@@ -95,6 +115,7 @@
 
 	comet_views_count(gateway->views, &known, &heard);
 	put_outcomes(out, &gateway->counts);
+	put_times(out, gateway);
 	put(out, "requests_open", "gauge", gateway->calls);
 	put(out, "requests_waiting", "gauge", comet_placement_waiting_all(gateway->placement));
 	put(out, "dispatches_total", "counter", (double)gateway->counts.dispatched);
--- a/libcometspindle/adapters/gateway_private.h
+++ b/libcometspindle/adapters/gateway_private.h
@@ -10,6 +10,7 @@
 #include <libcometspindle/adapters/view_link.h>
 #include <libcometspindle/gateway/placement.h>
 #include <libcometspindle/gateway/views.h>
+#include <libcometspindle/latency.h>
 
 /** Counts of how requests ended; monotonic. */
 struct comet_gateway_counts
@@ -28,6 +29,16 @@
 	uint64_t left;   /**< the caller left */
 };
 
+/** Times of answers, by kind of route. */
+struct comet_gateway_times
+{
+	struct comet_latency first;  /**< from the request's first byte to its answer's */
+	struct comet_latency whole;  /**< to the end of the answer */
+	struct comet_latency waited; /**< until it was sent to an endpoint */
+};
+
+#define COMET_ROUTE_KINDS (COMET_ROUTE_STREAM + 1)
+
 struct comet_gateway
 {
 	const struct comet_gateway_settings *settings;
@@ -48,6 +59,7 @@
 	struct comet_view_link *link;
 	struct comet_route_table *table; /**< NULL until one has been read */
 	struct comet_gateway_counts counts;
+	struct comet_gateway_times times[COMET_ROUTE_KINDS];
 	uint32_t calls; /**< requests that are open */
 	uint64_t random;
 	uint64_t began_us;
--- a/tests/system/test_gateway.py
+++ b/tests/system/test_gateway.py
@@ -414,8 +414,14 @@
 
 
 def test_pages(world):
+    assert call(world.gateway, "/safe/x")[1] == 200
     status, _, body, _ = get(world.gateway.ports["control"], "/metrics")
     assert status == 200 and b'comet_requests_total{outcome="served"}' in body
+    assert b'comet_answer_seconds_count{kind="safe"} 1' in body
+    for line in body.decode().splitlines():  # the text format: a comment, or name{labels} number
+        if not line.startswith("# TYPE "):
+            name, value = line.rsplit(" ", 1)
+            assert name.startswith("comet_") and float(value) >= 0, line
     status, _, body, _ = get(world.gateway.ports["control"], "/v1/directory")
     assert status == 200 and len(json.loads(body)["entries"]) == 3
     assert get(world.gateway.ports["control"], "/other")[0] == 404
