Split the gateway's request in three: relay, send, answer

Admission and end, sendings, and the answer on its way are files of their own around struct comet_relay; no change in behaviour.

--- a/libcometspindle/adapters/gateway.c
+++ b/libcometspindle/adapters/gateway.c
@@ -463,7 +463,7 @@
 	const struct comet_gateway_settings *settings = gateway->settings;
 
 	gateway->callers = comet_front_create(gateway, gateway->ev, gateway->timers,
-		settings->callers, &comet_gateway_call_events, gateway, error);
+		settings->callers, &comet_gateway_caller_events, gateway, error);
 	if (gateway->callers == NULL)
 		return false;
 	gateway->readiness = comet_front_create(gateway, gateway->ev, gateway->timers,
--- /dev/null
+++ b/libcometspindle/adapters/gateway_answer.c
@@ -0,0 +1,270 @@
+/*
+ * gateway_answer.c
+ * one request at a gateway: an endpoint's answer on its way to the caller
+ */
+#include <libcometspindle/adapters/gateway_relay.h>
+
+#include <libcometspindle/log.h>
+#include <string.h>
+#include <talloc.h>
+
+/* Plain answers up to this size are read whole before the first byte goes on, so that an endpoint
+ * that breaks off can be replaced; larger ones are passed on as they come. */
+#define PLAIN_BUFFER_BYTES (256 * 1024)
+
+/* An answer that a slow reader has not taken stops the endpoint's reading at this size. */
+#define SLOW_READER_BYTES (256 * 1024)
+
+/* Copies what is needed of an answer's head after its reader has gone on. */
+static struct comet_http_head *
+copy_head(void *parent, const struct comet_http_head *head)
+{
+	struct comet_http_head *copy = talloc_memdup(parent, head, sizeof *head);
+
+	copy->reason = talloc_strdup(copy, head->reason);
+	copy->headers = talloc_array(copy, struct comet_http_header, head->n_headers);
+	for (size_t i = 0; i < head->n_headers; i++)
+	{
+		copy->headers[i].name = talloc_strdup(copy, head->headers[i].name);
+		copy->headers[i].value = talloc_strdup(copy, head->headers[i].value);
+	}
+	return copy;
+}
+
+/* Starts the caller's answer with the endpoint's head. length < 0: not known. */
+static void
+start_answer(struct comet_relay *relay, int64_t length)
+{
+	const struct comet_http_head *head = relay->head;
+	GString *headers = g_string_sized_new(512);
+
+	for (size_t i = 0; i < head->n_headers; i++)
+	{
+		if (!comet_http_head_hop_by_hop(head, head->headers[i].name))
+			comet_http_write_header(
+				headers, head->headers[i].name, head->headers[i].value);
+	}
+	comet_front_start(relay->request, head->status, head->reason, headers->str, length);
+	g_string_free(headers, TRUE);
+	relay->started = true;
+}
+
+static void
+on_answer_head(void *ctx, const struct comet_http_head *head)
+{
+	struct comet_relay *relay = ctx;
+	const struct comet_wire_names *names = relay->gateway->names;
+	const char *load_text = comet_http_head_get(head, names->load);
+	struct comet_wire_load load;
+	uint64_t now_us = comet_timers_now_us();
+	struct comet_instance *instance =
+		comet_instances_find(relay->gateway->instances, relay->instance);
+
+	if (instance != NULL)
+		comet_instance_heard(instance, now_us);
+	if (instance != NULL && load_text != NULL && comet_wire_parse_load(load_text, &load))
+		comet_instance_told(instance, load.running + load.waiting, now_us);
+	relay->not_run = head->status == 421 || comet_http_head_get(head, names->not_run) != NULL;
+	talloc_free(relay->head);
+	relay->head = copy_head(relay, head);
+	relay->last_us = now_us;
+}
+
+/* Is this head one of a success that may be passed on? */
+static bool
+is_good(const struct comet_relay *relay)
+{
+	const struct comet_http_head *head = relay->head;
+
+	return !relay->not_run && head->status >= 200 && head->status < 300 &&
+	       comet_http_head_get(head, relay->gateway->names->stamp) != NULL;
+}
+
+static void
+hold_back(struct comet_relay *relay)
+{
+	if (relay->paused || comet_front_queued(relay->request) < SLOW_READER_BYTES)
+		return;
+	relay->paused = true;
+	comet_exchange_pause(relay->exchange, true);
+}
+
+/* Passes on the events that are whole. */
+static void
+pass_events(struct comet_relay *relay, const char *data, size_t length)
+{
+	size_t ready = comet_event_stream_add(relay->events, data, length);
+
+	if (ready == 0)
+		return;
+	if (!relay->started)
+		start_answer(relay, -1);
+	comet_front_send(relay->request, comet_event_stream_ready(relay->events), ready);
+	comet_event_stream_taken(relay->events);
+	hold_back(relay);
+}
+
+static void
+pass_plain(struct comet_relay *relay, const char *data, size_t length)
+{
+	if (relay->started)
+	{
+		comet_front_send(relay->request, data, length);
+		hold_back(relay);
+		return;
+	}
+	g_byte_array_append(relay->answer, (const guint8 *)data, (guint)length);
+	if (relay->answer->len < PLAIN_BUFFER_BYTES || relay->not_run)
+		return;
+	const char *told = comet_http_head_get(relay->head, "Content-Length");
+	start_answer(relay, told != NULL ? g_ascii_strtoll(told, NULL, 10) : -1);
+	comet_front_send(relay->request, (const char *)relay->answer->data, relay->answer->len);
+	g_byte_array_set_size(relay->answer, 0);
+	hold_back(relay);
+}
+
+static void
+on_answer_data(void *ctx, const char *data, size_t length)
+{
+	struct comet_relay *relay = ctx;
+	uint64_t now_us = comet_timers_now_us();
+
+	struct comet_instance *instance =
+		comet_instances_find(relay->gateway->instances, relay->instance);
+
+	relay->last_us = now_us;
+	if (instance != NULL)
+		comet_instance_heard(instance, now_us);
+	if (relay->first_us == 0)
+	{
+		relay->first_us = now_us;
+		if (instance != NULL)
+			comet_instance_first(relay->gateway->instances, instance, &relay->item.job,
+				now_us - relay->sent_us);
+	}
+	if (comet_relay_is_stream(relay) && is_good(relay))
+		pass_events(relay, data, length);
+	else
+		pass_plain(relay, data, length);
+}
+
+static void
+log_served(const struct comet_relay *relay, unsigned int status)
+{
+	uint64_t now_us = comet_timers_now_us();
+
+	comet_log(status < 400 ? COMET_LOG_INFO : COMET_LOG_NOTICE,
+		"event=answered request=%s status=%u endpoint=%s total_ms=%" G_GUINT64_FORMAT
+		" first_ms=%" G_GUINT64_FORMAT " events=%u attempts=%u",
+		relay->id, status, relay->instance, comet_relay_since_ms(relay->arrived_us, now_us),
+		relay->first_us != 0 ? comet_relay_since_ms(relay->sent_us, relay->first_us) : 0,
+		relay->events != NULL ? comet_event_stream_count(relay->events) : 0,
+		relay->attempts);
+}
+
+static void
+count_times(const struct comet_relay *relay)
+{
+	struct comet_gateway_times *times = &relay->gateway->times[relay->route->kind];
+
+	if (relay->first_us != 0)
+		comet_latency_add(&times->first, relay->first_us - relay->arrived_us);
+	comet_latency_add(&times->whole, comet_timers_now_us() - relay->arrived_us);
+}
+
+/* The whole answer is here and is passed on. */
+static void
+deliver(struct comet_relay *relay, enum comet_dispatch_result result)
+{
+	struct comet_front_request *request = relay->request;
+
+	if (!relay->started)
+	{
+		bool head_only = strcmp(request->head->method, "HEAD") == 0;
+		const char *told = comet_http_head_get(relay->head, "Content-Length");
+		int64_t length = head_only && told != NULL ? g_ascii_strtoll(told, NULL, 10)
+							   : (int64_t)relay->answer->len;
+		start_answer(relay, length);
+		comet_front_send(request, (const char *)relay->answer->data, relay->answer->len);
+	}
+	log_served(relay, relay->head->status);
+	count_times(relay);
+	if (result == COMET_DISPATCH_SERVED)
+		relay->gateway->counts.served++;
+	else
+		relay->gateway->counts.relayed_errors++;
+	comet_relay_end_sending(relay, result);
+	request->user = NULL;
+	comet_relay_close(relay);
+	comet_front_finish(request);
+}
+
+/* A whole answer was read. */
+static void
+answer_whole(struct comet_relay *relay)
+{
+	if (relay->not_run)
+	{
+		comet_relay_sending_refused(relay);
+		return;
+	}
+	if (is_good(relay))
+	{
+		bool torn =
+			comet_relay_is_stream(relay) && comet_event_stream_inside(relay->events);
+		if (torn)
+			comet_relay_sending_broke(relay, COMET_DISPATCH_BROKEN);
+		else
+			deliver(relay, COMET_DISPATCH_SERVED);
+		return;
+	}
+	bool stamped = comet_http_head_get(relay->head, relay->gateway->names->stamp) != NULL;
+	bool server_error = relay->head->status >= 500;
+	if (relay->started || (relay->head->status < 300 && !stamped))
+	{
+		comet_relay_sending_broke(relay, COMET_DISPATCH_BROKEN);
+		return;
+	}
+	relay->may_have_run = true;
+	/* The same endpoint would only fail again: then its answer is the best there is. */
+	if (server_error && comet_route_repeatable(relay->route) &&
+		comet_placement_has_other(relay->gateway->placement, &relay->item) &&
+		comet_relay_may_repeat(relay))
+	{
+		comet_relay_end_sending(relay, COMET_DISPATCH_ERROR);
+		comet_relay_place_again(relay, "endpoint_error");
+		return;
+	}
+	deliver(relay, server_error ? COMET_DISPATCH_ERROR : COMET_DISPATCH_SERVED);
+}
+
+static void
+on_answer_end(void *ctx, enum comet_exchange_end end)
+{
+	struct comet_relay *relay = ctx;
+
+	relay->exchange = NULL; /* frees itself */
+	switch (end)
+	{
+	case COMET_EXCHANGE_WHOLE:
+		answer_whole(relay);
+		break;
+	case COMET_EXCHANGE_BROKEN:
+		comet_relay_sending_broke(relay, COMET_DISPATCH_BROKEN);
+		break;
+	case COMET_EXCHANGE_UNREACHED:
+		comet_log(COMET_LOG_NOTICE, "event=unreached request=%s endpoint=%s", relay->id,
+			relay->instance);
+		relay->attempts--;
+		comet_relay_end_sending(relay, COMET_DISPATCH_UNREACHED);
+		if (comet_timers_now_us() < relay->end_us &&
+			relay->item.n_tried < COMET_PLACEMENT_TRIED_MAX)
+			comet_relay_place_again(relay, "unreached");
+		else
+			comet_relay_give_up(relay, 502, "unreached");
+		break;
+	}
+}
+
+const struct comet_exchange_events comet_relay_answer_events = {
+	.head = on_answer_head, .data = on_answer_data, .end = on_answer_end};
--- a/libcometspindle/adapters/gateway_private.h
+++ b/libcometspindle/adapters/gateway_private.h
@@ -76,10 +76,10 @@
 	bool over;
 };
 
-/** Handles a request of a caller (gateway_call.c). */
-extern const struct comet_front_events comet_gateway_call_events;
+/** Handles a request of a caller (gateway_relay.c). */
+extern const struct comet_front_events comet_gateway_caller_events;
 
-/** What placement asks for (gateway_call.c). */
+/** What placement asks for (gateway_send.c). */
 extern const struct comet_placement_ops comet_gateway_placement_ops;
 
 /** Answers on the readiness and control addresses (gateway_pages.c). */
--- /dev/null
+++ b/libcometspindle/adapters/gateway_relay.h
@@ -0,0 +1,91 @@
+/*
+ * gateway_relay.h
+ * one request at a gateway: what its admission, its sendings and its answer share
+ */
+#ifndef COMETSPINDLE_ADAPTERS_GATEWAY_RELAY_H
+#define COMETSPINDLE_ADAPTERS_GATEWAY_RELAY_H
+
+#include <libcometspindle/adapters/gateway_private.h>
+#include <libcometspindle/gateway/event_stream.h>
+
+/** A request from its admission to its end. */
+struct comet_relay
+{
+	struct comet_gateway *gateway;
+	struct comet_front_request *request;
+	struct comet_route_table *table;
+	const struct comet_route *route;
+	const struct comet_route_team *team; /* NULL: an open route */
+	const char *id;
+	char *service;
+	struct comet_placement_item item;
+	struct comet_exchange *exchange;
+	struct comet_event_stream *events; /* streams */
+	struct comet_timer *deadline;
+	struct comet_timer *silence;
+	char *instance; /* id of where it is now */
+	GByteArray *answer;
+	struct comet_http_head *head; /* copy of the answer's head, or NULL */
+	uint64_t charge;
+	uint64_t arrived_us;
+	uint64_t end_us; /* the caller waits no longer */
+	uint64_t sent_us;
+	uint64_t first_us; /* first byte of a body; 0: none yet */
+	uint64_t last_us;  /* last byte of a body */
+	uint64_t silent_after_us;
+	uint32_t attempts;    /* sendings that may have reached an endpoint */
+	uint32_t first_count; /* events when this sending began */
+	bool may_have_run;
+	bool not_run;  /* the answer being read says that it was not run */
+	bool started;  /* the answer's head is on its way to the caller */
+	bool resuming; /* this sending goes on with a stream that was cut */
+	bool paused;
+};
+
+bool
+comet_relay_is_stream(const struct comet_relay *relay);
+
+/** Milliseconds between two times. */
+uint64_t
+comet_relay_since_ms(uint64_t then_us, uint64_t now_us);
+
+/** Ends what is under way at an endpoint, and tells what became of it. */
+void
+comet_relay_end_sending(struct comet_relay *relay, enum comet_dispatch_result result);
+
+/** The request is over: frees the call. The caller has its answer, or is gone. */
+void
+comet_relay_close(struct comet_relay *relay);
+
+/** Answers that it was not run, or, if it may have been, that nobody knows. Frees the call. */
+void
+comet_relay_refuse(struct comet_relay *relay, const char *reason, uint32_t retry_after_ms);
+
+/** The answer cannot be finished, which the caller must see. Frees the call. */
+void
+comet_relay_cut(struct comet_relay *relay, const char *reason);
+
+/** Ends it with what is true: cut, not run, or status if it may have run. Frees the call. */
+void
+comet_relay_give_up(struct comet_relay *relay, unsigned int status, const char *reason);
+
+/** May it be sent once more? Takes from the retry budget. */
+bool
+comet_relay_may_repeat(struct comet_relay *relay);
+
+/** Places it again. */
+void
+comet_relay_place_again(struct comet_relay *relay, const char *reason);
+
+/** A sending failed in a way that may have run it: repeats, resumes or gives up. */
+void
+comet_relay_sending_broke(struct comet_relay *relay, enum comet_dispatch_result result);
+
+/** The endpoint said that it has not run it. */
+void
+comet_relay_sending_refused(struct comet_relay *relay);
+
+/** What an endpoint's answer is handed to (gateway_answer.c). */
+extern const struct comet_exchange_events comet_relay_answer_events;
+
+#endif
--- /dev/null
+++ b/libcometspindle/adapters/gateway_send.c
@@ -0,0 +1,243 @@
+/*
+ * gateway_send.c
+ * one request at a gateway: its sendings to endpoints
+ */
+#include <libcometspindle/adapters/gateway_relay.h>
+
+#include <libcometspindle/log.h>
+#include <string.h>
+#include <strings.h>
+#include <talloc.h>
+
+/* An endpoint is silent after so many times its expected time, and at least the time below: a
+ * lost packet is repeated within a quarter of a second. */
+#define SILENT_FACTOR 4
+#define SILENT_MIN_US 600000
+
+/* May this request be sent once more, after it may have run? */
+bool
+comet_relay_may_repeat(struct comet_relay *relay)
+{
+	struct comet_gateway *gateway = relay->gateway;
+	uint64_t now_us = comet_timers_now_us();
+
+	if (relay->may_have_run && !comet_route_repeatable(relay->route))
+		return false;
+	if (relay->attempts >= MAX(relay->route->max_attempts, 1) || now_us >= relay->end_us)
+		return false;
+	if (relay->attempts == 0)
+		return true;
+	return comet_retry_budget_take(gateway->retries, relay->service, now_us);
+}
+
+/* Places the request again. */
+void
+comet_relay_place_again(struct comet_relay *relay, const char *reason)
+{
+	struct comet_gateway *gateway = relay->gateway;
+	uint64_t now_us = comet_timers_now_us();
+
+	gateway->counts.repeated++;
+	comet_log(COMET_LOG_INFO, "event=repeated request=%s reason=%s attempts=%u", relay->id,
+		reason, relay->attempts);
+	if (relay->answer != NULL)
+		g_byte_array_set_size(relay->answer, 0);
+	if (!comet_placement_has_other(gateway->placement, &relay->item))
+		relay->item.n_tried = 0; /* the only one there is may take it again */
+	relay->item.latest_us = MAX(relay->item.latest_us, now_us + (relay->end_us - now_us) / 2);
+	comet_placement_submit(gateway->placement, &relay->item, now_us);
+}
+
+static bool
+header_is_ours(const struct comet_wire_names *names, const char *name)
+{
+	return strcasecmp(name, names->deadline_ms) == 0 || strcasecmp(name, names->team) == 0 ||
+	       strcasecmp(name, names->expect_instance) == 0;
+}
+
+/* Writes the request as the endpoint is to get it. */
+static GString *
+write_request(struct comet_relay *relay, const struct comet_instance *instance, uint64_t now_us)
+{
+	const struct comet_wire_names *names = relay->gateway->names;
+	const struct comet_http_head *head = relay->request->head;
+	const GByteArray *body = relay->request->body;
+	const char *last_id = relay->resuming ? comet_event_stream_last_id(relay->events) : NULL;
+	GString *out = g_string_sized_new(1024 + body->len);
+
+	g_string_append_printf(out, "%s %s HTTP/1.1\r\n", head->method, head->target);
+	for (size_t i = 0; i < head->n_headers; i++)
+	{
+		const char *name = head->headers[i].name;
+		if (header_is_ours(names, name) || comet_http_head_hop_by_hop(head, name) ||
+			(relay->team != NULL && strcasecmp(name, names->authorization) == 0) ||
+			(last_id != NULL && strcasecmp(name, names->last_event) == 0))
+			continue;
+		comet_http_write_header(out, name, head->headers[i].value);
+	}
+	g_string_append_printf(out, "%s: %" G_GUINT64_FORMAT "\r\n", names->deadline_ms,
+		MAX((relay->end_us - now_us) / 1000, 1));
+	comet_http_write_header(out, names->expect_instance, instance->id);
+	if (relay->team != NULL)
+		comet_http_write_header(out, names->team, relay->team->name);
+	if (last_id != NULL)
+		comet_http_write_header(out, names->last_event, last_id);
+	if (body->len > 0 || head->has_body)
+		g_string_append_printf(out, "Content-Length: %u\r\n", body->len);
+	g_string_append(out, "\r\n");
+	g_string_append_len(out, (const char *)body->data, body->len);
+	return out;
+}
+
+/* No word for longer than there should be. */
+static void
+on_silence(void *ctx)
+{
+	struct comet_relay *relay = ctx;
+	uint64_t now_us = comet_timers_now_us();
+	uint64_t last_us = MAX(relay->sent_us, relay->last_us);
+
+	relay->silence = NULL;
+	if (now_us - last_us < relay->silent_after_us)
+	{
+		relay->silence = comet_timers_add(relay->gateway->timers, relay,
+			relay->silent_after_us - (now_us - last_us), on_silence, relay);
+		return;
+	}
+	struct comet_instance *instance =
+		comet_instances_find(relay->gateway->instances, relay->instance);
+	bool doubted = instance != NULL && comet_instance_doubt(instance, last_us, now_us);
+	comet_log(COMET_LOG_NOTICE,
+		"event=silent request=%s endpoint=%s silent_ms=%" G_GUINT64_FORMAT " doubted=%d",
+		relay->id, relay->instance, comet_relay_since_ms(last_us, now_us), doubted);
+	if (relay->paused || !comet_route_repeatable(relay->route) ||
+		!comet_relay_may_repeat(relay))
+		return; /* all that is left is to wait */
+	relay->may_have_run = true;
+	comet_relay_end_sending(relay, COMET_DISPATCH_SILENT);
+	relay->resuming = relay->started;
+	comet_relay_place_again(relay, "silent");
+}
+
+static void
+watch_silence(struct comet_relay *relay, const struct comet_instance *instance, uint64_t now_us)
+{
+	uint64_t first_us = 0;
+	uint64_t whole_us = 0;
+
+	comet_instance_expect(relay->gateway->instances, instance, &relay->item.job, now_us,
+		&first_us, &whole_us);
+	relay->silent_after_us = MAX(SILENT_FACTOR * first_us, SILENT_MIN_US);
+	relay->silence = comet_timers_add(
+		relay->gateway->timers, relay, relay->silent_after_us, on_silence, relay);
+}
+
+/* A sending failed in a way that may have run the request. */
+void
+comet_relay_sending_broke(struct comet_relay *relay, enum comet_dispatch_result result)
+{
+	relay->may_have_run = true;
+	comet_log(COMET_LOG_NOTICE,
+		"event=sending_failed request=%s endpoint=%s result=%s events=%u", relay->id,
+		relay->instance, comet_dispatch_result_name(result),
+		relay->events != NULL ? comet_event_stream_count(relay->events) : 0);
+	comet_relay_end_sending(relay, result);
+	if (relay->started && (!comet_relay_is_stream(relay) ||
+				      comet_event_stream_last_id(relay->events) == NULL))
+	{
+		comet_relay_cut(relay, "endpoint_broke");
+		return;
+	}
+	if (!comet_relay_may_repeat(relay))
+	{
+		comet_relay_give_up(relay, 502, "endpoint_broke");
+		return;
+	}
+	relay->resuming = relay->started;
+	if (relay->events != NULL)
+		comet_event_stream_restart(relay->events);
+	comet_relay_place_again(relay, "endpoint_broke");
+}
+
+/* The endpoint said that it has not run it. */
+void
+comet_relay_sending_refused(struct comet_relay *relay)
+{
+	bool wrong = relay->head->status == 421;
+	const char *told = comet_http_head_get(relay->head, "Retry-After");
+	uint32_t retry_after_ms = told != NULL ? (uint32_t)(g_ascii_strtod(told, NULL) * 1000) : 0;
+
+	comet_log(COMET_LOG_INFO, "event=endpoint_refused request=%s endpoint=%s status=%u",
+		relay->id, relay->instance, relay->head->status);
+	comet_relay_end_sending(relay, wrong ? COMET_DISPATCH_WRONG : COMET_DISPATCH_REFUSED);
+	if (comet_relay_may_repeat(relay))
+		comet_relay_place_again(relay, wrong ? "wrong_instance" : "endpoint_full");
+	else if (relay->started)
+		comet_relay_cut(relay, "endpoint_full");
+	else
+		comet_relay_refuse(relay, "endpoint_full", MAX(retry_after_ms, 200));
+}
+
+/* Placement has chosen: sends the request. */
+static void
+on_dispatch(void *ctx, struct comet_placement_item *item, struct comet_instance *instance)
+{
+	struct comet_gateway *gateway = ctx;
+	struct comet_relay *relay = item->owner;
+	const struct comet_placement_reason *reason = comet_placement_reason(gateway->placement);
+	uint64_t now_us = comet_timers_now_us();
+	GString *bytes = write_request(relay, instance, now_us);
+	struct comet_exchange_request sending = {
+		.instance = instance->id,
+		.address = instance->address,
+		.bytes = bytes->str,
+		.length = bytes->len,
+		.id_header = gateway->names->request_id,
+		.id = relay->id,
+		.head_only = strcmp(relay->request->head->method, "HEAD") == 0,
+	};
+
+	comet_log(COMET_LOG_INFO,
+		"event=sent request=%s endpoint=%s load=%u slots=%u candidates=%u with_room=%u "
+		"waited_ms=%" G_GUINT64_FORMAT " expect_first_ms=%" G_GUINT64_FORMAT
+		" view_age_ms=%" G_GUINT64_FORMAT " pace=%.2f attempt=%u",
+		relay->id, instance->id, reason->load, reason->slots, reason->candidates,
+		reason->with_room, reason->waited_us / 1000, reason->first_us / 1000,
+		reason->view_age_us / 1000, instance->pace, relay->attempts + 1);
+	if (relay->attempts == 0)
+		comet_latency_add(
+			&gateway->times[relay->route->kind].waited, now_us - relay->arrived_us);
+	if (relay->attempts == 0)
+		comet_retry_budget_first(gateway->retries, relay->service, now_us);
+	if (relay->resuming)
+		gateway->counts.resumed++;
+	gateway->counts.dispatched++;
+	relay->attempts++;
+	relay->not_run = false;
+	relay->paused = false;
+	relay->sent_us = now_us;
+	relay->first_us = 0;
+	relay->last_us = 0;
+	relay->first_count = relay->events != NULL ? comet_event_stream_count(relay->events) : 0;
+	relay->instance = talloc_strdup(relay, instance->id);
+	comet_instance_started(instance, &item->job);
+	relay->exchange = comet_upstream_send(
+		gateway->upstream, relay, &sending, &comet_relay_answer_events, relay);
+	watch_silence(relay, instance, now_us);
+	g_string_free(bytes, TRUE);
+}
+
+static void
+on_refuse(void *ctx, struct comet_placement_item *item, uint32_t retry_after_ms)
+{
+	struct comet_relay *relay = item->owner;
+
+	(void)ctx;
+	if (relay->started)
+		comet_relay_cut(relay, "no_endpoint");
+	else
+		comet_relay_refuse(relay, "no_room", retry_after_ms);
+}
+
+const struct comet_placement_ops comet_gateway_placement_ops = {
+	.dispatch = on_dispatch, .refuse = on_refuse};
