--- a/libcometspindle/adapters/gateway_relay.c
+++ b/libcometspindle/adapters/gateway_relay.c
@@ -250,7 +250,7 @@
 	relay->item.early_us = relay->arrived_us + (uint64_t)route->aim_ms * 1000 / EARLY_PART;
 }
 
-/* Hands the call to placement. */
+/* Hands the request to placement. */
 static void
 place(struct comet_relay *relay, uint64_t now_us)
 {
@@ -273,7 +273,7 @@
 	comet_placement_submit(gateway->placement, item, now_us);
 }
 
-/* Checks key and limit. @return false when the call was answered. */
+/* Checks key and limit. @return false when it was answered. */
 static bool
 admit_team(struct comet_relay *relay, uint64_t now_us)
 {
@@ -302,7 +302,7 @@
 	return false;
 }
 
-/* Finds the route of a request. @return false when the call was answered. */
+/* Finds the route of a request. @return false when it was answered. */
 static bool
 find_route(struct comet_relay *relay)
 {
--- a/libcometspindle/adapters/gateway_relay.h
+++ b/libcometspindle/adapters/gateway_relay.h
@@ -53,19 +53,19 @@
 void
 comet_relay_end_sending(struct comet_relay *relay, enum comet_dispatch_result result);
 
-/** The request is over: frees the call. The caller has its answer, or is gone. */
+/** The request is over: frees it. The caller has its answer, or is gone. */
 void
 comet_relay_close(struct comet_relay *relay);
 
-/** Answers that it was not run, or, if it may have been, that nobody knows. Frees the call. */
+/** Answers that it was not run, or, if it may have been, that nobody knows. Frees it. */
 void
 comet_relay_refuse(struct comet_relay *relay, const char *reason, uint32_t retry_after_ms);
 
-/** The answer cannot be finished, which the caller must see. Frees the call. */
+/** The answer cannot be finished, which the caller must see. Frees it. */
 void
 comet_relay_cut(struct comet_relay *relay, const char *reason);
 
-/** Ends it with what is true: cut, not run, or status if it may have run. Frees the call. */
+/** Ends it with what is true: cut, not run, or status if it may have run. Frees it. */
 void
 comet_relay_give_up(struct comet_relay *relay, unsigned int status, const char *reason);
 
