--- a/libcometspindle/adapters/gateway.c
+++ b/libcometspindle/adapters/gateway.c
@@ -51,16 +51,6 @@
 /* Most seeds that a settings file names usefully. */
 #define SEEDS_MAX 16
 
-uint32_t
-comet_gateway_draw(struct comet_gateway *gateway)
-{
-	/* xorshift64*: draws need not be secret, only spread. */
-	gateway->random ^= gateway->random >> 12;
-	gateway->random ^= gateway->random << 25;
-	gateway->random ^= gateway->random >> 27;
-	return (uint32_t)(gateway->random * 0x2545F4914F6CDD1DULL >> 32);
-}
-
 static void
 log_team(void *ctx, const struct comet_route_team *team)
 {
@@ -492,7 +482,7 @@
 		comet_allowance_create(gateway, &settings->allowance, comet_timers_now_us());
 	gateway->retries = comet_retry_budget_create(gateway, &settings->retries);
 	gateway->placement = comet_placement_create(gateway, gateway->instances, settings->zone,
-		&comet_gateway_placement_ops, gateway, gateway->random);
+		&comet_gateway_placement_ops, gateway, comet_draw_u32(&gateway->draw));
 }
 
 struct comet_gateway *
@@ -500,13 +490,15 @@
 	const struct comet_gateway_port *port, GError **error)
 {
 	struct comet_gateway *gateway = talloc_zero(NULL, struct comet_gateway);
+	uint64_t seed = 0;
 
 	gateway->settings = settings;
 	gateway->settings_path = settings_path;
 	gateway->names = port->names;
 	gateway->copied = g_byte_array_new();
 	gateway->began_us = comet_timers_now_us();
-	randombytes_buf(&gateway->random, sizeof gateway->random);
+	randombytes_buf(&seed, sizeof seed);
+	comet_draw_init(&gateway->draw, seed);
 	gateway->ev = tevent_context_init(gateway);
 	gateway->timers = comet_timers_create(gateway, gateway->ev);
 	if (gateway->timers == NULL)
--- a/libcometspindle/adapters/gateway_private.h
+++ b/libcometspindle/adapters/gateway_private.h
@@ -8,6 +8,7 @@
 #include <libcometspindle/adapters/front.h>
 #include <libcometspindle/adapters/gateway.h>
 #include <libcometspindle/adapters/view_link.h>
+#include <libcometspindle/draw.h>
 #include <libcometspindle/gateway/placement.h>
 #include <libcometspindle/gateway/views.h>
 #include <libcometspindle/latency.h>
@@ -61,7 +62,7 @@
 	struct comet_gateway_counts counts;
 	struct comet_gateway_times times[COMET_ROUTE_KINDS];
 	uint32_t calls; /**< requests that are open */
-	uint64_t random;
+	struct comet_draw draw;
 	uint64_t began_us;
 	uint64_t found_us;              /**< when another VM was last heard of for the first time */
 	uint32_t known_vms;             /**< most VMs known at a time, with this one */
@@ -90,8 +91,4 @@
 const char *
 comet_gateway_not_ready(const struct comet_gateway *gateway);
 
-/** A draw in [0, 2^32). */
-uint32_t
-comet_gateway_draw(struct comet_gateway *gateway);
-
 #endif
--- a/libcometspindle/adapters/gateway_relay.c
+++ b/libcometspindle/adapters/gateway_relay.c
@@ -359,7 +359,7 @@
 		return;
 	read_times(relay);
 	relay->service = talloc_strdup(
-		relay, comet_route_pick_service(relay->route, comet_gateway_draw(gateway)));
+		relay, comet_route_pick_service(relay->route, comet_draw_u32(&gateway->draw)));
 	comet_log(COMET_LOG_INFO,
 		"event=admitted request=%s route=%s service=%s team=%s prompt=%u output=%u most=%u "
 		"version=%" G_GUINT64_FORMAT,
--- a/libcometspindle/gateway/placement.c
+++ b/libcometspindle/gateway/placement.c
@@ -4,6 +4,7 @@
  */
 #include <libcometspindle/gateway/placement.h>
 
+#include <libcometspindle/draw.h>
 #include <string.h>
 #include <talloc.h>
 
@@ -62,7 +63,7 @@
 	void *ctx;
 	GHashTable *queues; /* service -> struct queue */
 	struct comet_placement_reason reason;
-	uint64_t random; /* state of the draws below */
+	struct comet_draw draw;
 	uint64_t next_order;
 	bool running;
 	bool again;
@@ -93,7 +94,7 @@
 
 	placement->instances = instances;
 	placement->own_zone = talloc_strdup(placement, own_zone);
-	placement->random = seed != 0 ? seed : 1;
+	comet_draw_init(&placement->draw, seed);
 	placement->ops = ops;
 	placement->ctx = ctx;
 	placement->queues = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_queue);
@@ -168,16 +169,6 @@
 	return item->repeatable || now_us - instance->avoid_us > TRIAL_PATIENCE_US;
 }
 
-/* A draw in [0, 1). */
-static double
-draw(struct comet_placement *placement)
-{
-	placement->random ^= placement->random >> 12;
-	placement->random ^= placement->random << 25;
-	placement->random ^= placement->random >> 27;
-	return (double)(placement->random * 0x2545F4914F6CDD1DULL >> 11) / (double)(1ULL << 53);
-}
-
 /* What sending it there costs: the time until the answer begins, and part of what it takes. */
 static double
 cost_of(struct comet_placement *placement, const struct comet_placement_item *item,
@@ -199,7 +190,7 @@
 	double end = (double)now_us + wait + LENGTH_DOUBT * (double)reason->whole_us;
 	if (item->end_us != 0 && end > (double)item->end_us)
 		cost += LATE_WEIGHT * (end - (double)item->end_us);
-	return cost * (1 + SPREAD * draw(placement));
+	return cost * (1 + SPREAD * comet_draw_unit(&placement->draw));
 }
 
 /* The cheapest instance with room, or NULL. candidates: any that could ever take it. */
