Copies of the directory are asked of any VM that knows more, and seldom

Every VM that was still reading its list asked the one with the highest revision for a copy of 1.2 MB. Change: the one to ask is drawn among all that know more; while the directory itself answers, its word is waited for 1.5 s instead of 0.4; eight copies at a time.

--- a/libcometspindle/adapters/gateway.c
+++ b/libcometspindle/adapters/gateway.c
@@ -34,8 +34,11 @@
 	.idle_timeout_ms = IDLE_TIMEOUT_MS,
 };
 
-/* Another VM may be ahead for this long: our own read of the same change is under way. */
+/* Another VM may be ahead for this long: our own read of the same change is under way. While the
+ * directory answers us, its own word is waited for much longer: after a start of all VMs, hundreds
+ * would else ask each other for what each is just reading. */
 #define BEHIND_US 400000
+#define BEHIND_ANSWERED_US 1500000
 
 /* A copy of the directory from another VM is waited for so long: a connect and an answer. */
 #define COPY_TIMEOUT_US 1000000
@@ -150,7 +153,9 @@
 static void
 on_dependency(void *ctx, bool there, const char *why)
 {
-	(void)ctx;
+	struct comet_gateway *gateway = ctx;
+
+	gateway->directory_lost = !there;
 	comet_log(there ? COMET_LOG_NOTICE : COMET_LOG_WARNING, "event=directory_%s reason=%s",
 		there ? "regained" : "lost", why);
 }
@@ -271,7 +276,9 @@
 static void
 copy_from_peer(struct comet_gateway *gateway, uint64_t now_us)
 {
-	uint32_t vm = comet_views_newer(gateway->views, gateway->revision);
+	uint32_t vm = comet_views_newer(
+		gateway->views, gateway->revision, comet_draw_u32(&gateway->draw));
+	uint64_t patience_us = gateway->directory_lost ? BEHIND_US : BEHIND_ANSWERED_US;
 
 	if (vm == 0)
 	{
@@ -280,7 +287,7 @@
 	}
 	if (gateway->behind_us == 0)
 		gateway->behind_us = now_us;
-	if (gateway->copying != NULL || now_us - gateway->behind_us < BEHIND_US)
+	if (gateway->copying != NULL || now_us - gateway->behind_us < patience_us)
 		return;
 	gateway->behind_us = now_us;
 	ask_copy(gateway, vm);
--- a/libcometspindle/adapters/gateway_pages.c
+++ b/libcometspindle/adapters/gateway_pages.c
@@ -6,6 +6,9 @@
 
 #include <string.h>
 
+/* Copies that are handed out at a time: each may be a megabyte, and another VM can be asked. */
+#define COPIES_MAX 8
+
 /* Other VMs ask here for a copy of what the directory says. */
 #define COPY_PATH "/v1/directory"
 #define METRICS_PATH "/metrics"
@@ -138,7 +141,9 @@
 static void
 answer_copy(struct comet_gateway *gateway, struct comet_front_request *request)
 {
-	GBytes *copy = gateway->directory->ops->snapshot(gateway->directory);
+	GBytes *copy = comet_front_counts(gateway->control)->connections > COPIES_MAX
+			       ? NULL
+			       : gateway->directory->ops->snapshot(gateway->directory);
 	gsize length = 0;
 
 	if (copy == NULL)
--- a/libcometspindle/adapters/gateway_private.h
+++ b/libcometspindle/adapters/gateway_private.h
@@ -72,8 +72,9 @@
 	uint64_t behind_us; /**< since when another VM has read more; 0: none has */
 	uint64_t revision;  /**< of the directory, as far as read */
 	GByteArray *copied;
-	bool listed;   /**< the endpoints have been told once */
-	bool refusing; /**< a stop has come so far that nothing new is begun */
+	bool directory_lost; /**< its last answer failed */
+	bool listed;         /**< the endpoints have been told once */
+	bool refusing;       /**< a stop has come so far that nothing new is begun */
 	bool over;
 };
 
--- a/libcometspindle/gateway/views.c
+++ b/libcometspindle/gateway/views.c
@@ -528,19 +528,29 @@
 }
 
 uint32_t
-comet_views_newer(const struct comet_views *views, uint64_t revision)
+comet_views_newer(const struct comet_views *views, uint64_t revision, uint32_t draw)
 {
 	GHashTableIter at;
 	gpointer value = NULL;
-	const struct peer *best = NULL;
+	uint32_t newer = 0;
+	uint32_t chosen = 0;
 
 	g_hash_table_iter_init(&at, views->peers);
 	while (g_hash_table_iter_next(&at, NULL, &value))
 	{
 		const struct peer *peer = value;
-		if (!peer->silent && peer->revision > revision &&
-			(best == NULL || peer->revision > best->revision))
-			best = peer;
+		newer += !peer->silent && peer->revision > revision ? 1 : 0;
 	}
-	return best != NULL ? best->address : 0;
+	uint32_t skip = newer > 0 ? draw % newer : 0;
+	g_hash_table_iter_init(&at, views->peers);
+	while (newer > 0 && chosen == 0 && g_hash_table_iter_next(&at, NULL, &value))
+	{
+		const struct peer *peer = value;
+		if (peer->silent || peer->revision <= revision)
+			continue;
+		if (skip == 0)
+			chosen = peer->address;
+		skip--;
+	}
+	return chosen;
 }
--- a/libcometspindle/gateway/views.h
+++ b/libcometspindle/gateway/views.h
@@ -72,8 +72,8 @@
 uint64_t
 comet_views_interval_us(const struct comet_views *views);
 
-/** @return a VM whose directory is newer than revision, or 0. */
+/** @return one of the VMs whose directory is newer than revision, chosen by draw; or 0. */
 uint32_t
-comet_views_newer(const struct comet_views *views, uint64_t revision);
+comet_views_newer(const struct comet_views *views, uint64_t revision, uint32_t draw);
 
 #endif
--- a/scripts/bench_policy.py
+++ b/scripts/bench_policy.py
@@ -67,7 +67,7 @@
         if "event=refuse" not in line and "event=dispatch" not in line:
             continue
         fields = dict(FIELD.findall(line))
-        clock = line.split(">", 1)[1].split(" ", 1)[0]
+        clock = fields["ts"]
         at = (int(clock[11:13]) * 60 + int(clock[14:16])) * 60 + float(clock[17:-1])
         if fields.get("code") == "shed":
             sheds.append((at, int(fields["tier"])))
--- a/tests/unit/test_gateway_placement.cc
+++ b/tests/unit/test_gateway_placement.cc
@@ -483,6 +483,24 @@
 	EXPECT_EQ(heard, 2U);
 }
 
+/* Found by a sweep of 300 VMs: after a start of all, each asked the same one for a copy. */
+TEST(Views, VmsThatKnowMoreAreChosenInTurn)
+{
+	vms fleet(4);
+	uint64_t now_us = 1000000;
+	std::map<uint32_t, int> chosen;
+
+	for (uint32_t vm = 2; vm <= 4; vm++)
+		comet_views_set_revision(fleet.all[vm].views, vm);
+	for (int i = 0; i < 40; i++, now_us += 50000)
+		fleet.step(now_us);
+	for (uint32_t draw = 0; draw < 300; draw++)
+		chosen[comet_views_newer(fleet.all[1].views, 2, draw)]++;
+	EXPECT_EQ(chosen[3], 150);
+	EXPECT_EQ(chosen[4], 150);
+	EXPECT_EQ(comet_views_newer(fleet.all[1].views, 4, 1), 0U);
+}
+
 TEST(Views, GarbageIsRefused)
 {
 	vms fleet(1);
