One reader of small documents, and what the last read of the code found

Cause: the last read of the whole change found a copy of the directory from another VM collected without a bound and without a look at its status, beside the store's client that has both; a port and its getter that nothing used; the same look-up of a relay's endpoint and of a team's account four times; bounds of callers described by two types; the text of an address made twice; the program's name told to the log again on a reload.

--- /dev/null
+++ b/libcometspindle/adapters/fetch.c
@@ -0,0 +1,119 @@
+/*
+ * fetch.c
+ * one small document read from another process: a GET, bounded in size and time
+ */
+#include <libcometspindle/adapters/fetch.h>
+
+#include <glib.h>
+#include <string.h>
+#include <talloc.h>
+
+/* Largest document: a page of a directory is at most about a megabyte of values, in base64; a copy
+ * of a whole one for 3,000 endpoints is a little smaller. */
+#define BYTES_MAX (4 * 1024 * 1024)
+
+struct comet_fetch
+{
+	struct comet_exchange *exchange;
+	struct comet_timer *timer;
+	GByteArray *body;
+	comet_fetch_handler handler;
+	void *ctx;
+	unsigned int status;
+	bool too_large;
+};
+
+static int
+fetch_destroy(struct comet_fetch *fetch)
+{
+	g_byte_array_free(fetch->body, TRUE);
+	return 0;
+}
+
+/* Hands over the answer, or why there is none. */
+static void
+finish(struct comet_fetch *fetch, const char *failure)
+{
+	struct comet_fetch_answer answer = {
+		.failure = failure,
+		.status = fetch->status,
+		.body = (const char *)fetch->body->data,
+		.length = fetch->body->len,
+	};
+
+	fetch->handler(fetch->ctx, &answer);
+	talloc_free(fetch);
+}
+
+static void
+on_head(void *ctx, const struct comet_http_head *head)
+{
+	struct comet_fetch *fetch = ctx;
+
+	fetch->status = head->status;
+}
+
+static void
+on_data(void *ctx, const char *data, size_t length)
+{
+	struct comet_fetch *fetch = ctx;
+
+	if (fetch->body->len + length > BYTES_MAX)
+		fetch->too_large = true;
+	else
+		g_byte_array_append(fetch->body, (const guint8 *)data, (guint)length);
+}
+
+static void
+on_end(void *ctx, enum comet_exchange_end end)
+{
+	struct comet_fetch *fetch = ctx;
+
+	fetch->exchange = NULL; /* frees itself after this */
+	comet_timer_cancel(&fetch->timer);
+	if (end == COMET_EXCHANGE_UNREACHED)
+		finish(fetch, "unreached");
+	else if (end != COMET_EXCHANGE_WHOLE)
+		finish(fetch, "broken");
+	else if (fetch->too_large)
+		finish(fetch, "too_large");
+	else
+		finish(fetch, NULL);
+}
+
+static const struct comet_exchange_events exchange_events = {
+	.head = on_head, .data = on_data, .end = on_end};
+
+static void
+on_timeout(void *ctx)
+{
+	struct comet_fetch *fetch = ctx;
+
+	fetch->timer = NULL;
+	TALLOC_FREE(fetch->exchange);
+	finish(fetch, "timeout");
+}
+
+struct comet_fetch *
+comet_fetch_start(void *parent, struct comet_upstream *upstream, struct comet_timers *timers,
+	const struct comet_fetch_request *request, comet_fetch_handler handler, void *ctx)
+{
+	struct comet_fetch *fetch = talloc_zero(parent, struct comet_fetch);
+	char *bytes = g_strdup_printf(
+		"GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", request->target, request->address);
+	struct comet_exchange_request sending = {
+		.instance = request->address,
+		.address = request->address,
+		.bytes = bytes,
+		.length = strlen(bytes),
+	};
+
+	fetch->handler = handler;
+	fetch->ctx = ctx;
+	fetch->body = g_byte_array_new();
+	talloc_set_destructor(fetch, fetch_destroy);
+	fetch->exchange = comet_upstream_send(upstream, fetch, &sending, &exchange_events, fetch);
+	fetch->timer = comet_timers_add(timers, fetch, request->timeout_us, on_timeout, fetch);
+	g_free(bytes);
+	return fetch;
+}
--- /dev/null
+++ b/libcometspindle/adapters/fetch.h
@@ -0,0 +1,40 @@
+/*
+ * fetch.h
+ * one small document read from another process: a GET, bounded in size and time
+ */
+#ifndef COMETSPINDLE_ADAPTERS_FETCH_H
+#define COMETSPINDLE_ADAPTERS_FETCH_H
+
+#include <libcometspindle/adapters/timers.h>
+#include <libcometspindle/adapters/upstream.h>
+#include <stddef.h>
+#include <stdint.h>
+
+/** Where to ask and for what; copied. */
+struct comet_fetch_request
+{
+	const char *address; /**< "a.b.c.d:port" */
+	const char *target;  /**< path and query */
+	uint64_t timeout_us; /**< until the whole answer must be there */
+};
+
+/** What came of it. */
+struct comet_fetch_answer
+{
+	const char *failure; /**< NULL: there is a whole answer; else a stable code */
+	unsigned int status;
+	const char *body;
+	size_t length;
+};
+
+/** Called once, later, never from within the call that starts it. */
+typedef void (*comet_fetch_handler)(void *ctx, const struct comet_fetch_answer *answer);
+
+struct comet_fetch;
+
+/** Starts reading; freed after the handler was called. Free to cancel. */
+struct comet_fetch *
+comet_fetch_start(void *parent, struct comet_upstream *upstream, struct comet_timers *timers,
+	const struct comet_fetch_request *request, comet_fetch_handler handler, void *ctx);
+
+#endif
--- a/libcometspindle/adapters/front.c
+++ b/libcometspindle/adapters/front.c
@@ -43,10 +43,9 @@
 	struct comet_timer *accept_again;
 	const struct comet_front_events *events;
 	void *ctx;
-	struct comet_front_limits limits;
+	struct comet_http_limits limits;
 	struct comet_front_counts counts;
 	GHashTable *connections;
-	uint16_t port;
 	int fd;
 	bool closing;
 };
@@ -364,7 +363,6 @@
 	const char *address, const struct comet_front_events *events, void *ctx, GError **error)
 {
 	struct sockaddr_in at;
-	socklen_t length = sizeof at;
 
 	if (!comet_socket_parse_address(address, &at))
 	{
@@ -373,7 +371,7 @@
 		return NULL;
 	}
 	int fd = comet_socket_listen(&at);
-	if (fd < 0 || getsockname(fd, (struct sockaddr *)&at, &length) != 0)
+	if (fd < 0)
 	{
 		g_set_error(error, COMET_ERROR, COMET_ERROR_IO, "cannot listen on %s: %s", address,
 			g_strerror(errno));
@@ -385,7 +383,6 @@
 	front->events = events;
 	front->ctx = ctx;
 	front->fd = fd;
-	front->port = ntohs(at.sin_port);
 	front->connections = g_hash_table_new(NULL, NULL);
 	front->listener = tevent_add_fd(ev, front, fd, TEVENT_FD_READ, on_acceptable, front);
 	talloc_set_destructor(front, front_destroy);
@@ -393,7 +390,7 @@
 }
 
 void
-comet_front_set_limits(struct comet_front *front, const struct comet_front_limits *limits)
+comet_front_set_limits(struct comet_front *front, const struct comet_http_limits *limits)
 {
 	GHashTableIter at;
 	gpointer connection = NULL;
@@ -405,12 +402,6 @@
 			((struct connection *)connection)->reader, limits->header_bytes);
 }
 
-uint16_t
-comet_front_port(const struct comet_front *front)
-{
-	return front->port;
-}
-
 void
 comet_front_set_closing(struct comet_front *front)
 {
--- a/libcometspindle/adapters/front.h
+++ b/libcometspindle/adapters/front.h
@@ -12,19 +12,11 @@
 
 #include <libcometspindle/adapters/http_reader.h>
 #include <libcometspindle/adapters/timers.h>
+#include <libcometspindle/http_limits.h>
 #include <stdbool.h>
 #include <stdint.h>
 #include <tevent.h>
 
-/** Bounds of what a caller may send and how long it may take. */
-struct comet_front_limits
-{
-	uint32_t header_bytes;
-	uint32_t body_bytes;
-	uint32_t header_timeout_ms; /**< from a request's first byte to the end of its head */
-	uint32_t idle_timeout_ms;   /**< without a byte, between and inside requests */
-};
-
 /** A request that has been read in full. Owned by the front. */
 struct comet_front_request
 {
@@ -62,11 +54,7 @@
 	const char *address, const struct comet_front_events *events, void *ctx, GError **error);
 
 void
-comet_front_set_limits(struct comet_front *front, const struct comet_front_limits *limits);
-
-/** The port that is listened on. */
-uint16_t
-comet_front_port(const struct comet_front *front);
+comet_front_set_limits(struct comet_front *front, const struct comet_http_limits *limits);
 
 /** From now on answers ask callers to close, and idle connections end with their next answer. */
 void
--- a/libcometspindle/adapters/gateway.c
+++ b/libcometspindle/adapters/gateway.c
@@ -4,7 +4,6 @@
  */
 #include <libcometspindle/adapters/gateway_private.h>
 
-#include <arpa/inet.h>
 #include <libcometspindle/adapters/socket.h>
 #include <libcometspindle/error.h>
 #include <libcometspindle/log.h>
@@ -27,22 +26,13 @@
 #define IDLE_TIMEOUT_MS 20000
 
 /* Bounds before the first routing document is read. */
-static const struct comet_front_limits first_limits = {
+static const struct comet_http_limits first_limits = {
 	.header_bytes = SMALL_HEADER_BYTES,
 	.body_bytes = 4 * 1024 * 1024,
 	.header_timeout_ms = SMALL_TIMEOUT_MS,
 	.idle_timeout_ms = IDLE_TIMEOUT_MS,
 };
 
-/* Another VM may be ahead for this long: our own read of the same change is under way. While the
- * directory answers us, its own word is waited for much longer: after a start of all VMs, hundreds
- * would else ask each other for what each is just reading. */
-#define BEHIND_US 400000
-#define BEHIND_ANSWERED_US 1500000
-
-/* A copy of the directory from another VM is waited for so long: a connect and an answer. */
-#define COPY_TIMEOUT_US 1000000
-
 /* A process that starts has found the others once no new one has come up for some rounds of views,
  * and at the latest after the second time. Until then it shares sums with at least so many: all may
  * have started at once, and each knows only itself. */
@@ -87,14 +77,7 @@
 	comet_route_table_unref(gateway->table);
 	gateway->table = table;
 	comet_allowance_set_teams(gateway->allowance, table, comet_timers_now_us());
-	const struct comet_route_limits *limits = comet_route_table_limits(table);
-	struct comet_front_limits front = {
-		.header_bytes = limits->header_bytes,
-		.body_bytes = limits->body_bytes,
-		.header_timeout_ms = limits->header_timeout_ms,
-		.idle_timeout_ms = limits->idle_timeout_ms,
-	};
-	comet_front_set_limits(gateway->callers, &front);
+	comet_front_set_limits(gateway->callers, comet_route_table_limits(table));
 }
 
 static void
@@ -188,111 +171,15 @@
 static void
 on_vm_changed(void *ctx, uint32_t address, bool there, const char *why)
 {
-	struct in_addr at = {.s_addr = htonl(address)};
-	char text[INET_ADDRSTRLEN];
+	char text[COMET_VIEW_ADDRESS_MAX];
 
 	(void)ctx;
-	inet_ntop(AF_INET, &at, text, sizeof text);
-	comet_log(COMET_LOG_NOTICE, "event=vm_%s vm=%s reason=%s", there ? "heard" : "lost", text,
-		why);
+	comet_log(COMET_LOG_NOTICE, "event=vm_%s vm=%s reason=%s", there ? "heard" : "lost",
+		comet_view_link_text(address, text), why);
 }
 
 static const struct comet_views_ops views_ops = {.send = send_view, .changed = on_vm_changed};
 
-/* A copy of the directory arrives from another VM. */
-static void
-on_copy_head(void *ctx, const struct comet_http_head *head)
-{
-	(void)ctx;
-	(void)head;
-}
-
-static void
-on_copy_data(void *ctx, const char *data, size_t length)
-{
-	struct comet_gateway *gateway = ctx;
-
-	g_byte_array_append(gateway->copied, (const guint8 *)data, (guint)length);
-}
-
-static void
-on_copy_end(void *ctx, enum comet_exchange_end end)
-{
-	struct comet_gateway *gateway = ctx;
-	GError *error = NULL;
-
-	gateway->copying = NULL;
-	comet_timer_cancel(&gateway->copy_timer);
-	if (end == COMET_EXCHANGE_WHOLE &&
-		!gateway->directory->ops->offer(gateway->directory,
-			(const char *)gateway->copied->data, gateway->copied->len, &error))
-	{
-		comet_log(COMET_LOG_WARNING, "event=copy_refused error=\"%s\"", error->message);
-		g_clear_error(&error);
-	}
-	g_byte_array_set_size(gateway->copied, 0);
-}
-
-static const struct comet_exchange_events copy_events = {
-	.head = on_copy_head, .data = on_copy_data, .end = on_copy_end};
-
-static void
-on_copy_timeout(void *ctx)
-{
-	struct comet_gateway *gateway = ctx;
-
-	gateway->copy_timer = NULL;
-	TALLOC_FREE(gateway->copying);
-	g_byte_array_set_size(gateway->copied, 0);
-	comet_log(COMET_LOG_NOTICE, "event=copy_failed reason=timeout");
-}
-
-static void
-ask_copy(struct comet_gateway *gateway, uint32_t vm)
-{
-	static const char bytes[] = "GET /v1/directory HTTP/1.1\r\nHost: vm\r\n\r\n";
-	struct in_addr at = {.s_addr = htonl(vm)};
-	char ip[INET_ADDRSTRLEN];
-
-	inet_ntop(AF_INET, &at, ip, sizeof ip);
-	/* All VMs use the same port for control. */
-	char *address = g_strconcat(ip, strrchr(gateway->settings->control, ':'), NULL);
-	struct comet_exchange_request request = {
-		.instance = address,
-		.address = address,
-		.bytes = bytes,
-		.length = sizeof bytes - 1,
-	};
-	comet_log(COMET_LOG_NOTICE, "event=copy_asked vm=%s revision=%" G_GUINT64_FORMAT, ip,
-		gateway->revision);
-	gateway->copying =
-		comet_upstream_send(gateway->upstream, gateway, &request, &copy_events, gateway);
-	gateway->copy_timer = comet_timers_add(
-		gateway->timers, gateway, COPY_TIMEOUT_US, on_copy_timeout, gateway);
-	g_free(address);
-}
-
-/* Reads the directory's copy of a VM that knows more, when our own reads do not get through. */
-static void
-copy_from_peer(struct comet_gateway *gateway, uint64_t now_us)
-{
-	uint32_t vm = comet_views_newer(
-		gateway->views, gateway->revision, comet_draw_u32(&gateway->draw));
-	uint64_t patience_us = gateway->directory_lost ? BEHIND_US : BEHIND_ANSWERED_US;
-
-	if (vm == 0)
-	{
-		gateway->behind_us = 0;
-		return;
-	}
-	if (gateway->behind_us == 0)
-		gateway->behind_us = now_us;
-	if (gateway->copying != NULL || now_us - gateway->behind_us < patience_us)
-		return;
-	gateway->behind_us = now_us;
-	ask_copy(gateway, vm);
-}
-
 /* Goes on with a stop: closes what is idle, and ends once nothing is open. */
 static void
 continue_stop(struct comet_gateway *gateway, uint64_t now_us)
@@ -357,7 +244,7 @@
 	set_vms(gateway, heard + 1, known + 1, now_us);
 	comet_instances_tick(gateway->instances, now_us, on_dropped, gateway);
 	comet_placement_run(gateway->placement, now_us);
-	copy_from_peer(gateway, now_us);
+	comet_gateway_copy_if_behind(gateway, now_us);
 	if (gateway->stop_us != 0)
 		continue_stop(gateway, now_us);
 }
@@ -406,7 +293,7 @@
 		return;
 	}
 	/* Addresses cannot change in a running process; the log's level and bounds can. */
-	comet_log_init("cometspindled", (enum comet_log_level)settings->log_level);
+	comet_log_set_level((enum comet_log_level)settings->log_level);
 	comet_log_set_budget(settings->log_lines_per_s);
 	comet_log(COMET_LOG_NOTICE, "event=reloaded path=%s", gateway->settings_path);
 	talloc_free(settings);
@@ -502,7 +389,6 @@
 	gateway->settings = settings;
 	gateway->settings_path = settings_path;
 	gateway->names = port->names;
-	gateway->copied = g_byte_array_new();
 	gateway->began_us = comet_timers_now_us();
 	randombytes_buf(&seed, sizeof seed);
 	comet_draw_init(&gateway->draw, seed);
@@ -552,7 +438,6 @@
 void
 comet_gateway_destroy(struct comet_gateway *gateway)
 {
-	g_byte_array_free(gateway->copied, TRUE);
 	comet_route_table_unref(gateway->table);
 	talloc_free(gateway);
 }
--- a/libcometspindle/adapters/gateway_answer.c
+++ b/libcometspindle/adapters/gateway_answer.c
@@ -57,8 +57,7 @@
 	const char *load_text = comet_http_head_get(head, names->load);
 	struct comet_wire_load load;
 	uint64_t now_us = comet_timers_now_us();
-	struct comet_instance *instance =
-		comet_instances_find(relay->gateway->instances, relay->instance);
+	struct comet_instance *instance = comet_relay_instance(relay);
 
 	if (instance != NULL)
 		comet_instance_heard(instance, now_us);
@@ -129,8 +128,7 @@
 	struct comet_relay *relay = ctx;
 	uint64_t now_us = comet_timers_now_us();
 
-	struct comet_instance *instance =
-		comet_instances_find(relay->gateway->instances, relay->instance);
+	struct comet_instance *instance = comet_relay_instance(relay);
 
 	relay->last_us = now_us;
 	if (instance != NULL)
--- /dev/null
+++ b/libcometspindle/adapters/gateway_copy.c
@@ -0,0 +1,79 @@
+/*
+ * gateway_copy.c
+ * reads the directory's copy of another VM, when that VM knows more
+ */
+#include <libcometspindle/adapters/gateway_private.h>
+
+#include <libcometspindle/log.h>
+#include <string.h>
+
+/* Another VM may be ahead for this long: our own read of the same change is under way. While the
+ * directory answers us, its own word is waited for much longer: after a start of all VMs, hundreds
+ * would else ask each other for what each is just reading. */
+#define BEHIND_US 400000
+#define BEHIND_ANSWERED_US 1500000
+
+/* A copy of the directory from another VM is waited for so long: a connect and an answer. */
+#define COPY_TIMEOUT_US 1000000
+
+/* HTTP status of an answer that holds a copy. */
+#define STATUS_GOOD 200
+
+static void
+on_copy(void *ctx, const struct comet_fetch_answer *answer)
+{
+	struct comet_gateway *gateway = ctx;
+	GError *error = NULL;
+
+	gateway->copying = NULL; /* frees itself after this */
+	if (answer->failure != NULL || answer->status != STATUS_GOOD)
+	{
+		comet_log(COMET_LOG_NOTICE, "event=copy_failed reason=%s status=%u",
+			answer->failure != NULL ? answer->failure : "status", answer->status);
+		return;
+	}
+	if (gateway->directory->ops->offer(
+		    gateway->directory, answer->body, answer->length, &error))
+		return;
+	comet_log(COMET_LOG_WARNING, "event=copy_refused error=\"%s\"", error->message);
+	g_clear_error(&error);
+}
+
+static void
+ask_copy(struct comet_gateway *gateway, uint32_t vm)
+{
+	char ip[COMET_VIEW_ADDRESS_MAX];
+	const char *port = strrchr(gateway->settings->control, ':'); /* the same on all VMs */
+	char *address = g_strconcat(comet_view_link_text(vm, ip), port, NULL);
+	struct comet_fetch_request request = {
+		.address = address,
+		.target = COMET_GATEWAY_COPY_PATH,
+		.timeout_us = COPY_TIMEOUT_US,
+	};
+
+	comet_log(COMET_LOG_NOTICE, "event=copy_asked vm=%s revision=%" G_GUINT64_FORMAT, ip,
+		gateway->revision);
+	gateway->copying = comet_fetch_start(
+		gateway, gateway->upstream, gateway->timers, &request, on_copy, gateway);
+	g_free(address);
+}
+
+void
+comet_gateway_copy_if_behind(struct comet_gateway *gateway, uint64_t now_us)
+{
+	uint32_t vm = comet_views_newer(
+		gateway->views, gateway->revision, comet_draw_u32(&gateway->draw));
+	uint64_t patience_us = gateway->directory_lost ? BEHIND_US : BEHIND_ANSWERED_US;
+
+	if (vm == 0)
+	{
+		gateway->behind_us = 0;
+		return;
+	}
+	if (gateway->behind_us == 0)
+		gateway->behind_us = now_us;
+	if (gateway->copying != NULL || now_us - gateway->behind_us < patience_us)
+		return;
+	gateway->behind_us = now_us;
+	ask_copy(gateway, vm);
+}
--- a/libcometspindle/adapters/gateway_pages.c
+++ b/libcometspindle/adapters/gateway_pages.c
@@ -9,8 +9,6 @@
 /* Copies that are handed out at a time: each may be a megabyte, and another VM can be asked. */
 #define COPIES_MAX 8
 
-/* Other VMs ask here for a copy of what the directory says. */
-#define COPY_PATH "/v1/directory"
 #define METRICS_PATH "/metrics"
 
 const char *
@@ -161,7 +159,7 @@
 {
 	const char *target = request->head->target;
 
-	if (strcmp(target, COPY_PATH) == 0)
+	if (strcmp(target, COMET_GATEWAY_COPY_PATH) == 0)
 		answer_copy(ctx, request);
 	else if (strcmp(target, METRICS_PATH) == 0)
 		answer_metrics(ctx, request);
--- a/libcometspindle/adapters/gateway_private.h
+++ b/libcometspindle/adapters/gateway_private.h
@@ -5,6 +5,7 @@
 #ifndef COMETSPINDLE_ADAPTERS_GATEWAY_PRIVATE_H
 #define COMETSPINDLE_ADAPTERS_GATEWAY_PRIVATE_H
 
+#include <libcometspindle/adapters/fetch.h>
 #include <libcometspindle/adapters/front.h>
 #include <libcometspindle/adapters/gateway.h>
 #include <libcometspindle/adapters/view_link.h>
@@ -64,17 +65,15 @@
 	uint32_t calls; /**< requests that are open */
 	struct comet_draw draw;
 	uint64_t began_us;
-	uint64_t found_us;              /**< when another VM was last heard of for the first time */
-	uint32_t known_vms;             /**< most VMs known at a time, with this one */
-	uint64_t stop_us;               /**< when the stop began; 0: none */
-	struct comet_exchange *copying; /**< reading the directory's copy from another VM */
-	struct comet_timer *copy_timer;
-	uint64_t behind_us; /**< since when another VM has read more; 0: none has */
-	uint64_t revision;  /**< of the directory, as far as read */
-	GByteArray *copied;
-	bool directory_lost; /**< its last answer failed */
-	bool listed;         /**< the endpoints have been told once */
-	bool refusing;       /**< a stop has come so far that nothing new is begun */
+	uint64_t found_us;           /**< when another VM was last heard of for the first time */
+	uint32_t known_vms;          /**< most VMs known at a time, with this one */
+	uint64_t stop_us;            /**< when the stop began; 0: none */
+	struct comet_fetch *copying; /**< reading the directory's copy of another VM */
+	uint64_t behind_us;          /**< since when another VM has read more; 0: none has */
+	uint64_t revision;           /**< of the directory, as far as read */
+	bool directory_lost;         /**< its last answer failed */
+	bool listed;                 /**< the endpoints have been told once */
+	bool refusing;               /**< a stop has come so far that nothing new is begun */
 	bool over;
 };
 
@@ -88,6 +87,13 @@
 extern const struct comet_front_events comet_gateway_readiness_events;
 extern const struct comet_front_events comet_gateway_control_events;
 
+/** Where another VM hands out its copy of the directory, on its control address. */
+#define COMET_GATEWAY_COPY_PATH "/v1/directory"
+
+/** Asks another VM for its copy of the directory if it has known more for long (gateway_copy.c). */
+void
+comet_gateway_copy_if_behind(struct comet_gateway *gateway, uint64_t now_us);
+
 /** NULL when this VM takes requests, else why not (gateway_pages.c). */
 const char *
 comet_gateway_not_ready(const struct comet_gateway *gateway);
--- a/libcometspindle/adapters/gateway_relay.c
+++ b/libcometspindle/adapters/gateway_relay.c
@@ -33,6 +33,14 @@
 	return relay->route->kind == COMET_ROUTE_STREAM;
 }
 
+struct comet_instance *
+comet_relay_instance(const struct comet_relay *relay)
+{
+	if (relay->instance == NULL)
+		return NULL;
+	return comet_instances_find(relay->gateway->instances, relay->instance);
+}
+
 uint64_t
 comet_relay_since_ms(uint64_t then_us, uint64_t now_us)
 {
@@ -54,9 +62,7 @@
 comet_relay_end_sending(struct comet_relay *relay, enum comet_dispatch_result result)
 {
 	struct comet_gateway *gateway = relay->gateway;
-	struct comet_instance *instance =
-		relay->instance != NULL ? comet_instances_find(gateway->instances, relay->instance)
-					: NULL;
+	struct comet_instance *instance = comet_relay_instance(relay);
 	uint64_t now_us = comet_timers_now_us();
 
 	comet_timer_cancel(&relay->silence);
--- a/libcometspindle/adapters/gateway_relay.h
+++ b/libcometspindle/adapters/gateway_relay.h
@@ -45,6 +45,10 @@
 bool
 comet_relay_is_stream(const struct comet_relay *relay);
 
+/** Where the request is now; NULL when nowhere, or when that endpoint is not known any more. */
+struct comet_instance *
+comet_relay_instance(const struct comet_relay *relay);
+
 /** Milliseconds between two times. */
 uint64_t
 comet_relay_since_ms(uint64_t then_us, uint64_t now_us);
--- a/libcometspindle/adapters/gateway_send.c
+++ b/libcometspindle/adapters/gateway_send.c
@@ -104,8 +104,7 @@
 			relay->silent_after_us - (now_us - last_us), on_silence, relay);
 		return;
 	}
-	struct comet_instance *instance =
-		comet_instances_find(relay->gateway->instances, relay->instance);
+	struct comet_instance *instance = comet_relay_instance(relay);
 	bool doubted = instance != NULL && comet_instance_doubt(instance, last_us, now_us);
 	comet_log(COMET_LOG_NOTICE,
 		"event=silent request=%s endpoint=%s silent_ms=%" G_GUINT64_FORMAT " doubted=%d",
--- a/libcometspindle/adapters/view_link.c
+++ b/libcometspindle/adapters/view_link.c
@@ -4,6 +4,7 @@
  */
 #include <libcometspindle/adapters/view_link.h>
 
+#include <arpa/inet.h>
 #include <errno.h>
 #include <libcometspindle/adapters/socket.h>
 #include <libcometspindle/error.h>
@@ -104,3 +105,12 @@
 {
 	return link->address;
 }
+
+const char *
+comet_view_link_text(uint32_t address, char text[COMET_VIEW_ADDRESS_MAX])
+{
+	struct in_addr at = {.s_addr = htonl(address)};
+
+	inet_ntop(AF_INET, &at, text, COMET_VIEW_ADDRESS_MAX); /* cannot fail: the room suffices */
+	return text;
+}
--- a/libcometspindle/adapters/view_link.h
+++ b/libcometspindle/adapters/view_link.h
@@ -28,6 +28,13 @@
 comet_view_link_send(
 	struct comet_view_link *link, uint32_t address, const uint8_t *data, size_t length);
 
+/** Room for an address as text. */
+#define COMET_VIEW_ADDRESS_MAX 16
+
+/** Writes an address (IPv4, host order) as text. @return text */
+const char *
+comet_view_link_text(uint32_t address, char text[COMET_VIEW_ADDRESS_MAX]);
+
 /** This VM's own IPv4 address, host order. */
 uint32_t
 comet_view_link_address(const struct comet_view_link *link);
--- a/libcometspindle/gateway/allowance.c
+++ b/libcometspindle/gateway/allowance.c
@@ -98,6 +98,17 @@
 	}
 }
 
+/* A team's account as of now, or NULL for a team that is not listed. */
+static struct account *
+account_now(const struct comet_allowance *allowance, uint32_t team_id, uint64_t now_us)
+{
+	struct account *account = find(allowance, team_id);
+
+	if (account != NULL)
+		advance(allowance, account, now_us);
+	return account;
+}
+
 static double
 sum_of(const double parts[PARTS])
 {
@@ -212,11 +223,10 @@
 comet_allowance_spend(
 	struct comet_allowance *allowance, uint32_t team_id, uint64_t amount, uint64_t now_us)
 {
-	struct account *account = find(allowance, team_id);
+	struct account *account = account_now(allowance, team_id, now_us);
 
 	if (account == NULL)
 		return 0;
-	advance(allowance, account, now_us);
 	if (account->limit > 0)
 	{
 		/* A request larger than the limit goes out of an untouched one. */
@@ -234,11 +244,10 @@
 comet_allowance_spent_elsewhere(
 	struct comet_allowance *allowance, uint32_t team_id, uint64_t amount, uint64_t now_us)
 {
-	struct account *account = find(allowance, team_id);
+	struct account *account = account_now(allowance, team_id, now_us);
 
 	if (account == NULL)
 		return;
-	advance(allowance, account, now_us);
 	account->counted[account->part % PARTS] += (double)amount;
 }
 
@@ -246,11 +255,10 @@
 comet_allowance_told_recent(
 	struct comet_allowance *allowance, uint32_t team_id, uint64_t recent, uint64_t now_us)
 {
-	struct account *account = find(allowance, team_id);
+	struct account *account = account_now(allowance, team_id, now_us);
 
 	if (account == NULL)
 		return;
-	advance(allowance, account, now_us);
 	if (account->told || parts_before(allowance, account) == 0)
 		return;
 	account->told = true;
@@ -262,11 +270,10 @@
 comet_allowance_give_back(
 	struct comet_allowance *allowance, uint32_t team_id, uint64_t amount, uint64_t now_us)
 {
-	struct account *account = find(allowance, team_id);
+	struct account *account = account_now(allowance, team_id, now_us);
 
 	if (account == NULL)
 		return;
-	advance(allowance, account, now_us);
 	double *newest = &account->counted[account->part % PARTS];
 	*newest = MAX(*newest - (double)amount, 0);
 	account->untold = MAX(account->untold - (double)amount, 0);
@@ -313,10 +320,9 @@
 double
 comet_allowance_left(struct comet_allowance *allowance, uint32_t team_id, uint64_t now_us)
 {
-	struct account *account = find(allowance, team_id);
+	struct account *account = account_now(allowance, team_id, now_us);
 
 	if (account == NULL)
 		return 0;
-	advance(allowance, account, now_us);
 	return left_of(allowance, account);
 }
--- a/libcometspindle/gateway/instances.c
+++ b/libcometspindle/gateway/instances.c
@@ -141,6 +141,17 @@
 	return instance;
 }
 
+/* Replaces a text of an instance. @return whether it was another one */
+static bool
+set_text(struct comet_instance *instance, char **text, const char *now)
+{
+	if (*text != NULL && strcmp(*text, now) == 0)
+		return false;
+	talloc_free(*text);
+	*text = talloc_strdup(instance, now);
+	return true;
+}
+
 struct comet_instance *
 comet_instances_put(struct comet_instances *instances, const struct comet_instance_record *record,
 	uint64_t now_us)
@@ -154,17 +165,9 @@
 	}
 	if (instance == NULL)
 		instance = add(instances, record);
-	if (instance->address == NULL || strcmp(instance->address, record->address) != 0)
-	{
-		talloc_free(instance->address);
-		instance->address = talloc_strdup(instance, record->address);
+	if (set_text(instance, &instance->address, record->address))
 		instance->replaced = false;
-	}
-	if (instance->zone == NULL || strcmp(instance->zone, record->zone) != 0)
-	{
-		talloc_free(instance->zone);
-		instance->zone = talloc_strdup(instance, record->zone);
-	}
+	set_text(instance, &instance->zone, record->zone);
 	instance->slots = record->slots > 0 ? record->slots : 1;
 	instance->draining = record->draining;
 	instance->warm_us =
--- a/libcometspindle/gateway/routes.c
+++ b/libcometspindle/gateway/routes.c
@@ -13,7 +13,7 @@
 {
 	int refs;
 	uint64_t version;
-	struct comet_route_limits limits;
+	struct comet_http_limits limits;
 	GHashTable *hosts; /* host -> GPtrArray of comet_route */
 	GHashTable *keys;  /* key -> comet_route_team */
 	GHashTable *teams; /* id -> comet_route_team */
@@ -35,7 +35,7 @@
 }
 
 struct comet_route_table *
-comet_route_table_create(uint64_t version, const struct comet_route_limits *limits)
+comet_route_table_create(uint64_t version, const struct comet_http_limits *limits)
 {
 	struct comet_route_table *table = talloc_zero(NULL, struct comet_route_table);
 
@@ -108,7 +108,7 @@
 	return table->version;
 }
 
-const struct comet_route_limits *
+const struct comet_http_limits *
 comet_route_table_limits(const struct comet_route_table *table)
 {
 	return &table->limits;
--- a/libcometspindle/gateway/routes.h
+++ b/libcometspindle/gateway/routes.h
@@ -8,6 +8,7 @@
 #define COMETSPINDLE_GATEWAY_ROUTES_H
 
 #include <glib.h>
+#include <libcometspindle/http_limits.h>
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
@@ -57,20 +58,11 @@
 	uint32_t default_tokens; /**< charged when a request does not tell its tokens */
 };
 
-/** What callers may send and how long they may take. */
-struct comet_route_limits
-{
-	uint32_t header_bytes;
-	uint32_t body_bytes;
-	uint32_t header_timeout_ms;
-	uint32_t idle_timeout_ms;
-};
-
 struct comet_route_table;
 
 /** Starts a table; it is filled by the calls below and then not changed any more. */
 struct comet_route_table *
-comet_route_table_create(uint64_t version, const struct comet_route_limits *limits);
+comet_route_table_create(uint64_t version, const struct comet_http_limits *limits);
 
 /** Adds a copy of a route. */
 void
@@ -90,7 +82,7 @@
 uint64_t
 comet_route_table_version(const struct comet_route_table *table);
 
-const struct comet_route_limits *
+const struct comet_http_limits *
 comet_route_table_limits(const struct comet_route_table *table);
 
 /** @return whether any team is listed: then routes that are not open need a key. */
--- a/libcometspindle/log.c
+++ b/libcometspindle/log.c
@@ -45,6 +45,12 @@
 	log_threshold = threshold;
 }
 
+void
+comet_log_set_level(enum comet_log_level threshold)
+{
+	log_threshold = threshold;
+}
+
 void
 comet_log_set_sink(comet_log_sink sink, void *ctx)
 {
--- a/libcometspindle/log.h
+++ b/libcometspindle/log.h
@@ -25,6 +25,10 @@
 void
 comet_log_init(const char *program, enum comet_log_level threshold);
 
+/** Sets the least severe level that is written. */
+void
+comet_log_set_level(enum comet_log_level threshold);
+
 /** Bounds the volume: so many lines a second; 0: no bound. What is left out is told in a line. */
 void
 comet_log_set_budget(unsigned int lines_per_s);
--- a/tests/system/platform_standin.py
+++ b/tests/system/platform_standin.py
@@ -85,6 +85,7 @@
         self.log = []
         self.revision = 0
         self.down = False
+        self.too_large = False  # answers are larger than any proper one
         self.forgotten = 0  # revisions up to this one are history no more
         threading.Thread(target=self.accept, daemon=True).start()
 
@@ -132,6 +133,8 @@
         with self.lock:
             if self.down:
                 return 503, {}
+            if self.too_large:
+                return 200, {"entries": [], "current_rev": 1, "filler": "x" * (5 << 20)}
             if path == "/kv-range":
                 # two to a page, so that pages are exercised
                 keys = sorted(k for k in self.items if k > args.get("since_rev", ""))
--- a/tests/system/test_gateway.py
+++ b/tests/system/test_gateway.py
@@ -16,6 +16,7 @@
 
 # A loopback address of this process alone: a port that the kernel has named stays free on it.
 ADDRESS = f"127.{1 + os.getpid() % 250}.{1 + os.getpid() // 250 % 250}.1"
+OTHER_ADDRESS = ADDRESS[:-1] + "2"
 
 
 def free_port():
@@ -26,9 +27,11 @@
 
 
 class Gateway:
-    def __init__(self, store, log=None, **settings):
-        self.ports = {name: free_port() for name in ("callers", "readiness", "control", "peers")}
-        values = {name: f"{ADDRESS}:{port}" for name, port in self.ports.items()}
+    def __init__(self, store, log=None, address=ADDRESS, ports=None, **settings):
+        names = ("callers", "readiness", "control", "peers")
+        self.ports = ports or {name: free_port() for name in names}
+        self.address = address
+        values = {name: f"{address}:{port}" for name, port in self.ports.items()}
         values.update(name="vm", zone="z", seeds="", directory=f"127.0.0.1:{store.port}",
                       leave_ms=200)
         values.update(settings)
@@ -42,7 +45,7 @@
 
     def ready(self):
         try:
-            return get(self.ports["readiness"], "/readyz")[0] == 200
+            return get(self.ports["readiness"], "/readyz", self.address)[0] == 200
         except OSError:
             return False
 
@@ -57,14 +60,14 @@
         return text
 
 
-def connect(port):
-    sock = socket.create_connection((ADDRESS, port))
+def connect(port, address=ADDRESS):
+    sock = socket.create_connection((address, port))
     sock.settimeout(20)
     return sock
 
 
-def get(port, path):
-    sock = connect(port)
+def get(port, path, address=ADDRESS):
+    sock = connect(port, address)
     sock.sendall(f"GET {path} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
     return answer_of(sock)
 
@@ -380,6 +383,36 @@
     assert server.runs
 
 
+def test_copy_from_other_vm():
+    """A VM that cannot reach the store takes what another one has read."""
+    store = Store()
+    store.put("op/config", document(1))
+    Server(store, "i-0", "svc")
+    there = Gateway(store)
+    wait_for(there.ready)
+    nowhere = Store()
+    nowhere.down = True
+    alone = Gateway(nowhere, address=OTHER_ADDRESS, ports=there.ports,
+                    seeds=f"{ADDRESS}:{there.ports['control']}")
+    wait_for(alone.ready)
+    text = alone.end()
+    assert "event=directory_lost" in text and "event=copy_asked" in text, text
+    there.end()
+
+
+def test_answers_too_large():
+    """An answer beyond any proper size is not kept, nor believed."""
+    store = Store()
+    store.too_large = True
+    gateway = Gateway(store)
+    wait_for(lambda: get_or_empty(gateway, "readiness") == b"no_routes")
+    store.put("op/config", document(1))
+    store.too_large = False
+    wait_for(gateway.ready)
+    text = gateway.end()
+    assert "event=directory_lost reason=too_large" in text, text
+
+
 def get_or_empty(gateway, port):
     try:
         return get(gateway.ports[port], "/")[2]
@@ -494,7 +527,8 @@
                   test_broken_before_answer, test_foreign_answer, test_unframed_and_cut,
                   test_streams, test_caller_leaves, test_configuration, test_servers_leave,
                   test_pages]
-    alone = [test_store_away, test_only_server_fails, test_planned_stop, test_signal_while_starting,
+    alone = [test_store_away, test_copy_from_other_vm, test_answers_too_large,
+             test_only_server_fails, test_planned_stop, test_signal_while_starting,
              test_log_reader_stops, test_bad_settings]
     only = sys.argv[1:]
     for test in with_world + alone:
--- a/tests/unit/test_gateway_placement.cc
+++ b/tests/unit/test_gateway_placement.cc
@@ -336,7 +336,7 @@
 
 	explicit vms(int count)
 	{
-		comet_route_limits limits = {};
+		comet_http_limits limits = {};
 		comet_route_team team = {};
 		team.name = const_cast<char *>("t");
 		team.rate_per_s = 1000;
--- a/tests/unit/test_gateway_routes.cc
+++ b/tests/unit/test_gateway_routes.cc
@@ -22,7 +22,7 @@
 namespace
 {
 
-const comet_route_limits limits = {16384, 1048576, 3000, 15000};
+const comet_http_limits limits = {16384, 1048576, 3000, 15000};
 
 struct table_builder
 {
