--- a/libcometspindle/adapters/gateway.c
+++ b/libcometspindle/adapters/gateway.c
@@ -152,11 +152,17 @@
 };
 
 static void
-on_view(void *ctx, const uint8_t *data, size_t length)
+on_datagram(void *ctx, const uint8_t *data, size_t length)
 {
 	struct comet_gateway *gateway = ctx;
+	uint64_t now_us = comet_timers_now_us();
+	comet_Datagram datagram;
 
-	if (!comet_views_receive(gateway->views, data, length, comet_timers_now_us()))
+	if (!comet_datagram_decode(data, length, &datagram))
+		comet_log(COMET_LOG_WARNING, "event=datagram_malformed bytes=%zu", length);
+	else if (datagram.which_body != comet_Datagram_view_tag)
+		comet_grants_receive(gateway->grants, &datagram, now_us);
+	else if (!comet_views_receive(gateway->views, &datagram.body.view, now_us))
 		comet_log(COMET_LOG_WARNING, "event=view_malformed bytes=%zu", length);
 }
 
@@ -338,6 +344,8 @@
 	randombytes_buf(&config.incarnation, sizeof config.incarnation);
 	gateway->views = comet_views_create(
 		gateway, &config, gateway->instances, gateway->allowance, &views_ops, gateway);
+	gateway->grants =
+		comet_grants_create(gateway, config.address, &comet_gateway_grants_ops, gateway);
 }
 
 /* Opens what the gateway listens on. @return false with error set. */
@@ -362,7 +370,7 @@
 	comet_front_set_limits(gateway->readiness, &first_limits);
 	comet_front_set_limits(gateway->control, &first_limits);
 	gateway->link = comet_view_link_create(
-		gateway, gateway->ev, settings->peers, on_view, gateway, error);
+		gateway, gateway->ev, settings->peers, on_datagram, gateway, error);
 	return gateway->link != NULL;
 }
 
--- /dev/null
+++ b/libcometspindle/adapters/gateway_grants.c
@@ -0,0 +1,152 @@
+/*
+ * gateway_grants.c
+ * slots asked for at other VMs, and granted to them: what connects placement, views and grants
+ */
+#include <libcometspindle/adapters/gateway_relay.h>
+
+#include <libcometspindle/log.h>
+
+/* How often open asks are looked at: a part of the time after which they are given up. */
+#define ASKS_TICK_US 10000
+
+static void
+on_asks_tick(void *ctx)
+{
+	struct comet_gateway *gateway = ctx;
+
+	gateway->asks_timer = NULL;
+	if (comet_grants_tick(gateway->grants, comet_timers_now_us()))
+		gateway->asks_timer = comet_timers_add(
+			gateway->timers, gateway, ASKS_TICK_US, on_asks_tick, gateway);
+}
+
+static uint32_t
+keeper_of(const struct comet_gateway *gateway, const struct comet_shard *shard, uint64_t now_us)
+{
+	return comet_views_keeper(gateway->views, shard->id, shard->zone_id, now_us);
+}
+
+enum comet_placement_keeper
+comet_gateway_keeper(void *ctx, const struct comet_shard *shard)
+{
+	const struct comet_gateway *gateway = ctx;
+	uint64_t now_us = comet_timers_now_us();
+	uint32_t keeper = gateway->settings->ask_keepers ? keeper_of(gateway, shard, now_us) : 0;
+
+	if (keeper == comet_view_link_address(gateway->link))
+		return COMET_PLACEMENT_KEEPER_SELF;
+	if (keeper == 0 || comet_grants_is_mute(gateway->grants, keeper, now_us))
+		return COMET_PLACEMENT_KEEPER_NONE;
+	return COMET_PLACEMENT_KEEPER_OTHER;
+}
+
+void
+comet_gateway_ask(void *ctx, struct comet_placement_item *item, const struct comet_shard *shard,
+	const struct comet_placement_ask *ask)
+{
+	struct comet_gateway *gateway = ctx;
+	uint64_t now_us = comet_timers_now_us();
+
+	comet_grants_ask(gateway->grants, item, keeper_of(gateway, shard, now_us), ask, now_us);
+	if (gateway->asks_timer == NULL)
+		gateway->asks_timer = comet_timers_add(
+			gateway->timers, gateway, ASKS_TICK_US, on_asks_tick, gateway);
+}
+
+void
+comet_gateway_forget_ask(void *ctx, struct comet_placement_item *item)
+{
+	comet_grants_forget(((struct comet_gateway *)ctx)->grants, item);
+}
+
+static void
+send_datagram(void *ctx, uint32_t address, const uint8_t *data, size_t length)
+{
+	struct comet_gateway *gateway = ctx;
+
+	comet_view_link_send(gateway->link, address, data, length);
+}
+
+static void
+on_granted(void *ctx, struct comet_placement_item *item, uint32_t keeper, uint32_t instance_key)
+{
+	struct comet_gateway *gateway = ctx;
+	uint64_t now_us = comet_timers_now_us();
+
+	gateway->counts.granted++;
+	if (!comet_placement_granted(gateway->placement, item, keeper, instance_key, now_us))
+		comet_grants_release(gateway->grants, keeper, instance_key);
+	comet_placement_run(gateway->placement, now_us);
+}
+
+static void
+on_denied(void *ctx, struct comet_placement_item *item, uint32_t shard, uint32_t beyond)
+{
+	struct comet_gateway *gateway = ctx;
+	uint64_t now_us = comet_timers_now_us();
+
+	gateway->counts.denied++;
+	comet_placement_denied(gateway->placement, item, shard, beyond, now_us);
+	comet_placement_run(gateway->placement, now_us);
+}
+
+static void
+on_unanswered(void *ctx, struct comet_placement_item *item, uint32_t keeper)
+{
+	struct comet_gateway *gateway = ctx;
+	const struct comet_relay *relay = item->owner;
+	char text[COMET_VIEW_ADDRESS_MAX];
+	uint64_t now_us = comet_timers_now_us();
+
+	gateway->counts.unanswered++;
+	comet_log(COMET_LOG_NOTICE, "event=keeper_mute request=%s vm=%s", relay->id,
+		comet_view_link_text(keeper, text));
+	comet_placement_unanswered(gateway->placement, item, now_us);
+	comet_placement_run(gateway->placement, now_us);
+}
+
+/* Chooses an endpoint for another VM's request. */
+static uint32_t
+choose_for(void *ctx, const comet_SlotAsk *ask)
+{
+	struct comet_gateway *gateway = ctx;
+	uint64_t now_us = comet_timers_now_us();
+	uint64_t end_us = ask->left_ms > 0 ? now_us + (uint64_t)ask->left_ms * 1000 : 0;
+	struct comet_job job = {
+		.prompt_tokens = ask->prompt_tokens,
+		.output_tokens = ask->output_tokens,
+		.stream = true,
+	};
+	struct comet_placement_ask wanted = {
+		.shard = ask->shard,
+		.beyond = ask->beyond,
+		.except = ask->except,
+		.n_except = ask->except_count,
+	};
+	const struct comet_instance *instance =
+		comet_placement_choose_for(gateway->placement, &job, &wanted, end_us, now_us);
+
+	gateway->counts.answered++;
+	if (instance == NULL)
+		return 0;
+	comet_views_granted(gateway->views, ask->asker, instance->key, ask->prompt_tokens, now_us);
+	return instance->key;
+}
+
+static void
+on_freed(void *ctx, uint32_t asker, uint32_t instance_key)
+{
+	struct comet_gateway *gateway = ctx;
+
+	comet_views_freed(gateway->views, asker, instance_key);
+	comet_placement_run(gateway->placement, comet_timers_now_us());
+}
+
+const struct comet_grants_ops comet_gateway_grants_ops = {
+	.send = send_datagram,
+	.granted = on_granted,
+	.denied = on_denied,
+	.unanswered = on_unanswered,
+	.choose = choose_for,
+	.freed = on_freed,
+};
--- a/libcometspindle/adapters/gateway_pages.c
+++ b/libcometspindle/adapters/gateway_pages.c
@@ -73,6 +73,18 @@
 			rows[i].name, rows[i].value);
 }
 
+static void
+put_asks(GString *out, const struct comet_gateway_counts *counts)
+{
+	g_string_append_printf(out,
+		"# TYPE comet_slot_asks_total counter\n"
+		"comet_slot_asks_total{outcome=\"granted\"} %" G_GUINT64_FORMAT "\n"
+		"comet_slot_asks_total{outcome=\"denied\"} %" G_GUINT64_FORMAT "\n"
+		"comet_slot_asks_total{outcome=\"unanswered\"} %" G_GUINT64_FORMAT "\n"
+		"comet_slot_asks_total{outcome=\"answered_others\"} %" G_GUINT64_FORMAT "\n",
+		counts->granted, counts->denied, counts->unanswered, counts->answered);
+}
+
 static void
 put_instance(void *ctx, struct comet_instance *instance)
 {
@@ -122,6 +134,7 @@
 	put(out, "dispatches_total", "counter", (double)gateway->counts.dispatched);
 	put(out, "repeats_total", "counter", (double)gateway->counts.repeated);
 	put(out, "resumes_total", "counter", (double)gateway->counts.resumed);
+	put_asks(out, &gateway->counts);
 	put(out, "vms_known", "gauge", known);
 	put(out, "vms_heard", "gauge", heard);
 	put(out, "endpoint_connections_opened_total", "counter", (double)up->opened);
--- a/libcometspindle/adapters/gateway_private.h
+++ b/libcometspindle/adapters/gateway_private.h
@@ -10,6 +10,7 @@
 #include <libcometspindle/adapters/gateway.h>
 #include <libcometspindle/adapters/view_link.h>
 #include <libcometspindle/draw.h>
+#include <libcometspindle/gateway/grants.h>
 #include <libcometspindle/gateway/placement.h>
 #include <libcometspindle/gateway/views.h>
 #include <libcometspindle/latency.h>
@@ -21,6 +22,10 @@
 	uint64_t dispatched;
 	uint64_t repeated;
 	uint64_t resumed;
+	uint64_t granted;    /**< slots by other VMs */
+	uint64_t denied;     /**< asks for slots */
+	uint64_t unanswered; /**< asks for slots */
+	uint64_t answered;   /**< asks of other VMs, by this one as keeper */
 	uint64_t served;
 	uint64_t relayed_errors;
 	uint64_t refused_early; /**< not run, told when to come back */
@@ -58,6 +63,8 @@
 	struct comet_allowance *allowance;
 	struct comet_retry_budget *retries;
 	struct comet_views *views;
+	struct comet_grants *grants;
+	struct comet_timer *asks_timer; /**< looks at open asks; NULL: there is none */
 	struct comet_view_link *link;
 	struct comet_route_table *table; /**< NULL until one has been read */
 	struct comet_gateway_counts counts;
@@ -83,6 +90,19 @@
 /** What placement asks for (gateway_send.c). */
 extern const struct comet_placement_ops comet_gateway_placement_ops;
 
+/** Slots asked for at other VMs, for placement's operations (gateway_grants.c). */
+enum comet_placement_keeper
+comet_gateway_keeper(void *ctx, const struct comet_shard *shard);
+
+void
+comet_gateway_ask(void *ctx, struct comet_placement_item *item, const struct comet_shard *shard,
+	const struct comet_placement_ask *ask);
+
+void
+comet_gateway_forget_ask(void *ctx, struct comet_placement_item *item);
+
+extern const struct comet_grants_ops comet_gateway_grants_ops;
+
 /** Answers on the readiness and control addresses (gateway_pages.c). */
 extern const struct comet_front_events comet_gateway_readiness_events;
 extern const struct comet_front_events comet_gateway_control_events;
--- a/libcometspindle/adapters/gateway_relay.c
+++ b/libcometspindle/adapters/gateway_relay.c
@@ -4,6 +4,7 @@
  */
 #include <libcometspindle/adapters/gateway_relay.h>
 
+#include <libcometspindle/hash.h>
 #include <libcometspindle/log.h>
 #include <string.h>
 #include <strings.h>
@@ -81,7 +82,12 @@
 				instance->avoid_us != 0 ? "avoided" : "trusted", instance->id,
 				comet_dispatch_result_name(result), instance->failures,
 				instance->error_rate);
+		comet_placement_freed(gateway->placement, instance);
 	}
+	if (relay->item.keeper != 0)
+		comet_grants_release(
+			gateway->grants, relay->item.keeper, comet_hash_name(relay->instance));
+	relay->item.keeper = 0;
 	TALLOC_FREE(relay->instance);
 	TALLOC_FREE(relay->exchange);
 	TALLOC_FREE(relay->head);
--- a/libcometspindle/adapters/gateway_send.c
+++ b/libcometspindle/adapters/gateway_send.c
@@ -186,6 +186,7 @@
 	const struct comet_placement_reason *reason = comet_placement_reason(gateway->placement);
 	uint64_t now_us = comet_timers_now_us();
 	GString *bytes = write_request(relay, instance, now_us);
+	char keeper[COMET_VIEW_ADDRESS_MAX];
 	struct comet_exchange_request sending = {
 		.instance = instance->id,
 		.address = instance->address,
@@ -199,10 +200,11 @@
 	comet_log(COMET_LOG_INFO,
 		"event=sent request=%s endpoint=%s load=%u slots=%u candidates=%u with_room=%u "
 		"waited_ms=%" G_GUINT64_FORMAT " expect_first_ms=%" G_GUINT64_FORMAT
-		" view_age_ms=%" G_GUINT64_FORMAT " pace=%.2f attempt=%u",
+		" view_age_ms=%" G_GUINT64_FORMAT " pace=%.2f attempt=%u keeper=%s",
 		relay->id, instance->id, reason->load, reason->slots, reason->candidates,
 		reason->with_room, reason->waited_us / 1000, reason->first_us / 1000,
-		reason->view_age_us / 1000, instance->pace, relay->attempts + 1);
+		reason->view_age_us / 1000, instance->pace, relay->attempts + 1,
+		item->keeper != 0 ? comet_view_link_text(item->keeper, keeper) : "-");
 	if (relay->attempts == 0)
 		comet_latency_add(
 			&gateway->times[relay->route->kind].waited, now_us - relay->arrived_us);
@@ -239,4 +241,9 @@
 }
 
 const struct comet_placement_ops comet_gateway_placement_ops = {
-	.dispatch = on_dispatch, .refuse = on_refuse};
+	.dispatch = on_dispatch,
+	.refuse = on_refuse,
+	.keeper = comet_gateway_keeper,
+	.ask = comet_gateway_ask,
+	.forget = comet_gateway_forget_ask,
+};
--- a/libcometspindle/adapters/view_link.c
+++ b/libcometspindle/adapters/view_link.c
@@ -31,7 +31,7 @@
 on_ready(struct tevent_context *ev, struct tevent_fd *event, uint16_t flags, void *data)
 {
 	struct comet_view_link *link = data;
-	uint8_t buffer[COMET_VIEW_BYTES_MAX + 1];
+	uint8_t buffer[COMET_DATAGRAM_BYTES_MAX + 1];
 
 	(void)ev;
 	(void)event;
--- /dev/null
+++ b/libcometspindle/gateway/choice.h
@@ -0,0 +1,52 @@
+/*
+ * choice.h
+ * the cheapest endpoint with room for a request
+ */
+#ifndef COMETSPINDLE_GATEWAY_CHOICE_H
+#define COMETSPINDLE_GATEWAY_CHOICE_H
+
+#include <libcometspindle/draw.h>
+#include <libcometspindle/gateway/instances.h>
+#include <libcometspindle/gateway/placement.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+/** What a choice is made from. */
+struct comet_choice
+{
+	struct comet_instances *instances;
+	const char *own_zone;
+	struct comet_draw draw; /**< spreads VMs that know the same */
+};
+
+/** Among which endpoints, and by which count. */
+struct comet_choice_scope
+{
+	const GPtrArray *among; /**< of struct comet_instance; NULL: none */
+	uint32_t beyond;        /**< streams: requests that may be there beyond its slots */
+	bool kept;              /**< this VM keeps count of them */
+	bool trusted_only;      /**< no trial of one of doubtful health */
+	const uint32_t *except; /**< keys of those that are not wanted */
+	uint32_t n_except;
+};
+
+/** Requests that one of the item's rank may have waiting at an endpoint. */
+uint32_t
+comet_choice_beyond(const struct comet_placement_item *item);
+
+/** @return whether the item could be sent there, if there is room. */
+bool
+comet_choice_is_usable(const struct comet_placement_item *item,
+	const struct comet_instance *instance, uint64_t now_us);
+
+/** @return whether it was sent to the instance with that key. */
+bool
+comet_choice_was_tried(const struct comet_placement_item *item, uint32_t key);
+
+/** @return the cheapest instance with room, or NULL; reason tells why. */
+struct comet_instance *
+comet_choice_best(struct comet_choice *choice, const struct comet_placement_item *item,
+	const struct comet_choice_scope *scope, uint64_t now_us,
+	struct comet_placement_reason *reason);
+
+#endif
--- a/libcometspindle/gateway/instances.c
+++ b/libcometspindle/gateway/instances.c
@@ -75,6 +75,7 @@
 	GHashTable *by_key;   /* key -> comet_instance */
 	GHashTable *services; /* service -> GPtrArray of comet_instance */
 	GHashTable *usual;    /* service -> struct usual */
+	uint64_t changes;
 };
 
 static void
@@ -129,6 +130,7 @@
 	instance->key = comet_hash_name(record->id);
 	instance->service = talloc_strdup(instance, record->service);
 	instance->pace = 1.0;
+	instances->changes++;
 	g_hash_table_insert(instances->by_id, instance->id, instance);
 	g_hash_table_insert(instances->by_key, GUINT_TO_POINTER(instance->key), instance);
 	GPtrArray *array = g_hash_table_lookup(instances->services, record->service);
@@ -167,7 +169,8 @@
 		instance = add(instances, record);
 	if (set_text(instance, &instance->address, record->address))
 		instance->replaced = false;
-	set_text(instance, &instance->zone, record->zone);
+	if (set_text(instance, &instance->zone, record->zone))
+		instances->changes++;
 	instance->slots = record->slots > 0 ? record->slots : 1;
 	instance->draining = record->draining;
 	instance->warm_us =
@@ -184,6 +187,7 @@
 
 	if (instance == NULL)
 		return;
+	instances->changes++;
 	GPtrArray *array = g_hash_table_lookup(instances->services, instance->service);
 	g_ptr_array_remove(array, instance);
 	g_hash_table_remove(instances->by_id, instance->id);
@@ -264,6 +268,22 @@
 	return instance->own + others;
 }
 
+uint32_t
+comet_instance_kept_load(const struct comet_instance *instance, uint64_t now_us)
+{
+	bool told = instance->told_us != 0 && now_us - instance->told_us < TOLD_FRESH_US;
+	uint32_t told_others =
+		told ? instance->told_total - MIN(instance->told_total, instance->told_own) : 0;
+
+	return instance->own + MAX(instance->others, told_others);
+}
+
+uint64_t
+comet_instances_changes(const struct comet_instances *instances)
+{
+	return instances->changes;
+}
+
 /* The usual time until the first event, from the fitted line. */
 static double
 usual_first_us(const struct usual *usual, uint32_t prompt_tokens)
@@ -285,6 +305,35 @@
 	return usual_first_us(usual, prompt_tokens) - usual_first_us(usual, 0);
 }
 
+/* Prompt tokens granted to other VMs that are not read yet, as far as time tells. */
+static double
+granted_prompt(const struct usual *usual, const struct comet_instance *instance, uint64_t now_us)
+{
+	double token_us = usual_prompt_us(usual, 1000) / 1000 * instance->pace;
+	double read = (double)(now_us - instance->granted_us) / MAX(token_us, 1.0);
+
+	return MAX(instance->granted_prompt - read, 0.0);
+}
+
+void
+comet_instance_granted(struct comet_instances *instances, struct comet_instance *instance,
+	uint32_t prompt_tokens, uint64_t now_us)
+{
+	const struct usual *usual = usual_of(instances, instance->service);
+
+	instance->granted_prompt = granted_prompt(usual, instance, now_us) + prompt_tokens;
+	instance->granted_us = now_us;
+	instance->others++;
+	instance->told_total++;
+}
+
+void
+comet_instance_freed(struct comet_instance *instance)
+{
+	instance->others -= MIN(instance->others, 1);
+	instance->told_total -= MIN(instance->told_total, 1);
+}
+
 void
 comet_instance_expect(struct comet_instances *instances, const struct comet_instance *instance,
 	const struct comet_job *job, uint64_t now_us, uint64_t *first_us, uint64_t *whole_us)
@@ -300,7 +349,10 @@
 		return;
 	}
 	double token = usual->token_us > 0 ? usual->token_us : TOKEN_DEFAULT_US;
-	double ahead = usual_prompt_us(usual, instance->own_prompt + instance->others_prompt);
+	/* What was granted is in views as well, a little later. */
+	double others =
+		MAX((double)instance->others_prompt, granted_prompt(usual, instance, now_us));
+	double ahead = usual_prompt_us(usual, instance->own_prompt + (uint32_t)others);
 	double first = usual_first_us(usual, job->prompt_tokens) + ahead;
 	*first_us = (uint64_t)(first * instance->pace * cold);
 	*whole_us = (uint64_t)((first + token * job->output_tokens) * instance->pace * cold);
--- a/libcometspindle/gateway/instances.h
+++ b/libcometspindle/gateway/instances.h
@@ -55,6 +55,7 @@
 	char *address;
 	char *zone;
 	uint32_t slots;
+	uint32_t shard; /**< it belongs to (shards.h) */
 	bool draining;
 	bool listed;         /**< the directory names it */
 	uint64_t lapse_us;   /**< unlisted during an outage: dropped then; 0: not so */
@@ -63,6 +64,9 @@
 	uint32_t own_prompt; /**< prompt tokens of ours whose first event is not there */
 	uint32_t others;     /**< dispatches of other VMs, from their views */
 	uint32_t others_prompt;
+	double granted_prompt; /**< prompt tokens granted to others and not read yet, at granted_us
+				*/
+	uint64_t granted_us;
 	uint64_t others_us;  /**< age of the newest of these views */
 	uint32_t told_total; /**< running and waiting, as its last answer told */
 	uint32_t told_own;   /**< ours at that time */
@@ -112,6 +116,10 @@
 const GPtrArray *
 comet_instances_of(struct comet_instances *instances, const char *service);
 
+/** Counts how often instances came or went. */
+uint64_t
+comet_instances_changes(const struct comet_instances *instances);
+
 /** Calls visit for each instance. */
 void
 comet_instances_each(struct comet_instances *instances,
@@ -121,6 +129,22 @@
 uint32_t
 comet_instance_load(const struct comet_instance *instance, uint64_t now_us);
 
+/**
+ * Requests at an instance that this VM keeps count of: what it granted is known
+ * at once, and what the instance told is only taken where it is more.
+ */
+uint32_t
+comet_instance_kept_load(const struct comet_instance *instance, uint64_t now_us);
+
+/** Another VM was granted a slot there, for a prompt of so many tokens. */
+void
+comet_instance_granted(struct comet_instances *instances, struct comet_instance *instance,
+	uint32_t prompt_tokens, uint64_t now_us);
+
+/** Another VM has left a slot there. */
+void
+comet_instance_freed(struct comet_instance *instance);
+
 /** Expected time until the first event (or the whole plain answer) and until the end. */
 void
 comet_instance_expect(struct comet_instances *instances, const struct comet_instance *instance,
--- a/libcometspindle/gateway/placement.c
+++ b/libcometspindle/gateway/placement.c
@@ -4,37 +4,10 @@
  */
 #include <libcometspindle/gateway/placement.h>
 
-#include <libcometspindle/draw.h>
+#include <libcometspindle/gateway/choice.h>
 #include <string.h>
 #include <talloc.h>
 
-/* Requests that an urgent rank may have queued at an endpoint beyond its slots: a slot comes free
- * there every few tens of milliseconds, a small part of any aim. */
-#define HEADROOM_FIRST 2
-#define HEADROOM_SECOND 1
-
-/* Plain services answer in tens of milliseconds: one more round of slots may wait there. */
-#define HEADROOM_PLAIN_PERCENT 100
-
-/* Part of the time an answer takes that counts against the time until it begins. */
-#define WHOLE_WEIGHT 0.5
-
-/* Estimates of an answer's length are right at the median only; this covers most of the rest. */
-#define LENGTH_DOUBT 2.0
-
-/* A second by which an answer would end too late counts as so many seconds of waiting. */
-#define LATE_WEIGHT 2.0
-
-/* What an endpoint in another availability zone costs: round trip and bytes between zones. */
-#define OTHER_ZONE_US 4000
-
-/* Costs are raised by up to this part at random: VMs that have the same view of the endpoints
- * would all send to the same one. */
-#define SPREAD 0.5
-
-/* An instance that is avoided gets a request that may not be repeated only so much later. */
-#define TRIAL_PATIENCE_US 2000000
-
 /* Least part of a service's endpoints that a VM takes for its own when it reckons how fast its
  * queue moves: more VMs than this bring only a few requests each. */
 #define SHARE_MIN 0.02
@@ -48,6 +21,13 @@
 #define RETRY_AFTER_MIN_MS 100
 #define RETRY_AFTER_MAX_MS 5000
 
+/* A keeper that had no room is asked again after about this time (half of it or half more, drawn):
+ * while much waits in many VMs, one of them then asks every few milliseconds. */
+#define DENIED_US 100000
+
+/* Of the requests that wait, so many ask at a time: the rest would only be denied as well. */
+#define WAITING_ASKS_MAX 4
+
 /* What waits for one service. */
 struct queue
 {
@@ -58,12 +38,13 @@
 struct comet_placement
 {
 	struct comet_instances *instances;
-	char *own_zone;
+	struct comet_shards *shards;
+	struct comet_choice choice;
 	const struct comet_placement_ops *ops;
 	void *ctx;
 	GHashTable *queues; /* service -> struct queue */
 	struct comet_placement_reason reason;
-	struct comet_draw draw;
+	uint32_t asking; /* requests that await a keeper's answer */
 	uint64_t next_order;
 	bool running;
 	bool again;
@@ -93,8 +74,10 @@
 	struct comet_placement *placement = talloc_zero(parent, struct comet_placement);
 
 	placement->instances = instances;
-	placement->own_zone = talloc_strdup(placement, own_zone);
-	comet_draw_init(&placement->draw, seed);
+	placement->shards = comet_shards_create(placement, instances);
+	placement->choice.instances = instances;
+	placement->choice.own_zone = talloc_strdup(placement, own_zone);
+	comet_draw_init(&placement->choice.draw, seed);
 	placement->ops = ops;
 	placement->ctx = ctx;
 	placement->queues = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_queue);
@@ -133,105 +116,135 @@
 	return a->order < b->order ? -1 : 1;
 }
 
+/* Chooses by views among all of a service's endpoints. */
+static struct comet_instance *
+choose_by_views(
+	struct comet_placement *placement, const struct comet_placement_item *item, uint64_t now_us)
+{
+	struct comet_choice_scope scope = {
+		.among = comet_instances_of(placement->instances, item->service),
+		.beyond = comet_choice_beyond(item),
+	};
+
+	return comet_choice_best(&placement->choice, item, &scope, now_us, &placement->reason);
+}
+
+/* Asks the keeper of a shard, if anything in it could be used. @return whether it was asked */
 static bool
-was_tried(const struct comet_placement_item *item, uint32_t key)
+ask_keeper(struct comet_placement *placement, struct comet_placement_item *item,
+	const struct comet_shard *shard, uint32_t beyond, uint64_t now_us)
 {
-	for (uint32_t i = 0; i < item->n_tried; i++)
+	uint32_t except[COMET_PLACEMENT_EXCEPT_MAX];
+	struct comet_placement_ask ask = {.shard = shard->id, .beyond = beyond, .except = except};
+	uint32_t usable = 0;
+
+	for (guint i = 0; i < shard->members->len; i++)
 	{
-		if (item->tried[i] == key)
-			return true;
+		const struct comet_instance *instance = shard->members->pdata[i];
+		if (comet_choice_is_usable(item, instance, now_us))
+			usable++;
+		else if (ask.n_except < G_N_ELEMENTS(except))
+			except[ask.n_except++] = instance->key;
 	}
-	return false;
+	if (usable == 0)
+		return false;
+	item->asking = true;
+	placement->asking++;
+	placement->ops->ask(placement->ctx, item, shard, &ask);
+	return true;
 }
 
-/* Requests that may be at an instance when one more of this rank is sent. */
-static uint32_t
-room_of(const struct comet_placement_item *item, const struct comet_instance *instance)
+/* What this VM knows of a shard, for one item. */
+struct prospect
 {
-	if (!item->job.stream)
-		return instance->slots + instance->slots * HEADROOM_PLAIN_PERCENT / 100;
-	if (item->route_rank == 0)
-		return instance->slots + HEADROOM_FIRST;
-	if (item->route_rank == 1)
-		return instance->slots + HEADROOM_SECOND;
-	return instance->slots;
+	struct comet_shard *shard;
+	enum comet_placement_keeper keeper;
+	struct comet_instance *best; /* by what this VM knows; NULL: nothing has room */
+	struct comet_placement_reason reason;
+};
+
+static struct prospect
+look_at(struct comet_placement *placement, const struct comet_placement_item *item,
+	struct comet_shard *shard, uint32_t beyond, uint64_t now_us)
+{
+	struct prospect prospect = {
+		.shard = shard,
+		.keeper = placement->ops->keeper(placement->ctx, shard),
+	};
+	struct comet_choice_scope scope = {
+		.among = shard->members,
+		.beyond = beyond,
+		.kept = prospect.keeper == COMET_PLACEMENT_KEEPER_SELF,
+	};
+
+	prospect.best =
+		comet_choice_best(&placement->choice, item, &scope, now_us, &prospect.reason);
+	return prospect;
 }
 
-/* May this item go to an instance of doubtful health now? */
-static bool
-may_try(const struct comet_placement_item *item, const struct comet_instance *instance,
-	uint64_t now_us)
+/* Takes a slot that this VM may choose by itself, or asks for one. @return as find() */
+static struct comet_instance *
+use(struct comet_placement *placement, struct comet_placement_item *item,
+	const struct prospect *prospect, uint32_t beyond, uint64_t now_us)
 {
-	if (instance->avoid_us == 0)
-		return true;
-	if (instance->on_trial || now_us < instance->avoid_us)
-		return false;
-	return item->repeatable || now_us - instance->avoid_us > TRIAL_PATIENCE_US;
+	if (prospect->keeper == COMET_PLACEMENT_KEEPER_OTHER)
+	{
+		ask_keeper(placement, item, prospect->shard, beyond, now_us);
+		return NULL;
+	}
+	placement->reason = prospect->reason;
+	return prospect->best;
 }
 
-/* What sending it there costs: the time until the answer begins, and part of what it takes. */
-static double
-cost_of(struct comet_placement *placement, const struct comet_placement_item *item,
-	const struct comet_instance *instance, uint32_t load, uint64_t now_us,
-	struct comet_placement_reason *reason)
-{
-	comet_instance_expect(placement->instances, instance, &item->job, now_us, &reason->first_us,
-		&reason->whole_us);
-	double wait = 0;
-	if (load >= instance->slots)
-		wait = (double)reason->whole_us * (load - instance->slots + 1) / instance->slots;
-	/* Plain services slow down as they fill. */
-	double crowd = item->job.stream ? 0 : (double)reason->whole_us * load / instance->slots / 2;
-	double zone = strcmp(instance->zone, placement->own_zone) == 0 ? 0 : OTHER_ZONE_US;
-	double cost = wait + crowd + zone + (double)reason->first_us +
-		      WHOLE_WEIGHT * (double)(reason->whole_us - reason->first_us);
-	/* Lengths are guessed: an answer that may take twice as long must still be whole in time.
-	 */
-	double end = (double)now_us + wait + LENGTH_DOUBT * (double)reason->whole_us;
-	if (item->end_us != 0 && end > (double)item->end_us)
-		cost += LATE_WEIGHT * (end - (double)item->end_us);
-	return cost * (1 + SPREAD * comet_draw_unit(&placement->draw));
-}
-
-/* The cheapest instance with room, or NULL. candidates: any that could ever take it. */
+/* Looks in all shards: in the one that seems cheapest, or else in those whose keepers may know of
+ * room that views do not show, beginning anywhere. */
 static struct comet_instance *
-choose(struct comet_placement *placement, const struct comet_placement_item *item, uint64_t now_us)
+find_at_level(struct comet_placement *placement, struct comet_placement_item *item,
+	const GPtrArray *shards, uint32_t beyond, uint64_t now_us)
 {
-	const GPtrArray *all = comet_instances_of(placement->instances, item->service);
-	struct comet_instance *best = NULL;
-	struct comet_placement_reason found = {0};
-	double best_cost = 0;
-	uint32_t with_room = 0;
-	uint32_t candidates = 0;
+	uint32_t turn = comet_draw_u32(&placement->choice.draw);
+	struct prospect cheapest = {0};
+	struct prospect full = {0};
 
-	for (guint i = 0; all != NULL && i < all->len; i++)
+	for (guint i = 0; i < shards->len; i++)
 	{
-		struct comet_instance *instance = all->pdata[i];
-		struct comet_placement_reason reason = {0};
-		if (instance->draining || instance->replaced || was_tried(item, instance->key))
-			continue;
-		candidates++;
-		if (now_us < instance->full_us)
+		struct comet_shard *shard = shards->pdata[(i + turn) % shards->len];
+		if (now_us < shard->denied_us[beyond])
 			continue;
-		reason.load = comet_instance_load(instance, now_us);
-		if (reason.load >= room_of(item, instance) || !may_try(item, instance, now_us))
-			continue;
-		with_room++;
-		double cost = cost_of(placement, item, instance, reason.load, now_us, &reason);
-		if (best == NULL || cost < best_cost)
+		struct prospect prospect = look_at(placement, item, shard, beyond, now_us);
+		if (prospect.best == NULL)
 		{
-			best = instance;
-			best_cost = cost;
-			found = reason;
-			found.slots = instance->slots;
-			found.view_age_us = now_us - MAX(instance->others_us, instance->told_us);
+			if (prospect.keeper == COMET_PLACEMENT_KEEPER_OTHER)
+				full = prospect;
+			continue;
 		}
+		if (cheapest.best == NULL || prospect.reason.cost < cheapest.reason.cost)
+			cheapest = prospect;
 	}
-	found.candidates = candidates;
-	found.with_room = with_room;
-	found.waited_us = now_us - item->since_us;
-	placement->reason = found;
-	return best;
+	if (cheapest.best != NULL)
+		return use(placement, item, &cheapest, beyond, now_us);
+	return full.shard != NULL ? use(placement, item, &full, beyond, now_us) : NULL;
+}
+
+/* Looks for a slot: free ones anywhere first, then those where the item would wait a little.
+ * @return an instance; NULL: none, or item->asking is set */
+static struct comet_instance *
+find(struct comet_placement *placement, struct comet_placement_item *item, uint64_t now_us)
+{
+	const GPtrArray *shards = item->job.stream && placement->ops->keeper != NULL
+					  ? comet_shards_of(placement->shards, item->service)
+					  : NULL;
+	struct comet_instance *found = NULL;
+
+	if (shards == NULL)
+		return choose_by_views(placement, item, now_us);
+	for (uint32_t beyond = 0; beyond <= comet_choice_beyond(item); beyond++)
+	{
+		found = find_at_level(placement, item, shards, beyond, now_us);
+		if (found != NULL || item->asking)
+			return found;
+	}
+	return NULL;
 }
 
 static uint32_t
@@ -287,22 +300,32 @@
 	for (guint i = 0; all != NULL && i < all->len; i++)
 	{
 		const struct comet_instance *instance = all->pdata[i];
-		if (!instance->draining && !instance->replaced && !was_tried(item, instance->key))
+		if (!instance->draining && !instance->replaced &&
+			!comet_choice_was_tried(item, instance->key))
 			return true;
 	}
 	return false;
 }
 
+/* Sends it there; keeper: the VM that granted the slot, or 0. */
 static void
-dispatch(struct comet_placement *placement, struct comet_placement_item *item,
-	struct comet_instance *instance)
+dispatch_granted(struct comet_placement *placement, struct comet_placement_item *item,
+	struct comet_instance *instance, uint32_t keeper)
 {
 	instance->on_trial = instance->avoid_us != 0;
+	item->keeper = keeper;
 	if (item->n_tried < COMET_PLACEMENT_TRIED_MAX)
 		item->tried[item->n_tried++] = instance->key;
 	placement->ops->dispatch(placement->ctx, item, instance);
 }
 
+static void
+dispatch(struct comet_placement *placement, struct comet_placement_item *item,
+	struct comet_instance *instance)
+{
+	dispatch_granted(placement, item, instance, 0);
+}
+
 static void
 take_out(struct comet_placement_item *item)
 {
@@ -337,14 +360,17 @@
 	while (!g_sequence_iter_is_end(at))
 	{
 		struct comet_placement_item *item = g_sequence_get(at);
-		struct comet_instance *instance = choose(placement, item, now_us);
+		if (placement->asking >= WAITING_ASKS_MAX)
+			break;
+		struct comet_instance *instance = find(placement, item, now_us);
 		at = g_sequence_iter_next(at);
-		if (instance == NULL && item->n_tried == 0)
+		if (instance == NULL && !item->asking && item->n_tried == 0)
 			break; /* nobody behind it has more room */
-		if (instance == NULL)
+		if (instance == NULL && !item->asking)
 			continue;
 		take_out(item);
-		dispatch(placement, item, instance);
+		if (instance != NULL)
+			dispatch(placement, item, instance);
 	}
 }
 
@@ -373,46 +399,153 @@
 	placement->running = false;
 }
 
-void
-comet_placement_submit(
+/* Nothing has room: the item waits in order of rank, or is refused if that is hopeless. */
+static void
+wait_or_refuse(
 	struct comet_placement *placement, struct comet_placement_item *item, uint64_t now_us)
 {
 	struct queue *queue = queue_of(placement, item->service);
-	bool queued = g_sequence_get_length(queue->items) > 0;
-
-	item->since_us = now_us;
-	item->order = placement->next_order++;
-	item->place = NULL;
-	struct comet_instance *instance = queued ? NULL : choose(placement, item, now_us);
-	if (instance != NULL)
-	{
-		dispatch(placement, item, instance);
-		return;
-	}
 	uint64_t wait_us = comet_placement_wait_us(placement, item, now_us);
 	bool hopeless = now_us + wait_us > item->latest_us;
-	if (!queued && placement->reason.candidates == 0)
+
+	if (!comet_placement_has_other(placement, item))
 	{
 		/* Nobody serves it just now: worth a short wait, if nobody refused it yet. */
 		item->latest_us = MIN(item->latest_us, item->early_us);
 		hopeless = item->n_tried > 0 || item->latest_us <= now_us;
 	}
 	if (hopeless)
-	{
 		placement->ops->refuse(placement->ctx, item, retry_after_ms(wait_us));
+	else
+		item->place = g_sequence_insert_sorted(queue->items, item, compare_items, NULL);
+}
+
+/* Finds a slot for an item that does not wait, or makes it wait. */
+static void
+place(struct comet_placement *placement, struct comet_placement_item *item, uint64_t now_us)
+{
+	struct comet_instance *instance = find(placement, item, now_us);
+
+	if (instance != NULL)
+		dispatch(placement, item, instance);
+	else if (!item->asking)
+		wait_or_refuse(placement, item, now_us);
+}
+
+void
+comet_placement_submit(
+	struct comet_placement *placement, struct comet_placement_item *item, uint64_t now_us)
+{
+	struct queue *queue = queue_of(placement, item->service);
+
+	item->since_us = now_us;
+	item->order = placement->next_order++;
+	item->place = NULL;
+	item->asking = false;
+	if (g_sequence_get_length(queue->items) == 0)
+	{
+		place(placement, item, now_us);
 		return;
 	}
-	item->place = g_sequence_insert_sorted(queue->items, item, compare_items, NULL);
-	if (queued)
-		comet_placement_run(placement, now_us);
+	wait_or_refuse(placement, item, now_us);
+	comet_placement_run(placement, now_us);
+}
+
+static void
+stop_asking(struct comet_placement *placement, struct comet_placement_item *item)
+{
+	item->asking = false;
+	placement->asking--;
+}
+
+bool
+comet_placement_granted(struct comet_placement *placement, struct comet_placement_item *item,
+	uint32_t keeper, uint32_t instance_key, uint64_t now_us)
+{
+	struct comet_instance *instance =
+		comet_instances_find_key(placement->instances, instance_key);
+
+	stop_asking(placement, item);
+	if (instance == NULL || !comet_choice_is_usable(item, instance, now_us))
+	{
+		/* Our lists differ, or more endpoints are doubtful than an ask can name. */
+		instance = choose_by_views(placement, item, now_us);
+		if (instance != NULL)
+			dispatch(placement, item, instance);
+		else
+			wait_or_refuse(placement, item, now_us);
+		return false;
+	}
+	memset(&placement->reason, 0, sizeof placement->reason);
+	placement->reason.load = comet_instance_load(instance, now_us);
+	placement->reason.slots = instance->slots;
+	placement->reason.waited_us = now_us - item->since_us;
+	comet_instance_expect(placement->instances, instance, &item->job, now_us,
+		&placement->reason.first_us, &placement->reason.whole_us);
+	dispatch_granted(placement, item, instance, keeper);
+	return true;
+}
+
+void
+comet_placement_denied(struct comet_placement *placement, struct comet_placement_item *item,
+	uint32_t shard_id, uint32_t beyond, uint64_t now_us)
+{
+	struct comet_shard *shard = comet_shards_find(placement->shards, shard_id);
+	double part = 0.5 + comet_draw_unit(&placement->choice.draw);
+
+	stop_asking(placement, item);
+	if (shard != NULL)
+		comet_shard_denied(shard, beyond, now_us + (uint64_t)(DENIED_US * part));
+	place(placement, item, now_us);
+}
+
+void
+comet_placement_unanswered(
+	struct comet_placement *placement, struct comet_placement_item *item, uint64_t now_us)
+{
+	stop_asking(placement, item);
+	place(placement, item, now_us);
+}
+
+void
+comet_placement_freed(struct comet_placement *placement, const struct comet_instance *instance)
+{
+	struct comet_shard *shard = comet_shards_find(placement->shards, instance->shard);
+
+	if (shard != NULL)
+		comet_shard_freed(shard);
+}
+
+struct comet_instance *
+comet_placement_choose_for(struct comet_placement *placement, const struct comet_job *job,
+	const struct comet_placement_ask *ask, uint64_t end_us, uint64_t now_us)
+{
+	const struct comet_shard *shard = comet_shards_find(placement->shards, ask->shard);
+	struct comet_placement_item item = {.job = *job, .end_us = end_us, .since_us = now_us};
+	struct comet_placement_reason reason;
+
+	if (shard == NULL)
+		return NULL;
+	struct comet_choice_scope scope = {
+		.among = shard->members,
+		.beyond = MIN(ask->beyond, COMET_SHARD_LEVELS - 1),
+		.kept = true,
+		.trusted_only = true,
+		.except = ask->except,
+		.n_except = (uint32_t)ask->n_except,
+	};
+	return comet_choice_best(&placement->choice, &item, &scope, now_us, &reason);
 }
 
 void
 comet_placement_withdraw(struct comet_placement *placement, struct comet_placement_item *item)
 {
-	(void)placement;
 	if (item->place != NULL)
 		take_out(item);
+	if (!item->asking)
+		return;
+	stop_asking(placement, item);
+	placement->ops->forget(placement->ctx, item);
 }
 
 uint32_t
--- a/libcometspindle/gateway/placement.h
+++ b/libcometspindle/gateway/placement.h
@@ -10,12 +10,16 @@
 #define COMETSPINDLE_GATEWAY_PLACEMENT_H
 
 #include <libcometspindle/gateway/instances.h>
+#include <libcometspindle/gateway/shards.h>
 #include <stdbool.h>
 #include <stdint.h>
 
 /** Endpoints that one request may be kept from: it was there already. */
 #define COMET_PLACEMENT_TRIED_MAX 4
 
+/** Endpoints that one ask may except. */
+#define COMET_PLACEMENT_EXCEPT_MAX 16
+
 /** A request that is to be placed; embedded in its owner. */
 struct comet_placement_item
 {
@@ -30,12 +34,31 @@
 	uint32_t tried[COMET_PLACEMENT_TRIED_MAX]; /**< keys of instances it was sent to */
 	uint32_t n_tried;
 	void *owner;
+	uint32_t keeper; /**< VM that granted the slot it was sent to; 0: none did */
 	/* placement's own */
+	bool asking; /* a keeper's answer is awaited */
 	GSequenceIter *place;
 	uint64_t since_us;
 	uint64_t order;
 };
 
+/** Which slot a keeper is asked for. */
+struct comet_placement_ask
+{
+	uint32_t shard;         /**< id */
+	uint32_t beyond;        /**< requests that may be at an endpoint beyond its slots */
+	const uint32_t *except; /**< keys of endpoints that are not wanted */
+	size_t n_except;
+};
+
+/** Who keeps count of a shard. */
+enum comet_placement_keeper
+{
+	COMET_PLACEMENT_KEEPER_NONE,  /**< nobody that answers: views have to do */
+	COMET_PLACEMENT_KEEPER_SELF,  /**< this VM */
+	COMET_PLACEMENT_KEEPER_OTHER, /**< another VM, which must be asked */
+};
+
 struct comet_placement_ops
 {
 	/** Send it there now. */
@@ -43,6 +66,13 @@
 		void *ctx, struct comet_placement_item *item, struct comet_instance *instance);
 	/** It has not run; come back after retry_after_ms. */
 	void (*refuse)(void *ctx, struct comet_placement_item *item, uint32_t retry_after_ms);
+	/** Who keeps count of it; NULL: nobody ever does. */
+	enum comet_placement_keeper (*keeper)(void *ctx, const struct comet_shard *shard);
+	/** Asks its keeper; ends in comet_placement_granted, _denied or _unanswered. */
+	void (*ask)(void *ctx, struct comet_placement_item *item, const struct comet_shard *shard,
+		const struct comet_placement_ask *ask);
+	/** The answer to an ask is not awaited any more. */
+	void (*forget)(void *ctx, struct comet_placement_item *item);
 };
 
 /** Why the last choice fell on an instance, for the log. */
@@ -56,6 +86,7 @@
 	uint64_t whole_us;
 	uint64_t waited_us;
 	uint64_t view_age_us; /**< of what is known of its load */
+	double cost;          /**< by which it was the cheapest, in microseconds */
 };
 
 struct comet_placement;
@@ -78,6 +109,30 @@
 void
 comet_placement_run(struct comet_placement *placement, uint64_t now_us);
 
+/** A keeper granted a slot. @return false when it cannot be used and is to be given back. */
+bool
+comet_placement_granted(struct comet_placement *placement, struct comet_placement_item *item,
+	uint32_t keeper, uint32_t instance_key, uint64_t now_us);
+
+/** Nothing in the shard has room at that level. */
+void
+comet_placement_denied(struct comet_placement *placement, struct comet_placement_item *item,
+	uint32_t shard, uint32_t beyond, uint64_t now_us);
+
+/** The keeper did not answer. */
+void
+comet_placement_unanswered(
+	struct comet_placement *placement, struct comet_placement_item *item, uint64_t now_us);
+
+/** A request of ours has left a slot. */
+void
+comet_placement_freed(struct comet_placement *placement, const struct comet_instance *instance);
+
+/** Chooses, as keeper, for a request of another VM. @return NULL when nothing has room */
+struct comet_instance *
+comet_placement_choose_for(struct comet_placement *placement, const struct comet_job *job,
+	const struct comet_placement_ask *ask, uint64_t end_us, uint64_t now_us);
+
 /** Requests that wait for a service. */
 uint32_t
 comet_placement_waiting(const struct comet_placement *placement, const char *service);
--- a/libcometspindle/gateway/settings.c
+++ b/libcometspindle/gateway/settings.c
@@ -77,6 +77,7 @@
 		(uint32_t)comet_check_int(object, "near_bytes_per_s", 256, BYTES_MAX, 16384);
 	settings->far_bytes_per_s =
 		(uint32_t)comet_check_int(object, "far_bytes_per_s", 256, BYTES_MAX, 8192);
+	settings->ask_keepers = comet_check_bool(object, "ask_keepers", true);
 	read_times(settings, object);
 	settings->log_lines_per_s = (uint32_t)comet_check_int(
 		object, "log_lines_per_s", 0, LOG_LINES_MAX, LOG_LINES_DEFAULT);
--- /dev/null
+++ b/libcometspindle/gateway/shards.c
@@ -0,0 +1,194 @@
+/*
+ * shards.c
+ * the endpoints of a service in parts, each of which one VM keeps count of
+ */
+#include <libcometspindle/gateway/shards.h>
+
+#include <libcometspindle/hash.h>
+#include <string.h>
+#include <talloc.h>
+
+/* Most endpoints of a shard: so many that an ask seldom meets a full one, and so few that the asks
+ * for it (some per second and endpoint) take its keeper about a hundredth of a core. */
+#define MEMBERS_MAX 64
+
+struct comet_shards
+{
+	struct comet_instances *instances;
+	uint64_t changes;     /* of the instances, when the shards were formed */
+	GHashTable *counts;   /* group -> number of its endpoints */
+	GHashTable *by_id;    /* id -> struct comet_shard */
+	GHashTable *services; /* service -> GPtrArray of struct comet_shard */
+};
+
+static void
+free_shard(gpointer data)
+{
+	struct comet_shard *shard = data;
+
+	g_ptr_array_free(shard->members, TRUE);
+	g_free(shard->service);
+	g_free(shard->zone);
+	g_free(shard);
+}
+
+static void
+free_array(gpointer array)
+{
+	g_ptr_array_free(array, TRUE);
+}
+
+static int
+shards_destroy(struct comet_shards *shards)
+{
+	g_hash_table_destroy(shards->services);
+	g_hash_table_destroy(shards->by_id);
+	g_hash_table_destroy(shards->counts);
+	return 0;
+}
+
+struct comet_shards *
+comet_shards_create(void *parent, struct comet_instances *instances)
+{
+	struct comet_shards *shards = talloc_zero(parent, struct comet_shards);
+
+	shards->instances = instances;
+	shards->changes = UINT64_MAX;
+	shards->counts = g_hash_table_new(NULL, NULL);
+	shards->by_id = g_hash_table_new_full(NULL, NULL, NULL, free_shard);
+	shards->services = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_array);
+	talloc_set_destructor(shards, shards_destroy);
+	return shards;
+}
+
+/* Endpoints of one service in one zone. */
+static uint32_t
+group_of(const struct comet_instance *instance)
+{
+	uint32_t names[] = {comet_hash_name(instance->service), comet_hash_name(instance->zone)};
+
+	return (uint32_t)comet_hash_bytes(names, sizeof names, 0);
+}
+
+static void
+count(void *ctx, struct comet_instance *instance)
+{
+	GHashTable *counts = ctx;
+	gpointer group = GUINT_TO_POINTER(group_of(instance));
+	guint before = GPOINTER_TO_UINT(g_hash_table_lookup(counts, group));
+
+	g_hash_table_insert(counts, group, GUINT_TO_POINTER(before + 1));
+}
+
+static struct comet_shard *
+lookup(const struct comet_shards *shards, uint32_t id)
+{
+	return g_hash_table_lookup(shards->by_id, GUINT_TO_POINTER(id));
+}
+
+/* The shard that an instance belongs to, when its group has so many endpoints. */
+static struct comet_shard *
+shard_for(struct comet_shards *shards, const struct comet_instance *instance, uint32_t in_group)
+{
+	uint32_t parts = (in_group + MEMBERS_MAX - 1) / MEMBERS_MAX;
+	uint32_t names[] = {group_of(instance), parts, instance->key % parts};
+	uint32_t id = (uint32_t)comet_hash_bytes(names, sizeof names, 0);
+	struct comet_shard *shard = lookup(shards, id);
+
+	if (shard != NULL)
+		return shard;
+	shard = g_new0(struct comet_shard, 1);
+	shard->id = id;
+	shard->service = g_strdup(instance->service);
+	shard->zone = g_strdup(instance->zone);
+	shard->zone_id = comet_hash_name(instance->zone);
+	shard->members = g_ptr_array_new();
+	g_hash_table_insert(shards->by_id, GUINT_TO_POINTER(id), shard);
+	return shard;
+}
+
+static void
+join(void *ctx, struct comet_instance *instance)
+{
+	struct comet_shards *shards = ctx;
+	gpointer group = GUINT_TO_POINTER(group_of(instance));
+	guint in_group = GPOINTER_TO_UINT(g_hash_table_lookup(shards->counts, group));
+	struct comet_shard *shard = shard_for(shards, instance, in_group);
+
+	instance->shard = shard->id;
+	g_ptr_array_add(shard->members, instance);
+}
+
+static gboolean
+is_empty(gpointer key, gpointer value, gpointer ctx)
+{
+	const struct comet_shard *shard = value;
+
+	(void)key;
+	(void)ctx;
+	return shard->members->len == 0;
+}
+
+static void
+list_by_service(struct comet_shards *shards, struct comet_shard *shard)
+{
+	GPtrArray *array = g_hash_table_lookup(shards->services, shard->service);
+
+	if (array == NULL)
+	{
+		array = g_ptr_array_new();
+		g_hash_table_insert(shards->services, g_strdup(shard->service), array);
+	}
+	g_ptr_array_add(array, shard);
+}
+
+/* Forms the shards anew if endpoints came or went. What was denied stays known. */
+static void
+refresh(struct comet_shards *shards)
+{
+	uint64_t changes = comet_instances_changes(shards->instances);
+	GHashTableIter at;
+	gpointer shard = NULL;
+
+	if (changes == shards->changes)
+		return;
+	shards->changes = changes;
+	g_hash_table_remove_all(shards->services);
+	g_hash_table_iter_init(&at, shards->by_id);
+	while (g_hash_table_iter_next(&at, NULL, &shard))
+		g_ptr_array_set_size(((struct comet_shard *)shard)->members, 0);
+	g_hash_table_remove_all(shards->counts);
+	comet_instances_each(shards->instances, count, shards->counts);
+	comet_instances_each(shards->instances, join, shards);
+	g_hash_table_foreach_remove(shards->by_id, is_empty, NULL);
+	g_hash_table_iter_init(&at, shards->by_id);
+	while (g_hash_table_iter_next(&at, NULL, &shard))
+		list_by_service(shards, shard);
+}
+
+const GPtrArray *
+comet_shards_of(struct comet_shards *shards, const char *service)
+{
+	refresh(shards);
+	return g_hash_table_lookup(shards->services, service);
+}
+
+struct comet_shard *
+comet_shards_find(struct comet_shards *shards, uint32_t id)
+{
+	refresh(shards);
+	return lookup(shards, id);
+}
+
+void
+comet_shard_denied(struct comet_shard *shard, uint32_t level, uint64_t until_us)
+{
+	for (uint32_t i = 0; i <= level && i < COMET_SHARD_LEVELS; i++)
+		shard->denied_us[i] = MAX(shard->denied_us[i], until_us);
+}
+
+void
+comet_shard_freed(struct comet_shard *shard)
+{
+	memset(shard->denied_us, 0, sizeof shard->denied_us);
+}
--- a/libcometspindle/gateway/views.c
+++ b/libcometspindle/gateway/views.c
@@ -5,8 +5,6 @@
 #include <libcometspindle/gateway/views.h>
 
 #include <libcometspindle/hash.h>
-#include <pb_decode.h>
-#include <pb_encode.h>
 #include <string.h>
 #include <talloc.h>
 
@@ -25,6 +23,10 @@
 #define RETRY_US 1000000
 #define FORGET_US 20000000
 
+/* A VM keeps count of endpoints once its process has run this long: by then it has heard what the
+ * others have running. */
+#define KEEPER_AGE_US 3000000
+
 /* Bytes on the wire beside the view itself: IP and UDP headers. */
 #define HEADER_BYTES 28
 
@@ -35,6 +37,7 @@
 	uint64_t number;
 	uint64_t heard_us; /* 0: never */
 	uint64_t known_us; /* first heard of */
+	uint64_t began_us; /* its process, by its own word */
 	uint64_t asked_us; /* last sent to */
 	uint64_t revision;
 	uint32_t zone; /* 0: not known */
@@ -68,8 +71,8 @@
 	uint64_t far_sent_us;
 	uint32_t spent_turn; /* where the list of teams goes on */
 	bool leaving;
-	bool stale; /* others' dispatches are to be summed anew */
-	comet_View scratch;
+	bool stale;             /* others' dispatches are to be summed anew */
+	comet_Datagram scratch; /* to be sent */
 };
 
 static void
@@ -191,6 +194,7 @@
 		views->ops->changed(
 			views->ctx, peer->address, true, restarted ? "restarted" : "heard");
 	peer->incarnation = view->incarnation;
+	peer->began_us = now_us - MIN((uint64_t)view->age_ms * 1000, now_us);
 	peer->number = view->number;
 	peer->heard_us = now_us;
 	peer->silent = false;
@@ -206,13 +210,9 @@
 }
 
 bool
-comet_views_receive(struct comet_views *views, const uint8_t *data, size_t length, uint64_t now_us)
+comet_views_receive(struct comet_views *views, const comet_View *view, uint64_t now_us)
 {
-	comet_View *view = &views->scratch;
-	pb_istream_t stream = pb_istream_from_buffer(data, length);
-
-	memset(view, 0, sizeof *view);
-	if (!pb_decode(&stream, comet_View_fields, view) || view->address == 0)
+	if (view->address == 0)
 		return false;
 	if (view->address == views->address)
 		return true; /* our own address, or that of the VM we replaced */
@@ -312,13 +312,14 @@
 
 /* Builds this VM's view. @return its length. */
 static size_t
-build(struct comet_views *views, uint8_t data[COMET_VIEW_BYTES_MAX], bool far, uint64_t now_us)
+build(struct comet_views *views, uint8_t data[COMET_DATAGRAM_BYTES_MAX], bool far, uint64_t now_us)
 {
-	comet_View *view = &views->scratch;
+	comet_Datagram *datagram = &views->scratch;
+	comet_View *view = &datagram->body.view;
 	struct put_spent put = {.view = view, .skip = views->spent_turn};
-	pb_ostream_t stream = pb_ostream_from_buffer(data, COMET_VIEW_BYTES_MAX);
 
-	memset(view, 0, sizeof *view);
+	memset(datagram, 0, sizeof *datagram);
+	datagram->which_body = comet_Datagram_view_tag;
 	view->incarnation = views->incarnation;
 	view->number = ++views->number;
 	view->address = views->address;
@@ -334,12 +335,13 @@
 	if (views->spent_turn >= put.seen)
 		views->spent_turn = 0;
 	put_peers(views, view);
-	while (!pb_encode(&stream, comet_View_fields, view) && view->busy_count > 0)
+	size_t length = comet_datagram_encode(datagram, data);
+	while (length == 0 && view->busy_count > 0)
 	{
 		view->busy_count /= 2; /* too large for one frame: the rest stays untold */
-		stream = pb_ostream_from_buffer(data, COMET_VIEW_BYTES_MAX);
+		length = comet_datagram_encode(datagram, data);
 	}
-	return stream.bytes_written;
+	return length;
 }
 
 /* Is it time to send to this VM? Silent ones, and seeds never heard, are asked now and then. */
@@ -355,7 +357,7 @@
 static void
 send_round(struct comet_views *views, bool far, uint64_t now_us)
 {
-	uint8_t data[COMET_VIEW_BYTES_MAX];
+	uint8_t data[COMET_DATAGRAM_BYTES_MAX];
 	size_t length = build(views, data, far, now_us);
 	GHashTableIter at;
 	gpointer value = NULL;
@@ -379,7 +381,7 @@
 static void
 greet(struct comet_views *views, uint64_t now_us)
 {
-	uint8_t data[COMET_VIEW_BYTES_MAX];
+	uint8_t data[COMET_DATAGRAM_BYTES_MAX];
 	size_t length = 0;
 	GHashTableIter at;
 	gpointer value = NULL;
@@ -554,3 +556,84 @@
 	}
 	return chosen;
 }
+
+/* May a process that began then and was heard so keep count? */
+static bool
+can_keep(uint64_t began_us, uint64_t now_us)
+{
+	return now_us - began_us >= KEEPER_AGE_US;
+}
+
+uint32_t
+comet_views_keeper(const struct comet_views *views, uint32_t key, uint32_t zone, uint64_t now_us)
+{
+	bool self = !views->leaving && can_keep(views->began_us, now_us);
+	uint32_t chosen = self ? views->address : 0;
+	bool chosen_near = self && views->zone == zone;
+	uint64_t best = self ? comet_hash_score(key, views->address) : 0;
+	GHashTableIter at;
+	gpointer value = NULL;
+
+	g_hash_table_iter_init(&at, views->peers);
+	while (g_hash_table_iter_next(&at, NULL, &value))
+	{
+		const struct peer *peer = value;
+		if (peer->heard_us == 0 || peer->silent || peer->leaving ||
+			!can_keep(peer->began_us, now_us))
+			continue;
+		bool near = peer->zone == zone;
+		uint64_t score = comet_hash_score(key, peer->address);
+		if (chosen != 0 && (near != chosen_near ? !near : score <= best))
+			continue;
+		chosen = peer->address;
+		chosen_near = near;
+		best = score;
+	}
+	return chosen;
+}
+
+/* What a peer is known to run at an endpoint, or NULL. */
+static comet_Busy *
+busy_at(const struct peer *peer, uint32_t instance_key)
+{
+	for (guint i = 0; i < peer->busy->len; i++)
+	{
+		comet_Busy *busy = &g_array_index(peer->busy, comet_Busy, i);
+		if (busy->instance == instance_key)
+			return busy;
+	}
+	return NULL;
+}
+
+void
+comet_views_granted(struct comet_views *views, uint32_t address, uint32_t instance_key,
+	uint32_t prompt_tokens, uint64_t now_us)
+{
+	struct peer *peer = g_hash_table_lookup(views->peers, GUINT_TO_POINTER(address));
+	struct comet_instance *instance = comet_instances_find_key(views->instances, instance_key);
+
+	if (peer == NULL || instance == NULL)
+		return; /* a VM that nobody has heard of: its first view will tell */
+	comet_Busy *busy = busy_at(peer, instance_key);
+	if (busy != NULL)
+		busy->running++;
+	else
+	{
+		comet_Busy added = {.instance = instance_key, .running = 1};
+		g_array_append_val(peer->busy, added);
+	}
+	comet_instance_granted(views->instances, instance, prompt_tokens, now_us);
+}
+
+void
+comet_views_freed(struct comet_views *views, uint32_t address, uint32_t instance_key)
+{
+	const struct peer *peer = g_hash_table_lookup(views->peers, GUINT_TO_POINTER(address));
+	struct comet_instance *instance = comet_instances_find_key(views->instances, instance_key);
+	comet_Busy *busy = peer != NULL ? busy_at(peer, instance_key) : NULL;
+
+	if (instance == NULL || busy == NULL || busy->running == 0)
+		return; /* its view came first */
+	busy->running--;
+	comet_instance_freed(instance);
+}
--- a/libcometspindle/gateway/views.h
+++ b/libcometspindle/gateway/views.h
@@ -13,14 +13,11 @@
 
 #include <libcometspindle/gateway/allowance.h>
 #include <libcometspindle/gateway/instances.h>
-#include <libcometspindle/proto/view.pb.h>
+#include <libcometspindle/gateway/datagram.h>
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
-/** Largest datagram: one Ethernet frame, so that no part of it can be lost alone. */
-#define COMET_VIEW_BYTES_MAX 1400
-
 struct comet_views_config
 {
 	uint32_t address; /**< IPv4 of this VM, host order */
@@ -48,9 +45,25 @@
 	struct comet_instances *instances, struct comet_allowance *allowance,
 	const struct comet_views_ops *ops, void *ctx);
 
-/** A datagram arrived. @return false when it is not a view. */
+/** A view arrived. @return false when it names no sender. */
 bool
-comet_views_receive(struct comet_views *views, const uint8_t *data, size_t length, uint64_t now_us);
+comet_views_receive(struct comet_views *views, const comet_View *view, uint64_t now_us);
+
+/**
+ * @return the VM that keeps count for a key: of those that are heard and have run for some time the
+ * same one on all VMs that hear the same, from that zone if there is any; 0: there is none.
+ */
+uint32_t
+comet_views_keeper(const struct comet_views *views, uint32_t key, uint32_t zone, uint64_t now_us);
+
+/** A VM was granted a slot at an endpoint, for a prompt; its next view includes that. */
+void
+comet_views_granted(struct comet_views *views, uint32_t address, uint32_t instance_key,
+	uint32_t prompt_tokens, uint64_t now_us);
+
+/** A VM has left a slot that it was granted; its next view includes that. */
+void
+comet_views_freed(struct comet_views *views, uint32_t address, uint32_t instance_key);
 
 /** Sends what is due; call some tens of times a second. */
 void
--- a/libcometspindle/proto/view.pb.c
+++ b/libcometspindle/proto/view.pb.c
@@ -15,4 +15,16 @@
 PB_BIND(comet_View, comet_View, 2)
 
 
+PB_BIND(comet_SlotAsk, comet_SlotAsk, AUTO)
+
+
+PB_BIND(comet_SlotAnswer, comet_SlotAnswer, AUTO)
+
+
+PB_BIND(comet_SlotFreed, comet_SlotFreed, AUTO)
+
+
+PB_BIND(comet_Datagram, comet_Datagram, 2)
+
+
 
--- a/tests/unit/test_gateway_placement.cc
+++ b/tests/unit/test_gateway_placement.cc
@@ -54,7 +54,8 @@
 	void
 	SetUp() override
 	{
-		static const comet_placement_ops ops = {on_dispatch, on_refuse};
+		static const comet_placement_ops ops = {
+			on_dispatch, on_refuse, nullptr, nullptr, nullptr};
 		instances = comet_instances_create(nullptr, "z1");
 		placement = comet_placement_create(instances, instances, "z1", &ops, this, 1);
 	}
@@ -398,9 +399,12 @@
 				if (one.first == cut || mail.first == cut ||
 					all.count(mail.first) == 0)
 					continue;
-				comet_views_receive(all[mail.first].views,
-					(const uint8_t *)mail.second.data(), mail.second.size(),
-					now_us);
+				comet_Datagram datagram;
+				ASSERT_TRUE(
+					comet_datagram_decode((const uint8_t *)mail.second.data(),
+						mail.second.size(), &datagram));
+				comet_views_receive(
+					all[mail.first].views, &datagram.body.view, now_us);
 			}
 			one.second.outbox.clear();
 		}
@@ -505,9 +509,12 @@
 {
 	vms fleet(1);
 	const uint8_t junk[] = {0xff, 0x01, 0x02, 0x80};
+	comet_Datagram datagram;
+	comet_View nobody = {};
 
-	EXPECT_FALSE(comet_views_receive(fleet.all[1].views, junk, sizeof junk, 1));
-	EXPECT_FALSE(comet_views_receive(fleet.all[1].views, junk, 0, 1));
+	EXPECT_FALSE(comet_datagram_decode(junk, sizeof junk, &datagram));
+	EXPECT_FALSE(comet_datagram_decode(junk, 0, &datagram));
+	EXPECT_FALSE(comet_views_receive(fleet.all[1].views, &nobody, 1));
 }
 
 } // namespace
