Who keeps count of a shard is looked up every 50 ms only

Cause: each placement hashed all VMs for each shard and level; at 300 VMs before 3,000 endpoints (47 shards) that is about 0.3 ms a request, read from the code, not measured. Change: kept in the shard for 50 ms. Unit tests pass.

--- a/libcometspindle/adapters/gateway_grants.c
+++ b/libcometspindle/adapters/gateway_grants.c
@@ -9,6 +9,9 @@
 /* How often open asks are looked at: a part of the time after which they are given up. */
 #define ASKS_TICK_US 10000
 
+/* Who keeps count is looked up again after this time: as often as silent VMs are looked for. */
+#define KEEPER_FRESH_US 50000
+
 static void
 on_asks_tick(void *ctx)
 {
@@ -20,18 +23,27 @@
 			gateway->timers, gateway, ASKS_TICK_US, on_asks_tick, gateway);
 }
 
+/* Who keeps count of a shard: 0 when nobody does, or none is to be asked. */
 static uint32_t
-keeper_of(const struct comet_gateway *gateway, const struct comet_shard *shard, uint64_t now_us)
+keeper_of(const struct comet_gateway *gateway, struct comet_shard *shard, uint64_t now_us)
 {
-	return comet_views_keeper(gateway->views, shard->id, shard->zone_id, now_us);
+	if (!gateway->settings->ask_keepers)
+		return 0;
+	if (shard->keeper_us == 0 || now_us - shard->keeper_us >= KEEPER_FRESH_US)
+	{
+		shard->keeper =
+			comet_views_keeper(gateway->views, shard->id, shard->zone_id, now_us);
+		shard->keeper_us = now_us;
+	}
+	return shard->keeper;
 }
 
 enum comet_placement_keeper
-comet_gateway_keeper(void *ctx, const struct comet_shard *shard)
+comet_gateway_keeper(void *ctx, struct comet_shard *shard)
 {
 	const struct comet_gateway *gateway = ctx;
 	uint64_t now_us = comet_timers_now_us();
-	uint32_t keeper = gateway->settings->ask_keepers ? keeper_of(gateway, shard, now_us) : 0;
+	uint32_t keeper = keeper_of(gateway, shard, now_us);
 
 	if (keeper == comet_view_link_address(gateway->link))
 		return COMET_PLACEMENT_KEEPER_SELF;
@@ -41,7 +53,7 @@
 }
 
 void
-comet_gateway_ask(void *ctx, struct comet_placement_item *item, const struct comet_shard *shard,
+comet_gateway_ask(void *ctx, struct comet_placement_item *item, struct comet_shard *shard,
 	const struct comet_placement_ask *ask)
 {
 	struct comet_gateway *gateway = ctx;
--- a/libcometspindle/adapters/gateway_private.h
+++ b/libcometspindle/adapters/gateway_private.h
@@ -92,10 +92,10 @@
 
 /** Slots asked for at other VMs, for placement's operations (gateway_grants.c). */
 enum comet_placement_keeper
-comet_gateway_keeper(void *ctx, const struct comet_shard *shard);
+comet_gateway_keeper(void *ctx, struct comet_shard *shard);
 
 void
-comet_gateway_ask(void *ctx, struct comet_placement_item *item, const struct comet_shard *shard,
+comet_gateway_ask(void *ctx, struct comet_placement_item *item, struct comet_shard *shard,
 	const struct comet_placement_ask *ask);
 
 void
--- a/libcometspindle/gateway/placement.c
+++ b/libcometspindle/gateway/placement.c
@@ -132,7 +132,7 @@
 /* Asks the keeper of a shard, if anything in it could be used. @return whether it was asked */
 static bool
 ask_keeper(struct comet_placement *placement, struct comet_placement_item *item,
-	const struct comet_shard *shard, uint32_t beyond, uint64_t now_us)
+	struct comet_shard *shard, uint32_t beyond, uint64_t now_us)
 {
 	uint32_t except[COMET_PLACEMENT_EXCEPT_MAX];
 	struct comet_placement_ask ask = {.shard = shard->id, .beyond = beyond, .except = except};
--- a/libcometspindle/gateway/placement.h
+++ b/libcometspindle/gateway/placement.h
@@ -67,9 +67,9 @@
 	/** It has not run; come back after retry_after_ms. */
 	void (*refuse)(void *ctx, struct comet_placement_item *item, uint32_t retry_after_ms);
 	/** Who keeps count of it; NULL: nobody ever does. */
-	enum comet_placement_keeper (*keeper)(void *ctx, const struct comet_shard *shard);
+	enum comet_placement_keeper (*keeper)(void *ctx, struct comet_shard *shard);
 	/** Asks its keeper; ends in comet_placement_granted, _denied or _unanswered. */
-	void (*ask)(void *ctx, struct comet_placement_item *item, const struct comet_shard *shard,
+	void (*ask)(void *ctx, struct comet_placement_item *item, struct comet_shard *shard,
 		const struct comet_placement_ask *ask);
 	/** The answer to an ask is not awaited any more. */
 	void (*forget)(void *ctx, struct comet_placement_item *item);
--- a/libcometspindle/gateway/shards.h
+++ b/libcometspindle/gateway/shards.h
@@ -24,6 +24,8 @@
 	char *zone;
 	uint32_t zone_id;   /**< comet_hash_name(zone) */
 	GPtrArray *members; /**< of struct comet_instance */
+	uint32_t keeper; /**< address of the VM that keeps count, as found at keeper_us; 0: none */
+	uint64_t keeper_us;
 	/** By level: until then its keeper has no room; 0: not known. */
 	uint64_t denied_us[COMET_SHARD_LEVELS];
 };
--- a/tests/unit/test_gateway_grants.cc
+++ b/tests/unit/test_gateway_grants.cc
@@ -130,7 +130,7 @@
 	}
 
 	static comet_placement_keeper
-	on_keeper(void *ctx, const comet_shard *shard)
+	on_keeper(void *ctx, comet_shard *shard)
 	{
 		auto *one = static_cast<vm *>(ctx);
 		uint64_t now_us = one->all->now_us;
@@ -145,7 +145,7 @@
 	}
 
 	static void
-	on_ask(void *ctx, comet_placement_item *item, const comet_shard *shard,
+	on_ask(void *ctx, comet_placement_item *item, comet_shard *shard,
 		const comet_placement_ask *ask)
 	{
 		auto *one = static_cast<vm *>(ctx);
