Metrics by what became of requests, by service and by team

Change: comet_request_ends_total by end (a stable code), kind and rank, with a bounded set of labels (tally.c); waiting requests and repeats left by service; tokens left by team; age of what is known of an endpoint's load.

--- a/libcometspindle/adapters/gateway_answer.c
+++ b/libcometspindle/adapters/gateway_answer.c
@@ -192,6 +192,7 @@
 	else
 		relay->gateway->counts.relayed_errors++;
 	comet_relay_end_sending(relay, result);
+	comet_relay_count_end(relay, result == COMET_DISPATCH_SERVED ? "served" : "relayed_error");
 	request->user = NULL;
 	comet_relay_close(relay);
 	comet_front_finish(request);
--- a/libcometspindle/adapters/gateway_pages.c
+++ b/libcometspindle/adapters/gateway_pages.c
@@ -85,11 +85,67 @@
 		counts->granted, counts->denied, counts->unanswered, counts->answered);
 }
 
+struct page
+{
+	struct comet_gateway *gateway;
+	GString *out;
+	uint64_t now_us;
+};
+
+static void
+put_service(void *ctx, const char *service, uint32_t waiting)
+{
+	const struct page *page = ctx;
+	double repeats = comet_retry_budget_left(page->gateway->retries, service, page->now_us);
+
+	g_string_append_printf(page->out,
+		"comet_requests_waiting{service=\"%s\"} %u\n"
+		"comet_repeats_left{service=\"%s\"} %.1f\n",
+		service, waiting, service, repeats);
+}
+
+static void
+put_services(struct comet_gateway *gateway, GString *out)
+{
+	struct page page = {gateway, out, comet_timers_now_us()};
+
+	comet_placement_each_service(gateway->placement, put_service, &page);
+}
+
+static void
+put_team(void *ctx, const struct comet_route_team *team)
+{
+	const struct page *page = ctx;
+	double left = comet_allowance_left(page->gateway->allowance, team->id, page->now_us);
+
+	if (team->rate_per_s > 0)
+		g_string_append_printf(
+			page->out, "comet_team_left{team=\"%s\"} %.0f\n", team->name, left);
+}
+
+static void
+put_teams(struct comet_gateway *gateway, GString *out)
+{
+	struct page page = {gateway, out, comet_timers_now_us()};
+
+	if (gateway->table == NULL)
+		return;
+	g_string_append(out, "# TYPE comet_team_left gauge\n");
+	comet_route_table_each_team(gateway->table, put_team, &page);
+}
+
 static void
 put_instance(void *ctx, struct comet_instance *instance)
 {
-	GString *out = ctx;
+	const struct page *page = ctx;
+	GString *out = page->out;
+	uint64_t viewed_us = MAX(instance->others_us, instance->told_us);
 
+	if (viewed_us != 0)
+		g_string_append_printf(out,
+			"comet_endpoint_view_age_seconds{endpoint=\"%s\",service=\"%s\"} %.3f\n",
+			instance->id, instance->service,
+			(double)(page->now_us - viewed_us) / 1000000);
 	g_string_append_printf(out,
 		"comet_endpoint_running{endpoint=\"%s\",service=\"%s\"} %u\n"
 		"comet_endpoint_pace{endpoint=\"%s\",service=\"%s\"} %.3f\n"
@@ -128,9 +184,11 @@
 
 	comet_views_count(gateway->views, &known, &heard);
 	put_outcomes(out, &gateway->counts);
+	comet_tally_print(gateway->ends, out, "comet_request_ends_total");
 	put_times(out, gateway);
 	put(out, "requests_open", "gauge", gateway->calls);
-	put(out, "requests_waiting", "gauge", comet_placement_waiting_all(gateway->placement));
+	put_services(gateway, out);
+	put_teams(gateway, out);
 	put(out, "dispatches_total", "counter", (double)gateway->counts.dispatched);
 	put(out, "repeats_total", "counter", (double)gateway->counts.repeated);
 	put(out, "resumes_total", "counter", (double)gateway->counts.resumed);
@@ -143,7 +201,8 @@
 	put(out, "foreign_answers_total", "counter", (double)up->foreign_answers);
 	put(out, "routes_version", "gauge",
 		gateway->table != NULL ? (double)comet_route_table_version(gateway->table) : 0);
-	comet_instances_each(gateway->instances, put_instance, out);
+	struct page page = {gateway, out, comet_timers_now_us()};
+	comet_instances_each(gateway->instances, put_instance, &page);
 	comet_front_answer(
 		request, 200, "Content-Type: text/plain; version=0.0.4\r\n", out->str, out->len);
 	g_string_free(out, TRUE);
--- a/libcometspindle/adapters/gateway_private.h
+++ b/libcometspindle/adapters/gateway_private.h
@@ -14,6 +14,7 @@
 #include <libcometspindle/gateway/placement.h>
 #include <libcometspindle/gateway/views.h>
 #include <libcometspindle/latency.h>
+#include <libcometspindle/tally.h>
 
 /** Counts of how requests ended; monotonic. */
 struct comet_gateway_counts
@@ -68,6 +69,7 @@
 	struct comet_view_link *link;
 	struct comet_route_table *table; /**< NULL until one has been read */
 	struct comet_gateway_counts counts;
+	struct comet_tally *ends; /**< of requests, by what became of them, kind and rank */
 	struct comet_gateway_times times[COMET_ROUTE_KINDS];
 	uint32_t calls; /**< requests that are open */
 	struct comet_draw draw;
--- a/libcometspindle/adapters/gateway_relay.c
+++ b/libcometspindle/adapters/gateway_relay.c
@@ -116,6 +116,20 @@
 	comet_placement_run(gateway->placement, comet_timers_now_us());
 }
 
+void
+comet_relay_count_end(const struct comet_relay *relay, const char *reason)
+{
+	static const char *const kinds[COMET_ROUTE_KINDS] = {"safe", "unsafe", "stream"};
+	char labels[128];
+
+	if (relay->route == NULL)
+		g_snprintf(labels, sizeof labels, "end=\"%s\"", reason);
+	else
+		g_snprintf(labels, sizeof labels, "end=\"%s\",kind=\"%s\",rank=\"%u\"", reason,
+			kinds[relay->route->kind], relay->item.team_rank + relay->item.route_rank);
+	comet_tally_add(relay->gateway->ends, labels);
+}
+
 /* Answers with an error of our own. */
 static void
 answer_own(
@@ -132,6 +146,7 @@
 		"held_ms=%" G_GUINT64_FORMAT " attempts=%u",
 		relay->id, status, reason, retry_after_ms,
 		comet_relay_since_ms(relay->arrived_us, comet_timers_now_us()), relay->attempts);
+	comet_relay_count_end(relay, reason);
 	request->user = NULL;
 	comet_relay_close(relay);
 	comet_front_answer(request, status, headers, "", 0);
@@ -167,6 +182,7 @@
 		"event=cut request=%s reason=%s held_ms=%" G_GUINT64_FORMAT " events=%u", relay->id,
 		reason, comet_relay_since_ms(relay->arrived_us, comet_timers_now_us()),
 		relay->events != NULL ? comet_event_stream_count(relay->events) : 0);
+	comet_relay_count_end(relay, reason);
 	request->user = NULL;
 	comet_relay_close(relay);
 	comet_front_abort(request);
@@ -408,6 +424,7 @@
 		comet_relay_since_ms(relay->arrived_us, comet_timers_now_us()), relay->started);
 	if (relay->instance != NULL)
 		comet_relay_end_sending(relay, COMET_DISPATCH_CANCELLED);
+	comet_relay_count_end(relay, "caller_left");
 	comet_relay_close(relay);
 }
 
--- a/libcometspindle/adapters/gateway_relay.h
+++ b/libcometspindle/adapters/gateway_relay.h
@@ -53,6 +53,10 @@
 uint64_t
 comet_relay_since_ms(uint64_t then_us, uint64_t now_us);
 
+/** Counts what became of a request; reason is a stable code. */
+void
+comet_relay_count_end(const struct comet_relay *relay, const char *reason);
+
 /** Ends what is under way at an endpoint, and tells what became of it. */
 void
 comet_relay_end_sending(struct comet_relay *relay, enum comet_dispatch_result result);
--- a/libcometspindle/gateway/placement.c
+++ b/libcometspindle/gateway/placement.c
@@ -548,25 +548,19 @@
 	placement->ops->forget(placement->ctx, item);
 }
 
-uint32_t
-comet_placement_waiting(const struct comet_placement *placement, const char *service)
-{
-	const struct queue *queue = g_hash_table_lookup(placement->queues, service);
-
-	return queue != NULL ? (uint32_t)g_sequence_get_length(queue->items) : 0;
-}
-
-uint32_t
-comet_placement_waiting_all(const struct comet_placement *placement)
+void
+comet_placement_each_service(const struct comet_placement *placement,
+	void (*visit)(void *ctx, const char *service, uint32_t waiting), void *ctx)
 {
 	GHashTableIter at;
-	gpointer queue = NULL;
-	uint32_t sum = 0;
+	gpointer value = NULL;
 
 	g_hash_table_iter_init(&at, placement->queues);
-	while (g_hash_table_iter_next(&at, NULL, &queue))
-		sum += (uint32_t)g_sequence_get_length(((struct queue *)queue)->items);
-	return sum;
+	while (g_hash_table_iter_next(&at, NULL, &value))
+	{
+		const struct queue *queue = value;
+		visit(ctx, queue->service, (uint32_t)g_sequence_get_length(queue->items));
+	}
 }
 
 const struct comet_placement_reason *
--- a/libcometspindle/gateway/placement.h
+++ b/libcometspindle/gateway/placement.h
@@ -133,13 +133,10 @@
 comet_placement_choose_for(struct comet_placement *placement, const struct comet_job *job,
 	const struct comet_placement_ask *ask, uint64_t end_us, uint64_t now_us);
 
-/** Requests that wait for a service. */
-uint32_t
-comet_placement_waiting(const struct comet_placement *placement, const char *service);
-
-/** Requests that wait in all. */
-uint32_t
-comet_placement_waiting_all(const struct comet_placement *placement);
+/** Calls visit for each service that was asked for, with the requests that wait for it. */
+void
+comet_placement_each_service(const struct comet_placement *placement,
+	void (*visit)(void *ctx, const char *service, uint32_t waiting), void *ctx);
 
 /** How long one more request of the item's rank would wait, as things stand. */
 uint64_t
--- a/libcometspindle/gateway/retry_budget.c
+++ b/libcometspindle/gateway/retry_budget.c
@@ -93,3 +93,9 @@
 	bucket->level -= 1.0;
 	return true;
 }
+
+double
+comet_retry_budget_left(struct comet_retry_budget *budget, const char *service, uint64_t now_us)
+{
+	return filled(budget, service, now_us)->level;
+}
--- a/libcometspindle/gateway/retry_budget.h
+++ b/libcometspindle/gateway/retry_budget.h
@@ -36,4 +36,8 @@
 bool
 comet_retry_budget_take(struct comet_retry_budget *budget, const char *service, uint64_t now_us);
 
+/** Repeats that this VM may send at once. */
+double
+comet_retry_budget_left(struct comet_retry_budget *budget, const char *service, uint64_t now_us);
+
 #endif
--- a/tests/system/test_gateway.py
+++ b/tests/system/test_gateway.py
@@ -451,6 +451,11 @@
     status, _, body, _ = get(world.gateway.ports["control"], "/metrics")
     assert status == 200 and b'comet_requests_total{outcome="served"}' in body
     assert b'comet_answer_seconds_count{kind="safe"} 1' in body
+    assert b'comet_request_ends_total{end="served",kind="safe",rank="1"} 1' in body
+    assert b'comet_slot_asks_total{outcome="granted"} 0' in body
+    assert b'comet_requests_waiting{service="svc"} 0' in body
+    assert b'comet_repeats_left{service="svc"} ' in body
+    assert b'comet_team_left{team="team"} ' in body
     for line in body.decode().splitlines():  # the text format: a comment, or name{labels} number
         if not line.startswith("# TYPE "):
             name, value = line.rsplit(" ", 1)
--- a/tests/unit/test_gateway_placement.cc
+++ b/tests/unit/test_gateway_placement.cc
@@ -66,6 +66,18 @@
 		talloc_free(instances);
 	}
 
+	uint32_t
+	waiting(const std::string &service)
+	{
+		std::map<std::string, uint32_t> all;
+		comet_placement_each_service(
+			placement,
+			[](void *ctx, const char *name, uint32_t count)
+			{ (*static_cast<std::map<std::string, uint32_t> *>(ctx))[name] = count; },
+			&all);
+		return all[service];
+	}
+
 	comet_instance *
 	add(const char *id, const char *zone = "z1", bool draining = false)
 	{
@@ -167,7 +179,7 @@
 	comet_placement_run(placement, now_us);
 	EXPECT_EQ(refused.size(), 10U);
 	EXPECT_GT(refused.size(), early);
-	EXPECT_EQ(comet_placement_waiting(placement, "llm"), 0U);
+	EXPECT_EQ(waiting("llm"), 0U);
 }
 
 /* Found by a score: waits reckoned from a request's own size refused most of the largest. */
--- /dev/null
+++ b/tests/unit/test_tally.cc
@@ -0,0 +1,32 @@
+/*
+ * test_tally.cc
+ * counters by label text
+ */
+#include <gtest/gtest.h>
+
+extern "C"
+{
+#include <libcometspindle/tally.h>
+}
+#include <algorithm>
+#include <string>
+#include <talloc.h>
+
+TEST(Tally, CountsByLabelsAndStaysBounded)
+{
+	comet_tally *tally = comet_tally_create(nullptr);
+	GString *out = g_string_new(nullptr);
+
+	comet_tally_add(tally, "end=\"served\"");
+	comet_tally_add(tally, "end=\"served\"");
+	for (int i = 0; i < 2 * COMET_TALLY_LABELS_MAX; i++)
+		comet_tally_add(tally, ("end=\"" + std::to_string(i) + "\"").c_str());
+	comet_tally_print(tally, out, "comet_ends_total");
+	std::string text(out->str);
+	EXPECT_EQ(text.find("# TYPE comet_ends_total counter\n"), 0U);
+	EXPECT_NE(text.find("comet_ends_total{end=\"served\"} 2\n"), std::string::npos);
+	EXPECT_NE(text.find("comet_ends_total{other=\"true\"} 129\n"), std::string::npos);
+	EXPECT_EQ((int)std::count(text.begin(), text.end(), '\n'), COMET_TALLY_LABELS_MAX + 2);
+	g_string_free(out, TRUE);
+	talloc_free(tally);
+}
