Results that report errors may not be ignored

One call in the simulator whose result is not of interest says so (a first try expected TRUE there and 14 tests failed).

--- a/libcometspindle/adapters/daemon.h
+++ b/libcometspindle/adapters/daemon.h
@@ -12,7 +12,8 @@
 
 /** Opens sockets and starts threads; NULL and error when something is not to be had. */
 struct comet_daemon *
-comet_daemon_create(const struct comet_settings *settings, GError **error);
+comet_daemon_create(
+	const struct comet_settings *settings, GError **error) G_GNUC_WARN_UNUSED_RESULT;
 
 /** Runs the control thread here until a stop (SIGTERM, SIGINT) is complete. */
 void
--- a/libcometspindle/adapters/front.h
+++ b/libcometspindle/adapters/front.h
@@ -51,7 +51,8 @@
 /** Starts listening on "a.b.c.d:port"; NULL and error when that fails. */
 struct comet_front *
 comet_front_create(void *parent, struct tevent_context *ev, struct comet_timers *timers,
-	const char *address, const struct comet_front_events *events, void *ctx, GError **error);
+	const char *address, const struct comet_front_events *events, void *ctx,
+	GError **error) G_GNUC_WARN_UNUSED_RESULT;
 
 void
 comet_front_set_limits(struct comet_front *front, const struct comet_http_limits *limits);
--- a/libcometspindle/adapters/gateway.h
+++ b/libcometspindle/adapters/gateway.h
@@ -40,7 +40,7 @@
 /** Opens sockets; NULL and error when something is not to be had. */
 struct comet_gateway *
 comet_gateway_create(const struct comet_gateway_settings *settings, const char *settings_path,
-	const struct comet_gateway_port *port, GError **error);
+	const struct comet_gateway_port *port, GError **error) G_GNUC_WARN_UNUSED_RESULT;
 
 /** Runs until a stop (SIGTERM, SIGINT) is complete. */
 void
--- a/libcometspindle/adapters/peers.h
+++ b/libcometspindle/adapters/peers.h
@@ -20,7 +20,7 @@
 struct comet_peers *
 comet_peers_create(void *parent, struct tevent_context *ev, uint64_t self_id,
 	const char *bind_address, const char *secret_key, comet_peers_handler handler, void *ctx,
-	GError **error);
+	GError **error) G_GNUC_WARN_UNUSED_RESULT;
 
 /** Makes the address of a VM known; connects at the first message. */
 void
--- a/libcometspindle/adapters/platform.h
+++ b/libcometspindle/adapters/platform.h
@@ -53,6 +53,6 @@
 gboolean
 comet_platform_parse_vms(const char *text, size_t length,
 	void (*take)(void *ctx, const struct comet_vm *vms, size_t count), void *ctx,
-	GError **error);
+	GError **error) G_GNUC_WARN_UNUSED_RESULT;
 
 #endif
--- a/libcometspindle/adapters/view_link.h
+++ b/libcometspindle/adapters/view_link.h
@@ -21,7 +21,7 @@
 /** Binds to "a.b.c.d:port"; NULL and error when that fails. */
 struct comet_view_link *
 comet_view_link_create(void *parent, struct tevent_context *ev, const char *address,
-	comet_view_link_handler handler, void *ctx, GError **error);
+	comet_view_link_handler handler, void *ctx, GError **error) G_GNUC_WARN_UNUSED_RESULT;
 
 /** Sends to the same port of another VM (IPv4, host order). */
 void
--- a/libcometspindle/bundle.h
+++ b/libcometspindle/bundle.h
@@ -88,7 +88,7 @@
 
 /** Parses and checks a document; NULL and error with every fault and its path. */
 struct comet_bundle *
-comet_bundle_parse(const char *text, size_t length, GError **error);
+comet_bundle_parse(const char *text, size_t length, GError **error) G_GNUC_WARN_UNUSED_RESULT;
 
 struct comet_bundle *
 comet_bundle_ref(struct comet_bundle *bundle);
--- a/libcometspindle/check.h
+++ b/libcometspindle/check.h
@@ -29,11 +29,11 @@
 
 /** @return true when no fault was found; else sets error to all of them, one a line. */
 bool
-comet_check_finish(struct comet_check *check, GError **error);
+comet_check_finish(struct comet_check *check, GError **error) G_GNUC_WARN_UNUSED_RESULT;
 
 /** Parses text (comments allowed) to the root object; NULL and error when it is not one. */
 struct json_object *
-comet_check_parse(const char *text, size_t length, GError **error);
+comet_check_parse(const char *text, size_t length, GError **error) G_GNUC_WARN_UNUSED_RESULT;
 
 /** Starts reading value as an object; a value of another type is a fault. */
 struct comet_check_object *
--- a/libcometspindle/gateway/allowance.h
+++ b/libcometspindle/gateway/allowance.h
@@ -13,6 +13,7 @@
 #ifndef COMETSPINDLE_GATEWAY_ALLOWANCE_H
 #define COMETSPINDLE_GATEWAY_ALLOWANCE_H
 
+#include <glib.h>
 #include <libcometspindle/gateway/routes.h>
 #include <stdbool.h>
 #include <stdint.h>
@@ -41,8 +42,8 @@
 
 /** Spends amount if the team may. @return 0, or after how many ms it is worth asking again. */
 uint32_t
-comet_allowance_spend(
-	struct comet_allowance *allowance, uint32_t team_id, uint64_t amount, uint64_t now_us);
+comet_allowance_spend(struct comet_allowance *allowance, uint32_t team_id, uint64_t amount,
+	uint64_t now_us) G_GNUC_WARN_UNUSED_RESULT;
 
 /** Another VM has spent amount. */
 void
--- a/libcometspindle/gateway/placement.h
+++ b/libcometspindle/gateway/placement.h
@@ -9,6 +9,7 @@
 #ifndef COMETSPINDLE_GATEWAY_PLACEMENT_H
 #define COMETSPINDLE_GATEWAY_PLACEMENT_H
 
+#include <glib.h>
 #include <libcometspindle/gateway/instances.h>
 #include <libcometspindle/gateway/shards.h>
 #include <stdbool.h>
@@ -112,7 +113,7 @@
 /** A keeper granted a slot. @return false when it cannot be used and is to be given back. */
 bool
 comet_placement_granted(struct comet_placement *placement, struct comet_placement_item *item,
-	uint32_t keeper, uint32_t instance_key, uint64_t now_us);
+	uint32_t keeper, uint32_t instance_key, uint64_t now_us) G_GNUC_WARN_UNUSED_RESULT;
 
 /** Nothing in the shard has room at that level. */
 void
--- a/libcometspindle/gateway/retry_budget.h
+++ b/libcometspindle/gateway/retry_budget.h
@@ -8,6 +8,7 @@
 #ifndef COMETSPINDLE_GATEWAY_RETRY_BUDGET_H
 #define COMETSPINDLE_GATEWAY_RETRY_BUDGET_H
 
+#include <glib.h>
 #include <stdbool.h>
 #include <stdint.h>
 
@@ -34,7 +35,8 @@
 
 /** Takes one repeat. @return false when the budget has none left. */
 bool
-comet_retry_budget_take(struct comet_retry_budget *budget, const char *service, uint64_t now_us);
+comet_retry_budget_take(struct comet_retry_budget *budget, const char *service,
+	uint64_t now_us) G_GNUC_WARN_UNUSED_RESULT;
 
 /** Repeats that this VM may send at once. */
 double
--- a/libcometspindle/gateway/settings.h
+++ b/libcometspindle/gateway/settings.h
@@ -39,6 +39,7 @@
 
 /** Parses and checks; NULL and error with every fault. Free with talloc_free. */
 struct comet_gateway_settings *
-comet_gateway_settings_parse(const char *text, size_t length, GError **error);
+comet_gateway_settings_parse(
+	const char *text, size_t length, GError **error) G_GNUC_WARN_UNUSED_RESULT;
 
 #endif
--- a/libcometspindle/gateway/views.h
+++ b/libcometspindle/gateway/views.h
@@ -11,6 +11,7 @@
 #ifndef COMETSPINDLE_GATEWAY_VIEWS_H
 #define COMETSPINDLE_GATEWAY_VIEWS_H
 
+#include <glib.h>
 #include <libcometspindle/gateway/allowance.h>
 #include <libcometspindle/gateway/instances.h>
 #include <libcometspindle/gateway/datagram.h>
@@ -47,7 +48,8 @@
 
 /** A view arrived. @return false when it names no sender. */
 bool
-comet_views_receive(struct comet_views *views, const comet_View *view, uint64_t now_us);
+comet_views_receive(struct comet_views *views, const comet_View *view,
+	uint64_t now_us) G_GNUC_WARN_UNUSED_RESULT;
 
 /**
  * @return the VM that keeps count for a key: of those that are heard and have run for some time the
--- a/libcometspindle/node.h
+++ b/libcometspindle/node.h
@@ -99,8 +99,8 @@
  * checked and newer than the one in force; else error says why.
  */
 gboolean
-comet_node_offer_bundle(
-	struct comet_node *node, GBytes *signed_document, struct comet_time now, GError **error);
+comet_node_offer_bundle(struct comet_node *node, GBytes *signed_document, struct comet_time now,
+	GError **error) G_GNUC_WARN_UNUSED_RESULT;
 
 /** The bundle in force, or NULL. */
 struct comet_bundle *
--- a/libcometspindle/request.h
+++ b/libcometspindle/request.h
@@ -25,7 +25,8 @@
 
 /** Parses a body; chat: messages instead of prompt. NULL and error naming the place. */
 struct comet_completion *
-comet_completion_parse(const char *body, size_t length, bool chat, GError **error);
+comet_completion_parse(
+	const char *body, size_t length, bool chat, GError **error) G_GNUC_WARN_UNUSED_RESULT;
 
 void
 comet_completion_destroy(struct comet_completion *completion);
--- a/libcometspindle/settings.h
+++ b/libcometspindle/settings.h
@@ -30,10 +30,10 @@
 
 /** Parses and checks settings; NULL and error with every fault. Free with talloc_free. */
 struct comet_settings *
-comet_settings_parse(const char *text, size_t length, GError **error);
+comet_settings_parse(const char *text, size_t length, GError **error) G_GNUC_WARN_UNUSED_RESULT;
 
 /** Reads a file and parses it. */
 struct comet_settings *
-comet_settings_load(const char *path, GError **error);
+comet_settings_load(const char *path, GError **error) G_GNUC_WARN_UNUSED_RESULT;
 
 #endif
--- a/libcometspindle/sign.h
+++ b/libcometspindle/sign.h
@@ -27,10 +27,11 @@
 /** Checks the signature; sets text and length to the document inside signed_document. */
 gboolean
 comet_sign_open(GBytes *signed_document, const uint8_t public_key[COMET_SIGN_PUBLIC_BYTES],
-	const char **text, size_t *length, GError **error);
+	const char **text, size_t *length, GError **error) G_GNUC_WARN_UNUSED_RESULT;
 
 /** Reads a hex key of exactly size bytes from a file. */
 gboolean
-comet_sign_key_load(const char *path, uint8_t *key, size_t size, GError **error);
+comet_sign_key_load(
+	const char *path, uint8_t *key, size_t size, GError **error) G_GNUC_WARN_UNUSED_RESULT;
 
 #endif
--- a/scripts/checks.sh
+++ b/scripts/checks.sh
@@ -88,6 +88,7 @@
 check "test_path (tsan)" env COMET_BUILD=build-tsan timeout 120 python3 tests/system/test_path.py
 check "soak of gateways (asan)" check_soak
 check "names" check_names
+check "results" python3 scripts/check_results.py
 check "format" check_format
 check "clang-tidy" check_tidy
 if [ -s KNOWN-RED.txt ]
--- a/tests/unit/sim.cc
+++ b/tests/unit/sim.cc
@@ -183,7 +183,11 @@
 	if (vm->paused_until <= now)
 	{
 		if (bundle != nullptr && (calm || draw() % 20 == 0))
-			comet_node_offer_bundle(vm->node, bundle, time(), nullptr);
+		{
+			/* not taken when the VM has it already */
+			gboolean taken = comet_node_offer_bundle(vm->node, bundle, time(), nullptr);
+			(void)taken;
+		}
 		comet_node_tick(vm->node, time());
 	}
 	after(vm->paused_until > now ? vm->paused_until - now + 1 : COMET_NODE_TICK_US,
--- a/tests/unit/test_gateway_grants.cc
+++ b/tests/unit/test_gateway_grants.cc
@@ -225,7 +225,8 @@
 				(const uint8_t *)one.bytes.data(), one.bytes.size(), &datagram));
 			vm &to = vms[one.to];
 			if (datagram.which_body == comet_Datagram_view_tag)
-				comet_views_receive(to.views, &datagram.body.view, now_us);
+				EXPECT_TRUE(
+					comet_views_receive(to.views, &datagram.body.view, now_us));
 			else
 				comet_grants_receive(to.grants, &datagram, now_us);
 		}
--- a/tests/unit/test_gateway_placement.cc
+++ b/tests/unit/test_gateway_placement.cc
@@ -415,8 +415,8 @@
 				ASSERT_TRUE(
 					comet_datagram_decode((const uint8_t *)mail.second.data(),
 						mail.second.size(), &datagram));
-				comet_views_receive(
-					all[mail.first].views, &datagram.body.view, now_us);
+				EXPECT_TRUE(comet_views_receive(
+					all[mail.first].views, &datagram.body.view, now_us));
 			}
 			one.second.outbox.clear();
 		}
@@ -451,7 +451,7 @@
 		fleet.step(now_us);
 	EXPECT_EQ(comet_allowance_left(fleet.all[3].allowance, team, now_us), 9000);
 	comet_instance_started(comet_instances_find(fleet.all[2].instances, "i"), &job);
-	comet_allowance_spend(fleet.all[2].allowance, team, 100, now_us);
+	EXPECT_EQ(comet_allowance_spend(fleet.all[2].allowance, team, 100, now_us), 0U);
 	for (int i = 0; i < 8; i++, now_us += 50000)
 		fleet.step(now_us);
 	comet_instance *instance = comet_instances_find(fleet.all[3].instances, "i");
