A stopping VM is part of the sums until it is gone

Seven VMs were stopped in turn, 1 s apart, 7.6 s each, while a team was hot. A stopping VM serves on for 2.7 s and longer, but sent no view after the one that says it stops, and was sent one a second only: nobody counted what it spent, and it did not count what the others spent.

Ruled out: restarts (one VM in this span) and outages of the store (over).

Change: a stopping VM sends views and is sent them until its process ends. Once silent it is known to have ended, so that its part of the limits is free.

--- a/libcometspindle/gateway/views.c
+++ b/libcometspindle/gateway/views.c
@@ -41,7 +41,7 @@
 	uint64_t asked_us; /* last sent to */
 	uint64_t revision;
 	uint32_t zone; /* 0: not known */
-	bool leaving;
+	bool leaving;  /* it stops; until it is silent it may still spend */
 	bool silent;
 	bool owed;     /* it is new to us, so that we are to it: it gets our view at once */
 	bool followed; /* its spending has been told before */
@@ -348,7 +348,7 @@
 static bool
 is_due(const struct peer *peer, uint64_t now_us)
 {
-	bool there = peer->heard_us != 0 && !peer->silent && !peer->leaving;
+	bool there = peer->heard_us != 0 && !peer->silent;
 
 	return there || peer->asked_us == 0 || now_us - peer->asked_us >= RETRY_US;
 }
@@ -420,7 +420,8 @@
 			peer->silent = true;
 			g_array_set_size(peer->busy, 0);
 			views->stale = true;
-			views->ops->changed(views->ctx, peer->address, false, "silent");
+			views->ops->changed(views->ctx, peer->address, false,
+				peer->leaving ? "stopped" : "silent");
 		}
 		if (!peer->seed && last_us != 0 && now_us - last_us > FORGET_US)
 			g_hash_table_iter_remove(&at);
@@ -484,8 +485,6 @@
 	}
 	bool far = now_us - views->far_sent_us >= interval_us(views, false);
 	bool near = now_us - views->near_sent_us >= interval_us(views, true);
-	if (views->leaving)
-		return;
 	if (near || far)
 		send_round(views, far, now_us);
 	greet(views, now_us);
@@ -516,7 +515,8 @@
 	while (g_hash_table_iter_next(&at, NULL, &value))
 	{
 		const struct peer *peer = value;
-		if (peer->heard_us == 0 || peer->leaving)
+		bool gone = peer->leaving && peer->silent;
+		if (peer->heard_us == 0 || gone)
 			continue;
 		(*known)++;
 		*heard += peer->silent ? 0 : 1;
--- a/tests/unit/test_gateway_placement.cc
+++ b/tests/unit/test_gateway_placement.cc
@@ -499,6 +499,37 @@
 	EXPECT_EQ(heard, 2U);
 }
 
+/* Found by a hunt (QUOTA: all VMs stopped in turn while a team was hot): a stopping VM serves on
+ * for seconds, but told nobody what it spent, and nobody told it. */
+TEST(Views, AStoppingVmIsPartOfTheSumsUntilItIsGone)
+{
+	vms fleet(3);
+	uint64_t now_us = 1000000;
+	uint32_t team = comet_hash_name("t");
+	uint32_t known = 0;
+	uint32_t heard = 0;
+	for (int i = 0; i < 400; i++, now_us += 50000)
+		fleet.step(now_us);
+	comet_views_leave(fleet.all[2].views, now_us);
+	for (int i = 0; i < 10; i++, now_us += 50000)
+		fleet.step(now_us);
+	EXPECT_EQ(comet_allowance_spend(fleet.all[2].allowance, team, 100, now_us), 0U);
+	EXPECT_EQ(comet_allowance_spend(fleet.all[1].allowance, team, 1000, now_us), 0U);
+	for (int i = 0; i < 8; i++, now_us += 50000)
+		fleet.step(now_us);
+	EXPECT_EQ(comet_allowance_left(fleet.all[3].allowance, team, now_us), 7900);
+	EXPECT_EQ(comet_allowance_left(fleet.all[2].allowance, team, now_us), 7900);
+	comet_views_count(fleet.all[3].views, &known, &heard);
+	EXPECT_EQ(known, 2U);
+	EXPECT_EQ(heard, 2U);
+	/* its process ends: it is not a VM that was cut off and may still spend */
+	for (int i = 0; i < 30; i++, now_us += 50000)
+		fleet.step(now_us, 2);
+	comet_views_count(fleet.all[3].views, &known, &heard);
+	EXPECT_EQ(known, 1U);
+	EXPECT_EQ(heard, 1U);
+}
+
 /* Found by a sweep of 300 VMs: after a start of all, each asked the same one for a copy. */
 TEST(Views, VmsThatKnowMoreAreChosenInTurn)
 {
