--- /dev/null
+++ b/tests/unit/grants_fleet.h
@@ -0,0 +1,352 @@
+/*
+ * grants_fleet.h
+ * several VMs with placement, views and grants, wired as the gateway's adapter wires them
+ */
+#ifndef COMETSPINDLE_TESTS_GRANTS_FLEET_H
+#define COMETSPINDLE_TESTS_GRANTS_FLEET_H
+
+#include <gtest/gtest.h>
+
+extern "C"
+{
+#include <libcometspindle/gateway/grants.h>
+#include <libcometspindle/gateway/placement.h>
+#include <libcometspindle/gateway/views.h>
+#include <libcometspindle/hash.h>
+}
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <talloc.h>
+#include <vector>
+
+namespace grants_fleet
+{
+
+constexpr uint32_t slots = 4;
+
+struct fleet;
+
+/* One VM, wired as the gateway's adapter wires it. */
+struct vm
+{
+	fleet *all = nullptr;
+	uint32_t address = 0;
+	comet_instances *instances = nullptr;
+	comet_allowance *allowance = nullptr;
+	comet_placement *placement = nullptr;
+	comet_views *views = nullptr;
+	comet_grants *grants = nullptr;
+	std::map<comet_placement_item *, std::string> sent;
+	std::map<comet_placement_item *, int> dispatches; /* of each, ever */
+	std::set<comet_placement_item *> refused;
+};
+
+struct mail
+{
+	uint32_t from;
+	uint32_t to;
+	std::string bytes;
+};
+
+struct fleet
+{
+	std::map<uint32_t, vm> vms;
+	std::deque<mail> post;
+	std::function<bool(const mail &)> lost = [](const mail &) { return false; };
+	std::vector<std::unique_ptr<comet_placement_item>> items;
+	comet_route_table *table = nullptr; /* with one team, "t" */
+	uint64_t now_us = 0;
+	bool asks = true;
+
+	fleet(uint32_t count, int endpoints)
+	{
+		comet_http_limits limits = {};
+		comet_route_team team = {};
+		team.name = const_cast<char *>("t");
+		team.rate_per_s = 1000;
+		team.burst = 1000;
+		team.in_tokens = true;
+		table = comet_route_table_create(1, &limits);
+		comet_route_table_add_team(table, &team, nullptr, 0);
+		for (uint32_t i = 1; i <= count; i++)
+			start(i, endpoints);
+		pass(4000000); /* until they have heard each other and are old enough to keep */
+	}
+
+	~fleet()
+	{
+		for (auto &one : vms)
+			talloc_free(one.second.instances);
+		comet_route_table_unref(table);
+	}
+
+	void
+	start(uint32_t address, int endpoints)
+	{
+		static const uint32_t seeds[] = {1};
+		static const comet_views_ops views_ops = {on_send, on_changed};
+		static const comet_placement_ops placement_ops = {
+			on_dispatch, on_refuse, on_keeper, on_ask, on_forget};
+		static const comet_grants_ops grants_ops = {
+			on_send, on_granted, on_denied, on_unanswered, on_choose, on_freed};
+		comet_allowance_bounds bounds = {8000, 0, 0};
+		vm &one = vms[address];
+
+		one.all = this;
+		one.address = address;
+		one.instances = comet_instances_create(nullptr, "z");
+		one.allowance = comet_allowance_create(one.instances, &bounds, now_us);
+		comet_allowance_set_teams(one.allowance, table, now_us);
+		for (int i = 0; i < endpoints; i++)
+		{
+			std::string id = "i" + std::to_string(i);
+			comet_instance_record record = {
+				id.c_str(), "llm", "127.0.0.1:1", "z", slots, 0, false};
+			comet_instances_put(one.instances, &record, now_us);
+		}
+		comet_views_config config = {
+			address, address, now_us, 8000, seeds, 1, "z", 100000, 100000};
+		one.views = comet_views_create(
+			one.instances, &config, one.instances, one.allowance, &views_ops, &one);
+		one.placement = comet_placement_create(
+			one.instances, one.instances, "z", &placement_ops, &one, address);
+		one.grants = comet_grants_create(one.instances, address, &grants_ops, &one);
+	}
+
+	static void
+	on_send(void *ctx, uint32_t address, const uint8_t *data, size_t length)
+	{
+		auto *one = static_cast<vm *>(ctx);
+		one->all->post.push_back(
+			{one->address, address, std::string((const char *)data, length)});
+	}
+
+	static void
+	on_changed(void *, uint32_t, bool, const char *)
+	{
+	}
+
+	static void
+	on_dispatch(void *ctx, comet_placement_item *item, comet_instance *instance)
+	{
+		auto *one = static_cast<vm *>(ctx);
+		comet_instance_started(instance, &item->job);
+		one->sent[item] = instance->id;
+		one->dispatches[item]++;
+	}
+
+	static void
+	on_refuse(void *ctx, comet_placement_item *item, uint32_t)
+	{
+		static_cast<vm *>(ctx)->refused.insert(item);
+	}
+
+	static comet_placement_keeper
+	on_keeper(void *ctx, comet_shard *shard)
+	{
+		auto *one = static_cast<vm *>(ctx);
+		uint64_t now_us = one->all->now_us;
+		if (!one->all->asks)
+			return COMET_PLACEMENT_KEEPER_NONE;
+		uint32_t keeper = comet_views_keeper(one->views, shard->id, shard->zone_id, now_us);
+		if (keeper == one->address)
+			return COMET_PLACEMENT_KEEPER_SELF;
+		if (keeper == 0 || comet_grants_is_mute(one->grants, keeper, now_us))
+			return COMET_PLACEMENT_KEEPER_NONE;
+		return COMET_PLACEMENT_KEEPER_OTHER;
+	}
+
+	static void
+	on_ask(void *ctx, comet_placement_item *item, comet_shard *shard,
+		const comet_placement_ask *ask)
+	{
+		auto *one = static_cast<vm *>(ctx);
+		uint64_t now_us = one->all->now_us;
+		uint32_t keeper = comet_views_keeper(one->views, shard->id, shard->zone_id, now_us);
+		comet_grants_ask(one->grants, item, keeper, ask, now_us);
+	}
+
+	static void
+	on_forget(void *ctx, comet_placement_item *item)
+	{
+		comet_grants_forget(static_cast<vm *>(ctx)->grants, item);
+	}
+
+	static void
+	on_granted(void *ctx, comet_placement_item *item, uint32_t keeper, uint32_t key)
+	{
+		auto *one = static_cast<vm *>(ctx);
+		if (!comet_placement_granted(one->placement, item, keeper, key, one->all->now_us))
+			comet_grants_release(one->grants, keeper, key, 0, 0);
+		comet_placement_run(one->placement, one->all->now_us);
+	}
+
+	static void
+	on_denied(void *ctx, comet_placement_item *item, uint32_t shard, uint32_t beyond)
+	{
+		auto *one = static_cast<vm *>(ctx);
+		comet_placement_denied(one->placement, item, shard, beyond, one->all->now_us);
+	}
+
+	static void
+	on_unanswered(void *ctx, comet_placement_item *item, uint32_t)
+	{
+		auto *one = static_cast<vm *>(ctx);
+		comet_placement_unanswered(one->placement, item, one->all->now_us);
+	}
+
+	static uint32_t
+	on_choose(void *ctx, const comet_SlotAsk *ask)
+	{
+		auto *one = static_cast<vm *>(ctx);
+		comet_job job = {ask->prompt_tokens, ask->output_tokens, 0, true};
+		comet_placement_ask wanted = {
+			ask->shard, ask->beyond, ask->except, ask->except_count};
+		comet_instance *instance = comet_placement_choose_for(
+			one->placement, &job, &wanted, 0, one->all->now_us);
+		if (instance == nullptr)
+			return 0;
+		comet_views_granted(one->views, ask->asker, instance->key, ask->prompt_tokens,
+			one->all->now_us);
+		return instance->key;
+	}
+
+	static void
+	on_freed(void *ctx, const comet_SlotFreed *freed)
+	{
+		auto *one = static_cast<vm *>(ctx);
+		comet_views_freed(one->views, freed->asker, freed->instance);
+		comet_instance *instance =
+			comet_instances_find_key(one->instances, freed->instance);
+		comet_instance_learn(one->instances, instance, freed->stream_us, freed->events);
+		comet_placement_run(one->placement, one->all->now_us);
+	}
+
+	/* Delivers what was sent, and what that brings about. */
+	void
+	deliver()
+	{
+		while (!post.empty())
+		{
+			mail one = post.front();
+			post.pop_front();
+			if (!lost(one))
+				arrive(one);
+		}
+	}
+
+	void
+	arrive(const mail &one)
+	{
+		comet_Datagram datagram;
+
+		if (vms.count(one.to) == 0)
+			return;
+		ASSERT_TRUE(comet_datagram_decode(
+			(const uint8_t *)one.bytes.data(), one.bytes.size(), &datagram));
+		vm &to = vms[one.to];
+		if (datagram.which_body == comet_Datagram_view_tag)
+		{
+			EXPECT_TRUE(comet_views_receive(to.views, &datagram.body.view, now_us));
+		}
+		else
+			comet_grants_receive(to.grants, &datagram, now_us);
+	}
+
+	void
+	pass(uint64_t us)
+	{
+		for (uint64_t end_us = now_us + us; now_us < end_us;)
+		{
+			now_us += 10000;
+			for (auto &one : vms)
+			{
+				comet_grants_tick(one.second.grants, now_us);
+				comet_views_tick(one.second.views, now_us);
+				comet_placement_run(one.second.placement, now_us);
+			}
+			deliver();
+		}
+	}
+
+	comet_placement_item *
+	submit(uint32_t address, uint32_t rank = 2)
+	{
+		auto item = std::make_unique<comet_placement_item>();
+		item->service = "llm";
+		item->job = {1000, 100, 100, true};
+		item->route_rank = rank;
+		item->latest_us = now_us + 30000000;
+		item->early_us = now_us + 100000;
+		comet_placement_submit(vms[address].placement, item.get(), now_us);
+		items.push_back(std::move(item));
+		return items.back().get();
+	}
+
+	/* The answer is whole. */
+	void
+	end(uint32_t address, comet_placement_item *item, uint32_t events = 0,
+		uint64_t stream_us = 0)
+	{
+		vm &one = vms[address];
+		comet_instance *instance =
+			comet_instances_find(one.instances, one.sent[item].c_str());
+		comet_instance_ended(one.instances, instance, &item->job, false,
+			COMET_DISPATCH_CANCELLED, 0, 0, now_us);
+		comet_placement_freed(one.placement, instance);
+		if (item->keeper != 0)
+			comet_grants_release(
+				one.grants, item->keeper, instance->key, events, stream_us);
+		item->keeper = 0;
+		one.sent.erase(item);
+		comet_placement_run(one.placement, now_us);
+	}
+
+	std::map<std::string, uint32_t>
+	running()
+	{
+		std::map<std::string, uint32_t> sum;
+		for (auto &one : vms)
+			for (auto &sent : one.second.sent)
+				sum[sent.second]++;
+		return sum;
+	}
+
+	uint32_t
+	most_at_one()
+	{
+		uint32_t most = 0;
+		for (auto &one : running())
+			most = std::max(most, one.second);
+		return most;
+	}
+
+	uint32_t
+	total()
+	{
+		uint32_t sum = 0;
+		for (auto &one : running())
+			sum += one.second;
+		return sum;
+	}
+
+	uint32_t
+	keeper_of_all(uint32_t asker)
+	{
+		comet_instance *any = comet_instances_find(vms[asker].instances, "i0");
+		comet_shards *shards = comet_shards_create(nullptr, vms[asker].instances);
+		comet_shards_of(shards, "llm");
+		uint32_t keeper = comet_views_keeper(
+			vms[asker].views, any->shard, comet_hash_name("z"), now_us);
+		talloc_free(shards);
+		return keeper;
+	}
+};
+
+} // namespace grants_fleet
+
+#endif
