--- a/tests/system/platform_standin.py
+++ b/tests/system/platform_standin.py
@@ -85,6 +85,8 @@
         self.log = []
         self.revision = 0
         self.down = False
+        self.busy_calls = 0  # of so many calls it refuses all but one; 0: none
+        self.calls = 0
         self.too_large = False  # answers are larger than any proper one
         self.forgotten = 0  # revisions up to this one are history no more
         threading.Thread(target=self.accept, daemon=True).start()
@@ -133,6 +135,9 @@
         with self.lock:
             if self.down:
                 return 503, {}
+            self.calls += 1
+            if self.busy_calls and self.calls % self.busy_calls:
+                return 429, {}
             if self.too_large:
                 return 200, {"entries": [], "current_rev": 1, "filler": "x" * (5 << 20)}
             if path == "/kv-range":
--- a/tests/system/test_gateway.py
+++ b/tests/system/test_gateway.py
@@ -400,6 +400,19 @@
     there.end()
 
 
+def test_busy_store():
+    """A store that refuses every other call is still read whole: a list goes on where it was."""
+    store = Store()
+    store.put("op/config", document(1))
+    for i in range(8):
+        Server(store, f"i-{i}", "svc")
+    store.busy_calls = 2
+    gateway = Gateway(store)
+    wait_for(gateway.ready, 10)
+    assert call(gateway, "/safe/x")[1] == 200
+    gateway.end()
+
+
 def test_answers_too_large():
     """An answer beyond any proper size is not kept, nor believed."""
     store = Store()
@@ -532,7 +545,7 @@
                   test_broken_before_answer, test_foreign_answer, test_unframed_and_cut,
                   test_streams, test_caller_leaves, test_configuration, test_servers_leave,
                   test_pages]
-    alone = [test_store_away, test_copy_from_other_vm, test_answers_too_large,
+    alone = [test_store_away, test_copy_from_other_vm, test_busy_store, test_answers_too_large,
              test_only_server_fails, test_planned_stop, test_signal_while_starting,
              test_log_reader_stops, test_bad_settings]
     only = sys.argv[1:]
