--- a/scripts/soak_gateway.py
+++ b/scripts/soak_gateway.py
@@ -23,6 +23,7 @@
 
 BUILD = os.environ.get("COMET_BUILD", "build")
 HOST = "h.example"
+PROCESS_FAULTS = {"kill", "stop", "pause", "hup"}
 SIZES = {"few": (3, 4, 6), "dozens": (6, 8, 16), "hundreds": (24, 16, 64)}  # VMs, servers, callers
 FAULTS = ["kill", "pause", "stop", "hup", "store_silent", "store_reset", "store_down",
           "server_delay", "server_reset", "server_one_way", "server_silent", "document", "drain"]
@@ -167,6 +168,7 @@
         self.faults = {}
         self.pairs = set()
         self.active = {}
+        self.faulty = set()  # VMs whose process is killed, stopped or paused just now
         self.broken = {"twice": [], "not_run_but_ran": [], "wrong_answer": [], "bad_stream": [],
                        "wrong_key_served": [], "not_served_after": [], "bad_exit": [], "sanitizer": []}
         self.told_not_run = set()
@@ -184,7 +186,7 @@
         self.servers = []
         self.proxies = []
         for number in range(self.servers_n):
-            server = Server(self.store, f"i-{number}", "svc", slots=8)
+            server = Server(self.store, f"i-{number}", "svc", slots=2)
             server.scripts = {"plain": slow_plain, "stream": stream}
             proxy = Proxy(server.port)
             server.publish(address=f"127.0.0.1:{proxy.port}", zone=f"z{number % 3}")
@@ -272,8 +274,7 @@
                 self.attempt(vm, route, script, key)
             time.sleep(draw.random() * 0.03)
 
-    def run_fault(self, kind, length):
-        vm = self.draw.choice(self.vms)
+    def run_fault(self, kind, length, vm):
         proxy = self.draw.choice(self.proxies)
         number = self.draw.randrange(len(self.servers))
         action = getattr(self, "fault_" + kind.split("_", maxsplit=1)[0])
@@ -282,6 +283,7 @@
         finally:
             with self.lock:
                 self.active.pop(threading.get_ident(), None)
+                self.faulty.discard(vm)
 
     def fault_kill(self, _kind, length, vm, _proxy, _number):
         vm.send(signal.SIGKILL)
@@ -330,10 +332,16 @@
         time.sleep(length)
         self.servers[number].publish(state="ready")
 
-    def busy(self, kind):
-        """Two faults on processes at once could hit the same one: they come in series."""
-        group = {"kill", "pause", "stop", "hup"}
-        return kind in group and any(one in group for one in self.active.values())
+    def choose_vm(self, kind):
+        """A VM for a fault: those on processes overlap on different VMs, and one VM is spared."""
+        if kind not in PROCESS_FAULTS:
+            return self.draw.choice(self.vms)
+        free = [vm for vm in self.vms if vm not in self.faulty]
+        if len(free) < 2:
+            return None
+        vm = self.draw.choice(free)
+        self.faulty.add(vm)
+        return vm
 
     def faults_on(self):
         end = time.monotonic() + self.seconds
@@ -343,11 +351,12 @@
             length = self.draw.uniform(0.3, 2.0)
             pause = self.draw.uniform(0.1, 0.8)
             with self.lock:
-                if self.busy(kind):
+                vm = self.choose_vm(kind)
+                if vm is None:
                     continue
                 self.faults[kind] = self.faults.get(kind, 0) + 1
                 self.pairs |= {tuple(sorted((kind, one))) for one in self.active.values()}
-                thread = threading.Thread(target=self.run_fault, args=(kind, length))
+                thread = threading.Thread(target=self.run_fault, args=(kind, length, vm))
                 thread.start()
                 self.active[thread.ident] = kind
             threads.append(thread)
