--- a/cli/cometspindled/main.c
+++ b/cli/cometspindled/main.c
@@ -4,8 +4,8 @@
  */
 #include <argtable2.h>
 #include <curl/curl.h>
-#include <libcometspindle/adapters/daemon.h>
-#include <libcometspindle/adapters/gateway.h>
+#include <libcometspindle/adapters/daemon/daemon.h>
+#include <libcometspindle/adapters/gateway/gateway.h>
 #include <libcometspindle/log.h>
 #include <libcometspindle/settings.h>
 #include <platform/directory.h>
--- a/libcometspindle/adapters/front.c
+++ b/libcometspindle/adapters/callers/front.c
@@ -2,7 +2,7 @@
  * front.c
  * the caller side: an HTTP/1.1 server that hands over whole requests
  */
-#include <libcometspindle/adapters/front.h>
+#include <libcometspindle/adapters/callers/front.h>
 
 #include <errno.h>
 #include <libcometspindle/adapters/socket.h>
--- a/libcometspindle/adapters/http_loop.c
+++ b/libcometspindle/adapters/callers/http_loop.c
@@ -2,7 +2,7 @@
  * http_loop.c
  * runs a libmicrohttpd daemon on a tevent loop
  */
-#include <libcometspindle/adapters/http_loop.h>
+#include <libcometspindle/adapters/callers/http_loop.h>
 
 #include <arpa/inet.h>
 #include <errno.h>
--- a/libcometspindle/adapters/traffic.c
+++ b/libcometspindle/adapters/callers/traffic.c
@@ -2,7 +2,7 @@
  * traffic.c
  * a traffic thread: its loop, its connections and its mailbox
  */
-#include <libcometspindle/adapters/traffic_private.h>
+#include <libcometspindle/adapters/callers/traffic_private.h>
 
 #include <errno.h>
 #include <inttypes.h>
--- a/libcometspindle/adapters/traffic.h
+++ b/libcometspindle/adapters/callers/traffic.h
@@ -8,10 +8,10 @@
 #ifndef COMETSPINDLE_ADAPTERS_TRAFFIC_H
 #define COMETSPINDLE_ADAPTERS_TRAFFIC_H
 
-#include <libcometspindle/adapters/mailbox.h>
-#include <libcometspindle/adapters/token.h>
-#include <libcometspindle/adapters/view.h>
-#include <libcometspindle/node.h>
+#include <libcometspindle/adapters/daemon/mailbox.h>
+#include <libcometspindle/adapters/peers/token.h>
+#include <libcometspindle/adapters/daemon/view.h>
+#include <libcometspindle/node/node.h>
 #include <stdint.h>
 
 /** Messages from a traffic thread to the control thread. */
--- a/libcometspindle/adapters/traffic_call.c
+++ b/libcometspindle/adapters/callers/traffic_call.c
@@ -2,7 +2,7 @@
  * traffic_call.c
  * the life of one caller's call: checked, submitted, dispatched once, answered
  */
-#include <libcometspindle/adapters/traffic_private.h>
+#include <libcometspindle/adapters/callers/traffic_private.h>
 
 #include <inttypes.h>
 #include <libcometspindle/hash.h>
--- a/libcometspindle/adapters/traffic_pages.c
+++ b/libcometspindle/adapters/callers/traffic_pages.c
@@ -2,7 +2,7 @@
  * traffic_pages.c
  * the pages that are read from the published view
  */
-#include <libcometspindle/adapters/traffic_private.h>
+#include <libcometspindle/adapters/callers/traffic_private.h>
 
 #include <libcometspindle/log.h>
 #include <string.h>
--- a/libcometspindle/adapters/traffic_private.h
+++ b/libcometspindle/adapters/callers/traffic_private.h
@@ -6,10 +6,10 @@
 #define COMETSPINDLE_ADAPTERS_TRAFFIC_PRIVATE_H
 
 #include <glib.h>
-#include <libcometspindle/adapters/curl_loop.h>
-#include <libcometspindle/adapters/endpoint_call.h>
-#include <libcometspindle/adapters/http_loop.h>
-#include <libcometspindle/adapters/traffic.h>
+#include <libcometspindle/adapters/endpoints/curl_loop.h>
+#include <libcometspindle/adapters/endpoints/endpoint_call.h>
+#include <libcometspindle/adapters/callers/http_loop.h>
+#include <libcometspindle/adapters/callers/traffic.h>
 #include <libcometspindle/request.h>
 #include <stdbool.h>
 
--- a/libcometspindle/adapters/clock.h
+++ b/libcometspindle/adapters/clock.h
@@ -5,7 +5,7 @@
 #ifndef COMETSPINDLE_ADAPTERS_CLOCK_H
 #define COMETSPINDLE_ADAPTERS_CLOCK_H
 
-#include <libcometspindle/node.h>
+#include <libcometspindle/node/node.h>
 #include <sys/time.h>
 
 /** Both clocks: CLOCK_BOOTTIME, which counts suspension, and the wall clock. */
--- a/libcometspindle/adapters/daemon.c
+++ b/libcometspindle/adapters/daemon/daemon.c
@@ -2,11 +2,11 @@
  * daemon.c
  * the whole daemon: one control thread around a node, and traffic threads
  */
-#include <libcometspindle/adapters/daemon.h>
+#include <libcometspindle/adapters/daemon/daemon.h>
 
 #include <errno.h>
 #include <libcometspindle/adapters/clock.h>
-#include <libcometspindle/adapters/daemon_private.h>
+#include <libcometspindle/adapters/daemon/daemon_private.h>
 #include <libcometspindle/error.h>
 #include <libcometspindle/hash.h>
 #include <libcometspindle/log.h>
--- a/libcometspindle/adapters/daemon_private.h
+++ b/libcometspindle/adapters/daemon/daemon_private.h
@@ -5,10 +5,10 @@
 #ifndef COMETSPINDLE_ADAPTERS_DAEMON_PRIVATE_H
 #define COMETSPINDLE_ADAPTERS_DAEMON_PRIVATE_H
 
-#include <libcometspindle/adapters/peers.h>
-#include <libcometspindle/adapters/platform.h>
-#include <libcometspindle/adapters/reports.h>
-#include <libcometspindle/adapters/traffic.h>
+#include <libcometspindle/adapters/peers/peers.h>
+#include <libcometspindle/adapters/platform/platform.h>
+#include <libcometspindle/adapters/endpoints/reports.h>
+#include <libcometspindle/adapters/callers/traffic.h>
 #include <libcometspindle/settings.h>
 #include <stdbool.h>
 
--- a/libcometspindle/adapters/daemon_view.c
+++ b/libcometspindle/adapters/daemon/daemon_view.c
@@ -2,7 +2,7 @@
  * daemon_view.c
  * builds the view that the traffic threads serve: entries, status, metrics
  */
-#include <libcometspindle/adapters/daemon_private.h>
+#include <libcometspindle/adapters/daemon/daemon_private.h>
 
 #include <inttypes.h>
 #include <json-c/json.h>
--- a/libcometspindle/adapters/mailbox.c
+++ b/libcometspindle/adapters/daemon/mailbox.c
@@ -2,7 +2,7 @@
  * mailbox.c
  * a queue of messages into one thread's event loop
  */
-#include <libcometspindle/adapters/mailbox.h>
+#include <libcometspindle/adapters/daemon/mailbox.h>
 
 #include <glib.h>
 #include <pthread.h>
--- a/libcometspindle/adapters/view.c
+++ b/libcometspindle/adapters/daemon/view.c
@@ -2,7 +2,7 @@
  * view.c
  * what the control thread publishes to the traffic threads: immutable, counted
  */
-#include <libcometspindle/adapters/view.h>
+#include <libcometspindle/adapters/daemon/view.h>
 
 #include <glib.h>
 #include <pthread.h>
--- a/libcometspindle/adapters/curl_loop.c
+++ b/libcometspindle/adapters/endpoints/curl_loop.c
@@ -2,7 +2,7 @@
  * curl_loop.c
  * runs libcurl's multi interface on a tevent loop
  */
-#include <libcometspindle/adapters/curl_loop.h>
+#include <libcometspindle/adapters/endpoints/curl_loop.h>
 
 #include <glib.h>
 #include <libcometspindle/adapters/clock.h>
--- a/libcometspindle/adapters/endpoint_call.c
+++ b/libcometspindle/adapters/endpoints/endpoint_call.c
@@ -9,7 +9,7 @@
  * Every dispatch opens its own connection: libcurl sends a request again by
  * itself when a kept connection turns out dead, and that could run it twice.
  */
-#include <libcometspindle/adapters/endpoint_call.h>
+#include <libcometspindle/adapters/endpoints/endpoint_call.h>
 
 #include <glib.h>
 #include <libcometspindle/adapters/clock.h>
--- a/libcometspindle/adapters/endpoint_call.h
+++ b/libcometspindle/adapters/endpoints/endpoint_call.h
@@ -5,7 +5,7 @@
 #ifndef COMETSPINDLE_ADAPTERS_ENDPOINT_CALL_H
 #define COMETSPINDLE_ADAPTERS_ENDPOINT_CALL_H
 
-#include <libcometspindle/adapters/curl_loop.h>
+#include <libcometspindle/adapters/endpoints/curl_loop.h>
 #include <libcometspindle/endpoint.h>
 #include <libcometspindle/verdict.h>
 #include <stdbool.h>
--- a/libcometspindle/adapters/fetch.c
+++ b/libcometspindle/adapters/endpoints/fetch.c
@@ -2,7 +2,7 @@
  * fetch.c
  * one small document read from another process: a GET, bounded in size and time
  */
-#include <libcometspindle/adapters/fetch.h>
+#include <libcometspindle/adapters/endpoints/fetch.h>
 
 #include <glib.h>
 #include <string.h>
--- a/libcometspindle/adapters/fetch.h
+++ b/libcometspindle/adapters/endpoints/fetch.h
@@ -6,7 +6,7 @@
 #define COMETSPINDLE_ADAPTERS_FETCH_H
 
 #include <libcometspindle/adapters/timers.h>
-#include <libcometspindle/adapters/upstream.h>
+#include <libcometspindle/adapters/endpoints/upstream.h>
 #include <stddef.h>
 #include <stdint.h>
 
--- a/libcometspindle/adapters/reports.c
+++ b/libcometspindle/adapters/endpoints/reports.c
@@ -5,7 +5,7 @@
  * Our assumption of the wire form: GET URL/load answers
  * {"running":N,"queued":N}, describing a moment in the past.
  */
-#include <libcometspindle/adapters/reports.h>
+#include <libcometspindle/adapters/endpoints/reports.h>
 
 #include <glib.h>
 #include <json-c/json.h>
--- a/libcometspindle/adapters/reports.h
+++ b/libcometspindle/adapters/endpoints/reports.h
@@ -5,7 +5,7 @@
 #ifndef COMETSPINDLE_ADAPTERS_REPORTS_H
 #define COMETSPINDLE_ADAPTERS_REPORTS_H
 
-#include <libcometspindle/adapters/curl_loop.h>
+#include <libcometspindle/adapters/endpoints/curl_loop.h>
 #include <libcometspindle/bundle.h>
 #include <stdint.h>
 
--- a/libcometspindle/adapters/upstream.c
+++ b/libcometspindle/adapters/endpoints/upstream.c
@@ -2,7 +2,7 @@
  * upstream.c
  * the endpoint side: sends requests over kept HTTP/1.1 connections
  */
-#include <libcometspindle/adapters/upstream.h>
+#include <libcometspindle/adapters/endpoints/upstream.h>
 
 #include <errno.h>
 #include <libcometspindle/adapters/socket.h>
--- a/libcometspindle/adapters/gateway.c
+++ b/libcometspindle/adapters/gateway/gateway.c
@@ -2,7 +2,7 @@
  * gateway.c
  * a VM that relays plain HTTP: reads its routes and endpoints from a directory
  */
-#include <libcometspindle/adapters/gateway_private.h>
+#include <libcometspindle/adapters/gateway/gateway_private.h>
 
 #include <libcometspindle/adapters/socket.h>
 #include <libcometspindle/error.h>
--- a/libcometspindle/adapters/gateway.h
+++ b/libcometspindle/adapters/gateway/gateway.h
@@ -10,7 +10,7 @@
 
 #include <glib.h>
 #include <libcometspindle/adapters/timers.h>
-#include <libcometspindle/adapters/upstream.h>
+#include <libcometspindle/adapters/endpoints/upstream.h>
 #include <libcometspindle/gateway/directory.h>
 #include <libcometspindle/gateway/settings.h>
 #include <libcometspindle/gateway/wire_names.h>
--- a/libcometspindle/adapters/gateway_answer.c
+++ b/libcometspindle/adapters/gateway/gateway_answer.c
@@ -2,7 +2,7 @@
  * gateway_answer.c
  * one request at a gateway: an endpoint's answer on its way to the caller
  */
-#include <libcometspindle/adapters/gateway_relay.h>
+#include <libcometspindle/adapters/gateway/gateway_relay.h>
 
 #include <libcometspindle/log.h>
 #include <string.h>
--- a/libcometspindle/adapters/gateway_copy.c
+++ b/libcometspindle/adapters/gateway/gateway_copy.c
@@ -2,7 +2,7 @@
  * gateway_copy.c
  * reads the directory's copy of another VM, when that VM knows more
  */
-#include <libcometspindle/adapters/gateway_private.h>
+#include <libcometspindle/adapters/gateway/gateway_private.h>
 
 #include <libcometspindle/log.h>
 #include <string.h>
--- a/libcometspindle/adapters/gateway_grants.c
+++ b/libcometspindle/adapters/gateway/gateway_grants.c
@@ -2,7 +2,7 @@
  * gateway_grants.c
  * slots asked for at other VMs, and granted to them: what connects placement, views and grants
  */
-#include <libcometspindle/adapters/gateway_relay.h>
+#include <libcometspindle/adapters/gateway/gateway_relay.h>
 
 #include <libcometspindle/log.h>
 
--- a/libcometspindle/adapters/gateway_pages.c
+++ b/libcometspindle/adapters/gateway/gateway_pages.c
@@ -2,7 +2,7 @@
  * gateway_pages.c
  * what a gateway answers on its readiness and control addresses
  */
-#include <libcometspindle/adapters/gateway_private.h>
+#include <libcometspindle/adapters/gateway/gateway_private.h>
 
 #include <string.h>
 
--- a/libcometspindle/adapters/gateway_private.h
+++ b/libcometspindle/adapters/gateway/gateway_private.h
@@ -5,10 +5,10 @@
 #ifndef COMETSPINDLE_ADAPTERS_GATEWAY_PRIVATE_H
 #define COMETSPINDLE_ADAPTERS_GATEWAY_PRIVATE_H
 
-#include <libcometspindle/adapters/fetch.h>
-#include <libcometspindle/adapters/front.h>
-#include <libcometspindle/adapters/gateway.h>
-#include <libcometspindle/adapters/view_link.h>
+#include <libcometspindle/adapters/endpoints/fetch.h>
+#include <libcometspindle/adapters/callers/front.h>
+#include <libcometspindle/adapters/gateway/gateway.h>
+#include <libcometspindle/adapters/peers/view_link.h>
 #include <libcometspindle/draw.h>
 #include <libcometspindle/gateway/grants.h>
 #include <libcometspindle/gateway/placement.h>
--- a/libcometspindle/adapters/gateway_relay.c
+++ b/libcometspindle/adapters/gateway/gateway_relay.c
@@ -2,7 +2,7 @@
  * gateway_relay.c
  * one request at a gateway: its admission and its end
  */
-#include <libcometspindle/adapters/gateway_relay.h>
+#include <libcometspindle/adapters/gateway/gateway_relay.h>
 
 #include <libcometspindle/hash.h>
 #include <libcometspindle/log.h>
--- a/libcometspindle/adapters/gateway_relay.h
+++ b/libcometspindle/adapters/gateway/gateway_relay.h
@@ -5,7 +5,7 @@
 #ifndef COMETSPINDLE_ADAPTERS_GATEWAY_RELAY_H
 #define COMETSPINDLE_ADAPTERS_GATEWAY_RELAY_H
 
-#include <libcometspindle/adapters/gateway_private.h>
+#include <libcometspindle/adapters/gateway/gateway_private.h>
 #include <libcometspindle/gateway/event_stream.h>
 
 /** A request from its admission to its end. */
--- a/libcometspindle/adapters/gateway_send.c
+++ b/libcometspindle/adapters/gateway/gateway_send.c
@@ -2,7 +2,7 @@
  * gateway_send.c
  * one request at a gateway: its sendings to endpoints
  */
-#include <libcometspindle/adapters/gateway_relay.h>
+#include <libcometspindle/adapters/gateway/gateway_relay.h>
 
 #include <libcometspindle/log.h>
 #include <string.h>
--- a/libcometspindle/adapters/peers.c
+++ b/libcometspindle/adapters/peers/peers.c
@@ -6,7 +6,7 @@
  * DEALER's routing id is the VM's id, so that messages need not carry it.
  * A ZAP handler lets in only holders of the fleet's key pair.
  */
-#include <libcometspindle/adapters/peers.h>
+#include <libcometspindle/adapters/peers/peers.h>
 
 #include <errno.h>
 #include <libcometspindle/bundle.h>
--- a/libcometspindle/adapters/token.c
+++ b/libcometspindle/adapters/peers/token.c
@@ -2,7 +2,7 @@
  * token.c
  * sealed tokens with which a caller resumes its own cut stream at any VM
  */
-#include <libcometspindle/adapters/token.h>
+#include <libcometspindle/adapters/peers/token.h>
 
 #include <sodium.h>
 #include <string.h>
--- a/libcometspindle/adapters/view_link.c
+++ b/libcometspindle/adapters/peers/view_link.c
@@ -2,7 +2,7 @@
  * view_link.c
  * sends and receives views between VMs by UDP
  */
-#include <libcometspindle/adapters/view_link.h>
+#include <libcometspindle/adapters/peers/view_link.h>
 
 #include <arpa/inet.h>
 #include <errno.h>
--- a/libcometspindle/adapters/platform.h
+++ b/libcometspindle/adapters/platform/platform.h
@@ -9,7 +9,7 @@
 #define COMETSPINDLE_ADAPTERS_PLATFORM_H
 
 #include <glib.h>
-#include <libcometspindle/adapters/curl_loop.h>
+#include <libcometspindle/adapters/endpoints/curl_loop.h>
 #include <libcometspindle/membership.h>
 #include <stdbool.h>
 
--- a/libcometspindle/adapters/platform_http.c
+++ b/libcometspindle/adapters/platform/platform_http.c
@@ -10,7 +10,7 @@
  * others get the bundle from them. The list is read by all, ever less often
  * as the fleet grows, so that all readers together stay near 100 calls a second.
  */
-#include <libcometspindle/adapters/platform.h>
+#include <libcometspindle/adapters/platform/platform.h>
 
 #include <libcometspindle/adapters/clock.h>
 #include <libcometspindle/bundle.h>
--- a/libcometspindle/endpoint.h
+++ b/libcometspindle/endpoint.h
@@ -6,7 +6,7 @@
 #define COMETSPINDLE_ENDPOINT_H
 
 #include <libcometspindle/bundle.h>
-#include <libcometspindle/prefix.h>
+#include <libcometspindle/scheduler/prefix.h>
 #include <libcometspindle/verdict.h>
 #include <stdbool.h>
 #include <stdint.h>
--- a/libcometspindle/node.h
+++ b/libcometspindle/node/node.h
@@ -11,7 +11,7 @@
 #include <libcometspindle/bundle.h>
 #include <libcometspindle/endpoint.h>
 #include <libcometspindle/membership.h>
-#include <libcometspindle/prefix.h>
+#include <libcometspindle/scheduler/prefix.h>
 #include <libcometspindle/proto/peer.pb.h>
 #include <libcometspindle/verdict.h>
 #include <stdint.h>
--- a/libcometspindle/node_private.h
+++ b/libcometspindle/node/node_private.h
@@ -10,10 +10,10 @@
 #include <libcometspindle/claims.h>
 #include <libcometspindle/floor.h>
 #include <libcometspindle/log.h>
-#include <libcometspindle/node.h>
-#include <libcometspindle/policy.h>
+#include <libcometspindle/node/node.h>
+#include <libcometspindle/scheduler/policy.h>
 #include <libcometspindle/quota.h>
-#include <libcometspindle/scheduler.h>
+#include <libcometspindle/scheduler/scheduler.h>
 #include <talloc.h>
 
 /** Where a held request stands. */
--- a/libcometspindle/policy.c
+++ b/libcometspindle/scheduler/policy.c
@@ -2,7 +2,7 @@
  * policy.c
  * routing policies behind one vtable: ours and the baselines it is measured against
  */
-#include <libcometspindle/policy.h>
+#include <libcometspindle/scheduler/policy.h>
 
 #include <libcometspindle/hash.h>
 #include <string.h>
--- a/libcometspindle/policy.h
+++ b/libcometspindle/scheduler/policy.h
@@ -5,7 +5,7 @@
 #ifndef COMETSPINDLE_POLICY_H
 #define COMETSPINDLE_POLICY_H
 
-#include <libcometspindle/prefix.h>
+#include <libcometspindle/scheduler/prefix.h>
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
--- a/libcometspindle/prefix.c
+++ b/libcometspindle/scheduler/prefix.c
@@ -2,7 +2,7 @@
  * prefix.c
  * chained block hashes of prompts, and which endpoint holds which
  */
-#include <libcometspindle/prefix.h>
+#include <libcometspindle/scheduler/prefix.h>
 
 #include <glib.h>
 #include <libcometspindle/hash.h>
--- a/libcometspindle/scheduler.c
+++ b/libcometspindle/scheduler/scheduler.c
@@ -2,7 +2,7 @@
  * scheduler.c
  * one shard of a pool: asks wait here in tier order and are granted endpoints
  */
-#include <libcometspindle/scheduler_private.h>
+#include <libcometspindle/scheduler/scheduler_private.h>
 
 #include <string.h>
 
--- a/libcometspindle/scheduler_choose.c
+++ b/libcometspindle/scheduler/scheduler_choose.c
@@ -2,7 +2,7 @@
  * scheduler_choose.c
  * weighs the endpoints of a shard for one ask
  */
-#include <libcometspindle/scheduler_private.h>
+#include <libcometspindle/scheduler/scheduler_private.h>
 
 #include <stdio.h>
 #include <string.h>
--- a/libcometspindle/scheduler_private.h
+++ b/libcometspindle/scheduler/scheduler_private.h
@@ -8,7 +8,7 @@
 #include <glib.h>
 #include <inttypes.h>
 #include <libcometspindle/log.h>
-#include <libcometspindle/scheduler.h>
+#include <libcometspindle/scheduler/scheduler.h>
 #include <talloc.h>
 
 /* Holders renew asks each 2 s and grants each 10 s; after three misses the lease is over. */
--- a/libcometspindle/scheduler_queue.c
+++ b/libcometspindle/scheduler/scheduler_queue.c
@@ -2,7 +2,7 @@
  * scheduler_queue.c
  * what waits and what was granted: queues in order, groups, leases
  */
-#include <libcometspindle/scheduler_private.h>
+#include <libcometspindle/scheduler/scheduler_private.h>
 
 #include <libcometspindle/hash.h>
 #include <string.h>
--- a/libcometspindle/settings.c
+++ b/libcometspindle/settings.c
@@ -7,7 +7,7 @@
 #include <libcometspindle/check.h>
 #include <libcometspindle/error.h>
 #include <libcometspindle/log.h>
-#include <libcometspindle/policy.h>
+#include <libcometspindle/scheduler/policy.h>
 #include <string.h>
 #include <talloc.h>
 
--- a/tests/bench/measure.c
+++ b/tests/bench/measure.c
@@ -11,7 +11,7 @@
 #include <libcometspindle/hash.h>
 #include <libcometspindle/log.h>
 #include <libcometspindle/membership.h>
-#include <libcometspindle/scheduler.h>
+#include <libcometspindle/scheduler/scheduler.h>
 #include <malloc.h>
 #include <sodium.h>
 #include <stdio.h>
--- a/tests/fuzz/fuzz_peer.c
+++ b/tests/fuzz/fuzz_peer.c
@@ -2,7 +2,7 @@
  * fuzz_peer.c
  * libFuzzer target: the decoder of messages between VMs
  */
-#include <libcometspindle/adapters/peers.h>
+#include <libcometspindle/adapters/peers/peers.h>
 
 int
 LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
--- a/tests/load/load.c
+++ b/tests/load/load.c
@@ -9,7 +9,7 @@
 
 #include <glib.h>
 #include <libcometspindle/adapters/clock.h>
-#include <libcometspindle/adapters/curl_loop.h>
+#include <libcometspindle/adapters/endpoints/curl_loop.h>
 #include <libcometspindle/hash.h>
 #include <math.h>
 #include <stdio.h>
--- a/tests/load/load.h
+++ b/tests/load/load.h
@@ -8,7 +8,7 @@
 #include "../standin/standin.h"
 
 #include <glib.h>
-#include <libcometspindle/adapters/curl_loop.h>
+#include <libcometspindle/adapters/endpoints/curl_loop.h>
 #include <stdio.h>
 
 #define TIERS 8
--- a/tests/standin/engine.c
+++ b/tests/standin/engine.c
@@ -6,9 +6,9 @@
 
 #include <glib.h>
 #include <libcometspindle/adapters/clock.h>
-#include <libcometspindle/adapters/http_loop.h>
+#include <libcometspindle/adapters/callers/http_loop.h>
 #include <libcometspindle/hash.h>
-#include <libcometspindle/prefix.h>
+#include <libcometspindle/scheduler/prefix.h>
 #include <libcometspindle/request.h>
 #include <string.h>
 #include <sys/stat.h>
--- a/tests/standin/engine.h
+++ b/tests/standin/engine.h
@@ -8,7 +8,7 @@
 #include "standin.h"
 
 #include <glib.h>
-#include <libcometspindle/adapters/http_loop.h>
+#include <libcometspindle/adapters/callers/http_loop.h>
 
 #define SAMPLES 64
 
--- a/tests/standin/engine_http.c
+++ b/tests/standin/engine_http.c
@@ -5,7 +5,7 @@
 #include "engine.h"
 
 #include <libcometspindle/hash.h>
-#include <libcometspindle/prefix.h>
+#include <libcometspindle/scheduler/prefix.h>
 #include <libcometspindle/request.h>
 #include <string.h>
 
--- a/tests/standin/service.c
+++ b/tests/standin/service.c
@@ -6,7 +6,7 @@
 
 #include <glib.h>
 #include <libcometspindle/adapters/clock.h>
-#include <libcometspindle/adapters/http_loop.h>
+#include <libcometspindle/adapters/callers/http_loop.h>
 #include <string.h>
 
 struct service
--- a/tests/unit/sim.h
+++ b/tests/unit/sim.h
@@ -20,7 +20,7 @@
 
 extern "C"
 {
-#include <libcometspindle/node.h>
+#include <libcometspindle/node/node.h>
 #include <libcometspindle/sign.h>
 }
 
--- a/tests/unit/test_scheduler.cc
+++ b/tests/unit/test_scheduler.cc
@@ -11,7 +11,7 @@
 extern "C"
 {
 #include <libcometspindle/hash.h>
-#include <libcometspindle/scheduler.h>
+#include <libcometspindle/scheduler/scheduler.h>
 }
 
 #include "fixtures.h"
