What is passed over is refused early, with a true time to come back

Change: each rank's pace in the queue is measured (time between dispatches of what had waited, or since the last); a request whose rank moves too slowly for it is refused at once, told the time that its rank needs.

--- a/libcometspindle/gateway/placement.c
+++ b/libcometspindle/gateway/placement.c
@@ -28,11 +28,29 @@
 /* Of the requests that wait, so many ask at a time: the rest would only be denied as well. */
 #define WAITING_ASKS_MAX 4
 
+/* Ranks whose pace in the queue is told apart; those below share the last. */
+#define RANKS 8
+
+/* Weight of the newest dispatch in the pace of a rank: the last three or four count. */
+#define FLOW_WEIGHT 0.3
+
+/* What a rank's pace was is forgotten after this time without anything waiting. */
+#define FLOW_FORGET_US 1000000
+
+/* How fast requests of one rank leave the queue. */
+struct flow
+{
+	uint32_t waiting;
+	uint64_t since_us; /* the last that had waited was dispatched, or the first began to wait */
+	double interval_us; /* between two of them; 0: not known */
+};
+
 /* What waits for one service. */
 struct queue
 {
 	char *service;
 	GSequence *items;
+	struct flow flows[RANKS];
 };
 
 struct comet_placement
@@ -278,6 +296,50 @@
 	return 1 / per_us / share;
 }
 
+static struct flow *
+flow_of(struct queue *queue, const struct comet_placement_item *item)
+{
+	return &queue->flows[MIN(item->team_rank + item->route_rank, RANKS - 1)];
+}
+
+/* How long one more of a rank waits by the pace of those before it, who are passed over by more
+ * urgent ones and by other VMs as it will be. */
+static double
+flow_wait_us(const struct flow *flow, uint64_t now_us)
+{
+	if (flow->waiting == 0)
+		return 0;
+	return (flow->waiting + 1) * MAX(flow->interval_us, (double)(now_us - flow->since_us));
+}
+
+/* Something that waited was dispatched. */
+static void
+flow_passed(struct flow *flow, uint64_t now_us)
+{
+	double sample = (double)(now_us - flow->since_us);
+
+	if (flow->interval_us == 0)
+		flow->interval_us = sample;
+	flow->interval_us += FLOW_WEIGHT * (sample - flow->interval_us);
+	flow->since_us = now_us;
+}
+
+/* Puts an item into its queue. */
+static void
+enqueue(struct queue *queue, struct comet_placement_item *item, uint64_t now_us)
+{
+	struct flow *flow = flow_of(queue, item);
+
+	if (flow->waiting == 0 && now_us - flow->since_us > FLOW_FORGET_US)
+	{
+		flow->since_us = now_us;
+		flow->interval_us = 0;
+	}
+	flow->waiting++;
+	item->queued = true;
+	item->place = g_sequence_insert_sorted(queue->items, item, compare_items, NULL);
+}
+
 uint64_t
 comet_placement_wait_us(
 	struct comet_placement *placement, const struct comet_placement_item *item, uint64_t now_us)
@@ -288,7 +350,8 @@
 	probe.order = UINT64_MAX;
 	GSequenceIter *at = g_sequence_search(queue->items, &probe, compare_items, NULL);
 	int ahead = g_sequence_iter_get_position(at);
-	return (uint64_t)((ahead + 1) * slot_interval_us(placement, item->service, now_us));
+	double by_slots = (ahead + 1) * slot_interval_us(placement, item->service, now_us);
+	return (uint64_t)MAX(by_slots, flow_wait_us(flow_of(queue, item), now_us));
 }
 
 bool
@@ -310,8 +373,11 @@
 /* Sends it there; keeper: the VM that granted the slot, or 0. */
 static void
 dispatch_granted(struct comet_placement *placement, struct comet_placement_item *item,
-	struct comet_instance *instance, uint32_t keeper)
+	struct comet_instance *instance, uint32_t keeper, uint64_t now_us)
 {
+	if (item->queued)
+		flow_passed(flow_of(queue_of(placement, item->service), item), now_us);
+	item->queued = false;
 	instance->on_trial = instance->avoid_us != 0;
 	item->keeper = keeper;
 	if (item->n_tried < COMET_PLACEMENT_TRIED_MAX)
@@ -321,14 +387,15 @@
 
 static void
 dispatch(struct comet_placement *placement, struct comet_placement_item *item,
-	struct comet_instance *instance)
+	struct comet_instance *instance, uint64_t now_us)
 {
-	dispatch_granted(placement, item, instance, 0);
+	dispatch_granted(placement, item, instance, 0, now_us);
 }
 
 static void
-take_out(struct comet_placement_item *item)
+take_out(struct comet_placement *placement, struct comet_placement_item *item)
 {
+	flow_of(queue_of(placement, item->service), item)->waiting--;
 	g_sequence_remove(item->place);
 	item->place = NULL;
 }
@@ -345,7 +412,7 @@
 		at = g_sequence_iter_next(at);
 		if (item->latest_us > now_us)
 			continue;
-		take_out(item);
+		take_out(placement, item);
 		uint64_t wait_us = comet_placement_wait_us(placement, item, now_us);
 		placement->ops->refuse(placement->ctx, item, retry_after_ms(wait_us));
 	}
@@ -368,9 +435,9 @@
 			break; /* nobody behind it has more room */
 		if (instance == NULL && !item->asking)
 			continue;
-		take_out(item);
+		take_out(placement, item);
 		if (instance != NULL)
-			dispatch(placement, item, instance);
+			dispatch(placement, item, instance, now_us);
 	}
 }
 
@@ -417,7 +484,7 @@
 	if (hopeless)
 		placement->ops->refuse(placement->ctx, item, retry_after_ms(wait_us));
 	else
-		item->place = g_sequence_insert_sorted(queue->items, item, compare_items, NULL);
+		enqueue(queue, item, now_us);
 }
 
 /* Finds a slot for an item that does not wait, or makes it wait. */
@@ -427,7 +494,7 @@
 	struct comet_instance *instance = find(placement, item, now_us);
 
 	if (instance != NULL)
-		dispatch(placement, item, instance);
+		dispatch(placement, item, instance, now_us);
 	else if (!item->asking)
 		wait_or_refuse(placement, item, now_us);
 }
@@ -442,6 +509,7 @@
 	item->order = placement->next_order++;
 	item->place = NULL;
 	item->asking = false;
+	item->queued = false;
 	if (g_sequence_get_length(queue->items) == 0)
 	{
 		place(placement, item, now_us);
@@ -471,7 +539,7 @@
 		/* Our lists differ, or more endpoints are doubtful than an ask can name. */
 		instance = choose_by_views(placement, item, now_us);
 		if (instance != NULL)
-			dispatch(placement, item, instance);
+			dispatch(placement, item, instance, now_us);
 		else
 			wait_or_refuse(placement, item, now_us);
 		return false;
@@ -482,7 +550,7 @@
 	placement->reason.waited_us = now_us - item->since_us;
 	comet_instance_expect(placement->instances, instance, &item->job, now_us,
 		&placement->reason.first_us, &placement->reason.whole_us);
-	dispatch_granted(placement, item, instance, keeper);
+	dispatch_granted(placement, item, instance, keeper, now_us);
 	return true;
 }
 
@@ -541,7 +609,7 @@
 comet_placement_withdraw(struct comet_placement *placement, struct comet_placement_item *item)
 {
 	if (item->place != NULL)
-		take_out(item);
+		take_out(placement, item);
 	if (!item->asking)
 		return;
 	stop_asking(placement, item);
--- a/libcometspindle/gateway/placement.h
+++ b/libcometspindle/gateway/placement.h
@@ -38,6 +38,7 @@
 	uint32_t keeper; /**< VM that granted the slot it was sent to; 0: none did */
 	/* placement's own */
 	bool asking; /* a keeper's answer is awaited */
+	bool queued; /* it has waited */
 	GSequenceIter *place;
 	uint64_t since_us;
 	uint64_t order;
--- a/tests/unit/test_gateway_placement.cc
+++ b/tests/unit/test_gateway_placement.cc
@@ -13,6 +13,7 @@
 }
 #include <cstring>
 #include <map>
+#include <memory>
 #include <string>
 #include <talloc.h>
 #include <vector>
@@ -35,6 +36,7 @@
 	std::vector<sent> dispatched;
 	std::vector<std::pair<comet_placement_item *, uint32_t>> refused;
 	uint64_t now_us = 1000000;
+	std::vector<std::unique_ptr<comet_placement_item>> later;
 
       protected:
 	static void
@@ -183,6 +185,40 @@
 }
 
 /* Found by a score: waits reckoned from a request's own size refused most of the largest. */
+/* Found in logs of pgi-tiles, trouble-3: captions waited 2 s in vain, one after the other. */
+TEST_F(PlacementTest, WhatIsPassedOverIsRefusedEarlyWithATrueTime)
+{
+	add("i1");
+	std::vector<comet_placement_item> running(2, item(0));
+	for (auto &one : running)
+		comet_placement_submit(placement, &one, now_us);
+	comet_placement_item first = item(2);
+	first.latest_us = now_us + 1800000;
+	comet_placement_submit(placement, &first, now_us);
+	EXPECT_EQ(waiting("llm"), 1U);
+	now_us += 1000000; /* nothing of its rank got a slot in this time */
+	comet_placement_item second = item(2);
+	second.latest_us = now_us + 1800000;
+	comet_placement_submit(placement, &second, now_us);
+	ASSERT_EQ(refused.size(), 1U);
+	EXPECT_EQ(refused[0].first, &second);
+	EXPECT_GE(refused[0].second, 2000U) << "two intervals of a second";
+	/* slots come free again, one in 100 ms: the next ones may wait */
+	for (int i = 0; i < 20; i++)
+	{
+		comet_instance *instance = comet_instances_find(instances, "i1");
+		comet_instance_ended(instances, instance, &running[0].job, false,
+			COMET_DISPATCH_CANCELLED, 0, 0, now_us);
+		comet_placement_run(placement, now_us);
+		now_us += 100000;
+		auto *next = new comet_placement_item(item(2));
+		next->latest_us = now_us + 1800000;
+		later.emplace_back(next);
+		comet_placement_submit(placement, next, now_us);
+	}
+	EXPECT_LE(refused.size(), 8U) << "refused only until the pace is known";
+}
+
 TEST_F(PlacementTest, ALargeRequestIsNotRefusedForItsSize)
 {
 	add("a");
