Copies come from the own zone first, and large zones are not greeted one by one

Change: a VM of the own zone that knows more goes first; VMs of a zone that is told through relays get the next round instead of a greeting.

--- a/libcometspindle/gateway/views.c
+++ b/libcometspindle/gateway/views.c
@@ -299,32 +299,52 @@
 	}
 }
 
-uint32_t
-comet_views_newer(const struct comet_views *views, uint64_t revision, uint32_t draw)
+/* Has this VM read more of the directory? */
+static bool
+is_newer(const struct comet_views_peer *peer, uint64_t revision)
+{
+	return !peer->silent && peer->revision > revision;
+}
+
+/* The VM of that place among those that have read more, near or far; 0: there are fewer. */
+static uint32_t
+newer_at(const struct comet_views *views, uint64_t revision, bool near, uint32_t place)
 {
 	GHashTableIter at;
 	gpointer value = NULL;
-	uint32_t newer = 0;
-	uint32_t chosen = 0;
 
 	g_hash_table_iter_init(&at, views->peers);
 	while (g_hash_table_iter_next(&at, NULL, &value))
 	{
 		const struct comet_views_peer *peer = value;
-		newer += !peer->silent && peer->revision > revision ? 1 : 0;
+		if (!is_newer(peer, revision) || comet_views_is_near(views, peer) != near)
+			continue;
+		if (place-- == 0)
+			return peer->address;
 	}
-	uint32_t skip = newer > 0 ? draw % newer : 0;
+	return 0;
+}
+
+uint32_t
+comet_views_newer(const struct comet_views *views, uint64_t revision, uint32_t draw)
+{
+	uint32_t near = 0;
+	uint32_t far = 0;
+	GHashTableIter at;
+	gpointer value = NULL;
+
 	g_hash_table_iter_init(&at, views->peers);
-	while (newer > 0 && chosen == 0 && g_hash_table_iter_next(&at, NULL, &value))
+	while (g_hash_table_iter_next(&at, NULL, &value))
 	{
 		const struct comet_views_peer *peer = value;
-		if (peer->silent || peer->revision <= revision)
+		if (!is_newer(peer, revision))
 			continue;
-		if (skip == 0)
-			chosen = peer->address;
-		skip--;
+		near += comet_views_is_near(views, peer) ? 1 : 0;
+		far += comet_views_is_near(views, peer) ? 0 : 1;
 	}
-	return chosen;
+	if (near > 0)
+		return newer_at(views, revision, true, draw % near);
+	return far > 0 ? newer_at(views, revision, false, draw % far) : 0;
 }
 
 /* May a process that began then and was heard so keep count? */
--- a/libcometspindle/gateway/views.h
+++ b/libcometspindle/gateway/views.h
@@ -87,7 +87,7 @@
 uint64_t
 comet_views_interval_us(const struct comet_views *views);
 
-/** @return one of the VMs whose directory is newer than revision, chosen by draw; or 0. */
+/** @return one of the VMs that have read more of the directory, near ones first, by draw; or 0. */
 uint32_t
 comet_views_newer(const struct comet_views *views, uint64_t revision, uint32_t draw);
 
--- a/libcometspindle/gateway/views_rounds.c
+++ b/libcometspindle/gateway/views_rounds.c
@@ -310,6 +310,11 @@
 		struct comet_views_peer *peer = value;
 		if (!peer->owed)
 			continue;
+		if (is_relayed(views, peer))
+		{
+			peer->owed = false; /* the next round reaches it */
+			continue;
+		}
 		if (length == 0)
 			length = build(views, data, false, now_us);
 		peer->owed = false;
--- a/tests/unit/test_gateway_placement.cc
+++ b/tests/unit/test_gateway_placement.cc
@@ -626,6 +626,23 @@
 	EXPECT_EQ(comet_views_newer(fleet.all[1].views, 4, 1), 0U);
 }
 
+/* A copy of the directory is large, and bytes between zones cost. */
+TEST(Views, VmsThatKnowMoreAreChosenInTheOwnZoneFirst)
+{
+	vms fleet(6, 2);
+	uint64_t now_us = 1000000;
+	for (uint32_t vm = 2; vm <= 6; vm++)
+		comet_views_set_revision(fleet.all[vm].views, vm);
+	for (int i = 0; i < 40; i++, now_us += 50000)
+		fleet.step(now_us);
+	for (uint32_t draw = 0; draw < 10; draw++)
+	{
+		EXPECT_EQ(comet_views_newer(fleet.all[1].views, 0, draw) % 2, 1U);
+		EXPECT_EQ(comet_views_newer(fleet.all[1].views, 4, draw), 5U);
+		EXPECT_EQ(comet_views_newer(fleet.all[1].views, 5, draw), 6U);
+	}
+}
+
 TEST(Views, GarbageIsRefused)
 {
 	vms fleet(1);
