--- a/libcometspindle/gateway/placement.c
+++ b/libcometspindle/gateway/placement.c
@@ -2,9 +2,9 @@
  * placement.c
  * which endpoint a request goes to, when, and what is refused early
  */
-#include <libcometspindle/gateway/placement.h>
+#include <libcometspindle/gateway/placement_private.h>
 
-#include <libcometspindle/gateway/choice.h>
+#include <libcometspindle/gateway/flow.h>
 #include <string.h>
 #include <talloc.h>
 
@@ -31,41 +31,12 @@
 /* Ranks whose pace in the queue is told apart; those below share the last. */
 #define RANKS 8
 
-/* Weight of the newest dispatch in the pace of a rank: the last three or four count. */
-#define FLOW_WEIGHT 0.3
-
-/* What a rank's pace was is forgotten after this time without anything waiting. */
-#define FLOW_FORGET_US 1000000
-
-/* How fast requests of one rank leave the queue. */
-struct flow
-{
-	uint32_t waiting;
-	uint64_t since_us; /* the last that had waited was dispatched, or the first began to wait */
-	double interval_us; /* between two of them; 0: not known */
-};
-
 /* What waits for one service. */
 struct queue
 {
 	char *service;
 	GSequence *items;
-	struct flow flows[RANKS];
-};
-
-struct comet_placement
-{
-	struct comet_instances *instances;
-	struct comet_shards *shards;
-	struct comet_choice choice;
-	const struct comet_placement_ops *ops;
-	void *ctx;
-	GHashTable *queues; /* service -> struct queue */
-	struct comet_placement_reason reason;
-	uint32_t asking; /* requests that await a keeper's answer */
-	uint64_t next_order;
-	bool running;
-	bool again;
+	struct comet_flow flows[RANKS];
 };
 
 static void
@@ -134,137 +105,6 @@
 	return a->order < b->order ? -1 : 1;
 }
 
-/* Chooses by views among all of a service's endpoints. */
-static struct comet_instance *
-choose_by_views(
-	struct comet_placement *placement, const struct comet_placement_item *item, uint64_t now_us)
-{
-	struct comet_choice_scope scope = {
-		.among = comet_instances_of(placement->instances, item->service),
-		.beyond = comet_choice_beyond(item),
-	};
-
-	return comet_choice_best(&placement->choice, item, &scope, now_us, &placement->reason);
-}
-
-/* Asks the keeper of a shard, if anything in it could be used. @return whether it was asked */
-static bool
-ask_keeper(struct comet_placement *placement, struct comet_placement_item *item,
-	struct comet_shard *shard, uint32_t beyond, uint64_t now_us)
-{
-	uint32_t except[COMET_PLACEMENT_EXCEPT_MAX];
-	struct comet_placement_ask ask = {.shard = shard->id, .beyond = beyond, .except = except};
-	uint32_t usable = 0;
-
-	for (guint i = 0; i < shard->members->len; i++)
-	{
-		const struct comet_instance *instance = shard->members->pdata[i];
-		if (comet_choice_is_usable(item, instance, now_us))
-			usable++;
-		else if (ask.n_except < G_N_ELEMENTS(except))
-			except[ask.n_except++] = instance->key;
-	}
-	if (usable == 0)
-		return false;
-	item->asking = true;
-	placement->asking++;
-	placement->ops->ask(placement->ctx, item, shard, &ask);
-	return true;
-}
-
-/* What this VM knows of a shard, for one item. */
-struct prospect
-{
-	struct comet_shard *shard;
-	enum comet_placement_keeper keeper;
-	struct comet_instance *best; /* by what this VM knows; NULL: nothing has room */
-	struct comet_placement_reason reason;
-};
-
-static struct prospect
-look_at(struct comet_placement *placement, const struct comet_placement_item *item,
-	struct comet_shard *shard, uint32_t beyond, uint64_t now_us)
-{
-	struct prospect prospect = {
-		.shard = shard,
-		.keeper = placement->ops->keeper(placement->ctx, shard),
-	};
-	struct comet_choice_scope scope = {
-		.among = shard->members,
-		.beyond = beyond,
-		.kept = prospect.keeper == COMET_PLACEMENT_KEEPER_SELF,
-	};
-
-	prospect.best =
-		comet_choice_best(&placement->choice, item, &scope, now_us, &prospect.reason);
-	return prospect;
-}
-
-/* Takes a slot that this VM may choose by itself, or asks for one. @return as find() */
-static struct comet_instance *
-use(struct comet_placement *placement, struct comet_placement_item *item,
-	const struct prospect *prospect, uint32_t beyond, uint64_t now_us)
-{
-	if (prospect->keeper == COMET_PLACEMENT_KEEPER_OTHER)
-	{
-		ask_keeper(placement, item, prospect->shard, beyond, now_us);
-		return NULL;
-	}
-	placement->reason = prospect->reason;
-	return prospect->best;
-}
-
-/* Looks in all shards: in the one that seems cheapest, or else in those whose keepers may know of
- * room that views do not show, beginning anywhere. */
-static struct comet_instance *
-find_at_level(struct comet_placement *placement, struct comet_placement_item *item,
-	const GPtrArray *shards, uint32_t beyond, uint64_t now_us)
-{
-	uint32_t turn = comet_draw_u32(&placement->choice.draw);
-	struct prospect cheapest = {0};
-	struct prospect full = {0};
-
-	for (guint i = 0; i < shards->len; i++)
-	{
-		struct comet_shard *shard = shards->pdata[(i + turn) % shards->len];
-		if (now_us < shard->denied_us[beyond])
-			continue;
-		struct prospect prospect = look_at(placement, item, shard, beyond, now_us);
-		if (prospect.best == NULL)
-		{
-			if (prospect.keeper == COMET_PLACEMENT_KEEPER_OTHER)
-				full = prospect;
-			continue;
-		}
-		if (cheapest.best == NULL || prospect.reason.cost < cheapest.reason.cost)
-			cheapest = prospect;
-	}
-	if (cheapest.best != NULL)
-		return use(placement, item, &cheapest, beyond, now_us);
-	return full.shard != NULL ? use(placement, item, &full, beyond, now_us) : NULL;
-}
-
-/* Looks for a slot: free ones anywhere first, then those where the item would wait a little.
- * @return an instance; NULL: none, or item->asking is set */
-static struct comet_instance *
-find(struct comet_placement *placement, struct comet_placement_item *item, uint64_t now_us)
-{
-	const GPtrArray *shards = item->job.stream && placement->ops->keeper != NULL
-					  ? comet_shards_of(placement->shards, item->service)
-					  : NULL;
-	struct comet_instance *found = NULL;
-
-	if (shards == NULL)
-		return choose_by_views(placement, item, now_us);
-	for (uint32_t beyond = 0; beyond <= comet_choice_beyond(item); beyond++)
-	{
-		found = find_at_level(placement, item, shards, beyond, now_us);
-		if (found != NULL || item->asking)
-			return found;
-	}
-	return NULL;
-}
-
 static uint32_t
 retry_after_ms(uint64_t wait_us)
 {
@@ -296,46 +136,17 @@
 	return 1 / per_us / share;
 }
 
-static struct flow *
+static struct comet_flow *
 flow_of(struct queue *queue, const struct comet_placement_item *item)
 {
 	return &queue->flows[MIN(item->team_rank + item->route_rank, RANKS - 1)];
 }
 
-/* How long one more of a rank waits by the pace of those before it, who are passed over by more
- * urgent ones and by other VMs as it will be. */
-static double
-flow_wait_us(const struct flow *flow, uint64_t now_us)
-{
-	if (flow->waiting == 0)
-		return 0;
-	return (flow->waiting + 1) * MAX(flow->interval_us, (double)(now_us - flow->since_us));
-}
-
-/* Something that waited was dispatched. */
-static void
-flow_passed(struct flow *flow, uint64_t now_us)
-{
-	double sample = (double)(now_us - flow->since_us);
-
-	if (flow->interval_us == 0)
-		flow->interval_us = sample;
-	flow->interval_us += FLOW_WEIGHT * (sample - flow->interval_us);
-	flow->since_us = now_us;
-}
-
 /* Puts an item into its queue. */
 static void
 enqueue(struct queue *queue, struct comet_placement_item *item, uint64_t now_us)
 {
-	struct flow *flow = flow_of(queue, item);
-
-	if (flow->waiting == 0 && now_us - flow->since_us > FLOW_FORGET_US)
-	{
-		flow->since_us = now_us;
-		flow->interval_us = 0;
-	}
-	flow->waiting++;
+	comet_flow_enter(flow_of(queue, item), now_us);
 	item->queued = true;
 	item->place = g_sequence_insert_sorted(queue->items, item, compare_items, NULL);
 }
@@ -351,7 +162,7 @@
 	GSequenceIter *at = g_sequence_search(queue->items, &probe, compare_items, NULL);
 	int ahead = g_sequence_iter_get_position(at);
 	double by_slots = (ahead + 1) * slot_interval_us(placement, item->service, now_us);
-	return (uint64_t)MAX(by_slots, flow_wait_us(flow_of(queue, item), now_us));
+	return (uint64_t)MAX(by_slots, comet_flow_wait_us(flow_of(queue, item), now_us));
 }
 
 bool
@@ -376,7 +187,7 @@
 	struct comet_instance *instance, uint32_t keeper, uint64_t now_us)
 {
 	if (item->queued)
-		flow_passed(flow_of(queue_of(placement, item->service), item), now_us);
+		comet_flow_passed(flow_of(queue_of(placement, item->service), item), now_us);
 	item->queued = false;
 	instance->on_trial = instance->avoid_us != 0;
 	item->keeper = keeper;
@@ -395,7 +206,7 @@
 static void
 take_out(struct comet_placement *placement, struct comet_placement_item *item)
 {
-	flow_of(queue_of(placement, item->service), item)->waiting--;
+	comet_flow_leave(flow_of(queue_of(placement, item->service), item));
 	g_sequence_remove(item->place);
 	item->place = NULL;
 }
@@ -429,7 +240,7 @@
 		struct comet_placement_item *item = g_sequence_get(at);
 		if (placement->asking >= WAITING_ASKS_MAX)
 			break;
-		struct comet_instance *instance = find(placement, item, now_us);
+		struct comet_instance *instance = comet_placement_find(placement, item, now_us);
 		at = g_sequence_iter_next(at);
 		if (instance == NULL && !item->asking && item->n_tried == 0)
 			break; /* nobody behind it has more room */
@@ -491,7 +302,7 @@
 static void
 place(struct comet_placement *placement, struct comet_placement_item *item, uint64_t now_us)
 {
-	struct comet_instance *instance = find(placement, item, now_us);
+	struct comet_instance *instance = comet_placement_find(placement, item, now_us);
 
 	if (instance != NULL)
 		dispatch(placement, item, instance, now_us);
@@ -537,7 +348,7 @@
 	if (instance == NULL || !comet_choice_is_usable(item, instance, now_us))
 	{
 		/* Our lists differ, or more endpoints are doubtful than an ask can name. */
-		instance = choose_by_views(placement, item, now_us);
+		instance = comet_placement_choose_by_views(placement, item, now_us);
 		if (instance != NULL)
 			dispatch(placement, item, instance, now_us);
 		else
