A stop with open connections frees them

Cause: when a stop reaches its grace time with connections open, the front took their destructors off before it freed them. At a process's end only; nothing else was affected.

Test: test_stop_with_open_connections failed first (480 bytes in 6 allocations).

--- a/libcometspindle/adapters/callers/front.c
+++ b/libcometspindle/adapters/callers/front.c
@@ -347,12 +347,11 @@
 static int
 front_destroy(struct comet_front *front)
 {
-	GHashTableIter at;
-	gpointer connection = NULL;
+	GList *all = g_hash_table_get_keys(front->connections);
 
-	g_hash_table_iter_init(&at, front->connections);
-	while (g_hash_table_iter_next(&at, &connection, NULL))
-		talloc_set_destructor((struct connection *)connection, NULL);
+	for (GList *at = all; at != NULL; at = at->next)
+		talloc_free(at->data); /* takes itself out of the table */
+	g_list_free(all);
 	g_hash_table_destroy(front->connections);
 	comet_front_stop_listening(front);
 	return 0;
--- a/tests/system/test_gateway.py
+++ b/tests/system/test_gateway.py
@@ -459,6 +459,26 @@
     world.gateway.end()
 
 
+def test_stop_with_open_connections():
+    """The grace time ends while a request and a half-sent one are open: an end without a leak."""
+    world = World(leave_ms=100, grace_s=1)
+    release = threading.Event()
+
+    def hang(server, sock, path, headers, body):
+        server.ran(path, headers, body)
+        release.wait(20)
+    world.script("hang", hang)
+    ident, data = request("/once/hang", method="POST")
+    sock = connect(world.gateway.ports["callers"])
+    sock.sendall(data)
+    half = connect(world.gateway.ports["callers"])
+    half.sendall(data[:40])
+    wait_for(lambda: world.runs(ident) == 1)
+    text = world.gateway.end()
+    assert "event=stopped open=1" in text, text
+    release.set()
+
+
 def test_pages(world):
     assert call(world.gateway, "/safe/x")[1] == 200
     status, _, body, _ = get(world.gateway.ports["control"], "/metrics")
@@ -546,7 +566,8 @@
                   test_streams, test_caller_leaves, test_configuration, test_servers_leave,
                   test_pages]
     alone = [test_store_away, test_copy_from_other_vm, test_busy_store, test_answers_too_large,
-             test_only_server_fails, test_planned_stop, test_signal_while_starting,
+             test_only_server_fails, test_planned_stop, test_stop_with_open_connections,
+             test_signal_while_starting,
              test_log_reader_stops, test_bad_settings]
     only = sys.argv[1:]
     for test in with_world + alone:
