A first list that makes progress is not overtaken by copies

Reckoned from the code: while the store refuses most of 18,000 pages, a VM counted as cut off from it and asked others for copies after 0.4 s; a copy is 1.2 MB, takes a second over the slowest links (10 Mbit/s) when it is alone there, was handed out eight at a time and given up after 1 s, so that none arrived and all links were full.

Change: while pages of the first list come, no copy is asked for; a copy is given up after 1 s without a byte instead of 1 s in all; three at a time.

--- a/libcometspindle/adapters/endpoints/fetch.c
+++ b/libcometspindle/adapters/endpoints/fetch.c
@@ -15,7 +15,9 @@
 struct comet_fetch
 {
 	struct comet_exchange *exchange;
+	struct comet_timers *timers;
 	struct comet_timer *timer;
+	uint64_t silence_us; /* longest without a byte; 0: the timer is for the whole */
 	GByteArray *body;
 	comet_fetch_handler handler;
 	void *ctx;
@@ -53,11 +55,27 @@
 	fetch->status = head->status;
 }
 
+static void
+on_timeout(void *ctx)
+{
+	struct comet_fetch *fetch = ctx;
+
+	fetch->timer = NULL;
+	TALLOC_FREE(fetch->exchange);
+	finish(fetch, "timeout");
+}
+
 static void
 on_data(void *ctx, const char *data, size_t length)
 {
 	struct comet_fetch *fetch = ctx;
 
+	if (fetch->silence_us > 0)
+	{
+		comet_timer_cancel(&fetch->timer);
+		fetch->timer = comet_timers_add(
+			fetch->timers, fetch, fetch->silence_us, on_timeout, fetch);
+	}
 	if (fetch->body->len + length > BYTES_MAX)
 		fetch->too_large = true;
 	else
@@ -84,16 +102,6 @@
 static const struct comet_exchange_events exchange_events = {
 	.head = on_head, .data = on_data, .end = on_end};
 
-static void
-on_timeout(void *ctx)
-{
-	struct comet_fetch *fetch = ctx;
-
-	fetch->timer = NULL;
-	TALLOC_FREE(fetch->exchange);
-	finish(fetch, "timeout");
-}
-
 struct comet_fetch *
 comet_fetch_start(void *parent, struct comet_upstream *upstream, struct comet_timers *timers,
 	const struct comet_fetch_request *request, comet_fetch_handler handler, void *ctx)
@@ -110,6 +118,8 @@
 
 	fetch->handler = handler;
 	fetch->ctx = ctx;
+	fetch->timers = timers;
+	fetch->silence_us = request->while_silent ? request->timeout_us : 0;
 	fetch->body = g_byte_array_new();
 	talloc_set_destructor(fetch, fetch_destroy);
 	fetch->exchange = comet_upstream_send(upstream, fetch, &sending, &exchange_events, fetch);
--- a/libcometspindle/adapters/endpoints/fetch.h
+++ b/libcometspindle/adapters/endpoints/fetch.h
@@ -7,6 +7,7 @@
 
 #include <libcometspindle/adapters/timers.h>
 #include <libcometspindle/adapters/endpoints/upstream.h>
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
@@ -16,6 +17,7 @@
 	const char *address; /**< "a.b.c.d:port" */
 	const char *target;  /**< path and query */
 	uint64_t timeout_us; /**< until the whole answer must be there */
+	bool while_silent;   /**< instead: so long without a byte of it */
 };
 
 /** What came of it. */
--- a/libcometspindle/adapters/gateway/gateway.c
+++ b/libcometspindle/adapters/gateway/gateway.c
@@ -133,6 +133,12 @@
 	comet_placement_run(gateway->placement, comet_timers_now_us());
 }
 
+static void
+on_answered(void *ctx)
+{
+	((struct comet_gateway *)ctx)->answered_us = comet_timers_now_us();
+}
+
 static void
 on_dependency(void *ctx, bool there, const char *why)
 {
@@ -148,6 +154,7 @@
 	.instance = on_instance,
 	.instance_gone = on_instance_gone,
 	.revision = on_revision,
+	.answered = on_answered,
 	.dependency = on_dependency,
 };
 
--- a/libcometspindle/adapters/gateway/gateway_copy.c
+++ b/libcometspindle/adapters/gateway/gateway_copy.c
@@ -13,7 +13,12 @@
 #define BEHIND_US 400000
 #define BEHIND_ANSWERED_US 1500000
 
-/* A copy of the directory from another VM is waited for so long: a connect and an answer. */
+/* The first list goes on while its pages come at least this often: after a start of hundreds of VMs
+ * the store refuses most calls, and copies of a large directory would fill their links instead. */
+#define PROGRESS_US 1000000
+
+/* A copy of the directory from another VM is given up after so long without a byte of it: a connect
+ * and an answer. A large one takes seconds over the slowest links. */
 #define COPY_TIMEOUT_US 1000000
 
 /* HTTP status of an answer that holds a copy. */
@@ -49,6 +54,7 @@
 		.address = address,
 		.target = COMET_GATEWAY_COPY_PATH,
 		.timeout_us = COPY_TIMEOUT_US,
+		.while_silent = true,
 	};
 
 	comet_log(COMET_LOG_NOTICE, "event=copy_asked vm=%s revision=%" G_GUINT64_FORMAT, ip,
@@ -70,6 +76,9 @@
 		gateway->behind_us = 0;
 		return;
 	}
+	if (!gateway->listed && gateway->answered_us != 0 &&
+		now_us - gateway->answered_us < PROGRESS_US)
+		return;
 	if (gateway->behind_us == 0)
 		gateway->behind_us = now_us;
 	if (gateway->copying != NULL || now_us - gateway->behind_us < patience_us)
--- a/libcometspindle/adapters/gateway/gateway_pages.c
+++ b/libcometspindle/adapters/gateway/gateway_pages.c
@@ -6,8 +6,9 @@
 
 #include <string.h>
 
-/* Copies that are handed out at a time: each may be a megabyte, and another VM can be asked. */
-#define COPIES_MAX 8
+/* Copies that are handed out at a time: each may be a megabyte over a link of 10 Mbit/s, and
+ * another VM can be asked. */
+#define COPIES_MAX 3
 
 #define METRICS_PATH "/metrics"
 
--- a/libcometspindle/adapters/gateway/gateway_private.h
+++ b/libcometspindle/adapters/gateway/gateway_private.h
@@ -78,6 +78,7 @@
 	uint32_t known_vms;          /**< most VMs known at a time, with this one */
 	uint64_t stop_us;            /**< when the stop began; 0: none */
 	struct comet_fetch *copying; /**< reading the directory's copy of another VM */
+	uint64_t answered_us;        /**< when the directory last answered a call; 0: never */
 	uint64_t behind_us;          /**< since when another VM has read more; 0: none has */
 	uint64_t revision;           /**< of the directory, as far as read */
 	bool directory_lost;         /**< its last answer failed */
--- a/libcometspindle/gateway/directory.h
+++ b/libcometspindle/gateway/directory.h
@@ -25,6 +25,8 @@
 	void (*instance_gone)(void *ctx, const char *id, bool doubtful);
 	/** Everything up to this revision has been told. */
 	void (*revision)(void *ctx, uint64_t revision);
+	/** It has answered a call; told each time. */
+	void (*answered)(void *ctx);
 	/** The directory answers again (there), or does not. */
 	void (*dependency)(void *ctx, bool there, const char *why);
 };
