A grant is used only for an endpoint of the request's own service

Cause: read of the diff: whoever reaches the internal port can answer an ask, and the answer's endpoint was taken whatever its service.

Change: it must be of the request's service; else the slot is given back and the request placed by views. A parameter that nothing read is gone.

--- a/libcometspindle/adapters/gateway/gateway.c
+++ b/libcometspindle/adapters/gateway/gateway.c
@@ -168,7 +168,7 @@
 	if (!comet_datagram_decode(data, length, &datagram))
 		comet_log(COMET_LOG_WARNING, "event=datagram_malformed bytes=%zu", length);
 	else if (datagram.which_body != comet_Datagram_view_tag)
-		comet_grants_receive(gateway->grants, &datagram, now_us);
+		comet_grants_receive(gateway->grants, &datagram);
 	else if (!comet_views_receive(gateway->views, &datagram.body.view, now_us))
 		comet_log(COMET_LOG_WARNING, "event=view_malformed bytes=%zu", length);
 }
--- a/libcometspindle/gateway/grants.c
+++ b/libcometspindle/gateway/grants.c
@@ -179,9 +179,8 @@
 }
 
 void
-comet_grants_receive(struct comet_grants *grants, const comet_Datagram *datagram, uint64_t now_us)
+comet_grants_receive(struct comet_grants *grants, const comet_Datagram *datagram)
 {
-	(void)now_us;
 	switch (datagram->which_body)
 	{
 	case comet_Datagram_ask_tag:
--- a/libcometspindle/gateway/grants.h
+++ b/libcometspindle/gateway/grants.h
@@ -57,7 +57,7 @@
 
 /** A datagram arrived that is no view. */
 void
-comet_grants_receive(struct comet_grants *grants, const comet_Datagram *datagram, uint64_t now_us);
+comet_grants_receive(struct comet_grants *grants, const comet_Datagram *datagram);
 
 /** Gives up asks that were not answered in time. @return whether any is still open */
 bool
--- a/libcometspindle/gateway/placement.c
+++ b/libcometspindle/gateway/placement.c
@@ -345,9 +345,11 @@
 		comet_instances_find_key(placement->instances, instance_key);
 
 	stop_asking(placement, item);
-	if (instance == NULL || !comet_choice_is_usable(item, instance, now_us))
+	if (instance == NULL || strcmp(instance->service, item->service) != 0 ||
+		!comet_choice_is_usable(item, instance, now_us))
 	{
-		/* Our lists differ, or more endpoints are doubtful than an ask can name. */
+		/* Our lists differ, or more endpoints are doubtful than an ask can name, or the
+		 * answer is not a keeper's: no request leaves its service. */
 		instance = comet_placement_choose_by_views(placement, item, now_us);
 		if (instance != NULL)
 			dispatch(placement, item, instance, now_us);
--- a/tests/unit/grants_fleet.h
+++ b/tests/unit/grants_fleet.h
@@ -254,7 +254,7 @@
 			EXPECT_TRUE(comet_views_receive(to.views, &datagram.body.view, now_us));
 		}
 		else
-			comet_grants_receive(to.grants, &datagram, now_us);
+			comet_grants_receive(to.grants, &datagram);
 	}
 
 	void
--- a/tests/unit/test_gateway_grants.cc
+++ b/tests/unit/test_gateway_grants.cc
@@ -159,6 +159,25 @@
 	EXPECT_EQ(all.vms[asker].sent.size(), slots) << "all slots can be had";
 }
 
+/* Whoever reaches the internal port can answer: a request must not leave its service for that. */
+TEST(Grants, AGrantOfAnotherServicesEndpointIsNotUsed)
+{
+	fleet all(5, 2);
+	uint32_t keeper = all.keeper_of_all(1);
+	uint32_t asker = keeper == 1 ? 2 : 1;
+	comet_instance_record record = {"p0", "app", "127.0.0.1:2", "z", slots, 0, false};
+	const comet_instance *other =
+		comet_instances_put(all.vms[asker].instances, &record, all.now_us);
+	comet_placement_item *item = all.submit(asker);
+	comet_Datagram forged = {};
+	forged.which_body = comet_Datagram_answer_tag;
+	forged.body.answer = {keeper, 1, other->key};
+	comet_grants_receive(all.vms[asker].grants, &forged);
+	all.deliver();
+	ASSERT_EQ(all.vms[asker].sent.count(item), 1U);
+	EXPECT_EQ(all.vms[asker].sent[item][0], 'i') << "one of its own service";
+}
+
 TEST(Grants, LostWordsOfFreedSlotsAreMadeGoodByViews)
 {
 	fleet all(5, 1);
