--- a/tests/unit/grants_fleet.h
+++ b/tests/unit/grants_fleet.h
@@ -222,7 +222,9 @@
 		comet_views_freed(one->views, freed->asker, freed->instance);
 		comet_instance *instance =
 			comet_instances_find_key(one->instances, freed->instance);
-		comet_instance_learn(one->instances, instance, freed->stream_us, freed->events);
+		if (instance != nullptr)
+			comet_instance_learn(
+				one->instances, instance, freed->stream_us, freed->events);
 		comet_placement_run(one->placement, one->all->now_us);
 	}
 
