--- a/tests/unit/test_platform.cc
+++ b/tests/unit/test_platform.cc
@@ -10,6 +10,7 @@
 #include <platform/catalog.h>
 #include <platform/documents.h>
 }
+#include <algorithm>
 #include <map>
 #include <string>
 #include <talloc.h>
@@ -139,6 +140,71 @@
 	talloc_free(catalog);
 }
 
+/* What a catalog told last of each key; an older word after a newer one is a fault. */
+struct newest
+{
+	std::map<std::string, uint64_t> values;
+	int faults = 0;
+
+	static void
+	put(void *ctx, const comet_store_item *item)
+	{
+		auto *self = static_cast<newest *>(ctx);
+		uint64_t value = std::stoull(item->value);
+		self->faults += value <= self->values[item->key] ? 1 : 0;
+		self->values[item->key] = value;
+	}
+
+	static void
+	removed(void *ctx, const char *key, bool)
+	{
+		static_cast<newest *>(ctx)->values.erase(key);
+	}
+};
+
+/* Six changes in every order, each of them lost once or none, and a list after so many of them. */
+TEST(Catalog, NoOrderOfChangesBringsAnOlderOne)
+{
+	static const comet_catalog_events events = {newest::put, newest::removed};
+	const comet_store_item changes[] = {put("a", "1", 1), put("b", "2", 2), put("a", "3", 3),
+		put("b", nullptr, 4), put("a", "5", 5), put("b", "6", 6)};
+	const comet_store_item list[] = {changes[4], changes[5]};
+	int order[] = {0, 1, 2, 3, 4, 5};
+	uint64_t runs = 0;
+
+	do
+	{
+		for (int lost = 0; lost <= 6; lost++)
+		{
+			for (int listed = 0; listed <= 6; listed++)
+			{
+				newest told;
+				comet_catalog *catalog =
+					comet_catalog_create(nullptr, &events, &told);
+				for (int i = 0; i <= 6; i++)
+				{
+					if (i == listed)
+					{
+						comet_catalog_list_begin(catalog);
+						comet_catalog_take(catalog, list, 2, false);
+						comet_catalog_list_end(catalog, 6, false);
+					}
+					if (i < 6 && i != lost)
+						comet_catalog_take(
+							catalog, &changes[order[i]], 1, false);
+				}
+				ASSERT_EQ(told.faults, 0);
+				ASSERT_EQ(told.values["a"], 5U);
+				ASSERT_EQ(told.values["b"], 6U);
+				talloc_free(catalog);
+				runs++;
+			}
+		}
+	} while (std::next_permutation(order, order + 6));
+	printf("changes: %lu runs\n", (unsigned long)runs);
+	EXPECT_EQ(runs, 720U * 7 * 7);
+}
+
 TEST(Catalog, AListDropsWhatItDoesNotNameUnlessThatIsNewer)
 {
 	told told;
