--- a/libcometspindle/adapters/gateway/gateway_pages.c
+++ b/libcometspindle/adapters/gateway/gateway_pages.c
@@ -4,6 +4,7 @@
  */
 #include <libcometspindle/adapters/gateway/gateway_private.h>
 
+#include <stddef.h>
 #include <string.h>
 
 /* Copies that are handed out at a time: each may be a megabyte over a link of 10 Mbit/s, and
@@ -155,24 +156,32 @@
 		instance->pace, instance->id, instance->service, instance->avoid_us != 0);
 }
 
+/* Appends one histogram for each kind of route; member: its offset in struct comet_gateway_times.
+ */
 static void
-put_times(GString *out, const struct comet_gateway *gateway)
+put_histograms(GString *out, const struct comet_gateway *gateway, const char *name, size_t member)
 {
-	static const char *const labels[COMET_ROUTE_KINDS] = {
-		"kind=\"safe\"", "kind=\"unsafe\"", "kind=\"stream\""};
-
-	g_string_append(out, "# TYPE comet_first_byte_seconds histogram\n");
-	for (size_t i = 0; i < COMET_ROUTE_KINDS; i++)
-		comet_latency_print(
-			&gateway->times[i].first, out, "comet_first_byte_seconds", labels[i]);
-	g_string_append(out, "# TYPE comet_answer_seconds histogram\n");
-	for (size_t i = 0; i < COMET_ROUTE_KINDS; i++)
-		comet_latency_print(
-			&gateway->times[i].whole, out, "comet_answer_seconds", labels[i]);
-	g_string_append(out, "# TYPE comet_waited_seconds histogram\n");
-	for (size_t i = 0; i < COMET_ROUTE_KINDS; i++)
+	g_string_append_printf(out, "# TYPE %s histogram\n", name);
+	for (size_t kind = 0; kind < COMET_ROUTE_KINDS; kind++)
+	{
+		const char *times = (const char *)&gateway->times[kind];
+		char labels[32];
+		g_snprintf(labels, sizeof labels, "kind=\"%s\"",
+			comet_route_kind_name((enum comet_route_kind)kind));
 		comet_latency_print(
-			&gateway->times[i].waited, out, "comet_waited_seconds", labels[i]);
+			(const struct comet_latency *)(times + member), out, name, labels);
+	}
+}
+
+static void
+put_times(GString *out, const struct comet_gateway *gateway)
+{
+	put_histograms(out, gateway, "comet_first_byte_seconds",
+		offsetof(struct comet_gateway_times, first));
+	put_histograms(
+		out, gateway, "comet_answer_seconds", offsetof(struct comet_gateway_times, whole));
+	put_histograms(
+		out, gateway, "comet_waited_seconds", offsetof(struct comet_gateway_times, waited));
 }
 
 static void
--- a/libcometspindle/adapters/gateway/gateway_relay.c
+++ b/libcometspindle/adapters/gateway/gateway_relay.c
@@ -119,14 +119,14 @@
 void
 comet_relay_count_end(const struct comet_relay *relay, const char *reason)
 {
-	static const char *const kinds[COMET_ROUTE_KINDS] = {"safe", "unsafe", "stream"};
 	char labels[128];
 
 	if (relay->route == NULL)
 		g_snprintf(labels, sizeof labels, "end=\"%s\"", reason);
 	else
 		g_snprintf(labels, sizeof labels, "end=\"%s\",kind=\"%s\",rank=\"%u\"", reason,
-			kinds[relay->route->kind], relay->item.team_rank + relay->item.route_rank);
+			comet_route_kind_name(relay->route->kind),
+			comet_placement_rank(&relay->item));
 	comet_tally_add(relay->gateway->ends, labels);
 }
 
--- a/libcometspindle/gateway/choice.c
+++ b/libcometspindle/gateway/choice.c
@@ -38,8 +38,8 @@
 /* An instance that is avoided gets a request that may not be repeated only so much later. */
 #define TRIAL_PATIENCE_US 2000000
 
-bool
-comet_choice_was_tried(const struct comet_placement_item *item, uint32_t key)
+static bool
+was_tried(const struct comet_placement_item *item, uint32_t key)
 {
 	for (uint32_t i = 0; i < item->n_tried; i++)
 	{
@@ -79,19 +79,18 @@
 	return item->repeatable || now_us - instance->avoid_us > TRIAL_PATIENCE_US;
 }
 
-/* Is it there, and was the item not sent there yet? */
-static bool
-is_candidate(const struct comet_placement_item *item, const struct comet_instance *instance)
+bool
+comet_choice_is_candidate(
+	const struct comet_placement_item *item, const struct comet_instance *instance)
 {
-	return !instance->draining && !instance->replaced &&
-	       !comet_choice_was_tried(item, instance->key);
+	return !instance->draining && !instance->replaced && !was_tried(item, instance->key);
 }
 
 bool
 comet_choice_is_usable(const struct comet_placement_item *item,
 	const struct comet_instance *instance, uint64_t now_us)
 {
-	return is_candidate(item, instance) && now_us >= instance->full_us &&
+	return comet_choice_is_candidate(item, instance) && now_us >= instance->full_us &&
 	       may_try(item, instance, now_us);
 }
 
@@ -143,7 +142,7 @@
 	{
 		struct comet_instance *instance = scope->among->pdata[i];
 		struct comet_placement_reason this = {0};
-		reason->candidates += is_candidate(item, instance) ? 1 : 0;
+		reason->candidates += comet_choice_is_candidate(item, instance) ? 1 : 0;
 		if (!comet_choice_is_usable(item, instance, now_us) ||
 			is_excepted(scope, instance->key) ||
 			(scope->trusted_only && instance->avoid_us != 0))
--- a/libcometspindle/gateway/choice.h
+++ b/libcometspindle/gateway/choice.h
@@ -39,9 +39,10 @@
 comet_choice_is_usable(const struct comet_placement_item *item,
 	const struct comet_instance *instance, uint64_t now_us);
 
-/** @return whether it was sent to the instance with that key. */
+/** @return whether the instance is there and the item was not sent to it yet. */
 bool
-comet_choice_was_tried(const struct comet_placement_item *item, uint32_t key);
+comet_choice_is_candidate(
+	const struct comet_placement_item *item, const struct comet_instance *instance);
 
 /** @return the cheapest instance with room, or NULL; reason tells why. */
 struct comet_instance *
--- a/libcometspindle/gateway/placement.c
+++ b/libcometspindle/gateway/placement.c
@@ -136,10 +136,16 @@
 	return 1 / per_us / share;
 }
 
+uint32_t
+comet_placement_rank(const struct comet_placement_item *item)
+{
+	return item->team_rank + item->route_rank;
+}
+
 static struct comet_flow *
 flow_of(struct queue *queue, const struct comet_placement_item *item)
 {
-	return &queue->flows[MIN(item->team_rank + item->route_rank, RANKS - 1)];
+	return &queue->flows[MIN(comet_placement_rank(item), RANKS - 1)];
 }
 
 /* Puts an item into its queue. */
@@ -174,8 +180,7 @@
 	for (guint i = 0; all != NULL && i < all->len; i++)
 	{
 		const struct comet_instance *instance = all->pdata[i];
-		if (!instance->draining && !instance->replaced &&
-			!comet_choice_was_tried(item, instance->key))
+		if (comet_choice_is_candidate(item, instance))
 			return true;
 	}
 	return false;
--- a/libcometspindle/gateway/placement.h
+++ b/libcometspindle/gateway/placement.h
@@ -145,6 +145,10 @@
 comet_placement_wait_us(struct comet_placement *placement, const struct comet_placement_item *item,
 	uint64_t now_us);
 
+/** One number for a rank, for metrics and paces: 0 is the most urgent. */
+uint32_t
+comet_placement_rank(const struct comet_placement_item *item);
+
 /** @return whether there is an instance that the item was not sent to yet. */
 bool
 comet_placement_has_other(
--- a/libcometspindle/gateway/placement_find.c
+++ b/libcometspindle/gateway/placement_find.c
@@ -16,8 +16,8 @@
 	return comet_choice_best(&placement->choice, item, &scope, now_us, &placement->reason);
 }
 
-/* Asks the keeper of a shard, if anything in it could be used. @return whether it was asked */
-static bool
+/* Asks the keeper of a shard, if anything in it could be used. */
+static void
 ask_keeper(struct comet_placement *placement, struct comet_placement_item *item,
 	struct comet_shard *shard, uint32_t beyond, uint64_t now_us)
 {
@@ -34,11 +34,10 @@
 			except[ask.n_except++] = instance->key;
 	}
 	if (usable == 0)
-		return false;
+		return;
 	item->asking = true;
 	placement->asking++;
 	placement->ops->ask(placement->ctx, item, shard, &ask);
-	return true;
 }
 
 /* What this VM knows of a shard, for one item. */
--- a/libcometspindle/gateway/routes.c
+++ b/libcometspindle/gateway/routes.c
@@ -190,3 +190,11 @@
 	return route->kind == COMET_ROUTE_SAFE ||
 	       (route->kind == COMET_ROUTE_STREAM && route->resumable);
 }
+
+const char *
+comet_route_kind_name(enum comet_route_kind kind)
+{
+	static const char *const names[] = {"safe", "unsafe", "stream"};
+
+	return names[kind];
+}
--- a/libcometspindle/gateway/routes.h
+++ b/libcometspindle/gateway/routes.h
@@ -110,6 +110,10 @@
 const char *
 comet_route_pick_service(const struct comet_route *route, uint32_t draw);
 
+/** @return the name of a kind, for logs and metrics. */
+const char *
+comet_route_kind_name(enum comet_route_kind kind);
+
 /** @return whether a request on this route may be run a second time. */
 bool
 comet_route_repeatable(const struct comet_route *route);
--- a/libcometspindle/gateway/shards.c
+++ b/libcometspindle/gateway/shards.c
@@ -28,7 +28,6 @@
 
 	g_ptr_array_free(shard->members, TRUE);
 	g_free(shard->service);
-	g_free(shard->zone);
 	g_free(shard);
 }
 
@@ -100,7 +99,6 @@
 	shard = g_new0(struct comet_shard, 1);
 	shard->id = id;
 	shard->service = g_strdup(instance->service);
-	shard->zone = g_strdup(instance->zone);
 	shard->zone_id = comet_hash_name(instance->zone);
 	shard->members = g_ptr_array_new();
 	g_hash_table_insert(shards->by_id, GUINT_TO_POINTER(id), shard);
--- a/libcometspindle/gateway/shards.h
+++ b/libcometspindle/gateway/shards.h
@@ -21,8 +21,7 @@
 {
 	uint32_t id; /**< the same on all VMs */
 	char *service;
-	char *zone;
-	uint32_t zone_id;   /**< comet_hash_name(zone) */
+	uint32_t zone_id;   /**< comet_hash_name() of its zone */
 	GPtrArray *members; /**< of struct comet_instance */
 	uint32_t keeper; /**< address of the VM that keeps count, as found at keeper_us; 0: none */
 	uint64_t keeper_us;
