--- a/scripts/hunt.py
+++ b/scripts/hunt.py
@@ -1,7 +1,8 @@
 """hunt.py: plays days of our own on the users' bench: kinds of trouble alone, in pairs, in series
 
-The bench's path comes from FLEETBENCH, the site file from the command line. Each day is the site's
-quiet day with other disturbances; the result is a table, kind by what was played.
+The bench's path comes from FLEETBENCH, the site file from the command line. Each day is one of the
+site's (its first, a quiet one, or --base NAME for its load) with other disturbances, of the kinds
+that the bench lists for the site; the result is a table, kind by what was played.
 """
 import argparse
 import concurrent.futures
@@ -68,6 +69,10 @@
                 'share = 0.3, for_s = 5.0, how = "one_way"'],
     "replace_with_reuse": ["share = 0.2", 'share = 0.2, how = "drain"', 'share = 0.2, how = "dark"'],
     "hup": ["share = 1.0, gap_s = 0.2"],
+    "srv_flap": ["share = 0.2, gap_s = 1.5, for_s = 6.0"],
+    "srv_lying_health": [f'share = 0.2, for_s = 6.0, how = "{how}"'
+                         for how in ("errors", "hang", "reset", "bad")],
+    "idle_race": ["share = 0.5, x = 300.0, for_s = 6.0"],
 }
 PLANNED = {"release", "scale_out", "scale_in", "roll_term", "config_change", "config_storm",
            "big_config", "revoke", "hup"}
@@ -79,9 +84,17 @@
     return "  { " + ", ".join(fields) + " },"
 
 
-def day_text(site, troubles, closing):
-    """A [[day]] made from the site's first one; troubles: (kind, variant, at)."""
-    day = re.search(r"\[\[day\]\]\n(.*?)(?=\n\[\[day\]\]|\Z)", site, re.S).group(1)
+def base_day(site, name):
+    """The text of the site's day of that name; its first one when name is empty."""
+    days = re.findall(r"\[\[day\]\]\n(.*?)(?=\n\[\[day\]\]|\Z)", site, re.S)
+    for day in days:
+        if not name or f'name = "{name}"' in day:
+            return day
+    sys.exit(f"hunt: the site has no day {name}")
+
+
+def day_text(day, troubles, closing):
+    """A [[day]] made from another's text; troubles: (kind, variant, at)."""
     day = re.sub(r"^(plan|faults) = \[.*?^\]\n", "", day, flags=re.S | re.M)
     day = re.sub(r"^(plan|faults) = \[\]\n", "", day, flags=re.M)
     day = re.sub(r"^closing = .*\n", "", day, flags=re.M)
@@ -94,30 +107,37 @@
     return "[[day]]\n" + head + closings + lists + "traffic = [" + tail + "\n"
 
 
-def plays(what):
+def plays(what, listed):
     """(name, troubles, closing) of each day to play."""
-    alone = [(kind, variant) for kind, variants in KINDS.items() for variant in variants]
+    kinds = {kind: variants for kind, variants in KINDS.items() if kind in listed}
+    alone = [(kind, variant) for kind, variants in kinds.items() for variant in variants]
     if what == "alone":
         for kind, variant in alone:
             yield f"{kind} [{variant}]", [(kind, variant, 8.0)], None
     elif what == "twice":
-        for kind, variants in KINDS.items():
+        for kind, variants in kinds.items():
             yield f"{kind} x2", [(kind, variants[0], 0.5), (kind, variants[-1], 12.0)], None
     elif what == "closing":
-        for kind, variants in KINDS.items():
+        for kind, variants in kinds.items():
             yield (f"{kind} + closing", [(kind, variants[0], 29.0)],
                    CLOSINGS[len(kind) % len(CLOSINGS)])
     else:
-        for one, two in itertools.combinations(KINDS, 2):
+        for one, two in itertools.combinations(kinds, 2):
             pick = sum(map(ord, one + two))
             first = KINDS[one][pick % len(KINDS[one])]
             second = KINDS[two][pick // 7 % len(KINDS[two])]
             yield f"{one} + {two}", [(one, first, 6.0), (two, second, 7.5)], None
 
 
-def play(bench, site_path, site, number, troubles, closing, seed):
+def listed_kinds(bench, site_path):
+    """Names of the kinds that may come on a site."""
+    done = subprocess.run([bench, "kinds", site_path], capture_output=True, text=True, check=True)
+    return set(re.findall(r"^([a-z_]+):", done.stdout, re.M))
+
+
+def play(bench, site_path, day, number, troubles, closing, seed):
     with tempfile.NamedTemporaryFile("w", suffix=".toml") as file:
-        file.write(day_text(site, troubles, closing))
+        file.write(day_text(day, troubles, closing))
         file.flush()
         done = subprocess.run([bench, "run", site_path, file.name, "--seed", str(seed + number)],
                               capture_output=True, text=True, check=False)
@@ -133,6 +153,7 @@
     parser.add_argument("what", choices=["alone", "twice", "closing", "pairs"])
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--jobs", type=int, default=4)
+    parser.add_argument("--base", default="", help="day of the site whose load is taken")
     parser.add_argument("--only", default="")
     parser.add_argument("--limit", type=int, default=0, help="play every so manieth day only")
     args = parser.parse_args()
@@ -140,14 +161,15 @@
     if not bench:
         sys.exit("hunt: FLEETBENCH must name the bench")
     with open(args.site, encoding="utf-8") as file:
-        site = file.read()
-    days = [day for day in plays(args.what) if args.only in day[0]]
+        day = base_day(file.read(), args.base)
+    listed = listed_kinds(bench, args.site)
+    days = [one for one in plays(args.what, listed) if args.only in one[0]]
     if args.limit:
         days = days[::args.limit]
     broken = 0
     unplayed = 0
     with concurrent.futures.ThreadPoolExecutor(args.jobs) as pool:
-        results = pool.map(lambda item: play(bench, args.site, site, item[0], item[1][1],
+        results = pool.map(lambda item: play(bench, args.site, day, item[0], item[1][1],
                                              item[1][2], args.seed), enumerate(days))
         for (name, _, _), (row, first) in zip(days, results):
             bad = "BROKEN" in row or bool(first)
