Reserved headers reach endpoints as the gateway sets them, or not at all

Cause: write_request() dropped three headers that are ours to set; four more (and two that order an endpoint to check its weights or fetch memory) went on as callers had sent them. Change: the platform's names list what is reserved; forward_head.c writes every sending's head. The id is never taken for a header of one connection. Tests: test_forged_headers (failed at x-cometspindle-hold before; every kind of route, a repeat, a resumed stream) and a fuzz target over callers' heads that reads back what was written (it finds the mutant without the check in seconds); fuzz.sh now instruments the library too.

--- a/libcometspindle/adapters/gateway/gateway_send.c
+++ b/libcometspindle/adapters/gateway/gateway_send.c
@@ -4,9 +4,9 @@
  */
 #include <libcometspindle/adapters/gateway/gateway_relay.h>
 
+#include <libcometspindle/adapters/gateway/forward_head.h>
 #include <libcometspindle/log.h>
 #include <string.h>
-#include <strings.h>
 #include <talloc.h>
 
 /* An endpoint is silent after so many times its expected time, and at least the time below: a
@@ -48,43 +48,21 @@
 	comet_placement_submit(gateway->placement, &relay->item, now_us);
 }
 
-static bool
-header_is_ours(const struct comet_wire_names *names, const char *name)
-{
-	return strcasecmp(name, names->deadline_ms) == 0 || strcasecmp(name, names->team) == 0 ||
-	       strcasecmp(name, names->expect_instance) == 0;
-}
-
 /* Writes the request as the endpoint is to get it. */
 static GString *
 write_request(struct comet_relay *relay, const struct comet_instance *instance, uint64_t now_us)
 {
-	const struct comet_wire_names *names = relay->gateway->names;
-	const struct comet_http_head *head = relay->request->head;
 	const GByteArray *body = relay->request->body;
-	const char *last_id = relay->resuming ? comet_event_stream_last_id(relay->events) : NULL;
+	struct comet_forward forward = {
+		.left_ms = MAX((relay->end_us - now_us) / 1000, 1),
+		.instance = instance->id,
+		.team = relay->team != NULL ? relay->team->name : NULL,
+		.last_event = relay->resuming ? comet_event_stream_last_id(relay->events) : NULL,
+		.body_bytes = body->len,
+	};
 	GString *out = g_string_sized_new(1024 + body->len);
 
-	g_string_append_printf(out, "%s %s HTTP/1.1\r\n", head->method, head->target);
-	for (size_t i = 0; i < head->n_headers; i++)
-	{
-		const char *name = head->headers[i].name;
-		if (header_is_ours(names, name) || comet_http_head_hop_by_hop(head, name) ||
-			(relay->team != NULL && strcasecmp(name, names->authorization) == 0) ||
-			(last_id != NULL && strcasecmp(name, names->last_event) == 0))
-			continue;
-		comet_http_write_header(out, name, head->headers[i].value);
-	}
-	g_string_append_printf(out, "%s: %" G_GUINT64_FORMAT "\r\n", names->deadline_ms,
-		MAX((relay->end_us - now_us) / 1000, 1));
-	comet_http_write_header(out, names->expect_instance, instance->id);
-	if (relay->team != NULL)
-		comet_http_write_header(out, names->team, relay->team->name);
-	if (last_id != NULL)
-		comet_http_write_header(out, names->last_event, last_id);
-	if (body->len > 0 || head->has_body)
-		g_string_append_printf(out, "Content-Length: %u\r\n", body->len);
-	g_string_append(out, "\r\n");
+	comet_forward_write_head(out, relay->request->head, relay->gateway->names, &forward);
 	g_string_append_len(out, (const char *)body->data, body->len);
 	return out;
 }
--- a/libcometspindle/gateway/wire_names.c
+++ b/libcometspindle/gateway/wire_names.c
@@ -6,6 +6,18 @@
 
 #include <stddef.h>
 #include <stdlib.h>
+#include <strings.h>
+
+bool
+comet_wire_is_reserved(const struct comet_wire_names *names, const char *header)
+{
+	for (const char *const *name = names->reserved; *name != NULL; name++)
+	{
+		if (strcasecmp(*name, header) == 0)
+			return true;
+	}
+	return false;
+}
 
 /* Parses numbers separated by commas. @return false unless there are just so many. */
 static bool
--- a/libcometspindle/gateway/wire_names.h
+++ b/libcometspindle/gateway/wire_names.h
@@ -23,6 +23,9 @@
 	const char *last_event;      /**< id of the last event a reader has */
 	const char *authorization;
 	const char *key_scheme; /**< word before the key in authorization */
+	/** Ends in NULL: headers of requests that are ours to set towards endpoints, used or not.
+	 * What callers send under these names never goes on. */
+	const char *const *reserved;
 };
 
 /** What a load header tells. */
@@ -33,6 +36,10 @@
 	uint32_t slots;
 };
 
+/** @return whether a header is ours to set, and not passed on as a caller sent it. */
+bool
+comet_wire_is_reserved(const struct comet_wire_names *names, const char *header);
+
 /** Parses "prompt,output"; false when it is not two whole numbers. */
 bool
 comet_wire_parse_tokens(const char *text, uint32_t *prompt, uint32_t *output);
--- a/scripts/fuzz.sh
+++ b/scripts/fuzz.sh
@@ -4,8 +4,8 @@
 cd "$(dirname "$0")/.."
 . scripts/setup.sh
 comet_install
-CC=clang CXX=clang++ comet_build build-fuzz -Dfuzz=true -Db_sanitize=address,undefined -Db_lundef=false
-for target in bundle peer request
+CC=clang CXX=clang++ comet_build build-fuzz -Dfuzz=true -Dc_args=-fsanitize=fuzzer-no-link -Db_sanitize=address,undefined -Db_lundef=false
+for target in bundle head peer request
 do
 	mkdir -p "out/corpus-$target"
 	build-fuzz/tests/fuzz_$target -max_total_time="${1:-20}" -max_len=65536 \
--- a/tests/system/test_gateway.py
+++ b/tests/system/test_gateway.py
@@ -159,6 +159,50 @@
     assert call(gateway, "/once/x", X_Long="a" * 3000)[1] == 431
 
 
+# Headers by which endpoints are ordered about: only the gateway may send them.
+FORGED = {"X-Cometspindle-Tenant": "forged", "X-Cometspindle-Expect-Instance": "forged",
+          "x-cometspindle-hold": "forged", "X-Cometspindle-Pin-Ms": "4000",
+          "X-COMETSPINDLE-KV-BACKUP": "127.0.0.1:1", "Kv-From": "127.0.0.1:1/forged",
+          "Kv-Fetch": "127.0.0.1:1", "X-Cometspindle-Expect-Version": "77"}
+
+
+def test_forged_headers():
+    """On every kind of route, and when a request is sent again or a stream goes on."""
+    world = World(retry_slack=5000)  # enough for the repeats, also in a part of 128 VMs
+    def full_once(server, sock, path, headers, body):
+        server.ran(path, headers, body)
+        server.scripts.pop("full")
+        server.write_head(sock, headers, 503, "X-Cometspindle-Not-Executed: 1\r\n", 0)
+    def whole(server, sock, path, headers, body):
+        server.ran(path, headers, body)
+        server.write_head(sock, headers, extra="Content-Type: text/event-stream\r\n")
+        server.events(sock, 1, 4)
+        sock.sendall(b"0\r\n\r\n")
+    def torn(server, sock, path, headers, body):
+        server.ran(path, headers, body)
+        server.write_head(sock, headers, extra="Content-Type: text/event-stream\r\n")
+        if "last-event-id" not in headers:
+            server.events(sock, 1, 2)
+            return False
+        server.events(sock, 3, 4)
+        sock.sendall(b"0\r\n\r\n")
+        return True
+    world.script("full", full_once)
+    world.script("whole", whole)
+    world.script("torn", torn)
+    for path, sendings in (("/safe/x", 1), ("/once/x", 1), ("/open/x", 1), ("/sse/whole", 1),
+                           ("/safe/full", 2), ("/again/torn", 2)):
+        ident, status, _, _, _ = call(world.gateway, path, method="POST", body=b"b", X_Other="kept",
+                                      X_Cometspindle_Model="m", **FORGED)
+        seen = [run[2] for server in world.servers for run in server.runs if run[0] == ident]
+        assert (len(seen), status) == (sendings, 503 if path == "/safe/full" else 200), (path, len(seen), status)
+        for headers in seen:
+            assert headers["x-other"] == "kept" and headers["x-cometspindle-model"] == "m"
+            for name, value in FORGED.items():
+                assert headers.get(name.lower()) != value, (path, name)
+    world.gateway.end()
+
+
 def test_smuggling(world):
     for extra in ("Content-Length: 3\r\nTransfer-Encoding: chunked", "Content-Length : 3",
                   "Content-Length: 3\r\nContent-Length: 4", "Content-Length: -1"):
@@ -565,7 +609,7 @@
                   test_broken_before_answer, test_foreign_answer, test_unframed_and_cut,
                   test_streams, test_caller_leaves, test_configuration, test_servers_leave,
                   test_pages]
-    alone = [test_store_away, test_copy_from_other_vm, test_busy_store, test_answers_too_large,
+    alone = [test_forged_headers, test_store_away, test_copy_from_other_vm, test_busy_store, test_answers_too_large,
              test_only_server_fails, test_planned_stop, test_stop_with_open_connections,
              test_signal_while_starting,
              test_log_reader_stops, test_bad_settings]
