After a restart of all, VMs find each other at once, and one of them keeps count

For 3 s nobody kept count of endpoints. Change: a process asks seeds ten times a second for its first three seconds; it has found the others after 200 ms without a new one (400); where no VM is old enough to keep count, one of those that have run for 500 ms does. One log line tells when the others were found. Tests: Views.ASeedThatStartsLastIsFoundAtOnce, Keepers.WhereAllAreYoungOneOfThemKeeps, both failed before.

--- a/libcometspindle/adapters/gateway/gateway.c
+++ b/libcometspindle/adapters/gateway/gateway.c
@@ -36,7 +36,7 @@
 /* A process that starts has found the others once no new one has come up for some rounds of views,
  * and at the latest after the second time. Until then it shares sums with at least so many: all may
  * have started at once, and each knows only itself. */
-#define FOUND_AFTER_US 400000
+#define FOUND_AFTER_US 200000
 #define FOUND_AFTER_ROUNDS 2
 #define FIND_LONGEST_US 4000000
 #define VMS_ASSUMED 128
@@ -232,7 +232,14 @@
 static void
 set_vms(struct comet_gateway *gateway, uint32_t heard, uint32_t known, uint64_t now_us)
 {
-	if (is_finding(gateway, known, now_us))
+	bool finding = is_finding(gateway, known, now_us);
+
+	if (gateway->finding && !finding)
+		comet_log(COMET_LOG_NOTICE,
+			"event=vms_found vms=%u after_ms=%" G_GUINT64_FORMAT, known,
+			(now_us - gateway->began_us) / 1000);
+	gateway->finding = finding;
+	if (finding)
 	{
 		known = MAX(known, VMS_ASSUMED);
 		heard = known;
--- a/libcometspindle/adapters/gateway/gateway_private.h
+++ b/libcometspindle/adapters/gateway/gateway_private.h
@@ -74,6 +74,7 @@
 	uint32_t calls; /**< requests that are open */
 	struct comet_draw draw;
 	uint64_t began_us;
+	bool finding;                /**< it still finds out who else is there */
 	uint64_t found_us;           /**< when another VM was last heard of for the first time */
 	uint32_t known_vms;          /**< most VMs known at a time, with this one */
 	uint64_t stop_us;            /**< when the stop began; 0: none */
--- a/libcometspindle/gateway/views.c
+++ b/libcometspindle/gateway/views.c
@@ -19,6 +19,10 @@
  * others have running. */
 #define KEEPER_AGE_US 3000000
 
+/* Where all have just started, nobody knows what ran before, and one that has found the others
+ * serves as well. */
+#define YOUNG_KEEPER_AGE_US 500000
+
 static void
 free_peer(gpointer data)
 {
@@ -347,39 +351,63 @@
 	return far > 0 ? newer_at(views, revision, false, draw % far) : 0;
 }
 
-/* May a process that began then and was heard so keep count? */
+/* How well a VM is suited to keep count for a key. */
+struct suitability
+{
+	uint32_t address; /* 0: nobody */
+	bool old;         /* it has run long enough to know what the others have running */
+	bool near;        /* it is in the zone of what is counted */
+	uint64_t score;
+};
+
+static struct suitability
+suitability_of(uint32_t address, uint64_t began_us, bool near, uint32_t key, uint64_t now_us)
+{
+	uint64_t age_us = now_us - began_us;
+
+	return (struct suitability){
+		.address = age_us >= YOUNG_KEEPER_AGE_US ? address : 0,
+		.old = age_us >= KEEPER_AGE_US,
+		.near = near,
+		.score = comet_hash_score(key, address),
+	};
+}
+
+/* Is it better suited than the best so far? */
 static bool
-can_keep(uint64_t began_us, uint64_t now_us)
+is_better(const struct suitability *one, const struct suitability *best)
 {
-	return now_us - began_us >= KEEPER_AGE_US;
+	if (one->address == 0 || best->address == 0)
+		return one->address != 0;
+	if (one->old != best->old)
+		return one->old;
+	if (one->near != best->near)
+		return one->near;
+	return one->score > best->score;
 }
 
 uint32_t
 comet_views_keeper(const struct comet_views *views, uint32_t key, uint32_t zone, uint64_t now_us)
 {
-	bool self = !views->leaving && can_keep(views->began_us, now_us);
-	uint32_t chosen = self ? views->address : 0;
-	bool chosen_near = self && views->zone == zone;
-	uint64_t best = self ? comet_hash_score(key, views->address) : 0;
+	struct suitability best = {0};
 	GHashTableIter at;
 	gpointer value = NULL;
 
+	if (!views->leaving)
+		best = suitability_of(
+			views->address, views->began_us, views->zone == zone, key, now_us);
 	g_hash_table_iter_init(&at, views->peers);
 	while (g_hash_table_iter_next(&at, NULL, &value))
 	{
 		const struct comet_views_peer *peer = value;
-		if (peer->heard_us == 0 || peer->silent || peer->leaving ||
-			!can_keep(peer->began_us, now_us))
-			continue;
-		bool near = peer->zone == zone;
-		uint64_t score = comet_hash_score(key, peer->address);
-		if (chosen != 0 && (near != chosen_near ? !near : score <= best))
+		if (peer->heard_us == 0 || peer->silent || peer->leaving)
 			continue;
-		chosen = peer->address;
-		chosen_near = near;
-		best = score;
+		struct suitability one = suitability_of(
+			peer->address, peer->began_us, peer->zone == zone, key, now_us);
+		if (is_better(&one, &best))
+			best = one;
 	}
-	return chosen;
+	return best.address;
 }
 
 /* What a peer is known to run at an endpoint, or NULL. */
--- a/libcometspindle/gateway/views_rounds.c
+++ b/libcometspindle/gateway/views_rounds.c
@@ -20,6 +20,11 @@
  * lasts seconds. */
 #define RETRY_US 1000000
 
+/* A process asks seeds more often for its first seconds: where all have started at once, the seeds
+ * may have been the last, and until VMs have found each other their sums are guesses. */
+#define FIRST_RETRY_US 100000
+#define FIRST_RETRIES_FOR_US 3000000
+
 /* A zone with at least so many VMs is sent views through some of them: bytes between zones cost. */
 #define RELAYED_MIN 8
 
@@ -221,11 +226,13 @@
 
 /* Is it time to send to this VM? Silent ones, and seeds never heard, are asked now and then. */
 static bool
-is_due(const struct comet_views_peer *peer, uint64_t now_us)
+is_due(const struct comet_views *views, const struct comet_views_peer *peer, uint64_t now_us)
 {
 	bool there = peer->heard_us != 0 && !peer->silent;
+	bool young = now_us - views->began_us < FIRST_RETRIES_FOR_US;
+	uint64_t retry_us = young ? FIRST_RETRY_US : RETRY_US;
 
-	return there || peer->asked_us == 0 || now_us - peer->asked_us >= RETRY_US;
+	return there || peer->asked_us == 0 || now_us - peer->asked_us >= retry_us;
 }
 
 /* Sends this VM's view to the relays of other zones. */
@@ -286,7 +293,7 @@
 	while (g_hash_table_iter_next(&at, NULL, &value))
 	{
 		struct comet_views_peer *peer = value;
-		if (!is_due(peer, now_us) || (!far && !comet_views_is_near(views, peer)) ||
+		if (!is_due(views, peer, now_us) || (!far && !comet_views_is_near(views, peer)) ||
 			is_relayed(views, peer))
 			continue;
 		peer->asked_us = now_us;
--- a/tests/unit/test_gateway_grants.cc
+++ b/tests/unit/test_gateway_grants.cc
@@ -76,6 +76,24 @@
 	EXPECT_EQ(young.keeper_of_all(7), 0U);
 }
 
+/* After all have restarted, VMs chose by old views for three seconds, and filled the same slots. */
+TEST(Keepers, WhereAllAreYoungOneOfThemKeeps)
+{
+	fleet all(3, 4);
+	for (uint32_t vm = 1; vm <= 3; vm++)
+	{
+		talloc_free(all.vms[vm].instances);
+		all.start(vm, 4);
+	}
+	all.pass(300000);
+	EXPECT_EQ(all.keeper_of_all(1), 0U);
+	all.pass(300000);
+	uint32_t keeper = all.keeper_of_all(1);
+	EXPECT_NE(keeper, 0U);
+	EXPECT_EQ(all.keeper_of_all(2), keeper);
+	EXPECT_EQ(all.keeper_of_all(3), keeper);
+}
+
 TEST(Grants, VmsThatAskDoNotFillTheSameSlots)
 {
 	for (bool asks : {true, false})
--- a/tests/unit/test_gateway_views.cc
+++ b/tests/unit/test_gateway_views.cc
@@ -303,4 +303,27 @@
 	EXPECT_FALSE(comet_views_receive(fleet.all[1].views, &nobody, 1));
 }
 
+/* When all restart at once, the seed may be the last to come: until it was asked again, VMs did not
+ * know of each other and guessed their sums. */
+TEST(Views, ASeedThatStartsLastIsFoundAtOnce)
+{
+	vms fleet(0);
+	uint64_t now_us = 1000000;
+
+	for (uint32_t address = 2; address <= 6; address++)
+		fleet.start(address, address, now_us);
+	for (int i = 0; i < 5; i++, now_us += 50000)
+		fleet.step(now_us);
+	fleet.start(1, 1, now_us);
+	for (int i = 0; i < 6; i++, now_us += 50000)
+		fleet.step(now_us);
+	for (auto &one : fleet.all)
+	{
+		uint32_t known = 0;
+		uint32_t heard = 0;
+		comet_views_count(one.second.views, &known, &heard);
+		EXPECT_EQ(heard, 5U);
+	}
+}
+
 } // namespace
