One large request does not stand for what all other VMs spend unseen

Change: of one request only twice the team's usual amount is multiplied. A refusal over the limit logs the amount and what was left. Test: Allowance.OneLargeRequestDoesNotStandForTheOthers (failed before).

--- a/libcometspindle/adapters/gateway/gateway_relay.c
+++ b/libcometspindle/adapters/gateway/gateway_relay.c
@@ -339,6 +339,10 @@
 	if (wait_ms == 0)
 		return true;
 	gateway->counts.refused_team++;
+	comet_log(COMET_LOG_INFO,
+		"event=over_limit request=%s team=%s charge=%" G_GUINT64_FORMAT " left=%.0f",
+		relay->id, relay->team->name, relay->charge,
+		comet_allowance_left(gateway->allowance, relay->team->id, now_us));
 	answer_own(relay, 429, "team_limit", wait_ms);
 	return false;
 }
--- a/libcometspindle/gateway/allowance.c
+++ b/libcometspindle/gateway/allowance.c
@@ -20,6 +20,15 @@
  * limit. */
 #define ASSUMED_PART 0.9
 
+/* What others spend unseen is taken to be what this VM spends meanwhile, but of one request only so
+ * many times its team's usual amount: sizes differ a hundredfold, and the others have not all just
+ * sent as large a one. Counted whole, a request of 50,000 tokens refused its team for 100 ms on six
+ * VMs, and for as long as it takes to find the others after a start. */
+#define UNSEEN_TIMES_USUAL 2.0
+
+/* Weight of the newest request in a team's usual amount: about the last twenty count. */
+#define USUAL_WEIGHT 0.05
+
 /* A refusal names at least this time to come back. */
 #define RETRY_AFTER_MIN_MS 200
 
@@ -30,8 +39,9 @@
 	double assumed[PARTS]; /* spent before this process began */
 	uint64_t part;         /* number of the newest part */
 	uint64_t spent;        /* by this VM since its start */
-	double untold;         /* by this VM since it last told all others */
-	bool told;             /* assumed is what another VM told */
+	double usual;          /* amount of a request; 0: none was seen */
+	double untold; /* by this VM since it last told all others, large requests cut down */
+	bool told;     /* assumed is what another VM told */
 };
 
 struct comet_allowance
@@ -219,6 +229,21 @@
 	return (uint32_t)MAX(ms, RETRY_AFTER_MIN_MS);
 }
 
+/* Part of a request's amount that stands for what the others spend meanwhile. */
+static double
+typical_part(const struct account *account, double amount)
+{
+	return MIN(amount, UNSEEN_TIMES_USUAL * account->usual);
+}
+
+static void
+learn_usual(struct account *account, double amount)
+{
+	if (account->usual == 0)
+		account->usual = amount;
+	account->usual += USUAL_WEIGHT * (amount - account->usual);
+}
+
 uint32_t
 comet_allowance_spend(
 	struct comet_allowance *allowance, uint32_t team_id, uint64_t amount, uint64_t now_us)
@@ -234,8 +259,9 @@
 		if (left_of(allowance, account) < needed)
 			return wait_ms(allowance, account, needed);
 	}
+	learn_usual(account, (double)amount);
 	account->counted[account->part % PARTS] += (double)amount;
-	account->untold += (double)amount;
+	account->untold += typical_part(account, (double)amount);
 	account->spent += amount;
 	return 0;
 }
@@ -276,7 +302,7 @@
 		return;
 	double *newest = &account->counted[account->part % PARTS];
 	*newest = MAX(*newest - (double)amount, 0);
-	account->untold = MAX(account->untold - (double)amount, 0);
+	account->untold = MAX(account->untold - typical_part(account, (double)amount), 0);
 	account->spent -= MIN(account->spent, amount);
 }
 
--- a/tests/unit/test_gateway_routes.cc
+++ b/tests/unit/test_gateway_routes.cc
@@ -276,6 +276,30 @@
 	comet_route_table_unref(builder.table);
 }
 
+/* After a start others may be many: one large request shut its team out until all had been told. */
+TEST(Allowance, OneLargeRequestDoesNotStandForTheOthers)
+{
+	comet_allowance_bounds bounds = {8000, 0, 0};
+	table_builder builder(1);
+	builder.team("t", "k", 1000, 1000);
+	comet_allowance *allowance = comet_allowance_create(nullptr, &bounds, 0);
+	uint32_t id = comet_hash_name("t");
+	comet_allowance_set_teams(allowance, builder.table, 0);
+	comet_allowance_set_vms(allowance, 6, 6);
+
+	for (int i = 0; i < 20; i++)
+	{
+		EXPECT_EQ(comet_allowance_spend(allowance, id, 20, 20000000), 0U);
+		comet_allowance_told(allowance);
+	}
+	EXPECT_EQ(comet_allowance_spend(allowance, id, 2000, 20000000), 0U);
+	EXPECT_EQ(comet_allowance_spend(allowance, id, 20, 20000000), 0U);
+	EXPECT_EQ(comet_allowance_left(allowance, id, 20000000), 9000 - 2420 - 5 * (238 + 20))
+		<< "twice the usual amount of each counts for each of the five others";
+	talloc_free(allowance);
+	comet_route_table_unref(builder.table);
+}
+
 TEST(Allowance, WhatWasNotRunIsGivenBack)
 {
 	comet_allowance_bounds bounds = {8000, 0, 0};
