Speeds of a service begin with a line that counts as samples; speeds.c

And the first sample of a mean, from a slow engine, held for fifty more. The learning of a service's usual times is a module of its own. Tests: test_speeds.cc.

--- a/libcometspindle/gateway/instances.c
+++ b/libcometspindle/gateway/instances.c
@@ -4,6 +4,7 @@
  */
 #include <libcometspindle/gateway/instances.h>
 
+#include <libcometspindle/gateway/speeds.h>
 #include <libcometspindle/hash.h>
 #include <string.h>
 #include <talloc.h>
@@ -15,19 +16,6 @@
 #define PACE_MIN 0.2
 #define PACE_MAX 20.0
 
-/* Weight of a new sample of a service's usual times. */
-#define USUAL_WEIGHT 0.02
-
-/* A service's sums are faded by this factor a sample, so that about 200 samples count. */
-#define FIT_FADE 0.995
-
-/* Until something is learned: a plausible first token and token time of a current engine. */
-#define FIRST_DEFAULT_US 100000.0
-#define PROMPT_DEFAULT_US 30.0
-#define TOKEN_DEFAULT_US 8000.0
-#define PLAIN_DEFAULT_US 50000.0
-#define SLOT_DEFAULT_US 500000.0
-
 /* Slow start: how much longer a cold instance is expected to take. */
 #define COLD_FACTOR 2.0
 
@@ -54,27 +42,13 @@
  * takes there. */
 #define TOLD_FRESH_US 400000
 
-/* Usual times of a service, over all its instances. */
-struct usual
-{
-	double n; /* faded sums of a line through (prompt tokens, first event) */
-	double x;
-	double y;
-	double xx;
-	double xy;
-	double token_us; /* of an answer, per token expected of it; 0: not learned */
-	double event_us; /* between two events; 0: not learned */
-	double plain_us; /* 0: not learned */
-	double slot_us;  /* that a request holds a slot, of whatever size; 0: not learned */
-};
-
 struct comet_instances
 {
 	char *own_zone;
 	GHashTable *by_id;    /* id -> comet_instance */
 	GHashTable *by_key;   /* key -> comet_instance */
 	GHashTable *services; /* service -> GPtrArray of comet_instance */
-	GHashTable *usual;    /* service -> struct usual */
+	GHashTable *speeds;   /* service -> struct comet_speeds */
 	uint64_t changes;
 };
 
@@ -90,7 +64,7 @@
 	g_hash_table_destroy(instances->by_id);
 	g_hash_table_destroy(instances->by_key);
 	g_hash_table_destroy(instances->services);
-	g_hash_table_destroy(instances->usual);
+	g_hash_table_destroy(instances->speeds);
 	return 0;
 }
 
@@ -103,22 +77,22 @@
 	instances->by_id = g_hash_table_new(g_str_hash, g_str_equal);
 	instances->by_key = g_hash_table_new(NULL, NULL);
 	instances->services = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_array);
-	instances->usual = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	instances->speeds = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	talloc_set_destructor(instances, instances_destroy);
 	return instances;
 }
 
-static struct usual *
-usual_of(struct comet_instances *instances, const char *service)
+static struct comet_speeds *
+speeds_of(struct comet_instances *instances, const char *service)
 {
-	struct usual *usual = g_hash_table_lookup(instances->usual, service);
+	struct comet_speeds *speeds = g_hash_table_lookup(instances->speeds, service);
 
-	if (usual == NULL)
+	if (speeds == NULL)
 	{
-		usual = g_new0(struct usual, 1);
-		g_hash_table_insert(instances->usual, g_strdup(service), usual);
+		speeds = comet_speeds_create(instances);
+		g_hash_table_insert(instances->speeds, g_strdup(service), speeds);
 	}
-	return usual;
+	return speeds;
 }
 
 static struct comet_instance *
@@ -284,32 +258,12 @@
 	return instances->changes;
 }
 
-/* The usual time until the first event, from the fitted line. */
-static double
-usual_first_us(const struct usual *usual, uint32_t prompt_tokens)
-{
-	double spread = usual->n * usual->xx - usual->x * usual->x;
-
-	if (usual->n < 3)
-		return FIRST_DEFAULT_US + PROMPT_DEFAULT_US * prompt_tokens;
-	double slope = spread > 1.0 ? (usual->n * usual->xy - usual->x * usual->y) / spread : 0;
-	slope = CLAMP(slope, 0.0, 10 * PROMPT_DEFAULT_US);
-	double base = (usual->y - slope * usual->x) / usual->n;
-	return MAX(base, 1000.0) + slope * prompt_tokens;
-}
-
-/* Prompt tokens alone, as part of the time until the first event. */
-static double
-usual_prompt_us(const struct usual *usual, uint32_t prompt_tokens)
-{
-	return usual_first_us(usual, prompt_tokens) - usual_first_us(usual, 0);
-}
-
 /* Prompt tokens granted to other VMs that are not read yet, as far as time tells. */
 static double
-granted_prompt(const struct usual *usual, const struct comet_instance *instance, uint64_t now_us)
+granted_prompt(
+	const struct comet_speeds *speeds, const struct comet_instance *instance, uint64_t now_us)
 {
-	double token_us = usual_prompt_us(usual, 1000) / 1000 * instance->pace;
+	double token_us = comet_speeds_prompt_us(speeds, 1000) / 1000 * instance->pace;
 	double read = (double)(now_us - instance->granted_us) / MAX(token_us, 1.0);
 
 	return MAX(instance->granted_prompt - read, 0.0);
@@ -319,9 +273,9 @@
 comet_instance_granted(struct comet_instances *instances, struct comet_instance *instance,
 	uint32_t prompt_tokens, uint64_t now_us)
 {
-	const struct usual *usual = usual_of(instances, instance->service);
+	const struct comet_speeds *speeds = speeds_of(instances, instance->service);
 
-	instance->granted_prompt = granted_prompt(usual, instance, now_us) + prompt_tokens;
+	instance->granted_prompt = granted_prompt(speeds, instance, now_us) + prompt_tokens;
 	instance->granted_us = now_us;
 	instance->others++;
 	instance->told_total++;
@@ -338,22 +292,22 @@
 comet_instance_expect(struct comet_instances *instances, const struct comet_instance *instance,
 	const struct comet_job *job, uint64_t now_us, uint64_t *first_us, uint64_t *whole_us)
 {
-	const struct usual *usual = usual_of(instances, instance->service);
+	const struct comet_speeds *speeds = speeds_of(instances, instance->service);
 	double cold = instance->warm_us > now_us ? COLD_FACTOR : 1.0;
 
 	if (!job->stream)
 	{
-		double plain = usual->plain_us > 0 ? usual->plain_us : PLAIN_DEFAULT_US;
-		*first_us = (uint64_t)(plain * instance->pace * cold);
+		double plain_us = comet_speeds_mean_us(speeds, COMET_SPEED_PLAIN);
+		*first_us = (uint64_t)(plain_us * instance->pace * cold);
 		*whole_us = *first_us;
 		return;
 	}
-	double token = usual->token_us > 0 ? usual->token_us : TOKEN_DEFAULT_US;
+	double token = comet_speeds_mean_us(speeds, COMET_SPEED_TOKEN);
 	/* What was granted is in views as well, a little later. */
 	double others =
-		MAX((double)instance->others_prompt, granted_prompt(usual, instance, now_us));
-	double ahead = usual_prompt_us(usual, instance->own_prompt + (uint32_t)others);
-	double first = usual_first_us(usual, job->prompt_tokens) + ahead;
+		MAX((double)instance->others_prompt, granted_prompt(speeds, instance, now_us));
+	double ahead = comet_speeds_prompt_us(speeds, instance->own_prompt + (uint32_t)others);
+	double first = comet_speeds_first_us(speeds, job->prompt_tokens) + ahead;
 	*first_us = (uint64_t)(first * instance->pace * cold);
 	*whole_us = (uint64_t)((first + token * job->output_tokens) * instance->pace * cold);
 }
@@ -362,21 +316,20 @@
 comet_instances_usual_first_us(
 	struct comet_instances *instances, const char *service, const struct comet_job *job)
 {
-	const struct usual *usual = usual_of(instances, service);
+	const struct comet_speeds *speeds = speeds_of(instances, service);
 
 	if (!job->stream)
-		return (uint64_t)(usual->plain_us > 0 ? usual->plain_us : PLAIN_DEFAULT_US);
-	return (uint64_t)usual_first_us(usual, job->prompt_tokens);
+		return (uint64_t)comet_speeds_mean_us(speeds, COMET_SPEED_PLAIN);
+	return (uint64_t)comet_speeds_first_us(speeds, job->prompt_tokens);
 }
 
 uint64_t
 comet_instances_usual_us(struct comet_instances *instances, const char *service)
 {
-	const struct usual *usual = usual_of(instances, service);
+	const struct comet_speeds *speeds = speeds_of(instances, service);
 
-	if (usual->plain_us > 0)
-		return (uint64_t)usual->plain_us;
-	return (uint64_t)(usual->slot_us > 0 ? usual->slot_us : SLOT_DEFAULT_US);
+	bool plain = comet_speeds_known(speeds, COMET_SPEED_PLAIN);
+	return (uint64_t)comet_speeds_mean_us(speeds, plain ? COMET_SPEED_PLAIN : COMET_SPEED_SLOT);
 }
 
 void
@@ -396,51 +349,34 @@
 	instance->pace += weight * (sample - instance->pace);
 }
 
-/* One more point for the line of a service's first events. */
-static void
-learn_first(struct usual *usual, double prompt_tokens, double first_us)
-{
-	usual->n = usual->n * FIT_FADE + 1;
-	usual->x = usual->x * FIT_FADE + prompt_tokens;
-	usual->y = usual->y * FIT_FADE + first_us;
-	usual->xx = usual->xx * FIT_FADE + prompt_tokens * prompt_tokens;
-	usual->xy = usual->xy * FIT_FADE + prompt_tokens * first_us;
-}
-
 void
 comet_instance_first(struct comet_instances *instances, struct comet_instance *instance,
 	const struct comet_job *job, uint64_t first_us)
 {
-	struct usual *usual = usual_of(instances, instance->service);
+	struct comet_speeds *speeds = speeds_of(instances, instance->service);
 
 	instance->own_prompt -= MIN(instance->own_prompt, job->prompt_tokens);
 	if (!job->stream)
 		return;
 	/* Waiting behind others says nothing of the usual time: only calm samples are taken. */
 	if (instance->own + instance->others <= instance->slots)
-		learn_first(usual, job->prompt_tokens, (double)first_us / instance->pace);
-}
-
-/* Moves a usual time a little towards a sample. */
-static void
-learn_usual(double *usual_us, double sample_us)
-{
-	if (*usual_us <= 0)
-		*usual_us = sample_us;
-	*usual_us += USUAL_WEIGHT * (sample_us - *usual_us);
+		comet_speeds_learn_first(
+			speeds, job->prompt_tokens, (double)first_us / instance->pace);
 }
 
 void
 comet_instance_learn(struct comet_instances *instances, struct comet_instance *instance,
 	uint64_t stream_us, uint32_t events)
 {
-	struct usual *usual = usual_of(instances, instance->service);
+	struct comet_speeds *speeds = speeds_of(instances, instance->service);
 
 	if (events < 2)
 		return;
 	double event_us = (double)stream_us / (events - 1);
-	learn_pace(instance, event_us, usual->event_us > 0 ? usual->event_us : event_us);
-	learn_usual(&usual->event_us, event_us / instance->pace);
+	bool known = comet_speeds_known(speeds, COMET_SPEED_EVENT);
+	double usual_us = known ? comet_speeds_mean_us(speeds, COMET_SPEED_EVENT) : event_us;
+	learn_pace(instance, event_us, usual_us);
+	comet_speeds_learn(speeds, COMET_SPEED_EVENT, event_us / instance->pace);
 }
 
 /* Learns speeds from a whole answer. */
@@ -448,21 +384,24 @@
 learn_speed(struct comet_instances *instances, struct comet_instance *instance,
 	const struct comet_job *job, uint64_t stream_us, uint32_t events)
 {
-	struct usual *usual = usual_of(instances, instance->service);
+	struct comet_speeds *speeds = speeds_of(instances, instance->service);
 
 	if (!job->stream)
 	{
-		double plain = usual->plain_us > 0 ? usual->plain_us : (double)stream_us;
-		learn_pace(instance, (double)stream_us, plain);
-		learn_usual(&usual->plain_us, (double)stream_us);
+		bool known = comet_speeds_known(speeds, COMET_SPEED_PLAIN);
+		double usual_us =
+			known ? comet_speeds_mean_us(speeds, COMET_SPEED_PLAIN) : (double)stream_us;
+		learn_pace(instance, (double)stream_us, usual_us);
+		comet_speeds_learn(speeds, COMET_SPEED_PLAIN, (double)stream_us);
 		return;
 	}
-	double first = usual_first_us(usual, job->prompt_tokens);
-	learn_usual(&usual->slot_us, first + (double)stream_us / instance->pace);
+	double first = comet_speeds_first_us(speeds, job->prompt_tokens);
+	comet_speeds_learn(speeds, COMET_SPEED_SLOT, first + (double)stream_us / instance->pace);
 	if (events < 2 || job->output_tokens == 0)
 		return;
 	comet_instance_learn(instances, instance, stream_us, events);
-	learn_usual(&usual->token_us, (double)stream_us / job->output_tokens / instance->pace);
+	comet_speeds_learn(
+		speeds, COMET_SPEED_TOKEN, (double)stream_us / job->output_tokens / instance->pace);
 }
 
 /* A bad end: avoids the instance once there are too many of them. */
