Team limits: whole spans, more of what is permitted, and a fall does not shut a team out

Sixteen parts covered 7.5 to 8 s of a span of 8. Change: seventeen parts; 0.4 of the permitted excess is used (0.1); past spending counts for as much of a lower limit as of the higher one. Test: Allowance.WhatWasSpentUnderAHigherLimitCountsForAsMuchOfALowerOne (failed before).

--- a/libcometspindle/adapters/gateway/gateway.c
+++ b/libcometspindle/adapters/gateway/gateway.c
@@ -235,9 +235,8 @@
 	bool finding = is_finding(gateway, known, now_us);
 
 	if (gateway->finding && !finding)
-		comet_log(COMET_LOG_NOTICE,
-			"event=vms_found vms=%u after_ms=%" G_GUINT64_FORMAT, known,
-			(now_us - gateway->began_us) / 1000);
+		comet_log(COMET_LOG_NOTICE, "event=vms_found vms=%u after_ms=%" G_GUINT64_FORMAT,
+			known, (now_us - gateway->began_us) / 1000);
 	gateway->finding = finding;
 	if (finding)
 	{
--- a/libcometspindle/adapters/gateway/gateway_grants.c
+++ b/libcometspindle/adapters/gateway/gateway_grants.c
@@ -92,8 +92,7 @@
 }
 
 static void
-on_denied(
-	void *ctx, struct comet_placement_item *item, uint32_t shard, uint32_t beyond, bool held)
+on_denied(void *ctx, struct comet_placement_item *item, uint32_t shard, uint32_t beyond, bool held)
 {
 	struct comet_gateway *gateway = ctx;
 	uint64_t now_us = comet_timers_now_us();
--- a/libcometspindle/gateway/allowance.c
+++ b/libcometspindle/gateway/allowance.c
@@ -8,12 +8,14 @@
 #include <string.h>
 #include <talloc.h>
 
-/* Parts of a span: what was spent in the oldest part comes free at once. */
-#define PARTS 16
+/* A span is kept in so many parts, and one more: the newest has only begun, and what was spent in a
+ * part comes free at once, so that fewer would cover less than a span. */
+#define SPAN_PARTS 16
+#define PARTS (SPAN_PARTS + 1)
 
-/* Part of the permitted excess that is used. It makes up for spans that begin elsewhere than
- * ours; the rest covers what other VMs spend between two views. */
-#define EXCESS_PART 0.1
+/* Part of the permitted excess that is used. The rest covers what other VMs spend between two
+ * views, what waits and is sent later than it was counted, and what a killed VM never told. */
+#define EXCESS_PART 0.4
 
 /* Part of the limit that is taken for spent before this process began, if nobody can tell. When
  * all VMs restart at once, a span around that moment, or around two of them, then holds about the
@@ -83,7 +85,7 @@
 static uint64_t
 part_us(const struct comet_allowance *allowance)
 {
-	return (uint64_t)allowance->bounds.window_ms * 1000 / PARTS;
+	return (uint64_t)allowance->bounds.window_ms * 1000 / SPAN_PARTS;
 }
 
 /* Forgets the parts that have left the span. */
@@ -158,6 +160,18 @@
 	uint64_t now_us;
 };
 
+/* What was spent under a higher limit was permitted: under a lower one it counts for as much of the
+ * limit as before, or the team would be shut out for a whole span. */
+static void
+scale_past(struct account *account, double factor)
+{
+	for (int i = 0; i < PARTS; i++)
+	{
+		account->counted[i] *= factor;
+		account->assumed[i] *= factor;
+	}
+}
+
 static void
 set_team(void *ctx, const struct comet_route_team *team)
 {
@@ -176,7 +190,10 @@
 		account->part = set->now_us / part_us(allowance);
 		g_hash_table_insert(allowance->accounts, GUINT_TO_POINTER(team->id), account);
 	}
+	double before = account->limit;
 	account->limit = team->rate_per_s > 0 ? limit + EXCESS_PART * excess : 0;
+	if (account->limit > 0 && account->limit < before)
+		scale_past(account, account->limit / before);
 	if (is_new)
 		assume(allowance, account, ASSUMED_PART * account->limit);
 }
--- a/tests/unit/test_gateway_routes.cc
+++ b/tests/unit/test_gateway_routes.cc
@@ -276,6 +276,29 @@
 	comet_route_table_unref(builder.table);
 }
 
+/* Found in a log: a limit that fell to a quarter shut its team out for the rest of the span. */
+TEST(Allowance, WhatWasSpentUnderAHigherLimitCountsForAsMuchOfALowerOne)
+{
+	comet_allowance_bounds bounds = {8000, 0, 0};
+	table_builder high(1);
+	table_builder low(2);
+	high.team("t", "k", 1000, 0);
+	low.team("t", "k", 250, 0);
+	comet_allowance *allowance = comet_allowance_create(nullptr, &bounds, 0);
+	uint32_t id = comet_hash_name("t");
+	comet_allowance_set_teams(allowance, high.table, 0);
+	EXPECT_EQ(comet_allowance_spend(allowance, id, 4000, 20000000), 0U);
+	comet_allowance_set_teams(allowance, low.table, 20000000);
+	EXPECT_EQ(comet_allowance_left(allowance, id, 20000000), 1000);
+	EXPECT_EQ(comet_allowance_spend(allowance, id, 1000, 20000000), 0U);
+	EXPECT_NE(comet_allowance_spend(allowance, id, 1, 20000000), 0U);
+	comet_allowance_set_teams(allowance, high.table, 20000000);
+	EXPECT_EQ(comet_allowance_left(allowance, id, 20000000), 6000) << "a rise forgives nothing";
+	talloc_free(allowance);
+	comet_route_table_unref(high.table);
+	comet_route_table_unref(low.table);
+}
+
 /* After a start others may be many: one large request shut its team out until all had been told. */
 TEST(Allowance, OneLargeRequestDoesNotStandForTheOthers)
 {
