Less urgent requests leave a part of their team's limit to more urgent ones

Change: a request of rank 1 leaves 6% of its team's limit, one of rank 2 or more 12%; one smaller than usual leaves as much less.

--- a/libcometspindle/adapters/gateway/gateway_relay.c
+++ b/libcometspindle/adapters/gateway/gateway_relay.c
@@ -334,8 +334,8 @@
 	read_job(relay);
 	if (relay->team == NULL)
 		return true;
-	uint32_t wait_ms =
-		comet_allowance_spend(gateway->allowance, relay->team->id, relay->charge, now_us);
+	uint32_t wait_ms = comet_allowance_spend(
+		gateway->allowance, relay->team->id, relay->route->priority, relay->charge, now_us);
 	if (wait_ms == 0)
 		return true;
 	gateway->counts.refused_team++;
--- a/libcometspindle/gateway/allowance.c
+++ b/libcometspindle/gateway/allowance.c
@@ -31,6 +31,13 @@
 /* Weight of the newest request in a team's usual amount: about the last twenty count. */
 #define USUAL_WEIGHT 0.05
 
+/* Part of the limit that requests leave to those of the next more urgent rank, if they are of their
+ * team's usual size or more; small ones leave as much less, since to refuse them frees nothing. */
+#define RESERVE_PART 0.06
+
+/* Ranks that leave a part, each one more than the rank before. */
+#define RESERVING_RANKS 2
+
 /* A refusal names at least this time to come back. */
 #define RETRY_AFTER_MIN_MS 200
 
@@ -261,9 +268,19 @@
 	account->usual += USUAL_WEIGHT * (amount - account->usual);
 }
 
+/* What a request leaves to more urgent ones. */
+static double
+reserve_of(const struct comet_allowance *allowance, const struct account *account, uint32_t rank,
+	double amount)
+{
+	double size = account->usual > 0 ? MIN(amount / account->usual, 1.0) : 1.0;
+
+	return RESERVE_PART * MIN(rank, RESERVING_RANKS) * size * limit_of(allowance, account);
+}
+
 uint32_t
-comet_allowance_spend(
-	struct comet_allowance *allowance, uint32_t team_id, uint64_t amount, uint64_t now_us)
+comet_allowance_spend(struct comet_allowance *allowance, uint32_t team_id, uint32_t rank,
+	uint64_t amount, uint64_t now_us)
 {
 	struct account *account = account_now(allowance, team_id, now_us);
 
@@ -272,7 +289,9 @@
 	if (account->limit > 0)
 	{
 		/* A request larger than the limit goes out of an untouched one. */
-		double needed = MIN((double)amount, limit_of(allowance, account));
+		double needed =
+			(double)amount + reserve_of(allowance, account, rank, (double)amount);
+		needed = MIN(needed, limit_of(allowance, account));
 		if (left_of(allowance, account) < needed)
 			return wait_ms(allowance, account, needed);
 	}
--- a/libcometspindle/gateway/allowance.h
+++ b/libcometspindle/gateway/allowance.h
@@ -40,10 +40,14 @@
 void
 comet_allowance_set_vms(struct comet_allowance *allowance, uint32_t heard, uint32_t known);
 
-/** Spends amount if the team may. @return 0, or after how many ms it is worth asking again. */
+/**
+ * Spends amount if the team may; rank: of the request, 0 is the most urgent. Less urgent ones leave
+ * a part of the limit to those that are more so.
+ * @return 0, or after how many ms it is worth asking again
+ */
 uint32_t
-comet_allowance_spend(struct comet_allowance *allowance, uint32_t team_id, uint64_t amount,
-	uint64_t now_us) G_GNUC_WARN_UNUSED_RESULT;
+comet_allowance_spend(struct comet_allowance *allowance, uint32_t team_id, uint32_t rank,
+	uint64_t amount, uint64_t now_us) G_GNUC_WARN_UNUSED_RESULT;
 
 /** Another VM has spent amount. */
 void
