Requests wait for slots at the VM that keeps count, in one order over all VMs

Change: a request that finds no slot is left with a keeper for up to 300 ms. The keeper serves its guests and its own in one order: rank, then who can still be in time, then arrival; a freed slot is granted in the same moment. Waiting requests stay in their VM's queue meanwhile. Ruled out, each measured: eight asks of 150 ms (keepers overrun); 200 and 500 ms (no difference). Tests: test_gateway_waits.cc (six).

--- a/libcometspindle/adapters/gateway/gateway_grants.c
+++ b/libcometspindle/adapters/gateway/gateway_grants.c
@@ -92,13 +92,24 @@
 }
 
 static void
-on_denied(void *ctx, struct comet_placement_item *item, uint32_t shard, uint32_t beyond, bool held)
+on_denied(void *ctx, struct comet_placement_item *item, uint32_t shard, uint32_t beyond)
 {
 	struct comet_gateway *gateway = ctx;
 	uint64_t now_us = comet_timers_now_us();
 
 	gateway->counts.denied++;
-	comet_placement_denied(gateway->placement, item, shard, beyond, held, now_us);
+	comet_placement_denied(gateway->placement, item, shard, beyond, now_us);
+	comet_placement_run(gateway->placement, now_us);
+}
+
+static void
+on_waited(void *ctx, struct comet_placement_item *item)
+{
+	struct comet_gateway *gateway = ctx;
+	uint64_t now_us = comet_timers_now_us();
+
+	gateway->counts.waited++;
+	comet_placement_waited(gateway->placement, item, now_us);
 	comet_placement_run(gateway->placement, now_us);
 }
 
@@ -117,35 +128,68 @@
 	comet_placement_run(gateway->placement, now_us);
 }
 
-/* Chooses an endpoint for another VM's request. */
+/* Another VM's request has a slot. */
+static void
+count_grant(struct comet_gateway *gateway, uint32_t asker, const struct comet_instance *instance,
+	uint32_t prompt_tokens)
+{
+	comet_views_granted(
+		gateway->views, asker, instance->key, prompt_tokens, comet_timers_now_us());
+}
+
+/* Milliseconds that a datagram tells, as a time; 0 stays 0. */
+static uint64_t
+time_of(uint32_t left_ms, uint64_t now_us)
+{
+	return left_ms > 0 ? now_us + (uint64_t)left_ms * 1000 : 0;
+}
+
+/* Chooses an endpoint for another VM's request, now or when a slot comes free. */
 static uint32_t
-choose_for(void *ctx, const comet_SlotAsk *ask, bool *held)
+choose_for(void *ctx, const comet_SlotAsk *ask, bool *waits)
 {
 	struct comet_gateway *gateway = ctx;
 	uint64_t now_us = comet_timers_now_us();
-	struct comet_job job = {
-		.prompt_tokens = ask->prompt_tokens,
-		.output_tokens = ask->output_tokens,
-		.stream = true,
-	};
 	struct comet_placement_ask wanted = {
+		.asker = ask->asker,
+		.number = ask->number,
 		.shard = ask->shard,
 		.beyond = ask->beyond,
 		.except = ask->except,
 		.n_except = ask->except_count,
-		.end_us = ask->left_ms > 0 ? now_us + (uint64_t)ask->left_ms * 1000 : 0,
-		.aim_us = ask->aim_ms > 0 ? now_us + (uint64_t)ask->aim_ms * 1000 : 0,
+		.job =
+			{
+				.prompt_tokens = ask->prompt_tokens,
+				.output_tokens = ask->output_tokens,
+				.stream = true,
+			},
+		.team_rank = ask->team_rank,
+		.route_rank = ask->route_rank,
+		.late = ask->late,
+		.end_us = time_of(ask->left_ms, now_us),
+		.aim_us = time_of(ask->aim_ms, now_us),
+		.wait_us = (uint64_t)ask->wait_ms * 1000,
 	};
 	const struct comet_instance *instance =
-		comet_placement_choose_for(gateway->placement, &job, &wanted, now_us, held);
+		comet_placement_choose_for(gateway->placement, &wanted, now_us, waits);
 
 	gateway->counts.answered++;
 	if (instance == NULL)
 		return 0;
-	comet_views_granted(gateway->views, ask->asker, instance->key, ask->prompt_tokens, now_us);
+	count_grant(gateway, ask->asker, instance, ask->prompt_tokens);
 	return instance->key;
 }
 
+void
+comet_gateway_grant(
+	void *ctx, const struct comet_placement_ask *ask, struct comet_instance *instance)
+{
+	struct comet_gateway *gateway = ctx;
+
+	count_grant(gateway, ask->asker, instance, ask->job.prompt_tokens);
+	comet_grants_grant(gateway->grants, ask->asker, ask->number, instance->key);
+}
+
 static void
 on_freed(void *ctx, const comet_SlotFreed *freed)
 {
@@ -163,6 +207,7 @@
 	.send = send_datagram,
 	.granted = on_granted,
 	.denied = on_denied,
+	.waited = on_waited,
 	.unanswered = on_unanswered,
 	.choose = choose_for,
 	.freed = on_freed,
--- a/libcometspindle/adapters/gateway/gateway_pages.c
+++ b/libcometspindle/adapters/gateway/gateway_pages.c
@@ -82,9 +82,10 @@
 		"# TYPE comet_slot_asks_total counter\n"
 		"comet_slot_asks_total{outcome=\"granted\"} %" G_GUINT64_FORMAT "\n"
 		"comet_slot_asks_total{outcome=\"denied\"} %" G_GUINT64_FORMAT "\n"
+		"comet_slot_asks_total{outcome=\"waited\"} %" G_GUINT64_FORMAT "\n"
 		"comet_slot_asks_total{outcome=\"unanswered\"} %" G_GUINT64_FORMAT "\n"
 		"comet_slot_asks_total{outcome=\"answered_others\"} %" G_GUINT64_FORMAT "\n",
-		counts->granted, counts->denied, counts->unanswered, counts->answered);
+		counts->granted, counts->denied, counts->waited, counts->unanswered, counts->answered);
 }
 
 struct page
--- a/libcometspindle/adapters/gateway/gateway_private.h
+++ b/libcometspindle/adapters/gateway/gateway_private.h
@@ -25,6 +25,7 @@
 	uint64_t resumed;
 	uint64_t granted;    /**< slots by other VMs */
 	uint64_t denied;     /**< asks for slots */
+	uint64_t waited;     /**< asks for slots that waited at a keeper in vain */
 	uint64_t unanswered; /**< asks for slots */
 	uint64_t answered;   /**< asks of other VMs, by this one as keeper */
 	uint64_t served;
@@ -105,6 +106,10 @@
 void
 comet_gateway_forget_ask(void *ctx, struct comet_placement_item *item);
 
+void
+comet_gateway_grant(
+	void *ctx, const struct comet_placement_ask *ask, struct comet_instance *instance);
+
 extern const struct comet_grants_ops comet_gateway_grants_ops;
 
 /** Answers on the readiness and control addresses (gateway_pages.c). */
--- a/libcometspindle/adapters/gateway/gateway_send.c
+++ b/libcometspindle/adapters/gateway/gateway_send.c
@@ -225,4 +225,5 @@
 	.keeper = comet_gateway_keeper,
 	.ask = comet_gateway_ask,
 	.forget = comet_gateway_forget_ask,
+	.grant = comet_gateway_grant,
 };
--- a/libcometspindle/gateway/grants.c
+++ b/libcometspindle/gateway/grants.c
@@ -25,6 +25,8 @@
 	uint32_t keeper;
 	uint32_t shard;
 	uint32_t beyond;
+	uint64_t wait_us; /* it may wait at the keeper so long */
+	bool waits;       /* the keeper said that it does */
 };
 
 struct comet_grants
@@ -68,6 +70,15 @@
 	grants->ops->send(grants->ctx, address, data, length);
 }
 
+/* Milliseconds until a time, at least one; 0: there is no such time. */
+static uint32_t
+left_ms(uint64_t time_us, uint64_t now_us)
+{
+	if (time_us == 0)
+		return 0;
+	return time_us > now_us + 1000 ? (uint32_t)((time_us - now_us) / 1000) : 1;
+}
+
 void
 comet_grants_ask(struct comet_grants *grants, struct comet_placement_item *item, uint32_t keeper,
 	const struct comet_placement_ask *ask, uint64_t now_us)
@@ -82,17 +93,20 @@
 	open->keeper = keeper;
 	open->shard = ask->shard;
 	open->beyond = ask->beyond;
+	open->wait_us = ask->wait_us;
 	g_queue_push_tail(&grants->open, open);
 	message->asker = grants->address;
 	message->number = open->number;
 	message->shard = ask->shard;
-	message->prompt_tokens = item->job.prompt_tokens;
-	message->output_tokens = item->job.output_tokens;
+	message->prompt_tokens = ask->job.prompt_tokens;
+	message->output_tokens = ask->job.output_tokens;
 	message->beyond = ask->beyond;
-	if (ask->end_us > now_us)
-		message->left_ms = (uint32_t)((ask->end_us - now_us) / 1000);
-	if (ask->aim_us > now_us)
-		message->aim_ms = (uint32_t)((ask->aim_us - now_us) / 1000);
+	message->team_rank = ask->team_rank;
+	message->route_rank = ask->route_rank;
+	message->late = ask->late;
+	message->wait_ms = (uint32_t)(ask->wait_us / 1000);
+	message->left_ms = left_ms(ask->end_us, now_us);
+	message->aim_ms = left_ms(ask->aim_us, now_us);
 	message->except_count = (pb_size_t)MIN(ask->n_except, G_N_ELEMENTS(message->except));
 	memcpy(message->except, ask->except, message->except_count * sizeof message->except[0]);
 	send(grants, keeper, &datagram);
@@ -130,17 +144,14 @@
 	send(grants, keeper, &datagram);
 }
 
-/* Takes an ask out of those that are open. @return it, to be freed, or NULL */
-static struct open_ask *
-take_open(struct comet_grants *grants, uint64_t number, uint32_t keeper)
+static GList *
+find_open(struct comet_grants *grants, uint64_t number, uint32_t keeper)
 {
 	for (GList *at = grants->open.head; at != NULL; at = at->next)
 	{
-		struct open_ask *open = at->data;
-		if (open->number != number || open->keeper != keeper)
-			continue;
-		g_queue_delete_link(&grants->open, at);
-		return open;
+		const struct open_ask *open = at->data;
+		if (open->number == number && open->keeper == keeper)
+			return at;
 	}
 	return NULL;
 }
@@ -148,39 +159,61 @@
 static void
 take_answer(struct comet_grants *grants, const comet_SlotAnswer *answer)
 {
-	struct open_ask *open = take_open(grants, answer->number, answer->keeper);
+	GList *at = find_open(grants, answer->number, answer->keeper);
 
-	if (open == NULL)
+	if (at == NULL)
 	{
 		/* It came too late, or its request is gone. */
 		if (answer->instance != 0)
 			comet_grants_release(grants, answer->keeper, answer->instance, 0, 0);
 		return;
 	}
+	struct open_ask *open = at->data;
+	if (answer->instance == 0 && answer->waits)
+	{
+		open->waits = true;
+		return;
+	}
+	g_queue_delete_link(&grants->open, at);
 	if (answer->instance != 0)
 		grants->ops->granted(grants->ctx, open->item, open->keeper, answer->instance);
 	else
-		grants->ops->denied(
-			grants->ctx, open->item, open->shard, open->beyond, answer->held);
+		grants->ops->denied(grants->ctx, open->item, open->shard, open->beyond);
 	g_free(open);
 }
 
 static void
-answer_ask(struct comet_grants *grants, const comet_SlotAsk *ask)
+send_answer(struct comet_grants *grants, uint32_t asker, uint64_t number, uint32_t instance_key,
+	bool waits)
 {
 	comet_Datagram datagram = {
 		.which_body = comet_Datagram_answer_tag,
 		.body.answer =
 			{
 				.keeper = grants->address,
-				.number = ask->number,
+				.number = number,
+				.instance = instance_key,
+				.waits = waits,
 			},
 	};
-	comet_SlotAnswer *answer = &datagram.body.answer;
 
-	answer->instance = grants->ops->choose(grants->ctx, ask, &answer->held);
+	send(grants, asker, &datagram);
+}
+
+void
+comet_grants_grant(
+	struct comet_grants *grants, uint32_t asker, uint64_t number, uint32_t instance_key)
+{
+	send_answer(grants, asker, number, instance_key, false);
+}
+
+static void
+answer_ask(struct comet_grants *grants, const comet_SlotAsk *ask)
+{
+	bool waits = false;
+	uint32_t instance_key = grants->ops->choose(grants->ctx, ask, &waits);
 
-	send(grants, ask->asker, &datagram);
+	send_answer(grants, ask->asker, ask->number, instance_key, waits);
 }
 
 void
@@ -211,22 +244,40 @@
 	g_hash_table_insert(grants->mute, GUINT_TO_POINTER(keeper), until);
 }
 
+/* An ask was not granted in its time. */
+static void
+give_up(struct comet_grants *grants, struct open_ask *open, uint64_t now_us)
+{
+	if (open->waits)
+	{
+		grants->ops->waited(grants->ctx, open->item);
+		return;
+	}
+	mute(grants, open->keeper, now_us + MUTE_US);
+	grants->ops->unanswered(grants->ctx, open->item, open->keeper);
+}
+
 bool
 comet_grants_tick(struct comet_grants *grants, uint64_t now_us)
 {
-	for (;;)
+	GList *at = grants->open.head;
+
+	while (at != NULL)
 	{
-		struct open_ask *open = g_queue_peek_head(&grants->open);
-		if (open == NULL)
-			return false;
-		/* One that is asked for from within this may be younger than now_us. */
-		if (now_us < open->since_us + ANSWER_TIMEOUT_US)
-			return true;
-		g_queue_pop_head(&grants->open);
-		mute(grants, open->keeper, now_us + MUTE_US);
-		grants->ops->unanswered(grants->ctx, open->item, open->keeper);
-		g_free(open);
+		struct open_ask *open = at->data;
+		uint64_t most_us = ANSWER_TIMEOUT_US + (open->waits ? open->wait_us : 0);
+		GList *next = at->next;
+		/* An ask that was begun from within this may be younger than now_us. */
+		if (open->since_us + most_us <= now_us)
+		{
+			g_queue_delete_link(&grants->open, at);
+			give_up(grants, open, now_us);
+			g_free(open);
+			next = grants->open.head; /* others may have gone or come meanwhile */
+		}
+		at = next;
 	}
+	return !g_queue_is_empty(&grants->open);
 }
 
 bool
--- a/libcometspindle/gateway/grants.h
+++ b/libcometspindle/gateway/grants.h
@@ -24,13 +24,16 @@
 	/** Asker: the keeper granted a slot at an instance. */
 	void (*granted)(void *ctx, struct comet_placement_item *item, uint32_t keeper,
 		uint32_t instance_key);
-	/** Asker: nothing in the shard has room at this level; held: or only where it is late. */
-	void (*denied)(void *ctx, struct comet_placement_item *item, uint32_t shard,
-		uint32_t beyond, bool held);
+	/** Asker: nothing in the shard has room at this level. */
+	void (*denied)(
+		void *ctx, struct comet_placement_item *item, uint32_t shard, uint32_t beyond);
+	/** Asker: it has waited at the keeper for as long as it was to. */
+	void (*waited)(void *ctx, struct comet_placement_item *item);
 	/** Asker: the keeper did not answer in time. */
 	void (*unanswered)(void *ctx, struct comet_placement_item *item, uint32_t keeper);
-	/** Keeper: chooses for another VM. @return the instance's key, or 0 and perhaps held */
-	uint32_t (*choose)(void *ctx, const comet_SlotAsk *ask, bool *held);
+	/** Keeper: chooses for another VM. @return the instance's key, or 0; waits: granted later
+	 */
+	uint32_t (*choose)(void *ctx, const comet_SlotAsk *ask, bool *waits);
 	/** Keeper: another VM has left a slot that it was granted. */
 	void (*freed)(void *ctx, const comet_SlotFreed *freed);
 };
@@ -41,7 +44,7 @@
 struct comet_grants *
 comet_grants_create(void *parent, uint32_t address, const struct comet_grants_ops *ops, void *ctx);
 
-/** Asks a keeper for a slot; ends in one of granted, denied, unanswered, or by forget. */
+/** Asks a keeper for a slot; ends in one of granted, denied, waited, unanswered, or by forget. */
 void
 comet_grants_ask(struct comet_grants *grants, struct comet_placement_item *item, uint32_t keeper,
 	const struct comet_placement_ask *ask, uint64_t now_us);
@@ -55,6 +58,11 @@
 comet_grants_release(struct comet_grants *grants, uint32_t keeper, uint32_t instance_key,
 	uint32_t events, uint64_t stream_us);
 
+/** Keeper: a request that has waited here may have a slot. */
+void
+comet_grants_grant(
+	struct comet_grants *grants, uint32_t asker, uint64_t number, uint32_t instance_key);
+
 /** A datagram arrived that is no view. */
 void
 comet_grants_receive(struct comet_grants *grants, const comet_Datagram *datagram);
--- a/libcometspindle/gateway/placement.h
+++ b/libcometspindle/gateway/placement.h
@@ -21,16 +21,6 @@
 /** Endpoints that one ask may except. */
 #define COMET_PLACEMENT_EXCEPT_MAX 16
 
-/** Shards of which an item remembers that they would make it late. */
-#define COMET_PLACEMENT_HOLDS_MAX 4
-
-/** A shard has room just now, but only where the item would be late. */
-struct comet_placement_hold
-{
-	uint32_t shard; /* id */
-	uint64_t until_us;
-};
-
 /** A request that is to be placed; embedded in its owner. */
 struct comet_placement_item
 {
@@ -52,22 +42,27 @@
 	bool queued; /* it has waited */
 	bool late;   /* it cannot begin by aim_us any more */
 	bool held;   /* there is room, but only where it would be late */
-	struct comet_placement_hold holds[COMET_PLACEMENT_HOLDS_MAX];
-	uint32_t n_holds;
 	GSequenceIter *place;
 	uint64_t since_us;
 	uint64_t order;
 };
 
-/** Which slot a keeper is asked for. */
+/** Which slot a keeper is asked for, and for what request. */
 struct comet_placement_ask
 {
+	uint32_t asker;         /**< keeper's side: address of the VM that asks */
+	uint64_t number;        /**< keeper's side: of the ask, for its VM */
 	uint32_t shard;         /**< id */
 	uint32_t beyond;        /**< requests that may be at an endpoint beyond its slots */
 	const uint32_t *except; /**< keys of endpoints that are not wanted */
 	size_t n_except;
-	uint64_t end_us; /**< the answer must be whole by then; 0: no bound */
-	uint64_t aim_us; /**< it should begin by then; 0: no matter */
+	struct comet_job job;
+	uint32_t team_rank;
+	uint32_t route_rank;
+	bool late;        /**< it cannot be in time any more */
+	uint64_t end_us;  /**< the answer must be whole by then; 0: no bound */
+	uint64_t aim_us;  /**< it should begin by then; 0: no matter */
+	uint64_t wait_us; /**< it may wait so long for a slot; 0: an answer is wanted at once */
 };
 
 /** Who keeps count of a shard. */
@@ -92,6 +87,9 @@
 		const struct comet_placement_ask *ask);
 	/** The answer to an ask is not awaited any more. */
 	void (*forget)(void *ctx, struct comet_placement_item *item);
+	/** Keeper's side: a request that has waited here may have a slot. */
+	void (*grant)(
+		void *ctx, const struct comet_placement_ask *ask, struct comet_instance *instance);
 };
 
 /** Why the last choice fell on an instance, for the log. */
@@ -134,10 +132,15 @@
 comet_placement_granted(struct comet_placement *placement, struct comet_placement_item *item,
 	uint32_t keeper, uint32_t instance_key, uint64_t now_us) G_GNUC_WARN_UNUSED_RESULT;
 
-/** Nothing in the shard has room at that level; held: or only where the item would be late. */
+/** Nothing in the shard has room at that level. */
 void
 comet_placement_denied(struct comet_placement *placement, struct comet_placement_item *item,
-	uint32_t shard, uint32_t beyond, bool held, uint64_t now_us);
+	uint32_t shard, uint32_t beyond, uint64_t now_us);
+
+/** It has waited at the keeper for as long as it was to, and no slot came free for it. */
+void
+comet_placement_waited(
+	struct comet_placement *placement, struct comet_placement_item *item, uint64_t now_us);
 
 /** The keeper did not answer. */
 void
@@ -150,11 +153,11 @@
 
 /**
  * Chooses, as keeper, for a request of another VM.
- * @return NULL when nothing has room; held: or only where it would be late
+ * @return NULL when nothing has room; waits: it is granted a slot later, or forgotten after wait_us
  */
 struct comet_instance *
-comet_placement_choose_for(struct comet_placement *placement, const struct comet_job *job,
-	const struct comet_placement_ask *ask, uint64_t now_us, bool *held);
+comet_placement_choose_for(struct comet_placement *placement, const struct comet_placement_ask *ask,
+	uint64_t now_us, bool *waits);
 
 /** Calls visit for each service that was asked for, with the requests that wait for it. */
 void
--- a/libcometspindle/gateway/placement_find.c
+++ b/libcometspindle/gateway/placement_find.c
@@ -16,18 +16,28 @@
 	return comet_choice_best(&placement->choice, item, &scope, now_us, &placement->reason);
 }
 
-/* Asks the keeper of a shard, if anything in it could be used. */
+/* A request waits at one keeper for this time, then at another: long enough for several slots to
+ * come free in a shard, and short beside any aim where the first keeper was a bad choice. */
+#define WAIT_US 300000
+
+/* Asks the keeper of a shard, if anything in it could be used. wait_us: it may wait there so long.
+ */
 static void
 ask_keeper(struct comet_placement *placement, struct comet_placement_item *item,
-	struct comet_shard *shard, uint32_t beyond, uint64_t now_us)
+	struct comet_shard *shard, uint32_t beyond, uint64_t wait_us, uint64_t now_us)
 {
 	uint32_t except[COMET_PLACEMENT_EXCEPT_MAX];
 	struct comet_placement_ask ask = {
 		.shard = shard->id,
 		.beyond = beyond,
 		.except = except,
+		.job = item->job,
+		.team_rank = item->team_rank,
+		.route_rank = item->route_rank,
+		.late = item->late,
 		.end_us = item->end_us,
-		.aim_us = item->late ? 0 : item->aim_us,
+		.aim_us = item->aim_us,
+		.wait_us = wait_us,
 	};
 	uint32_t usable = 0;
 
@@ -82,30 +92,18 @@
 {
 	if (prospect->keeper == COMET_PLACEMENT_KEEPER_OTHER)
 	{
-		ask_keeper(placement, item, prospect->shard, beyond, now_us);
+		ask_keeper(placement, item, prospect->shard, beyond, 0, now_us);
 		return NULL;
 	}
 	placement->reason = prospect->reason;
 	return prospect->best;
 }
 
-/* Would the shard make it late, as its keeper said a moment ago? */
-static bool
-is_held(const struct comet_placement_item *item, const struct comet_shard *shard, uint64_t now_us)
-{
-	for (uint32_t i = 0; i < COMET_PLACEMENT_HOLDS_MAX && !item->late; i++)
-	{
-		if (item->holds[i].shard == shard->id && now_us < item->holds[i].until_us)
-			return true;
-	}
-	return false;
-}
-
 /* Looks in all shards: in the one that seems cheapest, or else in those whose keepers may know of
- * room that views do not show, beginning anywhere. */
+ * room that views do not show, beginning anywhere. here: only where no keeper needs to be asked. */
 static struct comet_instance *
 find_at_level(struct comet_placement *placement, struct comet_placement_item *item,
-	const GPtrArray *shards, uint32_t beyond, uint64_t now_us)
+	const GPtrArray *shards, uint32_t beyond, bool here, uint64_t now_us)
 {
 	uint32_t turn = comet_draw_u32(&placement->choice.draw);
 	struct prospect cheapest = {0};
@@ -116,12 +114,9 @@
 		struct comet_shard *shard = shards->pdata[(i + turn) % shards->len];
 		if (now_us < shard->denied_us[beyond])
 			continue;
-		if (is_held(item, shard, now_us))
-		{
-			item->held = true;
-			continue;
-		}
 		struct prospect prospect = look_at(placement, item, shard, beyond, now_us);
+		if (here && prospect.keeper == COMET_PLACEMENT_KEEPER_OTHER)
+			continue;
 		if (prospect.best == NULL)
 		{
 			item->held = item->held || prospect.reason.held;
@@ -138,13 +133,36 @@
 	return full.shard != NULL ? use(placement, item, &full, beyond, now_us) : NULL;
 }
 
-struct comet_instance *
-comet_placement_find(
-	struct comet_placement *placement, struct comet_placement_item *item, uint64_t now_us)
+/* Leaves it with one of the keepers, to wait there for a slot. */
+static void
+wait_at_keeper(struct comet_placement *placement, struct comet_placement_item *item,
+	const GPtrArray *shards, uint64_t now_us)
 {
-	const GPtrArray *shards = item->job.stream && placement->ops->keeper != NULL
-					  ? comet_shards_of(placement->shards, item->service)
-					  : NULL;
+	uint32_t turn = comet_draw_u32(&placement->choice.draw);
+
+	for (guint i = 0; i < shards->len && !item->asking; i++)
+	{
+		struct comet_shard *shard = shards->pdata[(i + turn) % shards->len];
+		if (placement->ops->keeper(placement->ctx, shard) == COMET_PLACEMENT_KEEPER_OTHER)
+			ask_keeper(
+				placement, item, shard, comet_choice_beyond(item), WAIT_US, now_us);
+	}
+}
+
+/* The shards of an item's service; NULL where nobody keeps count. */
+static const GPtrArray *
+shards_for(struct comet_placement *placement, const struct comet_placement_item *item)
+{
+	if (!item->job.stream || placement->ops->keeper == NULL)
+		return NULL;
+	return comet_shards_of(placement->shards, item->service);
+}
+
+static struct comet_instance *
+find(struct comet_placement *placement, struct comet_placement_item *item, bool here,
+	uint64_t now_us)
+{
+	const GPtrArray *shards = shards_for(placement, item);
 	struct comet_instance *found = NULL;
 
 	item->held = false;
@@ -156,9 +174,29 @@
 	}
 	for (uint32_t beyond = 0; beyond <= comet_choice_beyond(item); beyond++)
 	{
-		found = find_at_level(placement, item, shards, beyond, now_us);
-		if (found != NULL || item->asking)
+		bool asked = item->asking;
+		found = find_at_level(placement, item, shards, beyond, here, now_us);
+		if (found != NULL || item->asking != asked)
 			return found;
 	}
 	return NULL;
 }
+
+struct comet_instance *
+comet_placement_find(
+	struct comet_placement *placement, struct comet_placement_item *item, uint64_t now_us)
+{
+	struct comet_instance *found = find(placement, item, false, now_us);
+	const GPtrArray *shards = shards_for(placement, item);
+
+	if (found == NULL && !item->asking && item->place != NULL && shards != NULL)
+		wait_at_keeper(placement, item, shards, now_us);
+	return found;
+}
+
+struct comet_instance *
+comet_placement_find_here(
+	struct comet_placement *placement, struct comet_placement_item *item, uint64_t now_us)
+{
+	return find(placement, item, true, now_us);
+}
--- a/libcometspindle/gateway/placement_private.h
+++ b/libcometspindle/gateway/placement_private.h
@@ -6,8 +6,31 @@
 #define COMETSPINDLE_GATEWAY_PLACEMENT_PRIVATE_H
 
 #include <libcometspindle/gateway/choice.h>
+#include <libcometspindle/gateway/flow.h>
 #include <libcometspindle/gateway/placement.h>
 
+/** Ranks whose pace in the queue is told apart; those below share the last. */
+#define COMET_PLACEMENT_RANKS 8
+
+/** What waits for one service. */
+struct comet_placement_queue
+{
+	char *service;
+	GSequence *items;  /**< of struct comet_placement_item, in order of rank */
+	GSequence *guests; /**< of struct comet_placement_guest, in the same order */
+	uint64_t aged_us;  /**< when it was last looked at what is late */
+	/** Of those that can be in time, and of the late. */
+	struct comet_flow flows[COMET_PLACEMENT_RANKS][2];
+};
+
+/** A request of another VM that waits here for a slot this VM keeps count of. */
+struct comet_placement_guest
+{
+	struct comet_placement_item item; /**< first member: guests are ordered like items */
+	struct comet_placement_ask ask;
+	uint32_t except[COMET_PLACEMENT_EXCEPT_MAX]; /**< what ask.except points at */
+};
+
 struct comet_placement
 {
 	struct comet_instances *instances;
@@ -15,25 +38,79 @@
 	struct comet_choice choice;
 	const struct comet_placement_ops *ops;
 	void *ctx;
-	GHashTable *queues; /* service -> struct queue */
+	GHashTable *queues; /* service -> struct comet_placement_queue */
 	struct comet_placement_reason reason;
 	uint32_t asking; /* requests that await a keeper's answer */
 	uint64_t next_order;
+	uint64_t pass; /* number of the last pass over a queue */
 	bool running;
 	bool again;
 };
 
-/** Chooses by views among all of a service's endpoints (placement_find.c). */
+/* placement_queue.c */
+
+struct comet_placement_queue *
+comet_placement_queue_of(struct comet_placement *placement, const char *service);
+
+GHashTable *
+comet_placement_queues_create(void);
+
+/** The order in which items are served; either may be the item of a guest. */
+gint
+comet_placement_compare(gconstpointer left, gconstpointer right, gpointer ctx);
+
+/** Puts an item into its queue. */
+void
+comet_placement_enqueue(
+	struct comet_placement_queue *queue, struct comet_placement_item *item, uint64_t now_us);
+
+/** Takes an item out of its queue. */
+void
+comet_placement_take_out(struct comet_placement *placement, struct comet_placement_item *item);
+
+struct comet_flow *
+comet_placement_flow_of(
+	struct comet_placement_queue *queue, const struct comet_placement_item *item);
+
+/** Can an answer that is begun after wait_us not be in time any more? */
+bool
+comet_placement_is_late(const struct comet_placement *placement,
+	const struct comet_placement_item *item, uint64_t wait_us, uint64_t now_us);
+
+/* placement_find.c */
+
+/** Chooses by views among all of a service's endpoints. */
 struct comet_instance *
 comet_placement_choose_by_views(struct comet_placement *placement,
 	const struct comet_placement_item *item, uint64_t now_us);
 
 /**
- * Looks for a slot: free ones anywhere first, then those where the item would wait a little.
+ * Looks for a slot: free ones anywhere first, then those where the item would wait a little. When
+ * there is none, it is left with a keeper to wait there.
  * @return an instance; NULL: none, or a keeper was asked and item->asking is set
  */
 struct comet_instance *
 comet_placement_find(
 	struct comet_placement *placement, struct comet_placement_item *item, uint64_t now_us);
 
+/** The same among the shards that this VM may choose in by itself. */
+struct comet_instance *
+comet_placement_find_here(
+	struct comet_placement *placement, struct comet_placement_item *item, uint64_t now_us);
+
+/* placement_guests.c */
+
+/** Drops guests whose time is over, and puts late ones behind. */
+void
+comet_placement_age_guests(
+	struct comet_placement *placement, struct comet_placement_queue *queue, uint64_t now_us);
+
+/** Grants a guest a slot if there is one, and lets it go. */
+void
+comet_placement_offer(
+	struct comet_placement *placement, struct comet_placement_guest *guest, uint64_t now_us);
+
+void
+comet_placement_free_guest(gpointer guest);
+
 #endif
--- /dev/null
+++ b/libcometspindle/gateway/placement_queue.c
@@ -0,0 +1,163 @@
+/*
+ * placement_queue.c
+ * what waits for a service: in which order, and for how long
+ */
+#include <libcometspindle/gateway/placement_private.h>
+
+/* Least part of a service's endpoints that a VM takes for its own when it reckons how fast its
+ * queue moves: more VMs than this bring only a few requests each. */
+#define SHARE_MIN 0.02
+
+/* While no endpoint of a service can be used, the next is reckoned with after this time: as long as
+ * one takes to be listed after its start. */
+#define NOBODY_US 1000000.0
+
+static void
+free_queue(gpointer data)
+{
+	struct comet_placement_queue *queue = data;
+
+	g_sequence_free(queue->items);
+	g_sequence_free(queue->guests);
+	g_free(queue->service);
+	g_free(queue);
+}
+
+GHashTable *
+comet_placement_queues_create(void)
+{
+	return g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_queue);
+}
+
+struct comet_placement_queue *
+comet_placement_queue_of(struct comet_placement *placement, const char *service)
+{
+	struct comet_placement_queue *queue = g_hash_table_lookup(placement->queues, service);
+
+	if (queue == NULL)
+	{
+		queue = g_new0(struct comet_placement_queue, 1);
+		queue->service = g_strdup(service);
+		queue->items = g_sequence_new(NULL);
+		queue->guests = g_sequence_new(comet_placement_free_guest);
+		g_hash_table_insert(placement->queues, queue->service, queue);
+	}
+	return queue;
+}
+
+gint
+comet_placement_compare(gconstpointer left, gconstpointer right, gpointer ctx)
+{
+	const struct comet_placement_item *a = left;
+	const struct comet_placement_item *b = right;
+
+	(void)ctx;
+	if (a->team_rank != b->team_rank)
+		return a->team_rank < b->team_rank ? -1 : 1;
+	if (a->route_rank != b->route_rank)
+		return a->route_rank < b->route_rank ? -1 : 1;
+	if (a->late != b->late)
+		return a->late ? 1 : -1;
+	if (a->order == b->order)
+		return 0;
+	return a->order < b->order ? -1 : 1;
+}
+
+uint32_t
+comet_placement_rank(const struct comet_placement_item *item)
+{
+	return item->team_rank + item->route_rank;
+}
+
+struct comet_flow *
+comet_placement_flow_of(
+	struct comet_placement_queue *queue, const struct comet_placement_item *item)
+{
+	uint32_t rank = MIN(comet_placement_rank(item), COMET_PLACEMENT_RANKS - 1);
+
+	return &queue->flows[rank][item->late ? 1 : 0];
+}
+
+void
+comet_placement_enqueue(
+	struct comet_placement_queue *queue, struct comet_placement_item *item, uint64_t now_us)
+{
+	comet_flow_enter(comet_placement_flow_of(queue, item), now_us);
+	item->queued = true;
+	item->place = g_sequence_insert_sorted(queue->items, item, comet_placement_compare, NULL);
+}
+
+void
+comet_placement_take_out(struct comet_placement *placement, struct comet_placement_item *item)
+{
+	struct comet_placement_queue *queue = comet_placement_queue_of(placement, item->service);
+
+	comet_flow_leave(comet_placement_flow_of(queue, item));
+	g_sequence_remove(item->place);
+	item->place = NULL;
+}
+
+/* How fast a service's queue moves here: the time between two slots that come free for this VM. */
+static double
+slot_interval_us(struct comet_placement *placement, const char *service, uint64_t now_us)
+{
+	const GPtrArray *all = comet_instances_of(placement->instances, service);
+	double usual_us = (double)comet_instances_usual_us(placement->instances, service);
+	double per_us = 0;
+	double own = 0;
+	double load = 0;
+
+	for (guint i = 0; all != NULL && i < all->len; i++)
+	{
+		const struct comet_instance *instance = all->pdata[i];
+		if (instance->draining || instance->replaced || instance->avoid_us > now_us)
+			continue;
+		per_us += instance->slots / (usual_us * instance->pace);
+		own += instance->own;
+		load += comet_instance_load(instance, now_us);
+	}
+	if (per_us == 0)
+		return NOBODY_US;
+	double share = CLAMP((own + 1) / (load + 1), SHARE_MIN, 1.0);
+	return 1 / per_us / share;
+}
+
+uint64_t
+comet_placement_wait_us(
+	struct comet_placement *placement, const struct comet_placement_item *item, uint64_t now_us)
+{
+	struct comet_placement_queue *queue = comet_placement_queue_of(placement, item->service);
+	struct comet_placement_item probe = *item;
+
+	probe.order = UINT64_MAX;
+	GSequenceIter *at = g_sequence_search(queue->items, &probe, comet_placement_compare, NULL);
+	int ahead = g_sequence_iter_get_position(at);
+	double by_slots = (ahead + 1) * slot_interval_us(placement, item->service, now_us);
+	double by_pace = comet_flow_wait_us(comet_placement_flow_of(queue, item), now_us);
+	return (uint64_t)MAX(by_slots, by_pace);
+}
+
+bool
+comet_placement_is_late(const struct comet_placement *placement,
+	const struct comet_placement_item *item, uint64_t wait_us, uint64_t now_us)
+{
+	uint64_t first_us =
+		comet_instances_usual_first_us(placement->instances, item->service, &item->job);
+
+	return item->aim_us != 0 && now_us + wait_us + first_us > item->aim_us;
+}
+
+void
+comet_placement_each_service(const struct comet_placement *placement,
+	void (*visit)(void *ctx, const char *service, uint32_t waiting), void *ctx)
+{
+	GHashTableIter at;
+	gpointer value = NULL;
+
+	g_hash_table_iter_init(&at, placement->queues);
+	while (g_hash_table_iter_next(&at, NULL, &value))
+	{
+		const struct comet_placement_queue *queue = value;
+		visit(ctx, queue->service, (uint32_t)g_sequence_get_length(queue->items));
+	}
+}
--- a/libcometspindle/gateway/shards.h
+++ b/libcometspindle/gateway/shards.h
@@ -27,6 +27,8 @@
 	uint64_t keeper_us;
 	/** By level: until then its keeper has no room; 0: not known. */
 	uint64_t denied_us[COMET_SHARD_LEVELS];
+	/** By level: pass over a queue in which it was found full, for its keeper. */
+	uint64_t full_pass[COMET_SHARD_LEVELS];
 };
 
 struct comet_shards;
--- a/tests/unit/grants_fleet.h
+++ b/tests/unit/grants_fleet.h
@@ -90,9 +90,9 @@
 		static const uint32_t seeds[] = {1};
 		static const comet_views_ops views_ops = {on_send, on_changed};
 		static const comet_placement_ops placement_ops = {
-			on_dispatch, on_refuse, on_keeper, on_ask, on_forget};
-		static const comet_grants_ops grants_ops = {
-			on_send, on_granted, on_denied, on_unanswered, on_choose, on_freed};
+			on_dispatch, on_refuse, on_keeper, on_ask, on_forget, on_grant};
+		static const comet_grants_ops grants_ops = {on_send, on_granted, on_denied,
+			on_waited, on_unanswered, on_choose, on_freed};
 		comet_allowance_bounds bounds = {8000, 0, 0};
 		vm &one = vms[address];
 
@@ -186,10 +186,28 @@
 	}
 
 	static void
-	on_denied(void *ctx, comet_placement_item *item, uint32_t shard, uint32_t beyond, bool held)
+	on_denied(void *ctx, comet_placement_item *item, uint32_t shard, uint32_t beyond)
 	{
 		auto *one = static_cast<vm *>(ctx);
-		comet_placement_denied(one->placement, item, shard, beyond, held, one->all->now_us);
+		comet_placement_denied(one->placement, item, shard, beyond, one->all->now_us);
+		comet_placement_run(one->placement, one->all->now_us);
+	}
+
+	static void
+	on_waited(void *ctx, comet_placement_item *item)
+	{
+		auto *one = static_cast<vm *>(ctx);
+		comet_placement_waited(one->placement, item, one->all->now_us);
+		comet_placement_run(one->placement, one->all->now_us);
+	}
+
+	static void
+	on_grant(void *ctx, const comet_placement_ask *ask, comet_instance *instance)
+	{
+		auto *one = static_cast<vm *>(ctx);
+		comet_views_granted(one->views, ask->asker, instance->key, ask->job.prompt_tokens,
+			one->all->now_us);
+		comet_grants_grant(one->grants, ask->asker, ask->number, instance->key);
 	}
 
 	static void
@@ -200,19 +218,29 @@
 	}
 
 	static uint32_t
-	on_choose(void *ctx, const comet_SlotAsk *ask, bool *held)
+	on_choose(void *ctx, const comet_SlotAsk *ask, bool *waits)
 	{
 		auto *one = static_cast<vm *>(ctx);
-		comet_job job = {ask->prompt_tokens, ask->output_tokens, 0, true};
-		comet_placement_ask wanted = {ask->shard, ask->beyond, ask->except,
-			ask->except_count, 0,
-			ask->aim_ms > 0 ? one->all->now_us + ask->aim_ms * 1000 : 0};
-		comet_instance *instance = comet_placement_choose_for(
-			one->placement, &job, &wanted, one->all->now_us, held);
+		uint64_t now_us = one->all->now_us;
+		comet_placement_ask wanted = {};
+		wanted.asker = ask->asker;
+		wanted.number = ask->number;
+		wanted.shard = ask->shard;
+		wanted.beyond = ask->beyond;
+		wanted.except = ask->except;
+		wanted.n_except = ask->except_count;
+		wanted.job = {ask->prompt_tokens, ask->output_tokens, 0, true};
+		wanted.team_rank = ask->team_rank;
+		wanted.route_rank = ask->route_rank;
+		wanted.late = ask->late;
+		wanted.aim_us = ask->aim_ms > 0 ? now_us + ask->aim_ms * 1000 : 0;
+		wanted.wait_us = ask->wait_ms * 1000;
+		comet_instance *instance =
+			comet_placement_choose_for(one->placement, &wanted, now_us, waits);
 		if (instance == nullptr)
 			return 0;
-		comet_views_granted(one->views, ask->asker, instance->key, ask->prompt_tokens,
-			one->all->now_us);
+		comet_views_granted(
+			one->views, ask->asker, instance->key, ask->prompt_tokens, now_us);
 		return instance->key;
 	}
 
--- a/tests/unit/test_gateway_grants.cc
+++ b/tests/unit/test_gateway_grants.cc
@@ -189,7 +189,8 @@
 	static const comet_grants_ops ops = {
 		[](void *, uint32_t, const uint8_t *, size_t) {},
 		[](void *, comet_placement_item *, uint32_t, uint32_t) {},
-		[](void *, comet_placement_item *, uint32_t, uint32_t, bool) {},
+		[](void *, comet_placement_item *, uint32_t, uint32_t) {},
+		[](void *, comet_placement_item *) {},
 		[](void *ctx, comet_placement_item *item, uint32_t keeper)
 		{
 			auto *one = static_cast<late_asker *>(ctx);
--- /dev/null
+++ b/tests/unit/test_gateway_waits.cc
@@ -0,0 +1,204 @@
+/*
+ * test_gateway_waits.cc
+ * requests of several VMs that wait for slots at the VM that keeps count of them
+ */
+#include "grants_fleet.h"
+#include "placement_fixture.h"
+
+namespace
+{
+
+using grants_fleet::fleet;
+using grants_fleet::mail;
+using grants_fleet::slots;
+
+/* Some VMs that are not the keeper. */
+struct askers
+{
+	uint32_t keeper;
+	uint32_t first;
+	uint32_t second;
+
+	explicit askers(fleet &all) : keeper(all.keeper_of_all(1))
+	{
+		first = keeper == 1 ? 2 : 1;
+		second = keeper == 3 ? 2 : 3;
+	}
+};
+
+std::vector<comet_placement_item *>
+fill(fleet &all, uint32_t vm, uint32_t count)
+{
+	std::vector<comet_placement_item *> items;
+	for (uint32_t i = 0; i < count; i++)
+		items.push_back(all.submit(vm));
+	all.deliver();
+	EXPECT_EQ(all.total(), count);
+	return items;
+}
+
+/* VMs that ask again and again get a slot by chance, whoever is more urgent. */
+TEST(Waits, AFreedSlotGoesToTheMostUrgentOfAllVms)
+{
+	fleet all(4, 1);
+	askers vms(all);
+	auto running = fill(all, vms.first, slots);
+	comet_placement_item *own = all.submit(vms.keeper, 4);
+	comet_placement_item *lesser = all.submit(vms.first, 3);
+	all.pass(50000);
+	comet_placement_item *urgent = all.submit(vms.second, 2);
+	all.pass(50000);
+	EXPECT_EQ(all.total(), slots);
+	all.end(vms.first, running[0]);
+	all.deliver();
+	EXPECT_EQ(all.vms[vms.second].sent.count(urgent), 1U) << "at once, without asking again";
+	EXPECT_EQ(all.total(), slots);
+	all.end(vms.first, running[1]);
+	all.deliver();
+	EXPECT_EQ(all.vms[vms.first].sent.count(lesser), 1U);
+	all.end(vms.first, running[2]);
+	all.deliver();
+	EXPECT_EQ(all.vms[vms.keeper].sent.count(own), 1U) << "the keeper's own come in turn";
+	EXPECT_EQ(all.most_at_one(), slots);
+}
+
+TEST(Waits, AmongEqualsThoseInTimeGoFirstWhateverTheirVm)
+{
+	fleet all(4, 1);
+	askers vms(all);
+	auto running = fill(all, vms.first, slots);
+	comet_placement_item *late = all.submit(vms.first, 2, 300000);
+	all.pass(250000); /* a first event takes 130 ms */
+	comet_placement_item *fresh = all.submit(vms.second, 2, 2000000);
+	all.pass(50000);
+	all.end(vms.first, running[0]);
+	all.deliver();
+	EXPECT_EQ(all.vms[vms.second].sent.count(fresh), 1U);
+	EXPECT_EQ(all.vms[vms.first].sent.count(late), 0U);
+	all.end(vms.first, running[1]);
+	all.deliver();
+	EXPECT_EQ(all.vms[vms.first].sent.count(late), 1U);
+}
+
+TEST(Waits, AKeeperThatDiesCostsTheWaitOnly)
+{
+	fleet all(4, 1);
+	askers vms(all);
+	auto running = fill(all, vms.first, slots);
+	comet_placement_item *item = all.submit(vms.second);
+	all.pass(50000);
+	EXPECT_TRUE(item->asking);
+	all.lost = [&](const mail &one) { return one.to == vms.keeper || one.from == vms.keeper; };
+	all.end(vms.first, running[0]);
+	all.pass(500000);
+	EXPECT_EQ(all.vms[vms.second].sent.count(item), 1U) << "placed by views";
+	EXPECT_EQ(all.vms[vms.second].dispatches[item], 1);
+}
+
+TEST(Waits, WhoLeavesWhileWaitingTakesNoSlot)
+{
+	fleet all(4, 1);
+	askers vms(all);
+	auto running = fill(all, vms.first, slots);
+	comet_placement_item *leaver = all.submit(vms.second);
+	all.pass(50000);
+	comet_placement_item *next = all.submit(vms.keeper);
+	comet_placement_withdraw(all.vms[vms.second].placement, leaver);
+	all.end(vms.first, running[0]);
+	all.pass(20000);
+	EXPECT_EQ(all.vms[vms.second].sent.size(), 0U);
+	EXPECT_EQ(all.vms[vms.keeper].sent.count(next), 1U) << "the slot came back";
+}
+
+TEST(Waits, ARequestThatMayNotWaitLongerIsRefusedAndItsGrantGivenBack)
+{
+	fleet all(4, 1);
+	askers vms(all);
+	auto running = fill(all, vms.first, slots);
+	comet_placement_item *item = all.submit(vms.second);
+	item->latest_us = all.now_us + 100000;
+	all.pass(150000);
+	EXPECT_EQ(all.vms[vms.second].refused.count(item), 1U);
+	EXPECT_FALSE(item->asking);
+	all.end(vms.first, running[0]);
+	all.pass(50000);
+	EXPECT_TRUE(all.vms[vms.second].sent.empty());
+	const comet_instance *kept = comet_instances_find(all.vms[vms.keeper].instances, "i0");
+	EXPECT_EQ(kept->own + kept->others, slots - 1);
+}
+
+/* Found on a hunted day: whether a keeper is to be asked changed between two looks, a request asked
+ * at two, and was sent twice. */
+struct two_keepers
+{
+	uint32_t looks = 0;
+	uint32_t open = 0;
+	uint32_t most_open = 0;
+	uint32_t dispatches = 0;
+	comet_placement_ask last = {};
+};
+
+TEST(Waits, ARequestAsksOneKeeperAtATime)
+{
+	static const comet_placement_ops ops = {
+		[](void *ctx, comet_placement_item *, comet_instance *instance)
+		{
+			static_cast<two_keepers *>(ctx)->dispatches++;
+			instance->own++;
+		},
+		[](void *, comet_placement_item *, uint32_t) {},
+		[](void *ctx, comet_shard *)
+		{
+			uint32_t look = static_cast<two_keepers *>(ctx)->looks++;
+			return look % 3 == 0 ? COMET_PLACEMENT_KEEPER_SELF
+					     : COMET_PLACEMENT_KEEPER_OTHER;
+		},
+		[](void *ctx, comet_placement_item *, comet_shard *, const comet_placement_ask *ask)
+		{
+			auto *one = static_cast<two_keepers *>(ctx);
+			one->last = *ask;
+			one->most_open = std::max(one->most_open, ++one->open);
+		},
+		[](void *ctx, comet_placement_item *) { static_cast<two_keepers *>(ctx)->open--; },
+		[](void *, const comet_placement_ask *, comet_instance *) {},
+	};
+	two_keepers one;
+	comet_instances *instances = comet_instances_create(nullptr, "a");
+	for (const char *zone : {"a", "b", "c"})
+	{
+		comet_instance_record record = {zone, "llm", "127.0.0.1:1", zone, 1, 0, false};
+		comet_instances_put(instances, &record, 0)->own = 1;
+	}
+	comet_placement *placement = comet_placement_create(instances, instances, &ops, &one, 1);
+	comet_placement_item item = {};
+	item.service = "llm";
+	item.job = {1000, 100, 100, true};
+	item.route_rank = 2; /* it takes no place beyond the slots */
+	item.latest_us = 60000000;
+	uint64_t now_us = 1000000;
+	comet_placement_submit(placement, &item, now_us);
+	for (int i = 0; i < 200; i++, now_us += 20000)
+	{
+		comet_placement_run(placement, now_us);
+		ASSERT_LE(one.open, 1U);
+		if (!item.asking || i % 3 != 0)
+			continue;
+		one.open--;
+		if (one.last.wait_us > 0)
+			comet_placement_waited(placement, &item, now_us);
+		else
+			comet_placement_denied(placement, &item, one.last.shard, 0, now_us);
+	}
+	EXPECT_EQ(one.most_open, 1U);
+	EXPECT_EQ(one.dispatches, 0U);
+	uint32_t key = comet_instances_find(instances, "a")->key;
+	for (int i = 0; i < 200 && !item.asking; i++)
+		comet_placement_run(placement, now_us += 20000);
+	ASSERT_TRUE(item.asking);
+	EXPECT_TRUE(comet_placement_granted(placement, &item, 7, key, now_us));
+	EXPECT_FALSE(comet_placement_granted(placement, &item, 7, key, now_us)) << "one is enough";
+	EXPECT_EQ(one.dispatches, 1U);
+	talloc_free(instances);
+}
+
+} // namespace
