The admission of requests in a file of its own

Cause: gateway_relay.c held two subjects, how a request is admitted and how it ends, in 450 lines. Change: gateway_admit.c; moved by itself, no change of behaviour.

--- /dev/null
+++ b/libcometspindle/adapters/gateway/gateway_admit.c
@@ -0,0 +1,244 @@
+/*
+ * gateway_admit.c
+ * one request at a gateway: its admission, from its arrival to its place in a queue
+ */
+#include <libcometspindle/adapters/gateway/gateway_relay.h>
+
+#include <libcometspindle/log.h>
+#include <string.h>
+#include <strings.h>
+#include <talloc.h>
+
+/* A caller that waits for a stream leaves after the longest of a fixed time and some multiples of
+ * what the route aims at; nothing is worth starting for it after that. */
+#define PATIENCE_MIN_MS 2000
+#define PATIENCE_AIMS 4
+#define PATIENCE_GAPS 8
+
+/* Part of a caller's patience that is kept for the endpoint's work. */
+#define WORK_PART 0.25
+
+/* Within this part of its aim a refusal costs the caller little: it can still be in time. */
+#define EARLY_PART 4
+
+/* A VM that knows no routes yet asks to come back after this time: a start takes about as long. */
+#define NOT_READY_RETRY_S "0.5"
+
+/* A VM that stops sends callers to the others, which are there. */
+#define STOPPING_RETRY_S "0.05"
+
+static int
+call_destroy(struct comet_relay *relay)
+{
+	relay->gateway->calls--;
+	comet_route_table_unref(relay->table);
+	if (relay->answer != NULL)
+		g_byte_array_free(relay->answer, TRUE);
+	return 0;
+}
+
+static void
+on_deadline(void *ctx)
+{
+	struct comet_relay *relay = ctx;
+
+	relay->deadline = NULL;
+	if (relay->exchange != NULL)
+	{
+		relay->may_have_run = relay->may_have_run || comet_exchange_sent(relay->exchange);
+		comet_relay_end_sending(relay, COMET_DISPATCH_CANCELLED);
+	}
+	comet_relay_give_up(relay, 504, "deadline");
+}
+
+/* The key of a request's team, or NULL. */
+static const char *
+key_of(const struct comet_gateway *gateway, const struct comet_http_head *head)
+{
+	const char *value = comet_http_head_get(head, gateway->names->authorization);
+	size_t length = strlen(gateway->names->key_scheme);
+
+	if (value == NULL || strncasecmp(value, gateway->names->key_scheme, length) != 0 ||
+		value[length] != ' ')
+		return NULL;
+	while (value[length] == ' ')
+		length++;
+	return value + length;
+}
+
+/* Sizes of the request, from what its caller tells. */
+static void
+read_job(struct comet_relay *relay)
+{
+	const struct comet_wire_names *names = relay->gateway->names;
+	const struct comet_http_head *head = relay->request->head;
+	const char *tokens = comet_http_head_get(head, names->tokens);
+	const char *hint = comet_http_head_get(head, names->output_hint);
+	struct comet_job *job = &relay->item.job;
+	uint32_t expected = 0;
+
+	job->stream = comet_relay_is_stream(relay);
+	relay->charge =
+		relay->team != NULL && relay->team->in_tokens ? relay->team->default_tokens : 1;
+	if (tokens == NULL ||
+		!comet_wire_parse_tokens(tokens, &job->prompt_tokens, &job->output_tokens))
+		return;
+	job->output_most = job->output_tokens;
+	if (relay->team != NULL && relay->team->in_tokens)
+		relay->charge = (uint64_t)job->prompt_tokens + job->output_tokens;
+	if (hint != NULL && comet_wire_parse_ms(hint, &expected) && expected > 0)
+		job->output_tokens = MIN(expected, job->output_tokens);
+}
+
+/* Until when the request is worth sending, and until when its caller waits. */
+static void
+read_times(struct comet_relay *relay)
+{
+	const struct comet_route *route = relay->route;
+	const char *told =
+		comet_http_head_get(relay->request->head, relay->gateway->names->deadline_ms);
+	uint64_t patience_ms = UINT32_MAX;
+	uint32_t deadline_ms = 0;
+
+	if (told != NULL && comet_wire_parse_ms(told, &deadline_ms))
+		patience_ms = deadline_ms;
+	if (route->timeout_ms > 0)
+		patience_ms = MIN(patience_ms, route->timeout_ms);
+	relay->end_us = relay->arrived_us + patience_ms * 1000;
+	if (comet_relay_is_stream(relay))
+	{
+		uint64_t first_ms = MAX(PATIENCE_MIN_MS, (uint64_t)PATIENCE_AIMS * route->aim_ms);
+		first_ms = MAX(first_ms, (uint64_t)PATIENCE_GAPS * route->gap_ms);
+		patience_ms = MIN(patience_ms, first_ms);
+	}
+	relay->item.latest_us =
+		relay->arrived_us + (uint64_t)((double)patience_ms * 1000 * (1 - WORK_PART));
+	relay->item.end_us = relay->end_us;
+	relay->item.aim_us =
+		route->aim_ms > 0 ? relay->arrived_us + (uint64_t)route->aim_ms * 1000 : 0;
+	relay->item.early_us = relay->arrived_us + (uint64_t)route->aim_ms * 1000 / EARLY_PART;
+}
+
+/* Hands the request to placement. */
+static void
+place(struct comet_relay *relay, uint64_t now_us)
+{
+	struct comet_gateway *gateway = relay->gateway;
+	struct comet_placement_item *item = &relay->item;
+
+	item->owner = relay;
+	item->service = relay->service;
+	item->team_rank =
+		relay->team != NULL && relay->team->has_priority ? relay->team->priority : 0;
+	item->route_rank = relay->route->priority;
+	item->repeatable = comet_route_repeatable(relay->route) && relay->route->max_attempts > 1;
+	relay->answer = g_byte_array_new();
+	if (comet_relay_is_stream(relay))
+		relay->events = comet_event_stream_create(relay);
+	if (relay->end_us > now_us)
+		relay->deadline = comet_timers_add(
+			gateway->timers, relay, relay->end_us - now_us, on_deadline, relay);
+	gateway->counts.admitted++;
+	comet_placement_submit(gateway->placement, item, now_us);
+}
+
+/* Checks key and limit. @return false when it was answered. */
+static bool
+admit_team(struct comet_relay *relay, uint64_t now_us)
+{
+	struct comet_gateway *gateway = relay->gateway;
+
+	if (!relay->route->open && comet_route_table_needs_keys(relay->table))
+	{
+		const char *key = key_of(gateway, relay->request->head);
+		relay->team = key != NULL ? comet_route_table_team_by_key(relay->table, key) : NULL;
+		if (relay->team == NULL)
+		{
+			gateway->counts.refused_other++;
+			comet_relay_answer(relay, 401, "unknown_key", 0);
+			return false;
+		}
+	}
+	read_job(relay);
+	if (relay->team == NULL)
+		return true;
+	uint32_t wait_ms = comet_allowance_spend(
+		gateway->allowance, relay->team->id, relay->route->priority, relay->charge, now_us);
+	if (wait_ms == 0)
+		return true;
+	gateway->counts.refused_team++;
+	comet_log(COMET_LOG_INFO,
+		"event=over_limit request=%s team=%s charge=%" G_GUINT64_FORMAT " left=%.0f",
+		relay->id, relay->team->name, relay->charge,
+		comet_allowance_left(gateway->allowance, relay->team->id, now_us));
+	comet_relay_answer(relay, 429, "team_limit", wait_ms);
+	return false;
+}
+
+/* Finds the route of a request. @return false when it was answered. */
+static bool
+find_route(struct comet_relay *relay)
+{
+	struct comet_gateway *gateway = relay->gateway;
+	const struct comet_http_head *head = relay->request->head;
+	const char *host = comet_http_head_get(head, "Host");
+
+	if (relay->id == NULL || host == NULL || head->target[0] != '/' ||
+		comet_http_head_count(head, "Host") != 1)
+	{
+		gateway->counts.refused_other++;
+		comet_relay_answer(relay, 400, "malformed", 0);
+		return false;
+	}
+	relay->route = comet_route_table_find(relay->table, host, head->target);
+	if (relay->route == NULL)
+	{
+		gateway->counts.refused_other++;
+		comet_relay_answer(relay, 404, "no_route", 0);
+		return false;
+	}
+	return true;
+}
+
+void
+comet_relay_take(void *ctx, struct comet_front_request *request)
+{
+	struct comet_gateway *gateway = ctx;
+	uint64_t now_us = comet_timers_now_us();
+
+	if (gateway->table == NULL)
+	{
+		gateway->counts.refused_other++;
+		comet_front_answer(request, 503, "Retry-After: " NOT_READY_RETRY_S "\r\n", "", 0);
+		return;
+	}
+	if (gateway->refusing)
+	{
+		/* Too late to be finished before this process ends: others take it at once. */
+		gateway->counts.refused_early++;
+		comet_front_answer(request, 503, "Retry-After: " STOPPING_RETRY_S "\r\n", "", 0);
+		return;
+	}
+	struct comet_relay *relay = talloc_zero(gateway, struct comet_relay);
+	gateway->calls++;
+	talloc_set_destructor(relay, call_destroy);
+	relay->gateway = gateway;
+	relay->request = request;
+	relay->table = comet_route_table_ref(gateway->table);
+	relay->id = comet_http_head_get(request->head, gateway->names->request_id);
+	relay->arrived_us = request->received_us;
+	request->user = relay;
+	if (!find_route(relay) || !admit_team(relay, now_us))
+		return;
+	read_times(relay);
+	relay->service = talloc_strdup(
+		relay, comet_route_pick_service(relay->route, comet_draw_u32(&gateway->draw)));
+	comet_log(COMET_LOG_INFO,
+		"event=admitted request=%s route=%s service=%s team=%s prompt=%u output=%u most=%u "
+		"version=%" G_GUINT64_FORMAT,
+		relay->id, relay->route->name, relay->service,
+		relay->team != NULL ? relay->team->name : "-", relay->item.job.prompt_tokens,
+		relay->item.job.output_tokens, relay->item.job.output_most,
+		comet_route_table_version(relay->table));
+	place(relay, now_us);
+}
--- a/libcometspindle/adapters/gateway/gateway_pages.c
+++ b/libcometspindle/adapters/gateway/gateway_pages.c
@@ -85,7 +85,8 @@
 		"comet_slot_asks_total{outcome=\"waited\"} %" G_GUINT64_FORMAT "\n"
 		"comet_slot_asks_total{outcome=\"unanswered\"} %" G_GUINT64_FORMAT "\n"
 		"comet_slot_asks_total{outcome=\"answered_others\"} %" G_GUINT64_FORMAT "\n",
-		counts->granted, counts->denied, counts->waited, counts->unanswered, counts->answered);
+		counts->granted, counts->denied, counts->waited, counts->unanswered,
+		counts->answered);
 }
 
 struct page
--- a/libcometspindle/adapters/gateway/gateway_relay.h
+++ b/libcometspindle/adapters/gateway/gateway_relay.h
@@ -63,6 +63,15 @@
 void
 comet_relay_end_sending(struct comet_relay *relay, enum comet_dispatch_result result);
 
+/** Takes a caller's request: admits and places it, or answers it (gateway_admit.c). */
+void
+comet_relay_take(void *ctx, struct comet_front_request *request);
+
+/** Answers with an error of our own; retry_after_ms: 0 for none. Frees it. */
+void
+comet_relay_answer(struct comet_relay *relay, unsigned int status, const char *reason,
+	uint32_t retry_after_ms);
+
 /** The request is over: frees it. The caller has its answer, or is gone. */
 void
 comet_relay_close(struct comet_relay *relay);
