--- a/libcometspindle/gateway/grants.c
+++ b/libcometspindle/gateway/grants.c
@@ -108,7 +108,9 @@
 	message->left_ms = left_ms(ask->end_us, now_us);
 	message->aim_ms = left_ms(ask->aim_us, now_us);
 	message->except_count = (pb_size_t)MIN(ask->n_except, G_N_ELEMENTS(message->except));
-	memcpy(message->except, ask->except, message->except_count * sizeof message->except[0]);
+	if (message->except_count > 0)
+		memcpy(message->except, ask->except,
+			message->except_count * sizeof message->except[0]);
 	send(grants, keeper, &datagram);
 }
 
