Connections to the store are probed while a watch waits

Change: whatever reads a document from the store or from another VM probes its connection after a second without a byte, and takes it for dead when nothing is acknowledged for two. Ruled out: shorter watches, since each counts as a call to the store.

--- a/libcometspindle/adapters/endpoints/fetch.c
+++ b/libcometspindle/adapters/endpoints/fetch.c
@@ -114,6 +114,7 @@
 		.address = request->address,
 		.bytes = bytes,
 		.length = strlen(bytes),
+		.probe = true,
 	};
 
 	fetch->handler = handler;
--- a/libcometspindle/adapters/endpoints/upstream.c
+++ b/libcometspindle/adapters/endpoints/upstream.c
@@ -409,6 +409,8 @@
 		return exchange;
 	}
 	link->exchange = exchange;
+	if (request->probe)
+		comet_socket_probe(link->socket);
 	if (link->connected)
 		write_request(exchange);
 	else
--- a/libcometspindle/adapters/endpoints/upstream.h
+++ b/libcometspindle/adapters/endpoints/upstream.h
@@ -41,6 +41,7 @@
 	const char *id_header; /**< header that an answer repeats; NULL: not looked at */
 	const char *id;
 	bool head_only; /**< HEAD: the answer has no body */
+	bool probe;     /**< the answer may take long: a dead connection is to be noticed sooner */
 };
 
 /** Counts for metrics; monotonic but for the first two. */
--- a/libcometspindle/adapters/socket.c
+++ b/libcometspindle/adapters/socket.c
@@ -19,6 +19,14 @@
 /* A peer that acknowledges nothing for so long is gone: a few round trips of any zone. */
 #define USER_TIMEOUT_MS 5000
 
+/* Of a connection that is probed: after a second without a byte the other side is asked each second
+ * whether it is there, and is gone when it has acknowledged nothing for this time. A second is the
+ * shortest the kernel knows. The count says the same where the kernel goes by it alone. */
+#define PROBE_IDLE_S 1
+#define PROBE_INTERVAL_S 1
+#define PROBE_COUNT 1
+#define PROBE_TIMEOUT_MS 2000
+
 /* Connections that wait to be accepted; a burst of callers opens dozens at once. */
 #define LISTEN_BACKLOG 512
 
@@ -274,6 +282,22 @@
 	return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+void
+comet_socket_probe(struct comet_socket *socket)
+{
+	int on = 1;
+	int idle_s = PROBE_IDLE_S;
+	int interval_s = PROBE_INTERVAL_S;
+	int count = PROBE_COUNT;
+	unsigned int timeout_ms = PROBE_TIMEOUT_MS;
+
+	setsockopt(socket->fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
+	setsockopt(socket->fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle_s, sizeof idle_s);
+	setsockopt(socket->fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval_s, sizeof interval_s);
+	setsockopt(socket->fd, IPPROTO_TCP, TCP_KEEPCNT, &count, sizeof count);
+	setsockopt(socket->fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms, sizeof timeout_ms);
+}
+
 void
 comet_socket_set_reset(struct comet_socket *socket)
 {
--- a/libcometspindle/adapters/socket.h
+++ b/libcometspindle/adapters/socket.h
@@ -60,6 +60,11 @@
 bool
 comet_socket_is_quiet(const struct comet_socket *socket);
 
+/** Looks, while nothing comes, whether the other side is still there: a connection that has gone
+ * silent for good breaks within about two seconds, however long its answer may take. */
+void
+comet_socket_probe(struct comet_socket *socket);
+
 /** Closing will reset the connection: what is queued is lost, and no end looks orderly. */
 void
 comet_socket_set_reset(struct comet_socket *socket);
--- a/scripts/hunt.py
+++ b/scripts/hunt.py
@@ -45,7 +45,7 @@
     "after_ack_kill": ["for_s = 3.0", 'for_s = 3.0, how = "timed"', 'for_s = 3.0, how = "kill"'],
     "clock_step": [f'share = 0.4, x = 2500.0, for_s = 5.0, how = "{how}"'
                    for how in ("ahead", "back")],
-    "reset_conns": ["share = 0.4, x = 0.5"],
+    "reset_conns": ["share = 0.4, x = 0.5", 'share = 1.0, x = 1.0, how = "silent"'],
     "core_cut": ['count = 1, for_s = 5.0', 'count = 2, for_s = 5.0, how = "refuse"',
                  'count = 2, for_s = 4.0, how = "leader race"',
                  'count = 1, for_s = 5.0, how = "one_way"'],
--- a/tests/system/test_gateway.py
+++ b/tests/system/test_gateway.py
@@ -427,6 +427,19 @@
     assert server.runs
 
 
+def timers_towards(port):
+    """The kernel's timers of connections that were made to a port: "02" probes a quiet one."""
+    remote = f":{port:04X}"
+    with open("/proc/net/tcp", encoding="utf-8") as file:
+        rows = [line.split() for line in file.readlines()[1:]]
+    return [row[5].split(":")[0] for row in rows if row[2].endswith(remote) and row[3] == "01"]
+
+
+def test_silent_store_is_noticed(world):
+    """A store connection may go silent for good while a watch waits on it: it must be probed."""
+    wait_for(lambda: timers_towards(world.store.port) == ["02"])
+
+
 def test_copy_from_other_vm():
     """A VM that cannot reach the store takes what another one has read."""
     store = Store()
@@ -622,7 +635,7 @@
     with_world = [test_relay, test_smuggling, test_kept_connection, test_refused_by_server,
                   test_broken_before_answer, test_foreign_answer, test_unframed_and_cut,
                   test_streams, test_caller_leaves, test_configuration, test_servers_leave,
-                  test_pages]
+                  test_silent_store_is_noticed, test_pages]
     alone = [test_forged_headers, test_store_away, test_copy_from_other_vm, test_busy_store, test_answers_too_large,
              test_only_server_fails, test_limit_at_start, test_planned_stop, test_stop_with_open_connections,
              test_signal_while_starting,
