--- /dev/null
+++ b/libcometspindle/adapters/gateway/gateway_metrics.c
@@ -0,0 +1,272 @@
+/*
+ * gateway_metrics.c
+ * the counters, gauges and histograms of a gateway, in the text format that collectors read
+ */
+#include <libcometspindle/adapters/gateway/gateway_private.h>
+
+#include <stddef.h>
+
+/* Begins a family: strict readers refuse samples without it, or apart from it. */
+static void
+put_type(GString *out, const char *name, const char *type)
+{
+	g_string_append_printf(out, "# TYPE comet_%s %s\n", name, type);
+}
+
+static void
+put(GString *out, const char *name, const char *type, double value)
+{
+	put_type(out, name, type);
+	g_string_append_printf(out, "comet_%s %.10g\n", name, value);
+}
+
+static void
+put_outcomes(GString *out, const struct comet_gateway_counts *counts)
+{
+	const struct
+	{
+		const char *name;
+		uint64_t value;
+	} rows[] = {
+		{"served", counts->served},
+		{"relayed_error", counts->relayed_errors},
+		{"refused_early", counts->refused_early},
+		{"refused_team", counts->refused_team},
+		{"refused_other", counts->refused_other},
+		{"failed", counts->failed},
+		{"cut", counts->cut},
+		{"caller_left", counts->left},
+	};
+
+	put_type(out, "requests_total", "counter");
+	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++)
+		g_string_append_printf(out,
+			"comet_requests_total{outcome=\"%s\"} %" G_GUINT64_FORMAT "\n",
+			rows[i].name, rows[i].value);
+}
+
+static void
+put_asks(GString *out, const struct comet_gateway_counts *counts)
+{
+	g_string_append_printf(out,
+		"# TYPE comet_slot_asks_total counter\n"
+		"comet_slot_asks_total{outcome=\"granted\"} %" G_GUINT64_FORMAT "\n"
+		"comet_slot_asks_total{outcome=\"denied\"} %" G_GUINT64_FORMAT "\n"
+		"comet_slot_asks_total{outcome=\"waited\"} %" G_GUINT64_FORMAT "\n"
+		"comet_slot_asks_total{outcome=\"unanswered\"} %" G_GUINT64_FORMAT "\n"
+		"comet_slot_asks_total{outcome=\"answered_others\"} %" G_GUINT64_FORMAT "\n",
+		counts->granted, counts->denied, counts->waited, counts->unanswered,
+		counts->answered);
+}
+
+/* What is being written. */
+struct page
+{
+	struct comet_gateway *gateway;
+	GString *out;
+	uint64_t now_us;
+	const void *family; /* of services or endpoints, whose figures are written now */
+};
+
+/* One figure of each service; value: of one. */
+struct service_family
+{
+	const char *name;
+	double (*value)(const struct page *page, const char *service, uint32_t waiting);
+};
+
+static double
+waiting_of(const struct page *page, const char *service, uint32_t waiting)
+{
+	(void)page;
+	(void)service;
+	return waiting;
+}
+
+static double
+repeats_left_of(const struct page *page, const char *service, uint32_t waiting)
+{
+	(void)waiting;
+	return comet_retry_budget_left(page->gateway->retries, service, page->now_us);
+}
+
+static const struct service_family service_families[] = {
+	{"requests_waiting", waiting_of},
+	{"repeats_left", repeats_left_of},
+};
+
+static void
+put_service(void *ctx, const char *service, uint32_t waiting)
+{
+	const struct page *page = ctx;
+	const struct service_family *family = page->family;
+
+	g_string_append_printf(page->out, "comet_%s{service=\"%s\"} %.10g\n", family->name, service,
+		family->value(page, service, waiting));
+}
+
+static void
+put_services(struct page *page)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(service_families); i++)
+	{
+		page->family = &service_families[i];
+		put_type(page->out, service_families[i].name, "gauge");
+		comet_placement_each_service(page->gateway->placement, put_service, page);
+	}
+}
+
+static void
+put_team(void *ctx, const struct comet_route_team *team)
+{
+	const struct page *page = ctx;
+	double left = comet_allowance_left(page->gateway->allowance, team->id, page->now_us);
+
+	if (team->rate_per_s > 0)
+		g_string_append_printf(
+			page->out, "comet_team_left{team=\"%s\"} %.0f\n", team->name, left);
+}
+
+static void
+put_teams(struct page *page)
+{
+	const struct comet_route_table *table = page->gateway->table;
+
+	if (table == NULL)
+		return;
+	put_type(page->out, "team_left", "gauge");
+	comet_route_table_each_team(table, put_team, page);
+}
+
+/* One figure of each endpoint; value: false when there is none for this one. */
+struct endpoint_family
+{
+	const char *name;
+	bool (*value)(const struct comet_instance *instance, uint64_t now_us, double *value);
+};
+
+static bool
+view_age_of(const struct comet_instance *instance, uint64_t now_us, double *value)
+{
+	uint64_t viewed_us = MAX(instance->others_us, instance->told_us);
+
+	*value = (double)(now_us - viewed_us) / 1000000;
+	return viewed_us != 0;
+}
+
+static bool
+running_of(const struct comet_instance *instance, uint64_t now_us, double *value)
+{
+	(void)now_us;
+	*value = instance->own;
+	return true;
+}
+
+static bool
+pace_of(const struct comet_instance *instance, uint64_t now_us, double *value)
+{
+	(void)now_us;
+	*value = instance->pace;
+	return true;
+}
+
+static bool
+avoided_of(const struct comet_instance *instance, uint64_t now_us, double *value)
+{
+	(void)now_us;
+	*value = instance->avoid_us != 0 ? 1 : 0;
+	return true;
+}
+
+static const struct endpoint_family endpoint_families[] = {
+	{"endpoint_view_age_seconds", view_age_of},
+	{"endpoint_running", running_of},
+	{"endpoint_pace", pace_of},
+	{"endpoint_avoided", avoided_of},
+};
+
+static void
+put_endpoint(void *ctx, struct comet_instance *instance)
+{
+	const struct page *page = ctx;
+	const struct endpoint_family *family = page->family;
+	double value = 0;
+
+	if (family->value(instance, page->now_us, &value))
+		g_string_append_printf(page->out,
+			"comet_%s{endpoint=\"%s\",service=\"%s\"} %.10g\n", family->name,
+			instance->id, instance->service, value);
+}
+
+static void
+put_endpoints(struct page *page)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(endpoint_families); i++)
+	{
+		page->family = &endpoint_families[i];
+		put_type(page->out, endpoint_families[i].name, "gauge");
+		comet_instances_each(page->gateway->instances, put_endpoint, page);
+	}
+}
+
+/* Appends one histogram for each kind of route; member: its offset in struct comet_gateway_times.
+ */
+static void
+put_histograms(GString *out, const struct comet_gateway *gateway, const char *name, size_t member)
+{
+	g_string_append_printf(out, "# TYPE %s histogram\n", name);
+	for (size_t kind = 0; kind < COMET_ROUTE_KINDS; kind++)
+	{
+		const char *times = (const char *)&gateway->times[kind];
+		char labels[32];
+		g_snprintf(labels, sizeof labels, "kind=\"%s\"",
+			comet_route_kind_name((enum comet_route_kind)kind));
+		comet_latency_print(
+			(const struct comet_latency *)(times + member), out, name, labels);
+	}
+}
+
+static void
+put_times(GString *out, const struct comet_gateway *gateway)
+{
+	put_histograms(out, gateway, "comet_first_byte_seconds",
+		offsetof(struct comet_gateway_times, first));
+	put_histograms(
+		out, gateway, "comet_answer_seconds", offsetof(struct comet_gateway_times, whole));
+	put_histograms(
+		out, gateway, "comet_waited_seconds", offsetof(struct comet_gateway_times, waited));
+}
+
+void
+comet_gateway_answer_metrics(struct comet_gateway *gateway, struct comet_front_request *request)
+{
+	const struct comet_upstream_counts *up = comet_upstream_counts(gateway->upstream);
+	GString *out = g_string_new(NULL);
+	uint32_t known = 0;
+	uint32_t heard = 0;
+	struct page page = {.gateway = gateway, .out = out, .now_us = comet_timers_now_us()};
+
+	comet_views_count(gateway->views, &known, &heard);
+	put_outcomes(out, &gateway->counts);
+	comet_tally_print(gateway->ends, out, "comet_request_ends_total");
+	put_times(out, gateway);
+	put(out, "requests_open", "gauge", gateway->calls);
+	put_services(&page);
+	put_teams(&page);
+	put(out, "dispatches_total", "counter", (double)gateway->counts.dispatched);
+	put(out, "repeats_total", "counter", (double)gateway->counts.repeated);
+	put(out, "resumes_total", "counter", (double)gateway->counts.resumed);
+	put_asks(out, &gateway->counts);
+	put(out, "vms_known", "gauge", known);
+	put(out, "vms_heard", "gauge", heard);
+	put(out, "endpoint_connections_opened_total", "counter", (double)up->opened);
+	put(out, "endpoint_connections_reused_total", "counter", (double)up->reused);
+	put(out, "endpoint_connections_open", "gauge", up->open);
+	put(out, "foreign_answers_total", "counter", (double)up->foreign_answers);
+	put(out, "routes_version", "gauge",
+		gateway->table != NULL ? (double)comet_route_table_version(gateway->table) : 0);
+	put_endpoints(&page);
+	comet_front_answer(
+		request, 200, "Content-Type: text/plain; version=0.0.4\r\n", out->str, out->len);
+	g_string_free(out, TRUE);
+}
--- a/libcometspindle/adapters/gateway/gateway_private.h
+++ b/libcometspindle/adapters/gateway/gateway_private.h
@@ -127,4 +127,8 @@
 const char *
 comet_gateway_not_ready(const struct comet_gateway *gateway);
 
+/** Answers with all metrics (gateway_metrics.c). */
+void
+comet_gateway_answer_metrics(struct comet_gateway *gateway, struct comet_front_request *request);
+
 #endif
--- a/scripts/hunt.py
+++ b/scripts/hunt.py
@@ -27,9 +27,12 @@
     "srv_grey": [f'share = 0.2, x = 0.5, for_s = 5.0, how = "{how}"'
                  for how in ("errors", "shed", "busy", "hang", "reset", "mute", "errors all")] +
                 ['share = 0.2, x = 8.0, for_s = 5.0, how = "slow"'],
-    "release": ["share = 0.5, x = 1.0, gap_s = 1.0"],
+    "add_nodes": ["", "count = 1"],
+    "shift": ["share = 0.6"],
+    "release": ["share = 0.5, x = 1.0, gap_s = 1.0", "share = 1.0, x = 2.0, gap_s = 0.3"],
     "scale_out": ["share = 0.3, gap_s = 2.0"],
-    "scale_in": ["share = 0.2", 'share = 0.2, how = "spot", x = 2.0'],
+    "scale_in": ["share = 0.2", 'share = 0.2, how = "spot", x = 2.0',
+                 'for_s = 5.0, how = "reclaim"'],
     "answer_lost": ["share = 0.5, x = 0.05, for_s = 5.0",
                     'share = 0.5, x = 0.05, for_s = 5.0, how = "reset"'],
     "garble": [f'share = 0.5, x = 0.05, for_s = 5.0, how = "{how}"'
@@ -39,7 +42,8 @@
     "node_freeze": ["share = 0.2, for_s = 4.0"],
     "node_slow": ["share = 0.2, x = 6.0, for_s = 5.0"],
     "roll_term": ["share = 1.0, x = 1.0, gap_s = 1.0", 'gap_s = 1.0, how = "busy"',
-                  'share = 0.3, gap_s = 1.0, how = "remove"'],
+                  'share = 0.3, gap_s = 1.0, how = "remove"',
+                  'share = 0.5, gap_s = 0.5, how = "leader"'],
     "herd_kill": ["share = 0.6, for_s = 1.0", "share = 1.0, for_s = 1.0",
                   'share = 0.6, for_s = 2.0, how = "power"'],
     "after_ack_kill": ["for_s = 3.0", 'for_s = 3.0, how = "timed"', 'for_s = 3.0, how = "kill"'],
@@ -48,7 +52,9 @@
     "reset_conns": ["share = 0.4, x = 0.5", 'share = 1.0, x = 1.0, how = "silent"'],
     "core_cut": ['count = 1, for_s = 5.0', 'count = 2, for_s = 5.0, how = "refuse"',
                  'count = 2, for_s = 4.0, how = "leader race"',
-                 'count = 1, for_s = 5.0, how = "one_way"'],
+                 'count = 1, for_s = 5.0, how = "one_way"'] +
+                [f'count = 2, for_s = 5.0, how = "{how}"'
+                 for how in ("all", "near", "split", "seeds", "both", "lure", "relieve")],
     "node_cut": ["share = 0.2, for_s = 5.0", 'share = 0.2, for_s = 5.0, how = "all"',
                  'share = 0.2, for_s = 5.0, how = "servers"',
                  'share = 0.2, for_s = 5.0, how = "reset revoke"'],
@@ -67,7 +73,10 @@
     "revoke": ["count = 2, gap_s = 1.0", 'count = 2, gap_s = 1.0, how = "last"'],
     "srv_cut": ["share = 0.3, for_s = 5.0", 'share = 0.3, x = 0.3, for_s = 5.0, how = "some"',
                 'share = 0.3, x = 0.3, for_s = 5.0, how = "fronts"',
-                'share = 0.3, for_s = 5.0, how = "one_way"'],
+                'share = 0.3, for_s = 5.0, how = "one_way"',
+                'share = 0.3, for_s = 5.0, how = "reset"',
+                'share = 0.3, for_s = 5.0, how = "reborn"',
+                'share = 0.3, x = 0.5, for_s = 5.0, how = "some lossy"'],
     "replace_with_reuse": ["share = 0.2", 'share = 0.2, how = "drain"', 'share = 0.2, how = "dark"'],
     "hup": ["share = 1.0, gap_s = 0.2"],
     "srv_flap": ["share = 0.2, gap_s = 1.5, for_s = 6.0"],
--- a/tests/system/test_gateway.py
+++ b/tests/system/test_gateway.py
@@ -550,6 +550,23 @@
     release.set()
 
 
+def check_metrics(text):
+    """The text format, read strictly: a family is named by its TYPE line and stands together."""
+    families = set()
+    family, kind = None, None
+    for line in text.splitlines():
+        if line.startswith("# TYPE "):
+            family, kind = line.split()[2:]
+            assert family not in families, line
+            families.add(family)
+            continue
+        sample, value = line.rsplit(" ", 1)
+        name = sample.split("{")[0]
+        suffixes = ("_bucket", "_sum", "_count") if kind == "histogram" else ("",)
+        assert name in [family + suffix for suffix in suffixes], line
+        assert name.startswith("comet_") and float(value) >= 0, line
+
+
 def test_pages(world):
     assert call(world.gateway, "/safe/x")[1] == 200
     status, _, body, _ = get(world.gateway.ports["control"], "/metrics")
@@ -560,10 +577,7 @@
     assert b'comet_requests_waiting{service="svc"} 0' in body
     assert b'comet_repeats_left{service="svc"} ' in body
     assert b'comet_team_left{team="team"} ' in body
-    for line in body.decode().splitlines():  # the text format: a comment, or name{labels} number
-        if not line.startswith("# TYPE "):
-            name, value = line.rsplit(" ", 1)
-            assert name.startswith("comet_") and float(value) >= 0, line
+    check_metrics(body.decode())
     status, _, body, _ = get(world.gateway.ports["control"], "/v1/directory")
     assert status == 200 and len(json.loads(body)["entries"]) == 3
     assert get(world.gateway.ports["control"], "/other")[0] == 404
