One life of an endpoint's process in a file of its own: instance.c

Cause: instances.c held two subjects, the table that the directory fills and what is learned of each endpoint, in 514 lines; whether anything waits for a service stood twice in placement. Change: instance.c (292 lines) and instances.c (222); the time that a usual request holds a slot is told by speeds.c; one comet_placement_anything_waits(). Moved by itself, no change of behaviour.

--- /dev/null
+++ b/libcometspindle/gateway/instance.c
@@ -0,0 +1,292 @@
+/*
+ * instance.c
+ * one life of an endpoint's process: what runs there, how fast, how healthy
+ */
+#include <libcometspindle/gateway/instance.h>
+
+#include <glib.h>
+#include <libcometspindle/gateway/speeds.h>
+
+/* Weight of a new sample of an instance's pace: about the last ten requests count. */
+#define PACE_WEIGHT 0.1
+
+/* Bounds of a learned pace: hardware generations differ threefold, trouble makes it tenfold. */
+#define PACE_MIN 0.2
+#define PACE_MAX 20.0
+
+/* Slow start: how much longer a cold instance is expected to take. */
+#define COLD_FACTOR 2.0
+
+/* Failures in a row before an instance is avoided, and for how long: doubling to the longest. */
+#define FAILURES_TO_AVOID 2
+#define AVOID_FIRST_US 500000
+#define AVOID_LONGEST_US 4000000
+
+/* An instance that refused as full gets nothing for this time, doubled with each refusal in a row
+ * up to the longest: others are likely to refuse less. */
+#define FULL_FIRST_US 100000
+#define FULL_LONGEST_US 1600000
+
+/* An instance that fails this part of its requests of late is avoided as well. */
+#define ERROR_RATE_TO_AVOID 0.45
+
+/* Weight of one result in an instance's error rate: about the last eight count. */
+#define ERROR_WEIGHT 0.12
+
+/* A view of other VMs' dispatches older than this says nothing any more. */
+#define VIEW_STALE_US 3000000
+
+/* What an endpoint told of its load goes before views for this time: about as long as a request
+ * takes there. */
+#define TOLD_FRESH_US 400000
+
+uint32_t
+comet_instance_load(const struct comet_instance *instance, uint64_t now_us)
+{
+	bool viewed = instance->others_us != 0 && now_us - instance->others_us < VIEW_STALE_US;
+	bool told = instance->told_us != 0 && now_us - instance->told_us < TOLD_FRESH_US;
+	uint32_t others = viewed ? instance->others : 0;
+
+	/* Its own word is exact when it is fresh; views are summed from older ones. */
+	if (told)
+		others = instance->told_total - MIN(instance->told_total, instance->told_own);
+	return instance->own + others;
+}
+
+uint32_t
+comet_instance_kept_load(const struct comet_instance *instance, uint64_t now_us)
+{
+	bool told = instance->told_us != 0 && now_us - instance->told_us < TOLD_FRESH_US;
+	uint32_t told_others =
+		told ? instance->told_total - MIN(instance->told_total, instance->told_own) : 0;
+
+	return instance->own + MAX(instance->others, told_others);
+}
+
+/* Prompt tokens granted to other VMs that are not read yet, as far as time tells. */
+static double
+granted_prompt(
+	const struct comet_speeds *speeds, const struct comet_instance *instance, uint64_t now_us)
+{
+	double token_us = comet_speeds_prompt_us(speeds, 1000) / 1000 * instance->pace;
+	double read = (double)(now_us - instance->granted_us) / MAX(token_us, 1.0);
+
+	return MAX(instance->granted_prompt - read, 0.0);
+}
+
+void
+comet_instance_granted(struct comet_instance *instance, uint32_t prompt_tokens, uint64_t now_us)
+{
+	const struct comet_speeds *speeds = instance->speeds;
+
+	instance->granted_prompt = granted_prompt(speeds, instance, now_us) + prompt_tokens;
+	instance->granted_us = now_us;
+	instance->others++;
+	instance->told_total++;
+}
+
+void
+comet_instance_freed(struct comet_instance *instance)
+{
+	instance->others -= MIN(instance->others, 1);
+	instance->told_total -= MIN(instance->told_total, 1);
+}
+
+void
+comet_instance_expect(const struct comet_instance *instance, const struct comet_job *job,
+	uint64_t now_us, uint64_t *first_us, uint64_t *whole_us)
+{
+	const struct comet_speeds *speeds = instance->speeds;
+	double cold = instance->warm_us > now_us ? COLD_FACTOR : 1.0;
+
+	if (!job->stream)
+	{
+		double plain_us = comet_speeds_mean_us(speeds, COMET_SPEED_PLAIN);
+		*first_us = (uint64_t)(plain_us * instance->pace * cold);
+		*whole_us = *first_us;
+		return;
+	}
+	double token = comet_speeds_mean_us(speeds, COMET_SPEED_TOKEN);
+	/* What was granted is in views as well, a little later. */
+	double others =
+		MAX((double)instance->others_prompt, granted_prompt(speeds, instance, now_us));
+	double ahead = comet_speeds_prompt_us(speeds, instance->own_prompt + (uint32_t)others);
+	double first = comet_speeds_first_us(speeds, job->prompt_tokens) + ahead;
+	*first_us = (uint64_t)(first * instance->pace * cold);
+	*whole_us = (uint64_t)((first + token * job->output_tokens) * instance->pace * cold);
+}
+
+double
+comet_instance_slot_us(const struct comet_instance *instance)
+{
+	return comet_speeds_slot_us(instance->speeds) * instance->pace;
+}
+
+void
+comet_instance_started(struct comet_instance *instance, const struct comet_job *job)
+{
+	instance->own++;
+	instance->own_prompt += job->prompt_tokens;
+}
+
+static void
+learn_pace(struct comet_instance *instance, double taken_us, double usual_us)
+{
+	double sample = CLAMP(taken_us / MAX(usual_us, 1.0), PACE_MIN, PACE_MAX);
+
+	instance->samples++;
+	double weight = MAX(PACE_WEIGHT, 1.0 / (1.0 + instance->samples));
+	instance->pace += weight * (sample - instance->pace);
+}
+
+void
+comet_instance_first(
+	struct comet_instance *instance, const struct comet_job *job, uint64_t first_us)
+{
+	struct comet_speeds *speeds = instance->speeds;
+
+	instance->own_prompt -= MIN(instance->own_prompt, job->prompt_tokens);
+	if (!job->stream)
+		return;
+	/* Waiting behind others says nothing of the usual time: only calm samples are taken. */
+	if (instance->own + instance->others <= instance->slots)
+		comet_speeds_learn_first(
+			speeds, job->prompt_tokens, (double)first_us / instance->pace);
+}
+
+void
+comet_instance_learn(struct comet_instance *instance, uint64_t stream_us, uint32_t events)
+{
+	struct comet_speeds *speeds = instance->speeds;
+
+	if (events < 2)
+		return;
+	double event_us = (double)stream_us / (events - 1);
+	bool known = comet_speeds_known(speeds, COMET_SPEED_EVENT);
+	double usual_us = known ? comet_speeds_mean_us(speeds, COMET_SPEED_EVENT) : event_us;
+	learn_pace(instance, event_us, usual_us);
+	comet_speeds_learn(speeds, COMET_SPEED_EVENT, event_us / instance->pace);
+}
+
+/* Learns speeds from a whole answer. */
+static void
+learn_speed(struct comet_instance *instance, const struct comet_job *job, uint64_t stream_us,
+	uint32_t events)
+{
+	struct comet_speeds *speeds = instance->speeds;
+
+	if (!job->stream)
+	{
+		bool known = comet_speeds_known(speeds, COMET_SPEED_PLAIN);
+		double usual_us =
+			known ? comet_speeds_mean_us(speeds, COMET_SPEED_PLAIN) : (double)stream_us;
+		learn_pace(instance, (double)stream_us, usual_us);
+		comet_speeds_learn(speeds, COMET_SPEED_PLAIN, (double)stream_us);
+		return;
+	}
+	double first = comet_speeds_first_us(speeds, job->prompt_tokens);
+	comet_speeds_learn(speeds, COMET_SPEED_SLOT, first + (double)stream_us / instance->pace);
+	if (events < 2 || job->output_tokens == 0)
+		return;
+	comet_instance_learn(instance, stream_us, events);
+	comet_speeds_learn(
+		speeds, COMET_SPEED_TOKEN, (double)stream_us / job->output_tokens / instance->pace);
+}
+
+/* A bad end: avoids the instance once there are too many of them. */
+static bool
+learn_failure(struct comet_instance *instance, enum comet_dispatch_result result, uint64_t now_us)
+{
+	bool trusted = instance->avoid_us == 0;
+
+	if (result != COMET_DISPATCH_ERROR)
+		instance->failures++; /* an answered error counts by its rate alone */
+	instance->error_rate += ERROR_WEIGHT * (1.0 - instance->error_rate);
+	/* No connection says at once that nobody is there. */
+	bool clear = result == COMET_DISPATCH_UNREACHED || instance->on_trial;
+	if (!clear && instance->failures < FAILURES_TO_AVOID &&
+		instance->error_rate < ERROR_RATE_TO_AVOID)
+		return false;
+	uint64_t pause_us = (uint64_t)AVOID_FIRST_US << MIN(instance->failures, 4);
+	pause_us = MIN(pause_us / 2, AVOID_LONGEST_US);
+	instance->avoid_us = now_us + pause_us;
+	instance->on_trial = false;
+	return trusted;
+}
+
+static bool
+learn_success(struct comet_instance *instance)
+{
+	bool avoided = instance->avoid_us != 0;
+
+	instance->failures = 0;
+	instance->refusals = 0;
+	instance->full_us = 0;
+	instance->error_rate -= ERROR_WEIGHT * instance->error_rate;
+	instance->avoid_us = 0;
+	instance->on_trial = false;
+	return avoided;
+}
+
+bool
+comet_instance_ended(struct comet_instance *instance, const struct comet_job *job, bool had_first,
+	enum comet_dispatch_result result, uint64_t stream_us, uint32_t events, uint64_t now_us)
+{
+	instance->own -= MIN(instance->own, 1);
+	if (!had_first)
+		instance->own_prompt -= MIN(instance->own_prompt, job->prompt_tokens);
+	switch (result)
+	{
+	case COMET_DISPATCH_SERVED:
+		learn_speed(instance, job, stream_us, events);
+		return learn_success(instance);
+	case COMET_DISPATCH_CANCELLED:
+		instance->on_trial = false;
+		return false;
+	case COMET_DISPATCH_REFUSED:
+		instance->on_trial = false;
+		instance->full_us =
+			now_us +
+			MIN((uint64_t)FULL_FIRST_US << MIN(instance->refusals, 8), FULL_LONGEST_US);
+		instance->refusals++;
+		return false;
+	case COMET_DISPATCH_WRONG:
+		instance->on_trial = false;
+		instance->replaced = true;
+		return true;
+	default:
+		return learn_failure(instance, result, now_us);
+	}
+}
+
+void
+comet_instance_heard(struct comet_instance *instance, uint64_t now_us)
+{
+	instance->heard_us = now_us;
+}
+
+bool
+comet_instance_doubt(struct comet_instance *instance, uint64_t since_us, uint64_t now_us)
+{
+	if (instance->heard_us > since_us)
+		return false;
+	instance->avoid_us = MAX(instance->avoid_us, now_us + AVOID_FIRST_US);
+	return true;
+}
+
+void
+comet_instance_told(struct comet_instance *instance, uint32_t total, uint64_t now_us)
+{
+	instance->told_total = total;
+	instance->told_own = instance->own;
+	instance->told_us = now_us;
+}
+
+const char *
+comet_dispatch_result_name(enum comet_dispatch_result result)
+{
+	static const char *const names[] = {"served", "error", "refused", "broken", "silent",
+		"unreached", "cancelled", "wrong_instance"};
+
+	return names[result];
+}
--- a/libcometspindle/gateway/instances.h
+++ b/libcometspindle/gateway/instances.h
@@ -1,14 +1,14 @@
 /*
  * instances.h
- * the endpoints that this VM knows of: what runs there, how fast, how healthy
+ * the endpoints that this VM knows of, as the directory tells of them
  *
- * An instance is one life of an endpoint's process, told by the directory. No
- * sockets and no clock in here: times are passed in.
+ * No sockets and no clock in here: times are passed in.
  */
 #ifndef COMETSPINDLE_GATEWAY_INSTANCES_H
 #define COMETSPINDLE_GATEWAY_INSTANCES_H
 
 #include <glib.h>
+#include <libcometspindle/gateway/instance.h>
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
@@ -25,68 +25,6 @@
 	bool draining;       /**< it takes no new work */
 };
 
-/** The size of a request, as far as it is known. */
-struct comet_job
-{
-	uint32_t prompt_tokens;
-	uint32_t output_tokens; /**< expected; 0 for plain requests */
-	uint32_t output_most;   /**< most that it may generate; 0: not told */
-	bool stream;
-};
-
-/** How a dispatch ended, for what is learned from it. */
-enum comet_dispatch_result
-{
-	COMET_DISPATCH_SERVED,    /**< a whole answer */
-	COMET_DISPATCH_ERROR,     /**< it ran and failed there */
-	COMET_DISPATCH_REFUSED,   /**< full: not run */
-	COMET_DISPATCH_BROKEN,    /**< the connection broke */
-	COMET_DISPATCH_SILENT,    /**< no word in a time in which there should be one */
-	COMET_DISPATCH_UNREACHED, /**< no connection */
-	COMET_DISPATCH_CANCELLED, /**< the caller left: says nothing of the endpoint */
-	COMET_DISPATCH_WRONG,     /**< another process has its address */
-};
-
-struct comet_speeds;
-
-struct comet_instance
-{
-	char *id;
-	uint32_t key; /**< comet_hash_name(id) */
-	char *service;
-	struct comet_speeds *speeds; /**< of its service */
-	char *address;
-	char *zone;
-	bool near; /**< it is in this VM's zone */
-	uint32_t slots;
-	uint32_t shard; /**< it belongs to (shards.h) */
-	bool draining;
-	bool listed;         /**< the directory names it */
-	uint64_t lapse_us;   /**< unlisted during an outage: dropped then; 0: not so */
-	uint64_t warm_us;    /**< slow until then */
-	uint32_t own;        /**< our dispatches there */
-	uint32_t own_prompt; /**< prompt tokens of ours whose first event is not there */
-	uint32_t others;     /**< dispatches of other VMs, from their views */
-	uint32_t others_prompt;
-	double granted_prompt; /**< prompt tokens granted to others and not read yet, at granted_us
-				*/
-	uint64_t granted_us;
-	uint64_t others_us;  /**< age of the newest of these views */
-	uint32_t told_total; /**< running and waiting, as its last answer told */
-	uint32_t told_own;   /**< ours at that time */
-	uint64_t told_us;    /**< when; 0: never */
-	double pace;         /**< time it takes, relative to its service's usual */
-	uint32_t samples;
-	uint64_t heard_us; /**< when it last sent anything on any connection; 0: never */
-	uint32_t failures; /**< in a row */
-	double error_rate; /**< of late, 0 to 1 */
-	uint64_t avoid_us; /**< no work but one trial before then; 0: trusted */
-	bool on_trial;
-	bool replaced;     /**< another process has its address: this one is gone for good */
-	uint32_t refusals; /**< in a row */
-	uint64_t full_us;  /**< it refused as full: no work before then */
-};
-
 struct comet_instances;
 
 struct comet_instances *
@@ -129,78 +67,13 @@
 comet_instances_each(struct comet_instances *instances,
 	void (*visit)(void *ctx, struct comet_instance *instance), void *ctx);
 
-/** Requests that are believed to be at an instance now, ours and others'. */
-uint32_t
-comet_instance_load(const struct comet_instance *instance, uint64_t now_us);
-
-/**
- * Requests at an instance that this VM keeps count of: what it granted is known
- * at once, and what the instance told is only taken where it is more.
- */
-uint32_t
-comet_instance_kept_load(const struct comet_instance *instance, uint64_t now_us);
-
-/** Another VM was granted a slot there, for a prompt of so many tokens. */
-void
-comet_instance_granted(struct comet_instance *instance, uint32_t prompt_tokens, uint64_t now_us);
-
-/** Another VM has left a slot there. */
-void
-comet_instance_freed(struct comet_instance *instance);
-
-/** Learns the speed of an instance from an answer: so many events within stream_us. */
-void
-comet_instance_learn(struct comet_instance *instance, uint64_t stream_us, uint32_t events);
-
-/** Expected time until the first event (or the whole plain answer) and until the end. */
-void
-comet_instance_expect(const struct comet_instance *instance, const struct comet_job *job,
-	uint64_t now_us, uint64_t *first_us, uint64_t *whole_us);
-
 /** Expected time until the first event at an instance of usual pace where nothing waits. */
 uint64_t
 comet_instances_usual_first_us(
 	struct comet_instances *instances, const char *service, const struct comet_job *job);
 
-/** How long a usual request of its service holds a slot of an instance. */
-double
-comet_instance_slot_us(const struct comet_instance *instance);
-
 /** How long a usual request of a service holds a slot of an instance of usual pace. */
 uint64_t
 comet_instances_usual_us(struct comet_instances *instances, const char *service);
 
-/** A dispatch starts. */
-void
-comet_instance_started(struct comet_instance *instance, const struct comet_job *job);
-
-/** Its first event came after first_us. */
-void
-comet_instance_first(
-	struct comet_instance *instance, const struct comet_job *job, uint64_t first_us);
-
-/** A dispatch is over. @return true when trust in the instance changed. */
-bool
-comet_instance_ended(struct comet_instance *instance, const struct comet_job *job, bool had_first,
-	enum comet_dispatch_result result, uint64_t stream_us, uint32_t events, uint64_t now_us);
-
-/** It sent something, on whatever connection. */
-void
-comet_instance_heard(struct comet_instance *instance, uint64_t now_us);
-
-/**
- * Nothing was heard of a dispatch since since_us. If nothing else was heard of
- * the instance either, it gets no more work until a trial; else the request is
- * slow, not the instance. @return whether it is doubted.
- */
-bool
-comet_instance_doubt(struct comet_instance *instance, uint64_t since_us, uint64_t now_us);
-
-/** Its answer told how many requests run and wait there. */
-void
-comet_instance_told(struct comet_instance *instance, uint32_t total, uint64_t now_us);
-
-const char *
-comet_dispatch_result_name(enum comet_dispatch_result result);
-
 #endif
--- a/libcometspindle/gateway/placement.c
+++ b/libcometspindle/gateway/placement.c
@@ -210,13 +210,6 @@
 	}
 }
 
-/* Does anything wait there, of this VM or of others? */
-static bool
-anything_waits(const struct comet_placement_queue *queue)
-{
-	return g_sequence_get_length(queue->items) > 0 || g_sequence_get_length(queue->guests) > 0;
-}
-
 void
 comet_placement_run(struct comet_placement *placement, uint64_t now_us)
 {
@@ -234,7 +227,7 @@
 		for (GList *at = queues; at != NULL; at = at->next)
 		{
 			struct comet_placement_queue *queue = at->data;
-			if (anything_waits(queue))
+			if (comet_placement_anything_waits(queue))
 				run_queue(placement, queue, now_us);
 		}
 		g_list_free(queues);
@@ -297,7 +290,7 @@
 	item->queued = false;
 	item->late = false;
 	item->held = false;
-	if (!anything_waits(queue))
+	if (!comet_placement_anything_waits(queue))
 		place(placement, item, now_us);
 	else if (wait_or_refuse(placement, item, now_us))
 		comet_placement_run(placement, now_us);
--- a/libcometspindle/gateway/placement_guests.c
+++ b/libcometspindle/gateway/placement_guests.c
@@ -86,12 +86,6 @@
 	return guest;
 }
 
-static bool
-anyone_waits(const struct comet_placement_queue *queue)
-{
-	return g_sequence_get_length(queue->items) > 0 || g_sequence_get_length(queue->guests) > 0;
-}
-
 struct comet_instance *
 comet_placement_choose_for(struct comet_placement *placement, const struct comet_placement_ask *ask,
 	uint64_t now_us, bool *waits)
@@ -105,7 +99,7 @@
 	struct comet_placement_queue *queue = comet_placement_queue_of(placement, shard->service);
 	struct comet_placement_guest *guest = create_guest(placement, ask, now_us);
 	guest->item.service = queue->service;
-	if (!anyone_waits(queue) || ask->wait_us == 0)
+	if (!comet_placement_anything_waits(queue) || ask->wait_us == 0)
 	{
 		placement->pass++;
 		best = choose(placement, guest, now_us);
--- a/libcometspindle/gateway/placement_private.h
+++ b/libcometspindle/gateway/placement_private.h
@@ -55,6 +55,10 @@
 GHashTable *
 comet_placement_queues_create(void);
 
+/** Does anything wait there, of this VM or of others? */
+bool
+comet_placement_anything_waits(const struct comet_placement_queue *queue);
+
 /** The order in which items are served; either may be the item of a guest. */
 gint
 comet_placement_compare(gconstpointer left, gconstpointer right, gpointer ctx);
--- a/libcometspindle/gateway/placement_queue.c
+++ b/libcometspindle/gateway/placement_queue.c
@@ -45,6 +45,12 @@
 	return queue;
 }
 
+bool
+comet_placement_anything_waits(const struct comet_placement_queue *queue)
+{
+	return g_sequence_get_length(queue->items) > 0 || g_sequence_get_length(queue->guests) > 0;
+}
+
 gint
 comet_placement_compare(gconstpointer left, gconstpointer right, gpointer ctx)
 {
--- a/libcometspindle/gateway/speeds.c
+++ b/libcometspindle/gateway/speeds.c
@@ -87,6 +87,14 @@
 	return comet_speeds_known(speeds, speed) ? speeds->means[speed].us : default_us[speed];
 }
 
+double
+comet_speeds_slot_us(const struct comet_speeds *speeds)
+{
+	bool plain = comet_speeds_known(speeds, COMET_SPEED_PLAIN);
+
+	return comet_speeds_mean_us(speeds, plain ? COMET_SPEED_PLAIN : COMET_SPEED_SLOT);
+}
+
 void
 comet_speeds_learn(struct comet_speeds *speeds, enum comet_speed speed, double sample_us)
 {
