--- a/tests/unit/grants_fleet.h
+++ b/tests/unit/grants_fleet.h
@@ -5,6 +5,7 @@
 #ifndef COMETSPINDLE_TESTS_GRANTS_FLEET_H
 #define COMETSPINDLE_TESTS_GRANTS_FLEET_H
 
+#include "team_table.h"
 #include <gtest/gtest.h>
 
 extern "C"
@@ -64,14 +65,7 @@
 
 	fleet(uint32_t count, int endpoints)
 	{
-		comet_http_limits limits = {};
-		comet_route_team team = {};
-		team.name = const_cast<char *>("t");
-		team.rate_per_s = 1000;
-		team.burst = 1000;
-		team.in_tokens = true;
-		table = comet_route_table_create(1, &limits);
-		comet_route_table_add_team(table, &team, nullptr, 0);
+		table = create_team_table();
 		for (uint32_t i = 1; i <= count; i++)
 			start(i, endpoints);
 		pass(4000000); /* until they have heard each other and are old enough to keep */
--- a/tests/unit/test_gateway_views.cc
+++ b/tests/unit/test_gateway_views.cc
@@ -2,6 +2,7 @@
  * test_gateway_views.cc
  * what VMs tell each other, and how they find each other, under virtual time
  */
+#include "team_table.h"
 #include <gtest/gtest.h>
 
 extern "C"
@@ -35,14 +36,7 @@
 
 	explicit vms(int count, uint32_t n_zones = 1) : zones(n_zones)
 	{
-		comet_http_limits limits = {};
-		comet_route_team team = {};
-		team.name = const_cast<char *>("t");
-		team.rate_per_s = 1000;
-		team.burst = 1000;
-		team.in_tokens = true;
-		table = comet_route_table_create(1, &limits);
-		comet_route_table_add_team(table, &team, nullptr, 0);
+		table = create_team_table();
 		for (int i = 1; i <= count; i++)
 			start((uint32_t)i, (uint64_t)i);
 	}
