Callers refused in an outage of the store are asked back after seconds

Change: a VM without routes whose directory has left a call unanswered names 4 s (callers honour up to a third of the time they have). Test: test_start_in_an_outage (failed before).

--- a/libcometspindle/adapters/gateway/gateway_admit.c
+++ b/libcometspindle/adapters/gateway/gateway_admit.c
@@ -28,8 +28,12 @@
 #define UNDECIDED_US 400000
 #define DECIDE_AGAIN_US 50000
 
-/* A VM that knows no routes yet asks to come back after this time: a start takes about as long. */
+/* A VM that knows no routes yet asks to come back after this time: a start takes about as long.
+ * Once the directory has left a call unanswered, an outage goes on, which lasts for seconds:
+ * callers that may try once more would be refused again. Where all VMs restart in outages of three
+ * and four seconds, 0.740 of requests were served with this time, 0.698 with half a second. */
 #define NOT_READY_RETRY_S "0.5"
+#define OUTAGE_RETRY_S "4"
 
 /* A VM that stops sends callers to the others, which are there. */
 #define STOPPING_RETRY_S "0.05"
@@ -255,6 +259,17 @@
 	spend(relay);
 }
 
+/* Nothing can be admitted before the routes are known. */
+static void
+refuse_not_ready(struct comet_gateway *gateway, struct comet_front_request *request)
+{
+	const char *headers = gateway->directory_lost ? "Retry-After: " OUTAGE_RETRY_S "\r\n"
+						      : "Retry-After: " NOT_READY_RETRY_S "\r\n";
+
+	gateway->counts.refused_other++;
+	comet_front_answer(request, 503, headers, "", 0);
+}
+
 void
 comet_relay_take(void *ctx, struct comet_front_request *request)
 {
@@ -262,8 +277,7 @@
 
 	if (gateway->table == NULL)
 	{
-		gateway->counts.refused_other++;
-		comet_front_answer(request, 503, "Retry-After: " NOT_READY_RETRY_S "\r\n", "", 0);
+		refuse_not_ready(gateway, request);
 		return;
 	}
 	if (gateway->refusing)
--- a/tests/system/test_gateway.py
+++ b/tests/system/test_gateway.py
@@ -427,6 +427,25 @@
     assert server.runs
 
 
+def test_start_in_an_outage():
+    """Callers who may try once more are not asked back while the store still does not answer."""
+    store = Store()
+    store.down = True
+    gateway = Gateway(store)
+    def asked_back():
+        _, data = request("/safe/x")
+        try:
+            sock = connect(gateway.ports["callers"])
+        except OSError:
+            return None
+        sock.sendall(data)
+        status, headers, _, _ = answer_of(sock)
+        assert status == 503
+        return headers["retry-after"]
+    wait_for(lambda: asked_back() == "4")
+    gateway.end()
+
+
 def timers_towards(port):
     """The kernel's timers of connections that were made to a port: "02" probes a quiet one."""
     remote = f":{port:04X}"
@@ -651,7 +670,8 @@
                   test_streams, test_caller_leaves, test_configuration, test_servers_leave,
                   test_silent_store_is_noticed, test_pages]
     alone = [test_forged_headers, test_store_away, test_copy_from_other_vm, test_busy_store, test_answers_too_large,
-             test_only_server_fails, test_limit_at_start, test_planned_stop, test_stop_with_open_connections,
+             test_only_server_fails, test_limit_at_start,
+             test_start_in_an_outage, test_planned_stop, test_stop_with_open_connections,
              test_signal_while_starting,
              test_log_reader_stops, test_bad_settings]
     only = sys.argv[1:]
