--- a/libcometspindle/gateway/allowance.c
+++ b/libcometspindle/gateway/allowance.c
@@ -275,8 +275,8 @@
 	double amount)
 {
 	double size = account->usual > 0 ? MIN(amount / account->usual, 1.0) : 1.0;
-
 	double part = RESERVE_PART * MIN(rank, RESERVING_RANKS) * size;
+
 	return MAX(part * limit_of(allowance, account) - sum_of(account->assumed), 0);
 }
 
--- a/libcometspindle/gateway/placement_find.c
+++ b/libcometspindle/gateway/placement_find.c
@@ -57,7 +57,7 @@
 }
 
 /* What this VM knows of a shard, for one item. */
-struct prospect
+struct shard_prospect
 {
 	struct comet_shard *shard;
 	enum comet_placement_keeper keeper;
@@ -65,11 +65,11 @@
 	struct comet_placement_reason reason;
 };
 
-static struct prospect
+static struct shard_prospect
 look_at(struct comet_placement *placement, const struct comet_placement_item *item,
 	struct comet_shard *shard, uint32_t beyond, uint64_t now_us)
 {
-	struct prospect prospect = {
+	struct shard_prospect prospect = {
 		.shard = shard,
 		.keeper = placement->ops->keeper(placement->ctx, shard),
 	};
@@ -88,7 +88,7 @@
  * comet_placement_find() */
 static struct comet_instance *
 use(struct comet_placement *placement, struct comet_placement_item *item,
-	const struct prospect *prospect, uint32_t beyond, uint64_t now_us)
+	const struct shard_prospect *prospect, uint32_t beyond, uint64_t now_us)
 {
 	if (prospect->keeper == COMET_PLACEMENT_KEEPER_OTHER)
 	{
@@ -106,15 +106,15 @@
 	const GPtrArray *shards, uint32_t beyond, bool here, uint64_t now_us)
 {
 	uint32_t turn = comet_draw_u32(&placement->choice.draw);
-	struct prospect cheapest = {0};
-	struct prospect full = {0};
+	struct shard_prospect cheapest = {0};
+	struct shard_prospect full = {0};
 
 	for (guint i = 0; i < shards->len; i++)
 	{
 		struct comet_shard *shard = shards->pdata[(i + turn) % shards->len];
 		if (now_us < shard->denied_us[beyond])
 			continue;
-		struct prospect prospect = look_at(placement, item, shard, beyond, now_us);
+		struct shard_prospect prospect = look_at(placement, item, shard, beyond, now_us);
 		if (here && prospect.keeper == COMET_PLACEMENT_KEEPER_OTHER)
 			continue;
 		if (prospect.best == NULL)
