--- a/scripts/hunt.py
+++ b/scripts/hunt.py
@@ -7,12 +7,13 @@
 import argparse
 import concurrent.futures
 import itertools
-import os
 import re
 import subprocess
 import sys
 import tempfile
 
+from plays import bench_path, play
+
 # kind: variants (fields of an entry without "at"); "plan" marks planned work
 KINDS = {
     "burst": ["x = 2.0, for_s = 4.0"],
@@ -135,16 +136,11 @@
     return set(re.findall(r"^([a-z_]+):", done.stdout, re.M))
 
 
-def play(bench, site_path, day, number, troubles, closing, seed):
+def play_own(bench, site_path, day, number, troubles, closing, seed):
     with tempfile.NamedTemporaryFile("w", suffix=".toml") as file:
         file.write(day_text(day, troubles, closing))
         file.flush()
-        done = subprocess.run([bench, "run", site_path, file.name, "--seed", str(seed + number)],
-                              capture_output=True, text=True, check=False)
-    text = done.stdout + done.stderr
-    row = re.search(r"^day +own/srv.*\n(.*)$", text, re.M)
-    first = re.search(r"^rules broken: .*\n.*$", text, re.M)
-    return row.group(1) if row else "not played: " + text[-300:], first.group(0) if first else ""
+        return play(bench, site_path, file.name, seed + number)
 
 
 def main():
@@ -157,9 +153,7 @@
     parser.add_argument("--only", default="")
     parser.add_argument("--limit", type=int, default=0, help="play every so manieth day only")
     args = parser.parse_args()
-    bench = os.environ.get("FLEETBENCH")
-    if not bench:
-        sys.exit("hunt: FLEETBENCH must name the bench")
+    bench = bench_path()
     with open(args.site, encoding="utf-8") as file:
         day = base_day(file.read(), args.base)
     listed = listed_kinds(bench, args.site)
@@ -169,8 +163,8 @@
     broken = 0
     unplayed = 0
     with concurrent.futures.ThreadPoolExecutor(args.jobs) as pool:
-        results = pool.map(lambda item: play(bench, args.site, day, item[0], item[1][1],
-                                             item[1][2], args.seed), enumerate(days))
+        results = pool.map(lambda item: play_own(bench, args.site, day, item[0], item[1][1],
+                                                 item[1][2], args.seed), enumerate(days))
         for (name, _, _), (row, first) in zip(days, results):
             bad = "BROKEN" in row or bool(first)
             broken += bad
