--- a/scripts/checks.sh
+++ b/scripts/checks.sh
@@ -5,6 +5,7 @@
 . scripts/setup.sh
 passed=0
 failed=0
+known_red=0
 
 # check NAME COMMAND...: runs it and counts how it went.
 check()
@@ -22,6 +23,35 @@
 	fi
 }
 
+# Tests that may fail for now: the lines of KNOWN-RED.txt begin with their names.
+is_known_red()
+{
+	[ -f KNOWN-RED.txt ] && grep -q "^$1:" KNOWN-RED.txt
+}
+
+# count_tests WHAT CODE PASSED FAILED-NAMES LOG: adds the tests of one run; a run that failed without
+# naming a test counts as one that did.
+count_tests()
+{
+	bad=0
+	for name in $4
+	do
+		if is_known_red "$name"
+		then
+			known_red=$((known_red + 1))
+			echo "KNOWN RED $name ($1)"
+		else
+			bad=$((bad + 1))
+			echo "FAIL $name ($1)"
+		fi
+	done
+	[ "$2" -ne 0 ] && [ -z "$4" ] && bad=1
+	passed=$((passed + $3))
+	failed=$((failed + bad))
+	echo "$1: $3 passed, $bad failed"
+	[ "$bad" -eq 0 ] || grep -B 15 -A 5 'FAILED\|ERROR\|Error\|runtime error' "$5" | head -n 80
+}
+
 # GoogleTest counts its own tests.
 check_unit()
 {
@@ -29,12 +59,20 @@
 	"$2" >"$log" 2>&1
 	code=$?
 	good=$(grep -c '^\[       OK \]' "$log")
-	bad=$(grep -c '^\[  FAILED  \] .* (.* ms)$' "$log")
-	[ $code -ne 0 ] && [ "$bad" -eq 0 ] && bad=1
-	passed=$((passed + good))
-	failed=$((failed + bad))
-	echo "unit tests ($1): $good passed, $bad failed"
-	[ "$bad" -eq 0 ] || grep -B 15 -A 5 'FAILED\|ERROR\|runtime error' "$log" | head -n 80
+	names=$(sed -n 's/^\[  FAILED  \] \(.*\) (.* ms)$/\1/p' "$log")
+	count_tests "unit tests ($1)" $code "$good" "$names" "$log"
+}
+
+# check_session NAME BUILD: a script of system tests, which prints a line for each of them, or none.
+check_session()
+{
+	log=out/$1.log
+	env COMET_BUILD="$2" timeout 180 python3 "tests/system/$1.py" >"$log" 2>&1
+	code=$?
+	good=$(grep -c '^OK ' "$log")
+	names=$(sed -n 's/^FAILED //p' "$log")
+	[ $code -eq 0 ] && [ "$good" -eq 0 ] && good=1
+	count_tests "$1 ($2)" $code "$good" "$names" "$log"
 }
 
 sources()
@@ -83,7 +121,7 @@
 check_unit asan build-asan/tests/unit
 for session in tests/system/test_*.py
 do
-	check "$(basename "$session" .py) (asan)" env COMET_BUILD=build-asan timeout 120 python3 "$session"
+	check_session "$(basename "$session" .py)" build-asan
 done
 check "test_path (tsan)" env COMET_BUILD=build-tsan timeout 120 python3 tests/system/test_path.py
 check "soak of gateways (asan)" check_soak
@@ -96,5 +134,6 @@
 	echo "known red:"
 	cat KNOWN-RED.txt
 fi
+[ "$known_red" -eq 0 ] || echo "$known_red known red"
 echo "$passed passed, $failed failed"
 [ "$failed" -eq 0 ]
--- /dev/null
+++ b/tests/system/gateway_world.py
@@ -0,0 +1,175 @@
+"""gateway_world.py: a gateway as a process before the stand-in, and what the tests of its wire share"""
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import traceback
+
+from platform_standin import Reader, Server, Store, listen, wait_for
+
+BUILD = os.environ.get("COMET_BUILD", "build")
+HOST = "h.example"
+
+
+# A loopback address of this process alone: a port that the kernel has named stays free on it.
+ADDRESS = f"127.{1 + os.getpid() % 250}.{1 + os.getpid() // 250 % 250}.1"
+OTHER_ADDRESS = ADDRESS[:-1] + "2"
+
+
+def free_port():
+    sock = listen(ADDRESS)
+    port = sock.getsockname()[1]
+    sock.close()
+    return port
+
+
+class Gateway:
+    started = []
+
+    def __init__(self, store, log=None, address=ADDRESS, ports=None, **settings):
+        names = ("callers", "readiness", "control", "peers")
+        self.ports = ports or {name: free_port() for name in names}
+        self.address = address
+        values = {name: f"{address}:{port}" for name, port in self.ports.items()}
+        values.update(name="vm", zone="z", seeds="", directory=f"127.0.0.1:{store.port}",
+                      leave_ms=200)
+        values.update(settings)
+        self.file = tempfile.NamedTemporaryFile("w", suffix=".json")
+        json.dump({"gateway": values}, self.file)
+        self.file.flush()
+        self.log = tempfile.TemporaryFile()
+        self.process = subprocess.Popen(
+            [f"{BUILD}/cli/cometspindled", "--settings", self.file.name], stdout=log or self.log,
+            stderr=self.log)
+        Gateway.started.append(self.process)
+
+    def ready(self):
+        try:
+            return get(self.ports["readiness"], "/readyz", self.address)[0] == 200
+        except OSError:
+            return False
+
+    def end(self):
+        if self.process.poll() is None:
+            self.process.send_signal(signal.SIGTERM)
+        code = self.process.wait(30)
+        self.log.seek(0)
+        text = self.log.read().decode()
+        assert code == 0, text[-3000:]
+        assert "Sanitizer" not in text and "runtime error" not in text, text[-3000:]
+        return text
+
+
+def connect(port, address=ADDRESS):
+    sock = socket.create_connection((address, port))
+    sock.settimeout(20)
+    return sock
+
+
+def get(port, path, address=ADDRESS):
+    sock = connect(port, address)
+    sock.sendall(f"GET {path} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
+    return answer_of(sock)
+
+
+def answer_of(sock):
+    """(status, headers, body, whole)"""
+    reader = Reader(sock)
+    line, headers = reader.head()
+    if line is None:
+        return 0, {}, b"", False
+    body, whole = reader.body(headers)
+    return int(line.split()[1]), headers, body, whole
+
+
+counter = [0]
+
+
+def request(path, method="GET", body=b"", key="k1", **headers):
+    counter[0] += 1
+    ident = f"{counter[0]:016x}"
+    lines = [f"{method} {path} HTTP/1.1", f"Host: {HOST}", f"X-Cometspindle-Request-Id: {ident}",
+             "X-Cometspindle-Deadline-Ms: 5000"]
+    if key:
+        lines.append(f"Authorization: Token {key}")
+    if body or method == "POST":
+        lines.append(f"Content-Length: {len(body)}")
+    lines += [f"{name.replace('_', '-')}: {value}" for name, value in headers.items()]
+    return ident, ("\r\n".join(lines) + "\r\n\r\n").encode() + body
+
+
+def call(gateway, path, **more):
+    ident, data = request(path, **more)
+    sock = connect(gateway.ports["callers"])
+    sock.sendall(data)
+    answer = answer_of(sock)
+    sock.close()
+    return (ident,) + answer
+
+
+def route(name, kind, attempts, **more):
+    return dict(name=name, hostname=HOST, path_prefix=f"/{name}/", type=kind, timeout_ms=5000,
+                target_latency_ms=400, priority=1, service="svc", max_attempts=attempts, **more)
+
+
+def document(version, keys=("k1", "k2")):
+    return {"version": version, "routes": [
+        route("safe", "safe", 2), route("once", "unsafe", 1), route("open", "safe", 1, public=True),
+        route("sse", "streaming", 1), route("again", "streaming", 2, resumable=True)],
+        "services": [{"name": "svc", "health_path": "/healthz"}],
+        "limits": {"max_header_bytes": 2000, "max_body_bytes": 5000, "header_timeout_ms": 3000,
+                   "idle_timeout_ms": 15000},
+        "tenants": [{"name": "team", "api_keys": list(keys), "unit": "token_stream",
+                     "plain_tokens": 10, "rate_per_s": 1000000, "burst": 1000000}]}
+
+
+class World:
+    def __init__(self, servers=2, **settings):
+        self.store = Store()
+        self.store.put("op/config", document(1))
+        self.servers = [Server(self.store, f"i-{n}", "svc") for n in range(servers)]
+        self.gateway = Gateway(self.store, **settings)
+        wait_for(self.gateway.ready)
+
+    def runs(self, ident):
+        return sum(run[0] == ident for server in self.servers for run in server.runs)
+
+    def script(self, name, function):
+        for server in self.servers:
+            server.scripts[name] = function
+
+
+def get_or_empty(gateway, port):
+    try:
+        return get(gateway.ports[port], "/")[2]
+    except OSError:
+        return b""
+
+
+def run_tests(with_world, alone):
+    """Runs the tests that the command line names, or all; one line for each, and 1 if any failed."""
+    only = sys.argv[1:]
+    failed = False
+    for test in with_world + alone:
+        if only and test.__name__ not in only:
+            continue
+        try:
+            if test in alone:
+                test()
+            else:
+                world = World()
+                test(world)
+                world.gateway.end()
+        except Exception:
+            failed = True
+            traceback.print_exc(file=sys.stdout)
+            for process in Gateway.started:
+                if process.poll() is None:
+                    process.kill()
+            print("FAILED", test.__name__, flush=True)
+        else:
+            print("OK", test.__name__, flush=True)
+    sys.exit(1 if failed else 0)
--- /dev/null
+++ b/tests/system/test_directory.py
@@ -0,0 +1,140 @@
+"""test_directory.py: what a gateway makes of its directory: outages, copies, entries that come and go"""
+from gateway_world import (ADDRESS, OTHER_ADDRESS, Gateway, answer_of, call, connect, document,
+                           get_or_empty, request, run_tests)
+from platform_standin import Server, Store, wait_for
+
+
+def test_configuration(world):
+    store = world.store
+    sock = connect(world.gateway.ports["callers"])
+
+    def status_with(key):
+        sock.sendall(request("/safe/x", key=key)[1])
+        return answer_of(sock)[0]
+    assert status_with("k2") == 200
+    store.put("op/config", document(2, keys=("k1",)))
+    wait_for(lambda: status_with("k2") == 401)
+    store.put("op/config", "{garbage")
+    store.put("op/config", document(1))  # older: never
+    assert status_with("k1") == 200 and status_with("k2") == 401
+    store.forgotten = store.revision  # history is gone: it lists again
+    store.put("op/config", document(3))
+    wait_for(lambda: status_with("k2") == 200)
+
+
+def test_servers_leave(world):
+    one, two = world.servers
+    one.publish(state="draining")
+    store = world.store
+
+    def served_by():
+        return call(world.gateway, "/safe/x")[3].split()[0].decode()
+    wait_for(lambda: all(served_by() == "i-1" for _ in range(4)))
+    store.remove("servers/i-1")
+    wait_for(lambda: call(world.gateway, "/safe/x")[1] == 503)
+    one.publish(state="ready")
+    two.publish()
+    wait_for(lambda: {served_by() for _ in range(20)} >= {"i-0", "i-1"})
+
+
+def test_store_away():
+    """Without a store: 503, not 404; once it is there, served; away again, still served."""
+    store = Store()
+    store.down = True
+    gateway = Gateway(store)
+    wait_for(lambda: b"no_routes" in get_or_empty(gateway, "readiness"))
+    _, status, headers, _, _ = call(gateway, "/safe/x")
+    assert status == 503 and float(headers["retry-after"]) > 0
+    store.put("op/config", document(1))
+    server = Server(store, "i-0", "svc")
+    store.down = False
+    wait_for(gateway.ready)
+    store.down = True
+    assert call(gateway, "/safe/x")[1] == 200
+    text = gateway.end()
+    for line in ("event=started", "event=directory_lost", "event=directory_regained",
+                 "event=stopping", "event=stopped"):
+        assert line in text, line
+    assert server.runs
+
+
+def test_start_in_an_outage():
+    """Callers who may try once more are not asked back while the store still does not answer."""
+    store = Store()
+    store.down = True
+    gateway = Gateway(store)
+    def asked_back():
+        _, data = request("/safe/x")
+        try:
+            sock = connect(gateway.ports["callers"])
+        except OSError:
+            return None
+        sock.sendall(data)
+        status, headers, _, _ = answer_of(sock)
+        assert status == 503
+        return headers["retry-after"]
+    wait_for(lambda: asked_back() == "4")
+    gateway.end()
+
+
+def timers_towards(port):
+    """The kernel's timers of connections that were made to a port: "02" probes a quiet one."""
+    remote = f":{port:04X}"
+    with open("/proc/net/tcp", encoding="utf-8") as file:
+        rows = [line.split() for line in file.readlines()[1:]]
+    return [row[5].split(":")[0] for row in rows if row[2].endswith(remote) and row[3] == "01"]
+
+
+def test_silent_store_is_noticed(world):
+    """A store connection may go silent for good while a watch waits on it: it must be probed."""
+    wait_for(lambda: timers_towards(world.store.port) == ["02"])
+
+
+def test_copy_from_other_vm():
+    """A VM that cannot reach the store takes what another one has read."""
+    store = Store()
+    store.put("op/config", document(1))
+    Server(store, "i-0", "svc")
+    there = Gateway(store)
+    wait_for(there.ready)
+    nowhere = Store()
+    nowhere.down = True
+    alone = Gateway(nowhere, address=OTHER_ADDRESS, ports=there.ports,
+                    seeds=f"{ADDRESS}:{there.ports['control']}")
+    wait_for(alone.ready)
+    text = alone.end()
+    assert "event=directory_lost" in text and "event=copy_asked" in text, text
+    there.end()
+
+
+def test_busy_store():
+    """A store that refuses every other call is still read whole: a list goes on where it was."""
+    store = Store()
+    store.put("op/config", document(1))
+    for i in range(8):
+        Server(store, f"i-{i}", "svc")
+    store.busy_calls = 2
+    gateway = Gateway(store)
+    wait_for(gateway.ready, 10)
+    assert call(gateway, "/safe/x")[1] == 200
+    gateway.end()
+
+
+def test_answers_too_large():
+    """An answer beyond any proper size is not kept, nor believed."""
+    store = Store()
+    store.too_large = True
+    gateway = Gateway(store)
+    wait_for(lambda: get_or_empty(gateway, "readiness") == b"no_routes")
+    store.put("op/config", document(1))
+    store.too_large = False
+    wait_for(gateway.ready)
+    text = gateway.end()
+    assert "event=directory_lost reason=too_large" in text, text
+
+
+if __name__ == "__main__":
+    run_tests(
+        [test_configuration, test_servers_leave, test_silent_store_is_noticed],
+        [test_store_away, test_start_in_an_outage, test_copy_from_other_vm, test_busy_store,
+         test_answers_too_large])
