Sight: why an endpoint went, how long the directory had been silent, what could not be read

Cause: logs did not tell the three hypotheses on leaving endpoints apart: directory_lost did not say how long ago the last answer came (a dead connection or an outage), endpoint_gone not why, and what could not be read was counted nowhere. A line break in a foreign key began a line of its own. Change: answered_ms_ago, lost_ms and reason in those lines; what cannot be read is an event of the directory's port, logged with its effect and counted; gauges of the directory's revision and age, of endpoints that drain or have lapsed; control characters in a line are replaced. What is decided is as before.

--- a/libcometspindle/adapters/gateway/gateway.c
+++ b/libcometspindle/adapters/gateway/gateway.c
@@ -98,14 +98,18 @@
 }
 
 static void
-on_dropped(void *ctx, const char *id)
+forget_endpoint(struct comet_gateway *gateway, const char *id, const char *reason)
 {
-	struct comet_gateway *gateway = ctx;
-
-	comet_log(COMET_LOG_NOTICE, "event=endpoint_gone endpoint=%s", id);
+	comet_log(COMET_LOG_NOTICE, "event=endpoint_gone endpoint=%s reason=%s", id, reason);
 	comet_upstream_forget(gateway->upstream, id);
 }
 
+static void
+on_dropped(void *ctx, const char *id)
+{
+	forget_endpoint(ctx, id, "lapse_over");
+}
+
 static void
 on_instance_gone(void *ctx, const char *id, uint64_t out_us)
 {
@@ -120,10 +124,22 @@
 			(now_us - out_us) / 1000);
 		return;
 	}
-	on_dropped(gateway, id);
+	forget_endpoint(gateway, id, "removed");
 	comet_instances_remove(gateway->instances, id);
 }
 
+static void
+on_refused(void *ctx, const struct comet_directory_refusal *refusal)
+{
+	struct comet_gateway *gateway = ctx;
+
+	gateway->counts.unreadable++;
+	comet_log(COMET_LOG_ERR,
+		"event=directory_item_refused key=%s revision=%" G_GUINT64_FORMAT
+		" effect=%s error=\"%s\"",
+		refusal->key, refusal->revision, refusal->effect, refusal->why);
+}
+
 static void
 on_revision(void *ctx, uint64_t revision)
 {
@@ -146,15 +162,28 @@
 {
 	struct comet_gateway *gateway = ctx;
 
+	uint64_t now_us = comet_timers_now_us();
+
 	gateway->directory_lost = !there;
-	comet_log(there ? COMET_LOG_NOTICE : COMET_LOG_WARNING, "event=directory_%s reason=%s",
-		there ? "regained" : "lost", why);
+	if (there)
+	{
+		comet_log(COMET_LOG_NOTICE,
+			"event=directory_regained reason=%s lost_ms=%" G_GUINT64_FORMAT, why,
+			(now_us - gateway->lost_us) / 1000);
+		return;
+	}
+	gateway->lost_us = now_us;
+	gateway->counts.directory_losses++;
+	comet_log(COMET_LOG_WARNING,
+		"event=directory_lost reason=%s answered_ms_ago=%" G_GUINT64_FORMAT, why,
+		gateway->answered_us != 0 ? (now_us - gateway->answered_us) / 1000 : 0);
 }
 
 static const struct comet_directory_events directory_events = {
 	.routes = on_routes,
 	.instance = on_instance,
 	.instance_gone = on_instance_gone,
+	.refused = on_refused,
 	.revision = on_revision,
 	.answered = on_answered,
 	.dependency = on_dependency,
--- a/libcometspindle/adapters/gateway/gateway_metrics.c
+++ b/libcometspindle/adapters/gateway/gateway_metrics.c
@@ -178,11 +178,29 @@
 	return true;
 }
 
+static bool
+draining_of(const struct comet_instance *instance, uint64_t now_us, double *value)
+{
+	(void)now_us;
+	*value = instance->draining ? 1 : 0;
+	return true;
+}
+
+static bool
+lapsed_of(const struct comet_instance *instance, uint64_t now_us, double *value)
+{
+	(void)now_us;
+	*value = instance->listed ? 0 : 1;
+	return true;
+}
+
 static const struct endpoint_family endpoint_families[] = {
 	{"endpoint_view_age_seconds", view_age_of},
 	{"endpoint_running", running_of},
 	{"endpoint_pace", pace_of},
 	{"endpoint_avoided", avoided_of},
+	{"endpoint_draining", draining_of},
+	{"endpoint_lapsed", lapsed_of},
 };
 
 static void
@@ -237,6 +255,22 @@
 		out, gateway, "comet_waited_seconds", offsetof(struct comet_gateway_times, waited));
 }
 
+static void
+put_directory(const struct page *page)
+{
+	const struct comet_gateway *gateway = page->gateway;
+	GString *out = page->out;
+
+	put(out, "directory_revision", "gauge", (double)gateway->revision);
+	if (gateway->answered_us != 0)
+		put(out, "directory_answer_age_seconds", "gauge",
+			(double)(page->now_us - gateway->answered_us) / 1000000);
+	put(out, "directory_losses_total", "counter", (double)gateway->counts.directory_losses);
+	put(out, "directory_items_refused_total", "counter", (double)gateway->counts.unreadable);
+	put(out, "routes_version", "gauge",
+		gateway->table != NULL ? (double)comet_route_table_version(gateway->table) : 0);
+}
+
 void
 comet_gateway_answer_metrics(struct comet_gateway *gateway, struct comet_front_request *request)
 {
@@ -263,8 +297,7 @@
 	put(out, "endpoint_connections_reused_total", "counter", (double)up->reused);
 	put(out, "endpoint_connections_open", "gauge", up->open);
 	put(out, "foreign_answers_total", "counter", (double)up->foreign_answers);
-	put(out, "routes_version", "gauge",
-		gateway->table != NULL ? (double)comet_route_table_version(gateway->table) : 0);
+	put_directory(&page);
 	put_endpoints(&page);
 	comet_front_answer(
 		request, 200, "Content-Type: text/plain; version=0.0.4\r\n", out->str, out->len);
--- a/libcometspindle/adapters/gateway/gateway_private.h
+++ b/libcometspindle/adapters/gateway/gateway_private.h
@@ -33,9 +33,11 @@
 	uint64_t refused_early; /**< not run, told when to come back */
 	uint64_t refused_team;  /**< over the team's limit */
 	uint64_t refused_other;
-	uint64_t failed; /**< may have run */
-	uint64_t cut;    /**< an answer that could not be completed */
-	uint64_t left;   /**< the caller left */
+	uint64_t failed;           /**< may have run */
+	uint64_t cut;              /**< an answer that could not be completed */
+	uint64_t left;             /**< the caller left */
+	uint64_t directory_losses; /**< times at which it stopped answering */
+	uint64_t unreadable;       /**< items of the directory */
 };
 
 /** Times of answers, by kind of route. */
@@ -83,6 +85,7 @@
 	uint64_t answered_us;        /**< when the directory last answered a call; 0: never */
 	uint64_t behind_us;          /**< since when another VM has read more; 0: none has */
 	uint64_t revision;           /**< of the directory, as far as read */
+	uint64_t lost_us;            /**< when the directory was last lost */
 	bool directory_lost;         /**< its last answer failed */
 	bool listed;                 /**< the endpoints have been told once */
 	bool refusing;               /**< a stop has come so far that nothing new is begun */
--- a/libcometspindle/gateway/directory.h
+++ b/libcometspindle/gateway/directory.h
@@ -15,6 +15,15 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+/** Something in the directory that could not be read. */
+struct comet_directory_refusal
+{
+	const char *key;   /**< where it stands, as the directory names it */
+	uint64_t revision; /**< of its last change */
+	const char *why;
+	const char *effect; /**< stable code of what is used instead */
+};
+
 struct comet_directory_events
 {
 	/** A newer routing document; the reference passes to the callee. */
@@ -24,6 +33,8 @@
 	/** It is listed no more. out_us: the directory was out and it may come back; when it was
 	 * last known to be out, though not how much longer. 0: it is gone. */
 	void (*instance_gone)(void *ctx, const char *id, uint64_t out_us);
+	/** An item that cannot be read was published. */
+	void (*refused)(void *ctx, const struct comet_directory_refusal *refusal);
 	/** Everything up to this revision has been told. */
 	void (*revision)(void *ctx, uint64_t revision);
 	/** It has answered a call; told each time. */
--- a/libcometspindle/log.c
+++ b/libcometspindle/log.c
@@ -135,12 +135,24 @@
 	pthread_mutex_unlock(&budget_lock);
 }
 
+/* Text from outside may hold a line break: what follows it must not read as a line of its own. */
+static void
+replace_controls(char *text)
+{
+	for (; *text != '\0'; text++)
+	{
+		if ((unsigned char)*text < ' ' || *text == '\x7f')
+			*text = '?';
+	}
+}
+
 static void
 log_line(enum comet_log_level level, const char *format, va_list args)
 {
 	char text[LINE_MAX_BYTES];
 
 	vsnprintf(text, sizeof text, format, args);
+	replace_controls(text);
 	if (log_sink != NULL)
 		log_sink(log_sink_ctx, level, text);
 	else
--- a/tests/system/test_gateway.py
+++ b/tests/system/test_gateway.py
@@ -332,6 +332,10 @@
     assert b'comet_requests_waiting{service="svc"} 0' in body
     assert b'comet_repeats_left{service="svc"} ' in body
     assert b'comet_team_left{team="team"} ' in body
+    assert b'comet_directory_losses_total 0' in body
+    assert b'comet_directory_items_refused_total 0' in body
+    assert b'comet_directory_revision 3' in body
+    assert b'comet_endpoint_lapsed{endpoint="i-0",service="svc"} 0' in body
     check_metrics(body.decode())
     status, _, body, _ = get(world.gateway.ports["control"], "/v1/directory")
     assert status == 200 and len(json.loads(body)["entries"]) == 3
--- a/tests/unit/test_log_budget.cc
+++ b/tests/unit/test_log_budget.cc
@@ -6,6 +6,7 @@
 
 extern "C"
 {
+#include <libcometspindle/log.h>
 #include <libcometspindle/log_budget.h>
 }
 #include <string>
@@ -65,4 +66,19 @@
 	EXPECT_LT(std::string(line).size(), sizeof line);
 }
 
+void
+keep_line(void *ctx, comet_log_level, const char *line)
+{
+	*static_cast<std::string *>(ctx) = line;
+}
+
+TEST(Log, ALineBreakInForeignTextDoesNotBeginALine)
+{
+	std::string seen;
+	comet_log_set_sink(keep_line, &seen);
+	comet_log(COMET_LOG_ERR, "event=x key=%s", "a\nts=0 event=y\x7f\x01");
+	comet_log_set_sink(nullptr, nullptr);
+	EXPECT_EQ(seen, "event=x key=a?ts=0 event=y??");
+}
+
 } // namespace
