Two tests that fail: an endpoint leaves as the watch's connection ends; an entry that cannot be read

Change: tests only; the stand-in ends connections and publishes warmup_left_ms as servers do. A first form of the first test passed without the fault: no watch was waiting.

--- a/tests/system/platform_standin.py
+++ b/tests/system/platform_standin.py
@@ -89,6 +89,8 @@
         self.calls = 0
         self.too_large = False  # answers are larger than any proper one
         self.forgotten = 0  # revisions up to this one are history no more
+        self.sockets = set()
+        self.waiting = 0  # watches
         threading.Thread(target=self.accept, daemon=True).start()
 
     def put(self, key, value):
@@ -108,16 +110,27 @@
             self.log.append({"private_key": key, "revision": self.revision, "removed": True})
             self.lock.notify_all()
 
+    def cut(self, key):
+        """While a watch waits all connections end, and an item goes before anybody can ask again."""
+        with self.lock:
+            self.lock.wait_for(lambda: self.waiting > 0)
+            for sock in list(self.sockets):
+                sock.shutdown(socket.SHUT_RDWR)
+            self.remove(key)
+
     def accept(self):
         while True:
             sock, _ = self.sock.accept()
             threading.Thread(target=self.serve, args=(sock,), daemon=True).start()
 
     def serve(self, sock):
+        self.sockets.add(sock)
         try:
             self.answer_calls(sock)
         except OSError:
             return  # the caller is gone
+        finally:
+            self.sockets.discard(sock)
 
     def answer_calls(self, sock):
         reader = Reader(sock)
@@ -148,8 +161,11 @@
             since = int(args["since_rev"])
             if since < self.forgotten:
                 return 410, {}
+            self.waiting += 1
+            self.lock.notify_all()
             self.lock.wait_for(lambda: self.down or self.revision > since,
                                int(args["wait_ms"]) / 1000)
+            self.waiting -= 1
             if self.down:
                 return 503, {}
             return 200, {"events": [e for e in self.log if e["revision"] > since],
@@ -167,7 +183,8 @@
         self.closed = []  # ids whose connection was closed before the answer
         self.scripts = {}
         self.entry = {"service": service, "address": f"127.0.0.1:{self.port}", "zone": "z",
-                      "slots": slots, "state": "ready", "sequence": 1, "version": "v1"}
+                      "slots": slots, "state": "ready", "sequence": 1, "version": "v1",
+                      "warmup_left_ms": 0}
         self.store = store
         self.publish()
         threading.Thread(target=self.accept, daemon=True).start()
--- a/tests/system/test_directory.py
+++ b/tests/system/test_directory.py
@@ -1,5 +1,8 @@
 """test_directory.py: what a gateway makes of its directory: outages, copies, entries that come and go"""
-from gateway_world import (ADDRESS, OTHER_ADDRESS, Gateway, answer_of, call, connect, document,
+import json
+import re
+
+from gateway_world import (ADDRESS, OTHER_ADDRESS, Gateway, answer_of, call, connect, document, get,
                            get_or_empty, request, run_tests)
 from platform_standin import Server, Store, wait_for
 
@@ -22,19 +25,27 @@
     wait_for(lambda: status_with("k2") == 200)
 
 
+def served_by(world):
+    """The server that answers a request."""
+    return call(world.gateway, "/safe/x")[3].split()[0].decode()
+
+
+def revision_of(world):
+    """The store's revision, as far as the gateway has read."""
+    _, _, body, _ = get(world.gateway.ports["control"], "/metrics")
+    return int(re.search(rb"^comet_directory_revision (\d+)$", body, re.M)[1])
+
+
 def test_servers_leave(world):
     one, two = world.servers
     one.publish(state="draining")
     store = world.store
-
-    def served_by():
-        return call(world.gateway, "/safe/x")[3].split()[0].decode()
-    wait_for(lambda: all(served_by() == "i-1" for _ in range(4)))
+    wait_for(lambda: all(served_by(world) == "i-1" for _ in range(4)))
     store.remove("servers/i-1")
     wait_for(lambda: call(world.gateway, "/safe/x")[1] == 503)
     one.publish(state="ready")
     two.publish()
-    wait_for(lambda: {served_by() for _ in range(20)} >= {"i-0", "i-1"})
+    wait_for(lambda: {served_by(world) for _ in range(20)} >= {"i-0", "i-1"})
 
 
 def test_store_away():
@@ -90,6 +101,49 @@
     wait_for(lambda: timers_towards(world.store.port) == ["02"])
 
 
+def test_ended_connection_is_no_outage(world):
+    """An endpoint left while the connection on which a VM watched the store had just ended; the store itself
+    was there all the time. The VM took the end for an outage of the store, in which entries lapse of
+    living endpoints, and used the one that had left for two seconds more. Over 40 plays of silent
+    connections with endpoints leaving right after, logs had 345 lines like
+
+        event=endpoint_lapsed endpoint=i-645394df06 out_ms_ago=1062
+
+    and 282 requests sent to endpoints after such a line. Only a call that fails on a connection of its
+    own, or is refused, shows an outage."""
+    world.store.remove("servers/i-1")
+    wait_for(lambda: all(served_by(world) == "i-0" for _ in range(4)))
+    world.store.cut("servers/i-0")
+    wait_for(lambda: revision_of(world) == world.store.revision)
+    assert call(world.gateway, "/safe/x")[1] == 503
+
+
+def test_unreadable_entry(world):
+    """An endpoint's entry was overwritten with something that cannot be read. The VM passed that over and went on
+    with the entry before it, for ever: the endpoint might have said that it leaves, or be gone. Logs had one line,
+
+        event=directory_item_refused key=servers/i-0 ... effect=kept_last
+
+    and requests were sent there from then on. What cannot be read names no endpoint to use; a good entry
+    brings it back."""
+    good = dict(world.servers[0].entry)
+    bad = ["", "{", "null", "[]", "\x00\x01", "{}"]
+    bad += [json.dumps({**good, name: value}) for name, value in (
+        ("service", 5), ("service", ""), ("address", "nowhere"), ("address", None), ("zone", 7),
+        ("version", []), ("slots", "4"), ("slots", -4), ("slots", 0), ("slots", 1.5), ("state", "new"),
+        ("state", True), ("warmup_left_ms", "0"), ("warmup_left_ms", -1), ("sequence", "4"),
+        ("sequence", None))]
+    bad += [json.dumps({name: good[name] for name in good if name != missing}) for missing in good]
+    for text in bad:
+        wait_for(lambda: any(served_by(world) == "i-0" for _ in range(20)))
+        world.store.put("servers/i-0", text)
+        wait_for(lambda: revision_of(world) == world.store.revision)
+        assert {served_by(world) for _ in range(8)} == {"i-1"}, text
+        world.servers[0].publish()
+    _, _, body, _ = get(world.gateway.ports["control"], "/metrics")
+    assert f"comet_directory_items_refused_total {len(bad)}\n".encode() in body
+
+
 def test_copy_from_other_vm():
     """A VM that cannot reach the store takes what another one has read."""
     store = Store()
@@ -135,6 +189,7 @@
 
 if __name__ == "__main__":
     run_tests(
-        [test_configuration, test_servers_leave, test_silent_store_is_noticed],
+        [test_configuration, test_servers_leave, test_silent_store_is_noticed,
+         test_ended_connection_is_no_outage, test_unreadable_entry],
         [test_store_away, test_start_in_an_outage, test_copy_from_other_vm, test_busy_store,
          test_answers_too_large])
