An entry that cannot be read names no endpoint to use, at once

Entries with missing fields or fields of another type were taken by halves, with defaults (no zone, one slot); an id or service name could carry a line break into a header, a log line or a metric.

--- a/libcometspindle/adapters/gateway/gateway.c
+++ b/libcometspindle/adapters/gateway/gateway.c
@@ -104,6 +104,16 @@
 	comet_upstream_forget(gateway->upstream, id);
 }
 
+/* The directory names it no more. */
+static void
+drop_endpoint(struct comet_gateway *gateway, const char *id, const char *reason)
+{
+	if (comet_instances_find(gateway->instances, id) == NULL)
+		return;
+	forget_endpoint(gateway, id, reason);
+	comet_instances_remove(gateway->instances, id);
+}
+
 static void
 on_dropped(void *ctx, const char *id)
 {
@@ -124,8 +134,7 @@
 			(now_us - out_us) / 1000);
 		return;
 	}
-	forget_endpoint(gateway, id, "removed");
-	comet_instances_remove(gateway->instances, id);
+	drop_endpoint(gateway, id, "removed");
 }
 
 static void
@@ -137,7 +146,10 @@
 	comet_log(COMET_LOG_ERR,
 		"event=directory_item_refused key=%s revision=%" G_GUINT64_FORMAT
 		" effect=%s error=\"%s\"",
-		refusal->key, refusal->revision, refusal->effect, refusal->why);
+		refusal->key, refusal->revision,
+		refusal->endpoint != NULL ? "endpoint_dropped" : "kept_last", refusal->why);
+	if (refusal->endpoint != NULL)
+		drop_endpoint(gateway, refusal->endpoint, "unreadable");
 }
 
 static void
--- a/libcometspindle/gateway/directory.h
+++ b/libcometspindle/gateway/directory.h
@@ -21,7 +21,8 @@
 	const char *key;   /**< where it stands, as the directory names it */
 	uint64_t revision; /**< of its last change */
 	const char *why;
-	const char *effect; /**< stable code of what is used instead */
+	const char *endpoint; /**< id that names no endpoint to use any more; NULL: what was read of
+				 the item before stays in force */
 };
 
 struct comet_directory_events
@@ -33,7 +34,7 @@
 	/** It is listed no more. out_us: the directory was out and it may come back; when it was
 	 * last known to be out, though not how much longer. 0: it is gone. */
 	void (*instance_gone)(void *ctx, const char *id, uint64_t out_us);
-	/** An item that cannot be read was published. */
+	/** An item that cannot be read was published; the others hold. */
 	void (*refused)(void *ctx, const struct comet_directory_refusal *refusal);
 	/** Everything up to this revision has been told. */
 	void (*revision)(void *ctx, uint64_t revision);
--- a/tests/unit/test_platform.cc
+++ b/tests/unit/test_platform.cc
@@ -9,6 +9,7 @@
 #include <libcometspindle/adapters/http_reader.h>
 #include <platform/catalog.h>
 #include <platform/documents.h>
+#include <platform/server_entry.h>
 }
 #include <algorithm>
 #include <map>
@@ -79,18 +80,124 @@
 					   (record->draining ? " draining" : "");
 }
 
-TEST(Documents, ServersAreTranslated)
+/* Why a server's entry is refused; "" when it is taken, and then seen holds what was read. */
+std::string
+refusal_of(const std::string &id, const std::string &entry, std::string *seen)
 {
 	GError *error = nullptr;
+	bool good = comet_platform_parse_server(
+		id.c_str(), entry.data(), entry.size(), keep_record, seen, &error);
+	std::string why = good ? "" : error->message;
+
+	g_clear_error(&error);
+	return why;
+}
+
+/* An entry with one field replaced, or left out when value is "". */
+std::string
+entry_with(const std::string &name, const std::string &value)
+{
+	std::map<std::string, std::string> fields = {{"service", "\"x\""},
+		{"address", "\"10.0.0.1:80\""}, {"zone", "\"a\""}, {"version", "\"v1\""},
+		{"slots", "7"}, {"state", "\"draining\""}, {"warmup_left_ms", "0"},
+		{"sequence", "4"}};
+	std::string text = "{\"new\":[{}]";
+
+	fields[name] = value;
+	for (const auto &field : fields)
+	{
+		if (!field.second.empty())
+			text += ",\"" + field.first + "\":" + field.second;
+	}
+	return text + "}";
+}
+
+TEST(Documents, ServersAreTranslated)
+{
 	std::string seen;
-	std::string entry = "{\"service\":\"x\",\"address\":\"10.0.0.1:80\",\"zone\":\"a\","
-			    "\"slots\":7,\"state\":\"draining\",\"sequence\":4}";
-	EXPECT_TRUE(comet_platform_parse_server(
-		"i-1", entry.data(), entry.size(), keep_record, &seen, &error));
+	EXPECT_EQ(refusal_of("i-1", entry_with("slots", "7"), &seen), "");
 	EXPECT_EQ(seen, "i-1 x 10.0.0.1:80 7 draining");
-	EXPECT_FALSE(comet_platform_parse_server("i-1", "{}", 2, keep_record, &seen, &error));
-	EXPECT_NE(strstr(error->message, "i-1"), nullptr);
-	g_clear_error(&error);
+	EXPECT_EQ(refusal_of("i-1", entry_with("state", "\"ready\""), &seen), "");
+	EXPECT_EQ(seen, "i-1 x 10.0.0.1:80 7");
+	EXPECT_EQ(refusal_of("i-1", entry_with("warmup_left_ms", "1200.5"), &seen), "");
+}
+
+TEST(Documents, AnEntryThatIsNotAsAServerWritesItIsRefusedWithItsField)
+{
+	const struct
+	{
+		const char *field;
+		const char *value;
+		const char *why;
+	} rows[] = {
+		{"service", "", "service: is required"},
+		{"service", "\"\"", "service: must be a name, is \"\""},
+		{"service", "5", "service: must be a name, is 5"},
+		{"service", "\"a\\r\\nb\"", "service: must be a name, is \"a\\r\\nb\""},
+		{"service", "\"a\\u0000b\"", "service: must be a name, is \"a\\u0000b\""},
+		{"service", "null", "service: must be a name"},
+		{"address", "\"nowhere\"", "address: must be a.b.c.d:port, is \"nowhere\""},
+		{"address", "\"10.0.0.1:0\"", "address: must be a.b.c.d:port, is \"10.0.0.1:0\""},
+		{"address", "\"10.0.0.1:65536\"",
+			"address: must be a.b.c.d:port, is \"10.0.0.1:65536\""},
+		{"address", "\"10.0.0.999:80\"",
+			"address: must be a.b.c.d:port, is \"10.0.0.999:80\""},
+		{"zone", "", "zone: is required"},
+		{"zone", "[\"a\"]", "zone: must be a name, is [\"a\"]"},
+		{"version", "", "version: is required"},
+		{"version", "1", "version: must be a name, is 1"},
+		{"slots", "\"7\"", "slots: must be a whole number from 1 to 100000, is \"7\""},
+		{"slots", "-7", "slots: must be a whole number from 1 to 100000, is -7"},
+		{"slots", "0", "slots: must be a whole number from 1 to 100000, is 0"},
+		{"slots", "7.5", "slots: must be a whole number from 1 to 100000, is 7.5"},
+		{"slots", "true", "slots: must be a whole number from 1 to 100000, is true"},
+		{"slots", "99999999999999999999999",
+			"slots: must be a whole number from 1 to 100000, is 18446744073709551615"},
+		{"state", "", "state: is required"},
+		{"state", "\"Ready\"", "state: must be \"ready\" or \"draining\", is \"Ready\""},
+		{"warmup_left_ms", "", "warmup_left_ms: is required"},
+		{"warmup_left_ms", "-0.5",
+			"warmup_left_ms: must be a number from 0 to 86400000, is -0.5"},
+		{"warmup_left_ms", "1e999",
+			"warmup_left_ms: must be a number from 0 to 86400000, is 1e999"},
+		{"sequence", "\"4\"",
+			"sequence: must be a whole number from 0 to 9223372036854775806, is \"4\""},
+	};
+
+	for (const auto &row : rows)
+	{
+		std::string seen = "nothing";
+		EXPECT_EQ(refusal_of("i-1", entry_with(row.field, row.value), &seen), row.why);
+		EXPECT_EQ(seen, "nothing");
+	}
+}
+
+TEST(Documents, BytesThatAreNoEntryAreRefused)
+{
+	std::string deep = entry_with("new", std::string(40, '[') + std::string(40, ']'));
+	std::string good = entry_with("slots", "7");
+	std::string seen = "nothing";
+
+	for (const std::string &bad :
+		{std::string(), std::string("null"), std::string("[]"), std::string("\0", 1),
+			std::string("\xff\xfe"), good.substr(0, good.size() - 1), good + "{}",
+			good + std::string("\0", 1), deep, entry_with("service", "\"\xc3\x28\""),
+			entry_with("service", "'x'"), "/* */" + good})
+		EXPECT_NE(
+			refusal_of("i-1", bad, &seen).find("not a JSON object"), std::string::npos)
+			<< bad;
+	for (const std::string &id : {std::string(), std::string("a b"), std::string("a\r\nX: y"),
+		     std::string("a\"b"), std::string(201, 'a')})
+		EXPECT_EQ(refusal_of(id, good, &seen), "id: must be a name") << id;
+	EXPECT_EQ(seen, "nothing");
+	/* what was there is told, but not all of it */
+	EXPECT_LT(refusal_of(
+			  "i-1", entry_with("zone", "[\"" + std::string(90000, 'z') + "\"]"), &seen)
+			  .size(),
+		100U);
+	/* ids and names of any script, and ids that differ in case, are ids */
+	EXPECT_EQ(refusal_of("I-1", entry_with("zone", "\"z\xc3\xbcrich\""), &seen), "");
+	EXPECT_EQ(seen, "I-1 x 10.0.0.1:80 7 draining");
 }
 
 /* What a catalog tells, as text. */
