What lapsed is used on no longer than the deployment's own bound allows

Cause: an endpoint that went in an outage was dropped 2.8 s after it, a constant drawn from deployments where VMs count as in touch three seconds after an outage; where that time is shorter, work would reach what has left. Change: the deploy file hands over that time (settled_ms, 3000 where it is not told); a lapse ends 0.2 s before it. Test: test_instances.cc, a deployment of 2 s (failed before).

--- a/libcometspindle/adapters/gateway/gateway.c
+++ b/libcometspindle/adapters/gateway/gateway.c
@@ -124,10 +124,13 @@
 on_instance_gone(void *ctx, const char *id, uint64_t out_us)
 {
 	struct comet_gateway *gateway = ctx;
-	uint64_t lapse_us = (uint64_t)gateway->settings->lapse_ms * 1000;
+	const struct comet_lapse_bounds bounds = {
+		.usual_us = (uint64_t)gateway->settings->lapse_ms * 1000,
+		.settled_us = (uint64_t)gateway->settings->settled_ms * 1000,
+	};
 	uint64_t now_us = comet_timers_now_us();
 
-	if (out_us != 0 && comet_instances_lapse(gateway->instances, id, out_us, lapse_us, now_us))
+	if (out_us != 0 && comet_instances_lapse(gateway->instances, id, out_us, &bounds, now_us))
 	{
 		comet_log(COMET_LOG_NOTICE,
 			"event=endpoint_lapsed endpoint=%s out_ms_ago=%" G_GUINT64_FORMAT, id,
--- a/libcometspindle/gateway/instances.c
+++ b/libcometspindle/gateway/instances.c
@@ -9,12 +9,12 @@
 #include <string.h>
 #include <talloc.h>
 
-/* What is unlisted after an outage gets no more work so long after the outage was last known to go
- * on, however late the first answer came: it may have left since, and what leaves must get nothing
- * from three seconds after an outage on. A VM that was cut off, and had its first answer 0.9 s
- * after the cut, used an endpoint that had left for 2.2 s more: one day in 32 with cuts and leaving
- * endpoints, none in 64 since. */
-#define LAPSE_LONGEST_US 2800000
+/* What is unlisted after an outage gets no more work so long before the directory's word is whole
+ * again, however late the first answer came: it may have left since, and what leaves must get
+ * nothing from then on. A VM that was cut off, and had its first answer 0.9 s after the cut, used
+ * an endpoint that had left for 2.2 s more: one day in 32 with cuts and leaving endpoints, none in
+ * 64 since. */
+#define SETTLED_MARGIN_US 200000
 
 struct comet_instances
 {
@@ -147,10 +147,11 @@
 
 bool
 comet_instances_lapse(struct comet_instances *instances, const char *id, uint64_t out_us,
-	uint64_t lapse_us, uint64_t now_us)
+	const struct comet_lapse_bounds *bounds, uint64_t now_us)
 {
 	struct comet_instance *instance = comet_instances_find(instances, id);
-	uint64_t until_us = MIN(now_us + lapse_us, out_us + LAPSE_LONGEST_US);
+	uint64_t last_us = out_us + bounds->settled_us - MIN(bounds->settled_us, SETTLED_MARGIN_US);
+	uint64_t until_us = MIN(now_us + bounds->usual_us, last_us);
 
 	if (instance == NULL || until_us <= now_us)
 		return false;
--- a/libcometspindle/gateway/instances.h
+++ b/libcometspindle/gateway/instances.h
@@ -39,14 +39,21 @@
 void
 comet_instances_remove(struct comet_instances *instances, const char *id);
 
+/** How long what is unlisted after an outage is used on. */
+struct comet_lapse_bounds
+{
+	uint64_t usual_us;   /**< from when it was found unlisted */
+	uint64_t settled_us; /**< after an outage the directory's word is whole again */
+};
+
 /**
  * It was found unlisted after an outage, which was last known to go on at out_us: it is used on
- * for lapse_us, or less when the outage may have been over for long, and then dropped.
+ * for a while, or less when the outage may have been over for long, and then dropped.
  * @return false: it is not to be used any more.
  */
 bool
 comet_instances_lapse(struct comet_instances *instances, const char *id, uint64_t out_us,
-	uint64_t lapse_us, uint64_t now_us) G_GNUC_WARN_UNUSED_RESULT;
+	const struct comet_lapse_bounds *bounds, uint64_t now_us) G_GNUC_WARN_UNUSED_RESULT;
 
 /** Drops lapsed instances whose time is over; calls dropped for each id before. */
 void
--- a/libcometspindle/gateway/settings.c
+++ b/libcometspindle/gateway/settings.c
@@ -26,6 +26,7 @@
 #define GRACE_DEFAULT_S 8.0
 #define TEAM_WINDOW_DEFAULT_S 8.0
 #define RETRY_WINDOW_DEFAULT_S 10.0
+#define SETTLED_DEFAULT_MS 3000
 
 static char *
 read_text(struct comet_gateway_settings *settings, struct comet_check_object *object,
@@ -46,6 +47,8 @@
 	settings->grace_ms = read_seconds(object, "grace_s", GRACE_DEFAULT_S);
 	settings->leave_ms = (uint32_t)comet_check_int(object, "leave_ms", 0, HOUR_MS, 2700);
 	settings->lapse_ms = (uint32_t)comet_check_int(object, "lapse_ms", 0, HOUR_MS, 2200);
+	settings->settled_ms =
+		(uint32_t)comet_check_int(object, "settled_ms", 0, HOUR_MS, SETTLED_DEFAULT_MS);
 }
 
 static void
--- a/libcometspindle/gateway/settings.h
+++ b/libcometspindle/gateway/settings.h
@@ -13,17 +13,18 @@
 
 struct comet_gateway_settings
 {
-	char *name;        /**< this VM's name, for logs */
-	char *zone;        /**< its availability zone */
-	char *callers;     /**< IP:PORT that callers connect to */
-	char *readiness;   /**< IP:PORT that answers whether this VM takes requests */
-	char *control;     /**< IP:PORT for other VMs and for metrics */
-	char *peers;       /**< IP:PORT for views, by UDP; the port is the same on all VMs */
-	char *seeds;       /**< IP:PORT of some VMs' control, separated by commas */
-	char *directory;   /**< IP:PORT of the platform's store */
-	uint32_t grace_ms; /**< a stop may take so long before the process is killed */
-	uint32_t leave_ms; /**< a stopping VM still takes requests for this time */
-	uint32_t lapse_ms; /**< endpoints unlisted in an outage are used on for so long */
+	char *name;          /**< this VM's name, for logs */
+	char *zone;          /**< its availability zone */
+	char *callers;       /**< IP:PORT that callers connect to */
+	char *readiness;     /**< IP:PORT that answers whether this VM takes requests */
+	char *control;       /**< IP:PORT for other VMs and for metrics */
+	char *peers;         /**< IP:PORT for views, by UDP; the port is the same on all VMs */
+	char *seeds;         /**< IP:PORT of some VMs' control, separated by commas */
+	char *directory;     /**< IP:PORT of the platform's store */
+	uint32_t grace_ms;   /**< a stop may take so long before the process is killed */
+	uint32_t leave_ms;   /**< a stopping VM still takes requests for this time */
+	uint32_t lapse_ms;   /**< endpoints unlisted in an outage are used on for so long */
+	uint32_t settled_ms; /**< so long after an outage the directory's word is whole again */
 	uint32_t near_bytes_per_s; /**< most that is sent to VMs of the own zone */
 	uint32_t far_bytes_per_s;  /**< most that is sent to VMs of other zones */
 	uint32_t cpu_percent;      /**< of a core that this VM may use */
--- a/tests/unit/test_instances.cc
+++ b/tests/unit/test_instances.cc
@@ -17,6 +17,7 @@
 
 constexpr uint64_t second_us = 1000000;
 constexpr uint64_t lapse_us = 2200000;
+constexpr comet_lapse_bounds bounds = {lapse_us, 3 * second_us};
 
 struct Lapses : ::testing::Test
 {
@@ -47,7 +48,7 @@
 TEST_F(Lapses, WhatIsUnlistedAfterAnOutageIsUsedOnForAWhile)
 {
 	uint64_t out_us = 10 * second_us;
-	ASSERT_TRUE(comet_instances_lapse(instances, "i", out_us, lapse_us, out_us + 100000));
+	ASSERT_TRUE(comet_instances_lapse(instances, "i", out_us, &bounds, out_us + 100000));
 	EXPECT_TRUE(used(out_us + 2 * second_us)); /* entries may be back by then */
 	EXPECT_FALSE(used(out_us + 100000 + lapse_us));
 }
@@ -57,22 +58,33 @@
 TEST_F(Lapses, HoweverLateTheFirstAnswerNothingIsUsedThreeSecondsAfterAnOutage)
 {
 	uint64_t out_us = 10 * second_us;
-	ASSERT_TRUE(comet_instances_lapse(instances, "i", out_us, lapse_us, out_us + 1600000));
+	ASSERT_TRUE(comet_instances_lapse(instances, "i", out_us, &bounds, out_us + 1600000));
 	EXPECT_TRUE(used(out_us + 2 * second_us));
 	EXPECT_FALSE(used(out_us + 3 * second_us));
 }
 
+TEST_F(Lapses, WhereTheDirectoryIsSoonWholeAgainTheyAreShorter)
+{
+	uint64_t out_us = 10 * second_us;
+	const comet_lapse_bounds soon = {lapse_us, 2 * second_us};
+	ASSERT_TRUE(comet_instances_lapse(instances, "i", out_us, &soon, out_us + 100000));
+	EXPECT_TRUE(used(out_us + second_us));
+	EXPECT_FALSE(used(out_us + 2 * second_us));
+	const comet_lapse_bounds none = {lapse_us, 0};
+	EXPECT_FALSE(comet_instances_lapse(instances, "i", out_us, &none, out_us));
+}
+
 TEST_F(Lapses, WhatIsUnlistedLongAfterAnOutageIsGone)
 {
 	uint64_t out_us = 10 * second_us;
 	EXPECT_FALSE(
-		comet_instances_lapse(instances, "i", out_us, lapse_us, out_us + 5 * second_us));
+		comet_instances_lapse(instances, "i", out_us, &bounds, out_us + 5 * second_us));
 }
 
 TEST_F(Lapses, WhatIsListedAgainStays)
 {
 	uint64_t out_us = 10 * second_us;
-	ASSERT_TRUE(comet_instances_lapse(instances, "i", out_us, lapse_us, out_us + 100000));
+	ASSERT_TRUE(comet_instances_lapse(instances, "i", out_us, &bounds, out_us + 100000));
 	comet_instance_record record = {"i", "llm", "127.0.0.1:1", "z", 4, 0, false};
 	comet_instances_put(instances, &record, out_us + second_us);
 	EXPECT_TRUE(used(out_us + 9 * second_us));
