A server that starts again under its id is another life, which knows nothing of the one before

Cause: entries may tell when their server was born, and a server may start again under its id. Nothing read that: what was learned and counted of the earlier life (requests under way, told load, doubts, paces, connections, slots that keepers had granted) went on to the later one, and late news of the earlier life would have stopped the later. Change: (id, born) names a life. A later life replaces the instance whole; news of an earlier one, or an entry that names none where one was told, changes nothing or drops the endpoint. What VMs tell each other (counts, grants, freed slots, exceptions) names a life too; shards go by the id, so that they stay as they are. Idle connections to the earlier life are closed, those in use are kept no longer than their answer, and requests under way are probed: what the new process took before this VM knew of it goes on, the rest breaks within two seconds and gets its true verdict. Pace is not carried over: no measurement says that it belongs to the machine. The directory's events have a file of their own; an upstream's pools are freed with their last connection. Ruled out: ending what was sent to the earlier life at once. Between a server's start and the news of it a second may pass, in which requests reach the new life.

--- a/libcometspindle/adapters/endpoints/upstream.c
+++ b/libcometspindle/adapters/endpoints/upstream.c
@@ -33,14 +33,23 @@
 {
 	struct tevent_context *ev;
 	struct comet_timers *timers;
-	GHashTable *pools; /* instance -> GQueue of idle links, newest first */
+	GHashTable *pools; /* instance -> struct pool */
 	struct comet_upstream_counts counts;
 };
 
+/* The connections to an endpoint's process. */
+struct pool
+{
+	GQueue idle;    /* of struct link, newest first */
+	uint32_t links; /* idle or not */
+	bool closed;    /* the process has ended or leaves: nothing is kept any more */
+};
+
 /* A connection to an endpoint. */
 struct link
 {
 	struct comet_upstream *upstream;
+	struct pool *pool;
 	struct comet_socket *socket;
 	struct comet_http_reader *reader;
 	struct comet_exchange *exchange; /* NULL: idle */
@@ -69,29 +78,40 @@
 	bool head_only;
 };
 
-static GQueue *
+static struct pool *
 pool_of(struct comet_upstream *upstream, const char *instance)
 {
-	GQueue *pool = g_hash_table_lookup(upstream->pools, instance);
+	struct pool *pool = g_hash_table_lookup(upstream->pools, instance);
 
 	if (pool == NULL)
 	{
-		pool = g_queue_new();
+		pool = g_new0(struct pool, 1);
 		g_hash_table_insert(upstream->pools, g_strdup(instance), pool);
 	}
 	return pool;
 }
 
+/* A pool that is closed is freed with its last link. */
+static void
+free_if_unused(struct pool *pool)
+{
+	if (pool->closed && pool->links == 0)
+		g_free(pool);
+}
+
 static int
 link_destroy(struct link *link)
 {
 	struct comet_upstream *upstream = link->upstream;
+	struct pool *pool = link->pool;
 
 	upstream->counts.open--;
 	if (link->exchange != NULL)
 		link->exchange->link = NULL;
-	else if (upstream->pools != NULL && g_queue_remove(pool_of(upstream, link->instance), link))
+	else if (g_queue_remove(&pool->idle, link))
 		upstream->counts.idle--;
+	pool->links--;
+	free_if_unused(pool);
 	return 0;
 }
 
@@ -120,18 +140,19 @@
 put_aside(struct link *link)
 {
 	struct comet_upstream *upstream = link->upstream;
-	GQueue *pool = pool_of(upstream, link->instance);
+	struct pool *pool = link->pool;
 
 	link->exchange->link = NULL;
 	link->exchange = NULL;
-	if (!link->keep_alive || link->idle_us == 0 || g_queue_get_length(pool) >= IDLE_MAX)
+	if (!link->keep_alive || link->idle_us == 0 || pool->closed ||
+		g_queue_get_length(&pool->idle) >= IDLE_MAX)
 	{
 		talloc_free(link);
 		return;
 	}
 	link->ended = false;
 	comet_socket_pause(link->socket, false);
-	g_queue_push_head(pool, link);
+	g_queue_push_head(&pool->idle, link);
 	upstream->counts.idle++;
 	link->idle_timer =
 		comet_timers_add(upstream->timers, link, link->idle_us, on_idle_over, link);
@@ -334,6 +355,8 @@
 		return NULL;
 	}
 	link->upstream = upstream;
+	link->pool = pool_of(upstream, request->instance);
+	link->pool->links++;
 	link->instance = talloc_strdup(link, request->instance);
 	link->reader = comet_http_reader_create(link, false, HEAD_MAX_BYTES, &reader_events, link);
 	upstream->counts.open++;
@@ -346,14 +369,14 @@
 static struct link *
 take_idle(struct comet_upstream *upstream, const char *instance)
 {
-	GQueue *pool = pool_of(upstream, instance);
+	struct pool *pool = pool_of(upstream, instance);
 	struct link *link = NULL;
 
-	while ((link = g_queue_peek_head(pool)) != NULL)
+	while ((link = g_queue_peek_head(&pool->idle)) != NULL)
 	{
 		if (comet_socket_is_quiet(link->socket))
 		{
-			g_queue_pop_head(pool);
+			g_queue_pop_head(&pool->idle);
 			upstream->counts.idle--;
 			upstream->counts.reused++;
 			comet_timer_cancel(&link->idle_timer);
@@ -425,6 +448,13 @@
 	return exchange->sent;
 }
 
+void
+comet_exchange_probe(struct comet_exchange *exchange)
+{
+	if (exchange->link != NULL)
+		comet_socket_probe(exchange->link->socket);
+}
+
 void
 comet_exchange_pause(struct comet_exchange *exchange, bool paused)
 {
@@ -432,16 +462,24 @@
 		comet_socket_pause(exchange->link->socket, paused);
 }
 
-void
-comet_upstream_forget(struct comet_upstream *upstream, const char *instance)
+/* Closes what is idle; what is not idle yet is not kept either. */
+static void
+close_pool(gpointer data)
 {
-	GQueue *pool = g_hash_table_lookup(upstream->pools, instance);
+	struct pool *pool = data;
 	struct link *link = NULL;
 
-	if (pool == NULL)
-		return;
-	while ((link = g_queue_peek_head(pool)) != NULL)
+	pool->links++; /* held until the last of them is closed */
+	pool->closed = true;
+	while ((link = g_queue_peek_head(&pool->idle)) != NULL)
 		talloc_free(link);
+	pool->links--;
+	free_if_unused(pool);
+}
+
+void
+comet_upstream_forget(struct comet_upstream *upstream, const char *instance)
+{
 	g_hash_table_remove(upstream->pools, instance);
 }
 
@@ -451,27 +489,10 @@
 	return &upstream->counts;
 }
 
-static void
-free_pool(gpointer pool)
-{
-	g_queue_free(pool);
-}
-
 static int
 upstream_destroy(struct comet_upstream *upstream)
 {
-	GHashTableIter at;
-	gpointer pool = NULL;
-
-	g_hash_table_iter_init(&at, upstream->pools);
-	while (g_hash_table_iter_next(&at, NULL, &pool))
-	{
-		struct link *link = NULL;
-		while ((link = g_queue_peek_head(pool)) != NULL)
-			talloc_free(link);
-	}
 	g_hash_table_destroy(upstream->pools);
-	upstream->pools = NULL;
 	return 0;
 }
 
@@ -482,7 +503,7 @@
 
 	upstream->ev = ev;
 	upstream->timers = timers;
-	upstream->pools = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_pool);
+	upstream->pools = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, close_pool);
 	talloc_set_destructor(upstream, upstream_destroy);
 	return upstream;
 }
--- a/libcometspindle/adapters/endpoints/upstream.h
+++ b/libcometspindle/adapters/endpoints/upstream.h
@@ -72,11 +72,15 @@
 bool
 comet_exchange_sent(const struct comet_exchange *exchange);
 
+/** Looks whether the other side still holds the connection, which breaks if it does not. */
+void
+comet_exchange_probe(struct comet_exchange *exchange);
+
 /** Stops or goes on reading the answer. */
 void
 comet_exchange_pause(struct comet_exchange *exchange, bool paused);
 
-/** Closes the idle connections to an endpoint's process. */
+/** Closes the idle connections to an endpoint's process; what is in use now is not kept after. */
 void
 comet_upstream_forget(struct comet_upstream *upstream, const char *instance);
 
--- a/libcometspindle/adapters/gateway/gateway.c
+++ b/libcometspindle/adapters/gateway/gateway.c
@@ -44,166 +44,6 @@
 /* Most seeds that a settings file names usefully. */
 #define SEEDS_MAX 16
 
-static void
-log_team(void *ctx, const struct comet_route_team *team)
-{
-	struct comet_gateway *gateway = ctx;
-	const struct comet_route_team *before =
-		gateway->table != NULL ? comet_route_table_team(gateway->table, team->id) : NULL;
-
-	if (before != NULL && before->rate_per_s == team->rate_per_s &&
-		before->burst == team->burst && before->priority == team->priority)
-		return;
-	comet_log(COMET_LOG_NOTICE,
-		"event=team_limit team=%s rate_per_s=%" G_GUINT64_FORMAT " burst=%" G_GUINT64_FORMAT
-		" unit=%s priority=%u",
-		team->name, team->rate_per_s, team->burst, team->in_tokens ? "tokens" : "requests",
-		team->priority);
-}
-
-static void
-on_routes(void *ctx, struct comet_route_table *table)
-{
-	struct comet_gateway *gateway = ctx;
-	uint64_t version = comet_route_table_version(table);
-
-	if (gateway->table != NULL && version <= comet_route_table_version(gateway->table))
-	{
-		comet_route_table_unref(table); /* never an older one */
-		return;
-	}
-	comet_log(COMET_LOG_NOTICE, "event=routes_taken version=%" G_GUINT64_FORMAT, version);
-	comet_route_table_each_team(table, log_team, gateway);
-	comet_route_table_unref(gateway->table);
-	gateway->table = table;
-	comet_allowance_set_teams(gateway->allowance, table, comet_timers_now_us());
-	comet_front_set_limits(gateway->callers, comet_route_table_limits(table));
-}
-
-static void
-on_instance(void *ctx, const struct comet_instance_record *record)
-{
-	struct comet_gateway *gateway = ctx;
-	const struct comet_instance *known = comet_instances_find(gateway->instances, record->id);
-
-	if (known == NULL || known->draining != record->draining || !known->listed)
-		comet_log(COMET_LOG_NOTICE,
-			"event=endpoint_listed endpoint=%s service=%s address=%s zone=%s slots=%u "
-			"draining=%d",
-			record->id, record->service, record->address, record->zone, record->slots,
-			record->draining);
-	comet_instances_put(gateway->instances, record, comet_timers_now_us());
-	if (record->draining)
-		comet_upstream_forget(gateway->upstream, record->id);
-}
-
-static void
-forget_endpoint(struct comet_gateway *gateway, const char *id, const char *reason)
-{
-	comet_log(COMET_LOG_NOTICE, "event=endpoint_gone endpoint=%s reason=%s", id, reason);
-	comet_upstream_forget(gateway->upstream, id);
-}
-
-/* The directory names it no more. */
-static void
-drop_endpoint(struct comet_gateway *gateway, const char *id, const char *reason)
-{
-	if (comet_instances_find(gateway->instances, id) == NULL)
-		return;
-	forget_endpoint(gateway, id, reason);
-	comet_instances_remove(gateway->instances, id);
-}
-
-static void
-on_dropped(void *ctx, const char *id)
-{
-	forget_endpoint(ctx, id, "lapse_over");
-}
-
-static void
-on_instance_gone(void *ctx, const char *id, uint64_t out_us)
-{
-	struct comet_gateway *gateway = ctx;
-	const struct comet_lapse_bounds bounds = {
-		.usual_us = (uint64_t)gateway->settings->lapse_ms * 1000,
-		.settled_us = (uint64_t)gateway->settings->settled_ms * 1000,
-	};
-	uint64_t now_us = comet_timers_now_us();
-
-	if (out_us != 0 && comet_instances_lapse(gateway->instances, id, out_us, &bounds, now_us))
-	{
-		comet_log(COMET_LOG_NOTICE,
-			"event=endpoint_lapsed endpoint=%s out_ms_ago=%" G_GUINT64_FORMAT, id,
-			(now_us - out_us) / 1000);
-		return;
-	}
-	drop_endpoint(gateway, id, "removed");
-}
-
-static void
-on_refused(void *ctx, const struct comet_directory_refusal *refusal)
-{
-	struct comet_gateway *gateway = ctx;
-
-	gateway->counts.unreadable++;
-	comet_log(COMET_LOG_ERR,
-		"event=directory_item_refused key=%s revision=%" G_GUINT64_FORMAT
-		" effect=%s error=\"%s\"",
-		refusal->key, refusal->revision,
-		refusal->endpoint != NULL ? "endpoint_dropped" : "kept_last", refusal->why);
-	if (refusal->endpoint != NULL)
-		drop_endpoint(gateway, refusal->endpoint, "unreadable");
-}
-
-static void
-on_revision(void *ctx, uint64_t revision)
-{
-	struct comet_gateway *gateway = ctx;
-
-	gateway->listed = true;
-	gateway->revision = revision;
-	comet_views_set_revision(gateway->views, revision);
-	comet_placement_run(gateway->placement, comet_timers_now_us());
-}
-
-static void
-on_answered(void *ctx)
-{
-	((struct comet_gateway *)ctx)->answered_us = comet_timers_now_us();
-}
-
-static void
-on_dependency(void *ctx, bool there, const char *why)
-{
-	struct comet_gateway *gateway = ctx;
-
-	uint64_t now_us = comet_timers_now_us();
-
-	gateway->directory_lost = !there;
-	if (there)
-	{
-		comet_log(COMET_LOG_NOTICE,
-			"event=directory_regained reason=%s lost_ms=%" G_GUINT64_FORMAT, why,
-			(now_us - gateway->lost_us) / 1000);
-		return;
-	}
-	gateway->lost_us = now_us;
-	gateway->counts.directory_losses++;
-	comet_log(COMET_LOG_WARNING,
-		"event=directory_lost reason=%s answered_ms_ago=%" G_GUINT64_FORMAT, why,
-		gateway->answered_us != 0 ? (now_us - gateway->answered_us) / 1000 : 0);
-}
-
-static const struct comet_directory_events directory_events = {
-	.routes = on_routes,
-	.instance = on_instance,
-	.instance_gone = on_instance_gone,
-	.refused = on_refused,
-	.revision = on_revision,
-	.answered = on_answered,
-	.dependency = on_dependency,
-};
-
 static void
 on_datagram(void *ctx, const uint8_t *data, size_t length)
 {
@@ -307,7 +147,7 @@
 	comet_views_tick(gateway->views, now_us);
 	comet_views_count(gateway->views, &known, &heard);
 	set_vms(gateway, heard + 1, known + 1, now_us);
-	comet_instances_tick(gateway->instances, now_us, on_dropped, gateway);
+	comet_instances_tick(gateway->instances, now_us, comet_gateway_lapse_over, gateway);
 	comet_placement_run(gateway->placement, now_us);
 	comet_gateway_copy_if_behind(gateway, now_us);
 	if (gateway->stop_us != 0)
@@ -482,7 +322,7 @@
 		.timers = gateway->timers,
 		.upstream = gateway->upstream,
 		.address = settings->directory,
-		.events = &directory_events,
+		.events = &comet_gateway_directory_events,
 		.ctx = gateway,
 	};
 	gateway->directory = port->create_directory(gateway, &context);
--- a/libcometspindle/adapters/gateway/gateway_admit.c
+++ b/libcometspindle/adapters/gateway/gateway_admit.c
@@ -42,6 +42,8 @@
 call_destroy(struct comet_relay *relay)
 {
 	relay->gateway->calls--;
+	if (relay->sending != NULL) /* the process ends */
+		g_queue_delete_link(&relay->gateway->sendings, relay->sending);
 	comet_route_table_unref(relay->table);
 	if (relay->answer != NULL)
 		g_byte_array_free(relay->answer, TRUE);
--- /dev/null
+++ b/libcometspindle/adapters/gateway/gateway_directory.c
@@ -0,0 +1,208 @@
+/*
+ * gateway_directory.c
+ * what a gateway does with the word of its directory: routes, endpoints, and that it is lost
+ */
+#include <libcometspindle/adapters/gateway/gateway_relay.h>
+
+#include <libcometspindle/log.h>
+
+static void
+log_team(void *ctx, const struct comet_route_team *team)
+{
+	struct comet_gateway *gateway = ctx;
+	const struct comet_route_team *before =
+		gateway->table != NULL ? comet_route_table_team(gateway->table, team->id) : NULL;
+
+	if (before != NULL && before->rate_per_s == team->rate_per_s &&
+		before->burst == team->burst && before->priority == team->priority)
+		return;
+	comet_log(COMET_LOG_NOTICE,
+		"event=team_limit team=%s rate_per_s=%" G_GUINT64_FORMAT " burst=%" G_GUINT64_FORMAT
+		" unit=%s priority=%u",
+		team->name, team->rate_per_s, team->burst, team->in_tokens ? "tokens" : "requests",
+		team->priority);
+}
+
+static void
+on_routes(void *ctx, struct comet_route_table *table)
+{
+	struct comet_gateway *gateway = ctx;
+	uint64_t version = comet_route_table_version(table);
+
+	if (gateway->table != NULL && version <= comet_route_table_version(gateway->table))
+	{
+		comet_route_table_unref(table); /* never an older one */
+		return;
+	}
+	comet_log(COMET_LOG_NOTICE, "event=routes_taken version=%" G_GUINT64_FORMAT, version);
+	comet_route_table_each_team(table, log_team, gateway);
+	comet_route_table_unref(gateway->table);
+	gateway->table = table;
+	comet_allowance_set_teams(gateway->allowance, table, comet_timers_now_us());
+	comet_front_set_limits(gateway->callers, comet_route_table_limits(table));
+}
+
+static void
+forget_endpoint(struct comet_gateway *gateway, const char *id, const char *reason)
+{
+	comet_log(COMET_LOG_NOTICE, "event=endpoint_gone endpoint=%s reason=%s", id, reason);
+	comet_upstream_forget(gateway->upstream, id);
+}
+
+/* The directory names it no more. */
+static void
+drop_endpoint(struct comet_gateway *gateway, const char *id, const char *reason)
+{
+	if (comet_instances_find(gateway->instances, id) == NULL)
+		return;
+	forget_endpoint(gateway, id, reason);
+	comet_instances_remove(gateway->instances, id);
+}
+
+/* Logs what changes with an entry; known: NULL or what is known of that id. */
+static void
+log_listed(const struct comet_instance *known, const struct comet_instance_record *record)
+{
+	if (known != NULL && known->draining == record->draining && known->listed &&
+		known->born_ms == record->born_ms)
+		return;
+	comet_log(COMET_LOG_NOTICE,
+		"event=endpoint_listed endpoint=%s service=%s address=%s zone=%s slots=%u "
+		"draining=%d born=%" G_GUINT64_FORMAT " reborn=%d",
+		record->id, record->service, record->address, record->zone, record->slots,
+		record->draining, record->born_ms,
+		known != NULL && known->born_ms < record->born_ms);
+}
+
+/* Takes an entry of this or a later life of an endpoint's process. */
+static void
+take_instance(struct comet_gateway *gateway, const struct comet_instance *known,
+	const struct comet_instance_record *record)
+{
+	bool reborn = known != NULL && known->born_ms < record->born_ms;
+
+	log_listed(known, record);
+	comet_instances_put(gateway->instances, record, comet_timers_now_us());
+	if (record->draining || reborn)
+		comet_upstream_forget(gateway->upstream, record->id);
+	if (reborn)
+		comet_relay_probe_earlier_life(gateway, record->id, record->born_ms);
+}
+
+static void
+on_instance(void *ctx, const struct comet_instance_record *record)
+{
+	struct comet_gateway *gateway = ctx;
+	const struct comet_instance *known = comet_instances_find(gateway->instances, record->id);
+	enum comet_life life =
+		known != NULL ? comet_instance_life(known, record->born_ms) : COMET_LIFE_SAME;
+
+	switch (life)
+	{
+	case COMET_LIFE_SAME:
+	case COMET_LIFE_LATER:
+		take_instance(gateway, known, record);
+		break;
+	case COMET_LIFE_EARLIER:
+		comet_log(COMET_LOG_NOTICE,
+			"event=earlier_life_ignored endpoint=%s born=%" G_GUINT64_FORMAT
+			" known=%" G_GUINT64_FORMAT,
+			record->id, record->born_ms, known->born_ms);
+		break;
+	case COMET_LIFE_UNTOLD:
+		/* Its process tells when it was born: somebody else has written this. */
+		gateway->counts.unreadable++;
+		drop_endpoint(gateway, record->id, "life_untold");
+		break;
+	}
+}
+
+void
+comet_gateway_lapse_over(void *ctx, const char *id)
+{
+	forget_endpoint(ctx, id, "lapse_over");
+}
+
+static void
+on_instance_gone(void *ctx, const char *id, uint64_t out_us)
+{
+	struct comet_gateway *gateway = ctx;
+	const struct comet_lapse_bounds bounds = {
+		.usual_us = (uint64_t)gateway->settings->lapse_ms * 1000,
+		.settled_us = (uint64_t)gateway->settings->settled_ms * 1000,
+	};
+	uint64_t now_us = comet_timers_now_us();
+
+	if (out_us != 0 && comet_instances_lapse(gateway->instances, id, out_us, &bounds, now_us))
+	{
+		comet_log(COMET_LOG_NOTICE,
+			"event=endpoint_lapsed endpoint=%s out_ms_ago=%" G_GUINT64_FORMAT, id,
+			(now_us - out_us) / 1000);
+		return;
+	}
+	drop_endpoint(gateway, id, "removed");
+}
+
+static void
+on_refused(void *ctx, const struct comet_directory_refusal *refusal)
+{
+	struct comet_gateway *gateway = ctx;
+
+	gateway->counts.unreadable++;
+	comet_log(COMET_LOG_ERR,
+		"event=directory_item_refused key=%s revision=%" G_GUINT64_FORMAT
+		" effect=%s error=\"%s\"",
+		refusal->key, refusal->revision,
+		refusal->endpoint != NULL ? "endpoint_dropped" : "kept_last", refusal->why);
+	if (refusal->endpoint != NULL)
+		drop_endpoint(gateway, refusal->endpoint, "unreadable");
+}
+
+static void
+on_revision(void *ctx, uint64_t revision)
+{
+	struct comet_gateway *gateway = ctx;
+
+	gateway->listed = true;
+	gateway->revision = revision;
+	comet_views_set_revision(gateway->views, revision);
+	comet_placement_run(gateway->placement, comet_timers_now_us());
+}
+
+static void
+on_answered(void *ctx)
+{
+	((struct comet_gateway *)ctx)->answered_us = comet_timers_now_us();
+}
+
+static void
+on_dependency(void *ctx, bool there, const char *why)
+{
+	struct comet_gateway *gateway = ctx;
+
+	uint64_t now_us = comet_timers_now_us();
+
+	gateway->directory_lost = !there;
+	if (there)
+	{
+		comet_log(COMET_LOG_NOTICE,
+			"event=directory_regained reason=%s lost_ms=%" G_GUINT64_FORMAT, why,
+			(now_us - gateway->lost_us) / 1000);
+		return;
+	}
+	gateway->lost_us = now_us;
+	gateway->counts.directory_losses++;
+	comet_log(COMET_LOG_WARNING,
+		"event=directory_lost reason=%s answered_ms_ago=%" G_GUINT64_FORMAT, why,
+		gateway->answered_us != 0 ? (now_us - gateway->answered_us) / 1000 : 0);
+}
+
+const struct comet_directory_events comet_gateway_directory_events = {
+	.routes = on_routes,
+	.instance = on_instance,
+	.instance_gone = on_instance_gone,
+	.refused = on_refused,
+	.revision = on_revision,
+	.answered = on_answered,
+	.dependency = on_dependency,
+};
--- a/libcometspindle/adapters/gateway/gateway_private.h
+++ b/libcometspindle/adapters/gateway/gateway_private.h
@@ -74,7 +74,8 @@
 	struct comet_gateway_counts counts;
 	struct comet_tally *ends; /**< of requests, by what became of them, kind and rank */
 	struct comet_gateway_times times[COMET_ROUTE_KINDS];
-	uint32_t calls; /**< requests that are open */
+	uint32_t calls;  /**< requests that are open */
+	GQueue sendings; /**< of struct comet_relay: those that are at an endpoint */
 	struct comet_draw draw;
 	uint64_t began_us;
 	bool finding;                /**< it still finds out who else is there */
@@ -95,6 +96,13 @@
 /** Handles a request of a caller (gateway_relay.c). */
 extern const struct comet_front_events comet_gateway_caller_events;
 
+/** What the directory tells (gateway_directory.c). */
+extern const struct comet_directory_events comet_gateway_directory_events;
+
+/** An endpoint that lapsed in an outage has not come back; for comet_instances_tick(). */
+void
+comet_gateway_lapse_over(void *ctx, const char *id);
+
 /** What placement asks for (gateway_send.c). */
 extern const struct comet_placement_ops comet_gateway_placement_ops;
 
--- a/libcometspindle/adapters/gateway/gateway_relay.c
+++ b/libcometspindle/adapters/gateway/gateway_relay.c
@@ -4,7 +4,6 @@
  */
 #include <libcometspindle/adapters/gateway/gateway_relay.h>
 
-#include <libcometspindle/hash.h>
 #include <libcometspindle/log.h>
 #include <string.h>
 #include <talloc.h>
@@ -20,7 +19,9 @@
 {
 	if (relay->instance == NULL)
 		return NULL;
-	return comet_instances_find(relay->gateway->instances, relay->instance);
+	struct comet_instance *instance =
+		comet_instances_find(relay->gateway->instances, relay->instance);
+	return instance != NULL && instance->born_ms == relay->born_ms ? instance : NULL;
 }
 
 uint64_t
@@ -37,9 +38,8 @@
 
 	if (relay->item.keeper == 0)
 		return;
-	comet_grants_release(relay->gateway->grants, relay->item.keeper,
-		comet_hash_name(relay->instance), whole ? events : 0,
-		whole ? relay->last_us - relay->first_us : 0);
+	comet_grants_release(relay->gateway->grants, relay->item.keeper, relay->life,
+		whole ? events : 0, whole ? relay->last_us - relay->first_us : 0);
 	relay->item.keeper = 0;
 }
 
@@ -70,6 +70,8 @@
 		comet_placement_freed(gateway->placement, instance);
 	}
 	release_slot(relay, result, events);
+	g_queue_delete_link(&gateway->sendings, relay->sending);
+	relay->sending = NULL;
 	TALLOC_FREE(relay->instance);
 	TALLOC_FREE(relay->exchange);
 	TALLOC_FREE(relay->head);
--- a/libcometspindle/adapters/gateway/gateway_relay.h
+++ b/libcometspindle/adapters/gateway/gateway_relay.h
@@ -24,7 +24,10 @@
 	struct comet_timer *undecided;     /* its team's limit is looked at again */
 	struct comet_timer *deadline;
 	struct comet_timer *silence;
-	char *instance; /* id of where it is now */
+	char *instance;   /* id of where it is now */
+	uint64_t born_ms; /* life of that instance's process */
+	uint32_t life;    /* key of that life */
+	GList *sending;   /* its place among the gateway's sendings; NULL: it is nowhere */
 	GByteArray *answer;
 	struct comet_http_head *head; /* copy of the answer's head, or NULL */
 	uint64_t charge;
@@ -48,7 +51,7 @@
 bool
 comet_relay_is_stream(const struct comet_relay *relay);
 
-/** Where the request is now; NULL when nowhere, or when that endpoint is not known any more. */
+/** Where the request is now; NULL when nowhere, or when that life of the endpoint is over. */
 struct comet_instance *
 comet_relay_instance(const struct comet_relay *relay);
 
@@ -64,6 +67,10 @@
 void
 comet_relay_end_sending(struct comet_relay *relay, enum comet_dispatch_result result);
 
+/** The process of an endpoint has started again: what the one before it had is lost. */
+void
+comet_relay_probe_earlier_life(struct comet_gateway *gateway, const char *id, uint64_t born_ms);
+
 /** Takes a caller's request: admits and places it, or answers it (gateway_admit.c). */
 void
 comet_relay_take(void *ctx, struct comet_front_request *request);
--- a/libcometspindle/adapters/gateway/gateway_send.c
+++ b/libcometspindle/adapters/gateway/gateway_send.c
@@ -110,6 +110,24 @@
 		relay->gateway->timers, relay, relay->silent_after_us, on_silence, relay);
 }
 
+/* A request that an ended process had waits for nothing: probed, its connection breaks within two
+ * seconds, else one that may not be repeated is held until its caller's time is over. One that the
+ * new process took before this VM knew of it goes on, since its connection stands. */
+void
+comet_relay_probe_earlier_life(struct comet_gateway *gateway, const char *id, uint64_t born_ms)
+{
+	for (GList *at = gateway->sendings.head; at != NULL; at = at->next)
+	{
+		const struct comet_relay *relay = at->data;
+		if (relay->born_ms == born_ms || strcmp(relay->instance, id) != 0)
+			continue;
+		comet_log(COMET_LOG_INFO,
+			"event=probed request=%s endpoint=%s born=%" G_GUINT64_FORMAT, relay->id,
+			id, relay->born_ms);
+		comet_exchange_probe(relay->exchange);
+	}
+}
+
 /* A sending failed in a way that may have run the request. */
 void
 comet_relay_sending_broke(struct comet_relay *relay, enum comet_dispatch_result result)
@@ -200,6 +218,10 @@
 	relay->last_us = 0;
 	relay->first_count = relay->events != NULL ? comet_event_stream_count(relay->events) : 0;
 	relay->instance = talloc_strdup(relay, instance->id);
+	relay->born_ms = instance->born_ms;
+	relay->life = instance->key;
+	g_queue_push_tail(&gateway->sendings, relay);
+	relay->sending = g_queue_peek_tail_link(&gateway->sendings);
 	comet_instance_started(instance, &item->job);
 	relay->exchange = comet_upstream_send(
 		gateway->upstream, relay, &sending, &comet_relay_answer_events, relay);
--- a/libcometspindle/gateway/instance.c
+++ b/libcometspindle/gateway/instance.c
@@ -6,6 +6,8 @@
 
 #include <glib.h>
 #include <libcometspindle/gateway/speeds.h>
+#include <libcometspindle/hash.h>
+#include <string.h>
 
 /* Weight of a new sample of an instance's pace: about the last ten requests count. */
 #define PACE_WEIGHT 0.1
@@ -40,6 +42,26 @@
  * takes there. */
 #define TOLD_FRESH_US 400000
 
+enum comet_life
+comet_instance_life(const struct comet_instance *instance, uint64_t born_ms)
+{
+	if (born_ms == instance->born_ms)
+		return COMET_LIFE_SAME;
+	if (born_ms == 0)
+		return COMET_LIFE_UNTOLD;
+	return born_ms > instance->born_ms ? COMET_LIFE_LATER : COMET_LIFE_EARLIER;
+}
+
+uint32_t
+comet_instance_key(const char *id, uint64_t born_ms)
+{
+	uint32_t key = (uint32_t)comet_hash_bytes(id, strlen(id), born_ms);
+
+	if (born_ms == 0)
+		return comet_hash_name(id);
+	return key != 0 ? key : 1;
+}
+
 uint32_t
 comet_instance_load(const struct comet_instance *instance, uint64_t now_us)
 {
--- a/libcometspindle/gateway/instance.h
+++ b/libcometspindle/gateway/instance.h
@@ -34,10 +34,17 @@
 
 struct comet_speeds;
 
+/**
+ * One life of an endpoint's process. A process that starts again under its id holds and knows
+ * nothing of before, so that nothing here outlives it.
+ */
 struct comet_instance
 {
 	char *id;
-	uint32_t key; /**< comet_hash_name(id) */
+	uint64_t
+		born_ms; /**< when its process started, by its own clock (Unix time); 0: not told */
+	uint32_t key;    /**< of this life: comet_instance_key(id, born_ms) */
+	uint32_t place;  /**< of all its lives: comet_hash_name(id) */
 	char *service;
 	struct comet_speeds *speeds; /**< of its service */
 	char *address;
@@ -72,6 +79,23 @@
 	uint64_t full_us;  /**< it refused as full: no work before then */
 };
 
+/** Which life of an endpoint's process some news is of. */
+enum comet_life
+{
+	COMET_LIFE_SAME,
+	COMET_LIFE_LATER,
+	COMET_LIFE_EARLIER,
+	COMET_LIFE_UNTOLD, /**< it names none, though its process tells */
+};
+
+/** Tells of which life of a known instance's process news is that names born_ms (0: none). */
+enum comet_life
+comet_instance_life(const struct comet_instance *instance, uint64_t born_ms);
+
+/** 32-bit id of a life, the same on all VMs; 0 is never returned. */
+uint32_t
+comet_instance_key(const char *id, uint64_t born_ms);
+
 /** Requests that are believed to be at an instance now, ours and others'. */
 uint32_t
 comet_instance_load(const struct comet_instance *instance, uint64_t now_us);
--- a/libcometspindle/gateway/instances.c
+++ b/libcometspindle/gateway/instances.c
@@ -75,7 +75,9 @@
 	struct comet_instance *instance = talloc_zero(instances, struct comet_instance);
 
 	instance->id = talloc_strdup(instance, record->id);
-	instance->key = comet_hash_name(record->id);
+	instance->born_ms = record->born_ms;
+	instance->key = comet_instance_key(record->id, record->born_ms);
+	instance->place = comet_hash_name(record->id);
 	instance->service = talloc_strdup(instance, record->service);
 	instance->speeds = speeds_of(instances, record->service);
 	instance->pace = 1.0;
@@ -109,7 +111,13 @@
 {
 	struct comet_instance *instance = comet_instances_find(instances, record->id);
 
-	if (instance != NULL && strcmp(instance->service, record->service) != 0)
+	enum comet_life life = instance != NULL ? comet_instance_life(instance, record->born_ms)
+						: COMET_LIFE_LATER;
+
+	if (life == COMET_LIFE_EARLIER || life == COMET_LIFE_UNTOLD)
+		return instance;
+	if (instance != NULL &&
+		(life == COMET_LIFE_LATER || strcmp(instance->service, record->service) != 0))
 	{
 		comet_instances_remove(instances, record->id);
 		instance = NULL;
@@ -141,7 +149,9 @@
 	GPtrArray *array = g_hash_table_lookup(instances->services, instance->service);
 	g_ptr_array_remove(array, instance);
 	g_hash_table_remove(instances->by_id, instance->id);
-	g_hash_table_remove(instances->by_key, GUINT_TO_POINTER(instance->key));
+	if (comet_instances_find_key(instances, instance->key) ==
+		instance) /* not one of equal hash */
+		g_hash_table_remove(instances->by_key, GUINT_TO_POINTER(instance->key));
 	talloc_free(instance);
 }
 
--- a/libcometspindle/gateway/instances.h
+++ b/libcometspindle/gateway/instances.h
@@ -23,6 +23,7 @@
 	uint32_t slots;      /**< requests it works on at once */
 	uint32_t warm_up_ms; /**< how much longer it is slow from its start */
 	bool draining;       /**< it takes no new work */
+	uint64_t born_ms;    /**< when its process started, by its own clock; 0: not told */
 };
 
 struct comet_instances;
@@ -30,7 +31,11 @@
 struct comet_instances *
 comet_instances_create(void *parent, const char *own_zone);
 
-/** Takes over what the directory tells. @return the instance. */
+/**
+ * Takes over what the directory tells. A later life of a known instance replaces it; news that is
+ * not of this or a later life changes nothing.
+ * @return the instance
+ */
 struct comet_instance *
 comet_instances_put(struct comet_instances *instances, const struct comet_instance_record *record,
 	uint64_t now_us);
--- a/libcometspindle/gateway/shards.c
+++ b/libcometspindle/gateway/shards.c
@@ -90,7 +90,7 @@
 shard_for(struct comet_shards *shards, const struct comet_instance *instance, uint32_t in_group)
 {
 	uint32_t parts = (in_group + MEMBERS_MAX - 1) / MEMBERS_MAX;
-	uint32_t names[] = {group_of(instance), parts, instance->key % parts};
+	uint32_t names[] = {group_of(instance), parts, instance->place % parts};
 	uint32_t id = (uint32_t)comet_hash_bytes(names, sizeof names, 0);
 	struct comet_shard *shard = lookup(shards, id);
 
--- a/tests/system/platform_standin.py
+++ b/tests/system/platform_standin.py
@@ -182,6 +182,7 @@
         self.runs = []    # (id, path, headers, body)
         self.closed = []  # ids whose connection was closed before the answer
         self.scripts = {}
+        self.accepted = 0  # connections
         self.entry = {"service": service, "address": f"127.0.0.1:{self.port}", "zone": "z",
                       "slots": slots, "state": "ready", "sequence": 1, "version": "v1",
                       "warmup_left_ms": 0}
@@ -196,6 +197,7 @@
     def accept(self):
         while True:
             sock, _ = self.sock.accept()
+            self.accepted += 1
             threading.Thread(target=self.serve, args=(sock,), daemon=True).start()
 
     def serve(self, sock):
--- a/tests/system/test_directory.py
+++ b/tests/system/test_directory.py
@@ -1,6 +1,7 @@
 """test_directory.py: what a gateway makes of its directory: outages, copies, entries that come and go"""
 import json
 import re
+import threading
 
 from gateway_world import (ADDRESS, OTHER_ADDRESS, Gateway, answer_of, call, connect, document, get,
                            get_or_empty, request, run_tests)
@@ -144,6 +145,85 @@
     assert f"comet_directory_items_refused_total {len(bad)}\n".encode() in body
 
 
+def publish_and_wait(world, server, **change):
+    server.publish(**change)
+    wait_for(lambda: revision_of(world) == world.store.revision)
+
+
+def test_server_starts_again(world):
+    """A server that starts again under its id knows nothing of before: connections to its earlier life are
+    closed, and what that life had is looked after; late news of it changes nothing."""
+    one, two = world.servers
+    world.store.remove("servers/i-1")
+    publish_and_wait(world, one, born=1000)
+    assert served_by(world) == "i-0"
+    accepted = one.accepted
+    assert served_by(world) == "i-0" and one.accepted == accepted
+    publish_and_wait(world, one, born=2000)
+    assert served_by(world) == "i-0" and one.accepted == accepted + 1
+
+    # it serves on, whatever comes late from the life before
+    publish_and_wait(world, one, born=1000, state="draining")
+    assert served_by(world) == "i-0"
+
+    # a request is under way while it starts again: its connection is probed, and its answer passed on
+    answer = threading.Event()
+
+    def held(server, sock, path, headers, body):
+        server.ran(path, headers, body)
+        answer.wait(20)
+        server.write_head(sock, headers, length=2)
+        sock.sendall(b"ok")
+    world.script("held", held)
+    caller = connect(world.gateway.ports["callers"])
+    ident, data = request("/once/held", method="POST")
+    caller.sendall(data)
+    wait_for(lambda: world.runs(ident))
+    assert "02" not in timers_towards(one.port)
+    publish_and_wait(world, one, born=3000, state="ready")
+    wait_for(lambda: "02" in timers_towards(one.port))
+    answer.set()
+    assert answer_of(caller)[0] == 200 and world.runs(ident) == 1
+
+    # its entry names no life, though it told one before: somebody else has written that
+    del one.entry["born"]
+    publish_and_wait(world, one)
+    assert call(world.gateway, "/safe/x")[1] == 503
+    publish_and_wait(world, one, born=3000)
+    assert served_by(world) == "i-0"
+    two.publish()
+
+
+def test_answer_lost_with_a_life(world):
+    """What a server had when it ended may have run: that is said at once where it may not be repeated, and where it
+    may, its new life takes it."""
+    one = world.servers[0]
+    world.store.remove("servers/i-1")
+    publish_and_wait(world, one, born=1000)
+    ended = threading.Event()
+
+    def dies(server, sock, path, headers, body):
+        server.ran(path, headers, body)
+        if len(server.runs) == 1:
+            ended.wait(20)
+            return False
+        server.write_head(sock, headers, length=2)
+        sock.sendall(b"ok")
+        return None
+    world.script("dies", dies)
+    one.runs.clear()
+    caller = connect(world.gateway.ports["callers"])
+    ident, data = request("/safe/dies")
+    caller.sendall(data)
+    wait_for(lambda: world.runs(ident) == 1)
+    publish_and_wait(world, one, born=2000)
+    ended.set()  # its connection breaks after the news
+    assert answer_of(caller)[0] == 200 and world.runs(ident) == 2
+    one.runs.clear()
+    ident, status, _, _, _ = call(world.gateway, "/once/dies", method="POST")
+    assert status == 502 and world.runs(ident) == 1
+
+
 def test_copy_from_other_vm():
     """A VM that cannot reach the store takes what another one has read."""
     store = Store()
@@ -190,6 +270,7 @@
 if __name__ == "__main__":
     run_tests(
         [test_configuration, test_servers_leave, test_silent_store_is_noticed,
-         test_ended_connection_is_no_outage, test_unreadable_entry],
+         test_ended_connection_is_no_outage, test_unreadable_entry, test_server_starts_again,
+         test_answer_lost_with_a_life],
         [test_store_away, test_start_in_an_outage, test_copy_from_other_vm, test_busy_store,
          test_answers_too_large])
--- a/tests/unit/grants_fleet.h
+++ b/tests/unit/grants_fleet.h
@@ -99,7 +99,7 @@
 		{
 			std::string id = "i" + std::to_string(i);
 			comet_instance_record record = {
-				id.c_str(), "llm", "127.0.0.1:1", "z", slots, 0, false};
+				id.c_str(), "llm", "127.0.0.1:1", "z", slots, 0, false, 0};
 			comet_instances_put(one.instances, &record, now_us);
 		}
 		comet_views_config config = {
--- a/tests/unit/test_gateway_grants.cc
+++ b/tests/unit/test_gateway_grants.cc
@@ -24,7 +24,7 @@
 			int at = vm == 0 ? i : 199 - i;
 			std::string id = "i" + std::to_string(at);
 			comet_instance_record record = {id.c_str(), "llm", "127.0.0.1:1",
-				at % 2 == 0 ? "a" : "b", slots, 0, false};
+				at % 2 == 0 ? "a" : "b", slots, 0, false, 0};
 			comet_instances_put(lists[vm], &record, 0);
 		}
 	}
@@ -237,7 +237,7 @@
 	fleet all(5, 2);
 	uint32_t keeper = all.keeper_of_all(1);
 	uint32_t asker = keeper == 1 ? 2 : 1;
-	comet_instance_record record = {"p0", "app", "127.0.0.1:2", "z", slots, 0, false};
+	comet_instance_record record = {"p0", "app", "127.0.0.1:2", "z", slots, 0, false, 0};
 	const comet_instance *other =
 		comet_instances_put(all.vms[asker].instances, &record, all.now_us);
 	comet_placement_item *item = all.submit(asker);
--- a/tests/unit/test_gateway_views.cc
+++ b/tests/unit/test_gateway_views.cc
@@ -65,7 +65,7 @@
 		one.instances = comet_instances_create(nullptr, zone.c_str());
 		one.allowance = comet_allowance_create(one.instances, &bounds, now_us);
 		comet_allowance_set_teams(one.allowance, table, now_us);
-		comet_instance_record record = {"i", "llm", "127.0.0.1:1", "z", 4, 0, false};
+		comet_instance_record record = {"i", "llm", "127.0.0.1:1", "z", 4, 0, false, 0};
 		comet_instances_put(one.instances, &record, now_us);
 		comet_views_config config = {address, incarnation, now_us, 8000, seeds, 1,
 			zone.c_str(), 1000000, 1000000, 100};
@@ -130,6 +130,37 @@
 	}
 }
 
+/* What VMs tell of requests at a server's earlier life is not taken for its later one's. */
+TEST(Views, CountsEndWithTheLifeTheyAreOf)
+{
+	vms fleet(2);
+	uint64_t now_us = 1000000;
+	comet_instance_record record = {"i", "llm", "127.0.0.1:1", "z", 4, 0, false, 1000};
+	comet_job job = {600, 10, 10, true};
+
+	for (auto &one : fleet.all)
+		comet_instances_put(one.second.instances, &record, now_us);
+	for (int i = 0; i < 40; i++, now_us += 50000)
+		fleet.step(now_us);
+	comet_instance *seen = comet_instances_find(fleet.all[1].instances, "i");
+	comet_instance_started(comet_instances_find(fleet.all[2].instances, "i"), &job);
+	comet_views_granted(fleet.all[1].views, 2, seen->key, 600, now_us);
+	uint32_t earlier = seen->key;
+	fleet.step(now_us += 200000);
+	EXPECT_EQ(seen->others, 1U);
+	/* VM 1 learns that the server has started again, VM 2 not yet */
+	record.born_ms = 2000;
+	seen = comet_instances_put(fleet.all[1].instances, &record, now_us);
+	fleet.step(now_us += 200000);
+	EXPECT_EQ(seen->others, 0U);
+	comet_views_granted(fleet.all[1].views, 2, seen->key, 600, now_us);
+	EXPECT_EQ(comet_instance_kept_load(seen, now_us), 1U);
+	comet_views_freed(fleet.all[1].views, 2, earlier); /* of the earlier life */
+	EXPECT_EQ(comet_instance_kept_load(seen, now_us), 1U);
+	comet_views_freed(fleet.all[1].views, 2, seen->key);
+	EXPECT_EQ(comet_instance_kept_load(seen, now_us), 0U);
+}
+
 TEST(Views, DispatchesAndSpendingAreTold)
 {
 	vms fleet(3);
--- a/tests/unit/test_instances.cc
+++ b/tests/unit/test_instances.cc
@@ -26,7 +26,7 @@
 	void
 	SetUp() override
 	{
-		comet_instance_record record = {"i", "llm", "127.0.0.1:1", "z", 4, 0, false};
+		comet_instance_record record = {"i", "llm", "127.0.0.1:1", "z", 4, 0, false, 0};
 		comet_instances_put(instances, &record, 0);
 	}
 
@@ -85,9 +85,77 @@
 {
 	uint64_t out_us = 10 * second_us;
 	ASSERT_TRUE(comet_instances_lapse(instances, "i", out_us, &bounds, out_us + 100000));
-	comet_instance_record record = {"i", "llm", "127.0.0.1:1", "z", 4, 0, false};
+	comet_instance_record record = {"i", "llm", "127.0.0.1:1", "z", 4, 0, false, 0};
 	comet_instances_put(instances, &record, out_us + second_us);
 	EXPECT_TRUE(used(out_us + 9 * second_us));
 }
 
+struct Lives : ::testing::Test
+{
+	comet_instances *instances = comet_instances_create(nullptr, "z");
+
+	~Lives() override
+	{
+		talloc_free(instances);
+	}
+
+	comet_instance *
+	put(uint64_t born_ms, bool draining = false)
+	{
+		comet_instance_record record = {
+			"i", "llm", "127.0.0.1:1", "z", 4, 0, draining, born_ms};
+		return comet_instances_put(instances, &record, second_us);
+	}
+};
+
+TEST_F(Lives, ALaterLifeKnowsNothingOfTheEarlierOne)
+{
+	comet_instance *one = put(1000);
+	uint64_t changes = comet_instances_changes(instances);
+	uint32_t key = one->key;
+	comet_job job = {600, 10, 10, true};
+	comet_instance_started(one, &job);
+	comet_instance_granted(one, 600, second_us);
+	comet_instance_told(one, 3, second_us);
+	comet_instance_heard(one, second_us);
+	for (int i = 0; i < 5; i++)
+		comet_instance_ended(one, &job, false, COMET_DISPATCH_BROKEN, 0, 0, 2 * second_us);
+	one->pace = 3;
+	comet_instance *two = put(2000);
+	EXPECT_NE(two->key, key);
+	EXPECT_EQ(two->place, comet_instance_key("i", 0)); /* it stays in its shard */
+	EXPECT_EQ(comet_instances_find_key(instances, key), nullptr);
+	EXPECT_EQ(comet_instances_find(instances, "i"), two);
+	EXPECT_GT(comet_instances_changes(instances), changes);
+	EXPECT_EQ(comet_instance_load(two, second_us), 0U);
+	EXPECT_EQ(comet_instance_kept_load(two, second_us), 0U);
+	EXPECT_EQ(two->own_prompt + two->failures + two->refusals, 0U);
+	EXPECT_EQ(two->avoid_us + two->full_us + two->heard_us + two->told_us, 0U);
+	EXPECT_EQ(two->pace, 1.0);
+	EXPECT_EQ(comet_instances_of(instances, "llm")->len, 1U);
+}
+
+TEST_F(Lives, LateNewsOfAnEarlierLifeChangesNothing)
+{
+	put(2000);
+	comet_instance *two = put(1000, true);
+	EXPECT_EQ(two->born_ms, 2000U);
+	EXPECT_FALSE(two->draining);
+	two = put(0, true); /* nor does news that names no life */
+	EXPECT_EQ(two->born_ms, 2000U);
+	EXPECT_FALSE(two->draining);
+	EXPECT_TRUE(put(2000, true)->draining);
+}
+
+/* Ids of equal hash are two endpoints; the one that goes leaves the other to be found. */
+TEST_F(Lives, AnEndpointThatGoesTakesNoOtherWithIt)
+{
+	comet_instance *one = put(1000);
+	comet_instance_record record = {"j", "llm", "127.0.0.1:2", "z", 4, 0, false, 5};
+	comet_instance *other = comet_instances_put(instances, &record, second_us);
+	other->key = one->key;
+	comet_instances_remove(instances, "j");
+	EXPECT_EQ(comet_instances_find_key(instances, one->key), one);
+}
+
 } // namespace
--- a/tests/unit/test_platform.cc
+++ b/tests/unit/test_platform.cc
@@ -75,9 +75,10 @@
 void
 keep_record(void *ctx, const comet_instance_record *record)
 {
-	*static_cast<std::string *>(ctx) = std::string(record->id) + " " + record->service + " " +
-					   record->address + " " + std::to_string(record->slots) +
-					   (record->draining ? " draining" : "");
+	*static_cast<std::string *>(ctx) =
+		std::string(record->id) + " " + record->service + " " + record->address + " " +
+		std::to_string(record->slots) + (record->draining ? " draining" : "") +
+		(record->born_ms != 0 ? " " + std::to_string(record->born_ms) : "");
 }
 
 /* Why a server's entry is refused; "" when it is taken, and then seen holds what was read. */
@@ -120,6 +121,8 @@
 	EXPECT_EQ(refusal_of("i-1", entry_with("state", "\"ready\""), &seen), "");
 	EXPECT_EQ(seen, "i-1 x 10.0.0.1:80 7");
 	EXPECT_EQ(refusal_of("i-1", entry_with("warmup_left_ms", "1200.5"), &seen), "");
+	EXPECT_EQ(refusal_of("i-1", entry_with("born", "1764720000123"), &seen), "");
+	EXPECT_EQ(seen, "i-1 x 10.0.0.1:80 7 draining 1764720000123");
 }
 
 TEST(Documents, AnEntryThatIsNotAsAServerWritesItIsRefusedWithItsField)
@@ -160,6 +163,13 @@
 			"warmup_left_ms: must be a number from 0 to 86400000, is -0.5"},
 		{"warmup_left_ms", "1e999",
 			"warmup_left_ms: must be a number from 0 to 86400000, is 1e999"},
+		{"born", "\"1764720000000\"",
+			"born: must be a whole number from 1 to 9223372036854775806, is "
+			"\"1764720000000\""},
+		{"born", "1.5",
+			"born: must be a whole number from 1 to 9223372036854775806, is 1.5"},
+		{"born", "0", "born: must be a whole number from 1 to 9223372036854775806, is 0"},
+		{"born", "null", "born: must be a whole number from 1 to 9223372036854775806"},
 		{"sequence", "\"4\"",
 			"sequence: must be a whole number from 0 to 9223372036854775806, is \"4\""},
 	};
