Documents, items and copies are read as strictly as entries

Cause: the operator's document, the store's answers and copies between VMs were read with defaults in place of what was missing or of another type (a text as a timeout counted as 0), base64 that was none was decoded by halves, and a value with a NUL byte was copied short while its length stayed, so that a reader went past its end. An item without key or revision is passed over with a line; one whose value cannot be decoded counts as an entry that cannot be read. Values are copied as bytes.

--- a/tests/unit/test_platform.cc
+++ b/tests/unit/test_platform.cc
@@ -72,6 +72,67 @@
 	}
 }
 
+/* Why an operator's document is refused; "" when it is taken. */
+std::string
+document_refusal(const std::string &text)
+{
+	GError *error = nullptr;
+	comet_route_table *table = comet_platform_parse_routes(text.data(), text.size(), &error);
+	std::string why = table != nullptr ? "" : error->message;
+
+	comet_route_table_unref(table);
+	g_clear_error(&error);
+	return why;
+}
+
+TEST(Documents, AFaultInADocumentIsToldWithItsField)
+{
+	const std::string head = "operator's document: ";
+	const std::string route = "\"hostname\":\"h\",\"path_prefix\":\"/\"";
+	auto routes = [&](const std::string &fields) {
+		return "{\"version\":1,\"routes\":[{" + route + ",\"service\":\"s\"},{" + fields +
+		       "}]}";
+	};
+	auto rest = [](const std::string &fields)
+	{ return "{\"version\":1,\"routes\":[]," + fields + "}"; };
+	const std::pair<std::string, const char *> rows[] = {
+		{"{\"version\":\"1\",\"routes\":[]}",
+			"version: must be a whole number from 0 to 9223372036854775806, is \"1\""},
+		{"{\"version\":1,\"routes\":{}}", "routes: must be an array"},
+		{routes("\"hostname\":\"h\""), "routes[1].service: is required"},
+		{routes("\"service\":\"s\",\"path_prefix\":\"/\""),
+			"routes[1].hostname: is required"},
+		{routes(route + ",\"service\":5"), "routes[1].service: must be a name, is 5"},
+		{routes(route + ",\"service\":\"s\",\"timeout_ms\":\"9\""),
+			"routes[1].timeout_ms: must be a number from 0 to 4294967295, is \"9\""},
+		{routes(route + ",\"service\":\"s\",\"priority\":-1"),
+			"routes[1].priority: must be a number from 0 to 4294967295, is -1"},
+		{routes(route + ",\"service\":\"s\",\"public\":1"),
+			"routes[1].public: must be true or false, is 1"},
+		{routes(route + ",\"backends\":[{\"weight\":1}]"),
+			"routes[1].backends: service: is required, is [{\"weight\":1}]"},
+		{"{\"version\":1,\"routes\":[5]}", "routes[0]: must be an object"},
+		{rest("\"limits\":[]"), "limits: must be an object"},
+		{rest("\"limits\":{\"max_body_bytes\":1e10}"),
+			"limits.max_body_bytes: must be a number from 0 to 4294967295, is 1e10"},
+		{rest("\"tenants\":[{\"name\":\"\"}]"), "tenants[0].name: must be a name, is \"\""},
+		/* what a key might be is not told */
+		{rest("\"tenants\":[{\"name\":\"t\",\"api_keys\":[\"k\",7]}]"),
+			"tenants[0].api_keys: must be texts"},
+		{rest("\"tenants\":[{\"name\":\"t\",\"api_keys\":\"secret\"}]"),
+			"tenants[0].api_keys: must be an array"},
+		{rest("\"tenants\":[{\"name\":\"t\",\"rate_per_s\":true}]"),
+			"tenants[0].rate_per_s: must be a number from 0 to 1000000000000000, is "
+			"true"},
+	};
+
+	for (const auto &row : rows)
+		EXPECT_EQ(document_refusal(row.first), head + row.second);
+	EXPECT_EQ(document_refusal(rest("\"limits\":{}")), "");
+	EXPECT_EQ(
+		document_refusal(std::string(document) + "x").find(head + "not a JSON object"), 0U);
+}
+
 void
 keep_record(void *ctx, const comet_instance_record *record)
 {
@@ -379,7 +440,7 @@
 	GBytes *copy = comet_catalog_copy(from);
 	gsize length = 0;
 	auto *text = static_cast<const char *>(g_bytes_get_data(copy, &length));
-	EXPECT_TRUE(comet_store_parse(text, length, take_copy, to));
+	EXPECT_TRUE(comet_store_parse(text, length, take_copy, to, nullptr));
 	g_bytes_unref(copy);
 	EXPECT_EQ(comet_catalog_revision(to), 2U);
 	std::vector<std::string> lines = to_told.lines;
@@ -399,10 +460,41 @@
 {
 	for (const char *bad : {"", "null", "[]", "{}", "{\"entries\":5,\"current_rev\":1}",
 		     "{\"entries\":[]}", "{\"events\":[", "\x01"})
-		EXPECT_FALSE(comet_store_parse(bad, strlen(bad), ignore_answer, nullptr)) << bad;
+		EXPECT_FALSE(comet_store_parse(bad, strlen(bad), ignore_answer, nullptr, nullptr))
+			<< bad;
+	struct items
+	{
+		std::vector<std::string> lines;
+
+		static void
+		take(void *ctx, const comet_store_answer *answer)
+		{
+			for (size_t i = 0; i < answer->n_items; i++)
+				static_cast<items *>(ctx)->lines.push_back(
+					std::string(answer->items[i].key) + "=" +
+					(answer->items[i].value != nullptr
+							? std::string(answer->items[i].value,
+								  answer->items[i].length)
+							: "-"));
+		}
+	} seen;
+	const char *values =
+		"{\"events\":[{\"private_key\":\"a\",\"value\":\"AGEA\",\"revision\":1},"
+		"{\"private_key\":\"b\",\"value\":\"YQ=\",\"revision\":2},"
+		"{\"private_key\":\"c\",\"value\":\"YQ==YQ==\",\"revision\":3},"
+		"{\"private_key\":\"d\",\"value\":7,\"revision\":4},"
+		"{\"private_key\":\"e\",\"revision\":5},"
+		"{\"private_key\":\"f\",\"removed\":true,\"revision\":6},"
+		"{\"private_key\":\"g\",\"value\":\"YQ==\",\"revision\":\"7\"},"
+		"{\"private_key\":\"\",\"value\":\"YQ==\",\"revision\":8},"
+		"{\"private_key\":\"h\",\"value\":\"\",\"revision\":9}],\"current_rev\":9}";
+	EXPECT_TRUE(comet_store_parse(values, strlen(values), items::take, &seen, nullptr));
+	std::vector<std::string> expected = {
+		std::string("a=\0a\0", 5), "b=", "c=", "d=", "e=", "f=-", "h="};
+	EXPECT_EQ(seen.lines, expected);
 	const char *odd = "{\"entries\":[5,{},{\"private_key\":\"a\"},{\"private_key\":\"b\","
 			  "\"value\":\"!!\",\"revision\":-1}],\"current_rev\":1}";
-	EXPECT_TRUE(comet_store_parse(odd, strlen(odd), ignore_answer, nullptr));
+	EXPECT_TRUE(comet_store_parse(odd, strlen(odd), ignore_answer, nullptr, nullptr));
 }
 
 /* Reads messages and writes down what was read. */
