--- a/scripts/fuzz.sh
+++ b/scripts/fuzz.sh
@@ -5,11 +5,13 @@
 . scripts/setup.sh
 comet_install
 CC=clang CXX=clang++ comet_build build-fuzz -Dfuzz=true -Dc_args=-fsanitize=fuzzer-no-link -Db_sanitize=address,undefined -Db_lundef=false
-for target in bundle head peer request
+for target in bundle head peer published request
 do
 	mkdir -p "out/corpus-$target"
+	seeds=""
+	[ ! -d "tests/fuzz/corpus-$target" ] || seeds="tests/fuzz/corpus-$target"
 	build-fuzz/tests/fuzz_$target -max_total_time="${1:-20}" -max_len=65536 \
-		-print_final_stats=1 "out/corpus-$target" >"out/fuzz-$target.log" 2>&1 || {
+		-print_final_stats=1 "out/corpus-$target" $seeds >"out/fuzz-$target.log" 2>&1 || {
 		tail -n 40 "out/fuzz-$target.log"
 		exit 1
 	}
