--- a/scripts/bench.py
+++ b/scripts/bench.py
@@ -12,8 +12,10 @@
         import bench_overhead as bench
     elif name == "decide":
         import bench_decide as bench
+    elif name == "directory":
+        import bench_directory as bench
     else:
-        print("usage: bench.sh policy|slopes|overhead|decide [OPTION...]", file=sys.stderr)
+        print("usage: bench.sh policy|slopes|overhead|decide|directory [OPTION...]", file=sys.stderr)
         return 2
     return bench.main(sys.argv[2:])
 
--- a/scripts/bench_decide.py
+++ b/scripts/bench_decide.py
@@ -12,17 +12,19 @@
 COUNT = 400
 
 
-def instructions(endpoints, teams, waiting):
-    """Instructions of COUNT decisions under callgrind: repeatable whatever else runs."""
+def count_instructions(function, command, times):
+    """Instructions of a function under callgrind, of one of so many times: repeatable whatever else
+    runs. None without valgrind."""
+    if not shutil.which("valgrind"):
+        return None
     out = f"/tmp/comet-callgrind.{os.getpid()}"
     run = subprocess.run(
         ["valgrind", "--tool=callgrind", f"--callgrind-out-file={out}", "--collect-atstart=no",
-         "--toggle-collect=measure_decisions", MEASURE, "decide", str(endpoints), str(teams),
-         str(waiting), str(COUNT)], capture_output=True, text=True)
+         f"--toggle-collect={function}"] + command, capture_output=True, text=True, check=False)
     if os.path.exists(out):
         os.unlink(out)
     found = re.search(r"Collected : (\d+)", run.stderr)
-    return int(found.group(1)) // COUNT if found else None
+    return int(found.group(1)) // times if found else None
 
 
 def main(argv):
@@ -32,10 +34,11 @@
             for waiting in (100, 1000, 10000, 100000):
                 if endpoints not in (60, 600) and (teams, waiting) != (570, 1000):
                     continue
-                out = subprocess.run([MEASURE, "decide", str(endpoints), str(teams), str(waiting),
-                                      str(COUNT)], check=True, capture_output=True, text=True)
+                command = [MEASURE, "decide", str(endpoints), str(teams), str(waiting), str(COUNT)]
+                out = subprocess.run(command, check=True, capture_output=True, text=True)
                 result = json.loads(out.stdout)
-                if shutil.which("valgrind") and waiting <= 10000:
-                    result["instructions"] = instructions(endpoints, teams, waiting)
+                if waiting <= 10000:
+                    result["instructions"] = count_instructions(
+                        "measure_decisions", command, COUNT)
                 print(json.dumps(result), flush=True)
     return 0
