Placement and views without circles: types of an item in a header of their own, state named as shared

Cause: placement.c and placement_guests.c, views.c and views_rounds.c depended on each other, by types that stood in the other's header and by a guest that ran its queue. Change: placement_item.h (what a request is to placement), placement_queue.h (order and waits), *_state.h for what the files of one subject share; placement.c runs the queue after it has admitted a guest. No behaviour changes.

--- a/libcometspindle/gateway/choice.h
+++ b/libcometspindle/gateway/choice.h
@@ -7,7 +7,7 @@
 
 #include <libcometspindle/draw.h>
 #include <libcometspindle/gateway/instances.h>
-#include <libcometspindle/gateway/placement.h>
+#include <libcometspindle/gateway/placement_item.h>
 #include <stdbool.h>
 #include <stdint.h>
 
--- a/libcometspindle/gateway/placement.c
+++ b/libcometspindle/gateway/placement.c
@@ -2,8 +2,9 @@
  * placement.c
  * which endpoint a request goes to, when, and what is refused early
  */
-#include <libcometspindle/gateway/placement_private.h>
+#include <libcometspindle/gateway/placement.h>
 
+#include <libcometspindle/gateway/placement_state.h>
 #include <string.h>
 #include <talloc.h>
 
@@ -382,6 +383,17 @@
 	forget_ask(placement, item);
 }
 
+struct comet_instance *
+comet_placement_choose_for(struct comet_placement *placement, const struct comet_placement_ask *ask,
+	uint64_t now_us, bool *waits)
+{
+	struct comet_instance *best = comet_placement_admit_guest(placement, ask, now_us, waits);
+
+	if (*waits)
+		comet_placement_run(placement, now_us); /* what others cannot use may do for it */
+	return best;
+}
+
 const struct comet_placement_reason *
 comet_placement_reason(const struct comet_placement *placement)
 {
--- a/libcometspindle/gateway/placement_guests.c
+++ b/libcometspindle/gateway/placement_guests.c
@@ -5,7 +5,7 @@
  * They are served in one order with this VM's own, so that a slot goes to the
  * most urgent request in time of all VMs that wait here, as soon as it is free.
  */
-#include <libcometspindle/gateway/placement_private.h>
+#include <libcometspindle/gateway/placement_state.h>
 
 #include <string.h>
 
@@ -87,8 +87,8 @@
 }
 
 struct comet_instance *
-comet_placement_choose_for(struct comet_placement *placement, const struct comet_placement_ask *ask,
-	uint64_t now_us, bool *waits)
+comet_placement_admit_guest(struct comet_placement *placement,
+	const struct comet_placement_ask *ask, uint64_t now_us, bool *waits)
 {
 	const struct comet_shard *shard = comet_shards_find(placement->shards, ask->shard);
 	struct comet_instance *best = NULL;
@@ -112,7 +112,6 @@
 	guest->item.place =
 		g_sequence_insert_sorted(queue->guests, guest, comet_placement_compare, NULL);
 	*waits = true;
-	comet_placement_run(placement, now_us); /* what others cannot use may do for it */
 	return NULL;
 }
 
--- a/libcometspindle/gateway/placement_private.h
+++ b/libcometspindle/gateway/placement_state.h
@@ -1,13 +1,13 @@
 /*
- * placement_private.h
+ * placement_state.h
  * what the files of placement share
  */
-#ifndef COMETSPINDLE_GATEWAY_PLACEMENT_PRIVATE_H
-#define COMETSPINDLE_GATEWAY_PLACEMENT_PRIVATE_H
+#ifndef COMETSPINDLE_GATEWAY_PLACEMENT_STATE_H
+#define COMETSPINDLE_GATEWAY_PLACEMENT_STATE_H
 
 #include <libcometspindle/gateway/choice.h>
 #include <libcometspindle/gateway/flow.h>
-#include <libcometspindle/gateway/placement.h>
+#include <libcometspindle/gateway/placement_queue.h>
 
 /** Ranks whose pace in the queue is told apart; those below share the last. */
 #define COMET_PLACEMENT_RANKS 8
@@ -104,6 +104,14 @@
 
 /* placement_guests.c */
 
+/**
+ * Chooses, as keeper, for a request of another VM.
+ * @return NULL when nothing has room; waits: it is a guest from now on, and the queue is to be run
+ */
+struct comet_instance *
+comet_placement_admit_guest(struct comet_placement *placement,
+	const struct comet_placement_ask *ask, uint64_t now_us, bool *waits);
+
 /** Drops guests whose time is over, and puts late ones behind. */
 void
 comet_placement_age_guests(
--- a/libcometspindle/gateway/views_private.h
+++ b/libcometspindle/gateway/views_state.h
@@ -1,9 +1,9 @@
 /*
- * views_private.h
+ * views_state.h
  * what the files of views share: the VMs that are known, and the zones they are in
  */
-#ifndef COMETSPINDLE_GATEWAY_VIEWS_PRIVATE_H
-#define COMETSPINDLE_GATEWAY_VIEWS_PRIVATE_H
+#ifndef COMETSPINDLE_GATEWAY_VIEWS_STATE_H
+#define COMETSPINDLE_GATEWAY_VIEWS_STATE_H
 
 #include <libcometspindle/gateway/views.h>
 
--- a/libcometspindle/node/node.c
+++ b/libcometspindle/node/node.c
@@ -2,7 +2,7 @@
  * node.c
  * the control state of one VM: life cycle, bundle, members and ticks
  */
-#include <libcometspindle/node/node_private.h>
+#include <libcometspindle/node/node_state.h>
 
 #include <libcometspindle/hash.h>
 #include <libcometspindle/error.h>
--- a/libcometspindle/node/node_admit.c
+++ b/libcometspindle/node/node_admit.c
@@ -2,7 +2,7 @@
  * node_admit.c
  * whether a request may wait here: claims on its key, quota, and shedding in tier order
  */
-#include <libcometspindle/node/node_private.h>
+#include <libcometspindle/node/node_state.h>
 
 #include <libcometspindle/hash.h>
 #include <string.h>
--- a/libcometspindle/node/node_dispatch.c
+++ b/libcometspindle/node/node_dispatch.c
@@ -2,7 +2,7 @@
  * node_dispatch.c
  * asking schedulers, dispatching once, and what is learned from it
  */
-#include <libcometspindle/node/node_private.h>
+#include <libcometspindle/node/node_state.h>
 
 #include <libcometspindle/hash.h>
 #include <string.h>
--- a/libcometspindle/node/node_holder.c
+++ b/libcometspindle/node/node_holder.c
@@ -2,7 +2,7 @@
  * node_holder.c
  * the life of the requests that this VM holds
  */
-#include <libcometspindle/node/node_private.h>
+#include <libcometspindle/node/node_state.h>
 
 #include <libcometspindle/hash.h>
 #include <string.h>
--- a/libcometspindle/node/node_peers.c
+++ b/libcometspindle/node/node_peers.c
@@ -2,7 +2,7 @@
  * node_peers.c
  * messages between VMs: packing what goes out, handing on what comes in
  */
-#include <libcometspindle/node/node_private.h>
+#include <libcometspindle/node/node_state.h>
 
 #include <string.h>
 
--- a/libcometspindle/node/node_roles.c
+++ b/libcometspindle/node/node_roles.c
@@ -2,7 +2,7 @@
  * node_roles.c
  * who schedules which shard: rendezvous hashing over the live VMs, with bounded load
  */
-#include <libcometspindle/node/node_private.h>
+#include <libcometspindle/node/node_state.h>
 
 #include <libcometspindle/hash.h>
 #include <string.h>
--- a/libcometspindle/node/node_private.h
+++ b/libcometspindle/node/node_state.h
@@ -1,9 +1,9 @@
 /*
- * node_private.h
+ * node_state.h
  * what the node's files share
  */
-#ifndef COMETSPINDLE_NODE_PRIVATE_H
-#define COMETSPINDLE_NODE_PRIVATE_H
+#ifndef COMETSPINDLE_NODE_STATE_H
+#define COMETSPINDLE_NODE_STATE_H
 
 #include <glib.h>
 #include <inttypes.h>
--- a/libcometspindle/node/node_status.c
+++ b/libcometspindle/node/node_status.c
@@ -2,7 +2,7 @@
  * node_status.c
  * what one VM tells operators about itself
  */
-#include <libcometspindle/node/node_private.h>
+#include <libcometspindle/node/node_state.h>
 
 #include <json-c/json.h>
 
