The node's files without a circle

Cause: six files of node/ called each other in a ring, and node.h declared what eight files define. Change: node_request.c (one held request), node_outbox.c (messages that go out) and node_bundle.c (the bundle in force) are below the others; the assignment of roles calls back for roles that moved, in place of reaching up; each file's functions stand in a header of its name, types in node_types.h. No behaviour changes.

--- a/libcometspindle/adapters/daemon/daemon_view.c
+++ b/libcometspindle/adapters/daemon/daemon_view.c
@@ -7,6 +7,7 @@
 #include <inttypes.h>
 #include <json-c/json.h>
 #include <libcometspindle/log.h>
+#include <libcometspindle/node/node_status.h>
 #include <stdio.h>
 #include <string.h>
 #include <sys/resource.h>
--- a/libcometspindle/node/node.c
+++ b/libcometspindle/node/node.c
@@ -1,17 +1,16 @@
 /*
  * node.c
- * the control state of one VM: life cycle, bundle, members and ticks
+ * the control state of one VM: life cycle, members and ticks
  */
-#include <libcometspindle/node/node_state.h>
+#include <libcometspindle/node/node.h>
 
 #include <libcometspindle/hash.h>
-#include <libcometspindle/error.h>
-#include <libcometspindle/sign.h>
+#include <libcometspindle/node/node_state.h>
 #include <string.h>
 
 /* A gap between ticks as long as this means the process was paused past its leases. */
 #define PAUSE_US 1000000ULL
-/* Claims, readers and bundles are looked after this often. */
+/* Claims and readers are looked after this often. */
 #define SLOW_TICK_US 500000ULL
 /* A VM that starts waits so long for peers before the platform alone is believed. */
 #define PEER_WAIT_US 1500000ULL
@@ -35,7 +34,7 @@
 {
 	struct comet_node *node = ctx;
 
-	comet_node_assign_roles(node);
+	comet_node_assign_roles(node, comet_node_reask);
 	node->ops->entries_changed(node->ctx);
 }
 
@@ -122,67 +121,6 @@
 	comet_membership_set_list(node->members, vms, count);
 }
 
-static void
-bundle_install(struct comet_node *node, struct comet_bundle *bundle, GBytes *signed_document)
-{
-	uint64_t before = node->bundle != NULL ? node->bundle->version : 0;
-
-	if (bundle->version <= before)
-		comet_violation(
-			"version_falls", "from=%" PRIu64 " to=%" PRIu64, before, bundle->version);
-	comet_bundle_unref(node->bundle);
-	node->bundle = bundle;
-	if (node->signed_bundle != NULL)
-		g_bytes_unref(node->signed_bundle);
-	node->signed_bundle = g_bytes_ref(signed_document);
-	comet_claims_set_limits(
-		node->claims, bundle->limits.key_lifetime_s, bundle->limits.clock_skew_ms);
-	if (before == 0)
-		comet_floor_init(&node->floor, bundle->n_tiers);
-	comet_log(COMET_LOG_NOTICE, "event=bundle version=%" PRIu64 " was=%" PRIu64,
-		bundle->version, before);
-	comet_node_assign_roles(node);
-	node->ops->adopted(node->ctx, bundle);
-}
-
-gboolean
-comet_node_offer_bundle(
-	struct comet_node *node, GBytes *signed_document, struct comet_time now, GError **error)
-{
-	const char *text = NULL;
-	size_t length = 0;
-
-	node->now = now;
-	if (!comet_sign_open(signed_document, node->bundle_key, &text, &length, error))
-		return FALSE;
-	struct comet_bundle *bundle = comet_bundle_parse(text, length, error);
-	if (bundle == NULL)
-		return FALSE;
-	if (node->bundle != NULL && bundle->version <= node->bundle->version)
-	{
-		g_set_error(error, COMET_ERROR, COMET_ERROR_STATE,
-			"version: %" PRIu64 " is not newer than %" PRIu64 " in force",
-			bundle->version, node->bundle->version);
-		comet_bundle_unref(bundle);
-		return FALSE;
-	}
-	if (node->bundle != NULL && bundle->n_tiers != node->bundle->n_tiers)
-	{
-		g_set_error(error, COMET_ERROR, COMET_ERROR_INVALID,
-			"tiers: must stay %u in number while VMs run", node->bundle->n_tiers);
-		comet_bundle_unref(bundle);
-		return FALSE;
-	}
-	bundle_install(node, bundle, signed_document);
-	return TRUE;
-}
-
-struct comet_bundle *
-comet_node_bundle(const struct comet_node *node)
-{
-	return node->bundle;
-}
-
 /* Woke up after a pause: whatever was true before may not be. */
 static void
 after_pause(struct comet_node *node, uint64_t gap_us)
@@ -194,32 +132,7 @@
 	comet_quota_reset(node->quota);
 	comet_claims_paused(node->claims, node->now.wall_ms);
 	comet_membership_renew(node->members);
-	comet_node_assign_roles(node);
-}
-
-/* Asks a peer for a bundle that it has and we have not. */
-static void
-fetch_bundle(struct comet_node *node)
-{
-	uint64_t have = node->bundle != NULL ? node->bundle->version : 0;
-	size_t count = 0;
-	struct comet_member *const *members = comet_membership_all(node->members, &count);
-	struct comet_member *best = NULL;
-
-	if (node->now.mono_us - node->bundle_asked_us < SLOW_TICK_US)
-		return;
-	for (size_t i = 0; i < count; i++)
-	{
-		if (members[i]->state == COMET_MEMBER_ALIVE && members[i]->bundle_version > have &&
-			(best == NULL || members[i]->bundle_version > best->bundle_version))
-			best = members[i];
-	}
-	if (best == NULL)
-		return;
-	comet_Item item = {.which_body = comet_Item_bundle_ask_tag};
-	item.body.bundle_ask.newer_than = have;
-	comet_node_post(node, best->id, &item);
-	node->bundle_asked_us = node->now.mono_us;
+	comet_node_assign_roles(node, comet_node_reask);
 }
 
 static void
@@ -250,7 +163,7 @@
 		comet_floor_tick(&node->floor, members, count, now.mono_us);
 	comet_node_tick_requests(node);
 	tick_schedulers(node);
-	fetch_bundle(node);
+	comet_node_fetch_bundle(node);
 	if (now.mono_us >= node->next_slow_tick_us)
 	{
 		node->next_slow_tick_us = now.mono_us + SLOW_TICK_US;
--- a/libcometspindle/node/node_admit.c
+++ b/libcometspindle/node/node_admit.c
@@ -11,18 +11,6 @@
 /* A quota lease is asked for a few requests at once. */
 #define QUOTA_AHEAD 4
 
-void
-comet_request_release_claims(struct comet_node *node, const struct comet_request *request)
-{
-	comet_Item item = {.which_body = comet_Item_claim_tag};
-
-	item.body.claim.key = request->submission.key;
-	item.body.claim.request = request->submission.request;
-	item.body.claim.release = true;
-	for (uint32_t i = 0; i < request->group_size; i++)
-		comet_node_post(node, request->group[i], &item);
-}
-
 /* Lowest tier that waits here. */
 static uint32_t
 lowest_waiting(const struct comet_node *node)
--- a/libcometspindle/node/node_dispatch.c
+++ b/libcometspindle/node/node_dispatch.c
@@ -16,42 +16,6 @@
 /* Prompts that are alike up to this sample go to one shard. */
 #define SHARD_SAMPLE 3
 
-const char *
-comet_node_team_name(const struct comet_node *node, uint32_t id)
-{
-	const struct comet_team *team =
-		node->bundle != NULL ? comet_bundle_team(node->bundle, id) : NULL;
-
-	return team != NULL ? team->name : "?";
-}
-
-void
-comet_request_post_done(struct comet_node *node, const struct comet_request *request,
-	enum comet_outcome outcome, const struct comet_sample *sample)
-{
-	comet_Item item = {.which_body = comet_Item_done_tag};
-	comet_Done *done = &item.body.done;
-	const struct comet_role *role =
-		comet_node_role(node, request->submission.pool_id, request->shard);
-
-	if (!node->policy->ops->scheduled || role == NULL || role->vm == 0)
-		return;
-	done->request = request->submission.request;
-	done->endpoint = request->endpoint_id;
-	done->model = request->submission.pool_id;
-	done->shard = request->shard;
-	done->outcome = outcome;
-	if (sample != NULL)
-	{
-		done->first_token_us = sample->first_token_us;
-		done->step_us = sample->step_us;
-		done->output_tokens = sample->output_tokens;
-	}
-	done->prompt_tokens = request->submission.prompt_tokens;
-	done->cached_tokens = request->cached_tokens;
-	comet_node_post(node, role->vm, &item);
-}
-
 double *
 comet_node_output_ratio(struct comet_node *node, uint32_t team_id, uint32_t pool_id)
 {
--- a/libcometspindle/node/node_holder.c
+++ b/libcometspindle/node/node_holder.c
@@ -2,6 +2,8 @@
  * node_holder.c
  * the life of the requests that this VM holds
  */
+#include <libcometspindle/node/node_holder.h>
+
 #include <libcometspindle/node/node_state.h>
 
 #include <libcometspindle/hash.h>
@@ -11,75 +13,6 @@
 /* Retries may be this part of submissions, saved up to a few. */
 #define RETRY_PART 0.1
 #define RETRY_SAVED_MAX 20.0
-#define RETRY_AFTER_MIN_MS 500
-#define RETRY_AFTER_SPREAD_MS 1500
-
-struct comet_request *
-comet_request_find(struct comet_node *node, uint64_t id)
-{
-	return g_hash_table_lookup(node->requests, &id);
-}
-
-bool
-comet_request_is_waiting(const struct comet_request *request)
-{
-	return request->state != COMET_REQUEST_RUNNING;
-}
-
-/* Spreads callers out, so that they do not all come back at once. */
-static uint32_t
-retry_after_ms(const struct comet_request *request)
-{
-	uint64_t id = request->submission.request;
-
-	return RETRY_AFTER_MIN_MS +
-	       (uint32_t)(comet_hash_bytes(&id, sizeof id, 0) % RETRY_AFTER_SPREAD_MS);
-}
-
-void
-comet_request_count(struct comet_node *node, const struct comet_request *request, int change)
-{
-	node->waiting[request->submission.tier] += (uint32_t)change;
-	node->waiting_total += (uint32_t)change;
-}
-
-static void
-request_remove(struct comet_node *node, struct comet_request *request)
-{
-	if (comet_request_is_waiting(request))
-		comet_request_count(node, request, -1);
-	g_hash_table_remove(node->requests, &request->submission.request);
-}
-
-/* The verdict of a refusal, and what it means for the key that was claimed. */
-void
-comet_request_refuse(struct comet_node *node, struct comet_request *request,
-	enum comet_refusal refusal, enum comet_verdict verdict)
-{
-	uint64_t id = request->submission.request;
-	uint32_t retry_ms = retry_after_ms(request);
-
-	if (verdict == COMET_VERDICT_NOT_RUN && request->dispatches > 0)
-		comet_violation("not_run_but_sent", "request=%08x.%012" PRIx64,
-			(uint32_t)node->self_id, id);
-	comet_log(COMET_LOG_INFO,
-		"event=refuse request=%08x.%012" PRIx64
-		" team=%s tier=%u code=%s verdict=%s waited_us=%" PRIu64 " tries=%u",
-		(uint32_t)node->self_id, id,
-		comet_node_team_name(node, request->submission.team_id), request->submission.tier,
-		comet_refusal_name(refusal), comet_verdict_name(verdict),
-		node->now.mono_us - request->arrived_us, request->tries);
-	node->counts.refused[refusal]++;
-	if (request->submission.once && request->dispatches == 0)
-		comet_request_release_claims(node, request);
-	if (request->state == COMET_REQUEST_WAITING)
-	{
-		request->endpoint_id = 0;
-		comet_request_post_done(node, request, COMET_OUTCOME_WITHDRAWN, NULL);
-	}
-	request_remove(node, request);
-	node->ops->refuse(node->ctx, id, refusal, verdict, retry_ms);
-}
 
 void
 comet_node_submit(
@@ -220,7 +153,7 @@
 	}
 	else
 		node->counts.failed++;
-	request_remove(node, request);
+	comet_request_forget(node, request);
 }
 
 void
@@ -235,7 +168,7 @@
 		comet_request_release_claims(node, request);
 	if (request->state == COMET_REQUEST_WAITING)
 		comet_request_post_done(node, request, COMET_OUTCOME_WITHDRAWN, NULL);
-	request_remove(node, request);
+	comet_request_forget(node, request);
 }
 
 void
--- /dev/null
+++ b/libcometspindle/node/node_outbox.c
@@ -0,0 +1,54 @@
+/*
+ * node_outbox.c
+ * messages to other VMs, packed until the next flush
+ */
+#include <libcometspindle/node/node_state.h>
+
+static struct comet_outbox *
+outbox_of(struct comet_node *node, uint64_t vm)
+{
+	struct comet_outbox *outbox = g_hash_table_lookup(node->outboxes, &vm);
+
+	if (outbox == NULL)
+	{
+		outbox = g_new0(struct comet_outbox, 1);
+		outbox->vm = vm;
+		g_hash_table_insert(node->outboxes, &outbox->vm, outbox);
+	}
+	return outbox;
+}
+
+void
+comet_node_send_outbox(struct comet_node *node, struct comet_outbox *outbox, GBytes *blob)
+{
+	node->counts.packets_sent++;
+	node->counts.items_sent += outbox->packet.items_count;
+	node->ops->send(node->ctx, outbox->vm, &outbox->packet, blob);
+	outbox->packet.items_count = 0;
+}
+
+void
+comet_node_post(struct comet_node *node, uint64_t vm, const comet_Item *item)
+{
+	node->pending = true;
+	if (vm == node->self_id)
+	{
+		/* never handled at once: callers are in the middle of their own lists */
+		g_array_append_vals(node->own_items, item, 1);
+		return;
+	}
+	struct comet_outbox *outbox = outbox_of(node, vm);
+	if (outbox->packet.items_count == G_N_ELEMENTS(outbox->packet.items))
+		comet_node_send_outbox(node, outbox, NULL);
+	outbox->packet.items[outbox->packet.items_count++] = *item;
+}
+
+void
+comet_node_fill_ping(struct comet_node *node, comet_Ping *ping)
+{
+	ping->bundle_version = node->bundle != NULL ? node->bundle->version : 0;
+	ping->keep_below = node->floor.keep_promised;
+	ping->shed_from = node->floor.shed_promised;
+	ping->want_floor = node->floor.want;
+	comet_membership_fill(node->members, ping);
+}
--- a/libcometspindle/node/node_peers.c
+++ b/libcometspindle/node/node_peers.c
@@ -2,49 +2,13 @@
  * node_peers.c
  * messages between VMs: packing what goes out, handing on what comes in
  */
+#include <libcometspindle/node/node_peers.h>
+
+#include <libcometspindle/node/node_bundle.h>
 #include <libcometspindle/node/node_state.h>
 
 #include <string.h>
 
-static struct comet_outbox *
-outbox_of(struct comet_node *node, uint64_t vm)
-{
-	struct comet_outbox *outbox = g_hash_table_lookup(node->outboxes, &vm);
-
-	if (outbox == NULL)
-	{
-		outbox = g_new0(struct comet_outbox, 1);
-		outbox->vm = vm;
-		g_hash_table_insert(node->outboxes, &outbox->vm, outbox);
-	}
-	return outbox;
-}
-
-static void
-outbox_send(struct comet_node *node, struct comet_outbox *outbox, GBytes *blob)
-{
-	node->counts.packets_sent++;
-	node->counts.items_sent += outbox->packet.items_count;
-	node->ops->send(node->ctx, outbox->vm, &outbox->packet, blob);
-	outbox->packet.items_count = 0;
-}
-
-void
-comet_node_post(struct comet_node *node, uint64_t vm, const comet_Item *item)
-{
-	node->pending = true;
-	if (vm == node->self_id)
-	{
-		/* never handled at once: callers are in the middle of their own lists */
-		g_array_append_vals(node->own_items, item, 1);
-		return;
-	}
-	struct comet_outbox *outbox = outbox_of(node, vm);
-	if (outbox->packet.items_count == G_N_ELEMENTS(outbox->packet.items))
-		outbox_send(node, outbox, NULL);
-	outbox->packet.items[outbox->packet.items_count++] = *item;
-}
-
 static void
 on_item(struct comet_node *node, uint64_t from, const comet_Item *item, GBytes *blob);
 
@@ -79,7 +43,7 @@
 		if (comet_membership_find(node->members, outbox->vm) == NULL)
 			outbox->packet.items_count = 0; /* no longer listed */
 		else
-			outbox_send(node, outbox, NULL);
+			comet_node_send_outbox(node, outbox, NULL);
 	}
 }
 
@@ -89,16 +53,6 @@
 	return node->pending;
 }
 
-void
-comet_node_fill_ping(struct comet_node *node, comet_Ping *ping)
-{
-	ping->bundle_version = node->bundle != NULL ? node->bundle->version : 0;
-	ping->keep_below = node->floor.keep_promised;
-	ping->shed_from = node->floor.shed_promised;
-	ping->want_floor = node->floor.want;
-	comet_membership_fill(node->members, ping);
-}
-
 static void
 on_ping(struct comet_node *node, uint64_t from, const comet_Ping *ping)
 {
@@ -122,7 +76,7 @@
 	outbox.packet.items_count = 1;
 	outbox.packet.items[0].which_body = comet_Item_bundle_offer_tag;
 	outbox.packet.items[0].body.bundle_offer.version = node->bundle->version;
-	outbox_send(node, &outbox, node->signed_bundle);
+	comet_node_send_outbox(node, &outbox, node->signed_bundle);
 }
 
 static void
--- a/libcometspindle/node/node_roles.c
+++ b/libcometspindle/node/node_roles.c
@@ -2,6 +2,8 @@
  * node_roles.c
  * who schedules which shard: rendezvous hashing over the live VMs, with bounded load
  */
+#include <libcometspindle/node/node_roles.h>
+
 #include <libcometspindle/node/node_state.h>
 
 #include <libcometspindle/hash.h>
@@ -128,7 +130,8 @@
 }
 
 void
-comet_node_assign_roles(struct comet_node *node)
+comet_node_assign_roles(struct comet_node *node,
+	void (*moved)(struct comet_node *node, const struct comet_role *role))
 {
 	struct comet_role *old_roles = node->roles;
 	uint32_t n_old = node->n_roles;
@@ -163,7 +166,7 @@
 			(now == NULL || now->scheduler != old_roles[i].scheduler))
 			talloc_free(old_roles[i].scheduler);
 		if (now != NULL && now->vm != old_roles[i].vm)
-			comet_node_reask(node, now);
+			moved(node, now);
 	}
 	talloc_free(old_roles);
 }
--- a/libcometspindle/node/node_state.h
+++ b/libcometspindle/node/node_state.h
@@ -10,7 +10,7 @@
 #include <libcometspindle/claims.h>
 #include <libcometspindle/floor.h>
 #include <libcometspindle/log.h>
-#include <libcometspindle/node/node.h>
+#include <libcometspindle/node/node_types.h>
 #include <libcometspindle/scheduler/policy.h>
 #include <libcometspindle/quota.h>
 #include <libcometspindle/scheduler/scheduler.h>
@@ -106,7 +106,7 @@
 	struct comet_node_counts counts;
 };
 
-/* node_peers.c */
+/* node_outbox.c */
 
 /** Packs one item for a VM; this VM's own items are handled at the next flush, not before. */
 void
@@ -116,11 +116,52 @@
 void
 comet_node_fill_ping(struct comet_node *node, comet_Ping *ping);
 
+/** Sends what is packed for one VM; blob is a signed bundle or NULL. */
+void
+comet_node_send_outbox(struct comet_node *node, struct comet_outbox *outbox, GBytes *blob);
+
+/* node_request.c */
+
+/** The held request with this id, or NULL. */
+struct comet_request *
+comet_request_find(struct comet_node *node, uint64_t id);
+
+/** True until it is dispatched. */
+bool
+comet_request_is_waiting(const struct comet_request *request);
+
+/** Counts it in (1) or out of (-1) what waits here. */
+void
+comet_request_count(struct comet_node *node, const struct comet_request *request, int change);
+
+/** Gives its final answer without an endpoint, and forgets it. */
+void
+comet_request_refuse(struct comet_node *node, struct comet_request *request,
+	enum comet_refusal refusal, enum comet_verdict verdict);
+
+/** It was not run: its key may be claimed again. */
+void
+comet_request_release_claims(struct comet_node *node, const struct comet_request *request);
+
+/** Tells the scheduler that its ask or grant is over; sample may be NULL. */
+void
+comet_request_post_done(struct comet_node *node, const struct comet_request *request,
+	enum comet_outcome outcome, const struct comet_sample *sample);
+
+/** For log lines. */
+const char *
+comet_node_team_name(const struct comet_node *node, uint32_t id);
+
+/** It is over: nothing is known of it any more. */
+void
+comet_request_forget(struct comet_node *node, struct comet_request *request);
 /* node_roles.c */
 
-/** Who holds which shard: recomputed when members or bundle changed. */
+/** Who holds which shard: recomputed when members or bundle changed. Calls moved for each role that
+ * another VM holds now. */
 void
-comet_node_assign_roles(struct comet_node *node);
+comet_node_assign_roles(struct comet_node *node,
+	void (*moved)(struct comet_node *node, const struct comet_role *role));
 
 struct comet_role *
 comet_node_role(struct comet_node *node, uint32_t pool_id, uint32_t shard);
@@ -128,6 +169,12 @@
 void
 comet_node_drop_roles(struct comet_node *node);
 
+/* node_bundle.c */
+
+/** Asks a peer for a bundle that it has and we have not. */
+void
+comet_node_fetch_bundle(struct comet_node *node);
+
 /* node_holder.c */
 
 /** A role moved: held requests of that shard ask the new holder. */
@@ -144,23 +191,6 @@
 void
 comet_node_tick_requests(struct comet_node *node);
 
-/** The held request with this id, or NULL. */
-struct comet_request *
-comet_request_find(struct comet_node *node, uint64_t id);
-
-/** True until it is dispatched. */
-bool
-comet_request_is_waiting(const struct comet_request *request);
-
-/** Counts it in (1) or out of (-1) what waits here. */
-void
-comet_request_count(struct comet_node *node, const struct comet_request *request, int change);
-
-/** Gives its final answer without an endpoint, and forgets it. */
-void
-comet_request_refuse(struct comet_node *node, struct comet_request *request,
-	enum comet_refusal refusal, enum comet_verdict verdict);
-
 /* node_admit.c */
 
 void
@@ -172,10 +202,6 @@
 /** How long a request waits for a part of its team's quota. */
 #define COMET_QUOTA_WAIT_US 400000ULL
 
-/** It was not run: its key may be claimed again. */
-void
-comet_request_release_claims(struct comet_node *node, const struct comet_request *request);
-
 /** Refuses it under pressure; asserts tier order. */
 void
 comet_request_shed(struct comet_node *node, struct comet_request *request);
@@ -198,11 +224,6 @@
 
 /* node_dispatch.c */
 
-/** Tells the scheduler that its ask or grant is over; sample may be NULL. */
-void
-comet_request_post_done(struct comet_node *node, const struct comet_request *request,
-	enum comet_outcome outcome, const struct comet_sample *sample);
-
 /** The learned part of max_tokens that a team uses of a pool. */
 double *
 comet_node_output_ratio(struct comet_node *node, uint32_t team_id, uint32_t pool_id);
@@ -237,8 +258,4 @@
 void
 comet_request_enter_waiting(struct comet_node *node, struct comet_request *request);
 
-/** For log lines. */
-const char *
-comet_node_team_name(const struct comet_node *node, uint32_t id);
-
 #endif
--- a/libcometspindle/node/node_status.c
+++ b/libcometspindle/node/node_status.c
@@ -2,6 +2,8 @@
  * node_status.c
  * what one VM tells operators about itself
  */
+#include <libcometspindle/node/node_status.h>
+
 #include <libcometspindle/node/node_state.h>
 
 #include <json-c/json.h>
--- /dev/null
+++ b/libcometspindle/node/node_types.h
@@ -0,0 +1,85 @@
+/*
+ * node_types.h
+ * what goes into a node and comes out of it
+ */
+#ifndef COMETSPINDLE_NODE_TYPES_H
+#define COMETSPINDLE_NODE_TYPES_H
+
+#include <libcometspindle/bundle.h>
+#include <libcometspindle/endpoint.h>
+#include <libcometspindle/membership.h>
+#include <libcometspindle/proto/peer.pb.h>
+#include <libcometspindle/scheduler/prefix.h>
+#include <libcometspindle/verdict.h>
+#include <stdint.h>
+
+/** The two clocks a node is told: one that counts suspension, and the wall clock. */
+struct comet_time
+{
+	uint64_t mono_us; /**< CLOCK_BOOTTIME */
+	uint64_t wall_ms; /**< CLOCK_REALTIME */
+};
+
+struct comet_node;
+
+/** The outside, as the node sees it. */
+struct comet_node_ops
+{
+	/** Send packed messages to a VM. blob is a signed bundle or NULL. */
+	void (*send)(void *ctx, uint64_t vm, const comet_Packet *packet, GBytes *blob);
+	/** Dispatch the request to this endpoint now; answered by comet_node_finished(). */
+	void (*dispatch)(void *ctx, uint64_t request, const struct comet_endpoint *endpoint);
+	/** The request is over without an answer of an endpoint. */
+	void (*refuse)(void *ctx, uint64_t request, enum comet_refusal refusal,
+		enum comet_verdict verdict, uint32_t retry_after_ms);
+	/** A new bundle is in force. */
+	void (*adopted)(void *ctx, struct comet_bundle *bundle);
+	/** The set of VMs that callers may use changed. */
+	void (*entries_changed)(void *ctx);
+};
+
+/** What a node is made with; strings and key are copied. */
+struct comet_node_config
+{
+	const char *name;
+	const char *zone;
+	const char *policy;
+	const uint8_t *bundle_key; /**< Ed25519 public key */
+	uint64_t incarnation;
+	uint32_t max_waiting;
+	uint64_t seed; /**< for draws that must differ between VMs */
+};
+
+/** A request as it is handed to the node. */
+struct comet_submission
+{
+	uint64_t request; /**< unique within this process */
+	uint32_t pool_id;
+	uint32_t team_id;
+	uint32_t tier;
+	uint32_t deadline_ms; /**< from now */
+	uint32_t prompt_tokens;
+	uint32_t max_output_tokens;
+	struct comet_prefix prefix;
+	bool once;              /**< not to be repeated: a claim on key is needed */
+	uint64_t key;           /**< hash of team and idempotency key */
+	uint64_t first_sent_ms; /**< when the caller first sent it */
+};
+
+/** Counters of this VM; monotonic, for metrics. */
+struct comet_node_counts
+{
+	uint64_t submitted;
+	uint64_t dispatched;
+	uint64_t served;
+	uint64_t failed;
+	uint64_t refused[COMET_REFUSAL_INTERNAL + 1];
+	uint64_t shed_by_tier[COMET_TIERS_MAX];
+	uint64_t retries;
+	uint64_t items_sent;
+	uint64_t packets_sent;
+	uint64_t role_changes;
+	uint64_t pauses;
+};
+
+#endif
--- a/tests/unit/sim.h
+++ b/tests/unit/sim.h
@@ -21,6 +21,7 @@
 extern "C"
 {
 #include <libcometspindle/node/node.h>
+#include <libcometspindle/node/node_status.h>
 #include <libcometspindle/sign.h>
 }
 
