--- a/libcometspindle/node/node_state.h
+++ b/libcometspindle/node/node_state.h
@@ -155,6 +155,7 @@
 /** It is over: nothing is known of it any more. */
 void
 comet_request_forget(struct comet_node *node, struct comet_request *request);
+
 /* node_roles.c */
 
 /** Who holds which shard: recomputed when members or bundle changed. Calls moved for each role that
