An earlier birth that stays the directory's last word is believed

Cause: by reading: a server whose clock was set back before it started again names an earlier birth than the life before; its entry was taken for late news for ever, so that it was never used. Change: the word of an earlier life is kept; where no word of the later one follows within five seconds (a living server would have found its entry overwritten, and written it anew), it is taken. An instance that the directory names no more counts as ended.

--- a/libcometspindle/adapters/gateway/gateway.c
+++ b/libcometspindle/adapters/gateway/gateway.c
@@ -147,7 +147,7 @@
 	comet_views_tick(gateway->views, now_us);
 	comet_views_count(gateway->views, &known, &heard);
 	set_vms(gateway, heard + 1, known + 1, now_us);
-	comet_instances_tick(gateway->instances, now_us, comet_gateway_lapse_over, gateway);
+	comet_instances_tick(gateway->instances, now_us, &comet_gateway_instances_events, gateway);
 	comet_placement_run(gateway->placement, now_us);
 	comet_gateway_copy_if_behind(gateway, now_us);
 	if (gateway->stop_us != 0)
--- a/libcometspindle/adapters/gateway/gateway_directory.c
+++ b/libcometspindle/adapters/gateway/gateway_directory.c
@@ -71,7 +71,7 @@
 		"draining=%d born=%" G_GUINT64_FORMAT " reborn=%d",
 		record->id, record->service, record->address, record->zone, record->slots,
 		record->draining, record->born_ms,
-		known != NULL && known->born_ms < record->born_ms);
+		known != NULL && known->born_ms != record->born_ms);
 }
 
 /* Takes an entry of this or a later life of an endpoint's process. */
@@ -79,7 +79,7 @@
 take_instance(struct comet_gateway *gateway, const struct comet_instance *known,
 	const struct comet_instance_record *record)
 {
-	bool reborn = known != NULL && known->born_ms < record->born_ms;
+	bool reborn = known != NULL && known->born_ms != record->born_ms;
 
 	log_listed(known, record);
 	comet_instances_put(gateway->instances, record, comet_timers_now_us());
@@ -117,12 +117,22 @@
 	}
 }
 
-void
-comet_gateway_lapse_over(void *ctx, const char *id)
+static void
+on_lapse_over(void *ctx, const char *id)
+{
+	drop_endpoint(ctx, id, "lapse_over");
+}
+
+static void
+on_earlier_believed(void *ctx, const struct comet_instance_record *record)
 {
-	forget_endpoint(ctx, id, "lapse_over");
+	drop_endpoint(ctx, record->id, "earlier_life_stays");
+	take_instance(ctx, NULL, record);
 }
 
+const struct comet_instances_events comet_gateway_instances_events = {
+	.lapse_over = on_lapse_over, .earlier_believed = on_earlier_believed};
+
 static void
 on_instance_gone(void *ctx, const char *id, uint64_t out_us)
 {
--- a/libcometspindle/adapters/gateway/gateway_private.h
+++ b/libcometspindle/adapters/gateway/gateway_private.h
@@ -99,9 +99,8 @@
 /** What the directory tells (gateway_directory.c). */
 extern const struct comet_directory_events comet_gateway_directory_events;
 
-/** An endpoint that lapsed in an outage has not come back; for comet_instances_tick(). */
-void
-comet_gateway_lapse_over(void *ctx, const char *id);
+/** What time brings about at endpoints (gateway_directory.c). */
+extern const struct comet_instances_events comet_gateway_instances_events;
 
 /** What placement asks for (gateway_send.c). */
 extern const struct comet_placement_ops comet_gateway_placement_ops;
--- a/libcometspindle/gateway/instance.c
+++ b/libcometspindle/gateway/instance.c
@@ -49,7 +49,9 @@
 		return COMET_LIFE_SAME;
 	if (born_ms == 0)
 		return COMET_LIFE_UNTOLD;
-	return born_ms > instance->born_ms ? COMET_LIFE_LATER : COMET_LIFE_EARLIER;
+	/* One that the directory names no more has ended, whatever clocks say. */
+	return born_ms > instance->born_ms || !instance->listed ? COMET_LIFE_LATER
+								: COMET_LIFE_EARLIER;
 }
 
 uint32_t
--- a/libcometspindle/gateway/instance.h
+++ b/libcometspindle/gateway/instance.h
@@ -33,6 +33,7 @@
 };
 
 struct comet_speeds;
+struct comet_instance_record;
 
 /**
  * One life of an endpoint's process. A process that starts again under its id holds and knows
@@ -53,6 +54,9 @@
 	uint32_t slots;
 	uint32_t shard; /**< it belongs to (shards.h) */
 	bool draining;
+	struct comet_instance_record
+		*earlier;    /**< newest word of an earlier life; NULL: none since */
+	uint64_t earlier_us; /**< when that came */
 	bool listed;         /**< the directory names it */
 	uint64_t lapse_us;   /**< unlisted during an outage: dropped then; 0: not so */
 	uint64_t warm_us;    /**< slow until then */
--- a/tests/unit/test_instances.cc
+++ b/tests/unit/test_instances.cc
@@ -39,8 +39,10 @@
 	bool
 	used(uint64_t now_us)
 	{
-		comet_instances_tick(
-			instances, now_us, [](void *, const char *) {}, nullptr);
+		static const comet_instances_events events = {[](void *ctx, const char *id)
+			{ comet_instances_remove(static_cast<comet_instances *>(ctx), id); },
+			nullptr};
+		comet_instances_tick(instances, now_us, &events, instances);
 		return comet_instances_find(instances, "i") != nullptr;
 	}
 };
@@ -147,6 +149,42 @@
 	EXPECT_TRUE(put(2000, true)->draining);
 }
 
+/* The clock of a server's machine may have been set back before it started again: its entry names
+ * an earlier birth, and goes on doing so. */
+TEST_F(Lives, AnEarlierLifeThatStaysTheLastWordIsBelieved)
+{
+	static const comet_instances_events events = {nullptr,
+		[](void *ctx, const comet_instance_record *record)
+		{
+			auto *all = static_cast<comet_instances *>(ctx);
+			comet_instances_remove(all, record->id);
+			comet_instances_put(all, record, 0);
+		}};
+	auto born_at = [&](uint64_t now_us)
+	{
+		comet_instances_tick(instances, now_us, &events, instances);
+		return comet_instances_find(instances, "i")->born_ms;
+	};
+
+	put(2000);
+	put(1000);
+	EXPECT_EQ(born_at(4 * second_us), 2000U);
+	put(2000); /* the later one has written since: the earlier was late news */
+	EXPECT_EQ(born_at(20 * second_us), 2000U);
+	put(1000);
+	EXPECT_EQ(born_at(5 * second_us), 2000U);
+	EXPECT_EQ(born_at(6 * second_us), 1000U);
+	EXPECT_STREQ(comet_instances_find(instances, "i")->address, "127.0.0.1:1");
+}
+
+TEST_F(Lives, WhatIsListedNoMoreHasEnded)
+{
+	put(2000);
+	const comet_lapse_bounds bounds = {lapse_us, 3 * second_us};
+	ASSERT_TRUE(comet_instances_lapse(instances, "i", second_us, &bounds, second_us));
+	EXPECT_EQ(put(1000)->born_ms, 1000U);
+}
+
 /* Ids of equal hash are two endpoints; the one that goes leaves the other to be found. */
 TEST_F(Lives, AnEndpointThatGoesTakesNoOtherWithIt)
 {
