A connection ends with the copy that it brought

Cause: in the logs of the incident a VM whose watch was dead asked two others for a copy and was refused three times (copy_failed status=503): a VM hands out three copies at a time and counted connections, which those that had their copy kept for four seconds more. Change: the answer with a copy, or its refusal, ends its connection. Test: test_copies_do_not_hold_up_the_next (failed before).

--- a/libcometspindle/adapters/callers/front.c
+++ b/libcometspindle/adapters/callers/front.c
@@ -437,6 +437,12 @@
 	return &front->counts;
 }
 
+void
+comet_front_end_connection(struct comet_front_request *request)
+{
+	connection_of(request)->keep_alive = false;
+}
+
 void
 comet_front_start(struct comet_front_request *request, unsigned int status, const char *reason,
 	const char *headers, int64_t length)
--- a/libcometspindle/adapters/callers/front.h
+++ b/libcometspindle/adapters/callers/front.h
@@ -72,6 +72,10 @@
 const struct comet_front_counts *
 comet_front_counts(const struct comet_front *front);
 
+/** Its connection ends with this answer; to be called before it is started. */
+void
+comet_front_end_connection(struct comet_front_request *request);
+
 /** A whole small answer. headers: further header lines, each with its line's end, or NULL. */
 void
 comet_front_answer(struct comet_front_request *request, unsigned int status, const char *headers,
--- a/tests/system/test_directory.py
+++ b/tests/system/test_directory.py
@@ -241,6 +241,20 @@
     there.end()
 
 
+def test_copies_do_not_hold_up_the_next(world):
+    """A VM that has its copy does not count as one that is still read to: connections end with it."""
+    kept = []
+    for _ in range(6):
+        sock = connect(world.gateway.ports["control"])
+        sock.sendall(b"GET /v1/directory HTTP/1.1\r\nHost: x\r\n\r\n")
+        status, headers, _, whole = answer_of(sock)
+        assert status == 200 and whole
+        if headers.get("connection") == "close":
+            sock.close()
+        else:
+            kept.append(sock)
+
+
 def test_busy_store():
     """A store that refuses every other call is still read whole: a list goes on where it was."""
     store = Store()
@@ -271,6 +285,6 @@
     run_tests(
         [test_configuration, test_servers_leave, test_silent_store_is_noticed,
          test_ended_connection_is_no_outage, test_unreadable_entry, test_server_starts_again,
-         test_answer_lost_with_a_life],
+         test_answer_lost_with_a_life, test_copies_do_not_hold_up_the_next],
         [test_store_away, test_start_in_an_outage, test_copy_from_other_vm, test_busy_store,
          test_answers_too_large])
