--- a/scripts/soak_gateway.py
+++ b/scripts/soak_gateway.py
@@ -20,7 +20,7 @@
 import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(__file__), "..", "tests", "system"))
-from platform_standin import Reader, Server, Store, listen, wait_for  # noqa: E402
+from platform_standin import Reader, Server, Store, free_ports, listen, wait_for  # noqa: E402
 
 BUILD = os.environ.get("COMET_BUILD", "build")
 HOST = "h.example"
@@ -127,17 +127,6 @@
     return f"127.{1 + os.getpid() % 250}.{1 + os.getpid() // 250 % 250}.{1 + number}"
 
 
-def free_ports(count):
-    """Ports that are free on the addresses of all VMs."""
-    ports = {}
-    for name in ("callers", "readiness", "control", "peers"):
-        sock = listen(address_of(0))
-        ports[name] = sock.getsockname()[1]
-        sock.close()
-    assert len(set(ports.values())) == 4 and count < 250
-    return ports
-
-
 def document(version, keys):
     def route(name, kind, attempts, **more):
         return dict(name=name, hostname=HOST, path_prefix=f"/{name}/", type=kind, timeout_ms=4000,
@@ -199,7 +188,7 @@
             server.publish(address=f"127.0.0.1:{proxy.port}", zone=f"z{number % 3}")
             self.servers.append(server)
             self.proxies.append(proxy)
-        ports = free_ports(self.vms_n)
+        ports = free_ports(address_of(0))
         seeds = ",".join(f"{address_of(n)}:{ports['control']}" for n in range(2))
         self.vms = [Vm(n, ports, seeds, self.store_proxy.port) for n in range(self.vms_n)]
         wait_for(lambda: all(self.attempt(vm, "safe", "plain", "k1") == 200 for vm in self.vms))
--- a/tests/system/gateway_world.py
+++ b/tests/system/gateway_world.py
@@ -8,7 +8,7 @@
 import tempfile
 import traceback
 
-from platform_standin import Reader, Server, Store, listen, wait_for
+from platform_standin import Reader, Server, Store, free_ports, wait_for
 
 BUILD = os.environ.get("COMET_BUILD", "build")
 HOST = "h.example"
@@ -19,19 +19,11 @@
 OTHER_ADDRESS = ADDRESS[:-1] + "2"
 
 
-def free_port():
-    sock = listen(ADDRESS)
-    port = sock.getsockname()[1]
-    sock.close()
-    return port
-
-
 class Gateway:
     started = []
 
     def __init__(self, store, log=None, address=ADDRESS, ports=None, **settings):
-        names = ("callers", "readiness", "control", "peers")
-        self.ports = ports or {name: free_port() for name in names}
+        self.ports = ports or free_ports(address)
         self.address = address
         values = {name: f"{address}:{port}" for name, port in self.ports.items()}
         values.update(name="vm", zone="z", seeds="", directory=f"127.0.0.1:{store.port}",
@@ -44,7 +36,7 @@
         self.process = subprocess.Popen(
             [f"{BUILD}/cli/cometspindled", "--settings", self.file.name], stdout=log or self.log,
             stderr=self.log)
-        Gateway.started.append(self.process)
+        Gateway.started.append(self)
 
     def ready(self):
         try:
@@ -52,6 +44,14 @@
         except OSError:
             return False
 
+    def tell(self):
+        """Prints what is known of it, after a test has failed, and ends it."""
+        self.log.seek(0)
+        print(f"gateway {self.ports} exit code {self.process.poll()}, its log:\n" +
+              self.log.read().decode(errors="replace")[-3000:])
+        if self.process.poll() is None:
+            self.process.kill()
+
     def end(self):
         if self.process.poll() is None:
             self.process.send_signal(signal.SIGTERM)
@@ -166,10 +166,10 @@
         except Exception:
             failed = True
             traceback.print_exc(file=sys.stdout)
-            for process in Gateway.started:
-                if process.poll() is None:
-                    process.kill()
+            for gateway in Gateway.started:
+                gateway.tell()
             print("FAILED", test.__name__, flush=True)
         else:
             print("OK", test.__name__, flush=True)
+        Gateway.started.clear()
     sys.exit(1 if failed else 0)
--- a/tests/system/platform_standin.py
+++ b/tests/system/platform_standin.py
@@ -19,6 +19,17 @@
     return sock
 
 
+def free_ports(address):
+    """A port of the kernel's choice for each of a gateway's uses. All are held until the last is chosen: let go one
+    by one, the kernel gave one of them out again for 15 of 20,000 gateways, which then could not listen."""
+    names = ("callers", "readiness", "control", "peers")
+    held = {name: listen(address) for name in names}
+    ports = {name: sock.getsockname()[1] for name, sock in held.items()}
+    for sock in held.values():
+        sock.close()
+    return ports
+
+
 class Reader:
     """Reads HTTP messages from a socket."""
 
