Numbers that endpoints tell of time and load are read strictly

Cause: an endpoint's Retry-After was read as any number, and a negative or huge one converted beyond its type's range; a Keep-Alive of 2^60 seconds overflowed; two load figures of four billion wrapped to a small sum. Change: seconds are digits with a fraction and at most an hour, else passed over with a line; bounds on the others. A connection's probes are set when it is opened, not with each call on it.

--- a/libcometspindle/adapters/endpoints/upstream.c
+++ b/libcometspindle/adapters/endpoints/upstream.c
@@ -19,6 +19,9 @@
 /* Idle connections are closed after this time unless the endpoint names a shorter one. */
 #define IDLE_DEFAULT_US 4000000
 
+/* More than this that an endpoint tells counts as this: no connection is kept so long. */
+#define KEEP_ALIVE_MAX_S 3600
+
 /* An idle connection is not used within this time of its announced end: a request must not cross
  * the endpoint's close. */
 #define IDLE_MARGIN_US 1000000
@@ -167,7 +170,8 @@
 
 	if (timeout == NULL)
 		return IDLE_DEFAULT_US;
-	uint64_t told_us = strtoull(timeout + strlen("timeout="), NULL, 10) * 1000000;
+	uint64_t told_s = strtoull(timeout + strlen("timeout="), NULL, 10);
+	uint64_t told_us = MIN(told_s, KEEP_ALIVE_MAX_S) * 1000000;
 	if (told_us <= IDLE_MARGIN_US)
 		return told_us / 2;
 	return MIN(told_us - IDLE_MARGIN_US, IDLE_DEFAULT_US);
@@ -359,6 +363,8 @@
 	link->pool->links++;
 	link->instance = talloc_strdup(link, request->instance);
 	link->reader = comet_http_reader_create(link, false, HEAD_MAX_BYTES, &reader_events, link);
+	if (request->probe)
+		comet_socket_probe(link->socket);
 	upstream->counts.open++;
 	upstream->counts.opened++;
 	talloc_set_destructor(link, link_destroy);
@@ -432,8 +438,6 @@
 		return exchange;
 	}
 	link->exchange = exchange;
-	if (request->probe)
-		comet_socket_probe(link->socket);
 	if (link->connected)
 		write_request(exchange);
 	else
--- a/libcometspindle/adapters/gateway/gateway_send.c
+++ b/libcometspindle/adapters/gateway/gateway_send.c
@@ -161,8 +161,12 @@
 {
 	bool wrong = relay->head->status == 421;
 	const char *told = comet_http_head_get(relay->head, "Retry-After");
-	uint32_t retry_after_ms = told != NULL ? (uint32_t)(g_ascii_strtod(told, NULL) * 1000) : 0;
+	uint32_t retry_after_ms = 0;
 
+	if (told != NULL && !comet_wire_parse_seconds(told, &retry_after_ms))
+		comet_log(COMET_LOG_NOTICE,
+			"event=header_ignored request=%s endpoint=%s header=Retry-After", relay->id,
+			relay->instance);
 	comet_log(COMET_LOG_INFO, "event=endpoint_refused request=%s endpoint=%s status=%u",
 		relay->id, relay->instance, relay->head->status);
 	comet_relay_end_sending(relay, wrong ? COMET_DISPATCH_WRONG : COMET_DISPATCH_REFUSED);
--- a/libcometspindle/gateway/outage.c
+++ b/libcometspindle/gateway/outage.c
@@ -10,8 +10,9 @@
  * came that refused it, which was handled no longer ago than this. */
 #define HANDLED_WITHIN_US 1000000
 
-/* A kept connection that ends, or goes silent, says nothing of the directory. On 40 days with silent
- * connections 345 endpoints that had left were taken for lapsed by that, and got 282 requests. */
+/* A kept connection that ends, or goes silent, says nothing of the directory. On 40 days with
+ * silent connections 345 endpoints that had left were taken for lapsed by that, and got 282
+ * requests. */
 static bool
 shows_outage(const struct comet_outage *outage, enum comet_call_failure failure)
 {
--- a/libcometspindle/gateway/wire_names.c
+++ b/libcometspindle/gateway/wire_names.c
@@ -4,10 +4,17 @@
  */
 #include <libcometspindle/gateway/wire_names.h>
 
+#include <glib.h>
 #include <stddef.h>
 #include <stdlib.h>
 #include <strings.h>
 
+/* No endpoint has more requests; sums of a few such numbers stay in range. */
+#define LOAD_MAX 1000000
+
+/* Longest time that is told in seconds. */
+#define SECONDS_MAX 3600.0
+
 bool
 comet_wire_is_reserved(const struct comet_wire_names *names, const char *header)
 {
@@ -55,7 +62,7 @@
 {
 	uint32_t numbers[3];
 
-	if (!parse_numbers(text, numbers, 3))
+	if (!parse_numbers(text, numbers, 3) || numbers[0] > LOAD_MAX || numbers[1] > LOAD_MAX)
 		return false;
 	*load = (struct comet_wire_load){numbers[0], numbers[1], numbers[2]};
 	return true;
@@ -66,3 +73,17 @@
 {
 	return parse_numbers(text, ms, 1);
 }
+
+bool
+comet_wire_parse_seconds(const char *text, uint32_t *ms)
+{
+	char *end = NULL;
+
+	if (!g_ascii_isdigit(*text))
+		return false;
+	double seconds = g_ascii_strtod(text, &end);
+	if (*end != '\0' || !(seconds >= 0 && seconds <= SECONDS_MAX))
+		return false;
+	*ms = (uint32_t)(seconds * 1000);
+	return true;
+}
--- a/libcometspindle/gateway/wire_names.h
+++ b/libcometspindle/gateway/wire_names.h
@@ -44,7 +44,7 @@
 bool
 comet_wire_parse_tokens(const char *text, uint32_t *prompt, uint32_t *output);
 
-/** Parses "running,waiting,slots"; false when it is not three whole numbers. */
+/** Parses "running,waiting,slots"; false when it is not three whole numbers of a plausible size. */
 bool
 comet_wire_parse_load(const char *text, struct comet_wire_load *load);
 
@@ -52,4 +52,8 @@
 bool
 comet_wire_parse_ms(const char *text, uint32_t *ms);
 
+/** Parses seconds, whole or with a fraction, at most an hour; false when it is none. */
+bool
+comet_wire_parse_seconds(const char *text, uint32_t *ms);
+
 #endif
--- a/tests/unit/test_gateway_routes.cc
+++ b/tests/unit/test_gateway_routes.cc
@@ -440,6 +440,12 @@
 		EXPECT_FALSE(comet_wire_parse_tokens(bad, &prompt, &output)) << bad;
 	for (const char *bad : {"", "-5", "1.5", "x", "4294967296"})
 		EXPECT_FALSE(comet_wire_parse_ms(bad, &ms)) << bad;
+	for (const char *bad : {"4294967295,1,8", "1,1000001,8", "3,0", "3,0,8,1", "3;0;8"})
+		EXPECT_FALSE(comet_wire_parse_load(bad, &load)) << bad;
+	EXPECT_TRUE(comet_wire_parse_seconds("1.25", &ms));
+	EXPECT_EQ(ms, 1250U);
+	for (const char *bad : {"", "-1", " 1", "1s", "nan", "inf", "1e99", "3601"})
+		EXPECT_FALSE(comet_wire_parse_seconds(bad, &ms)) << bad;
 }
 
 TEST(GatewaySettings, AreCheckedWithEveryFault)
