checks.sh: a run that ends otherwise than with a test's failure is never passed over

Cause: read again: a session that was killed after a known failure would have counted as passed over. Change: an exit code above 1 counts as a failure by itself.

--- a/scripts/checks.sh
+++ b/scripts/checks.sh
@@ -30,7 +30,7 @@
 }
 
 # count_tests WHAT CODE PASSED FAILED-NAMES LOG: adds the tests of one run; a run that failed without
-# naming a test counts as one that did.
+# naming a test, or ended otherwise than with a test's failure (1), counts as one that did.
 count_tests()
 {
 	bad=0
@@ -46,6 +46,7 @@
 		fi
 	done
 	[ "$2" -ne 0 ] && [ -z "$4" ] && bad=1
+	[ "$2" -gt 1 ] && bad=$((bad + 1))
 	passed=$((passed + $3))
 	failed=$((failed + bad))
 	echo "$1: $3 passed, $bad failed"
