Sight: what a sending left behind, from where the next goes on, and what a cut caller had not taken

Cause: logs could not tell the hypotheses apart: neither how much of an event lay in the buffer when a run was replaced, nor whether a refused or failed answer had a body, nor what the kernel had not taken of the caller's bytes. Change: repeated: events, unfinished_bytes; sent: after_events; endpoint_refused, sending_failed, silent: body_bytes; cut: attempts, unsent_bytes. The number of events passed on is told in one place. Test EventStream.PassesOnlyWholeEvents tells the bytes now, not only that there are some.

--- a/libcometspindle/adapters/gateway/gateway_answer.c
+++ b/libcometspindle/adapters/gateway/gateway_answer.c
@@ -135,6 +135,7 @@
 	else
 		relay->pause_us = MAX(relay->pause_us, now_us - relay->last_us);
 	relay->last_us = now_us;
+	relay->body_bytes += length;
 	if (instance != NULL)
 		comet_instance_heard(instance, now_us);
 	if (relay->first_us == 0)
@@ -161,9 +162,7 @@
 		relay->id, status, relay->instance, comet_relay_since_ms(relay->arrived_us, now_us),
 		relay->first_us != 0 ? comet_relay_since_ms(relay->sent_us, relay->first_us) : 0,
 		relay->began_us != 0 ? comet_relay_since_ms(relay->arrived_us, relay->began_us) : 0,
-		relay->pause_us / 1000,
-		relay->events != NULL ? comet_event_stream_count(relay->events) : 0,
-		relay->attempts);
+		relay->pause_us / 1000, comet_relay_events(relay), relay->attempts);
 }
 
 static void
@@ -215,8 +214,8 @@
 	}
 	if (is_good(relay))
 	{
-		bool torn =
-			comet_relay_is_stream(relay) && comet_event_stream_inside(relay->events);
+		bool torn = comet_relay_is_stream(relay) &&
+			    comet_event_stream_unfinished(relay->events) > 0;
 		if (torn)
 			comet_relay_sending_broke(relay, COMET_DISPATCH_BROKEN);
 		else
--- a/libcometspindle/adapters/gateway/gateway_relay.c
+++ b/libcometspindle/adapters/gateway/gateway_relay.c
@@ -24,6 +24,12 @@
 	return instance != NULL && instance->born_ms == relay->born_ms ? instance : NULL;
 }
 
+uint32_t
+comet_relay_events(const struct comet_relay *relay)
+{
+	return relay->events != NULL ? comet_event_stream_count(relay->events) : 0;
+}
+
 uint64_t
 comet_relay_since_ms(uint64_t then_us, uint64_t now_us)
 {
@@ -50,9 +56,7 @@
 	struct comet_gateway *gateway = relay->gateway;
 	struct comet_instance *instance = comet_relay_instance(relay);
 	uint64_t now_us = comet_timers_now_us();
-	uint32_t events = relay->events != NULL
-				  ? comet_event_stream_count(relay->events) - relay->first_count
-				  : 0;
+	uint32_t events = comet_relay_events(relay) - relay->first_count;
 
 	comet_timer_cancel(&relay->silence);
 	if (instance != NULL)
@@ -151,9 +155,10 @@
 
 	relay->gateway->counts.cut++;
 	comet_log(COMET_LOG_NOTICE,
-		"event=cut request=%s reason=%s held_ms=%" G_GUINT64_FORMAT " events=%u", relay->id,
-		reason, comet_relay_since_ms(relay->arrived_us, comet_timers_now_us()),
-		relay->events != NULL ? comet_event_stream_count(relay->events) : 0);
+		"event=cut request=%s reason=%s held_ms=%" G_GUINT64_FORMAT
+		" events=%u attempts=%u unsent_bytes=%zu",
+		relay->id, reason, comet_relay_since_ms(relay->arrived_us, comet_timers_now_us()),
+		comet_relay_events(relay), relay->attempts, comet_front_queued(request));
 	comet_relay_count_end(relay, reason);
 	request->user = NULL;
 	comet_relay_close(relay);
--- a/libcometspindle/adapters/gateway/gateway_relay.h
+++ b/libcometspindle/adapters/gateway/gateway_relay.h
@@ -39,6 +39,7 @@
 	uint64_t began_us; /* first byte of an answer that went on to the caller; 0: none yet */
 	uint64_t pause_us; /* longest time between two parts of the answer */
 	uint64_t silent_after_us;
+	uint64_t body_bytes;  /* of the answer to this sending */
 	uint32_t attempts;    /* sendings that may have reached an endpoint */
 	uint32_t first_count; /* events when this sending began */
 	bool may_have_run;
@@ -55,6 +56,10 @@
 struct comet_instance *
 comet_relay_instance(const struct comet_relay *relay);
 
+/** Events that have gone on to the caller. */
+uint32_t
+comet_relay_events(const struct comet_relay *relay);
+
 /** Milliseconds between two times. */
 uint64_t
 comet_relay_since_ms(uint64_t then_us, uint64_t now_us);
--- a/libcometspindle/adapters/gateway/gateway_send.c
+++ b/libcometspindle/adapters/gateway/gateway_send.c
@@ -38,8 +38,10 @@
 	uint64_t now_us = comet_timers_now_us();
 
 	gateway->counts.repeated++;
-	comet_log(COMET_LOG_INFO, "event=repeated request=%s reason=%s attempts=%u", relay->id,
-		reason, relay->attempts);
+	comet_log(COMET_LOG_INFO,
+		"event=repeated request=%s reason=%s attempts=%u events=%u unfinished_bytes=%zu",
+		relay->id, reason, relay->attempts, comet_relay_events(relay),
+		relay->events != NULL ? comet_event_stream_unfinished(relay->events) : 0);
 	if (relay->answer != NULL)
 		g_byte_array_set_size(relay->answer, 0);
 	if (!comet_placement_has_other(gateway->placement, &relay->item))
@@ -87,8 +89,10 @@
 	struct comet_instance *instance = comet_relay_instance(relay);
 	bool doubted = instance != NULL && comet_instance_doubt(instance, last_us, now_us);
 	comet_log(COMET_LOG_NOTICE,
-		"event=silent request=%s endpoint=%s silent_ms=%" G_GUINT64_FORMAT " doubted=%d",
-		relay->id, relay->instance, comet_relay_since_ms(last_us, now_us), doubted);
+		"event=silent request=%s endpoint=%s silent_ms=%" G_GUINT64_FORMAT
+		" doubted=%d events=%u body_bytes=%" G_GUINT64_FORMAT,
+		relay->id, relay->instance, comet_relay_since_ms(last_us, now_us), doubted,
+		comet_relay_events(relay), relay->body_bytes);
 	if (relay->paused || !comet_route_repeatable(relay->route) ||
 		!comet_relay_may_repeat(relay))
 		return; /* all that is left is to wait */
@@ -134,9 +138,11 @@
 {
 	relay->may_have_run = true;
 	comet_log(COMET_LOG_NOTICE,
-		"event=sending_failed request=%s endpoint=%s result=%s events=%u", relay->id,
-		relay->instance, comet_dispatch_result_name(result),
-		relay->events != NULL ? comet_event_stream_count(relay->events) : 0);
+		"event=sending_failed request=%s endpoint=%s result=%s status=%u events=%u "
+		"body_bytes=%" G_GUINT64_FORMAT,
+		relay->id, relay->instance, comet_dispatch_result_name(result),
+		relay->head != NULL ? relay->head->status : 0, comet_relay_events(relay),
+		relay->body_bytes);
 	comet_relay_end_sending(relay, result);
 	if (relay->started && (!comet_relay_is_stream(relay) ||
 				      comet_event_stream_last_id(relay->events) == NULL))
@@ -167,8 +173,10 @@
 		comet_log(COMET_LOG_NOTICE,
 			"event=header_ignored request=%s endpoint=%s header=Retry-After", relay->id,
 			relay->instance);
-	comet_log(COMET_LOG_INFO, "event=endpoint_refused request=%s endpoint=%s status=%u",
-		relay->id, relay->instance, relay->head->status);
+	comet_log(COMET_LOG_INFO,
+		"event=endpoint_refused request=%s endpoint=%s status=%u "
+		"body_bytes=%" G_GUINT64_FORMAT,
+		relay->id, relay->instance, relay->head->status, relay->body_bytes);
 	comet_relay_end_sending(relay, wrong ? COMET_DISPATCH_WRONG : COMET_DISPATCH_REFUSED);
 	if (comet_relay_may_repeat(relay))
 		comet_relay_place_again(relay, wrong ? "wrong_instance" : "endpoint_full");
@@ -201,10 +209,11 @@
 	comet_log(COMET_LOG_INFO,
 		"event=sent request=%s endpoint=%s load=%u slots=%u candidates=%u with_room=%u "
 		"waited_ms=%" G_GUINT64_FORMAT " expect_first_ms=%" G_GUINT64_FORMAT
-		" view_age_ms=%" G_GUINT64_FORMAT " pace=%.2f attempt=%u keeper=%s",
+		" view_age_ms=%" G_GUINT64_FORMAT " pace=%.2f attempt=%u after_events=%u keeper=%s",
 		relay->id, instance->id, reason->load, reason->slots, reason->candidates,
 		reason->with_room, reason->waited_us / 1000, reason->first_us / 1000,
 		reason->view_age_us / 1000, instance->pace, relay->attempts + 1,
+		comet_relay_events(relay),
 		item->keeper != 0 ? comet_view_link_text(item->keeper, keeper) : "-");
 	if (relay->attempts == 0)
 		comet_latency_add(
@@ -220,7 +229,8 @@
 	relay->sent_us = now_us;
 	relay->first_us = 0;
 	relay->last_us = 0;
-	relay->first_count = relay->events != NULL ? comet_event_stream_count(relay->events) : 0;
+	relay->body_bytes = 0;
+	relay->first_count = comet_relay_events(relay);
 	relay->instance = talloc_strdup(relay, instance->id);
 	relay->born_ms = instance->born_ms;
 	relay->life = instance->key;
--- a/libcometspindle/gateway/event_stream.c
+++ b/libcometspindle/gateway/event_stream.c
@@ -108,10 +108,10 @@
 	stream->ready = 0;
 }
 
-bool
-comet_event_stream_inside(const struct comet_event_stream *stream)
+size_t
+comet_event_stream_unfinished(const struct comet_event_stream *stream)
 {
-	return stream->bytes->len > stream->ready;
+	return stream->bytes->len - stream->ready;
 }
 
 const char *
--- a/libcometspindle/gateway/event_stream.h
+++ b/libcometspindle/gateway/event_stream.h
@@ -34,9 +34,9 @@
 void
 comet_event_stream_restart(struct comet_event_stream *stream);
 
-/** @return whether an unfinished event lies here. */
-bool
-comet_event_stream_inside(const struct comet_event_stream *stream);
+/** @return bytes of an unfinished event that lie here. */
+size_t
+comet_event_stream_unfinished(const struct comet_event_stream *stream);
 
 /** Id of the last event that was taken; NULL when none had one. */
 const char *
--- a/tests/unit/test_event_stream.cc
+++ b/tests/unit/test_event_stream.cc
@@ -32,9 +32,9 @@
 	EXPECT_EQ(passed, "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n");
 	EXPECT_STREQ(comet_event_stream_last_id(stream), "2");
 	EXPECT_EQ(comet_event_stream_count(stream), 2U);
-	EXPECT_TRUE(comet_event_stream_inside(stream));
+	EXPECT_EQ(comet_event_stream_unfinished(stream), strlen("id: 3\nda"));
 	comet_event_stream_restart(stream);
-	EXPECT_FALSE(comet_event_stream_inside(stream));
+	EXPECT_EQ(comet_event_stream_unfinished(stream), 0U);
 	EXPECT_STREQ(comet_event_stream_last_id(stream), "2");
 	talloc_free(stream);
 }
