Two tests that fail: an endpoint stops inside an event, and its bytes are joined with the next run's

Cause: a run given up for silence leaves its unfinished event in the buffer, where the next run's bytes are put behind it. Change: tests/system/test_streams.py, real processes: one stream alone, and streams whose run stops, or whose connection ends, at each byte of an event.

--- /dev/null
+++ b/tests/system/test_streams.py
@@ -0,0 +1,148 @@
+"""test_streams.py: what a caller gets of a stream, or of a long answer, whose run is replaced
+
+An endpoint's process stopped inside an event while its connection stood. After 600 ms without a byte the gateway
+gave the run up and sent the request to another endpoint, which went on after the last whole event; the half event of
+the first run stayed in the buffer, and the second run's bytes were put behind it. So the caller got one event that
+no run had made. The log of such a request, and what its caller read:
+
+    event=sent request=... endpoint=i-0 ... attempt=1
+    event=silent request=... endpoint=i-0 silent_ms=600 doubted=1
+    event=repeated request=... reason=silent attempts=1 events=3 unfinished_bytes=8
+    event=sent request=... endpoint=i-1 ... attempt=2
+    id: 3\\ndata: piece 3\\n\\n  id: 4\\ndaid: 4\\ndata: piece 4\\n\\n  id: 5\\n...
+
+A run that ended with its connection was not the matter: that path cleared the buffer.
+"""
+import threading
+
+from gateway_world import World, call, document, route, run_tests
+from platform_standin import wait_for
+
+EVENTS = 6
+
+
+def event(number):
+    return b"id: %d\ndata: piece %d\n\n" % (number, number)
+
+
+WHOLE = b"".join(event(number) for number in range(1, EVENTS + 1))
+
+
+def begin(server, sock, headers):
+    server.write_head(sock, headers, extra="Content-Type: text/event-stream\r\n")
+
+
+def go_on(server, sock, headers):
+    """Sends what follows the event that the request names, to the end."""
+    begin(server, sock, headers)
+    for number in range(int(headers.get("last-event-id", 0)) + 1, EVENTS + 1):
+        server.chunk(sock, event(number))
+    sock.sendall(b"0\r\n\r\n")
+
+
+class First:
+    """Hands the first sending of each request to one script, and each further one to others."""
+
+    def __init__(self, world, name, *scripts):
+        self.scripts = scripts
+        self.seen = {}
+        self.lock = threading.Lock()
+        world.script(name, self)
+
+    def __call__(self, server, sock, path, headers, body):
+        server.ran(path, headers, body)
+        ident = headers["x-cometspindle-request-id"]
+        with self.lock:
+            number = self.seen.get(ident, 0)
+            self.seen[ident] = number + 1
+        return self.scripts[min(number, len(self.scripts) - 1)](server, sock, headers)
+
+
+def stays_silent(sock):
+    """Nothing more comes, and the connection stands until the other side closes it."""
+    while sock.recv(4096):
+        pass
+    return False
+
+
+def open_world(**more):
+    world = World(retry_slack=100000, **more)  # enough for the repeats, also in a part of 128 VMs
+    config = document(2)
+    config["routes"].append(route("thrice", "streaming", 3, resumable=True))
+    First(world, "whole", go_on)
+    world.store.put("op/config", config)
+    wait_for(lambda: call(world.gateway, "/thrice/whole", method="POST")[1] == 200)
+    return world
+
+
+def call_each(world, cases, path):
+    """Calls path of each case side by side; the answers in their order."""
+    answers = [None] * len(cases)
+
+    def one(number):
+        answers[number] = call(world.gateway, path(cases[number]), method="POST")
+    threads = [threading.Thread(target=one, args=(number,)) for number in range(len(cases))]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    return answers
+
+
+def stop_at(number, length, ending):
+    """A script: the events before one, so many of its bytes, and then nothing more."""
+    def stop(server, sock, headers):
+        begin(server, sock, headers)
+        text = b"".join(event(before) for before in range(1, number)) + event(number)[:length]
+        if text:
+            server.chunk(sock, text)
+        return ending(sock)
+    return stop
+
+
+def ends(_sock):
+    """The connection ends."""
+    return False
+
+
+def stop_everywhere(ending):
+    """Streams whose first run stops at each byte of an event, of the first one and of a later one, side by side.
+    Endpoints that fail are left alone for a while, so that some streams end early, or are not begun; none has anything
+    but whole events in their order, and none that lacks one looks whole."""
+    world = open_world()
+    cases = [(number, length) for number in (1, 4) for length in range(len(event(number)) + 1)]
+    for server in world.servers:
+        server.publish(slots=2 * len(cases))
+    for number, length in cases:
+        First(world, f"stop-{number}-{length}", stop_at(number, length, ending), go_on)
+    answers = call_each(world, cases, lambda case: "/again/stop-%d-%d" % case)
+    parts = [b"".join(event(number) for number in range(1, last + 1)) for last in range(EVENTS + 1)]
+    for case, (ident, status, _, body, whole) in zip(cases, answers):
+        assert status in (200, 502, 503) and body in parts, (case, status, body)
+        assert (status == 200 and whole) == (body == WHOLE), (case, status, body)
+        assert status != 503 or world.runs(ident) == 0, case
+    assert any(answer[3] == WHOLE for answer in answers)
+    world.gateway.end()
+
+
+def test_silent_inside_event():
+    """One stream alone is whole: its second run goes on after the last whole event of the first."""
+    for number, length in ((1, 8), (4, 8)):
+        world = open_world()
+        First(world, "stop", stop_at(number, length, stays_silent), go_on)
+        ident, status, _, body, whole = call(world.gateway, "/again/stop", method="POST")
+        assert (status, body, whole) == (200, WHOLE, True), body
+        assert world.runs(ident) == 2
+        world.gateway.end()
+
+
+def test_silent_everywhere():
+    stop_everywhere(stays_silent)
+
+
+def test_broken_everywhere():
+    stop_everywhere(ends)
+
+
+if __name__ == "__main__":
+    run_tests([], [test_silent_inside_event, test_silent_everywhere, test_broken_everywhere])
