Nothing that a run sent and its caller has not got outlives the run

Class: bytes of one run kept in state of the request, cleared at some of the ways in which a run ends. Ruled out for this path: ends of connections (test_broken_everywhere passed before). Change: the one place by which every run ends, comet_relay_end_sending(), drops the unfinished event and the held part of an answer; the ways that did so by themselves do so no more. repeated tells how many bytes were dropped. Test EventStream tells the dropped bytes.

--- a/libcometspindle/adapters/gateway/gateway_relay.c
+++ b/libcometspindle/adapters/gateway/gateway_relay.c
@@ -49,6 +49,18 @@
 	relay->item.keeper = 0;
 }
 
+/* Nothing that a run sent and that has not gone on to the caller outlives it: the next run's bytes
+ * were put behind an event that a silent endpoint had left unfinished, and both went on as one
+ * event. */
+static void
+drop_unsent(struct comet_relay *relay)
+{
+	relay->unfinished_bytes = 0;
+	if (relay->events != NULL)
+		relay->unfinished_bytes = comet_event_stream_restart(relay->events);
+	g_byte_array_set_size(relay->answer, 0);
+}
+
 /* Ends what is under way at an endpoint, and tells what became of it. */
 void
 comet_relay_end_sending(struct comet_relay *relay, enum comet_dispatch_result result)
@@ -74,6 +86,7 @@
 		comet_placement_freed(gateway->placement, instance);
 	}
 	release_slot(relay, result, events);
+	drop_unsent(relay);
 	g_queue_delete_link(&gateway->sendings, relay->sending);
 	relay->sending = NULL;
 	TALLOC_FREE(relay->instance);
--- a/libcometspindle/adapters/gateway/gateway_relay.h
+++ b/libcometspindle/adapters/gateway/gateway_relay.h
@@ -39,9 +39,10 @@
 	uint64_t began_us; /* first byte of an answer that went on to the caller; 0: none yet */
 	uint64_t pause_us; /* longest time between two parts of the answer */
 	uint64_t silent_after_us;
-	uint64_t body_bytes;  /* of the answer to this sending */
-	uint32_t attempts;    /* sendings that may have reached an endpoint */
-	uint32_t first_count; /* events when this sending began */
+	uint64_t unfinished_bytes; /* of an event that the last run left behind */
+	uint64_t body_bytes;       /* of the answer to this sending */
+	uint32_t attempts;         /* sendings that may have reached an endpoint */
+	uint32_t first_count;      /* events when this sending began */
 	bool may_have_run;
 	bool not_run;  /* the answer being read says that it was not run */
 	bool started;  /* the answer's head is on its way to the caller */
--- a/libcometspindle/adapters/gateway/gateway_send.c
+++ b/libcometspindle/adapters/gateway/gateway_send.c
@@ -39,11 +39,10 @@
 
 	gateway->counts.repeated++;
 	comet_log(COMET_LOG_INFO,
-		"event=repeated request=%s reason=%s attempts=%u events=%u unfinished_bytes=%zu",
+		"event=repeated request=%s reason=%s attempts=%u events=%u "
+		"unfinished_bytes=%" G_GUINT64_FORMAT,
 		relay->id, reason, relay->attempts, comet_relay_events(relay),
-		relay->events != NULL ? comet_event_stream_unfinished(relay->events) : 0);
-	if (relay->answer != NULL)
-		g_byte_array_set_size(relay->answer, 0);
+		relay->unfinished_bytes);
 	if (!comet_placement_has_other(gateway->placement, &relay->item))
 		relay->item.n_tried = 0; /* the only one there is may take it again */
 	relay->item.latest_us = MAX(relay->item.latest_us, now_us + (relay->end_us - now_us) / 2);
@@ -156,8 +155,6 @@
 		return;
 	}
 	relay->resuming = relay->started;
-	if (relay->events != NULL)
-		comet_event_stream_restart(relay->events);
 	comet_relay_place_again(relay, "endpoint_broke");
 }
 
--- a/libcometspindle/gateway/event_stream.c
+++ b/libcometspindle/gateway/event_stream.c
@@ -100,18 +100,21 @@
 	stream->ready = 0;
 }
 
-void
-comet_event_stream_restart(struct comet_event_stream *stream)
+size_t
+comet_event_stream_unfinished(const struct comet_event_stream *stream)
 {
-	g_byte_array_set_size(stream->bytes, 0);
-	stream->scanned = 0;
-	stream->ready = 0;
+	return stream->bytes->len - stream->ready;
 }
 
 size_t
-comet_event_stream_unfinished(const struct comet_event_stream *stream)
+comet_event_stream_restart(struct comet_event_stream *stream)
 {
-	return stream->bytes->len - stream->ready;
+	size_t unfinished = comet_event_stream_unfinished(stream);
+
+	g_byte_array_set_size(stream->bytes, 0);
+	stream->scanned = 0;
+	stream->ready = 0;
+	return unfinished;
 }
 
 const char *
--- a/libcometspindle/gateway/event_stream.h
+++ b/libcometspindle/gateway/event_stream.h
@@ -30,8 +30,8 @@
 void
 comet_event_stream_taken(struct comet_event_stream *stream);
 
-/** Forgets an unfinished event; what comes next is from another endpoint. */
-void
+/** Forgets an unfinished event; what comes next is from another run. @return its bytes. */
+size_t
 comet_event_stream_restart(struct comet_event_stream *stream);
 
 /** @return bytes of an unfinished event that lie here. */
--- a/tests/unit/test_event_stream.cc
+++ b/tests/unit/test_event_stream.cc
@@ -33,7 +33,7 @@
 	EXPECT_STREQ(comet_event_stream_last_id(stream), "2");
 	EXPECT_EQ(comet_event_stream_count(stream), 2U);
 	EXPECT_EQ(comet_event_stream_unfinished(stream), strlen("id: 3\nda"));
-	comet_event_stream_restart(stream);
+	EXPECT_EQ(comet_event_stream_restart(stream), strlen("id: 3\nda"));
 	EXPECT_EQ(comet_event_stream_unfinished(stream), 0U);
 	EXPECT_STREQ(comet_event_stream_last_id(stream), "2");
 	talloc_free(stream);
