Three tests that fail: other ways in which what is not of a run comes to stand in its stream or answer

Cause, looked for elsewhere: a body of a refusal, an error or a success without stamp is passed on into the stream that it was to go on with; a run given up for silence is replaced whatever its caller has of it, so that a stream without ids is begun anew behind its events, and a long plain answer of one run is to be followed by another's: there the process crashes, looking for the last id of a request that has no events.

--- a/tests/system/test_streams.py
+++ b/tests/system/test_streams.py
@@ -11,7 +11,8 @@
     event=sent request=... endpoint=i-1 ... attempt=2
     id: 3\\ndata: piece 3\\n\\n  id: 4\\ndaid: 4\\ndata: piece 4\\n\\n  id: 5\\n...
 
-A run that ended with its connection was not the matter: that path cleared the buffer.
+A run that ended with its connection was not the matter: that path cleared the buffer. Looking for the same cause
+elsewhere showed other ways in which bytes of one run, or of an answer that is no stream, came to stand in another's.
 """
 import threading
 
@@ -144,5 +145,81 @@
     stop_everywhere(ends)
 
 
+def torn(server, sock, headers):
+    """Three events and a part of the fourth, then the connection ends."""
+    begin(server, sock, headers)
+    server.chunk(sock, event(1) + event(2) + event(3) + b"id: 4\nda")
+    return False
+
+
+def other_answer(status, extra):
+    """An answer that is no part of the stream, with a body that could be taken for one."""
+    def answer(server, sock, headers):
+        text = b"id: 4\ndata: no piece\n\n"
+        server.write_head(sock, headers, status, extra, length=len(text))
+        sock.sendall(text)
+    return answer
+
+
+def unstamped(server, sock, headers):
+    text = b"id: 4\ndata: no piece\n\n"
+    ident = headers["x-cometspindle-request-id"]
+    sock.sendall((f"HTTP/1.1 200 Word\r\nX-Cometspindle-Request-Id: {ident}\r\n"
+                  f"Content-Length: {len(text)}\r\n\r\n").encode() + text)
+
+
+OTHER_ANSWERS = {"full": other_answer(503, "X-Cometspindle-Not-Executed: 1\r\n"),
+                 "wrong": other_answer(421, ""), "error": other_answer(500, ""), "unstamped": unstamped}
+
+
+def test_answer_that_is_no_stream():
+    """A stream that was cut is sent on, and gets a refusal or an error with a body: no byte of that body reaches the
+    caller, who has the whole events so far, and their rest if a further endpoint may be tried."""
+    world = open_world()
+    for name, answer in OTHER_ANSWERS.items():
+        First(world, name, torn, answer, go_on)
+    for name in OTHER_ANSWERS:
+        _, status, _, body, whole = call(world.gateway, f"/again/{name}", method="POST")
+        assert (status, body, whole) == (200, event(1) + event(2) + event(3), False), (name, body)
+        _, status, _, body, whole = call(world.gateway, f"/thrice/{name}", method="POST")
+        assert (status, body, whole) == (200, WHOLE, True), (name, body)
+    world.gateway.end()
+
+
+def test_silent_without_ids():
+    """Events that name no id cannot be gone on after: the stream is not begun anew behind them."""
+    world = open_world()
+
+    def nameless(server, sock, headers):
+        begin(server, sock, headers)
+        server.chunk(sock, b"data: piece 1\n\ndata: piece 2\n\n")
+        return stays_silent(sock)
+    First(world, "nameless", nameless)
+    ident, status, _, body, whole = call(world.gateway, "/again/nameless", method="POST")
+    assert (status, body, whole) == (200, b"data: piece 1\n\ndata: piece 2\n\n", False), body
+    assert world.runs(ident) == 1
+    world.gateway.end()
+
+
+def test_silent_inside_long_answer():
+    """A long answer is passed on as it comes; once it has begun, no other run's bytes may follow."""
+    world = open_world()
+    half, size = 300000, 600000
+
+    def stop(server, sock, headers):
+        server.write_head(sock, headers, length=size)
+        sock.sendall(b"a" * half)
+        return stays_silent(sock)
+
+    def other(server, sock, headers):
+        server.write_head(sock, headers, length=size)
+        sock.sendall(b"b" * size)
+    First(world, "long", stop, other)
+    _, status, _, body, whole = call(world.gateway, "/safe/long")
+    assert status == 200 and not whole and set(body) == {ord("a")}, (len(body), set(body))
+    world.gateway.end()
+
+
 if __name__ == "__main__":
-    run_tests([], [test_silent_inside_event, test_silent_everywhere, test_broken_everywhere])
+    run_tests([], [test_silent_inside_event, test_silent_everywhere, test_broken_everywhere, test_answer_that_is_no_stream,
+                   test_silent_without_ids, test_silent_inside_long_answer])
