Three tests that fail: a long error is cut, a surplus refusal is believed, silence after a slow reader is not noticed

Cause, looked for elsewhere: what an earlier answer or an earlier moment of a run left behind decides for a later one.

--- a/tests/system/test_streams.py
+++ b/tests/system/test_streams.py
@@ -15,8 +15,9 @@
 elsewhere showed other ways in which bytes of one run, or of an answer that is no stream, came to stand in another's.
 """
 import threading
+import time
 
-from gateway_world import World, call, document, route, run_tests
+from gateway_world import World, answer_of, call, connect, document, request, route, run_tests
 from platform_standin import wait_for
 
 EVENTS = 6
@@ -218,6 +219,81 @@
     world.gateway.end()
 
 
+def test_long_error():
+    """An endpoint's error that is too long to be held is passed on whole."""
+    world = open_world()
+    size = 300000
+
+    def error(server, sock, headers):
+        server.write_head(sock, headers, 500, length=size)
+        sock.sendall(b"e" * size)
+    First(world, "error", error)
+    for path in ("/once/error", "/sse/error"):
+        _, status, _, body, whole = call(world.gateway, path, method="POST")
+        assert (status, len(body), whole) == (500, size, True), (path, status, len(body), whole)
+    assert "event=cut" not in world.gateway.end()
+
+
+def test_surplus_refusal():
+    """An endpoint refuses, and says so once more when the request comes again over the same connection: the second
+    refusal is of the first sending, while the second one runs."""
+    world = World(servers=1, retry_slack=100000)
+    refused = set()
+
+    def twice(server, sock, path, headers, body):
+        ident = headers["x-cometspindle-request-id"]
+        refuse = "X-Cometspindle-Not-Executed: 1\r\n"
+        if ident not in refused:
+            refused.add(ident)
+            server.connections = {**getattr(server, "connections", {}), ident: sock}
+            server.write_head(sock, headers, 503, refuse, 0)
+            return True
+        if server.connections[ident] is sock:
+            server.write_head(sock, headers, 503, refuse, 0)
+        server.ran(path, headers, body)
+        server.write_head(sock, headers, length=4)
+        sock.sendall(b"good")
+        return True
+    world.script("twice", twice)
+    ident, status, _, body, _ = call(world.gateway, "/safe/twice")
+    assert (status, body) == (200, b"good"), (status, world.runs(ident))
+    world.gateway.end()
+
+
+def test_silent_after_slow_reader():
+    """A caller reads so slowly that the gateway stops reading from the endpoint, for longer than any silence; the
+    endpoint stops inside an event meanwhile. Once the caller has read on, the stream goes on at another endpoint."""
+    world = open_world()
+    filler = b"x" * 60000
+    count = 200  # 12 MB: more than all buffers between endpoint and caller hold
+
+    def large(number):
+        return b"id: %d\ndata: %s\n\n" % (number, filler)
+
+    def stop(server, sock, headers):
+        begin(server, sock, headers)
+        for number in range(1, count):
+            server.chunk(sock, large(number))
+        server.chunk(sock, large(count)[:30000])
+        return stays_silent(sock)
+
+    def rest(server, sock, headers):
+        begin(server, sock, headers)
+        for number in range(int(headers["last-event-id"]) + 1, count + 1):
+            server.chunk(sock, large(number))
+        sock.sendall(b"0\r\n\r\n")
+    First(world, "slow", stop, rest)
+    ident, data = request("/again/slow", method="POST")
+    sock = connect(world.gateway.ports["callers"])
+    sock.sendall(data)
+    time.sleep(1.2)  # twice the time after which an endpoint is silent
+    status, _, body, whole = answer_of(sock)
+    assert (status, whole) == (200, True), (status, len(body), world.runs(ident))
+    assert body == b"".join(large(number) for number in range(1, count + 1))
+    assert "event=silent" in world.gateway.end()
+
+
 if __name__ == "__main__":
     run_tests([], [test_silent_inside_event, test_silent_everywhere, test_broken_everywhere, test_answer_that_is_no_stream,
-                   test_silent_without_ids, test_silent_inside_long_answer])
+                   test_silent_without_ids, test_silent_inside_long_answer, test_long_error, test_surplus_refusal,
+                   test_silent_after_slow_reader])
