What an earlier sending or an earlier moment left behind decides nothing for a later one

Cause: three places where state of the request outlived what it told of. "Started" said that an earlier run had begun the caller's answer, and was also true of this run's own long error, which then ended as cut. A kept connection may still bring a surplus answer to an earlier sending of the same request, and the id does not tell the two apart. The watch for silence ended for good when it fell into a time in which the caller was slow. Change: an error that this run began is delivered to its end; a request that may come to an endpoint again gets a connection of its own; silence counts from when the endpoint is read on.

--- a/libcometspindle/adapters/endpoints/upstream.c
+++ b/libcometspindle/adapters/endpoints/upstream.c
@@ -427,7 +427,7 @@
 	g_byte_array_append(
 		exchange->bytes, (const guint8 *)request->bytes, (guint)request->length);
 	talloc_set_destructor(exchange, exchange_destroy);
-	struct link *link = take_idle(upstream, request->instance);
+	struct link *link = request->new_connection ? NULL : take_idle(upstream, request->instance);
 	if (link == NULL)
 		link = open_link(upstream, request);
 	exchange->link = link;
--- a/libcometspindle/adapters/endpoints/upstream.h
+++ b/libcometspindle/adapters/endpoints/upstream.h
@@ -42,6 +42,9 @@
 	const char *id;
 	bool head_only; /**< HEAD: the answer has no body */
 	bool probe;     /**< the answer may take long: a dead connection is to be noticed sooner */
+	/** No kept connection: one may have carried this request before, and a surplus answer to
+	 * that sending, which names the same id, may still come there. */
+	bool new_connection;
 };
 
 /** Counts for metrics; monotonic but for the first two. */
--- a/libcometspindle/adapters/gateway/gateway_answer.c
+++ b/libcometspindle/adapters/gateway/gateway_answer.c
@@ -259,14 +259,14 @@
 		return;
 	}
 	bool server_error = relay->head->status >= 500;
-	if (relay->started || (relay->head->status < 300 && !is_stamped(relay)))
+	if (relay->resuming || (is_success(relay) && !is_stamped(relay)))
 	{
 		comet_relay_sending_broke(relay, COMET_DISPATCH_BROKEN);
 		return;
 	}
 	relay->may_have_run = true;
 	/* The same endpoint would only fail again: then its answer is the best there is. */
-	if (server_error && comet_route_repeatable(relay->route) &&
+	if (server_error && !relay->started && comet_route_repeatable(relay->route) &&
 		comet_placement_has_other(relay->gateway->placement, &relay->item) &&
 		comet_relay_may_repeat(relay))
 	{
--- a/libcometspindle/adapters/gateway/gateway_relay.c
+++ b/libcometspindle/adapters/gateway/gateway_relay.c
@@ -227,6 +227,7 @@
 	if (relay == NULL || !relay->paused || relay->exchange == NULL)
 		return;
 	relay->paused = false;
+	relay->last_us = comet_timers_now_us(); /* no silence of the endpoint's until here */
 	comet_exchange_pause(relay->exchange, false);
 }
 
--- a/libcometspindle/adapters/gateway/gateway_relay.h
+++ b/libcometspindle/adapters/gateway/gateway_relay.h
@@ -48,6 +48,7 @@
 	bool started;  /* the answer's head is on its way to the caller */
 	bool resuming; /* this sending goes on with a stream that was cut */
 	bool paused;
+	bool anywhere; /* it may come to an endpoint that has had it before */
 };
 
 bool
--- a/libcometspindle/adapters/gateway/gateway_send.c
+++ b/libcometspindle/adapters/gateway/gateway_send.c
@@ -44,7 +44,10 @@
 		relay->id, reason, relay->attempts, comet_relay_events(relay),
 		relay->unfinished_bytes);
 	if (!comet_placement_has_other(gateway->placement, &relay->item))
+	{
 		relay->item.n_tried = 0; /* the only one there is may take it again */
+		relay->anywhere = true;
+	}
 	relay->item.latest_us = MAX(relay->item.latest_us, now_us + (relay->end_us - now_us) / 2);
 	if (relay->started) /* what counts now is the pause that its reader sees */
 		relay->item.aim_us = now_us + (uint64_t)relay->route->gap_ms * 1000;
@@ -89,6 +92,9 @@
 	uint64_t last_us = MAX(relay->sent_us, relay->last_us);
 
 	relay->silence = NULL;
+	if (relay->paused) /* it is the caller who is slow; the endpoint has its time once it is
+			      read on */
+		last_us = now_us;
 	if (now_us - last_us < relay->silent_after_us)
 	{
 		relay->silence = comet_timers_add(relay->gateway->timers, relay,
@@ -102,7 +108,7 @@
 		" doubted=%d events=%u body_bytes=%" G_GUINT64_FORMAT,
 		relay->id, relay->instance, comet_relay_since_ms(last_us, now_us), doubted,
 		comet_relay_events(relay), relay->body_bytes);
-	if (relay->paused || !comet_route_repeatable(relay->route) || !can_be_followed(relay) ||
+	if (!comet_route_repeatable(relay->route) || !can_be_followed(relay) ||
 		!comet_relay_may_repeat(relay))
 		return; /* all that is left is to wait */
 	relay->may_have_run = true;
@@ -210,6 +216,7 @@
 		.id_header = gateway->names->request_id,
 		.id = relay->id,
 		.head_only = strcmp(relay->request->head->method, "HEAD") == 0,
+		.new_connection = relay->anywhere,
 	};
 
 	comet_log(COMET_LOG_INFO,
