--- /dev/null
+++ b/tests/unit/test_socket.cc
@@ -0,0 +1,128 @@
+/*
+ * test_socket.cc
+ * what a connection tells of its end, as a kernel brings it about
+ */
+#include <gtest/gtest.h>
+
+extern "C"
+{
+#include <libcometspindle/adapters/socket.h>
+}
+#include <arpa/inet.h>
+#include <string>
+#include <sys/socket.h>
+#include <talloc.h>
+#include <unistd.h>
+
+namespace
+{
+
+/* A connection over loopback: ours as a comet_socket, the other end as a descriptor. */
+class Socket : public testing::Test
+{
+      protected:
+	void
+	SetUp() override
+	{
+		sockaddr_in address = {};
+		socklen_t length = sizeof address;
+
+		address.sin_family = AF_INET;
+		address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+		int listener = comet_socket_listen(&address);
+		ASSERT_GE(listener, 0);
+		ASSERT_EQ(getsockname(listener, (sockaddr *)&address, &length), 0);
+		peer = ::socket(AF_INET, SOCK_STREAM, 0);
+		ASSERT_EQ(connect(peer, (sockaddr *)&address, sizeof address), 0);
+		int ours = accept4(listener, nullptr, nullptr, SOCK_NONBLOCK);
+		ASSERT_GE(ours, 0);
+		close(listener);
+		ev = tevent_context_init(nullptr);
+		socket = comet_socket_accepted(ev, ev, ours, &events, this);
+	}
+
+	void
+	TearDown() override
+	{
+		talloc_free(ev);
+		if (peer >= 0)
+			close(peer);
+	}
+
+	/* The other side ends with a reset, as a process does that leaves bytes unread. */
+	void
+	reset()
+	{
+		linger at_once = {1, 0};
+
+		setsockopt(peer, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+		close(peer);
+		peer = -1;
+	}
+
+	static void
+	on_data(void *ctx, const char *data, size_t length)
+	{
+		((Socket *)ctx)->text.append(data, length);
+	}
+
+	static void
+	on_closed(void *ctx, bool orderly)
+	{
+		((Socket *)ctx)->ends += orderly ? "orderly " : "broken ";
+	}
+
+	static const comet_socket_events events;
+	tevent_context *ev = nullptr;
+	comet_socket *socket = nullptr;
+	int peer = -1;
+	std::string text;
+	std::string ends;
+};
+
+const comet_socket_events Socket::events = {nullptr, on_data, on_closed, nullptr};
+
+TEST_F(Socket, AnOrderlyEndIsTold)
+{
+	ASSERT_EQ(write(peer, "ab", 2), 2);
+	close(peer);
+	peer = -1;
+	while (ends.empty())
+		tevent_loop_once(ev);
+	EXPECT_EQ(text, "ab");
+	EXPECT_EQ(ends, "orderly ");
+}
+
+TEST_F(Socket, AResetIsTold)
+{
+	reset();
+	while (ends.empty())
+		tevent_loop_once(ev);
+	EXPECT_EQ(ends, "broken ");
+}
+
+/* A kernel tells a reset once: to the write that meets it first. The read after it sees the end of
+ * the stream, as if the other side had ended in order, and an answer without a length would count
+ * as whole. */
+TEST_F(Socket, AResetThatAWriteMetIsNoOrderlyEnd)
+{
+	reset();
+	comet_socket_write(socket, "x", 1);
+	while (ends.empty())
+		tevent_loop_once(ev);
+	EXPECT_EQ(ends, "broken ");
+}
+
+/* What was queued is lost with a write that failed: nothing later may be put behind the gap. */
+TEST_F(Socket, NothingFollowsAFailedWrite)
+{
+	reset();
+	comet_socket_write(socket, "x", 1);
+	comet_socket_write(socket, "y", 1);
+	EXPECT_EQ(comet_socket_queued(socket), 0U);
+	while (ends.empty())
+		tevent_loop_once(ev);
+	EXPECT_EQ(ends, "broken ");
+}
+
+} // namespace
