A write that failed is the connection's end, and no orderly one

Class: a buffer whose bytes are gone goes on being filled. Change: a socket remembers that a write failed; it writes no more and tells a broken end, from the loop, also while it is not read.

--- a/libcometspindle/adapters/gateway/gateway_send.c
+++ b/libcometspindle/adapters/gateway/gateway_send.c
@@ -92,9 +92,8 @@
 	uint64_t last_us = MAX(relay->sent_us, relay->last_us);
 
 	relay->silence = NULL;
-	if (relay->paused) /* it is the caller who is slow; the endpoint has its time once it is
-			      read on */
-		last_us = now_us;
+	if (relay->paused)
+		last_us = now_us; /* the caller is slow: the endpoint's time begins with reading on */
 	if (now_us - last_us < relay->silent_after_us)
 	{
 		relay->silence = comet_timers_add(relay->gateway->timers, relay,
--- a/libcometspindle/adapters/socket.c
+++ b/libcometspindle/adapters/socket.c
@@ -40,8 +40,10 @@
 	int fd;
 	bool connecting;
 	bool paused;
-	bool ended;    /* the other side's stream has ended */
-	bool shutting; /* end our direction once the queue is empty */
+	bool ended;        /* the other side's stream has ended */
+	bool shutting;     /* end our direction once the queue is empty */
+	bool write_failed; /* bytes were lost: no later ones may follow them, and no end is orderly
+			    */
 	bool broken;
 };
 
@@ -77,7 +79,7 @@
 	}
 	if (!socket->paused && !socket->ended && !socket->connecting)
 		flags |= TEVENT_FD_READ;
-	if (socket->connecting || socket->queue->len > socket->written)
+	if (socket->connecting || socket->write_failed || socket->queue->len > socket->written)
 		flags |= TEVENT_FD_WRITE;
 	tevent_fd_set_flags(socket->event, flags);
 }
@@ -88,6 +90,9 @@
 {
 	if (socket->ended || socket->broken)
 		return;
+	/* A kernel tells a reset once: a write that met it leaves the reads an end of the stream,
+	 * by which an answer without a length would count as whole. */
+	orderly = orderly && !socket->write_failed;
 	socket->ended = true;
 	socket->broken = !orderly;
 	update_flags(socket);
@@ -141,7 +146,7 @@
 		finish_connect(socket);
 		return;
 	}
-	if (!flush(socket))
+	if (socket->write_failed || !flush(socket))
 	{
 		report_closed(socket, false);
 		return;
@@ -238,12 +243,13 @@
 void
 comet_socket_write(struct comet_socket *socket, const char *data, size_t length)
 {
-	if (socket->broken)
+	if (socket->broken || socket->write_failed)
 		return;
 	g_byte_array_append(socket->queue, (const guint8 *)data, (guint)length);
 	if (!socket->connecting && !flush(socket))
 	{
-		/* Seen again as a failing read or write event: closed() is told from there. */
+		/* Told by closed() when the loop next looks, not from within this call. */
+		socket->write_failed = true;
 		g_byte_array_set_size(socket->queue, 0);
 		socket->written = 0;
 	}
