A test that fails: an answer that a kill cuts short looks whole to an HTTP/1.0 caller

Cause: such an answer ends with its connection, and a kernel ends the connections of a killed process in order. The same at the end of the grace time.

--- a/tests/system/test_streams.py
+++ b/tests/system/test_streams.py
@@ -14,6 +14,7 @@
 A run that ended with its connection was not the matter: that path cleared the buffer. Looking for the same cause
 elsewhere showed other ways in which bytes of one run, or of an answer that is no stream, came to stand in another's.
 """
+import signal
 import threading
 import time
 
@@ -293,7 +294,39 @@
     assert "event=silent" in world.gateway.end()
 
 
+def test_killed_before_the_end():
+    """A caller of HTTP/1.0 knows the end of a stream only by the end of its connection, which a kernel also ends in
+    order when the gateway's process is killed, or its time to stop is over: an answer that lacks its end is reset."""
+    for number in (signal.SIGKILL, signal.SIGTERM):
+        world = open_world(leave_ms=100, grace_s=1)
+        First(world, "stop", stop_at(4, 8, stays_silent))
+        _, data = request("/sse/stop", method="POST")
+        sock = connect(world.gateway.ports["callers"])
+        sock.sendall(data.replace(b"HTTP/1.1", b"HTTP/1.0"))
+        text = b""
+        while not text.endswith(event(3)):
+            text += sock.recv(4096)
+        world.gateway.process.send_signal(number)
+        try:
+            text += sock.recv(4096)
+            ended = "in order"
+        except ConnectionResetError:
+            ended = "reset"
+        assert ended == "reset", number
+        assert text.endswith(b"\r\n\r\n" + event(1) + event(2) + event(3)), text
+        world.gateway.process.wait(30)
+    world = open_world()
+    _, data = request("/sse/whole", method="POST")
+    sock = connect(world.gateway.ports["callers"])
+    sock.sendall(data.replace(b"HTTP/1.1", b"HTTP/1.0"))
+    text = b""
+    while got := sock.recv(4096):  # a whole one ends in order
+        text += got
+    assert text.endswith(b"\r\n\r\n" + WHOLE), text
+    world.gateway.end()
+
+
 if __name__ == "__main__":
     run_tests([], [test_silent_inside_event, test_silent_everywhere, test_broken_everywhere, test_answer_that_is_no_stream,
                    test_silent_without_ids, test_silent_inside_long_answer, test_long_error, test_surplus_refusal,
-                   test_silent_after_slow_reader])
+                   test_silent_after_slow_reader, test_killed_before_the_end])
