An answer that only its connection ends is reset until its end is written

Change: the connection is set to reset when such an answer begins, and to an orderly end by the shutdown that follows its last byte; one rule in place of the one in comet_front_abort().

--- a/libcometspindle/adapters/callers/front.c
+++ b/libcometspindle/adapters/callers/front.c
@@ -66,7 +66,6 @@
 	bool keep_alive; /* the caller allows another request */
 	bool too_large;  /* its body is over the limit */
 	bool chunked;    /* the answer goes out in chunks */
-	bool has_length; /* the answer's length was told */
 	bool no_body;    /* the answer carries none: HEAD, 204, 304 */
 	bool started;    /* the answer's head is out */
 	bool parsing;    /* inside read_on() */
@@ -459,9 +458,12 @@
 	connection->no_body = head_only || status == 204 || status == 304;
 	bool unknown = length < 0 && !connection->no_body;
 	connection->chunked = unknown && !head->http_1_0;
-	connection->has_length = length >= 0;
 	if (unknown && head->http_1_0)
+	{
 		connection->keep_alive = false;
+		/* The kernel's close for a killed process would look like the answer's end. */
+		comet_socket_set_reset(connection->socket);
+	}
 	g_string_append_printf(out, "HTTP/1.1 %u %s\r\n", status,
 		reason != NULL && *reason != '\0' ? reason : comet_http_reason(status));
 	if (headers != NULL)
@@ -535,12 +537,8 @@
 void
 comet_front_abort(struct comet_front_request *request)
 {
-	struct connection *connection = connection_of(request);
-
-	/* Chunks and lengths show by themselves that the end is missing. */
-	if (!connection->chunked && !connection->has_length)
-		comet_socket_set_reset(connection->socket);
-	drop(connection);
+	/* Chunks, lengths and a reset show that the end is missing. */
+	drop(connection_of(request));
 }
 
 size_t
--- a/libcometspindle/adapters/socket.c
+++ b/libcometspindle/adapters/socket.c
@@ -115,6 +115,22 @@
 	socket->events->connected(socket->ctx);
 }
 
+static void
+set_reset(struct comet_socket *socket, bool reset)
+{
+	struct linger at_once = {.l_onoff = reset ? 1 : 0, .l_linger = 0};
+
+	setsockopt(socket->fd, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+}
+
+/* Everything is written: the other side may see the end of our stream. */
+static void
+end_in_order(struct comet_socket *socket)
+{
+	set_reset(socket, false);
+	shutdown(socket->fd, SHUT_WR);
+}
+
 /* Writes what the kernel takes. @return false when the connection broke. */
 static bool
 flush(struct comet_socket *socket)
@@ -134,7 +150,7 @@
 	g_byte_array_set_size(socket->queue, 0);
 	socket->written = 0;
 	if (socket->shutting)
-		shutdown(socket->fd, SHUT_WR);
+		end_in_order(socket);
 	return true;
 }
 
@@ -274,7 +290,7 @@
 {
 	socket->shutting = true;
 	if (socket->queue->len == socket->written)
-		shutdown(socket->fd, SHUT_WR);
+		end_in_order(socket);
 }
 
 bool
@@ -307,9 +323,7 @@
 void
 comet_socket_set_reset(struct comet_socket *socket)
 {
-	struct linger at_once = {.l_onoff = 1, .l_linger = 0};
-
-	setsockopt(socket->fd, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+	set_reset(socket, true);
 }
 
 int
--- a/libcometspindle/adapters/socket.h
+++ b/libcometspindle/adapters/socket.h
@@ -65,7 +65,8 @@
 void
 comet_socket_probe(struct comet_socket *socket);
 
-/** Closing will reset the connection: what is queued is lost, and no end looks orderly. */
+/** Until an orderly shutdown, any close resets the connection, also that of a killed process: what
+ * is queued is lost, and no end looks orderly. */
 void
 comet_socket_set_reset(struct comet_socket *socket);
 
