Test: a watch that is never answered on a connection that stands

Cause: the store falls silent for some seconds; a watch that is asked then is never answered, while its connection stands, so that probes of it are answered. Watches asked before such an outage are answered after it.

The store's stand-in can lose the watches that wait, and answers all other calls; other VMs are stood for by their views alone.

--- a/tests/system/gateway_world.py
+++ b/tests/system/gateway_world.py
@@ -3,9 +3,11 @@
 import os
 import signal
 import socket
+import struct
 import subprocess
 import sys
 import tempfile
+import threading
 import traceback
 
 from platform_standin import Reader, Server, Store, free_ports, wait_for
@@ -142,6 +144,43 @@
             server.scripts[name] = function
 
 
+class OtherVms:
+    """VMs that are nothing but their views: sent to a gateway over and over, they tell how far each of them has read
+    the directory."""
+
+    def __init__(self, gateway, count):
+        self.gateway = gateway
+        self.count = count
+        self.revision = 0
+        self.rounds = 0
+        self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.over = threading.Event()
+        threading.Thread(target=self.send_on, daemon=True).start()
+
+    def view(self, number):
+        """A Datagram with a View, as view.proto has them."""
+        address = 0x7FC80000 + number  # 127.200.0.0 and on: nobody listens there
+        body = struct.pack("<BQ", 1 << 3 | 1, number)        # incarnation
+        body += b"\x10" + self.varint(self.rounds)           # number
+        body += struct.pack("<BI", 3 << 3 | 5, address)
+        body += b"\x28" + self.varint(self.revision)
+        return b"\x0a" + self.varint(len(body)) + body
+
+    @staticmethod
+    def varint(value):
+        out = b""
+        while value > 0x7F:
+            out += bytes([value & 0x7F | 0x80])
+            value >>= 7
+        return out + bytes([value])
+
+    def send_on(self):
+        while not self.over.wait(0.05):
+            self.rounds += 1
+            for number in range(1, self.count + 1):
+                self.sock.sendto(self.view(number), (self.gateway.address, self.gateway.ports["peers"]))
+
+
 def get_or_empty(gateway, port, path="/"):
     try:
         return get(gateway.ports[port], path)[2]
--- a/tests/system/platform_standin.py
+++ b/tests/system/platform_standin.py
@@ -102,6 +102,8 @@
         self.forgotten = 0  # revisions up to this one are history no more
         self.sockets = set()
         self.waiting = 0  # watches
+        self.lost = 0     # times at which all that waited were lost
+        self.waits = []   # wait_ms of each watch
         threading.Thread(target=self.accept, daemon=True).start()
 
     def put(self, key, value):
@@ -129,6 +131,19 @@
                 sock.shutdown(socket.SHUT_RDWR)
             self.remove(key)
 
+    def waits_ms(self):
+        """How long the newest watch waits; 0: none does."""
+        with self.lock:
+            return self.waits[-1] if self.waiting > 0 else 0
+
+    def lose_watches(self, key):
+        """Watches that wait are never answered, though their connections stand, and an item goes. All other calls are
+        answered."""
+        with self.lock:
+            self.lock.wait_for(lambda: self.waiting > 0)
+            self.lost += 1
+            self.remove(key)
+
     def accept(self):
         while True:
             sock, _ = self.sock.accept()
@@ -152,6 +167,10 @@
             path, _, query = line.split()[1].partition("?")
             args = dict(urllib.parse.parse_qsl(query))
             status, answer = self.answer(path, args)
+            if answer is None:
+                while reader.more():
+                    pass  # a connection that has lost an answer says nothing more
+                return
             body = json.dumps(answer).encode()
             sock.sendall(b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n" % (status, len(body)) + body)
 
@@ -173,10 +192,14 @@
             if since < self.forgotten:
                 return 410, {}
             self.waiting += 1
+            wait_ms = int(args["wait_ms"])
+            self.waits.append(wait_ms)
+            lost = self.lost
             self.lock.notify_all()
-            self.lock.wait_for(lambda: self.down or self.revision > since,
-                               int(args["wait_ms"]) / 1000)
+            self.lock.wait_for(lambda: self.down or self.revision > since, wait_ms / 1000)
             self.waiting -= 1
+            if self.lost != lost:
+                return 0, None
             if self.down:
                 return 503, {}
             return 200, {"events": [e for e in self.log if e["revision"] > since],
--- a/tests/system/test_directory.py
+++ b/tests/system/test_directory.py
@@ -3,7 +3,7 @@
 import re
 import threading
 
-from gateway_world import (ADDRESS, OTHER_ADDRESS, Gateway, answer_of, call, connect, document, get,
+from gateway_world import (ADDRESS, OTHER_ADDRESS, Gateway, OtherVms, answer_of, call, connect, document, get,
                            get_or_empty, request, run_tests)
 from platform_standin import Server, Store, wait_for
 
@@ -110,6 +110,27 @@
     wait_for(lambda: timers_towards(world.store.port) == ["02"])
 
 
+def test_unanswered_watch_is_noticed(world):
+    """The store fell silent twice, and answered for a second in between. A VM of 65 then asked for news 0.4 s after it
+    had fallen silent again (16.35 s): its watch was never answered, and the connection stood, so that probes of it
+    were answered too. The store was back at 19.57 s, routes changed at 21.42 s, and at 24.43 s the VM still sent a
+    request by the old ones:
+
+        15.5197 edge-yyc-c-10 event=directory_regained reason=answered lost_ms=2075
+        26.5814 edge-yyc-c-10 event=directory_lost reason=timeout answered_ms_ago=10433
+
+    Here an endpoint leaves, views tell that other VMs have read more, and no copies are to be had. The VM is to
+    ask anew, instead of waiting until its watch fails by time."""
+    others = OtherVms(world.gateway, 40)
+    wait_for(lambda: world.store.waits_ms() >= 5000)
+    world.store.lose_watches("servers/i-1")
+    others.revision = world.store.revision
+    wait_for(lambda: revision_of(world) == world.store.revision)
+    assert {served_by(world) for _ in range(8)} == {"i-0"}
+    others.over.set()
+    assert "reason=timeout" not in world.gateway.end()
+
+
 def test_ended_connection_is_no_outage(world):
     """An endpoint left while the connection on which a VM watched the store had just ended; the store itself
     was there all the time. The VM took the end for an outage of the store, in which entries lapse of
@@ -298,6 +319,7 @@
 if __name__ == "__main__":
     run_tests(
         [test_configuration, test_servers_leave, test_silent_store_is_noticed,
+         test_unanswered_watch_is_noticed,
          test_ended_connection_is_no_outage, test_unreadable_entry, test_server_starts_again,
          test_answer_lost_with_a_life, test_copies_do_not_hold_up_the_next],
         [test_store_away, test_start_in_an_outage, test_copy_from_other_vm, test_busy_store,
