Test: watches that begin together must not end together

Fails so far: of 24 watches that follow on news, none waits for less than half of the longest time (1,276 to 2,444 ms of 2,500).

Cause: news reach all VMs at once, so that all begin their next watch at once, 0.6 s later in a large fleet. Asked in an outage they are all lost, nobody is ahead of the others, and the first of 65 VMs noticed after 5.8 s.

--- a/tests/system/test_directory.py
+++ b/tests/system/test_directory.py
@@ -151,6 +151,30 @@
     others.over.set()
 
 
+def test_watches_begun_together_do_not_end_together(world):
+    """News reach all VMs at once, so that they all begin the next watch at once. Each was to wait for between half and
+    the whole of the longest time, and 65 VMs had all just asked when the store fell silent for 3.2 s: none noticed
+    for 6 s, and none was ahead of the others, who learn of it from one that is:
+
+        19.574 s  the store is back
+        22.295 edge-yyc-b-21 event=directory_lost reason=timeout answered_ms_ago=6477
+
+    So watches that begin together are drawn apart over the whole time; those that follow on one that ended
+    without news are apart already, and wait for at least half of it."""
+    store = world.store
+    wait_for(lambda: 0 < store.waits_ms() <= 2500)  # alone, it waits so long at most
+    first = []
+    for _ in range(24):
+        begun = len(store.waits)
+        world.servers[0].publish(warmup_left_ms=begun)
+        wait_for(lambda: len(store.waits) > begun)
+        first.append(store.waits[begun])
+    wait_for(lambda: len(store.waits) > begun + 3)
+    later = store.waits[begun + 2:]
+    assert min(first) < 1250 and max(first) <= 2500, first
+    assert all(1250 <= wait_ms <= 2500 for wait_ms in later), later
+
+
 def test_ended_connection_is_no_outage(world):
     """An endpoint left while the connection on which a VM watched the store had just ended; the store itself
     was there all the time. The VM took the end for an outage of the store, in which entries lapse of
@@ -340,7 +364,8 @@
     run_tests(
         [test_configuration, test_servers_leave, test_silent_store_is_noticed,
          test_unanswered_watch_is_noticed, test_news_that_is_not_there,
-         test_ended_connection_is_no_outage, test_unreadable_entry, test_server_starts_again,
-         test_answer_lost_with_a_life, test_copies_do_not_hold_up_the_next],
+         test_watches_begun_together_do_not_end_together, test_ended_connection_is_no_outage,
+         test_unreadable_entry, test_server_starts_again, test_answer_lost_with_a_life,
+         test_copies_do_not_hold_up_the_next],
         [test_store_away, test_start_in_an_outage, test_copy_from_other_vm, test_busy_store,
          test_answers_too_large])
