An error answer to a streaming call ends as it came, and is never resumed

Cause: whether an answer was whole, and whether it could be resumed, was told by the done event alone once a head had come, whatever its status. An error has no done event, so the endpoint was asked three times for the rest of it at its length, bytes of the stream could be put behind an error that broke, and every error reached its caller as a broken answer with a token to resume it by.

Change: an answer other than 200 to a streaming call is an error: whole by its framing, not resumed, without Comet-Resume. For the scheduler it stays a failure, as before.

--- a/libcometspindle/adapters/callers/traffic_call.c
+++ b/libcometspindle/adapters/callers/traffic_call.c
@@ -529,7 +529,7 @@
 	struct comet_token token = {.team_id = call->team_id, .endpoint_id = call->endpoint_id};
 	char text[COMET_TOKEN_TEXT_MAX];
 
-	if (!call->streaming || call->is_service)
+	if (!call->streaming || call->is_service || call->status != MHD_HTTP_OK)
 		return;
 	g_strlcpy(token.request_id, call->id, sizeof token.request_id);
 	comet_token_seal(&token, call->traffic->config.token_key, text);
--- a/libcometspindle/adapters/endpoints/endpoint_call.c
+++ b/libcometspindle/adapters/endpoints/endpoint_call.c
@@ -25,6 +25,7 @@
 /* Progress is told when a stretch was slower than the running mean by this factor. */
 #define SLOW_FACTOR 2
 #define SLOW_EVENTS_MIN 2
+#define STREAM_STATUS 200
 #define DONE_MARK "data: [DONE]"
 #define EVENT_MARK "data:"
 /* Enough of the end of a stream to recognise the done event. */
@@ -47,6 +48,7 @@
 	bool told_head;
 	bool paused;
 	bool refused;
+	bool is_error; /* a stream was asked for, and an error is the answer */
 	bool told_silent;
 	uint32_t resumes;
 	uint64_t received; /* bytes, with those of earlier connections */
@@ -120,6 +122,7 @@
 		return;
 	}
 	call->told_head = true;
+	call->is_error = call->streaming && status != STREAM_STATUS;
 	call->events->head(call->ctx, (unsigned int)status, type != NULL ? type : "text/plain");
 }
 
@@ -132,7 +135,7 @@
 	if (call->resumes == 0)
 		return true;
 	curl_easy_getinfo(call->easy, CURLINFO_RESPONSE_CODE, &status);
-	return status == 200;
+	return status == STREAM_STATUS;
 }
 
 static size_t
@@ -208,22 +211,31 @@
 		sample->step_us = (uint32_t)((call->last_us - call->first_us) / (tokens - 1));
 }
 
+/* An error has no done event: it ends with its bytes, and there is no stream to go on with. */
+static bool
+ended_whole(const struct comet_endpoint_call *call)
+{
+	if (call->refused)
+		return false;
+	return !call->streaming || call->is_error || ends_done(call);
+}
+
 static bool
 can_resume(const struct comet_endpoint_call *call)
 {
-	return call->streaming && call->resume_url != NULL && call->resumes < RESUMES_MAX &&
-	       call->told_head;
+	return call->streaming && !call->is_error && call->resume_url != NULL &&
+	       call->resumes < RESUMES_MAX && call->told_head;
 }
 
 static enum comet_outcome
-outcome_of(const struct comet_endpoint_call *call, CURLcode result, bool whole)
+outcome_of(const struct comet_endpoint_call *call, bool whole)
 {
 	long request_bytes = 0;
 
 	curl_easy_getinfo(call->easy, CURLINFO_REQUEST_SIZE, &request_bytes);
 	if (call->refused)
 		return COMET_OUTCOME_REFUSED;
-	if (result == CURLE_OK && whole)
+	if (whole && !call->is_error)
 		return COMET_OUTCOME_SERVED;
 	if (request_bytes == 0 && call->received == 0 && call->resumes == 0)
 		return COMET_OUTCOME_UNREACHED;
@@ -240,7 +252,7 @@
 	call->running = false;
 	if (result == CURLE_OK)
 		tell_head(call);
-	bool whole = result == CURLE_OK && !call->refused && (!call->streaming || ends_done(call));
+	bool whole = result == CURLE_OK && ended_whole(call);
 	if (!whole && can_resume(call))
 	{
 		call->resumes++;
@@ -251,7 +263,7 @@
 	}
 	TALLOC_FREE(call->watch);
 	fill_sample(call, &sample);
-	call->events->end(call->ctx, outcome_of(call, result, whole), whole, &sample);
+	call->events->end(call->ctx, outcome_of(call, whole), whole, &sample);
 }
 
 static void
