A resume does not put off the hard end of a call

Cause: libcurl counts its timeout for each transfer, and the timeout's own passing was taken for a cut: up to three resumes of a silent endpoint, each with the whole time of the call again.

Change: the end is kept with the call; a resume has what is left of it, and none is made when nothing is.

--- a/libcometspindle/adapters/endpoints/endpoint_call.c
+++ b/libcometspindle/adapters/endpoints/endpoint_call.c
@@ -53,6 +53,7 @@
 	uint32_t resumes;
 	uint64_t received; /* bytes, with those of earlier connections */
 	uint64_t started_us;
+	uint64_t ends_us; /* hard end, over all connections */
 	uint64_t first_us;
 	uint64_t last_us;
 	uint32_t n_events;
@@ -220,11 +221,20 @@
 	return !call->streaming || call->is_error || ends_done(call);
 }
 
+/* Of the whole call: a resume must not put off its hard end. */
+static long
+left_ms(const struct comet_endpoint_call *call)
+{
+	uint64_t now = now_us();
+
+	return now < call->ends_us ? (long)((call->ends_us - now) / 1000) : 0;
+}
+
 static bool
 can_resume(const struct comet_endpoint_call *call)
 {
 	return call->streaming && !call->is_error && call->resume_url != NULL &&
-	       call->resumes < RESUMES_MAX && call->told_head;
+	       call->resumes < RESUMES_MAX && call->told_head && left_ms(call) > 0;
 }
 
 static enum comet_outcome
@@ -275,6 +285,8 @@
 			call, "%s?offset=%" G_GUINT64_FORMAT, call->resume_url, call->received);
 		curl_easy_setopt(call->easy, CURLOPT_HTTPGET, 1L);
 		curl_easy_setopt(call->easy, CURLOPT_URL, url);
+		/* to libcurl 0 is no end at all */
+		curl_easy_setopt(call->easy, CURLOPT_TIMEOUT_MS, MAX(left_ms(call), 1L));
 		talloc_free(url);
 	}
 	else
@@ -349,6 +361,7 @@
 	talloc_set_destructor(call, call_destructor);
 	set_options(call, request);
 	call->started_us = now_us();
+	call->ends_us = call->started_us + request->timeout_ms * 1000;
 	call->watched_us = call->started_us;
 	call->watch =
 		tevent_add_timer(ev, call, comet_clock_after(WATCH_PERIOD_US), on_watch, call);
