The done event ends a stream only as its last line

Cause: "data: [DONE]" was looked for anywhere in the last 32 bytes. A token that spells it out made a stream whole that had ended right after without an error of its connection (a chunked answer ended early, or one that ends with its connection).

Change: the mark has to begin a line, which nothing but line ends follow. A line end cannot stand within a token: JSON escapes it.

--- a/libcometspindle/adapters/endpoints/endpoint_call.c
+++ b/libcometspindle/adapters/endpoints/endpoint_call.c
@@ -101,10 +101,25 @@
 	call->tail_length = keep + length;
 }
 
+static bool
+is_line_end(char byte)
+{
+	return byte == '\r' || byte == '\n';
+}
+
+/* The done event is a line of its own and the last: a token may spell it out within its event. */
 static bool
 ends_done(const struct comet_endpoint_call *call)
 {
-	return g_strstr_len(call->tail, (gssize)call->tail_length, DONE_MARK) != NULL;
+	const char *end = call->tail + call->tail_length;
+	const char *mark = g_strrstr_len(call->tail, (gssize)call->tail_length, DONE_MARK);
+
+	if (mark == NULL || (mark > call->tail && !is_line_end(mark[-1])))
+		return false;
+	mark += strlen(DONE_MARK);
+	while (mark < end && is_line_end(*mark))
+		mark++;
+	return mark == end;
 }
 
 static void
