A resume is taken up only where it shows to be of the same run

Cause: the answer to a resume was taken for the rest of the stream if its status was 200. An endpoint that began the stream anew, ran the request again under its id, or answered 200 with a document, got its bytes put behind the first run's, and the caller a piece that no run made, mostly with a done event at its end. The documented wire names in such an answer neither offset nor run.

A caller's own resume had a kin of it: asked for from within the done event or behind it, the rest held no whole done event, and was ended as broken at each try.

Ruled out: a header of the endpoint's (there is none in the assumed wire). A caller's resume cannot be compared: what it holds is not known here.

Change: the last 512 bytes that came are asked for once more and must come first; an answer of another status, type or beginning adds nothing, and one of another run ends the call as cut. A caller's resume asks for the same bytes and passes over them. A resume that fails is logged with its reason.

--- a/libcometspindle/adapters/callers/traffic_call.c
+++ b/libcometspindle/adapters/callers/traffic_call.c
@@ -301,8 +301,10 @@
 	g_strlcpy(call->id, token.request_id, sizeof call->id);
 	call->resumed = true;
 	call->streaming = true;
-	call->path = g_strdup_printf(
-		STREAMS_PATH "%s?offset=%" G_GUINT64_FORMAT, token.request_id, start);
+	/* a cut may have fallen within the done event or behind it: its line is to come whole */
+	call->overlap = MIN(start, COMET_STREAM_OVERLAP_BYTES);
+	call->path = g_strdup_printf(STREAMS_PATH "%s?offset=%" G_GUINT64_FORMAT, token.request_id,
+		start - call->overlap);
 	call->state = COMET_CALL_WAITING;
 	comet_call_suspend(call);
 	comet_call_dispatch(call, endpoint);
@@ -472,6 +474,7 @@
 		.body = call->forward,
 		.length = call->forward_length,
 		.timeout_ms = call->deadline_ms + GRACE_MS,
+		.overlap = call->overlap,
 		.streaming = call->streaming,
 	};
 
--- a/libcometspindle/adapters/callers/traffic_private.h
+++ b/libcometspindle/adapters/callers/traffic_private.h
@@ -77,7 +77,8 @@
 	enum comet_refusal refusal;
 	enum comet_verdict verdict;
 	uint32_t retry_after_ms;
-	bool resumed; /**< a caller's resume: not known to the node */
+	bool resumed;   /**< a caller's resume: not known to the node */
+	size_t overlap; /**< of its answer's first bytes: the caller has them already */
 };
 
 /* traffic_call.c */
--- a/libcometspindle/adapters/endpoints/endpoint_call.c
+++ b/libcometspindle/adapters/endpoints/endpoint_call.c
@@ -4,7 +4,9 @@
  *
  * Our assumption of the wire form: the answer of an OpenAI-style server. 429
  * and 503 are the documented refusals: the request was not run. A stream ends
- * with "data: [DONE]"; one that was cut goes on at resume_url?offset=BYTES.
+ * with "data: [DONE]"; one that was cut goes on at resume_url?offset=BYTES. The
+ * answer to that does not say where it begins or of which run it is, so the
+ * last bytes that came are asked for once more, and must come first.
  *
  * Every dispatch opens its own connection: libcurl sends a request again by
  * itself when a kept connection turns out dead, and that could run it twice.
@@ -28,8 +30,8 @@
 #define STREAM_STATUS 200
 #define DONE_MARK "data: [DONE]"
 #define EVENT_MARK "data:"
-/* Enough of the end of a stream to recognise the done event. */
-#define TAIL_BYTES 32
+/* End of a stream that is kept, to know the done event and the run by. */
+#define TAIL_BYTES COMET_STREAM_OVERLAP_BYTES
 
 struct comet_endpoint_call
 {
@@ -42,6 +44,7 @@
 	char *url;
 	char *resume_url;
 	char *body;
+	char *type; /* of the first answer */
 	struct tevent_timer *watch;
 	bool running;
 	bool streaming;
@@ -49,9 +52,11 @@
 	bool paused;
 	bool refused;
 	bool is_error; /* a stream was asked for, and an error is the answer */
+	bool is_other; /* a resume was answered with another run's bytes */
 	bool told_silent;
 	uint32_t resumes;
 	uint64_t received; /* bytes, with those of earlier connections */
+	size_t overlap;    /* of this connection's answer, still to come: the caller has it */
 	uint64_t started_us;
 	uint64_t ends_us; /* hard end, over all connections */
 	uint64_t first_us;
@@ -122,16 +127,23 @@
 	return mark == end;
 }
 
+static const char *
+answer_type(const struct comet_endpoint_call *call)
+{
+	const char *type = NULL;
+
+	curl_easy_getinfo(call->easy, CURLINFO_CONTENT_TYPE, &type);
+	return type != NULL ? type : "text/plain";
+}
+
 static void
 tell_head(struct comet_endpoint_call *call)
 {
 	long status = 0;
-	const char *type = NULL;
 
 	if (call->told_head)
 		return;
 	curl_easy_getinfo(call->easy, CURLINFO_RESPONSE_CODE, &status);
-	curl_easy_getinfo(call->easy, CURLINFO_CONTENT_TYPE, &type);
 	if (status == 429 || status == 503)
 	{
 		call->refused = true;
@@ -139,7 +151,10 @@
 	}
 	call->told_head = true;
 	call->is_error = call->streaming && status != STREAM_STATUS;
-	call->events->head(call->ctx, (unsigned int)status, type != NULL ? type : "text/plain");
+	if (call->is_error)
+		call->overlap = 0; /* it holds nothing of the stream */
+	call->type = talloc_strdup(call, answer_type(call));
+	call->events->head(call->ctx, (unsigned int)status, call->type);
 }
 
 /* The answer to a resume is part of the stream only when it is the stream. */
@@ -151,7 +166,31 @@
 	if (call->resumes == 0)
 		return true;
 	curl_easy_getinfo(call->easy, CURLINFO_RESPONSE_CODE, &status);
-	return status == STREAM_STATUS;
+	return status == STREAM_STATUS && strcmp(answer_type(call), call->type) == 0;
+}
+
+/* Whether a resume begins with what came last: one that starts anew, or is of another run, does
+ * not. What a caller holds that resumes is not known here. */
+static bool
+is_same_run(const struct comet_endpoint_call *call, const char *data, size_t length)
+{
+	if (call->resumes == 0)
+		return true;
+	return memcmp(call->tail + call->tail_length - call->overlap, data, length) == 0;
+}
+
+static void
+take(struct comet_endpoint_call *call, const char *data, size_t length)
+{
+	uint64_t now = now_us();
+
+	if (call->first_us == 0)
+		call->first_us = now;
+	call->last_us = now;
+	call->told_silent = false;
+	call->received += length;
+	count_events(call, data, length);
+	keep_tail(call, data, length);
 }
 
 static size_t
@@ -161,21 +200,24 @@
 	size_t length = size * count;
 
 	tell_head(call);
+	size_t known = MIN(call->overlap, length);
 	if (call->refused || !resume_accepted(call))
 		return length;
-	uint64_t now = now_us();
-	if (!call->events->data(call->ctx, data, length))
+	if (!is_same_run(call, data, known))
+	{
+		call->is_other = true;
+		return 0; /* an error to libcurl, which ends the transfer */
+	}
+	if (length > known && !call->events->data(call->ctx, data + known, length - known))
 	{
 		call->paused = true;
 		return CURL_WRITEFUNC_PAUSE; /* libcurl hands the same part over again */
 	}
-	if (call->first_us == 0)
-		call->first_us = now;
-	call->last_us = now;
-	call->told_silent = false;
-	call->received += length;
-	count_events(call, data, length);
-	keep_tail(call, data, length);
+	if (call->resumes == 0)
+		keep_tail(call, data, known);
+	call->overlap -= known;
+	if (length > known)
+		take(call, data + known, length - known);
 	return length;
 }
 
@@ -248,7 +290,7 @@
 static bool
 can_resume(const struct comet_endpoint_call *call)
 {
-	return call->streaming && !call->is_error && call->resume_url != NULL &&
+	return call->streaming && !call->is_error && !call->is_other && call->resume_url != NULL &&
 	       call->resumes < RESUMES_MAX && call->told_head && left_ms(call) > 0;
 }
 
@@ -267,6 +309,21 @@
 	return COMET_OUTCOME_FAILED;
 }
 
+static void
+log_resume_failed(const struct comet_endpoint_call *call, CURLcode result)
+{
+	long status = 0;
+
+	curl_easy_getinfo(call->easy, CURLINFO_RESPONSE_CODE, &status);
+	comet_log(COMET_LOG_NOTICE,
+		"event=resume_failed url=%s offset=%" G_GUINT64_FORMAT
+		" status=%ld result=%d reason=%s",
+		call->resume_url, call->received, status, (int)result,
+		call->is_other           ? "other_run"
+		: !resume_accepted(call) ? "no_stream"
+					 : "cut");
+}
+
 static void
 on_done(void *ctx, CURL *easy, CURLcode result)
 {
@@ -278,6 +335,8 @@
 	if (result == CURLE_OK)
 		tell_head(call);
 	bool whole = result == CURLE_OK && ended_whole(call);
+	if (!whole && call->resumes > 0)
+		log_resume_failed(call, result);
 	if (!whole && can_resume(call))
 	{
 		call->resumes++;
@@ -296,8 +355,9 @@
 {
 	if (call->resumes > 0)
 	{
-		char *url = talloc_asprintf(
-			call, "%s?offset=%" G_GUINT64_FORMAT, call->resume_url, call->received);
+		call->overlap = call->tail_length;
+		char *url = talloc_asprintf(call, "%s?offset=%" G_GUINT64_FORMAT, call->resume_url,
+			call->received - call->overlap);
 		curl_easy_setopt(call->easy, CURLOPT_HTTPGET, 1L);
 		curl_easy_setopt(call->easy, CURLOPT_URL, url);
 		/* to libcurl 0 is no end at all */
@@ -366,7 +426,7 @@
 	call->events = events;
 	call->ctx = ctx;
 	call->streaming = request->streaming;
-	call->received = request->offset;
+	call->overlap = request->overlap;
 	call->line_start = true;
 	call->url = talloc_strdup(call, request->url);
 	call->resume_url = talloc_strdup(call, request->resume_url);
--- a/libcometspindle/adapters/endpoints/endpoint_call.h
+++ b/libcometspindle/adapters/endpoints/endpoint_call.h
@@ -12,6 +12,13 @@
 #include <stddef.h>
 #include <stdint.h>
 
+/**
+ * Bytes before a cut that a resume asks for once more: the done event may be among them, and they
+ * show whether the answer is of the same run. An OpenAI-style event, with the id and time of its
+ * run, has some 250 bytes with a short token, so that one of them is whole here.
+ */
+#define COMET_STREAM_OVERLAP_BYTES 512
+
 /** What becomes of a dispatch; called in the thread of the loop. */
 struct comet_endpoint_events
 {
@@ -36,7 +43,7 @@
 	const char *body; /**< NULL: GET */
 	size_t length;
 	uint64_t timeout_ms; /**< hard end */
-	uint64_t offset;     /**< bytes that the caller has already (resumed by a caller) */
+	size_t overlap;      /**< bytes that come first and that a caller who resumes has already */
 	bool streaming;      /**< server-sent events; must end with the done event */
 };
 
--- a/tests/system/test_runs.py
+++ b/tests/system/test_runs.py
@@ -157,7 +157,7 @@
     status, headers, got, whole = read(world.complete())
     assert (status, got, whole) == (200, STREAM, True)
     wrong = []
-    for left in list(range(0, 17)) + [len(STREAM) - 1, len(STREAM)]:
+    for left in list(range(0, 17)) + [200, 600, len(STREAM) - 1, len(STREAM)]:
         offset = len(STREAM) - left
         connection = world.send("GET", f"/v1/streams/{headers['Comet-Resume']}?offset={offset}")
         status, _, got, whole = read(connection)
--- a/tests/unit/test_endpoint_call.cc
+++ b/tests/unit/test_endpoint_call.cc
@@ -137,17 +137,30 @@
 	return at == std::string::npos ? 0 : std::stoul(request.substr(at + 8));
 }
 
-/* A chunked answer; one that is not ended is cut when the connection closes. */
 std::string
-chunked(const std::string &body, bool ended, const char *type = "text/event-stream")
+head_of(const char *type)
+{
+	return std::string("HTTP/1.1 200 OK\r\nContent-Type: ") + type +
+	       "\r\nTransfer-Encoding: chunked\r\n\r\n";
+}
+
+std::string
+chunk_of(const std::string &body)
 {
 	char size[32];
-	std::string text = std::string("HTTP/1.1 200 OK\r\nContent-Type: ") + type +
-			   "\r\nTransfer-Encoding: chunked\r\n\r\n";
 
 	snprintf(size, sizeof size, "%zx\r\n", body.size());
+	return size + body + "\r\n";
+}
+
+/* A chunked answer; one that is not ended is cut when the connection closes. */
+std::string
+chunked(const std::string &body, bool ended)
+{
+	std::string text = head_of("text/event-stream");
+
 	if (!body.empty())
-		text += size + body + "\r\n";
+		text += chunk_of(body);
 	return ended ? text + "0\r\n\r\n" : text;
 }
 
@@ -334,6 +347,47 @@
 	}
 }
 
+TEST(EndpointCall, TheRestMayComeInPieces)
+{
+	std::string text = stream_of("a", 20);
+
+	for (bool slow : {false, true})
+	{
+		Endpoint endpoint(cut_then(text, 1000,
+			[&](size_t, const std::string &request) -> Reply
+			{
+				std::string rest = text.substr(offset_of(request));
+				std::string bytes = head_of("text/event-stream");
+				for (size_t at = 0; at < rest.size(); at += 100)
+					bytes += chunk_of(rest.substr(at, 100));
+				return {bytes + "0\r\n\r\n"};
+			}));
+		Call call(endpoint);
+		call.slow = slow;
+		call.run();
+		EXPECT_EQ(call.data, text);
+		EXPECT_TRUE(call.whole);
+	}
+}
+
+TEST(EndpointCall, AStreamThatNamesNoTypeGoesOnToo)
+{
+	std::string text = stream_of("a", 20);
+	Endpoint endpoint(
+		[&](size_t connection, const std::string &request) -> Reply
+		{
+			size_t at = offset_of(request);
+			std::string rest =
+				text.substr(at, connection == 0 ? 700 : std::string::npos);
+			return {"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + rest};
+		});
+	Call call(endpoint);
+
+	call.run();
+	EXPECT_EQ(call.data, text);
+	EXPECT_TRUE(call.whole);
+}
+
 /*
  * A streaming call that an endpoint answered with an error had no end in its final mark, and so
  * was taken for a cut stream: asked for again three times at an offset that was the error's
