A call that was refused is withdrawn when its caller has left

Cause: the endpoint of a refused dispatch stayed noted with its call. When the caller left then, that was told as the end of a dispatch, which the node passes over for a request that waits: it kept its place and its tier's count until its deadline, or took a grant to give it back. And a once-only call whose caller had left before the refusal was left to a dispatch that could find nobody: it stayed in the table of calls for ever, and a planned stop waited for it.

Ruled out: bytes, status or type of a refused or unreached dispatch in the next one's answer. A refusal is told neither head nor data, and a dispatch is unreached only if no byte of it was sent and none came.

Change: a refused call has no endpoint; if its caller is gone it is withdrawn at once and freed.

--- a/libcometspindle/adapters/callers/traffic.c
+++ b/libcometspindle/adapters/callers/traffic.c
@@ -90,25 +90,13 @@
 static void
 caller_left(struct comet_call *call)
 {
-	struct comet_control_message *message = NULL;
-
 	if (call->upstream != NULL)
 	{
 		if (call->once && call->is_service)
 			return;
 		TALLOC_FREE(call->upstream);
 	}
-	if (!call->listed)
-		return;
-	message = g_new0(struct comet_control_message, 1);
-	message->request = call->request;
-	message->kind = call->state == COMET_CALL_WAITING && call->endpoint_id == 0
-				? COMET_CONTROL_ABANDONED
-				: COMET_CONTROL_FINISHED;
-	message->outcome = COMET_OUTCOME_WITHDRAWN;
-	comet_mailbox_send(call->traffic->config.control, message);
-	g_hash_table_remove(call->traffic->calls, &call->request);
-	call->listed = false;
+	comet_call_withdraw(call);
 }
 
 static void
--- a/libcometspindle/adapters/callers/traffic_call.c
+++ b/libcometspindle/adapters/callers/traffic_call.c
@@ -439,6 +439,22 @@
 	call->listed = false;
 }
 
+void
+comet_call_withdraw(struct comet_call *call)
+{
+	struct comet_control_message *message = NULL;
+
+	if (!call->listed)
+		return;
+	message = g_new0(struct comet_control_message, 1);
+	message->kind = call->state == COMET_CALL_WAITING && call->endpoint_id == 0
+				? COMET_CONTROL_ABANDONED
+				: COMET_CONTROL_FINISHED;
+	message->outcome = COMET_OUTCOME_WITHDRAWN;
+	control_send(call, message);
+	unlist(call);
+}
+
 static void
 on_end(void *ctx, enum comet_outcome outcome, bool whole, const struct comet_sample *sample)
 {
@@ -449,7 +465,14 @@
 	TALLOC_FREE(call->upstream);
 	tell_finished(call, outcome, sample);
 	if (retried)
-		return; /* not run: the control thread dispatches it again or refuses it */
+	{
+		/* not run: the control thread dispatches it again or refuses it */
+		call->endpoint_id = 0;
+		if (call->connection == NULL)
+			comet_call_withdraw(call); /* there is nobody to run it for */
+		comet_call_free_if_over(call);
+		return;
+	}
 	unlist(call);
 	call->upstream_over = true;
 	call->whole = whole;
--- a/libcometspindle/adapters/callers/traffic_private.h
+++ b/libcometspindle/adapters/callers/traffic_private.h
@@ -108,6 +108,10 @@
 void
 comet_call_dispatch(struct comet_call *call, const struct comet_endpoint *endpoint);
 
+/** Tells the control thread that nobody waits for the call any more. */
+void
+comet_call_withdraw(struct comet_call *call);
+
 /** Frees a call whose connection and dispatch are both over. */
 void
 comet_call_free_if_over(struct comet_call *call);
