A once-only call whose slow caller leaves runs on

Cause: an endpoint is paused while its caller has enough to read, and only the caller's next reading lets it go on. A once-only call of a service runs to its end for its own sake when its caller leaves; paused then, it hung in its writing until the call's hard end, a minute after its deadline, kept its slot and counted as failed.

Change: it is let go on when its caller leaves; what comes is read past.

--- a/libcometspindle/adapters/callers/traffic.c
+++ b/libcometspindle/adapters/callers/traffic.c
@@ -93,7 +93,11 @@
 	if (call->upstream != NULL)
 	{
 		if (call->once && call->is_service)
+		{
+			/* held back for the caller alone: nobody else would let it go on */
+			comet_endpoint_call_resume(call->upstream);
 			return;
+		}
 		TALLOC_FREE(call->upstream);
 	}
 	comet_call_withdraw(call);
