A caller that left a silent stream is taken at its word

Cause: a suspended connection is looked at every 100 ms, and woken when its caller closed it; the answer's reader found no data and set it aside again. The caller's going was noticed only at the endpoint's next event. A silent endpoint kept the run, and the call its place, until the hard end.

Change: the reader ends the answer of a caller that closed.

--- a/libcometspindle/adapters/callers/traffic_call.c
+++ b/libcometspindle/adapters/callers/traffic_call.c
@@ -537,6 +537,8 @@
 			/* an answer that ended early must not look whole */
 			return call->whole ? MHD_CONTENT_READER_END_OF_STREAM
 					   : MHD_CONTENT_READER_END_WITH_ERROR;
+		if (call->closed) /* libmicrohttpd would notice only at the next event */
+			return MHD_CONTENT_READER_END_WITH_ERROR;
 		comet_call_suspend(call);
 		return 0;
 	}
