--- a/tests/system/test_runs.py
+++ b/tests/system/test_runs.py
@@ -282,6 +282,26 @@
     wait_for("forgotten", lambda: world.metric("comet_calls_open") == 0)
 
 
+def test_silent_resumed_stream_whose_caller_leaves(world):
+    """The same for a stream that its caller resumed: such calls were not looked at."""
+    left = threading.Event()
+
+    def script(sock, line, body):
+        sock.sendall(STREAM_HEAD + chunk(STREAM[:300]))
+        if sock.recv(1) == b"":
+            left.set()
+
+    world.endpoint.script = play_stream
+    token = read(world.complete())[1]["Comet-Resume"]
+    world.endpoint.script = script
+    caller = world.send("GET", f"/v1/streams/{token}?offset=100")
+    assert caller.getresponse().read(10) == STREAM[100:110]
+    caller.sock.close()
+    caller.close()
+    wait_for("the endpoint is left", left.is_set)
+    wait_for("forgotten", lambda: world.metric("comet_calls_open") == 0)
+
+
 TESTS = [value for name, value in list(globals().items()) if name.startswith("test_")]
 
 
