--- a/libcometspindle/adapters/callers/traffic_call.c
+++ b/libcometspindle/adapters/callers/traffic_call.c
@@ -300,6 +300,8 @@
 			call, COMET_REFUSAL_BAD_REQUEST, "offset: must be a whole number");
 	g_strlcpy(call->id, token.request_id, sizeof call->id);
 	call->resumed = true;
+	call->listed = true; /* for the sweep; the node knows nothing of it */
+	g_hash_table_insert(call->traffic->calls, &call->request, call);
 	call->streaming = true;
 	/* a cut may have fallen within the done event or behind it: its line is to come whole */
 	call->overlap = MIN(start, COMET_STREAM_OVERLAP_BYTES);
@@ -443,8 +445,10 @@
 comet_call_withdraw(struct comet_call *call)
 {
 	struct comet_control_message *message = NULL;
+	bool known = call->listed && !call->resumed;
 
-	if (!call->listed)
+	unlist(call);
+	if (!known)
 		return;
 	message = g_new0(struct comet_control_message, 1);
 	message->kind = call->state == COMET_CALL_WAITING && call->endpoint_id == 0
@@ -452,7 +456,6 @@
 				: COMET_CONTROL_FINISHED;
 	message->outcome = COMET_OUTCOME_WITHDRAWN;
 	control_send(call, message);
-	unlist(call);
 }
 
 static void
--- a/libcometspindle/adapters/callers/traffic_private.h
+++ b/libcometspindle/adapters/callers/traffic_private.h
@@ -22,7 +22,7 @@
 	struct comet_http_loop *http;
 	struct comet_curl_loop *curl;
 	struct tevent_timer *sweep;
-	GHashTable *calls;    /**< request -> comet_call, submitted and not over */
+	GHashTable *calls;    /**< request -> comet_call, submitted or resumed and not over */
 	GHashTable *per_team; /**< team id -> open calls */
 	uint64_t next_request;
 	uint32_t open;   /**< atomic */
