System tests that fail: what others may send without bound, odd keys, a corrected address

Cause: found by reading what endpoints, peers, callers and writers to the store can send. Change: tests alone.

--- a/tests/system/gateway_world.py
+++ b/tests/system/gateway_world.py
@@ -46,6 +46,11 @@
         except OSError:
             return False
 
+    def log_text(self):
+        """Its log so far; read by offset, since the process writes at the end that it shares."""
+        length = os.fstat(self.log.fileno()).st_size
+        return os.pread(self.log.fileno(), length, 0)
+
     def tell(self):
         """Prints what is known of it, after a test has failed, and ends it."""
         self.log.seek(0)
--- a/tests/system/test_directory.py
+++ b/tests/system/test_directory.py
@@ -1,11 +1,24 @@
 """test_directory.py: what a gateway makes of its directory: outages, copies, entries that come and go"""
+import itertools
 import json
 import re
+import select
+import socket
+import struct
 import threading
 
-from gateway_world import (ADDRESS, OTHER_ADDRESS, Gateway, OtherVms, answer_of, call, connect, document, get,
+from gateway_world import (ADDRESS, OTHER_ADDRESS, Gateway, OtherVms, World, answer_of, call, connect, document, get,
                            get_or_empty, request, run_tests)
-from platform_standin import Server, Store, wait_for
+from platform_standin import Reader, Server, Store, wait_for
+
+
+def view(address, number, revision):
+    """A datagram in which a VM tells of itself, as proto/view.proto has it."""
+    body = struct.pack("<BQ", 1 << 3 | 1, 7)  # incarnation
+    body += bytes((2 << 3, number & 0x7f | 0x80, number >> 7))
+    body += struct.pack("<BI", 3 << 3 | 5, struct.unpack(">I", socket.inet_aton(address))[0])
+    body += bytes((5 << 3, revision))
+    return bytes((1 << 3 | 2, len(body))) + body
 
 
 def test_configuration(world):
@@ -303,6 +316,193 @@
     assert status == 502 and world.runs(ident) == 1
 
 
+def test_late_word_in_a_lapse():
+    """A server's entry had lapsed while the store was away, and it was used on. Then the last word of its earlier life
+    came, and was taken for news: what was known of lives had been forgotten with the entry.
+
+        event=endpoint_listed endpoint=i-0 ... draining=1 born=1000 reborn=1
+
+    What is used on still has its life."""
+    world = World(lapse_ms=20000, settled_ms=20000)
+    store, one = world.store, world.servers[0]
+    store.remove("servers/i-1")
+    publish_and_wait(world, one, born=2000)
+    store.down = True
+    wait_for(lambda: b"event=directory_lost" in world.gateway.log_text())
+    store.remove("servers/i-0")
+    store.down = False
+    wait_for(lambda: b"event=endpoint_lapsed" in world.gateway.log_text())
+    publish_and_wait(world, one, born=1000, state="draining")
+    assert served_by(world) == "i-0"
+    # it stays the last word, and is believed
+    wait_for(lambda: b"event=earlier_life_believed" in world.gateway.log_text())
+    assert call(world.gateway, "/safe/x")[1] == 503
+    world.gateway.end()
+
+
+def test_corrected_address(world):
+    """Somebody else wrote another server's address into an endpoint's entry, and its server wrote it right again.
+    Connections were kept by the endpoint's id alone, so that the next requests went over one to the other
+    server, which refuses what is not meant for it, and the endpoint counted as replaced for good:
+
+        event=endpoint_trusted endpoint=i-0 result=wrong_instance
+
+    Connections belong to an address as well."""
+    one, two = world.servers
+    world.store.remove("servers/i-1")
+
+    def strict(server, sock, path, headers, body):
+        if headers["x-cometspindle-expect-instance"] == server.name:
+            return server.plain(sock, path, headers, body)
+        server.write_head(sock, headers, status=421, extra="X-Cometspindle-Not-Executed: 1\r\n", length=0)
+        return None
+    world.script("x", strict)
+    publish_and_wait(world, one, address=f"127.0.0.1:{two.port}")
+    assert call(world.gateway, "/safe/x")[1] == 503
+    accepted = one.accepted
+    publish_and_wait(world, one, address=f"127.0.0.1:{one.port}")
+    assert served_by(world) == "i-0" and one.accepted == accepted + 1
+
+
+def test_keys_of_unusual_bytes():
+    """A list is read in pages, each of which begins after the last key of the one before. Somebody else wrote a key
+    with a blank and an ampersand: it was put into the next call as it is, and no VM that started could read past
+    it. An item without a key ended the list, and what came after it counted as gone."""
+    store = Store()
+    store.put("a", "x")
+    store.put("b c&since_rev=zz#%", "x")
+    store.put("op/config", document(1))
+    store.items["p"] = store.items["q"] = {"value": "", "revision": 1}
+    store.items["r s"] = {"private_key": "r s", "value": "AAA", "revision": 1}
+    Server(store, "i-0", "svc")
+    gateway = Gateway(store)
+    wait_for(lambda: b"store_item_malformed" in gateway.log_text())
+    del store.items["p"], store.items["q"]
+    wait_for(gateway.ready)
+    wait_for(lambda: call(gateway, "/safe/x")[1] == 200)
+    gateway.end()
+
+
+def test_ids_of_unusual_bytes(world):
+    """Ids that differ in letter case are two endpoints, and ids may be of any script. One that could not be a header's
+    value names no endpoint, and the others hold."""
+    for name in ("I-0", "\u00fc/1", "i-0,i-1", "x" * 200):
+        world.servers.append(Server(world.store, name, "svc"))
+    good = world.servers[0].entry
+    bad = ["", "a b", "a\r\nX: y", "a\nevent=stopped", "a\x7f", 'a"b', "a\\b", "x" * 201, "\t"]
+    for name in bad:
+        world.store.put("servers/" + name, good)
+
+    def strict(server, sock, path, headers, body):
+        assert headers["x-cometspindle-expect-instance"] == server.name
+        return server.plain(sock, path, headers, body)
+    world.script("x", strict)
+    wait_for(lambda: revision_of(world) == world.store.revision)
+    for one in world.servers:  # each in turn is the only one that does not leave
+        for other in world.servers:
+            other.publish(state="ready" if other is one else "draining")
+        wait_for(lambda: revision_of(world) == world.store.revision)
+        assert served_by(world) == one.name
+    text = get(world.gateway.ports["control"], "/metrics")[2].decode()
+    assert f"comet_directory_items_refused_total {len(bad)}\n" in text
+    log = world.gateway.log_text().decode()
+    assert log.count("event=directory_item_refused") == len(bad)
+    assert not [line for line in log.splitlines() if not line.startswith("ts=")]
+
+
+def test_answer_without_end():
+    """A VM is asked for its copy of the directory, since its view names a newer revision, and what it sends never
+    ends. Bytes beyond any proper size were thrown away and read on, for ever: no other copy was asked for
+    any more."""
+    store = Store()
+    store.down = True
+    gateway = Gateway(store)
+    other = socket.socket()
+    other.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    other.bind((OTHER_ADDRESS, gateway.ports["control"]))
+    other.listen(4)
+    peers = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    wait_for(lambda: b"no_routes" in get_or_empty(gateway, "readiness"))
+    number = itertools.count(1)
+
+    def is_asked():
+        peers.sendto(view(OTHER_ADDRESS, next(number), revision=9), (ADDRESS, gateway.ports["peers"]))
+        return select.select([other], [], [], 0)[0]
+    wait_for(is_asked)
+    sock, _ = other.accept()
+    sock.recv(65536)
+    sock.sendall(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+    chunk = b"10000\r\n" + b" " * 0x10000 + b"\r\n"
+    try:
+        for _ in range(1024):
+            sock.sendall(chunk)
+        assert False, "64 MB were read"
+    except OSError:
+        pass  # it has closed
+    assert "copy_failed reason=too_large" in gateway.end()
+
+
+def memory_kb(gateway):
+    with open(f"/proc/{gateway.process.pid}/status", encoding="utf-8") as file:
+        return int(re.search(r"^VmRSS:\s+(\d+)", file.read(), re.M)[1])
+
+
+def test_caller_that_does_not_read(world):
+    """A caller sent one request after the other on a connection and read no answer. All of them were answered, into
+    memory: of 64,000 requests for the metrics, in two megabytes, those of the first three seconds took 400 MB.
+    The next request is not read while answers wait to be written."""
+    sock = connect(world.gateway.ports["control"])
+    before = memory_kb(world.gateway)
+    sock.settimeout(1)
+    asks = 0
+    try:
+        for _ in range(2000):
+            sock.sendall(b"GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n" * 32)
+            asks += 32
+    except OSError:
+        pass  # it reads no further
+    for _ in range(200):  # by then it has read what there is, 16 KB each time
+        assert world.gateway.ready()
+    assert memory_kb(world.gateway) - before < 100000, (asks, before, memory_kb(world.gateway))
+    # one that reads at last gets all of what it asked for
+    sock.close()
+    sock = connect(world.gateway.ports["control"])
+    sock.sendall(b"GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n" * 64)
+    reader = Reader(sock)
+    for _ in range(64):
+        line, headers = reader.head()
+        assert line.endswith("200 OK") and reader.body(headers)[1]
+
+
+def test_bodies_to_internal_addresses(world):
+    """Nothing that is asked on the internal addresses has a body, and none is held."""
+    for port in ("control", "readiness"):
+        sock = connect(world.gateway.ports[port])
+        sock.sendall(b"POST /metrics HTTP/1.1\r\nHost: x\r\nContent-Length: 2000000\r\n\r\n" + b" " * 100000)
+        assert answer_of(sock)[0] == 413, port
+
+
+def test_keep_alive_of_endpoints(world):
+    """How long an endpoint keeps a connection is read strictly: one whose answer told nothing of that was taken to
+    close at once."""
+    world.store.remove("servers/i-1")
+
+    def tells(text):
+        def script(server, sock, path, headers, body):
+            server.ran(path, headers, body)
+            server.write_head(sock, headers, extra=f"Keep-Alive: {text}\r\n", length=2)
+            sock.sendall(b"ok")
+        return script
+    one = world.servers[0]
+    for text, kept in (("timeout=5, max=9", True), ("max=9, Timeout = 5", True), ("x-timeout=0", True),
+                       ("timeout=zero", True), ("timeout=", True), ("timeout=0", False)):
+        world.script("tells", tells(text))
+        wait_for(lambda: call(world.gateway, "/safe/tells")[1] == 200)
+        accepted = one.accepted
+        assert call(world.gateway, "/safe/tells")[1] == 200
+        assert (one.accepted == accepted) == kept, text
+
+
 def test_copy_from_other_vm():
     """A VM that cannot reach the store takes what another one has read."""
     store = Store()
@@ -366,6 +566,8 @@
          test_unanswered_watch_is_noticed, test_news_that_is_not_there,
          test_watches_begun_together_do_not_end_together, test_ended_connection_is_no_outage,
          test_unreadable_entry, test_server_starts_again, test_answer_lost_with_a_life,
-         test_copies_do_not_hold_up_the_next],
-        [test_store_away, test_start_in_an_outage, test_copy_from_other_vm, test_busy_store,
+         test_corrected_address, test_ids_of_unusual_bytes, test_copies_do_not_hold_up_the_next,
+         test_caller_that_does_not_read, test_bodies_to_internal_addresses, test_keep_alive_of_endpoints],
+        [test_store_away, test_late_word_in_a_lapse, test_keys_of_unusual_bytes,
+         test_answer_without_end, test_start_in_an_outage, test_copy_from_other_vm, test_busy_store,
          test_answers_too_large])
