Unit tests that fail: sizes of what others tell, trailers, ids of events, keys

Cause: found by reading. Failures on: EventStream.AnEventBeyondAnyProperSizeIsNotHeld: 5,242,895 bytes held; EventStream.AnIdThatIsNoHeadersValueIsNone: an id with a carriage return is kept, and goes into a header; Views.WhatViewsNameIsBounded: 20,002 VMs and 1.3 million teams remembered; Views.HugeCountsDoNotComeOutAsSmallOnes: a load of 0 for 4,294,967,295 twice; PlacementTest.GuestsWaitWithinBounds: 10,000 guests wait, for 49 days; Catalog.WhatIsLongGoneIsForgotten: 20,000 keys remembered of which none is listed; HttpReader.WhatFollowsABodyIsNoPartOfItsHead: headers after a body are added to the head unchecked; HttpReader.AHeadsSizeIsThatOfItsBytes: empty headers count as a fifth of their bytes; Lapses.AServiceThatNobodyUsedIsForgottenWithItsLastEndpoint: all services ever named are remembered; Documents.AFaultInADocumentIsToldWithItsField: a key that is empty, or cut at a NUL, is taken. Passing, for what had no test: Store.GarbageIsNoAnswer (deep nesting, numbers out of range), HttpReader.ALengthThatIsNoneIsNoAnswer.

--- a/libcometspindle/gateway/instances.c
+++ b/libcometspindle/gateway/instances.c
@@ -214,6 +214,12 @@
 		visit(ctx, instance);
 }
 
+size_t
+comet_instances_services(const struct comet_instances *instances)
+{
+	return MAX(g_hash_table_size(instances->services), g_hash_table_size(instances->speeds));
+}
+
 uint64_t
 comet_instances_changes(const struct comet_instances *instances)
 {
--- a/libcometspindle/gateway/instances.h
+++ b/libcometspindle/gateway/instances.h
@@ -72,6 +72,10 @@
 const GPtrArray *
 comet_instances_of(struct comet_instances *instances, const char *service);
 
+/** Number of services of which something is remembered. */
+size_t
+comet_instances_services(const struct comet_instances *instances);
+
 /** Counts how often instances came or went. */
 uint64_t
 comet_instances_changes(const struct comet_instances *instances);
--- a/libcometspindle/gateway/views.c
+++ b/libcometspindle/gateway/views.c
@@ -305,6 +305,19 @@
 	}
 }
 
+size_t
+comet_views_remembered(const struct comet_views *views)
+{
+	size_t sum = g_hash_table_size(views->peers);
+	GHashTableIter at;
+	gpointer value = NULL;
+
+	g_hash_table_iter_init(&at, views->peers);
+	while (g_hash_table_iter_next(&at, NULL, &value))
+		sum += g_hash_table_size(((const struct comet_views_peer *)value)->spent);
+	return sum;
+}
+
 /* Has this VM read more of the directory? */
 static bool
 is_newer(const struct comet_views_peer *peer, uint64_t revision)
--- a/libcometspindle/gateway/views.h
+++ b/libcometspindle/gateway/views.h
@@ -84,6 +84,10 @@
 void
 comet_views_count(const struct comet_views *views, uint32_t *known, uint32_t *heard);
 
+/** Number of VMs, and of teams that they told of, that are remembered. */
+size_t
+comet_views_remembered(const struct comet_views *views);
+
 /** Time between two rounds of views to all VMs. */
 uint64_t
 comet_views_interval_us(const struct comet_views *views);
--- a/tests/unit/test_documents.cc
+++ b/tests/unit/test_documents.cc
@@ -114,6 +114,10 @@
 		/* what a key might be is not told */
 		{rest("\"tenants\":[{\"name\":\"t\",\"api_keys\":[\"k\",7]}]"),
 			"tenants[0].api_keys: must be texts"},
+		{rest("\"tenants\":[{\"name\":\"t\",\"api_keys\":[\"\"]}]"),
+			"tenants[0].api_keys: must be texts"},
+		{rest("\"tenants\":[{\"name\":\"t\",\"api_keys\":[\"k\",\"l\\u0000m\"]}]"),
+			"tenants[0].api_keys: must be texts"},
 		{rest("\"tenants\":[{\"name\":\"t\",\"api_keys\":\"secret\"}]"),
 			"tenants[0].api_keys: must be an array"},
 		{rest("\"tenants\":[{\"name\":\"t\",\"rate_per_s\":true}]"),
--- a/tests/unit/test_event_stream.cc
+++ b/tests/unit/test_event_stream.cc
@@ -8,6 +8,7 @@
 {
 #include <libcometspindle/gateway/event_stream.h>
 }
+#include <algorithm>
 #include <cstring>
 #include <string>
 #include <talloc.h>
@@ -39,4 +40,66 @@
 	talloc_free(stream);
 }
 
+/* What of a stream is passed on, fed in parts of step bytes. */
+std::string
+pass(comet_event_stream *stream, const std::string &text, size_t step, size_t *held)
+{
+	std::string passed;
+
+	for (size_t at = 0; at < text.size(); at += step)
+	{
+		size_t length = std::min(step, text.size() - at);
+		size_t ready = comet_event_stream_add(stream, text.data() + at, length);
+		passed.append(comet_event_stream_ready(stream), ready);
+		if (ready > 0)
+			comet_event_stream_taken(stream);
+		*held = std::max(*held, at + length - passed.size());
+	}
+	return passed;
+}
+
+/* An endpoint sent an event that never ended, and all of it was held: an event is passed on in
+ * parts once it is larger than any proper one. A stream cannot be taken up within an event. */
+TEST(EventStream, AnEventBeyondAnyProperSizeIsNotHeld)
+{
+	std::string large = "id: 2\ndata: " + std::string(5 << 20, 'x') + "\r\n\r\n";
+
+	for (size_t step : {1000UL, 16384UL, 16385UL, large.size() - 2, large.size() - 1})
+	{
+		comet_event_stream *stream = comet_event_stream_create(nullptr);
+		size_t held = 0;
+		size_t most = step < 100000 ? (1U << 20) + step : 1U << 20;
+		EXPECT_EQ(pass(stream, "id: 1\n\n", 3, &held), "id: 1\n\n");
+		std::string passed = pass(stream, large.substr(0, large.size() - 1), step, &held);
+		EXPECT_GT(passed.size(), large.size() - 10);
+		EXPECT_LE(held, most);
+		EXPECT_TRUE(comet_event_stream_inside(stream));
+		EXPECT_EQ(comet_event_stream_last_id(stream), nullptr);
+		EXPECT_EQ(comet_event_stream_count(stream), 1U);
+		passed += pass(stream, "\nid: 3\n\n", 1, &held);
+		EXPECT_EQ(passed, large + "id: 3\n\n");
+		EXPECT_FALSE(comet_event_stream_inside(stream));
+		EXPECT_STREQ(comet_event_stream_last_id(stream), "3");
+		EXPECT_EQ(comet_event_stream_count(stream), 3U);
+		talloc_free(stream);
+	}
+}
+
+/* Where a stream is taken up again its last id goes into a header of the next endpoint. */
+TEST(EventStream, AnIdThatIsNoHeadersValueIsNone)
+{
+	for (const std::string &id :
+		{std::string("a\rX-Cometspindle-Tenant: b"), std::string("a\0b", 3),
+			std::string("a\x7f"), std::string(2000, 'a'), std::string()})
+	{
+		comet_event_stream *stream = comet_event_stream_create(nullptr);
+		size_t held = 0;
+		pass(stream, "id: 1\n\nid: " + id + "\n\n", 4096, &held);
+		EXPECT_EQ(comet_event_stream_last_id(stream), nullptr) << id;
+		pass(stream, "id: \xc3\xbc 2\n\n", 4096, &held);
+		EXPECT_STREQ(comet_event_stream_last_id(stream), "\xc3\xbc 2");
+		talloc_free(stream);
+	}
+}
+
 } // namespace
--- a/tests/unit/test_gateway_placement.cc
+++ b/tests/unit/test_gateway_placement.cc
@@ -248,4 +248,47 @@
 	EXPECT_EQ(comet_instance_load(instance, now_us + 60000000), 1U);
 }
 
+/* Another VM's ask told that it may wait for 49 days, and did; so would a million more. Whoever
+ * reaches the port can ask. A guest waits no longer than a second, and as many as all VMs that are
+ * known may have waiting. */
+TEST_F(PlacementTest, GuestsWaitWithinBounds)
+{
+	static int grants;
+	comet_placement_ops ops = {};
+	ops.grant = [](void *, const comet_placement_ask *, comet_instance *instance)
+	{
+		instance->own++;
+		grants++;
+	};
+	comet_placement *keeper = comet_placement_create(instances, instances, &ops, this, 1);
+	comet_instance *one = add("i-1");
+	comet_placement_ask ask = {};
+	bool waits = false;
+	int waiting = 0;
+
+	grants = 0;
+	ask.job = {1000, 100, 100, true};
+	ask.wait_us = 1000ULL * UINT32_MAX;
+	comet_placement_choose_for(keeper, &ask, now_us, &waits); /* shards are formed */
+	EXPECT_FALSE(waits);
+	ask.shard = one->shard;
+	one->own = 2;
+	for (uint64_t number = 1; number <= 10000; number++)
+	{
+		ask.number = number;
+		EXPECT_EQ(comet_placement_choose_for(keeper, &ask, now_us, &waits), nullptr);
+		waiting += waits ? 1 : 0;
+	}
+	EXPECT_EQ(waiting, 8192);
+	now_us += 900000;
+	one->own = 1;
+	comet_placement_run(keeper, now_us);
+	EXPECT_EQ(grants, 1);
+	now_us += 200000;
+	one->own = 1;
+	grants = 0;
+	comet_placement_run(keeper, now_us);
+	EXPECT_EQ(grants, 0);
+}
+
 } // namespace
--- a/tests/unit/test_gateway_views.cc
+++ b/tests/unit/test_gateway_views.cc
@@ -130,6 +130,86 @@
 	}
 }
 
+/* A view of a VM that nobody else knows, which names others and teams. */
+comet_View
+view_of(uint32_t address, uint64_t number)
+{
+	comet_View view = {};
+	view.incarnation = address;
+	view.address = address;
+	view.number = number;
+	view.peers_count = 12;
+	view.spent_count = 48;
+	for (uint32_t i = 0; i < view.peers_count; i++)
+		view.peers[i] = address * 1000 + i;
+	for (uint32_t i = 0; i < view.spent_count; i++)
+		view.spent[i] = {(uint32_t)number * 1000 + i, 5, 0};
+	return view;
+}
+
+/* Whoever reaches the port of views could name as many VMs and teams as they liked, and all were
+ * remembered. The VMs that are there stay known. */
+TEST(Views, WhatViewsNameIsBounded)
+{
+	vms fleet(3);
+	uint64_t now_us = 1000000;
+	uint32_t known = 0;
+	uint32_t heard = 0;
+
+	for (int i = 0; i < 40; i++, now_us += 50000)
+		fleet.step(now_us);
+	comet_views *views = fleet.all[1].views;
+	for (uint32_t i = 1; i <= 20000; i++)
+	{
+		comet_View view = view_of(100000 + i, 1);
+		view.spent_count = 0;
+		EXPECT_TRUE(comet_views_receive(views, &view, now_us));
+	}
+	comet_views_count(views, &known, &heard);
+	EXPECT_LE(known, 2048U);
+	EXPECT_GE(heard, 2U);
+	EXPECT_LE(comet_views_remembered(views), 2048U);
+	for (uint32_t i = 2; i <= 2000; i++)
+	{
+		comet_View view = view_of(100001, i);
+		EXPECT_TRUE(comet_views_receive(views, &view, now_us));
+	}
+	EXPECT_LE(comet_views_remembered(views), 2048U + 2048U);
+	/* those that were made up are forgotten, and others are heard again */
+	for (int i = 0; i < 500; i++, now_us += 50000)
+		fleet.step(now_us);
+	comet_views_count(views, &known, &heard);
+	EXPECT_EQ(known, 2U);
+	EXPECT_EQ(heard, 2U);
+	EXPECT_LE(comet_views_remembered(views), 100U);
+}
+
+/* Two VMs told of 4,294,967,295 requests at an endpoint, and the sum came out as less. */
+TEST(Views, HugeCountsDoNotComeOutAsSmallOnes)
+{
+	vms fleet(1);
+	uint64_t now_us = 1000000;
+	comet_instance *seen = comet_instances_find(fleet.all[1].instances, "i");
+	comet_job job = {600, 10, 10, true};
+
+	comet_instance_started(seen, &job);
+	for (uint32_t address : {5U, 6U})
+	{
+		comet_View view = {};
+		view.address = address;
+		view.number = 1;
+		view.busy_count = 1;
+		view.busy[0] = {seen->key, UINT32_MAX, UINT32_MAX};
+		EXPECT_TRUE(comet_views_receive(fleet.all[1].views, &view, now_us));
+	}
+	comet_views_tick(fleet.all[1].views, now_us);
+	EXPECT_GE(seen->others_prompt, 1000000U);
+	EXPECT_GE(comet_instance_load(seen, now_us), 1000000U);
+	EXPECT_GE(comet_instance_kept_load(seen, now_us), 1000000U);
+	comet_views_granted(fleet.all[1].views, 5, seen->key, 600, now_us);
+	EXPECT_GE(comet_instance_load(seen, now_us), 1000000U);
+}
+
 /* What VMs tell of requests at a server's earlier life is not taken for its later one's. */
 TEST(Views, CountsEndWithTheLifeTheyAreOf)
 {
--- a/tests/unit/test_instances.cc
+++ b/tests/unit/test_instances.cc
@@ -90,6 +90,29 @@
 	EXPECT_TRUE(used(out_us + 9 * second_us));
 }
 
+/* Entries of services that nobody uses came and went, each with a name of its own, and something of
+ * each stayed. What was learned of a service is kept while it has no endpoint. */
+TEST_F(Lapses, AServiceThatNobodyUsedIsForgottenWithItsLastEndpoint)
+{
+	comet_instance *used = comet_instances_find(instances, "i");
+	comet_job job = {0, 0, 0, false};
+	comet_instance_started(used, &job);
+	comet_instance_ended(used, &job, true, COMET_DISPATCH_SERVED, 700000, 0, second_us);
+	uint64_t learned_us = comet_instances_usual_first_us(instances, "llm", &job);
+	comet_instances_remove(instances, "i");
+	for (int i = 0; i < 1000; i++)
+	{
+		std::string service = "s" + std::to_string(i);
+		comet_instance_record record = {
+			"j", service.c_str(), "127.0.0.1:1", "z", 4, 0, false, 0};
+		comet_instances_put(instances, &record, second_us);
+	}
+	EXPECT_EQ(comet_instances_services(instances), 2U);
+	EXPECT_NE(comet_instances_of(instances, "s999"), nullptr);
+	EXPECT_EQ(comet_instances_of(instances, "llm"), nullptr);
+	EXPECT_EQ(comet_instances_usual_first_us(instances, "llm", &job), learned_us);
+}
+
 struct LivesOfInstances : ::testing::Test
 {
 	comet_instances *instances = comet_instances_create(nullptr, "z");
--- a/tests/unit/test_platform.cc
+++ b/tests/unit/test_platform.cc
@@ -87,6 +87,43 @@
 	}
 };
 
+/* Each server had an id of its own, and all that ever were stayed in the memory of what is gone. */
+TEST(Catalog, WhatIsLongGoneIsForgotten)
+{
+	told told;
+	comet_catalog *catalog = comet_catalog_create(nullptr, &told_events, &told);
+	constexpr uint64_t count = 20000;
+
+	for (uint64_t i = 1; i <= count; i++)
+	{
+		std::string key = "servers/i-" + std::to_string(i);
+		comet_store_item come = put(key.c_str(), "1", 2 * i);
+		comet_store_item go = put(key.c_str(), nullptr, 2 * i + 1);
+		comet_catalog_take(catalog, &come, 1, false);
+		comet_catalog_take(catalog, &go, 1, false);
+		comet_catalog_take(catalog, &come, 1, false); /* late news of what has just gone */
+	}
+	EXPECT_EQ(told.lines.size(), 2 * count);
+	EXPECT_LE(comet_catalog_size(catalog), 5000U);
+	/* what came back is not forgotten, however often it goes */
+	comet_store_item stays = put("stays", "1", 3 * count);
+	comet_catalog_take(catalog, &stays, 1, false);
+	for (uint64_t i = 1; i <= count; i++)
+	{
+		comet_store_item go = put("again", nullptr, 3 * count + 2 * i);
+		comet_store_item come = put("again", "1", 3 * count + 2 * i + 1);
+		comet_catalog_take(catalog, &go, 1, false);
+		comet_catalog_take(catalog, &come, 1, false);
+	}
+	told.lines.clear();
+	comet_catalog_list_begin(catalog);
+	comet_catalog_list_end(catalog, 9 * count, false);
+	std::sort(told.lines.begin(), told.lines.end());
+	std::vector<std::string> expected = {"removed again", "removed stays"};
+	EXPECT_EQ(told.lines, expected);
+	talloc_free(catalog);
+}
+
 /* Six changes in every order, each of them lost once or none, and a list after so many of them. */
 TEST(Catalog, NoOrderOfChangesBringsAnOlderOne)
 {
@@ -239,6 +276,28 @@
 	std::vector<std::string> expected = {
 		std::string("a=\0a\0", 5), "b=", "c=", "d=", "e=", "f=-", "h="};
 	EXPECT_EQ(seen.lines, expected);
+	/* deeper than any proper answer, numbers beyond any range, and twice the same */
+	const std::string item = "{\"private_key\":\"a\",\"value\":\"YQ==\",\"revision\":";
+	const std::string head = "{\"current_rev\":9,\"entries\":[";
+	for (const std::string &bad : {head + std::string(40, '[') + std::string(40, ']') + "]}",
+		     std::string("{\"entries\":[],\"current_rev\":99999999999999999999}"),
+		     std::string("{\"entries\":[],\"current_rev\":1e999}"),
+		     std::string("{\"entries\":[],\"current_rev\":-1}"),
+		     std::string("{\"entries\":[],\"current_rev\":1,\"has_more\":\"no\"}"),
+		     head + item + "1}]}x", head + "\"\xc3\x28\"]}"})
+		EXPECT_FALSE(
+			comet_store_parse(bad.data(), bad.size(), ignore_answer, nullptr, nullptr))
+			<< bad;
+	seen.lines.clear();
+	for (const char *revision : {"99999999999999999999}", "1e999}", "1.5}", "0}", "-1}",
+		     "9223372036854775807}", "4,\"removed\":1}", "5}"})
+	{
+		std::string answer = head + item + revision + "]}";
+		EXPECT_TRUE(comet_store_parse(
+			answer.data(), answer.size(), items::take, &seen, nullptr))
+			<< answer;
+	}
+	EXPECT_EQ(seen.lines, std::vector<std::string>{"a=a"});
 	const char *odd = "{\"entries\":[5,{},{\"private_key\":\"a\"},{\"private_key\":\"b\","
 			  "\"value\":\"!!\",\"revision\":-1}],\"current_rev\":1}";
 	EXPECT_TRUE(comet_store_parse(odd, strlen(odd), ignore_answer, nullptr, nullptr));
@@ -338,6 +397,33 @@
 	}
 }
 
+/* An endpoint's answer is framed as strictly as a caller's request. */
+TEST(HttpReader, ALengthThatIsNoneIsNoAnswer)
+{
+	for (const char *length : {"", "-1", "+3", "0x3", "3,3", "3 3", "3x", "1.5",
+		     "18446744073709551616", "99999999999999999999999"})
+	{
+		std::string text;
+		EXPECT_EQ(read_all(false,
+				  std::string("HTTP/1.1 200 OK\r\nContent-Length: ") + length +
+					  "\r\n\r\nabc",
+				  1, &text),
+			COMET_HTTP_READER_BAD)
+			<< length;
+	}
+	for (const char *heads : {"Content-Length: 3\r\nContent-Length: 4\r\n",
+		     "Content-Length: 3\r\nContent-Length: 3\r\n",
+		     "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n",
+		     "Content-Length : 3\r\n"})
+	{
+		std::string text;
+		EXPECT_EQ(read_all(false, std::string("HTTP/1.1 200 OK\r\n") + heads + "\r\nabc", 1,
+				  &text),
+			COMET_HTTP_READER_BAD)
+			<< heads;
+	}
+}
+
 TEST(HttpReader, AHeadOverTheLimitIsToldApart)
 {
 	std::string text;
@@ -363,6 +449,72 @@
 	talloc_free(reader);
 }
 
+/* Keeps the head that a message began with. */
+struct head_keeper
+{
+	const comet_http_head *head = nullptr;
+
+	static bool
+	take(void *ctx, comet_http_head *head)
+	{
+		static_cast<head_keeper *>(ctx)->head = head;
+		return false;
+	}
+
+	static void
+	body(void *, const char *, size_t)
+	{
+	}
+
+	static void
+	end(void *, bool)
+	{
+	}
+};
+
+/* Headers that came after a chunked body were added to the message's own, unchecked: a request
+ * whose head had been looked at went on to an endpoint with a second, longer
+ * "Content-Length : 99". They are read past. */
+TEST(HttpReader, WhatFollowsABodyIsNoPartOfItsHead)
+{
+	static const comet_http_reader_events events = {
+		head_keeper::take, head_keeper::body, head_keeper::end};
+	const std::string bytes =
+		"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+		"3\r\nabc\r\n0\r\nContent-Length : 99\r\nHost: other\r\nX: y\r\n\r\n";
+	head_keeper keeper;
+	comet_http_reader *reader = comet_http_reader_create(nullptr, true, 4096, &events, &keeper);
+	size_t taken = 0;
+
+	EXPECT_EQ(comet_http_reader_feed(reader, bytes.data(), bytes.size(), &taken),
+		COMET_HTTP_READER_END);
+	ASSERT_NE(keeper.head, nullptr);
+	EXPECT_EQ(keeper.head->n_headers, 2U);
+	EXPECT_EQ(taken, bytes.size());
+	const std::string more = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+	ASSERT_EQ(comet_http_reader_feed(reader, more.data(), more.size(), &taken),
+		COMET_HTTP_READER_END);
+	EXPECT_EQ(keeper.head->n_headers, 1U);
+	talloc_free(reader);
+	/* they are bounded as a head is */
+	std::string text;
+	std::string big =
+		bytes.substr(0, bytes.size() - 2) + "Z: " + std::string(5000, 'z') + "\r\n\r\n";
+	EXPECT_EQ(read_all(true, big, 100, &text), COMET_HTTP_READER_TOO_BIG);
+}
+
+/* A header of one letter without a value counted as one byte of a head and took 200 of memory. */
+TEST(HttpReader, AHeadsSizeIsThatOfItsBytes)
+{
+	std::string text;
+	std::string many = "GET / HTTP/1.1\r\n";
+
+	for (int i = 0; i < 1100; i++)
+		many += "A:\r\n";
+	EXPECT_EQ(read_all(true, many + "\r\n", 100, &text), COMET_HTTP_READER_TOO_BIG);
+	EXPECT_EQ(read_all(true, many + "\r\n", 100, &text, 6000), COMET_HTTP_READER_END);
+}
+
 TEST(HttpReader, HopByHopHeadersAreKnown)
 {
 	comet_http_header headers[] = {
