Headers after a body are read past, and a head's size counts its frames

Cause: trailers went through the same callbacks as headers and were added to the message's head, after that had been checked: a caller could send an endpoint headers that nobody had looked at, also names with blanks. A bad trailer also made the connection's next request a bad one. A header without a value counted as one byte. Change: what comes as a header after the head is counted and dropped; three bytes more for each header. Before: 2 headers become 4 (HttpReader.WhatFollowsABodyIsNoPartOfItsHead); after: both tests pass.

--- a/libcometspindle/adapters/http_reader.c
+++ b/libcometspindle/adapters/http_reader.c
@@ -9,6 +9,10 @@
 #include <strings.h>
 #include <talloc.h>
 
+/* Bytes of a header beside its name and value: a colon and a line's end. A head of headers without
+ * any would else be counted as less than a hundredth of the memory that it takes. */
+#define HEADER_FRAME_BYTES 3
+
 struct comet_http_reader
 {
 	http_parser parser;
@@ -22,6 +26,7 @@
 	GString *value;
 	bool in_value; /* the last header callback was for a value */
 	bool inside;
+	bool past_head; /* what comes as headers now follows the body */
 	bool too_big;
 	bool bad; /* a header that is none */
 };
@@ -116,6 +121,7 @@
 	g_string_truncate(reader->value, 0);
 	reader->in_value = false;
 	reader->inside = true;
+	reader->past_head = false;
 	reader->head_bytes = 0;
 	return 0;
 }
@@ -178,10 +184,14 @@
 {
 	struct comet_http_reader *reader = parser->data;
 
+	/* What follows a body is read past: nobody has looked at it when the head is acted on. */
+	if (reader->past_head)
+		return count_head(reader, length);
 	if (reader->in_value)
 		finish_header(reader);
+	size_t frame = reader->name->len == 0 ? HEADER_FRAME_BYTES : 0;
 	g_string_append_len(reader->name, data, (gssize)length);
-	return count_head(reader, length);
+	return count_head(reader, length + frame);
 }
 
 static int
@@ -189,6 +199,8 @@
 {
 	struct comet_http_reader *reader = parser->data;
 
+	if (reader->past_head)
+		return count_head(reader, length);
 	reader->in_value = true;
 	g_string_append_len(reader->value, data, (gssize)length);
 	return count_head(reader, length);
@@ -203,6 +215,7 @@
 	finish_header(reader);
 	if (reader->bad)
 		return -1;
+	reader->past_head = true;
 	head->http_1_0 = parser->http_major < 1 || parser->http_minor < 1;
 	head->framed = (parser->flags & (F_CHUNKED | F_CONTENTLENGTH)) != 0;
 	if (parser->type == HTTP_REQUEST)
