VMs and teams that views name are bounded, and sums of their counts stay in range

Cause: whoever reaches the port of views could name any number of VMs and teams, each remembered for 20 s; two counts of 4,294,967,295 summed up to a load of 0. Change: 2,048 VMs, 2,048 teams of each, counts of others up to a million.

--- a/libcometspindle/gateway/views.c
+++ b/libcometspindle/gateway/views.c
@@ -23,6 +23,15 @@
  * serves as well. */
 #define YOUNG_KEEPER_AGE_US 500000
 
+/* Views name no more VMs than this, and each of them no more teams: five times the VMs and three
+ * times the teams of the largest deployment that is designed for. Whoever reaches the port can name
+ * any. */
+#define PEERS_MAX 2048
+#define TEAMS_MAX 2048
+
+/* Others' requests at an endpoint count as no more than this, so that sums stay in range. */
+#define OTHERS_MAX 1000000
+
 static void
 free_peer(gpointer data)
 {
@@ -41,13 +50,14 @@
 	return 0;
 }
 
+/* A VM as it is known, or NULL where too many are. */
 static struct comet_views_peer *
 peer_of(struct comet_views *views, uint32_t address)
 {
 	struct comet_views_peer *peer =
 		g_hash_table_lookup(views->peers, GUINT_TO_POINTER(address));
 
-	if (peer == NULL)
+	if (peer == NULL && g_hash_table_size(views->peers) < PEERS_MAX)
 	{
 		peer = g_new0(struct comet_views_peer, 1);
 		peer->address = address;
@@ -83,8 +93,11 @@
 	talloc_set_destructor(views, views_destroy);
 	for (size_t i = 0; i < config->n_seeds; i++)
 	{
-		if (config->seeds[i] != views->address)
-			peer_of(views, config->seeds[i])->seed = true;
+		struct comet_views_peer *seed = config->seeds[i] != views->address
+							? peer_of(views, config->seeds[i])
+							: NULL;
+		if (seed != NULL)
+			seed->seed = true;
 	}
 	return views;
 }
@@ -97,6 +110,8 @@
 	gpointer key = GUINT_TO_POINTER(spent->team);
 	uint64_t *before = g_hash_table_lookup(peer->spent, key);
 
+	if (before == NULL && g_hash_table_size(peer->spent) >= TEAMS_MAX)
+		return;
 	if (before == NULL)
 	{
 		before = g_new0(uint64_t, 1);
@@ -121,7 +136,7 @@
 		if (view->peers[i] == views->address || view->peers[i] == 0)
 			continue;
 		struct comet_views_peer *peer = peer_of(views, view->peers[i]);
-		if (peer->known_us == 0)
+		if (peer != NULL && peer->known_us == 0)
 		{
 			peer->known_us = now_us;
 			peer->owed = true;
@@ -171,6 +186,8 @@
 	if (view->address == views->address)
 		return true; /* our own address, or that of the VM we replaced */
 	struct comet_views_peer *peer = peer_of(views, view->address);
+	if (peer == NULL)
+		return true;
 	/* An older datagram of the same process came late. */
 	if (peer->incarnation == view->incarnation && view->number <= peer->number)
 		return true;
@@ -217,6 +234,15 @@
 	instance->others_prompt = 0;
 }
 
+static void
+add_busy(struct comet_instance *instance, const comet_Busy *busy)
+{
+	uint64_t prompt = (uint64_t)instance->others_prompt + busy->prompt_tokens;
+
+	instance->others += MIN(busy->running, OTHERS_MAX - MIN(instance->others, OTHERS_MAX));
+	instance->others_prompt = (uint32_t)MIN(prompt, UINT32_MAX);
+}
+
 /* Sums what the other VMs have at each endpoint. */
 static void
 sum_others(struct comet_views *views)
@@ -236,8 +262,7 @@
 				comet_instances_find_key(views->instances, busy->instance);
 			if (instance == NULL)
 				continue;
-			instance->others += busy->running;
-			instance->others_prompt += busy->prompt_tokens;
+			add_busy(instance, busy);
 		}
 	}
 	views->stale = false;
