Guests wait at a keeper within bounds of number and time

Cause: an ask that told it may wait for 49 days did, and there was no bound to how many. Change: a second at most (asks tell 0.3 s), 8,192 for a service. placement_queue.c frees guests itself, so that the two files call each other in one direction only.

--- a/libcometspindle/gateway/placement_guests.c
+++ b/libcometspindle/gateway/placement_guests.c
@@ -9,11 +9,12 @@
 
 #include <string.h>
 
-void
-comet_placement_free_guest(gpointer guest)
-{
-	g_free(guest);
-}
+/* A guest waits no longer than this, whatever its VM tells: three times as long as any VM asks for.
+ */
+#define GUEST_WAIT_MAX_US 1000000
+
+/* So many guests wait for a service at a time: four of each of the VMs that may be known. */
+#define GUESTS_MAX 8192
 
 /* The slot for a guest at one level of room, or NULL; held: there is room where it would be late.
  */
@@ -80,7 +81,7 @@
 	guest->item.end_us = ask->end_us;
 	guest->item.aim_us = ask->aim_us;
 	guest->item.late = ask->late;
-	guest->item.latest_us = now_us + ask->wait_us;
+	guest->item.latest_us = now_us + MIN(ask->wait_us, GUEST_WAIT_MAX_US);
 	guest->item.since_us = now_us;
 	guest->item.order = placement->next_order++;
 	return guest;
@@ -104,7 +105,8 @@
 		placement->pass++;
 		best = choose(placement, guest, now_us);
 	}
-	if (best != NULL || ask->wait_us == 0)
+	bool full = g_sequence_get_length(queue->guests) >= GUESTS_MAX;
+	if (best != NULL || ask->wait_us == 0 || full)
 	{
 		g_free(guest);
 		return best;
--- a/libcometspindle/gateway/placement_queue.c
+++ b/libcometspindle/gateway/placement_queue.c
@@ -41,7 +41,7 @@
 		queue = g_new0(struct comet_placement_queue, 1);
 		queue->service = g_strdup(service);
 		queue->items = g_sequence_new(NULL);
-		queue->guests = g_sequence_new(comet_placement_free_guest);
+		queue->guests = g_sequence_new(g_free);
 		g_hash_table_insert(placement->queues, queue->service, queue);
 	}
 	return queue;
--- a/libcometspindle/gateway/placement_state.h
+++ b/libcometspindle/gateway/placement_state.h
@@ -122,7 +122,4 @@
 comet_placement_offer(
 	struct comet_placement *placement, struct comet_placement_guest *guest, uint64_t now_us);
 
-void
-comet_placement_free_guest(gpointer guest);
-
 #endif
