--- a/libcometspindle/gateway/instances.c
+++ b/libcometspindle/gateway/instances.c
@@ -133,6 +133,22 @@
 	return instance;
 }
 
+/* Entries may name any service: of one that nobody used nothing stays with its last instance. */
+static void
+forget_if_unused(struct comet_instances *instances, const char *service)
+{
+	struct comet_speeds *speeds = g_hash_table_lookup(instances->speeds, service);
+
+	if (comet_instances_of(instances, service) != NULL)
+		return;
+	if (speeds != NULL && !comet_speeds_learned(speeds))
+	{
+		g_hash_table_remove(instances->speeds, service);
+		talloc_free(speeds);
+	}
+	g_hash_table_remove(instances->services, service);
+}
+
 void
 comet_instances_remove(struct comet_instances *instances, const char *id)
 {
@@ -147,6 +163,7 @@
 	/* another of equal hash stays */
 	if (comet_instances_find_key(instances, instance->key) == instance)
 		g_hash_table_remove(instances->by_key, GUINT_TO_POINTER(instance->key));
+	forget_if_unused(instances, instance->service);
 	talloc_free(instance);
 }
 
--- a/libcometspindle/gateway/speeds.c
+++ b/libcometspindle/gateway/speeds.c
@@ -81,6 +81,17 @@
 	return speeds->means[speed].samples > 0;
 }
 
+bool
+comet_speeds_learned(const struct comet_speeds *speeds)
+{
+	for (int speed = 0; speed < COMET_SPEEDS; speed++)
+	{
+		if (comet_speeds_known(speeds, (enum comet_speed)speed))
+			return true;
+	}
+	return false;
+}
+
 double
 comet_speeds_mean_us(const struct comet_speeds *speeds, enum comet_speed speed)
 {
--- a/libcometspindle/gateway/speeds.h
+++ b/libcometspindle/gateway/speeds.h
@@ -36,6 +36,10 @@
 bool
 comet_speeds_known(const struct comet_speeds *speeds, enum comet_speed speed);
 
+/** @return whether any was. */
+bool
+comet_speeds_learned(const struct comet_speeds *speeds);
+
 /** How long a usual request holds a slot, plain or a stream. */
 double
 comet_speeds_slot_us(const struct comet_speeds *speeds);
