Connections end with an endpoint's address, and its life lasts as long as it is used

Cause: connections are kept by id. After somebody else had written another address, and the server its own again, one kept to the other address was used; that endpoint's 421 marked this one as replaced, for good. And what was known of lives went with an entry that lapsed, so that a late word of the earlier life was taken for news. Change: another address ends the kept connections; what is used on in a lapse keeps its life. Left: a request that is under way to the other address while it is corrected still marks the endpoint by its 421.

--- a/libcometspindle/adapters/gateway/gateway_directory.c
+++ b/libcometspindle/adapters/gateway/gateway_directory.c
@@ -5,6 +5,7 @@
 #include <libcometspindle/adapters/gateway/gateway_relay.h>
 
 #include <libcometspindle/log.h>
+#include <string.h>
 
 static void
 log_team(void *ctx, const struct comet_route_team *team)
@@ -49,6 +50,7 @@
 
 	comet_log(COMET_LOG_NOTICE, "event=endpoint_gone endpoint=%s reason=lapse_over", id);
 	comet_upstream_forget(gateway->upstream, id);
+	comet_lives_forget_lapsed(gateway->lives, id);
 }
 
 static void
@@ -61,12 +63,20 @@
 	comet_instances_remove(gateway->instances, id);
 }
 
+/* Has what was known under this id another address? Connections are kept by the id, and one to the
+ * other address would lead to another endpoint, which refuses what is not meant for it. */
+static bool
+has_moved(const struct comet_instance *known, const struct comet_instance_record *record)
+{
+	return known != NULL && strcmp(known->address, record->address) != 0;
+}
+
 /* Logs what changes with an entry; known: NULL or what is known of that id. */
 static void
 log_listed(const struct comet_instance *known, const struct comet_instance_record *record)
 {
 	if (known != NULL && known->draining == record->draining && known->listed &&
-		known->born_ms == record->born_ms)
+		known->born_ms == record->born_ms && !has_moved(known, record))
 		return;
 	comet_log(COMET_LOG_NOTICE,
 		"event=endpoint_listed endpoint=%s service=%s address=%s zone=%s slots=%u "
@@ -82,10 +92,11 @@
 {
 	const struct comet_instance *known = comet_instances_find(gateway->instances, record->id);
 	bool reborn = known != NULL && known->born_ms != record->born_ms;
+	bool moved = has_moved(known, record);
 
 	log_listed(known, record);
 	comet_instances_put(gateway->instances, record, comet_timers_now_us());
-	if (record->draining || reborn)
+	if (record->draining || reborn || moved)
 		comet_upstream_forget(gateway->upstream, record->id);
 	if (reborn)
 		comet_relay_probe_earlier_life(gateway, record->id, record->born_ms);
@@ -141,14 +152,15 @@
 	};
 	uint64_t now_us = comet_timers_now_us();
 
-	comet_lives_forget(gateway->lives, id);
 	if (out_us != 0 && comet_instances_lapse(gateway->instances, id, out_us, &bounds, now_us))
 	{
 		comet_log(COMET_LOG_NOTICE,
 			"event=endpoint_lapsed endpoint=%s out_ms_ago=%" G_GUINT64_FORMAT, id,
 			(now_us - out_us) / 1000);
+		comet_lives_lapse(gateway->lives, id);
 		return;
 	}
+	comet_lives_forget(gateway->lives, id);
 	drop_endpoint(gateway, id, "removed");
 }
 
--- a/libcometspindle/gateway/lives.c
+++ b/libcometspindle/gateway/lives.c
@@ -19,6 +19,7 @@
 	struct comet_instance_record
 		*earlier;    /* word of an earlier life that came since, or NULL */
 	uint64_t earlier_us; /* when it came */
+	bool lapsed;         /* it is listed no more, but used on */
 };
 
 struct comet_lives
@@ -84,6 +85,7 @@
 {
 	struct told *told = told_of(lives, record->id);
 
+	told->lapsed = false;
 	if (record->born_ms == 0 && told->born_ms != 0)
 		return COMET_LIFE_UNTOLD;
 	if (record->born_ms < told->born_ms)
@@ -102,6 +104,24 @@
 	g_hash_table_remove(lives->by_id, id);
 }
 
+void
+comet_lives_lapse(struct comet_lives *lives, const char *id)
+{
+	struct told *told = told_of(lives, id);
+
+	told->lapsed = true;
+	TALLOC_FREE(told->earlier); /* no word of it stands any more */
+}
+
+void
+comet_lives_forget_lapsed(struct comet_lives *lives, const char *id)
+{
+	const struct told *told = g_hash_table_lookup(lives->by_id, id);
+
+	if (told != NULL && told->lapsed)
+		g_hash_table_remove(lives->by_id, id);
+}
+
 void
 comet_lives_tick(struct comet_lives *lives, uint64_t now_us,
 	void (*believed)(void *ctx, const struct comet_instance_record *record), void *ctx)
--- a/libcometspindle/gateway/lives.h
+++ b/libcometspindle/gateway/lives.h
@@ -35,6 +35,14 @@
 void
 comet_lives_forget(struct comet_lives *lives, const char *id);
 
+/** The same, but the process is used on for a while: its life is still known. */
+void
+comet_lives_lapse(struct comet_lives *lives, const char *id);
+
+/** That while is over: forgets the life unless an entry has come since. */
+void
+comet_lives_forget_lapsed(struct comet_lives *lives, const char *id);
+
 /** Calls believed for each earlier life whose word has stood for long: it is the one that runs. */
 void
 comet_lives_tick(struct comet_lives *lives, uint64_t now_us,
--- a/tests/unit/test_lives.cc
+++ b/tests/unit/test_lives.cc
@@ -246,6 +246,24 @@
 	EXPECT_EQ(tell(1000), COMET_LIFE_LATEST);
 }
 
+/* What is listed no more may be used on for a while, in which a late word of its earlier life is as
+ * late as ever; after that nothing is known of it. */
+TEST_F(Lives, WhatIsUsedOnStillHasItsLife)
+{
+	tell(2000);
+	comet_lives_lapse(lives, "i");
+	EXPECT_EQ(tell(1000, second_us), COMET_LIFE_EARLIER);
+	comet_lives_forget_lapsed(lives, "i"); /* an entry came: its word still counts */
+	EXPECT_EQ(at(7 * second_us), "127.0.0.1:1 1000");
+	comet_lives_lapse(lives, "i");
+	comet_lives_forget_lapsed(lives, "i");
+	EXPECT_EQ(comet_lives_born_ms(lives, "i"), 0U);
+	tell(1000);
+	tell(500, second_us);
+	comet_lives_lapse(lives, "i"); /* the entry that told it is gone as well */
+	EXPECT_EQ(at(20 * second_us), "");
+}
+
 TEST_F(Lives, WhatIsListedNoMoreHasEnded)
 {
 	tell(2000);
