A document beyond any proper size is not read to its end

Cause: what was too large was thrown away and read on. A copy is bounded by silence alone, so that one without end was read for ever, and no other copy asked for. Change: the exchange ends where the bound is reached.

--- a/libcometspindle/adapters/endpoints/fetch.c
+++ b/libcometspindle/adapters/endpoints/fetch.c
@@ -22,7 +22,6 @@
 	comet_fetch_handler handler;
 	void *ctx;
 	unsigned int status;
-	bool too_large;
 };
 
 static int
@@ -70,16 +69,19 @@
 {
 	struct comet_fetch *fetch = ctx;
 
+	if (fetch->body->len + length > BYTES_MAX)
+	{
+		TALLOC_FREE(fetch->exchange); /* it may have no end */
+		finish(fetch, "too_large");
+		return;
+	}
 	if (fetch->silence_us > 0)
 	{
 		comet_timer_cancel(&fetch->timer);
 		fetch->timer = comet_timers_add(
 			fetch->timers, fetch, fetch->silence_us, on_timeout, fetch);
 	}
-	if (fetch->body->len + length > BYTES_MAX)
-		fetch->too_large = true;
-	else
-		g_byte_array_append(fetch->body, (const guint8 *)data, (guint)length);
+	g_byte_array_append(fetch->body, (const guint8 *)data, (guint)length);
 }
 
 static void
@@ -93,8 +95,6 @@
 		finish(fetch, "unreached");
 	else if (end != COMET_EXCHANGE_WHOLE)
 		finish(fetch, "broken");
-	else if (fetch->too_large)
-		finish(fetch, "too_large");
 	else
 		finish(fetch, NULL);
 }
