A next request is not read while answers wait, and internal addresses take no bodies

Cause: requests that came one after the other on a connection were all answered, into memory if nobody read. Change: a connection's next request waits while 64 KB of answers do; a body there is refused with 413.

--- a/libcometspindle/adapters/callers/front.c
+++ b/libcometspindle/adapters/callers/front.c
@@ -18,6 +18,10 @@
 /* Bytes of a next request that are taken in while one is open: one usual head and body. */
 #define READ_AHEAD_BYTES (64 * 1024)
 
+/* While so many bytes of answers wait for a caller to read them, its next request is not looked at:
+ * a caller that sent requests for metrics and read nothing had 100 MB of answers a second kept. */
+#define ANSWERS_WAITING_BYTES (64 * 1024)
+
 /* After an early answer: how long the rest of a request is read and thrown away, so that the
  * answer is not lost to a reset. A second covers any round trip between caller and VM. */
 #define LINGER_US 1000000
@@ -200,6 +204,13 @@
 	front->events->request(front->ctx, &connection->request);
 }
 
+/* Does the caller read its answers? */
+static bool
+is_read(const struct connection *connection)
+{
+	return comet_socket_queued(connection->socket) < ANSWERS_WAITING_BYTES;
+}
+
 /* Parses what has arrived. @return false when there is nothing more to do now. */
 static bool
 parse_some(struct connection *connection)
@@ -207,7 +218,8 @@
 	size_t taken = 0;
 	enum comet_http_reader_result result = COMET_HTTP_READER_MORE;
 
-	if (connection->state != CONNECTION_READING || connection->ahead->len == 0)
+	if (connection->state != CONNECTION_READING || connection->ahead->len == 0 ||
+		!is_read(connection))
 		return false;
 	if (!connection->got_byte)
 	{
@@ -244,8 +256,8 @@
 	while (parse_some(connection))
 		;
 	connection->parsing = false;
-	comet_socket_pause(connection->socket,
-		connection->state == CONNECTION_OPEN && connection->ahead->len >= READ_AHEAD_BYTES);
+	bool held = connection->state == CONNECTION_OPEN || !is_read(connection);
+	comet_socket_pause(connection->socket, held && connection->ahead->len >= READ_AHEAD_BYTES);
 }
 
 static void
@@ -282,6 +294,8 @@
 
 	if (connection->state == CONNECTION_OPEN && front->events->drained != NULL)
 		front->events->drained(front->ctx, &connection->request);
+	else if (connection->state == CONNECTION_READING)
+		read_on(connection);
 }
 
 static const struct comet_socket_events socket_events = {
--- a/libcometspindle/adapters/gateway/gateway.c
+++ b/libcometspindle/adapters/gateway/gateway.c
@@ -25,6 +25,17 @@
 #define SMALL_HEADER_BYTES (16 * 1024)
 #define IDLE_TIMEOUT_MS 20000
 
+/* What is asked on the internal addresses has no body. */
+#define INTERNAL_BODY_BYTES 0
+
+/* Bounds of what is asked on the internal addresses. */
+static const struct comet_http_limits internal_limits = {
+	.header_bytes = SMALL_HEADER_BYTES,
+	.body_bytes = INTERNAL_BODY_BYTES,
+	.header_timeout_ms = SMALL_TIMEOUT_MS,
+	.idle_timeout_ms = IDLE_TIMEOUT_MS,
+};
+
 /* Bounds before the first routing document is read. */
 static const struct comet_http_limits first_limits = {
 	.header_bytes = SMALL_HEADER_BYTES,
@@ -267,8 +278,8 @@
 	if (gateway->control == NULL)
 		return false;
 	comet_front_set_limits(gateway->callers, &first_limits);
-	comet_front_set_limits(gateway->readiness, &first_limits);
-	comet_front_set_limits(gateway->control, &first_limits);
+	comet_front_set_limits(gateway->readiness, &internal_limits);
+	comet_front_set_limits(gateway->control, &internal_limits);
 	gateway->link = comet_view_link_create(
 		gateway, gateway->ev, settings->peers, on_datagram, gateway, error);
 	return gateway->link != NULL;
