Keep-Alive is read strictly

Cause: "timeout=" was looked for anywhere in the header, and whatever followed taken for a number. Change: the parameter of that name, a whole number of seconds; else as if none was told.

--- a/libcometspindle/adapters/endpoints/upstream.c
+++ b/libcometspindle/adapters/endpoints/upstream.c
@@ -6,9 +6,9 @@
 
 #include <errno.h>
 #include <libcometspindle/adapters/socket.h>
+#include <libcometspindle/gateway/wire_names.h>
 #include <libcometspindle/log.h>
 #include <netinet/in.h>
-#include <stdlib.h>
 #include <string.h>
 #include <talloc.h>
 
@@ -166,12 +166,11 @@
 idle_time(const struct comet_http_head *head)
 {
 	const char *value = comet_http_head_get(head, "Keep-Alive");
-	const char *timeout = value != NULL ? strstr(value, "timeout=") : NULL;
+	uint32_t told_s = 0;
 
-	if (timeout == NULL)
+	if (value == NULL || !comet_wire_parse_keep_alive(value, &told_s))
 		return IDLE_DEFAULT_US;
-	uint64_t told_s = strtoull(timeout + strlen("timeout="), NULL, 10);
-	uint64_t told_us = MIN(told_s, KEEP_ALIVE_MAX_S) * 1000000;
+	uint64_t told_us = (uint64_t)MIN(told_s, KEEP_ALIVE_MAX_S) * 1000000;
 	if (told_us <= IDLE_MARGIN_US)
 		return told_us / 2;
 	return MIN(told_us - IDLE_MARGIN_US, IDLE_DEFAULT_US);
--- a/libcometspindle/gateway/wire_names.c
+++ b/libcometspindle/gateway/wire_names.c
@@ -7,6 +7,7 @@
 #include <glib.h>
 #include <stddef.h>
 #include <stdlib.h>
+#include <string.h>
 #include <strings.h>
 
 /* No endpoint has more requests; sums of a few such numbers stay in range. */
@@ -87,3 +88,28 @@
 	*ms = (uint32_t)(seconds * 1000);
 	return true;
 }
+
+/* Parses "NAME=NUMBER", blanks around either. @return false if it is another name, or no number */
+static bool
+parse_parameter(char *text, const char *name, uint32_t *number)
+{
+	char *mark = strchr(text, '=');
+
+	if (mark == NULL)
+		return false;
+	*mark = '\0';
+	return strcasecmp(g_strstrip(text), name) == 0 &&
+	       parse_numbers(g_strstrip(mark + 1), number, 1);
+}
+
+bool
+comet_wire_parse_keep_alive(const char *text, uint32_t *seconds)
+{
+	char **parameters = g_strsplit(text, ",", -1);
+	bool told = false;
+
+	for (char **parameter = parameters; *parameter != NULL && !told; parameter++)
+		told = parse_parameter(*parameter, "timeout", seconds);
+	g_strfreev(parameters);
+	return told;
+}
--- a/libcometspindle/gateway/wire_names.h
+++ b/libcometspindle/gateway/wire_names.h
@@ -56,4 +56,8 @@
 bool
 comet_wire_parse_seconds(const char *text, uint32_t *ms);
 
+/** Parses the "timeout" of a Keep-Alive header. @return false if it tells none in whole seconds */
+bool
+comet_wire_parse_keep_alive(const char *text, uint32_t *seconds);
+
 #endif
--- a/tests/unit/test_gateway_routes.cc
+++ b/tests/unit/test_gateway_routes.cc
@@ -442,6 +442,14 @@
 		EXPECT_FALSE(comet_wire_parse_ms(bad, &ms)) << bad;
 	for (const char *bad : {"4294967295,1,8", "1,1000001,8", "3,0", "3,0,8,1", "3;0;8"})
 		EXPECT_FALSE(comet_wire_parse_load(bad, &load)) << bad;
+	for (const char *good : {"timeout=5", "max=9, Timeout = 5", "timeout=5,max=1"})
+	{
+		EXPECT_TRUE(comet_wire_parse_keep_alive(good, &ms)) << good;
+		EXPECT_EQ(ms, 5U);
+	}
+	for (const char *bad : {"", "max=5", "x-timeout=5", "timeout", "timeout=", "timeout=-5",
+		     "timeout=5s", "timeout=1.5", "timeout=99999999999", "timeout=\"5\""})
+		EXPECT_FALSE(comet_wire_parse_keep_alive(bad, &ms)) << bad;
 	EXPECT_TRUE(comet_wire_parse_seconds("1.25", &ms));
 	EXPECT_EQ(ms, 1250U);
 	for (const char *bad : {"", "-1", " 1", "1s", "nan", "inf", "1e99", "3601"})
