Tests: lives through copies in every order, and grants of an earlier life

Cause: news of an earlier life had a test for lists and changes, views, told slots and answers under way, none for copies and for grants that keepers give before they hear of a new start.

--- a/tests/unit/test_gateway_grants.cc
+++ b/tests/unit/test_gateway_grants.cc
@@ -250,6 +250,43 @@
 	EXPECT_EQ(all.vms[asker].sent[item][0], 'i') << "one of its own service";
 }
 
+/* A keeper that has not heard of an endpoint's new start grants a slot of its earlier life, and is
+ * told of slots of that life when it has: neither counts for the later one. */
+TEST(Grants, AGrantOfAnEarlierLifeIsOfNoLaterOne)
+{
+	fleet all(5, 1);
+	uint32_t keeper = all.keeper_of_all(1);
+	uint32_t asker = keeper == 1 ? 2 : 1;
+	comet_instance_record later = {"i0", "llm", "127.0.0.1:1", "z", slots, 0, false, 2000};
+	comet_placement_item *before = all.submit(asker);
+	all.deliver();
+	ASSERT_EQ(all.vms[asker].sent.count(before), 1U);
+	const comet_instance *known = comet_instances_find(all.vms[keeper].instances, "i0");
+	EXPECT_EQ(known->others, 1U);
+	uint32_t earlier = known->key;
+
+	/* the asker has heard of the new start */
+	const comet_instance *now =
+		comet_instances_put(all.vms[asker].instances, &later, all.now_us);
+	comet_placement_item *item = all.submit(asker);
+	all.deliver();
+	EXPECT_EQ(all.vms[asker].sent.count(item), 1U);
+	EXPECT_EQ(item->keeper, 0U) << "the grant was given back";
+	EXPECT_EQ(known->others, 1U);
+	EXPECT_EQ(now->own, 1U);
+
+	/* and now the keeper, which is then told that a slot of the earlier life is free */
+	known = comet_instances_put(all.vms[keeper].instances, &later, all.now_us);
+	EXPECT_EQ(comet_instance_kept_load(known, all.now_us), 0U);
+	comet_views_granted(all.vms[keeper].views, asker, known->key, 100, all.now_us);
+	comet_grants_release(all.vms[asker].grants, keeper, earlier, 0, 0);
+	all.deliver();
+	EXPECT_EQ(comet_instance_kept_load(known, all.now_us), 1U);
+	comet_grants_release(all.vms[asker].grants, keeper, known->key, 0, 0);
+	all.deliver();
+	EXPECT_EQ(comet_instance_kept_load(known, all.now_us), 0U);
+}
+
 TEST(Grants, LostWordsOfFreedSlotsAreMadeGoodByViews)
 {
 	fleet all(5, 1);
--- a/tests/unit/test_lives.cc
+++ b/tests/unit/test_lives.cc
@@ -109,6 +109,17 @@
 		comet_catalog_take(catalog, &item, 1, false);
 		comet_catalog_list_end(catalog, item.revision, false);
 	}
+
+	/* Another VM's copy, which is taken only if that VM knows more. */
+	bool
+	copy(const comet_store_item &item)
+	{
+		comet_store_answer answer = {};
+		answer.items = &item;
+		answer.n_items = 1;
+		answer.revision = item.revision;
+		return comet_catalog_take_copy(catalog, &answer, false);
+	}
 };
 
 comet_store_item
@@ -129,8 +140,8 @@
 	return items;
 }
 
-/* Six changes in every order, each of them lost once or none, and a list of any of their times at
- * any place between them. */
+/* Six changes in every order, each of them lost once or none, and a list or another VM's copy of
+ * any of their times at any place between them. */
 TEST(LivesInAnyOrder, TheNewestWordOfTheLatestLifeCounts)
 {
 	int order[] = {0, 1, 2, 3, 4, 5};
@@ -140,8 +151,10 @@
 	{
 		for (int lost = 0; lost <= 6; lost++)
 		{
-			for (int listed = 0; listed < 6 * 7; listed++)
+			for (int at = 0; at < 2 * 6 * 7; at++)
 			{
+				int listed = at / 2;
+				bool copied = at % 2 == 1;
 				reader vm;
 				uint64_t newest = 0;
 				bool second_told = false;
@@ -160,8 +173,11 @@
 				{
 					if (i == listed / 6)
 					{
-						vm.list(history()[listed % 6]);
-						after(history()[listed % 6]);
+						const comet_store_item &one = history()[listed % 6];
+						if (!copied)
+							vm.list(one);
+						if (!copied || vm.copy(one))
+							after(one);
 					}
 					if (i < 6 && order[i] != lost)
 					{
@@ -177,7 +193,7 @@
 		}
 	} while (std::next_permutation(order, order + 6));
 	printf("lives: %lu runs\n", (unsigned long)runs);
-	EXPECT_EQ(runs, 720U * 7 * 42);
+	EXPECT_EQ(runs, 720U * 7 * 84);
 }
 
 constexpr uint64_t second_us = 1000000;
