--- a/tests/system/test_streams.py
+++ b/tests/system/test_streams.py
@@ -326,7 +326,48 @@
     world.gateway.end()
 
 
+def test_frozen_gateway():
+    """The gateway's process was stopped for longer than an endpoint may be silent, and went on. Its timers came before
+    the bytes that had arrived meanwhile, so that endpoints which had answered in time counted as silent: of ten plain
+    requests nine were refused, since both endpoints were left alone then (event=silent ... doubted=1, ten times)."""
+    world = open_world()
+    frozen = threading.Event()
+    sent = []
+
+    def half(server, sock, headers):
+        begin(server, sock, headers)
+        server.chunk(sock, event(1) + event(2)[:8])
+        frozen.wait(20)
+        server.chunk(sock, event(2)[8:] + b"".join(event(number) for number in range(3, EVENTS + 1)))
+        sock.sendall(b"0\r\n\r\n")
+        sent.append(headers)
+
+    def late(server, sock, headers):
+        frozen.wait(20)
+        server.write_head(sock, headers, length=4)
+        sock.sendall(b"good")
+        sent.append(headers)
+    streams, plain = First(world, "half", half), First(world, "late", late)
+    for server in world.servers:
+        server.publish(slots=8)
+    paths = ["/again/half", "/safe/late"] * 3
+    answers = []
+    callers = [threading.Thread(target=lambda path=path: answers.append(call(world.gateway, path))) for path in paths]
+    for caller in callers:
+        caller.start()
+    wait_for(lambda: len(streams.seen) + len(plain.seen) == len(paths))
+    world.gateway.process.send_signal(signal.SIGSTOP)
+    frozen.set()
+    wait_for(lambda: len(sent) == len(paths))
+    time.sleep(1.2)  # twice the time after which an endpoint is silent
+    world.gateway.process.send_signal(signal.SIGCONT)
+    for caller in callers:
+        caller.join()
+    assert sorted(answer[3] for answer in answers) == [b"good"] * 3 + [WHOLE] * 3, answers
+    assert "event=silent" not in world.gateway.end()
+
+
 if __name__ == "__main__":
     run_tests([], [test_silent_inside_event, test_silent_everywhere, test_broken_everywhere, test_answer_that_is_no_stream,
                    test_silent_without_ids, test_silent_inside_long_answer, test_long_error, test_surplus_refusal,
-                   test_silent_after_slow_reader, test_killed_before_the_end])
+                   test_silent_after_slow_reader, test_killed_before_the_end, test_frozen_gateway])
