An endpoint is silent only if nothing of it lies unread

Change: before a run counts as silent, or a connection as not there, the kernel is asked whether something has arrived that was not handled yet; then the time begins anew.

--- a/libcometspindle/adapters/endpoints/upstream.c
+++ b/libcometspindle/adapters/endpoints/upstream.c
@@ -336,6 +336,12 @@
 	struct comet_exchange *exchange = ctx;
 
 	exchange->timer = NULL;
+	if (comet_exchange_has_news(exchange))
+	{
+		exchange->timer = comet_timers_add(exchange->upstream->timers, exchange,
+			CONNECT_TIMEOUT_US, on_unreached, exchange);
+		return;
+	}
 	exchange->upstream->counts.connect_failures++;
 	finish(exchange, COMET_EXCHANGE_UNREACHED);
 }
@@ -451,6 +457,12 @@
 	return exchange->sent;
 }
 
+bool
+comet_exchange_has_news(const struct comet_exchange *exchange)
+{
+	return exchange->link != NULL && comet_socket_has_news(exchange->link->socket);
+}
+
 void
 comet_exchange_probe(struct comet_exchange *exchange)
 {
--- a/libcometspindle/adapters/endpoints/upstream.h
+++ b/libcometspindle/adapters/endpoints/upstream.h
@@ -75,6 +75,11 @@
 bool
 comet_exchange_sent(const struct comet_exchange *exchange);
 
+/** @return whether something of it has arrived that was not handled yet: after this process was
+ * stopped, timers come before what arrived meanwhile. */
+bool
+comet_exchange_has_news(const struct comet_exchange *exchange);
+
 /** Looks whether the other side still holds the connection, which breaks if it does not. */
 void
 comet_exchange_probe(struct comet_exchange *exchange);
--- a/libcometspindle/adapters/gateway/gateway_send.c
+++ b/libcometspindle/adapters/gateway/gateway_send.c
@@ -93,7 +93,10 @@
 
 	relay->silence = NULL;
 	if (relay->paused)
-		last_us = now_us; /* the caller is slow: the endpoint's time begins with reading on */
+		last_us =
+			now_us; /* the caller is slow: the endpoint's time begins with reading on */
+	else if (comet_exchange_has_news(relay->exchange))
+		last_us = now_us; /* this process was stopped: sound endpoints counted as silent */
 	if (now_us - last_us < relay->silent_after_us)
 	{
 		relay->silence = comet_timers_add(relay->gateway->timers, relay,
--- a/libcometspindle/adapters/socket.c
+++ b/libcometspindle/adapters/socket.c
@@ -7,6 +7,7 @@
 #include <arpa/inet.h>
 #include <errno.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -304,6 +305,14 @@
 	return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+bool
+comet_socket_has_news(const struct comet_socket *socket)
+{
+	struct pollfd look = {.fd = socket->fd, .events = socket->connecting ? POLLOUT : POLLIN};
+
+	return poll(&look, 1, 0) == 1;
+}
+
 void
 comet_socket_probe(struct comet_socket *socket)
 {
--- a/libcometspindle/adapters/socket.h
+++ b/libcometspindle/adapters/socket.h
@@ -60,6 +60,10 @@
 bool
 comet_socket_is_quiet(const struct comet_socket *socket);
 
+/** @return whether the kernel holds what the loop has not told yet: bytes, an end, a connection. */
+bool
+comet_socket_has_news(const struct comet_socket *socket);
+
 /** Looks, while nothing comes, whether the other side is still there: a connection that has gone
  * silent for good breaks within about two seconds, however long its answer may take. */
 void
