--- a/tests/system/test_streams.py
+++ b/tests/system/test_streams.py
@@ -326,6 +326,67 @@
     world.gateway.end()
 
 
+def piece(number, extra=b""):
+    return extra + b"data: piece %d\n\n" % number
+
+
+def script(*parts, ending=ends, **head):
+    """A stream of these bytes, and how it ends."""
+    def play(server, sock, headers):
+        server.write_head(sock, headers, **{"extra": "Content-Type: text/event-stream\r\n", **head})
+        server.chunk(sock, b"".join(parts))
+        return ending(sock)
+    return play
+
+
+def whole(sock):
+    sock.sendall(b"0\r\n\r\n")
+    return True
+
+
+NAMELESS = event(1) + event(2) + piece(3)
+JSON_HEAD = "Content-Type: application/json\r\n"
+# What the first run sends, how it ends, what the second one answers; what the caller must have, and whether it looks whole.
+# A run goes on only after the very event that the caller has last, and only with the rest of the same stream.
+FOLLOWED = {
+    "nameless-last": (script(NAMELESS), go_on, NAMELESS, False),
+    "nameless-last-silent": (script(NAMELESS, ending=stays_silent), go_on, NAMELESS, False),
+    "empty-id": (script(event(1) + piece(2, b"id:\n")), go_on, event(1) + piece(2, b"id:\n"), False),
+    "nameless-between": (script(event(1) + piece(2) + event(3)), go_on, event(1) + piece(2) + event(3) + event(4) + event(5) + event(6), True),
+    "comment-last": (script(event(1) + event(2) + b": still here\n\n"), go_on,
+                     event(1) + event(2) + b": still here\n\n" + WHOLE[len(event(1) + event(2)):], True),
+    "nothing": (script(event(1) + event(2)), script(ending=whole, status=204), event(1) + event(2), False),
+    "other-type": (script(event(1) + event(2)), script(b"[1]\n\n", ending=whole, extra=JSON_HEAD), event(1) + event(2), False),
+}
+
+
+def test_what_may_follow():
+    for name, (first, second, most, complete) in FOLLOWED.items():
+        world = open_world()
+        First(world, name, first, second)
+        _, status, _, body, looks_whole = call(world.gateway, f"/again/{name}", method="POST")
+        assert (status, body, looks_whole) == (200, most, complete), (name, status, body, looks_whole)
+        world.gateway.end()
+
+
+def test_blank_line_apart():
+    """A blank line too many after the last event ends no event, however the kernel splits the two."""
+    world = open_world()
+
+    def apart(server, sock, headers):
+        begin(server, sock, headers)
+        server.chunk(sock, WHOLE)
+        time.sleep(0.05)
+        server.chunk(sock, b"\n")
+        sock.sendall(b"0\r\n\r\n")
+    First(world, "apart", apart)
+    for path in ("/sse/apart", "/again/apart"):
+        ident, status, _, body, looks_whole = call(world.gateway, path, method="POST")
+        assert (status, body.rstrip() + b"\n\n", looks_whole) == (200, WHOLE, True), body
+        assert world.runs(ident) == 1
+    world.gateway.end()
+
+
 def test_frozen_gateway():
     """The gateway's process was stopped for longer than an endpoint may be silent, and went on. Its timers came before
     the bytes that had arrived meanwhile, so that endpoints which had answered in time counted as silent: of ten plain
@@ -370,4 +431,5 @@
 if __name__ == "__main__":
     run_tests([], [test_silent_inside_event, test_silent_everywhere, test_broken_everywhere, test_answer_that_is_no_stream,
                    test_silent_without_ids, test_silent_inside_long_answer, test_long_error, test_surplus_refusal,
-                   test_silent_after_slow_reader, test_killed_before_the_end, test_frozen_gateway])
+                   test_silent_after_slow_reader, test_killed_before_the_end, test_what_may_follow,
+                   test_blank_line_apart, test_frozen_gateway])
