A run goes on only after the last event, and only with the rest of the same stream

Change: an event without an id, or with an empty one, leaves no id to go on after; a run that is to go on must answer with the status and type that the stream began with; a blank line that no event is before goes on by itself. Left: that a run which answers as it should also begins after the id that it was told is not looked at.

--- a/libcometspindle/adapters/gateway/gateway_answer.c
+++ b/libcometspindle/adapters/gateway/gateway_answer.c
@@ -47,6 +47,8 @@
 	comet_front_start(relay->request, head->status, head->reason, headers->str, length);
 	g_string_free(headers, TRUE);
 	relay->started = true;
+	relay->status = head->status;
+	relay->type = talloc_strdup(relay, comet_http_head_get(head, "Content-Type"));
 }
 
 static void
@@ -81,11 +83,22 @@
 	return comet_http_head_get(relay->head, relay->gateway->names->stamp) != NULL;
 }
 
+/* Is this head like that of the stream which the run is to go on with? Another status or type is
+ * that of another answer: 204 made a stream look complete that lacked half of its events. */
+static bool
+is_rest(const struct comet_relay *relay)
+{
+	const char *type = comet_http_head_get(relay->head, "Content-Type");
+
+	return relay->head->status == relay->status && g_strcmp0(type, relay->type) == 0;
+}
+
 /* Is this head one of a success that may be passed on? */
 static bool
 is_good(const struct comet_relay *relay)
 {
-	return !relay->not_run && is_success(relay) && is_stamped(relay);
+	return !relay->not_run && is_success(relay) && is_stamped(relay) &&
+	       (!relay->resuming || is_rest(relay));
 }
 
 /* What becomes of an answer's body. */
--- a/libcometspindle/adapters/gateway/gateway_relay.h
+++ b/libcometspindle/adapters/gateway/gateway_relay.h
@@ -43,6 +43,8 @@
 	uint64_t body_bytes;       /* of the answer to this sending */
 	uint32_t attempts;         /* sendings that may have reached an endpoint */
 	uint32_t first_count;      /* events when this sending began */
+	uint16_t status;           /* of the answer whose head is on its way to the caller */
+	char *type;                /* its content type, or NULL */
 	bool may_have_run;
 	bool not_run;  /* the answer being read says that it was not run */
 	bool started;  /* the answer's head is on its way to the caller */
--- a/libcometspindle/gateway/event_stream.c
+++ b/libcometspindle/gateway/event_stream.c
@@ -26,6 +26,8 @@
 	size_t scanned; /* bytes looked at for an event's end */
 	char *last_id;
 	uint32_t count;
+	bool has_data; /* the event whose lines are read has one that is no comment and no id */
+	bool has_id;
 	bool in_parts; /* the beginning of an event that is not whole was passed on */
 };
 
@@ -57,16 +59,31 @@
 	return at >= 2 && bytes[at - 1] == '\r' && bytes[at - 2] == '\n';
 }
 
+/* Does a blank line end here that no event is before? It goes on by itself: left with the next
+ * event, it would be an unfinished one at the end of a stream. */
+static bool
+is_blank_line(const struct comet_event_stream *stream)
+{
+	const guint8 *line = stream->bytes->data + stream->whole;
+	size_t length = stream->scanned + 1 - stream->whole;
+
+	if (stream->in_parts && stream->whole == 0)
+		return false;
+	return (length == 1 && line[0] == '\n') ||
+	       (length == 2 && line[0] == '\r' && line[1] == '\n');
+}
+
 size_t
 comet_event_stream_add(struct comet_event_stream *stream, const char *data, size_t length)
 {
 	g_byte_array_append(stream->bytes, (const guint8 *)data, (guint)length);
 	for (; stream->scanned < stream->bytes->len; stream->scanned++)
 	{
-		if (!ends_at(stream->bytes->data, stream->scanned))
+		bool blank = is_blank_line(stream);
+		if (!blank && !ends_at(stream->bytes->data, stream->scanned))
 			continue;
 		stream->whole = stream->scanned + 1;
-		stream->count++;
+		stream->count += blank ? 0 : 1;
 	}
 	size_t rest = stream->bytes->len - stream->whole;
 	bool goes_on = stream->in_parts && stream->whole == 0;
@@ -100,8 +117,6 @@
 static void
 take_id(struct comet_event_stream *stream, const char *line, size_t length)
 {
-	if (length < 3 || strncmp(line, "id:", 3) != 0)
-		return;
 	line += 3;
 	length -= 3;
 	if (length > 0 && *line == ' ')
@@ -112,10 +127,35 @@
 	if (length > 0 && line[length - 1] == '\r')
 		length--;
 	TALLOC_FREE(stream->last_id);
-	if (is_header_value(line, length))
+	stream->has_id = is_header_value(line, length);
+	if (stream->has_id)
 		stream->last_id = talloc_strndup(stream, line, length);
 }
 
+/* An event that has no id, or an empty one, cannot be gone on after: taken up after the id before
+ * it, a stream would have that event twice. A comment is no event. */
+static void
+end_event(struct comet_event_stream *stream)
+{
+	if (stream->has_data && !stream->has_id)
+		TALLOC_FREE(stream->last_id);
+	stream->has_data = false;
+	stream->has_id = false;
+}
+
+static void
+take_line(struct comet_event_stream *stream, const char *line, size_t length)
+{
+	bool blank = length == 0 || (length == 1 && line[0] == '\r');
+
+	if (blank)
+		end_event(stream);
+	else if (length >= 3 && strncmp(line, "id:", 3) == 0)
+		take_id(stream, line, length);
+	else if (line[0] != ':')
+		stream->has_data = true;
+}
+
 /* Takes the ids of the whole events; of a line whose beginning has gone nothing is known. */
 static void
 take_ids(struct comet_event_stream *stream)
@@ -126,8 +166,10 @@
 	while (at < end)
 	{
 		const char *line_end = memchr(at, '\n', (size_t)(end - at));
-		if (!stream->in_parts)
-			take_id(stream, at, (size_t)(line_end - at));
+		if (stream->in_parts)
+			stream->has_data = true;
+		else
+			take_line(stream, at, (size_t)(line_end - at));
 		stream->in_parts = false;
 		at = line_end + 1;
 	}
