--- a/tests/system/test_streams.py
+++ b/tests/system/test_streams.py
@@ -387,6 +387,61 @@
     world.gateway.end()
 
 
+def plain_part(text, length):
+    """The beginning of a plain answer, then its connection ends."""
+    def play(server, sock, headers):
+        server.write_head(sock, headers, length=length)
+        sock.sendall(text)
+        return False
+    return play
+
+
+def plain(text, status=200, extra="", chunked=False):
+    def play(server, sock, headers):
+        server.write_head(sock, headers, status, extra, None if chunked else len(text))
+        if chunked:
+            server.chunk(sock, text)
+            sock.sendall(b"0\r\n\r\n")
+        else:
+            sock.sendall(text)
+        return True
+    return play
+
+
+def unstamped_long(server, sock, headers):
+    ident = headers["x-cometspindle-request-id"]
+    sock.sendall((f"HTTP/1.1 200 Word\r\nX-Cometspindle-Request-Id: {ident}\r\n"
+                  f"Content-Length: {len(LONG)}\r\n\r\n").encode() + LONG)
+
+
+LONG = b"e" * 300000  # more than is held of a plain answer
+REFUSED_LONG = plain(LONG, 503, "X-Cometspindle-Not-Executed: 1\r\n")
+GOOD = (200, b"good", True)
+# Path, the first run, the second one; status, body, and whether it looks whole.
+REPLACED = [
+    ("/safe/", plain_part(b"a" * 500, 1000), plain(b"good"), GOOD),
+    ("/safe/", REFUSED_LONG, plain(b"good"), GOOD),
+    ("/safe/", unstamped_long, plain(b"good"), GOOD),
+    ("/safe/", plain(LONG, 500), plain(b"good"), (500, LONG, True)),
+    ("/safe/", plain(LONG, 500, chunked=True), plain(b"good"), (500, LONG, True)),
+    ("/again/", plain(LONG, 500, chunked=True), go_on, (500, LONG, True)),
+    ("/again/", script(piece(1) + piece(2)), go_on, (200, piece(1) + piece(2), False)),
+    ("/again/", script(event(1) + event(2)[:9], ending=whole), go_on, (200, WHOLE, True)),
+    ("/sse/", script(event(1) + event(2)[:9], ending=whole), go_on, (200, event(1), False)),
+    ("/sse/", script(event(1) + event(2), ending=whole), go_on, (200, event(1) + event(2), True)),
+]
+
+
+def test_answer_of_one_run():
+    """Each answer is of one run alone, unless its rest is of another that went on after a whole event."""
+    for number, (path, first, second, answer) in enumerate(REPLACED):
+        world = open_world()
+        First(world, "x", first, second)
+        _, status, _, body, looks_whole = call(world.gateway, path + "x", method="POST")
+        assert (status, body, looks_whole) == answer, (number, status, body[:80], looks_whole)
+        world.gateway.end()
+
+
 def test_frozen_gateway():
     """The gateway's process was stopped for longer than an endpoint may be silent, and went on. Its timers came before
     the bytes that had arrived meanwhile, so that endpoints which had answered in time counted as silent: of ten plain
@@ -432,4 +487,5 @@
     run_tests([], [test_silent_inside_event, test_silent_everywhere, test_broken_everywhere, test_answer_that_is_no_stream,
                    test_silent_without_ids, test_silent_inside_long_answer, test_long_error, test_surplus_refusal,
                    test_silent_after_slow_reader, test_killed_before_the_end, test_what_may_follow,
-                   test_blank_line_apart, test_frozen_gateway])
+                   test_blank_line_apart, test_answer_of_one_run,
+                   test_frozen_gateway])
