--- a/tests/unit/test_socket.cc
+++ b/tests/unit/test_socket.cc
@@ -72,23 +72,52 @@
 		((Socket *)ctx)->ends += orderly ? "orderly " : "broken ";
 	}
 
+	static void
+	on_drained(void *ctx)
+	{
+		((Socket *)ctx)->drains++;
+	}
+
+	static void
+	on_turn_over(tevent_context *, tevent_timer *, timeval, void *)
+	{
+	}
+
+	/* One turn of the loop, at most 100 ms. */
+	void
+	turn()
+	{
+		tevent_add_timer(
+			ev, ev, tevent_timeval_current_ofs(0, 100000), on_turn_over, nullptr);
+		tevent_loop_once(ev);
+	}
+
+	/* The bound only ends a test that has failed anyway. */
+	void
+	wait_for_end()
+	{
+		for (int i = 0; i < TURNS && ends.empty(); i++)
+			turn();
+	}
+
+	static const int TURNS = 50;
 	static const comet_socket_events events;
 	tevent_context *ev = nullptr;
 	comet_socket *socket = nullptr;
 	int peer = -1;
 	std::string text;
 	std::string ends;
+	int drains = 0;
 };
 
-const comet_socket_events Socket::events = {nullptr, on_data, on_closed, nullptr};
+const comet_socket_events Socket::events = {nullptr, on_data, on_closed, on_drained};
 
 TEST_F(Socket, AnOrderlyEndIsTold)
 {
 	ASSERT_EQ(write(peer, "ab", 2), 2);
 	close(peer);
 	peer = -1;
-	while (ends.empty())
-		tevent_loop_once(ev);
+	wait_for_end();
 	EXPECT_EQ(text, "ab");
 	EXPECT_EQ(ends, "orderly ");
 }
@@ -96,8 +125,7 @@
 TEST_F(Socket, AResetIsTold)
 {
 	reset();
-	while (ends.empty())
-		tevent_loop_once(ev);
+	wait_for_end();
 	EXPECT_EQ(ends, "broken ");
 }
 
@@ -108,8 +136,7 @@
 {
 	reset();
 	comet_socket_write(socket, "x", 1);
-	while (ends.empty())
-		tevent_loop_once(ev);
+	wait_for_end();
 	EXPECT_EQ(ends, "broken ");
 }
 
@@ -120,8 +147,37 @@
 	comet_socket_write(socket, "x", 1);
 	comet_socket_write(socket, "y", 1);
 	EXPECT_EQ(comet_socket_queued(socket), 0U);
-	while (ends.empty())
-		tevent_loop_once(ev);
+	wait_for_end();
+	EXPECT_EQ(ends, "broken ");
+}
+
+/* A connection that is not read for now is told of all the same: the run that it was for would go
+ * on at its endpoint. */
+TEST_F(Socket, AFailedWriteIsToldWhileReadingIsPaused)
+{
+	comet_socket_pause(socket, true);
+	reset();
+	comet_socket_write(socket, "x", 1);
+	wait_for_end();
+	EXPECT_EQ(ends, "broken ");
+}
+
+TEST_F(Socket, AFailedWriteIsToldWhenReadingIsPausedAfterIt)
+{
+	reset();
+	comet_socket_write(socket, "x", 1);
+	comet_socket_pause(socket, true);
+	wait_for_end();
+	EXPECT_EQ(ends, "broken ");
+}
+
+TEST_F(Socket, WhatCameBeforeAFailedWriteIsRead)
+{
+	ASSERT_EQ(write(peer, "ab", 2), 2);
+	reset();
+	comet_socket_write(socket, "x", 1);
+	wait_for_end();
+	EXPECT_EQ(text, "ab");
 	EXPECT_EQ(ends, "broken ");
 }
 
