A failed write is told by the reads, after what has arrived, also while nothing is read; an emptied queue is told

Besides: a queue that a write empties was never told as drained, so that who had stopped reading an endpoint for a slow caller would never go on (by reading; the test shows the socket's part of it). Change: after a write that failed the connection is shut down and read to its end; the loop is asked for errors by reading, since it tells none to who waits for writing alone; the drained queue is owed until the loop tells it.

--- a/libcometspindle/adapters/socket.c
+++ b/libcometspindle/adapters/socket.c
@@ -43,8 +43,8 @@
 	bool paused;
 	bool ended;        /* the other side's stream has ended */
 	bool shutting;     /* end our direction once the queue is empty */
-	bool write_failed; /* bytes were lost: no later ones may follow them, and no end is orderly
-			    */
+	bool write_failed; /* bytes were lost: none may follow them, and no end is orderly */
+	bool owes_drained; /* the queue became empty within a write: still to be told */
 	bool broken;
 };
 
@@ -78,9 +78,11 @@
 		tevent_fd_set_flags(socket->event, 0);
 		return;
 	}
-	if (!socket->paused && !socket->ended && !socket->connecting)
+	/* The loop tells an error only to who reads. */
+	bool reads = !socket->paused || socket->write_failed;
+	if (reads && !socket->ended && !socket->connecting)
 		flags |= TEVENT_FD_READ;
-	if (socket->connecting || socket->write_failed || socket->queue->len > socket->written)
+	if (socket->connecting || socket->owes_drained || socket->queue->len > socket->written)
 		flags |= TEVENT_FD_WRITE;
 	tevent_fd_set_flags(socket->event, flags);
 }
@@ -155,6 +157,18 @@
 	return true;
 }
 
+/* The end is told by the reads, after what has arrived, and not from within a write. */
+static void
+fail_writes(struct comet_socket *socket)
+{
+	socket->write_failed = true;
+	socket->owes_drained = false;
+	g_byte_array_set_size(socket->queue, 0);
+	socket->written = 0;
+	shutdown(socket->fd, SHUT_RDWR); /* some failures leave the connection as it is */
+	update_flags(socket);
+}
+
 static void
 on_writable(struct comet_socket *socket)
 {
@@ -163,11 +177,12 @@
 		finish_connect(socket);
 		return;
 	}
-	if (socket->write_failed || !flush(socket))
+	if (!flush(socket))
 	{
-		report_closed(socket, false);
+		fail_writes(socket);
 		return;
 	}
+	socket->owes_drained = false;
 	update_flags(socket);
 	if (socket->queue->len == 0 && socket->events->drained != NULL)
 		socket->events->drained(socket->ctx);
@@ -177,6 +192,12 @@
 on_readable(struct comet_socket *socket)
 {
 	char buffer[READ_BYTES];
+
+	if (socket->paused) /* a write failed; who does not read now gets only the end */
+	{
+		report_closed(socket, false);
+		return;
+	}
 	ssize_t got = recv(socket->fd, buffer, sizeof buffer, 0);
 
 	if (got > 0)
@@ -262,14 +283,15 @@
 {
 	if (socket->broken || socket->write_failed)
 		return;
+	bool waited = socket->queue->len > socket->written;
 	g_byte_array_append(socket->queue, (const guint8 *)data, (guint)length);
 	if (!socket->connecting && !flush(socket))
 	{
-		/* Told by closed() when the loop next looks, not from within this call. */
-		socket->write_failed = true;
-		g_byte_array_set_size(socket->queue, 0);
-		socket->written = 0;
+		fail_writes(socket);
+		return;
 	}
+	/* Else who stopped for a full queue would never go on. */
+	socket->owes_drained = socket->owes_drained || (waited && socket->queue->len == 0);
 	update_flags(socket);
 }
 
--- a/tests/unit/test_socket.cc
+++ b/tests/unit/test_socket.cc
@@ -181,4 +181,27 @@
 	EXPECT_EQ(ends, "broken ");
 }
 
+/* The queue may become empty within a write, not only when the loop finds room: who waits for that
+ * hears of it. */
+TEST_F(Socket, AQueueThatAWriteEmptiesIsDrained)
+{
+	std::string large(8 << 20, 'x');
+
+	comet_socket_write(socket, large.data(), large.size());
+	ASSERT_GT(comet_socket_queued(socket), 0U);
+	for (size_t got = 0; got < large.size();)
+	{
+		/* The peer reads and the queue goes on by writes alone; the loop does not run. */
+		char buffer[65536];
+		ssize_t part = recv(peer, buffer, sizeof buffer, MSG_DONTWAIT);
+		got += part > 0 ? (size_t)part : 0;
+		if (comet_socket_queued(socket) > 0)
+			comet_socket_write(socket, "", 0);
+	}
+	ASSERT_EQ(comet_socket_queued(socket), 0U);
+	for (int i = 0; i < TURNS && drains == 0; i++)
+		turn();
+	EXPECT_EQ(drains, 1);
+}
+
 } // namespace
