What a slow caller has read is freed though more waits for it

Cause: sent bytes were dropped from a call's buffer only when it was empty. With a slow caller 32 to 80 KiB wait in it at all times, so that it grew to the whole answer, while comet_buffered_bytes told 80 KiB at most.

Change: they are dropped before the next part is added.

--- a/libcometspindle/adapters/callers/traffic_call.c
+++ b/libcometspindle/adapters/callers/traffic_call.c
@@ -389,6 +389,16 @@
 	comet_call_wake(call);
 }
 
+/* A slow caller leaves some bytes at all times: what it has read must not wait for them. */
+static void
+drop_read(struct comet_call *call)
+{
+	if (call->out_start == 0)
+		return;
+	g_byte_array_remove_range(call->out, 0, (guint)call->out_start);
+	call->out_start = 0;
+}
+
 static bool
 on_data(void *ctx, const char *data, size_t length)
 {
@@ -398,6 +408,7 @@
 		return true; /* the caller left; the call runs to its end for its own sake */
 	if (out_length(call) > OUT_HIGH_BYTES)
 		return false;
+	drop_read(call);
 	g_byte_array_append(call->out, (const guint8 *)data, (guint)length);
 	buffered_change(call, (gint64)length);
 	comet_call_wake(call);
