--- a/tests/system/test_gateway.py
+++ b/tests/system/test_gateway.py
@@ -5,6 +5,7 @@
 import subprocess
 import tempfile
 import threading
+import time
 
 from gateway_world import (BUILD, HOST, Gateway, World, answer_of, call, connect, document, get,
                            request, run_tests)
@@ -305,6 +306,27 @@
     release.set()
 
 
+def test_frozen_before_a_request():
+    """The gateway's process was stopped, and requests came on kept connections meanwhile. On waking, its timers for
+    connections that rest too long came before the requests, which were thrown away with their connections."""
+    world = World()
+    config = document(2)
+    config["limits"]["idle_timeout_ms"] = 500
+    world.store.put("op/config", config)
+    wait_for(lambda: b"comet_routes_version 2" in get(world.gateway.ports["control"], "/metrics")[2])
+    socks = [connect(world.gateway.ports["callers"]) for _ in range(20)]
+    for sock in socks:
+        sock.sendall(request("/safe/x")[1])
+        assert answer_of(sock)[0] == 200
+    world.gateway.process.send_signal(signal.SIGSTOP)
+    for sock in socks:
+        sock.sendall(request("/safe/x")[1])
+    time.sleep(1)  # twice the time that a connection may rest
+    world.gateway.process.send_signal(signal.SIGCONT)
+    assert [answer_of(sock)[0] for sock in socks] == [200] * len(socks)
+    world.gateway.end()
+
+
 def check_metrics(text):
     """The text format, read strictly: a family is named by its TYPE line and stands together."""
     families = set()
@@ -409,6 +431,6 @@
         [test_relay, test_smuggling, test_kept_connection, test_refused_by_server,
          test_broken_before_answer, test_foreign_answer, test_unframed_and_cut, test_streams,
          test_caller_leaves, test_pages],
-        [test_forged_headers, test_only_server_fails, test_limit_at_start, test_planned_stop,
+        [test_frozen_before_a_request, test_forged_headers, test_only_server_fails, test_limit_at_start, test_planned_stop,
          test_stop_with_open_connections, test_signal_while_starting, test_log_reader_stops,
          test_bad_settings])
