--- a/scripts/soak_servers.py
+++ b/scripts/soak_servers.py
@@ -45,8 +45,7 @@
             self.refuse(sock, draw, headers, first)
             return draw, None, trouble
         ids = path.startswith("/again/") or random.Random(f"ids {ident}").random() < 0.7
-        if first == 1 and "unnamed" in self.habits:  # a stream's events have ids, all of them or none
-            ids = False
+        ids = ids and "unnamed" not in self.habits
         run = Run(self.name, ident, self.seen[ident], first, ids, draw.choice([b"\n", b"\n", b"\r\n"]))
         self.made.setdefault(ident, []).append(run)
         if trouble == "error":
