--- a/tests/system/gateway_world.py
+++ b/tests/system/gateway_world.py
@@ -149,6 +149,23 @@
             server.scripts[name] = function
 
 
+def varint(value):
+    out = b""
+    while value > 0x7F:
+        out += bytes([value & 0x7F | 0x80])
+        value >>= 7
+    return out + bytes([value])
+
+
+def view(address, incarnation, number, revision):
+    """A datagram in which a VM tells of itself, as proto/view.proto has it."""
+    body = struct.pack("<BQ", 1 << 3 | 1, incarnation)
+    body += bytes([2 << 3]) + varint(number)
+    body += struct.pack("<BI", 3 << 3 | 5, address)
+    body += bytes([5 << 3]) + varint(revision)
+    return bytes([1 << 3 | 2]) + varint(len(body)) + body
+
+
 class OtherVms:
     """VMs that are nothing but their views: sent to a gateway over and over, they tell how far each of them has read
     the directory."""
@@ -162,28 +179,13 @@
         self.over = threading.Event()
         threading.Thread(target=self.send_on, daemon=True).start()
 
-    def view(self, number):
-        """A Datagram with a View, as view.proto has them."""
-        address = 0x7FC80000 + number  # 127.200.0.0 and on: nobody listens there
-        body = struct.pack("<BQ", 1 << 3 | 1, number)        # incarnation
-        body += b"\x10" + self.varint(self.rounds)           # number
-        body += struct.pack("<BI", 3 << 3 | 5, address)
-        body += b"\x28" + self.varint(self.revision)
-        return b"\x0a" + self.varint(len(body)) + body
-
-    @staticmethod
-    def varint(value):
-        out = b""
-        while value > 0x7F:
-            out += bytes([value & 0x7F | 0x80])
-            value >>= 7
-        return out + bytes([value])
-
     def send_on(self):
         while not self.over.wait(0.05):
             self.rounds += 1
             for number in range(1, self.count + 1):
-                self.sock.sendto(self.view(number), (self.gateway.address, self.gateway.ports["peers"]))
+                # 127.200.0.0 and on: nobody listens there
+                data = view(0x7FC80000 + number, number, self.rounds, self.revision)
+                self.sock.sendto(data, (self.gateway.address, self.gateway.ports["peers"]))
 
 
 def get_or_empty(gateway, port, path="/"):
--- a/tests/system/test_directory.py
+++ b/tests/system/test_directory.py
@@ -8,17 +8,11 @@
 import threading
 
 from gateway_world import (ADDRESS, OTHER_ADDRESS, Gateway, OtherVms, World, answer_of, call, connect, document, get,
-                           get_or_empty, request, run_tests)
+                           get_or_empty, request, run_tests, view)
 from platform_standin import Reader, Server, Store, wait_for
 
 
-def view(address, number, revision):
-    """A datagram in which a VM tells of itself, as proto/view.proto has it."""
-    body = struct.pack("<BQ", 1 << 3 | 1, 7)  # incarnation
-    body += bytes((2 << 3, number & 0x7f | 0x80, number >> 7))
-    body += struct.pack("<BI", 3 << 3 | 5, struct.unpack(">I", socket.inet_aton(address))[0])
-    body += bytes((5 << 3, revision))
-    return bytes((1 << 3 | 2, len(body))) + body
+OTHER_ADDRESS_NUMBER = struct.unpack(">I", socket.inet_aton(OTHER_ADDRESS))[0]
 
 
 def test_configuration(world):
@@ -426,7 +420,8 @@
     number = itertools.count(1)
 
     def is_asked():
-        peers.sendto(view(OTHER_ADDRESS, next(number), revision=9), (ADDRESS, gateway.ports["peers"]))
+        data = view(OTHER_ADDRESS_NUMBER, 7, next(number), revision=9)
+        peers.sendto(data, (ADDRESS, gateway.ports["peers"]))
         return select.select([other], [], [], 0)[0]
     wait_for(is_asked)
     sock, _ = other.accept()
