When an endpoint was last heard is told by a function; a spurious read event on a paused connection ends nothing

Change: last_word_us(); on_readable() of a paused connection tells an end only after a failed write.

--- a/libcometspindle/adapters/gateway/gateway_send.c
+++ b/libcometspindle/adapters/gateway/gateway_send.c
@@ -83,20 +83,26 @@
 	return comet_relay_is_stream(relay) && comet_event_stream_last_id(relay->events) != NULL;
 }
 
+/* When the endpoint was last heard, as far as its silence goes. While its caller is slow it is not
+ * read; and what lies unread came while this process was stopped, after which sound endpoints
+ * counted as silent. */
+static uint64_t
+last_word_us(const struct comet_relay *relay, uint64_t now_us)
+{
+	if (relay->paused || comet_exchange_has_news(relay->exchange))
+		return now_us;
+	return MAX(relay->sent_us, relay->last_us);
+}
+
 /* No word for longer than there should be. */
 static void
 on_silence(void *ctx)
 {
 	struct comet_relay *relay = ctx;
 	uint64_t now_us = comet_timers_now_us();
-	uint64_t last_us = MAX(relay->sent_us, relay->last_us);
+	uint64_t last_us = last_word_us(relay, now_us);
 
 	relay->silence = NULL;
-	if (relay->paused)
-		last_us =
-			now_us; /* the caller is slow: the endpoint's time begins with reading on */
-	else if (comet_exchange_has_news(relay->exchange))
-		last_us = now_us; /* this process was stopped: sound endpoints counted as silent */
 	if (now_us - last_us < relay->silent_after_us)
 	{
 		relay->silence = comet_timers_add(relay->gateway->timers, relay,
--- a/libcometspindle/adapters/socket.c
+++ b/libcometspindle/adapters/socket.c
@@ -193,9 +193,10 @@
 {
 	char buffer[READ_BYTES];
 
-	if (socket->paused) /* a write failed; who does not read now gets only the end */
+	if (socket->paused)
 	{
-		report_closed(socket, false);
+		if (socket->write_failed) /* who does not read now gets only the end */
+			report_closed(socket, false);
 		return;
 	}
 	ssize_t got = recv(socket->fd, buffer, sizeof buffer, 0);
