The answers of the product's own interface in a file of their own: traffic_answer.c

Change: what reads and submits a call stays; its dispatch, answer and end move. Code is moved as it was; the message to the control thread is comet_call_tell().

--- a/libcometspindle/adapters/callers/traffic_private.h
+++ b/libcometspindle/adapters/callers/traffic_private.h
@@ -13,6 +13,9 @@
 #include <libcometspindle/request.h>
 #include <stdbool.h>
 
+/* A stream of the product's own interface is resumed under this path and its request's id. */
+#define STREAMS_PATH "/v1/streams/"
+
 struct comet_traffic
 {
 	struct comet_traffic_config config;
@@ -87,10 +90,6 @@
 enum MHD_Result
 comet_call_begin(struct comet_call *call, const char *url);
 
-/** Queues the endpoint's answer. */
-enum MHD_Result
-comet_call_answer(struct comet_call *call);
-
 /** Sets the connection aside until comet_call_wake(). */
 void
 comet_call_suspend(struct comet_call *call);
@@ -104,6 +103,16 @@
 comet_call_refuse(struct comet_call *call, enum comet_refusal refusal, enum comet_verdict verdict,
 	const char *detail, uint32_t retry_after_ms);
 
+/** Sends a message about the call to the control thread. */
+void
+comet_call_tell(struct comet_call *call, struct comet_control_message *message);
+
+/* traffic_answer.c */
+
+/** Queues the endpoint's answer. */
+enum MHD_Result
+comet_call_answer(struct comet_call *call);
+
 /** Starts the dispatch that the control thread permitted. */
 void
 comet_call_dispatch(struct comet_call *call, const struct comet_endpoint *endpoint);
