Sight: a request's fingerprint, and what was open and last heard at an endpoint that goes

Cause: each attempt of a caller has an id of its own, so that logs cannot show that two attempts at two VMs are one request; nor whether an endpoint that goes was heard of late or had requests of this VM. No decision changed.

--- a/libcometspindle/adapters/gateway/gateway_admit.c
+++ b/libcometspindle/adapters/gateway/gateway_admit.c
@@ -103,6 +103,24 @@
 		job->output_tokens = MIN(expected, job->output_tokens);
 }
 
+/* Which request it is, whatever id this attempt of it has. */
+static void
+read_fingerprint(struct comet_relay *relay)
+{
+	const struct comet_http_head *head = relay->request->head;
+	const GByteArray *body = relay->request->body;
+	const struct comet_fingerprint_parts parts = {
+		.team = relay->team != NULL ? relay->team->name : NULL,
+		.method = head->method,
+		.host = comet_http_head_get(head, "Host"),
+		.target = head->target,
+		.body = body->data,
+		.body_bytes = body->len,
+	};
+
+	relay->fingerprint = comet_fingerprint_of(&parts);
+}
+
 /* Until when the request is worth sending, and until when its caller waits. */
 static void
 read_times(struct comet_relay *relay)
@@ -207,9 +225,10 @@
 	relay->service = talloc_strdup(
 		relay, comet_route_pick_service(relay->route, comet_draw_u32(&gateway->draw)));
 	comet_log(COMET_LOG_INFO,
-		"event=admitted request=%s route=%s service=%s team=%s prompt=%u output=%u most=%u "
+		"event=admitted request=%s fingerprint=%016" G_GINT64_MODIFIER
+		"x route=%s service=%s team=%s prompt=%u output=%u most=%u "
 		"version=%" G_GUINT64_FORMAT,
-		relay->id, relay->route->name, relay->service,
+		relay->id, relay->fingerprint.digest, relay->route->name, relay->service,
 		relay->team != NULL ? relay->team->name : "-", relay->item.job.prompt_tokens,
 		relay->item.job.output_tokens, relay->item.job.output_most,
 		comet_route_table_version(relay->table));
@@ -300,6 +319,7 @@
 	request->user = relay;
 	if (!find_route(relay) || !find_team(relay))
 		return;
+	read_fingerprint(relay);
 	read_job(relay);
 	spend(relay);
 }
--- a/libcometspindle/adapters/gateway/gateway_directory.c
+++ b/libcometspindle/adapters/gateway/gateway_directory.c
@@ -56,9 +56,15 @@
 static void
 drop_endpoint(struct comet_gateway *gateway, const char *id, const char *reason)
 {
-	if (comet_instances_find(gateway->instances, id) == NULL)
+	const struct comet_instance *instance = comet_instances_find(gateway->instances, id);
+
+	if (instance == NULL)
 		return;
-	comet_log(COMET_LOG_NOTICE, "event=endpoint_gone endpoint=%s reason=%s", id, reason);
+	comet_log(COMET_LOG_NOTICE,
+		"event=endpoint_gone endpoint=%s reason=%s draining=%d open=%u "
+		"heard_ms_ago=%" G_GUINT64_FORMAT,
+		id, reason, instance->draining, instance->own,
+		instance->heard_us != 0 ? (comet_timers_now_us() - instance->heard_us) / 1000 : 0);
 	comet_upstream_forget(gateway->upstream, id);
 	comet_instances_remove(gateway->instances, id);
 }
--- a/libcometspindle/adapters/gateway/gateway_relay.h
+++ b/libcometspindle/adapters/gateway/gateway_relay.h
@@ -7,6 +7,7 @@
 
 #include <libcometspindle/adapters/gateway/gateway_private.h>
 #include <libcometspindle/gateway/event_stream.h>
+#include <libcometspindle/gateway/fingerprint.h>
 
 /** A request from its admission to its end. */
 struct comet_relay
@@ -17,6 +18,7 @@
 	const struct comet_route *route;
 	const struct comet_route_team *team; /* NULL: an open route */
 	const char *id;
+	struct comet_fingerprint fingerprint;
 	char *service;
 	struct comet_placement_item item;
 	struct comet_exchange *exchange;
