--- a/tests/system/gateway_world.py
+++ b/tests/system/gateway_world.py
@@ -95,11 +95,11 @@
 counter = [0]
 
 
-def request(path, method="GET", body=b"", key="k1", **headers):
+def request(path, method="GET", body=b"", key="k1", deadline_ms=5000, **headers):
     counter[0] += 1
     ident = f"{counter[0]:016x}"
     lines = [f"{method} {path} HTTP/1.1", f"Host: {HOST}", f"X-Cometspindle-Request-Id: {ident}",
-             "X-Cometspindle-Deadline-Ms: 5000"]
+             f"X-Cometspindle-Deadline-Ms: {deadline_ms}"]
     if key:
         lines.append(f"Authorization: Token {key}")
     if body or method == "POST":
--- a/tests/system/platform_standin.py
+++ b/tests/system/platform_standin.py
@@ -6,15 +6,16 @@
 import base64
 import json
 import socket
+import struct
 import threading
 import time
 import urllib.parse
 
 
-def listen(address="127.0.0.1"):
+def listen(address="127.0.0.1", port=0):
     sock = socket.socket()
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    sock.bind((address, 0))
+    sock.bind((address, port))
     sock.listen(64)
     return sock
 
@@ -218,6 +219,9 @@
         self.scripts = {}
         self.accepted = 0  # connections
         self.sockets = set()
+        self.lock = threading.Lock()
+        self.dead = False
+        self.crashes = 0
         self.entry = {"service": service, "address": f"127.0.0.1:{self.port}", "zone": "z",
                       "slots": slots, "state": "ready", "sequence": 1, "version": "v1",
                       "warmup_left_ms": 0}
@@ -230,8 +234,15 @@
         self.store.put("servers/" + self.name, self.entry)
 
     def accept(self):
+        listener = self.sock
         while True:
-            sock, _ = self.sock.accept()
+            try:
+                sock, _ = listener.accept()
+            except OSError:
+                return  # its process has ended
+            if self.dead:
+                self.sockets.add(sock)  # in silence: kept, and never read
+                continue
             self.accepted += 1
             threading.Thread(target=self.serve, args=(sock,), daemon=True).start()
 
@@ -241,8 +252,44 @@
             sock.shutdown(socket.SHUT_RDWR)
         self.publish(born=self.entry.get("born", 0) + 1, state="ready", sequence=1)
 
+    def crash(self, how, away_s=1.0, lapse_s=0.6):
+        """Its process ends without a word: connections are reset, end, or stand in silence. Its entry goes after
+        lapse_s, and away_s after the crash another process is there at its address, under a new id."""
+        with self.lock:
+            if self.dead:
+                return  # two requests crash it at once
+            self.dead = True
+        self.crashes += 1
+        listener, self.sock = self.sock, None
+        if how != "silence":
+            listener.shutdown(socket.SHUT_RDWR)  # wakes who accepts
+            listener.close()
+        for sock in list(self.sockets):
+            if how == "reset":
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                sock.shutdown(socket.SHUT_RD)
+                sock.close()
+            elif how == "end":
+                sock.shutdown(socket.SHUT_RDWR)
+        threading.Thread(target=self.come_back, args=(listener, lapse_s, away_s), daemon=True).start()
+
+    def come_back(self, listener, lapse_s, away_s):
+        time.sleep(lapse_s)
+        self.store.remove("servers/" + self.name)
+        time.sleep(max(away_s - lapse_s, 0))
+        if listener.fileno() >= 0:
+            listener.shutdown(socket.SHUT_RDWR)
+            listener.close()
+        self.name = f"{self.name.split('+')[0]}+{self.crashes}"
+        self.sockets = set()
+        self.sock = listen(port=self.port)
+        self.dead = False
+        self.publish(sequence=1)
+        threading.Thread(target=self.accept, daemon=True).start()
+
     def serve(self, sock):
         reader = Reader(sock)
+        life = self.name
         self.sockets.add(sock)
         try:
             while True:
@@ -250,6 +297,10 @@
                 if line is None:
                     return
                 body, _ = reader.body(headers)
+                if self.dead or self.name != life:
+                    while reader.more():
+                        pass  # in silence
+                    return
                 path = line.split()[1]
                 script = self.scripts.get(path.split("/")[-1], Server.plain)
                 if script(self, sock, path, headers, body) is False:
