A request that has crashed three endpoints is sent to none any more

Cause: attempts were bounded one by one. Nothing linked the attempts of one request at one VM, let alone at several, and no VM told another what a request had done. A run that ends without an answer is suspected; it counts once the process's life is known to have ended unplanned and nothing was heard of it since: two refused connections 0.3 s apart, its entry gone, another birth, another process at its address. Counted are sets of lives, told in views, so that order, repetition and loss of datagrams do not matter (crashes.c). After the third the request gets 400 at any VM, at once, also while it waits. What is served is excused; what a request with more crashes explains does not count against its neighbours. 64 records a team, 4,096 in all, an hour. Why it holds: VMs that know the same decide the same, and news reaches all within a second.

--- a/libcometspindle/adapters/gateway/gateway.c
+++ b/libcometspindle/adapters/gateway/gateway.c
@@ -2,7 +2,7 @@
  * gateway.c
  * a VM that relays plain HTTP: reads its routes and endpoints from a directory
  */
-#include <libcometspindle/adapters/gateway/gateway_private.h>
+#include <libcometspindle/adapters/gateway/gateway_crashes.h>
 
 #include <libcometspindle/adapters/socket.h>
 #include <libcometspindle/error.h>
@@ -159,6 +159,7 @@
 	comet_views_count(gateway->views, &known, &heard);
 	set_vms(gateway, heard + 1, known + 1, now_us);
 	comet_gateway_tick_endpoints(gateway, now_us);
+	comet_gateway_tick_crashes(gateway, now_us);
 	comet_placement_run(gateway->placement, now_us);
 	comet_gateway_catch_up(gateway, now_us);
 	if (gateway->stop_us != 0)
@@ -250,6 +251,7 @@
 		.near_bytes_per_s = gateway->settings->near_bytes_per_s,
 		.far_bytes_per_s = gateway->settings->far_bytes_per_s,
 		.cpu_percent = gateway->settings->cpu_percent,
+		.crashes = gateway->crashes,
 	};
 
 	randombytes_buf(&config.incarnation, sizeof config.incarnation);
@@ -295,6 +297,7 @@
 	gateway->allowance =
 		comet_allowance_create(gateway, &settings->allowance, comet_timers_now_us());
 	gateway->retries = comet_retry_budget_create(gateway, &settings->retries);
+	gateway->crashes = comet_crashes_create(gateway, &comet_gateway_crashes_ops, gateway);
 	gateway->placement = comet_placement_create(gateway, gateway->instances,
 		&comet_gateway_placement_ops, gateway, comet_draw_u32(&gateway->draw));
 }
--- a/libcometspindle/adapters/gateway/gateway_admit.c
+++ b/libcometspindle/adapters/gateway/gateway_admit.c
@@ -42,6 +42,7 @@
 call_destroy(struct comet_relay *relay)
 {
 	relay->gateway->calls--;
+	g_queue_delete_link(&relay->gateway->relays, relay->open);
 	if (relay->sending != NULL) /* the process ends */
 		g_queue_delete_link(&relay->gateway->sendings, relay->sending);
 	comet_route_table_unref(relay->table);
@@ -310,6 +311,8 @@
 	}
 	struct comet_relay *relay = talloc_zero(gateway, struct comet_relay);
 	gateway->calls++;
+	g_queue_push_tail(&gateway->relays, relay);
+	relay->open = g_queue_peek_tail_link(&gateway->relays);
 	talloc_set_destructor(relay, call_destroy);
 	relay->gateway = gateway;
 	relay->request = request;
@@ -320,6 +323,11 @@
 	if (!find_route(relay) || !find_team(relay))
 		return;
 	read_fingerprint(relay);
+	if (comet_relay_is_barred(relay))
+	{
+		comet_relay_refuse_for_good(relay);
+		return;
+	}
 	read_job(relay);
 	spend(relay);
 }
--- a/libcometspindle/adapters/gateway/gateway_answer.c
+++ b/libcometspindle/adapters/gateway/gateway_answer.c
@@ -309,7 +309,7 @@
 			relay->instance);
 		relay->attempts--;
 		comet_relay_end_sending(relay, COMET_DISPATCH_UNREACHED);
-		if (comet_timers_now_us() < relay->end_us &&
+		if (comet_timers_now_us() < relay->end_us && !comet_relay_is_barred(relay) &&
 			relay->item.n_tried < COMET_PLACEMENT_TRIED_MAX)
 			comet_relay_place_again(relay, "unreached");
 		else
--- /dev/null
+++ b/libcometspindle/adapters/gateway/gateway_crashes.c
@@ -0,0 +1,243 @@
+/*
+ * gateway_crashes.c
+ * what a gateway sees of endpoints' processes that crash, and of the requests they ran
+ */
+#include <libcometspindle/adapters/gateway/gateway_crashes.h>
+
+#include <libcometspindle/adapters/endpoints/reach.h>
+#include <libcometspindle/log.h>
+#include <string.h>
+#include <talloc.h>
+
+/* An endpoint whose connection broke is looked at again after this time: it counts as crashed if it
+ * refused connections both times and said nothing between. A full one refuses them for moments. */
+#define LOOK_AGAIN_US 300000
+
+/* Endpoints that are looked at, at a time: some more than crash together in a zone. */
+#define LOOKS_MAX 64
+
+/* An endpoint with requests of ours that was not heard for this time may be gone: streams have an
+ * event some times a second. */
+#define UNHEARD_US 500000
+
+/* A look at an endpoint on which a request's connection broke. */
+struct look
+{
+	struct comet_gateway *gateway;
+	struct comet_timer *again;
+	char *id;
+	uint64_t born_ms;
+	uint64_t began_us;
+	uint32_t refusals;
+};
+
+static const char *
+news_name(enum comet_crashes_news news)
+{
+	static const char *const names[] = {
+		[COMET_CRASHES_COUNTED] = "counted",
+		[COMET_CRASHES_BARRED] = "barred",
+		[COMET_CRASHES_RELEASED] = "released",
+		[COMET_CRASHES_EXCUSED] = "excused",
+	};
+
+	return names[news];
+}
+
+static void
+on_news(void *ctx, const struct comet_fingerprint *request, enum comet_crashes_news news,
+	uint32_t lives)
+{
+	struct comet_gateway *gateway = ctx;
+
+	comet_log(COMET_LOG_NOTICE,
+		"event=request_%s fingerprint=%016" G_GINT64_MODIFIER "x team_hash=%08x crashes=%u",
+		news_name(news), request->digest, request->team, lives);
+	comet_views_tell_soon(gateway->views);
+	gateway->barred_anew = gateway->barred_anew || news == COMET_CRASHES_BARRED;
+}
+
+const struct comet_crashes_ops comet_gateway_crashes_ops = {.news = on_news};
+
+static int
+look_destroy(struct look *look)
+{
+	look->gateway->looks = g_list_remove(look->gateway->looks, look);
+	return 0;
+}
+
+/* The endpoint that is looked at, if that life of it is still used. */
+static struct comet_instance *
+looked_at(const struct look *look)
+{
+	struct comet_instance *instance = comet_instances_find(look->gateway->instances, look->id);
+
+	return instance != NULL && instance->born_ms == look->born_ms ? instance : NULL;
+}
+
+static void
+on_look(void *ctx);
+
+static void
+on_looked(void *ctx, enum comet_reach_result result)
+{
+	struct look *look = ctx;
+	const struct comet_instance *instance = looked_at(look);
+
+	if (instance == NULL || result != COMET_REACH_REFUSED ||
+		instance->heard_us > look->began_us)
+	{
+		comet_log(COMET_LOG_INFO, "event=endpoint_looked_at endpoint=%s found=%s", look->id,
+			instance == NULL ? "gone" : comet_reach_result_name(result));
+		talloc_free(look); /* what the directory tells will show it */
+		return;
+	}
+	look->refusals++;
+	if (look->refusals == 1)
+	{
+		look->again =
+			comet_timers_add(look->gateway->timers, look, LOOK_AGAIN_US, on_look, look);
+		return;
+	}
+	comet_gateway_life_ended(look->gateway, instance, "refuses_connections");
+	talloc_free(look);
+}
+
+static void
+on_look(void *ctx)
+{
+	struct look *look = ctx;
+	struct comet_gateway *gateway = look->gateway;
+	const struct comet_instance *instance = looked_at(look);
+
+	look->again = NULL;
+	if (instance == NULL)
+		talloc_free(look);
+	else
+		comet_reach_start(
+			gateway->timers, gateway->ev, look, instance->address, on_looked, look);
+}
+
+static bool
+is_looked_at(const struct comet_gateway *gateway, const struct comet_instance *instance)
+{
+	for (GList *at = gateway->looks; at != NULL; at = at->next)
+	{
+		const struct look *look = at->data;
+		if (look->born_ms == instance->born_ms && strcmp(look->id, instance->id) == 0)
+			return true;
+	}
+	return false;
+}
+
+/* Looks whether the endpoint's process is still there. The directory tells of a crash after two to
+ * four seconds, in which a request that comes four times a second crashes eight more. */
+static void
+look_at(struct comet_gateway *gateway, const struct comet_instance *instance)
+{
+	if (is_looked_at(gateway, instance) || g_list_length(gateway->looks) >= LOOKS_MAX)
+		return;
+	struct look *look = talloc_zero(gateway, struct look);
+	look->gateway = gateway;
+	look->id = talloc_strdup(look, instance->id);
+	look->born_ms = instance->born_ms;
+	look->began_us = comet_timers_now_us();
+	gateway->looks = g_list_prepend(gateway->looks, look);
+	talloc_set_destructor(look, look_destroy);
+	look->again = comet_timers_add(gateway->timers, look, 0, on_look, look);
+}
+
+/* May this run have ended because the process crashed? */
+static bool
+is_suspect(const struct comet_relay *relay, const struct comet_instance *instance,
+	enum comet_dispatch_result result, uint64_t now_us)
+{
+	if (relay->not_run)
+		return false;
+	if (result == COMET_DISPATCH_BROKEN || result == COMET_DISPATCH_SILENT)
+		return true;
+	/* Who leaves an endpoint that works has seen nothing crash. */
+	return result == COMET_DISPATCH_CANCELLED && relay->exchange != NULL &&
+	       comet_exchange_sent(relay->exchange) &&
+	       now_us - MAX(instance->heard_us, relay->sent_us) >= UNHEARD_US;
+}
+
+void
+comet_gateway_run_ends(struct comet_relay *relay, enum comet_dispatch_result result)
+{
+	struct comet_gateway *gateway = relay->gateway;
+	const struct comet_instance *instance = comet_relay_instance(relay);
+	uint64_t now_us = comet_timers_now_us();
+
+	if (result == COMET_DISPATCH_SERVED && relay->head != NULL && relay->head->status < 300)
+		comet_crashes_served(gateway->crashes, &relay->fingerprint, now_us);
+	if (instance != NULL && result == COMET_DISPATCH_WRONG)
+		comet_gateway_life_ended(gateway, instance, "address_taken");
+	if (instance == NULL || !is_suspect(relay, instance, result, now_us))
+		return;
+	comet_crashes_suspect(
+		gateway->crashes, &relay->fingerprint, relay->life, instance->heard_us, now_us);
+	look_at(gateway, instance);
+}
+
+/* What is under way at a process that has not been heard for a while ended with it. */
+static void
+suspect_unheard(
+	struct comet_gateway *gateway, const struct comet_instance *instance, uint64_t now_us)
+{
+	for (GList *at = gateway->sendings.head; at != NULL; at = at->next)
+	{
+		const struct comet_relay *relay = at->data;
+		uint64_t heard_us = MAX(instance->heard_us, relay->sent_us);
+		if (relay->life == instance->key && now_us - heard_us >= UNHEARD_US)
+			comet_crashes_suspect(gateway->crashes, &relay->fingerprint, relay->life,
+				instance->heard_us, now_us);
+	}
+}
+
+void
+comet_gateway_life_ended(
+	struct comet_gateway *gateway, const struct comet_instance *instance, const char *why)
+{
+	uint64_t now_us = comet_timers_now_us();
+
+	if (instance->draining)
+	{
+		comet_crashes_life_left(gateway->crashes, instance->key);
+		return;
+	}
+	suspect_unheard(gateway, instance, now_us);
+	comet_log(COMET_LOG_INFO,
+		"event=endpoint_ended endpoint=%s reason=%s open=%u "
+		"heard_ms_ago=%" G_GUINT64_FORMAT,
+		instance->id, why, instance->own,
+		instance->heard_us != 0 ? (now_us - instance->heard_us) / 1000 : 0);
+	comet_crashes_life_ended(gateway->crashes, instance->key, instance->heard_us, now_us);
+}
+
+/* Answers those that wait for an endpoint and may not be sent to any more. */
+static void
+refuse_waiting(struct comet_gateway *gateway)
+{
+	GList *at = gateway->relays.head;
+
+	while (at != NULL)
+	{
+		struct comet_relay *relay = at->data;
+		at = at->next;
+		if (relay->sending != NULL || !comet_relay_is_barred(relay))
+			continue;
+		comet_relay_give_up(relay, 502, "crashes_endpoints");
+		at = gateway->relays.head; /* others may have ended with it */
+	}
+}
+
+void
+comet_gateway_tick_crashes(struct comet_gateway *gateway, uint64_t now_us)
+{
+	comet_crashes_tick(gateway->crashes, now_us);
+	if (!gateway->barred_anew)
+		return;
+	gateway->barred_anew = false;
+	refuse_waiting(gateway);
+}
--- /dev/null
+++ b/libcometspindle/adapters/gateway/gateway_crashes.h
@@ -0,0 +1,27 @@
+/*
+ * gateway_crashes.h
+ * what a gateway sees of endpoints' processes that crash, and of the requests they ran
+ */
+#ifndef COMETSPINDLE_ADAPTERS_GATEWAY_CRASHES_H
+#define COMETSPINDLE_ADAPTERS_GATEWAY_CRASHES_H
+
+#include <libcometspindle/adapters/gateway/gateway_relay.h>
+#include <libcometspindle/gateway/crashes.h>
+
+/** What becomes known of requests (crashes.h). */
+extern const struct comet_crashes_ops comet_gateway_crashes_ops;
+
+/** A request's run is about to end with this result: it is suspected if it has no answer. */
+void
+comet_gateway_run_ends(struct comet_relay *relay, enum comet_dispatch_result result);
+
+/** A life of an endpoint's process is over; why: a stable code for the log. */
+void
+comet_gateway_life_ended(
+	struct comet_gateway *gateway, const struct comet_instance *instance, const char *why);
+
+/** Looks what time has brought about, and refuses what was barred while it waited. */
+void
+comet_gateway_tick_crashes(struct comet_gateway *gateway, uint64_t now_us);
+
+#endif
--- a/libcometspindle/adapters/gateway/gateway_directory.c
+++ b/libcometspindle/adapters/gateway/gateway_directory.c
@@ -2,7 +2,7 @@
  * gateway_directory.c
  * what a gateway does with the word of its directory: routes, endpoints, and that it is lost
  */
-#include <libcometspindle/adapters/gateway/gateway_relay.h>
+#include <libcometspindle/adapters/gateway/gateway_crashes.h>
 
 #include <libcometspindle/log.h>
 #include <string.h>
@@ -48,7 +48,11 @@
 {
 	struct comet_gateway *gateway = ctx;
 
+	const struct comet_instance *instance = comet_instances_find(gateway->instances, id);
+
 	comet_log(COMET_LOG_NOTICE, "event=endpoint_gone endpoint=%s reason=lapse_over", id);
+	if (instance != NULL)
+		comet_gateway_life_ended(gateway, instance, "lapse_over");
 	comet_upstream_forget(gateway->upstream, id);
 	comet_lives_forget_lapsed(gateway->lives, id);
 }
@@ -92,6 +96,31 @@
 		known != NULL && known->born_ms != record->born_ms);
 }
 
+/* An address that is looked for, and the gateway. */
+struct same_address
+{
+	struct comet_gateway *gateway;
+	const char *address;
+};
+
+static void
+end_if_there(void *ctx, struct comet_instance *instance)
+{
+	const struct same_address *same = ctx;
+
+	if (strcmp(instance->address, same->address) == 0)
+		comet_gateway_life_ended(same->gateway, instance, "address_taken");
+}
+
+/* A new process has an address: the one that had it before is over. */
+static void
+end_earlier_at(struct comet_gateway *gateway, const char *address)
+{
+	struct same_address same = {gateway, address};
+
+	comet_instances_each(gateway->instances, end_if_there, &same);
+}
+
 /* Takes an entry of the latest life of an endpoint's process. */
 static void
 take_instance(struct comet_gateway *gateway, const struct comet_instance_record *record)
@@ -101,6 +130,10 @@
 	bool moved = has_moved(known, record);
 
 	log_listed(known, record);
+	if (reborn)
+		comet_gateway_life_ended(gateway, known, "started_again");
+	if (known == NULL)
+		end_earlier_at(gateway, record->address);
 	comet_instances_put(gateway->instances, record, comet_timers_now_us());
 	if (record->draining || reborn || moved)
 		comet_upstream_forget(gateway->upstream, record->id);
@@ -166,6 +199,9 @@
 		comet_lives_lapse(gateway->lives, id);
 		return;
 	}
+	const struct comet_instance *instance = comet_instances_find(gateway->instances, id);
+	if (instance != NULL)
+		comet_gateway_life_ended(gateway, instance, "removed");
 	comet_lives_forget(gateway->lives, id);
 	drop_endpoint(gateway, id, "removed");
 }
--- a/libcometspindle/adapters/gateway/gateway_private.h
+++ b/libcometspindle/adapters/gateway/gateway_private.h
@@ -10,6 +10,7 @@
 #include <libcometspindle/adapters/gateway/gateway.h>
 #include <libcometspindle/adapters/peers/view_link.h>
 #include <libcometspindle/draw.h>
+#include <libcometspindle/gateway/crashes.h>
 #include <libcometspindle/gateway/grants.h>
 #include <libcometspindle/gateway/lives.h>
 #include <libcometspindle/gateway/placement.h>
@@ -31,8 +32,9 @@
 	uint64_t answered;   /**< asks of other VMs, by this one as keeper */
 	uint64_t served;
 	uint64_t relayed_errors;
-	uint64_t refused_early; /**< not run, told when to come back */
-	uint64_t refused_team;  /**< over the team's limit */
+	uint64_t refused_early;    /**< not run, told when to come back */
+	uint64_t refused_team;     /**< over the team's limit */
+	uint64_t refused_crashing; /**< for good: it crashes endpoints */
 	uint64_t refused_other;
 	uint64_t failed;           /**< may have run */
 	uint64_t cut;              /**< an answer that could not be completed */
@@ -68,6 +70,7 @@
 	struct comet_placement *placement;
 	struct comet_allowance *allowance;
 	struct comet_retry_budget *retries;
+	struct comet_crashes *crashes;
 	struct comet_views *views;
 	struct comet_grants *grants;
 	struct comet_timer *asks_timer; /**< looks at open asks; NULL: there is none */
@@ -76,8 +79,11 @@
 	struct comet_gateway_counts counts;
 	struct comet_tally *ends; /**< of requests, by what became of them, kind and rank */
 	struct comet_gateway_times times[COMET_ROUTE_KINDS];
-	uint32_t calls;  /**< requests that are open */
-	GQueue sendings; /**< of struct comet_relay: those that are at an endpoint */
+	uint32_t calls;   /**< requests that are open */
+	GQueue relays;    /**< of struct comet_relay: the same, as they are */
+	GList *looks;     /**< at endpoints that may have crashed (gateway_crashes.c) */
+	bool barred_anew; /**< a request was barred: some may wait here */
+	GQueue sendings;  /**< of struct comet_relay: those that are at an endpoint */
 	struct comet_draw draw;
 	uint64_t began_us;
 	bool finding;                /**< it still finds out who else is there */
--- a/libcometspindle/adapters/gateway/gateway_relay.c
+++ b/libcometspindle/adapters/gateway/gateway_relay.c
@@ -2,7 +2,7 @@
  * gateway_relay.c
  * one request at a gateway: how it ends
  */
-#include <libcometspindle/adapters/gateway/gateway_relay.h>
+#include <libcometspindle/adapters/gateway/gateway_crashes.h>
 
 #include <libcometspindle/log.h>
 #include <string.h>
@@ -49,6 +49,13 @@
 	relay->item.keeper = 0;
 }
 
+bool
+comet_relay_is_barred(const struct comet_relay *relay)
+{
+	return relay->route != NULL &&
+	       comet_crashes_bars(relay->gateway->crashes, &relay->fingerprint);
+}
+
 /* Nothing that a run sent and that has not gone on to the caller outlives it: the next run's bytes
  * were put behind an event that a silent endpoint had left unfinished, and both went on as one
  * event. */
@@ -71,6 +78,7 @@
 	uint32_t events = comet_relay_events(relay) - relay->first_count;
 
 	comet_timer_cancel(&relay->silence);
+	comet_gateway_run_ends(relay, result);
 	if (instance != NULL)
 	{
 		uint64_t taken_us = comet_relay_is_stream(relay) ? relay->last_us - relay->first_us
@@ -120,16 +128,13 @@
 	comet_tally_add(relay->gateway->ends, labels);
 }
 
-void
-comet_relay_answer(
-	struct comet_relay *relay, unsigned int status, const char *reason, uint32_t retry_after_ms)
+/* Answers with an error of our own, with further headers and a text. Frees it. */
+static void
+answer_error(struct comet_relay *relay, unsigned int status, const char *reason,
+	uint32_t retry_after_ms, const char *headers, const char *text)
 {
 	struct comet_front_request *request = relay->request;
-	char headers[64] = "";
 
-	if (retry_after_ms > 0)
-		g_snprintf(headers, sizeof headers, "Retry-After: %u.%03u\r\n",
-			retry_after_ms / 1000, retry_after_ms % 1000);
 	comet_log(COMET_LOG_NOTICE,
 		"event=refused request=%s status=%u reason=%s retry_after_ms=%u "
 		"held_ms=%" G_GUINT64_FORMAT " attempts=%u",
@@ -138,7 +143,40 @@
 	comet_relay_count_end(relay, reason);
 	request->user = NULL;
 	comet_relay_close(relay);
-	comet_front_answer(request, status, headers, "", 0);
+	comet_front_answer(request, status, headers, text, strlen(text));
+}
+
+void
+comet_relay_answer(
+	struct comet_relay *relay, unsigned int status, const char *reason, uint32_t retry_after_ms)
+{
+	char headers[64] = "";
+
+	if (retry_after_ms > 0)
+		g_snprintf(headers, sizeof headers, "Retry-After: %u.%03u\r\n",
+			retry_after_ms / 1000, retry_after_ms % 1000);
+	answer_error(relay, status, reason, retry_after_ms, headers, "");
+}
+
+/* What it was charged comes back to its team: it was not run. */
+static void
+give_back_charge(struct comet_relay *relay)
+{
+	if (relay->team != NULL && relay->undecided == NULL)
+		comet_allowance_give_back(relay->gateway->allowance, relay->team->id, relay->charge,
+			comet_timers_now_us());
+}
+
+/* 400 is what callers do not repeat. 503 asks them to come back, and after 502 some try once more
+ * at once. */
+void
+comet_relay_refuse_for_good(struct comet_relay *relay)
+{
+	relay->gateway->counts.refused_crashing++;
+	if (!relay->may_have_run)
+		give_back_charge(relay);
+	answer_error(relay, 400, "crashes_endpoints", 0, "Content-Type: text/plain\r\n",
+		"Endpoints crashed when they ran this request. It is not sent to any more.\n");
 }
 
 /* It was not run and will not be: says so, and gives back what it was charged. */
@@ -147,6 +185,11 @@
 {
 	struct comet_gateway *gateway = relay->gateway;
 
+	if (comet_relay_is_barred(relay))
+	{
+		comet_relay_refuse_for_good(relay);
+		return;
+	}
 	if (relay->may_have_run)
 	{
 		gateway->counts.failed++;
@@ -154,9 +197,7 @@
 		return;
 	}
 	gateway->counts.refused_early++;
-	if (relay->team != NULL)
-		comet_allowance_give_back(
-			gateway->allowance, relay->team->id, relay->charge, comet_timers_now_us());
+	give_back_charge(relay);
 	comet_relay_answer(relay, 503, reason, retry_after_ms);
 }
 
@@ -187,7 +228,7 @@
 		comet_relay_cut(relay, reason);
 		return;
 	}
-	if (!relay->may_have_run)
+	if (!relay->may_have_run || comet_relay_is_barred(relay))
 	{
 		comet_relay_refuse(relay, reason,
 			(uint32_t)(comet_placement_wait_us(relay->gateway->placement, &relay->item,
--- a/libcometspindle/adapters/gateway/gateway_relay.h
+++ b/libcometspindle/adapters/gateway/gateway_relay.h
@@ -30,6 +30,7 @@
 	uint64_t born_ms; /* life of that instance's process */
 	uint32_t life;    /* key of that life */
 	GList *sending;   /* its place among the gateway's sendings; NULL: it is nowhere */
+	GList *open;      /* its place among the gateway's open requests */
 	GByteArray *answer;
 	struct comet_http_head *head; /* copy of the answer's head, or NULL */
 	uint64_t charge;
@@ -95,6 +96,14 @@
 void
 comet_relay_close(struct comet_relay *relay);
 
+/** Is it known to crash endpoints, so that it must not be sent to any? */
+bool
+comet_relay_is_barred(const struct comet_relay *relay);
+
+/** Answers that it is not to be tried again, since it crashes endpoints. Frees it. */
+void
+comet_relay_refuse_for_good(struct comet_relay *relay);
+
 /** Answers that it was not run, or, if it may have been, that nobody knows. Frees it. */
 void
 comet_relay_refuse(struct comet_relay *relay, const char *reason, uint32_t retry_after_ms);
--- a/libcometspindle/adapters/gateway/gateway_send.c
+++ b/libcometspindle/adapters/gateway/gateway_send.c
@@ -23,6 +23,8 @@
 
 	if (relay->may_have_run && !comet_route_repeatable(relay->route))
 		return false;
+	if (comet_relay_is_barred(relay))
+		return false;
 	if (relay->attempts >= MAX(relay->route->max_attempts, 1) || now_us >= relay->end_us)
 		return false;
 	if (relay->attempts == 0)
--- a/libcometspindle/adapters/socket.c
+++ b/libcometspindle/adapters/socket.c
@@ -39,6 +39,7 @@
 	GByteArray *queue;
 	size_t written; /* part of the queue that is gone */
 	int fd;
+	int error; /* errno of a connection that could not be had; 0: none known */
 	bool connecting;
 	bool paused;
 	bool ended;        /* the other side's stream has ended */
@@ -110,6 +111,7 @@
 
 	if (getsockopt(socket->fd, SOL_SOCKET, SO_ERROR, &code, &length) != 0 || code != 0)
 	{
+		socket->error = code;
 		report_closed(socket, false);
 		return;
 	}
@@ -317,6 +319,12 @@
 		end_in_order(socket);
 }
 
+int
+comet_socket_error(const struct comet_socket *socket)
+{
+	return socket->error;
+}
+
 bool
 comet_socket_is_quiet(const struct comet_socket *socket)
 {
--- a/libcometspindle/adapters/socket.h
+++ b/libcometspindle/adapters/socket.h
@@ -56,6 +56,10 @@
 void
 comet_socket_shutdown(struct comet_socket *socket);
 
+/** @return the errno with which a connection could not be had; 0: none is known. */
+int
+comet_socket_error(const struct comet_socket *socket);
+
 /** @return whether an idle connection still stands and nothing unread waits on it. */
 bool
 comet_socket_is_quiet(const struct comet_socket *socket);
--- /dev/null
+++ b/libcometspindle/gateway/crashes.c
@@ -0,0 +1,577 @@
+/*
+ * crashes.c
+ * requests under which endpoints' processes crashed, as this VM and the others saw it
+ */
+#include <libcometspindle/gateway/crashes.h>
+
+#include <glib.h>
+#include <string.h>
+#include <talloc.h>
+
+/* A request is barred after so many crashes: the users allow it three. Fewer would shut out
+ * requests that two endpoints in a row left for reasons of their own. */
+#define CRASHES_MAX 3
+
+/* Lives that a record names: some more than count, since a few more crash before all VMs know. */
+#define LIVES_MAX G_N_ELEMENTS(((comet_Crashed *)NULL)->lives)
+
+/* A run that ended without an answer is held against the end of its endpoint's life for this time:
+ * a silent process is unlisted within four seconds, and an outage of the directory takes some more.
+ */
+#define SUSPECT_US 15000000
+
+/* Suspects at a time: ten times what breaks with one endpoint of a thousand requests a second. */
+#define SUSPECTS_MAX 1024
+
+/* Bytes that a process sent before it crashed may be read this long after the first of its
+ * connections is seen to end. */
+#define HEARD_MARGIN_US 100000
+
+/* Lives that ended unplanned and are remembered, for runs whose end is noticed later: as many as
+ * can crash within SUSPECT_US in a zone. */
+#define ENDED_MAX 256
+
+/* A request that was served within this time does not crash what runs it: one that many callers
+ * send is under way wherever an endpoint dies. An engine that begins to crash under a request it
+ * served before is found this much later. */
+#define SOUND_US 30000000
+
+/* Served requests that are remembered; a power of two. At 20 a second, three minutes of them. */
+#define SERVED_MAX 4096
+
+/* A record is kept for this time after its last crash: a repaired engine is out by then, and a
+ * request that was barred for no fault of its own can be served again. */
+#define KEEP_US 3600000000
+
+/* Records of a team, and of all: 4,096 take 0.6 MB. No team's records push out another's before
+ * 64 teams have as many. */
+#define TEAM_RECORDS_MAX 64
+#define RECORDS_MAX 4096
+
+/* A record is told first in every view for this time after it has changed: views are at most two
+ * seconds apart, and one may be lost. */
+#define NEWS_US 5000000
+
+/* A set of lives of endpoints' processes. */
+struct life_set
+{
+	uint32_t lives[LIVES_MAX];
+	uint32_t count;
+};
+
+/* What is known of a request. */
+struct record
+{
+	struct comet_fingerprint request;
+	struct life_set crashed;
+	struct life_set excused; /* those of them that were not its doing */
+	uint64_t last_us;        /* the last crash */
+	uint64_t changed_us;
+	bool barred;
+};
+
+/* A run that ended without an answer. */
+struct suspect
+{
+	struct comet_fingerprint request;
+	uint32_t life;
+	uint64_t at_us;
+};
+
+/* A life that ended unplanned. */
+struct ended
+{
+	uint32_t life;
+	uint64_t at_us;
+};
+
+/* A request that was served. */
+struct served
+{
+	struct comet_fingerprint request;
+	uint64_t at_us; /* 0: none */
+};
+
+struct comet_crashes
+{
+	const struct comet_crashes_ops *ops;
+	void *ctx;
+	GHashTable *records; /* fingerprint -> struct record */
+	GQueue suspects;     /* of struct suspect, oldest first */
+	struct ended ended[ENDED_MAX];
+	uint32_t next_ended;
+	uint32_t new_turn; /* where views go on with records that are new */
+	uint32_t old_turn; /* and with the others */
+	struct served served[SERVED_MAX];
+};
+
+static guint
+hash_fingerprint(gconstpointer key)
+{
+	const struct comet_fingerprint *request = key;
+
+	return (guint)(request->digest ^ request->team);
+}
+
+static gboolean
+equal_fingerprints(gconstpointer a, gconstpointer b)
+{
+	return comet_fingerprint_equal(a, b);
+}
+
+static int
+crashes_destroy(struct comet_crashes *crashes)
+{
+	g_hash_table_destroy(crashes->records);
+	g_queue_clear_full(&crashes->suspects, g_free);
+	return 0;
+}
+
+struct comet_crashes *
+comet_crashes_create(void *parent, const struct comet_crashes_ops *ops, void *ctx)
+{
+	struct comet_crashes *crashes = talloc_zero(parent, struct comet_crashes);
+
+	crashes->ops = ops;
+	crashes->ctx = ctx;
+	crashes->records =
+		g_hash_table_new_full(hash_fingerprint, equal_fingerprints, NULL, g_free);
+	g_queue_init(&crashes->suspects);
+	talloc_set_destructor(crashes, crashes_destroy);
+	return crashes;
+}
+
+static bool
+set_has(const struct life_set *set, uint32_t life)
+{
+	for (uint32_t i = 0; i < set->count; i++)
+	{
+		if (set->lives[i] == life)
+			return true;
+	}
+	return false;
+}
+
+/* @return whether the set has changed; a full one does not. */
+static bool
+set_add(struct life_set *set, uint32_t life)
+{
+	if (life == 0 || set->count >= LIVES_MAX || set_has(set, life))
+		return false;
+	set->lives[set->count++] = life;
+	return true;
+}
+
+static void
+set_remove(struct life_set *set, uint32_t life)
+{
+	for (uint32_t i = 0; i < set->count; i++)
+	{
+		if (set->lives[i] == life)
+			set->lives[i] = set->lives[--set->count];
+	}
+}
+
+static struct record *
+find(const struct comet_crashes *crashes, const struct comet_fingerprint *request)
+{
+	return g_hash_table_lookup(crashes->records, request);
+}
+
+/* Crashes that count against a request, as far as it alone tells. */
+static uint32_t
+counted(const struct record *record)
+{
+	uint32_t sum = 0;
+
+	for (uint32_t i = 0; i < record->crashed.count; i++)
+		sum += set_has(&record->excused, record->crashed.lives[i]) ? 0 : 1;
+	return sum;
+}
+
+/* Is this crash the doing of a request that crashed more than the record's? */
+static bool
+is_explained(const GPtrArray *heavy, const struct record *record, uint32_t life)
+{
+	uint32_t own = counted(record);
+
+	for (guint i = 0; i < heavy->len; i++)
+	{
+		const struct record *other = heavy->pdata[i];
+		if (other != record && counted(other) > own && set_has(&other->crashed, life) &&
+			!set_has(&other->excused, life))
+			return true;
+	}
+	return false;
+}
+
+static uint32_t
+counted_and_unexplained(const GPtrArray *heavy, const struct record *record)
+{
+	uint32_t sum = 0;
+
+	for (uint32_t i = 0; i < record->crashed.count; i++)
+	{
+		uint32_t life = record->crashed.lives[i];
+		if (!set_has(&record->excused, life) && !is_explained(heavy, record, life))
+			sum++;
+	}
+	return sum;
+}
+
+/* Decides anew who is barred. It follows from the records alone, so that VMs which know the same
+ * decide the same: were the first to reach the bound the one to blame, a VM that heard of another
+ * first would blame that one, and both would go free once they told each other. */
+static void
+decide(struct comet_crashes *crashes)
+{
+	GPtrArray *heavy = g_ptr_array_new();
+	GHashTableIter at;
+	gpointer value = NULL;
+
+	g_hash_table_iter_init(&at, crashes->records);
+	while (g_hash_table_iter_next(&at, NULL, &value))
+	{
+		if (counted(value) >= CRASHES_MAX)
+			g_ptr_array_add(heavy, value);
+	}
+	g_hash_table_iter_init(&at, crashes->records);
+	while (g_hash_table_iter_next(&at, NULL, &value))
+	{
+		struct record *record = value;
+		bool barred = counted(record) >= CRASHES_MAX &&
+			      counted_and_unexplained(heavy, record) >= CRASHES_MAX;
+		if (barred == record->barred)
+			continue;
+		record->barred = barred;
+		crashes->ops->news(crashes->ctx, &record->request,
+			barred ? COMET_CRASHES_BARRED : COMET_CRASHES_RELEASED, counted(record));
+	}
+	g_ptr_array_free(heavy, TRUE);
+}
+
+/* Is this record worth less than the other? Fewer crashes, then an earlier last one. */
+static bool
+is_weaker(const struct record *one, const struct record *other)
+{
+	if (counted(one) != counted(other))
+		return counted(one) < counted(other);
+	return one->last_us < other->last_us;
+}
+
+/* Makes room for a record: a team that has many gives one of its own. */
+static void
+make_room(struct comet_crashes *crashes, uint32_t team)
+{
+	struct record *weakest = NULL;
+	struct record *weakest_of_team = NULL;
+	uint32_t of_team = 0;
+	GHashTableIter at;
+	gpointer value = NULL;
+
+	g_hash_table_iter_init(&at, crashes->records);
+	while (g_hash_table_iter_next(&at, NULL, &value))
+	{
+		struct record *record = value;
+		if (weakest == NULL || is_weaker(record, weakest))
+			weakest = record;
+		if (record->request.team != team)
+			continue;
+		of_team++;
+		if (weakest_of_team == NULL || is_weaker(record, weakest_of_team))
+			weakest_of_team = record;
+	}
+	if (of_team >= TEAM_RECORDS_MAX)
+		g_hash_table_remove(crashes->records, &weakest_of_team->request);
+	else if (g_hash_table_size(crashes->records) >= RECORDS_MAX)
+		g_hash_table_remove(crashes->records, &weakest->request);
+}
+
+static struct record *
+find_or_add(struct comet_crashes *crashes, const struct comet_fingerprint *request)
+{
+	struct record *record = find(crashes, request);
+
+	if (record == NULL)
+	{
+		make_room(crashes, request->team);
+		record = g_new0(struct record, 1);
+		record->request = *request;
+		g_hash_table_insert(crashes->records, &record->request, record);
+	}
+	return record;
+}
+
+/* Adds a crash that this VM saw to a record; in a full one it takes the place of an excused one.
+ * @return whether it is new */
+static bool
+add_life(struct record *record, uint32_t life)
+{
+	if (record->crashed.count >= LIVES_MAX && !set_has(&record->crashed, life) &&
+		record->excused.count > 0)
+	{
+		uint32_t old = record->excused.lives[0];
+		set_remove(&record->crashed, old);
+		set_remove(&record->excused, old);
+	}
+	return set_add(&record->crashed, life);
+}
+
+/* Excuses all crashes of a record. @return whether any was not excused before */
+static bool
+excuse(struct record *record)
+{
+	bool changed = false;
+
+	for (uint32_t i = 0; i < record->crashed.count; i++)
+		changed = set_add(&record->excused, record->crashed.lives[i]) || changed;
+	return changed;
+}
+
+static struct served *
+place_of(struct comet_crashes *crashes, const struct comet_fingerprint *request)
+{
+	return &crashes->served[hash_fingerprint(request) % SERVED_MAX];
+}
+
+/* Was it served of late? */
+static bool
+is_sound(struct comet_crashes *crashes, const struct comet_fingerprint *request, uint64_t now_us)
+{
+	const struct served *served = place_of(crashes, request);
+
+	return served->at_us != 0 && now_us - served->at_us < SOUND_US &&
+	       comet_fingerprint_equal(&served->request, request);
+}
+
+/* A record has changed: what follows from it. */
+static void
+record_changed(struct comet_crashes *crashes, struct record *record, uint64_t now_us)
+{
+	record->changed_us = now_us;
+	if (is_sound(crashes, &record->request, now_us) && excuse(record))
+		crashes->ops->news(crashes->ctx, &record->request, COMET_CRASHES_EXCUSED, 0);
+	else
+		crashes->ops->news(
+			crashes->ctx, &record->request, COMET_CRASHES_COUNTED, counted(record));
+	decide(crashes);
+}
+
+/* An endpoint's process crashed under the request. */
+static void
+blame(struct comet_crashes *crashes, const struct comet_fingerprint *request, uint32_t life,
+	uint64_t now_us)
+{
+	struct record *record = find_or_add(crashes, request);
+
+	if (!add_life(record, life))
+		return;
+	record->last_us = now_us;
+	record_changed(crashes, record, now_us);
+}
+
+bool
+comet_crashes_bars(struct comet_crashes *crashes, const struct comet_fingerprint *request)
+{
+	const struct record *record = find(crashes, request);
+
+	return record != NULL && record->barred;
+}
+
+/* Has this life ended unplanned, without a word since? */
+static bool
+has_ended(const struct comet_crashes *crashes, uint32_t life, uint64_t heard_us)
+{
+	for (size_t i = 0; i < ENDED_MAX; i++)
+	{
+		const struct ended *ended = &crashes->ended[i];
+		if (ended->life == life && heard_us <= ended->at_us)
+			return true;
+	}
+	return false;
+}
+
+void
+comet_crashes_suspect(struct comet_crashes *crashes, const struct comet_fingerprint *request,
+	uint32_t life, uint64_t heard_us, uint64_t now_us)
+{
+	if (has_ended(crashes, life, heard_us))
+	{
+		blame(crashes, request, life, now_us);
+		return;
+	}
+	if (g_queue_get_length(&crashes->suspects) >= SUSPECTS_MAX)
+		g_free(g_queue_pop_head(&crashes->suspects));
+	struct suspect *suspect = g_new0(struct suspect, 1);
+	suspect->request = *request;
+	suspect->life = life;
+	suspect->at_us = now_us;
+	g_queue_push_tail(&crashes->suspects, suspect);
+}
+
+/* Takes the suspects of a life out. @return them, oldest first */
+static GList *
+take_suspects(struct comet_crashes *crashes, uint32_t life)
+{
+	GList *taken = NULL;
+	GList *next = NULL;
+
+	for (GList *at = crashes->suspects.head; at != NULL; at = next)
+	{
+		struct suspect *suspect = at->data;
+		next = at->next;
+		if (suspect->life != life)
+			continue;
+		taken = g_list_prepend(taken, suspect);
+		g_queue_delete_link(&crashes->suspects, at);
+	}
+	return g_list_reverse(taken);
+}
+
+void
+comet_crashes_life_ended(
+	struct comet_crashes *crashes, uint32_t life, uint64_t heard_us, uint64_t now_us)
+{
+	GList *suspects = take_suspects(crashes, life);
+
+	crashes->ended[crashes->next_ended++ % ENDED_MAX] =
+		(struct ended){.life = life, .at_us = now_us};
+	for (GList *at = suspects; at != NULL; at = at->next)
+	{
+		const struct suspect *suspect = at->data;
+		if (heard_us <= suspect->at_us + HEARD_MARGIN_US)
+			blame(crashes, &suspect->request, life, now_us);
+	}
+	g_list_free_full(suspects, g_free);
+}
+
+void
+comet_crashes_life_left(struct comet_crashes *crashes, uint32_t life)
+{
+	g_list_free_full(take_suspects(crashes, life), g_free);
+}
+
+void
+comet_crashes_served(
+	struct comet_crashes *crashes, const struct comet_fingerprint *request, uint64_t now_us)
+{
+	struct record *record = find(crashes, request);
+
+	*place_of(crashes, request) = (struct served){.request = *request, .at_us = now_us};
+	if (record == NULL || !excuse(record))
+		return;
+	record->changed_us = now_us;
+	crashes->ops->news(crashes->ctx, request, COMET_CRASHES_EXCUSED, 0);
+	decide(crashes);
+}
+
+void
+comet_crashes_tick(struct comet_crashes *crashes, uint64_t now_us)
+{
+	const struct suspect *suspect = NULL;
+	GHashTableIter at;
+	gpointer value = NULL;
+
+	while ((suspect = g_queue_peek_head(&crashes->suspects)) != NULL &&
+		now_us - suspect->at_us > SUSPECT_US)
+		g_free(g_queue_pop_head(&crashes->suspects));
+	g_hash_table_iter_init(&at, crashes->records);
+	while (g_hash_table_iter_next(&at, NULL, &value))
+	{
+		const struct record *record = value;
+		if (now_us - record->last_us > KEEP_US)
+			g_hash_table_iter_remove(&at);
+	}
+}
+
+static void
+put_set(const struct life_set *set, uint32_t *lives, pb_size_t *count)
+{
+	memcpy(lives, set->lives, set->count * sizeof set->lives[0]);
+	*count = (pb_size_t)set->count;
+}
+
+static void
+put_record(const struct record *record, comet_Crashed *out, uint64_t now_us)
+{
+	memset(out, 0, sizeof *out);
+	out->digest = record->request.digest;
+	out->team = record->request.team;
+	put_set(&record->crashed, out->lives, &out->lives_count);
+	put_set(&record->excused, out->excused, &out->excused_count);
+	out->age_ms = (uint32_t)((now_us - record->last_us) / 1000);
+}
+
+static bool
+is_new(const struct record *record, uint64_t now_us)
+{
+	return now_us - record->changed_us < NEWS_US;
+}
+
+/* Those that are new, or the others: from the turn on, so that a team whose requests crash many
+ * endpoints does not keep others' records from being told. */
+static size_t
+put_some(struct comet_crashes *crashes, comet_Crashed *records, size_t most, bool new_ones,
+	uint64_t now_us)
+{
+	uint32_t *turn = new_ones ? &crashes->new_turn : &crashes->old_turn;
+	size_t count = 0;
+	uint32_t index = 0;
+	GHashTableIter at;
+	gpointer value = NULL;
+
+	g_hash_table_iter_init(&at, crashes->records);
+	while (count < most && g_hash_table_iter_next(&at, NULL, &value))
+	{
+		const struct record *record = value;
+		if (is_new(record, now_us) == new_ones && index++ >= *turn)
+			put_record(record, &records[count++], now_us);
+	}
+	*turn = count < most ? 0 : index;
+	return count;
+}
+
+size_t
+comet_crashes_put(
+	struct comet_crashes *crashes, comet_Crashed *records, size_t most, uint64_t now_us)
+{
+	size_t count = put_some(crashes, records, most - 1, true, now_us);
+
+	return count + put_some(crashes, records + count, most - count, false, now_us);
+}
+
+void
+comet_crashes_take(struct comet_crashes *crashes, const comet_Crashed *told, uint64_t now_us)
+{
+	const struct comet_fingerprint request = {.digest = told->digest, .team = told->team};
+	uint64_t age_us = (uint64_t)told->age_ms * 1000;
+	bool changed = false;
+
+	if (told->lives_count == 0 || age_us > KEEP_US)
+		return;
+	struct record *record = find_or_add(crashes, &request);
+	for (pb_size_t i = 0; i < told->lives_count; i++)
+		changed = set_add(&record->crashed, told->lives[i]) || changed;
+	for (pb_size_t i = 0; i < told->excused_count; i++)
+		changed = set_add(&record->excused, told->excused[i]) || changed;
+	if (!changed)
+		return; /* nor a later crash: told back and forth its age would shrink */
+	record->last_us = MAX(record->last_us, now_us - MIN(age_us, now_us));
+	record_changed(crashes, record, now_us);
+}
+
+struct comet_crashes_counts
+comet_crashes_count(const struct comet_crashes *crashes)
+{
+	struct comet_crashes_counts counts = {
+		.records = g_hash_table_size(crashes->records),
+		.suspects = crashes->suspects.length,
+	};
+	GHashTableIter at;
+	gpointer value = NULL;
+
+	g_hash_table_iter_init(&at, crashes->records);
+	while (g_hash_table_iter_next(&at, NULL, &value))
+		counts.barred += ((const struct record *)value)->barred ? 1 : 0;
+	return counts;
+}
--- a/libcometspindle/gateway/views.c
+++ b/libcometspindle/gateway/views.c
@@ -29,6 +29,10 @@
 #define PEERS_MAX 2048
 #define TEAMS_MAX 2048
 
+/* News for all is told at most this often: a round to 380 VMs is some 20 KB, and what is known
+ * three seconds after it happened is known in time. */
+#define URGENT_US 500000
+
 /* Others' requests at an endpoint count as no more than this, so that sums stay in range. */
 #define OTHERS_MAX 1000000
 
@@ -85,6 +89,7 @@
 	views->cpu_percent = config->cpu_percent;
 	views->instances = instances;
 	views->allowance = allowance;
+	views->crashes = config->crashes;
 	views->ops = ops;
 	views->ctx = ctx;
 	views->last_bytes = 100;
@@ -174,6 +179,8 @@
 	g_array_append_vals(peer->busy, view->busy, view->busy_count);
 	for (pb_size_t i = 0; i < view->spent_count; i++)
 		take_spent(views, peer, &view->spent[i], view->age_ms < views->window_ms, now_us);
+	for (pb_size_t i = 0; views->crashes != NULL && i < view->crashed_count; i++)
+		comet_crashes_take(views->crashes, &view->crashed[i], now_us);
 	peer->followed = true;
 	views->stale = true;
 }
@@ -290,13 +297,22 @@
 		sum_others(views);
 		comet_instances_each(views->instances, mark_viewed, &mark);
 	}
-	bool far = now_us - views->far_sent_us >= comet_views_round_us(views, false);
+	uint64_t far_us = comet_views_round_us(views, false);
+	if (views->urgent)
+		far_us = MIN(far_us, URGENT_US);
+	bool far = now_us - views->far_sent_us >= far_us;
 	bool near = now_us - views->near_sent_us >= comet_views_round_us(views, true);
 	if (near || far)
 		comet_views_send_round(views, far, now_us);
 	comet_views_greet(views, now_us);
 }
 
+void
+comet_views_tell_soon(struct comet_views *views)
+{
+	views->urgent = true;
+}
+
 void
 comet_views_set_revision(struct comet_views *views, uint64_t revision)
 {
--- a/libcometspindle/gateway/views.h
+++ b/libcometspindle/gateway/views.h
@@ -13,6 +13,7 @@
 
 #include <glib.h>
 #include <libcometspindle/gateway/allowance.h>
+#include <libcometspindle/gateway/crashes.h>
 #include <libcometspindle/gateway/instances.h>
 #include <libcometspindle/gateway/datagram.h>
 #include <stdbool.h>
@@ -28,9 +29,10 @@
 	const uint32_t *seeds;
 	size_t n_seeds;
 	const char *zone;
-	uint32_t near_bytes_per_s; /**< most that is sent to VMs of the own zone */
-	uint32_t far_bytes_per_s;  /**< most that is sent to all others */
-	uint32_t cpu_percent;      /**< of a core that this VM may use */
+	uint32_t near_bytes_per_s;     /**< most that is sent to VMs of the own zone */
+	uint32_t far_bytes_per_s;      /**< most that is sent to all others */
+	uint32_t cpu_percent;          /**< of a core that this VM may use */
+	struct comet_crashes *crashes; /**< told and taken in views; NULL: neither */
 };
 
 struct comet_views_ops
@@ -72,6 +74,10 @@
 void
 comet_views_tick(struct comet_views *views, uint64_t now_us);
 
+/** There is news for all: the next round of views goes to all, soon. */
+void
+comet_views_tell_soon(struct comet_views *views);
+
 /** The directory's revision that this VM has read. */
 void
 comet_views_set_revision(struct comet_views *views, uint64_t revision);
--- a/libcometspindle/gateway/views_rounds.c
+++ b/libcometspindle/gateway/views_rounds.c
@@ -218,6 +218,9 @@
 	if (views->spent_turn >= put.seen)
 		views->spent_turn = 0;
 	put_peers(views, view);
+	if (views->crashes != NULL)
+		view->crashed_count = (pb_size_t)comet_crashes_put(
+			views->crashes, view->crashed, G_N_ELEMENTS(view->crashed), now_us);
 	view->pass_on = true; /* sized with the mark that relays get */
 	while (comet_datagram_encode(datagram, data) == 0 && view->busy_count > 0)
 		view->busy_count /= 2; /* too large for one frame: the rest stays untold */
@@ -289,7 +292,10 @@
 	views->last_bytes = length;
 	views->near_sent_us = now_us;
 	if (far)
+	{
 		views->far_sent_us = now_us;
+		views->urgent = false;
+	}
 	g_hash_table_iter_init(&at, views->peers);
 	while (g_hash_table_iter_next(&at, NULL, &value))
 	{
--- a/libcometspindle/gateway/views_state.h
+++ b/libcometspindle/gateway/views_state.h
@@ -54,6 +54,7 @@
 	uint32_t cpu_percent;
 	struct comet_instances *instances;
 	struct comet_allowance *allowance;
+	struct comet_crashes *crashes; /* or NULL */
 	const struct comet_views_ops *ops;
 	void *ctx;
 	GHashTable *peers; /* address -> struct comet_views_peer */
@@ -65,6 +66,7 @@
 	uint64_t far_sent_us;
 	uint32_t spent_turn; /* where the list of teams goes on */
 	bool leaving;
+	bool urgent;            /* there is news for all */
 	bool stale;             /* others' dispatches are to be summed anew */
 	comet_Datagram scratch; /* to be sent */
 };
--- a/tests/system/test_crashes.py
+++ b/tests/system/test_crashes.py
@@ -109,15 +109,36 @@
     check_stopped("/once/crash", "reset", method="POST", body=b"the same")
 
 
+def test_crash_of_repeatable():
+    """A request that may be repeated crashes a second server within one attempt."""
+    check_stopped("/safe/crash", "end")
+
+
 def test_crash_in_a_stream():
     """The stream breaks off after some events."""
     check_stopped("/sse/crash", "reset", begin_stream, method="POST", body=b"the same")
 
 
+def test_crash_in_a_resumable_stream():
+    """It is taken up after its last event, and crashes the next server too."""
+    check_stopped("/again/crash", "end", begin_stream, method="POST", body=b"the same")
+
+
+def test_crash_late():
+    """The server works for a while before it crashes; the route is open to anybody."""
+    check_stopped("/open/crash", "end", lambda server, sock, headers: time.sleep(0.3))
+
+
 def test_crash_in_silence():
     """Nothing ends: the connections stand, and nobody answers any more."""
     check_stopped("/once/crash", "silence", method="POST", body=b"the same", deadline_ms=1500)
 
 
+def test_crash_in_silence_of_a_stream():
+    check_stopped("/again/crash", "silence", begin_stream, method="POST", body=b"the same", deadline_ms=1500)
+
+
 if __name__ == "__main__":
-    run_tests([], [test_crash_at_once, test_crash_in_a_stream, test_crash_in_silence])
+    run_tests([], [test_crash_at_once, test_crash_of_repeatable, test_crash_in_a_stream,
+                   test_crash_in_a_resumable_stream, test_crash_late, test_crash_in_silence,
+                   test_crash_in_silence_of_a_stream])
--- a/tests/unit/grants_fleet.h
+++ b/tests/unit/grants_fleet.h
@@ -102,8 +102,8 @@
 				id.c_str(), "llm", "127.0.0.1:1", "z", slots, 0, false, 0};
 			comet_instances_put(one.instances, &record, now_us);
 		}
-		comet_views_config config = {
-			address, address, now_us, 8000, seeds, 1, "z", 100000, 100000, cpu_percent};
+		comet_views_config config = {address, address, now_us, 8000, seeds, 1, "z", 100000,
+			100000, cpu_percent, nullptr};
 		one.views = comet_views_create(
 			one.instances, &config, one.instances, one.allowance, &views_ops, &one);
 		one.placement = comet_placement_create(
--- a/tests/unit/test_gateway_views.cc
+++ b/tests/unit/test_gateway_views.cc
@@ -68,7 +68,7 @@
 		comet_instance_record record = {"i", "llm", "127.0.0.1:1", "z", 4, 0, false, 0};
 		comet_instances_put(one.instances, &record, now_us);
 		comet_views_config config = {address, incarnation, now_us, 8000, seeds, 1,
-			zone.c_str(), 1000000, 1000000, 100};
+			zone.c_str(), 1000000, 1000000, 100, nullptr};
 		one.views = comet_views_create(
 			one.instances, &config, one.instances, one.allowance, &ops, &one);
 	}
