A test that fails: a connection that is refused is told to nobody

Symptom: a request sent to an endpoint whose process has ended stays without a word until its caller leaves.

--- a/tests/unit/test_socket.cc
+++ b/tests/unit/test_socket.cc
@@ -9,6 +9,7 @@
 #include <libcometspindle/adapters/socket.h>
 }
 #include <arpa/inet.h>
+#include <cerrno>
 #include <string>
 #include <sys/socket.h>
 #include <talloc.h>
@@ -204,4 +205,37 @@
 	EXPECT_EQ(drains, 1);
 }
 
+/* A connection that was refused was told to nobody: the loop tells an error only to who waits to
+ * read, and a connection that is being opened waits to write. Whoever looked at its timeout whether
+ * anything had come of it found that something had, and waited on. A request to an endpoint that
+ * had just crashed stayed without a word until its caller left, 3.2 s later; of thirty crashes on a
+ * day not one gave event=unreached.
+ *
+ * Loopback refuses within the call itself, unless the first packet finds a full queue: then the
+ * next one, a second later, finds nobody listening. */
+TEST_F(Socket, ARefusedConnectionIsTold)
+{
+	sockaddr_in address = {};
+	socklen_t length = sizeof address;
+	int listener = ::socket(AF_INET, SOCK_STREAM, 0);
+	int waiting = ::socket(AF_INET, SOCK_STREAM, 0);
+
+	address.sin_family = AF_INET;
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	ASSERT_EQ(bind(listener, (sockaddr *)&address, sizeof address), 0);
+	ASSERT_EQ(listen(listener, 0), 0);
+	ASSERT_EQ(getsockname(listener, (sockaddr *)&address, &length), 0);
+	ASSERT_EQ(connect(waiting, (sockaddr *)&address, sizeof address), 0);
+
+	comet_socket *refused = comet_socket_connect(ev, ev, &address, &events, this);
+	ASSERT_NE(refused, nullptr);
+	turn();
+	ASSERT_EQ(ends, "");
+	close(listener);
+	wait_for_end();
+	EXPECT_EQ(ends, "broken ");
+	EXPECT_EQ(comet_socket_error(refused), ECONNREFUSED);
+	close(waiting);
+}
+
 } // namespace
