A connection that is refused ends its request at once, and the next endpoint is tried

Cause: while a connection is opened only writing was waited for, and the loop tells an error only to who reads; the timeout for connections, 0.3 s, looked whether the kernel had any news of it, found the refusal, and waited on. Ruled out: a lost log line (each of the requests has its event=sent and event=caller_left, and nothing between). Change: a connection that is opened waits for reading too, and any event on it asks for its error first. Why it holds: the kernel's refusal is an event of the descriptor now; it is told once, with its errno. Measured: Socket.ARefusedConnectionIsTold failed and passes; unit tests 189 passed, test_gateway 19, test_streams 14, test_directory 24, test_crashes 7, none failed.

--- a/libcometspindle/adapters/socket.c
+++ b/libcometspindle/adapters/socket.c
@@ -79,9 +79,10 @@
 		tevent_fd_set_flags(socket->event, 0);
 		return;
 	}
-	/* The loop tells an error only to who reads. */
-	bool reads = !socket->paused || socket->write_failed;
-	if (reads && !socket->ended && !socket->connecting)
+	/* The loop tells an error only to who reads, also that of a connection which is refused:
+	 * requests to a crashed endpoint stayed without a word until their callers left. */
+	bool reads = !socket->paused || socket->write_failed || socket->connecting;
+	if (reads && !socket->ended)
 		flags |= TEVENT_FD_READ;
 	if (socket->connecting || socket->owes_drained || socket->queue->len > socket->written)
 		flags |= TEVENT_FD_WRITE;
@@ -103,18 +104,21 @@
 	socket->events->closed(socket->ctx, orderly);
 }
 
+/* The connection that was asked for is there, or cannot be had. */
 static void
-finish_connect(struct comet_socket *socket)
+finish_connect(struct comet_socket *socket, bool writable)
 {
-	int code = 0;
-	socklen_t length = sizeof code;
+	socklen_t length = sizeof socket->error;
 
-	if (getsockopt(socket->fd, SOL_SOCKET, SO_ERROR, &code, &length) != 0 || code != 0)
+	if (getsockopt(socket->fd, SOL_SOCKET, SO_ERROR, &socket->error, &length) != 0)
+		socket->error = errno;
+	if (socket->error != 0)
 	{
-		socket->error = code;
 		report_closed(socket, false);
 		return;
 	}
+	if (!writable)
+		return; /* neither yet */
 	socket->connecting = false;
 	update_flags(socket);
 	socket->events->connected(socket->ctx);
@@ -174,11 +178,6 @@
 static void
 on_writable(struct comet_socket *socket)
 {
-	if (socket->connecting)
-	{
-		finish_connect(socket);
-		return;
-	}
 	if (!flush(socket))
 	{
 		fail_writes(socket);
@@ -219,7 +218,9 @@
 	(void)ev;
 	(void)event;
 	/* One kind an event: a callback may free the socket. tevent calls again. */
-	if ((flags & TEVENT_FD_WRITE) != 0)
+	if (socket->connecting)
+		finish_connect(socket, (flags & TEVENT_FD_WRITE) != 0);
+	else if ((flags & TEVENT_FD_WRITE) != 0)
 		on_writable(socket);
 	else if ((flags & TEVENT_FD_READ) != 0)
 		on_readable(socket);
@@ -249,9 +250,9 @@
 	socket->events = events;
 	socket->ctx = ctx;
 	socket->queue = g_byte_array_new();
-	socket->event = tevent_add_fd(
-		ev, socket, fd, connecting ? TEVENT_FD_WRITE : TEVENT_FD_READ, on_ready, socket);
+	socket->event = tevent_add_fd(ev, socket, fd, 0, on_ready, socket);
 	talloc_set_destructor(socket, socket_destroy);
+	update_flags(socket);
 	return socket;
 }
 
