Whatever is not a crashing request's doing is told apart; more tests of it

Cause: the bound itself was tested with the mend, what must not be barred was not; an answer without a length that ends with its process looks like a whole one and excused the request that had crashed it; what another VM had told was told on at once by everybody; a full set of crashes kept whichever came first, so that VMs could decide otherwise. Change: only an answer that tells its own end excuses; only a VM's own findings hurry views; full sets keep the smallest ids; metrics (comet_requests_barred, comet_crash_records, comet_crash_suspects, outcome refused_crashing). Measured: 17 unit tests under virtual time (five VMs in any order, 300 seeds: failed before the sets were ordered; bounds of memory and turns), 12 tests on real processes; the one of answers without a length failed (7 sendings after the third crash) with the old rule put back.

--- a/libcometspindle/adapters/gateway/gateway_crashes.c
+++ b/libcometspindle/adapters/gateway/gateway_crashes.c
@@ -46,14 +46,16 @@
 
 static void
 on_news(void *ctx, const struct comet_fingerprint *request, enum comet_crashes_news news,
-	uint32_t lives)
+	uint32_t lives, bool own)
 {
 	struct comet_gateway *gateway = ctx;
 
-	comet_log(COMET_LOG_NOTICE,
-		"event=request_%s fingerprint=%016" G_GINT64_MODIFIER "x team_hash=%08x crashes=%u",
-		news_name(news), request->digest, request->team, lives);
-	comet_views_tell_soon(gateway->views);
+	comet_log(news == COMET_CRASHES_COUNTED ? COMET_LOG_INFO : COMET_LOG_NOTICE,
+		"event=request_%s fingerprint=%016" G_GINT64_MODIFIER
+		"x team_hash=%08x crashes=%u told=%d",
+		news_name(news), request->digest, request->team, lives, !own);
+	if (own) /* what another VM has told is on its way to all */
+		comet_views_tell_soon(gateway->views);
 	gateway->barred_anew = gateway->barred_anew || news == COMET_CRASHES_BARRED;
 }
 
@@ -147,6 +149,22 @@
 	look->again = comet_timers_add(gateway->timers, look, 0, on_look, look);
 }
 
+/* Does the answer itself tell where it ends? */
+static bool
+is_framed(const struct comet_http_head *head)
+{
+	return comet_http_head_get(head, "Content-Length") != NULL ||
+	       comet_http_head_get(head, "Transfer-Encoding") != NULL;
+}
+
+/* Does this answer show that its endpoint ran the request to its end? One that ends with its
+ * connection may have ended with its process. */
+static bool
+is_proof(const struct comet_http_head *head)
+{
+	return head->status >= 200 && head->status < 300 && is_framed(head);
+}
+
 /* May this run have ended because the process crashed? */
 static bool
 is_suspect(const struct comet_relay *relay, const struct comet_instance *instance,
@@ -156,6 +174,8 @@
 		return false;
 	if (result == COMET_DISPATCH_BROKEN || result == COMET_DISPATCH_SILENT)
 		return true;
+	if (result == COMET_DISPATCH_SERVED)
+		return !is_framed(relay->head);
 	/* Who leaves an endpoint that works has seen nothing crash. */
 	return result == COMET_DISPATCH_CANCELLED && relay->exchange != NULL &&
 	       comet_exchange_sent(relay->exchange) &&
@@ -169,7 +189,7 @@
 	const struct comet_instance *instance = comet_relay_instance(relay);
 	uint64_t now_us = comet_timers_now_us();
 
-	if (result == COMET_DISPATCH_SERVED && relay->head != NULL && relay->head->status < 300)
+	if (result == COMET_DISPATCH_SERVED && is_proof(relay->head))
 		comet_crashes_served(gateway->crashes, &relay->fingerprint, now_us);
 	if (instance != NULL && result == COMET_DISPATCH_WRONG)
 		comet_gateway_life_ended(gateway, instance, "address_taken");
--- a/libcometspindle/adapters/gateway/gateway_metrics.c
+++ b/libcometspindle/adapters/gateway/gateway_metrics.c
@@ -32,6 +32,7 @@
 		{"relayed_error", counts->relayed_errors},
 		{"refused_early", counts->refused_early},
 		{"refused_team", counts->refused_team},
+		{"refused_crashing", counts->refused_crashing},
 		{"refused_other", counts->refused_other},
 		{"failed", counts->failed},
 		{"cut", counts->cut},
@@ -59,6 +60,16 @@
 		counts->answered);
 }
 
+static void
+put_crashes(GString *out, const struct comet_gateway *gateway)
+{
+	const struct comet_crashes_counts counts = comet_crashes_count(gateway->crashes);
+
+	put(out, "crash_records", "gauge", counts.records);
+	put(out, "crash_suspects", "gauge", counts.suspects);
+	put(out, "requests_barred", "gauge", counts.barred);
+}
+
 /* What is being written. */
 struct page
 {
@@ -291,6 +302,7 @@
 	put(out, "repeats_total", "counter", (double)gateway->counts.repeated);
 	put(out, "resumes_total", "counter", (double)gateway->counts.resumed);
 	put_asks(out, &gateway->counts);
+	put_crashes(out, gateway);
 	put(out, "vms_known", "gauge", known);
 	put(out, "vms_heard", "gauge", heard);
 	put(out, "endpoint_connections_opened_total", "counter", (double)up->opened);
--- a/libcometspindle/gateway/crashes.c
+++ b/libcometspindle/gateway/crashes.c
@@ -152,24 +152,26 @@
 	return false;
 }
 
-/* @return whether the set has changed; a full one does not. */
+/* Adds a life; a full set keeps the smallest, so that VMs which were told the same lives in another
+ * order keep the same. @return whether the set has changed */
 static bool
 set_add(struct life_set *set, uint32_t life)
 {
-	if (life == 0 || set->count >= LIVES_MAX || set_has(set, life))
-		return false;
-	set->lives[set->count++] = life;
-	return true;
-}
+	uint32_t largest = 0;
 
-static void
-set_remove(struct life_set *set, uint32_t life)
-{
-	for (uint32_t i = 0; i < set->count; i++)
+	if (life == 0 || set_has(set, life))
+		return false;
+	if (set->count < LIVES_MAX)
 	{
-		if (set->lives[i] == life)
-			set->lives[i] = set->lives[--set->count];
+		set->lives[set->count++] = life;
+		return true;
 	}
+	for (uint32_t i = 1; i < set->count; i++)
+		largest = set->lives[i] > set->lives[largest] ? i : largest;
+	if (life > set->lives[largest])
+		return false;
+	set->lives[largest] = life;
+	return true;
 }
 
 static struct record *
@@ -223,7 +225,7 @@
  * decide the same: were the first to reach the bound the one to blame, a VM that heard of another
  * first would blame that one, and both would go free once they told each other. */
 static void
-decide(struct comet_crashes *crashes)
+decide(struct comet_crashes *crashes, bool own)
 {
 	GPtrArray *heavy = g_ptr_array_new();
 	GHashTableIter at;
@@ -245,7 +247,8 @@
 			continue;
 		record->barred = barred;
 		crashes->ops->news(crashes->ctx, &record->request,
-			barred ? COMET_CRASHES_BARRED : COMET_CRASHES_RELEASED, counted(record));
+			barred ? COMET_CRASHES_BARRED : COMET_CRASHES_RELEASED, counted(record),
+			own);
 	}
 	g_ptr_array_free(heavy, TRUE);
 }
@@ -302,21 +305,6 @@
 	return record;
 }
 
-/* Adds a crash that this VM saw to a record; in a full one it takes the place of an excused one.
- * @return whether it is new */
-static bool
-add_life(struct record *record, uint32_t life)
-{
-	if (record->crashed.count >= LIVES_MAX && !set_has(&record->crashed, life) &&
-		record->excused.count > 0)
-	{
-		uint32_t old = record->excused.lives[0];
-		set_remove(&record->crashed, old);
-		set_remove(&record->excused, old);
-	}
-	return set_add(&record->crashed, life);
-}
-
 /* Excuses all crashes of a record. @return whether any was not excused before */
 static bool
 excuse(struct record *record)
@@ -346,15 +334,15 @@
 
 /* A record has changed: what follows from it. */
 static void
-record_changed(struct comet_crashes *crashes, struct record *record, uint64_t now_us)
+record_changed(struct comet_crashes *crashes, struct record *record, bool own, uint64_t now_us)
 {
 	record->changed_us = now_us;
 	if (is_sound(crashes, &record->request, now_us) && excuse(record))
-		crashes->ops->news(crashes->ctx, &record->request, COMET_CRASHES_EXCUSED, 0);
+		crashes->ops->news(crashes->ctx, &record->request, COMET_CRASHES_EXCUSED, 0, true);
 	else
-		crashes->ops->news(
-			crashes->ctx, &record->request, COMET_CRASHES_COUNTED, counted(record));
-	decide(crashes);
+		crashes->ops->news(crashes->ctx, &record->request, COMET_CRASHES_COUNTED,
+			counted(record), own);
+	decide(crashes, own);
 }
 
 /* An endpoint's process crashed under the request. */
@@ -364,10 +352,10 @@
 {
 	struct record *record = find_or_add(crashes, request);
 
-	if (!add_life(record, life))
+	if (!set_add(&record->crashed, life))
 		return;
 	record->last_us = now_us;
-	record_changed(crashes, record, now_us);
+	record_changed(crashes, record, true, now_us);
 }
 
 bool
@@ -461,8 +449,8 @@
 	if (record == NULL || !excuse(record))
 		return;
 	record->changed_us = now_us;
-	crashes->ops->news(crashes->ctx, request, COMET_CRASHES_EXCUSED, 0);
-	decide(crashes);
+	crashes->ops->news(crashes->ctx, request, COMET_CRASHES_EXCUSED, 0, true);
+	decide(crashes, true);
 }
 
 void
@@ -557,7 +545,7 @@
 	if (!changed)
 		return; /* nor a later crash: told back and forth its age would shrink */
 	record->last_us = MAX(record->last_us, now_us - MIN(age_us, now_us));
-	record_changed(crashes, record, now_us);
+	record_changed(crashes, record, false, now_us);
 }
 
 struct comet_crashes_counts
--- a/libcometspindle/gateway/crashes.h
+++ b/libcometspindle/gateway/crashes.h
@@ -32,9 +32,10 @@
 
 struct comet_crashes_ops
 {
-	/** lives: processes that crashed under it and count. */
+	/** lives: processes that crashed under it and count; own: this VM found it out, no other
+	 * has told it. */
 	void (*news)(void *ctx, const struct comet_fingerprint *request,
-		enum comet_crashes_news news, uint32_t lives);
+		enum comet_crashes_news news, uint32_t lives, bool own);
 };
 
 /** How many of each there are. */
--- a/tests/system/test_crashes.py
+++ b/tests/system/test_crashes.py
@@ -13,9 +13,11 @@
 
 The bound of sendings holds for one attempt, and nothing linked the attempts.
 """
+import re
+import threading
 import time
 
-from gateway_world import ADDRESS, OTHER_ADDRESS, Gateway, answer_of, connect, document, request, run_tests
+from gateway_world import ADDRESS, OTHER_ADDRESS, Gateway, answer_of, connect, document, get, request, run_tests
 from platform_standin import Server, Store, wait_for
 
 # So long after the third crash every VM must know of it, and at most so many sendings may follow then.
@@ -138,7 +140,129 @@
     check_stopped("/again/crash", "silence", begin_stream, method="POST", body=b"the same", deadline_ms=1500)
 
 
+def bar(fleet, path, **more):
+    """Sends a request that crashes endpoints until all VMs have barred it."""
+    for number in range(30):
+        fleet.send(number, path, **more)
+        if fleet.crashed() >= CRASHES:
+            break
+    wait_for(lambda: all(barred(vm) for vm in fleet.vms))
+
+
+def barred(vm):
+    """How many requests this VM has barred, by its metrics."""
+    text = get(vm.ports["control"], "/metrics", vm.address)[2].decode()
+    return int(re.search(r"^comet_requests_barred (\d+)$", text, re.M).group(1))
+
+
+def test_others_are_served():
+    """What ran beside such a request, and the same bytes from another team, are served on."""
+    fleet = Fleet(teams=[dict(document(1)["tenants"][0], name="other", api_keys=["o1"])])
+    begun = threading.Semaphore(0)
+
+    def slow(server, sock, path, headers, body):
+        begun.release()
+        time.sleep(0.5)
+        server.plain(sock, path, headers, body)
+    fleet.crashing("crash", "end", lambda server, sock, headers: time.sleep(0.1))
+    fleet.script("slow", slow)
+    over = threading.Event()
+    beside = []
+
+    def send_beside(number):
+        while not over.is_set():
+            beside.append(fleet.send(number, "/once/slow", key="o1", method="POST", body=b"beside"))
+    threads = [threading.Thread(target=send_beside, args=(number,)) for number in range(8)]
+    for thread in threads:
+        thread.start()
+    for _ in threads:
+        begun.acquire(timeout=20)
+    bar(fleet, "/once/crash", method="POST", body=b"the same")
+    over.set()
+    for thread in threads:
+        thread.join(20)
+    assert 400 not in [status for status, _ in beside], beside
+    wait_for(lambda: fleet.send(0, "/once/slow", key="o1", method="POST", body=b"beside")[0] == 200)
+    # the same bytes of another team: sent, as nobody has seen that they crash anything for that team
+    before = len(fleet.runs)
+    assert fleet.send(0, "/once/crash", method="POST", body=b"the same")[0] == 400
+    assert fleet.send(0, "/once/crash", key="o1", method="POST", body=b"the same")[0] == 502
+    assert len(fleet.runs) == before + 1
+    # another request of the same team
+    fleet.script("crash", Server.plain)
+    wait_for(lambda: fleet.send(1, "/once/crash", method="POST", body=b"another")[0] == 200)
+    fleet.end()
+
+
+def test_vm_that_starts_is_told():
+    """A VM that is killed, and the one that takes its place, knows of nothing; the others tell it."""
+    fleet = Fleet()
+    fleet.crashing("crash", "reset")
+    bar(fleet, "/once/crash", method="POST", body=b"the same")
+    one, two = fleet.vms
+    two.process.kill()
+    two.process.wait()
+    started = Gateway(fleet.store, address=OTHER_ADDRESS, ports=one.ports, seeds=f"{ADDRESS}:{one.ports['control']}")
+    fleet.vms = [one, started]
+    wait_for(started.ready)
+    wait_for(lambda: barred(started))
+    before = len(fleet.runs)
+    assert [fleet.send(number, "/once/crash", method="POST", body=b"the same")[0] for number in range(4)] == [400] * 4
+    assert len(fleet.runs) == before
+    fleet.end()
+
+
+def test_endpoints_that_leave():
+    """A request that is under way whenever an endpoint ends as planned is no crashing one."""
+    fleet = Fleet()
+
+    def leaves(server, sock, path, headers, body):
+        fleet.runs.append(server.name)
+        server.publish(state="draining")
+        for vm in fleet.vms:
+            line = f"event=endpoint_listed endpoint={server.name} ".encode()
+            wait_for(lambda: line + b"" in vm.log_text() and b"draining=1" in vm.log_text().split(line)[-1][:200])
+        server.crash("end")
+        return False
+    fleet.script("leaves", leaves)
+    for number in range(CRASHES + 1):
+        assert fleet.send(number, "/once/leaves", method="POST", body=b"the same")[0] == 502
+    time.sleep(1)
+    assert not any(barred(vm) for vm in fleet.vms)
+    fleet.script("leaves", Server.plain)
+    wait_for(lambda: fleet.send(0, "/once/leaves", method="POST", body=b"the same")[0] == 200)
+    fleet.end()
+
+
+def test_broken_answers_are_no_crashes():
+    """An endpoint that breaks off answers, and lives, has not crashed."""
+    fleet = Fleet()
+
+    def breaks(server, sock, path, headers, body):
+        fleet.runs.append(server.name)
+        server.write_head(sock, headers, length=100)
+        return False
+    fleet.script("breaks", breaks)
+    for number in range(8):
+        assert fleet.send(number, "/once/breaks", method="POST", body=b"the same")[0] == 502
+    time.sleep(1)
+    assert not any(barred(vm) for vm in fleet.vms)
+    assert len(fleet.runs) == 8
+    fleet.end()
+
+
+def test_end_of_an_answer_without_length_proves_nothing():
+    """An answer that ends with its connection may have ended with its process."""
+    def unframed(server, sock, headers):
+        ident = headers["x-cometspindle-request-id"]
+        sock.sendall((f"HTTP/1.1 200 OK\r\nX-Cometspindle-Request-Id: {ident}\r\n"
+                      f"X-Cometspindle-Server-Stamp: {server.name}\r\n\r\nhalf of it").encode())
+    check_stopped("/safe/crash", "end", unframed)
+
+
 if __name__ == "__main__":
     run_tests([], [test_crash_at_once, test_crash_of_repeatable, test_crash_in_a_stream,
                    test_crash_in_a_resumable_stream, test_crash_late, test_crash_in_silence,
-                   test_crash_in_silence_of_a_stream])
+                   test_crash_in_silence_of_a_stream, test_others_are_served, test_vm_that_starts_is_told,
+                   test_endpoints_that_leave, test_broken_answers_are_no_crashes,
+                   test_end_of_an_answer_without_length_proves_nothing])
--- /dev/null
+++ b/tests/unit/test_crashes.cc
@@ -0,0 +1,353 @@
+/*
+ * test_crashes.cc
+ * which requests are barred, by what one VM saw and others told, in whatever order
+ */
+#include <gtest/gtest.h>
+
+extern "C"
+{
+#include <libcometspindle/gateway/crashes.h>
+}
+#include <algorithm>
+#include <random>
+#include <string>
+#include <talloc.h>
+#include <vector>
+
+namespace
+{
+
+const uint64_t SECOND_US = 1000000;
+const uint64_t MINUTE_US = 60 * SECOND_US;
+
+/* A VM that knows of crashes. */
+struct Vm
+{
+	Vm()
+	{
+		crashes = comet_crashes_create(nullptr, &ops, this);
+	}
+
+	~Vm()
+	{
+		talloc_free(crashes);
+	}
+
+	Vm(const Vm &) = delete;
+
+	static void
+	on_news(void *ctx, const comet_fingerprint *, comet_crashes_news news, uint32_t, bool)
+	{
+		((Vm *)ctx)->news[news]++;
+	}
+
+	/* An endpoint's process crashes while it runs the request. */
+	void
+	crash(const comet_fingerprint &request, uint32_t life, uint64_t now_us)
+	{
+		comet_crashes_suspect(crashes, &request, life, now_us, now_us);
+		comet_crashes_life_ended(crashes, life, now_us, now_us + SECOND_US / 2);
+	}
+
+	bool
+	bars(const comet_fingerprint &request)
+	{
+		return comet_crashes_bars(crashes, &request);
+	}
+
+	/* Sends a view to another VM. */
+	void
+	tell(Vm &other, uint64_t now_us)
+	{
+		comet_Crashed records[4];
+		size_t count = comet_crashes_put(crashes, records, 4, now_us);
+
+		ASSERT_LE(count, 4U);
+		for (size_t i = 0; i < count; i++)
+			comet_crashes_take(other.crashes, &records[i], now_us);
+	}
+
+	static const comet_crashes_ops ops;
+	comet_crashes *crashes;
+	int news[4] = {};
+};
+
+const comet_crashes_ops Vm::ops = {on_news};
+
+const comet_fingerprint REQUEST = {77, 1};
+
+TEST(Crashes, TheThirdBars)
+{
+	Vm vm;
+
+	vm.crash(REQUEST, 1, MINUTE_US);
+	vm.crash(REQUEST, 2, MINUTE_US);
+	vm.crash(REQUEST, 2, MINUTE_US); /* the same life tells nothing new */
+	EXPECT_FALSE(vm.bars(REQUEST));
+	vm.crash(REQUEST, 3, MINUTE_US);
+	EXPECT_TRUE(vm.bars(REQUEST));
+	EXPECT_EQ(vm.news[COMET_CRASHES_BARRED], 1);
+}
+
+/* Two teams may send the same bytes, and one team may have found bytes that hash like another's. */
+TEST(Crashes, AnotherTeamsRequestIsAnother)
+{
+	Vm vm;
+
+	for (uint32_t life = 1; life <= 5; life++)
+		vm.crash(REQUEST, life, MINUTE_US);
+	EXPECT_TRUE(vm.bars(REQUEST));
+	EXPECT_FALSE(vm.bars({REQUEST.digest, 2}));
+	EXPECT_FALSE(vm.bars({REQUEST.digest + 1, REQUEST.team}));
+}
+
+TEST(Crashes, WhatIsHeardLaterWasNotCrashed)
+{
+	Vm vm;
+
+	for (uint32_t life = 1; life <= 5; life++)
+	{
+		/* its connection broke; the process answered others for a second, and crashed later
+		 */
+		comet_crashes_suspect(vm.crashes, &REQUEST, life, MINUTE_US, MINUTE_US);
+		comet_crashes_life_ended(
+			vm.crashes, life, MINUTE_US + SECOND_US, MINUTE_US + 2 * SECOND_US);
+	}
+	EXPECT_EQ(comet_crashes_count(vm.crashes).records, 0U);
+}
+
+/* The bytes that the process had sent to others may be read a little later. */
+TEST(Crashes, WhatWasUnderWayIsHeardALittleLater)
+{
+	Vm vm;
+
+	comet_crashes_suspect(vm.crashes, &REQUEST, 1, MINUTE_US, MINUTE_US);
+	comet_crashes_life_ended(vm.crashes, 1, MINUTE_US + 50000, MINUTE_US + SECOND_US);
+	EXPECT_EQ(comet_crashes_count(vm.crashes).records, 1U);
+}
+
+TEST(Crashes, APlannedEndIsNoCrash)
+{
+	Vm vm;
+
+	for (uint32_t life = 1; life <= 5; life++)
+	{
+		comet_crashes_suspect(vm.crashes, &REQUEST, life, MINUTE_US, MINUTE_US);
+		comet_crashes_life_left(vm.crashes, life);
+		comet_crashes_life_ended(vm.crashes, life, MINUTE_US, MINUTE_US + SECOND_US);
+	}
+	EXPECT_FALSE(vm.bars(REQUEST));
+	EXPECT_EQ(comet_crashes_count(vm.crashes).suspects, 0U);
+}
+
+/* A run whose end is noticed after that of its process, as in silence. */
+TEST(Crashes, ARunThatEndsAfterItsProcessCounts)
+{
+	Vm vm;
+
+	for (uint32_t life = 1; life <= 3; life++)
+	{
+		comet_crashes_life_ended(vm.crashes, life, MINUTE_US, MINUTE_US + 1);
+		comet_crashes_suspect(vm.crashes, &REQUEST, life, MINUTE_US, MINUTE_US + SECOND_US);
+	}
+	EXPECT_TRUE(vm.bars(REQUEST));
+}
+
+TEST(Crashes, AnEndLongAfterTheRunIsNotItsDoing)
+{
+	Vm vm;
+
+	comet_crashes_suspect(vm.crashes, &REQUEST, 1, MINUTE_US, MINUTE_US);
+	comet_crashes_tick(vm.crashes, MINUTE_US + 20 * SECOND_US);
+	comet_crashes_life_ended(vm.crashes, 1, MINUTE_US, MINUTE_US + 21 * SECOND_US);
+	EXPECT_EQ(comet_crashes_count(vm.crashes).records, 0U);
+}
+
+TEST(Crashes, WhatIsServedIsExcused)
+{
+	Vm vm;
+
+	for (uint32_t life = 1; life <= 4; life++)
+		vm.crash(REQUEST, life, MINUTE_US);
+	ASSERT_TRUE(vm.bars(REQUEST));
+	comet_crashes_served(vm.crashes, &REQUEST, 2 * MINUTE_US);
+	EXPECT_FALSE(vm.bars(REQUEST));
+	/* crashes after that count anew, once it was not served for a while */
+	for (uint32_t life = 11; life <= 13; life++)
+		vm.crash(REQUEST, life, 3 * MINUTE_US);
+	EXPECT_TRUE(vm.bars(REQUEST));
+}
+
+/* A request that many callers send is under way wherever an endpoint dies: also three at a time. */
+TEST(Crashes, WhatIsServedAllTheTimeIsNotBarred)
+{
+	Vm vm;
+
+	for (uint32_t life = 1; life <= 200; life++)
+	{
+		uint64_t now_us = MINUTE_US + life * SECOND_US;
+		if (life % 10 == 1)
+			comet_crashes_served(vm.crashes, &REQUEST, now_us);
+		vm.crash(REQUEST, life, now_us);
+		ASSERT_FALSE(vm.bars(REQUEST)) << life;
+	}
+}
+
+/* Another VM has served it and learns of the crashes: it tells the first. */
+TEST(Crashes, WhatIsServedElsewhereIsExcusedHere)
+{
+	Vm one;
+	Vm two;
+
+	comet_crashes_served(two.crashes, &REQUEST, MINUTE_US);
+	for (uint32_t life = 1; life <= 3; life++)
+		one.crash(REQUEST, life, MINUTE_US + SECOND_US);
+	ASSERT_TRUE(one.bars(REQUEST));
+	one.tell(two, MINUTE_US + 2 * SECOND_US);
+	two.tell(one, MINUTE_US + 3 * SECOND_US);
+	EXPECT_FALSE(one.bars(REQUEST));
+	EXPECT_FALSE(two.bars(REQUEST));
+}
+
+/* Neighbours lose their runs with the same processes. */
+TEST(Crashes, WhatRanBesideIsNotBarred)
+{
+	Vm vm;
+	const comet_fingerprint beside = {88, 2};
+
+	for (uint32_t life = 1; life <= 4; life++)
+	{
+		comet_crashes_suspect(vm.crashes, &REQUEST, life, MINUTE_US, MINUTE_US);
+		if (life > 2)
+			comet_crashes_suspect(vm.crashes, &beside, life, MINUTE_US, MINUTE_US);
+		comet_crashes_life_ended(vm.crashes, life, MINUTE_US, MINUTE_US + SECOND_US);
+	}
+	EXPECT_TRUE(vm.bars(REQUEST));
+	EXPECT_FALSE(vm.bars(beside));
+	vm.crash(beside, 9, MINUTE_US); /* one more, of whatever else */
+	EXPECT_FALSE(vm.bars(beside));
+}
+
+/* Each of five VMs has seen some of the crashes. Whoever told whom in which order, and whatever was
+ * lost and told again, all decide the same in the end. */
+TEST(Crashes, AllDecideTheSameInAnyOrder)
+{
+	for (unsigned seed = 1; seed <= 300; seed++)
+	{
+		std::mt19937 draw(seed);
+		std::vector<Vm> vms(5);
+		std::vector<comet_fingerprint> requests;
+		uint64_t now_us = MINUTE_US;
+
+		for (uint64_t i = 0; i < 8; i++)
+			requests.push_back({100 + i, (uint32_t)(i % 3)});
+		for (int step = 0; step < 400; step++)
+		{
+			now_us += 20000;
+			Vm &vm = vms[draw() % 5];
+			if (draw() % 8 == 0)
+				vm.crash(requests[draw() % 8], 1 + draw() % 12, now_us);
+			else if (draw() % 60 == 0)
+				comet_crashes_served(vm.crashes, &requests[draw() % 4], now_us);
+			else
+				vm.tell(vms[draw() % 5], now_us);
+		}
+		for (int round = 0; round < 12; round++)
+		{
+			now_us += SECOND_US;
+			for (Vm &from : vms)
+				for (Vm &to : vms)
+					from.tell(to, now_us);
+		}
+		for (const comet_fingerprint &request : requests)
+			for (Vm &vm : vms)
+				ASSERT_EQ(vm.bars(request), vms[0].bars(request))
+					<< seed << " " << request.digest;
+	}
+}
+
+/* A VM that starts is told all of them, a few in each view. */
+TEST(Crashes, AVmThatStartsIsToldAll)
+{
+	Vm old;
+	Vm started;
+
+	for (uint32_t i = 0; i < 300; i++)
+		for (uint32_t life = 1; life <= 3; life++)
+			old.crash({1000 + i, i % 20}, 10 * i + life, MINUTE_US);
+	for (uint64_t view = 0; view < 200; view++)
+		old.tell(started, 2 * MINUTE_US + view * SECOND_US / 10);
+	EXPECT_EQ(comet_crashes_count(started.crashes).barred, 300U);
+}
+
+/* What is told back and forth for hours ends. */
+TEST(Crashes, ARecordEnds)
+{
+	Vm one;
+	Vm two;
+	uint64_t now_us = MINUTE_US;
+
+	for (uint32_t life = 1; life <= 3; life++)
+		one.crash(REQUEST, life, now_us);
+	for (int i = 0; i < 3590; i++)
+	{
+		now_us += SECOND_US;
+		one.tell(two, now_us);
+		two.tell(one, now_us + 900000); /* it was slow on its way */
+	}
+	EXPECT_TRUE(one.bars(REQUEST));
+	for (int i = 0; i < 30; i++)
+	{
+		now_us += SECOND_US;
+		one.tell(two, now_us);
+		two.tell(one, now_us);
+		comet_crashes_tick(one.crashes, now_us);
+		comet_crashes_tick(two.crashes, now_us);
+	}
+	EXPECT_FALSE(one.bars(REQUEST));
+	EXPECT_FALSE(two.bars(REQUEST));
+}
+
+/* A team with many records has its own replaced, weakest first, and nobody else's. */
+TEST(Crashes, ATeamPushesOutNoOthers)
+{
+	Vm vm;
+
+	for (uint32_t life = 1; life <= 3; life++)
+		vm.crash(REQUEST, life, MINUTE_US);
+	for (uint32_t i = 0; i < 5000; i++)
+		vm.crash({1000 + i, 9}, 100 + i, 2 * MINUTE_US);
+	EXPECT_TRUE(vm.bars(REQUEST));
+	EXPECT_LE(comet_crashes_count(vm.crashes).records, 65U);
+	for (uint32_t team = 10; team < 90; team++)
+		for (uint32_t i = 0; i < 64; i++)
+			vm.crash({10000 + i, team}, 100000 + team * 64 + i, 2 * MINUTE_US);
+	EXPECT_LE(comet_crashes_count(vm.crashes).records, 4096U);
+	EXPECT_TRUE(vm.bars(REQUEST)); /* weaker ones went first */
+}
+
+TEST(Crashes, SuspectsAreBounded)
+{
+	Vm vm;
+
+	for (uint32_t i = 0; i < 100000; i++)
+		comet_crashes_suspect(vm.crashes, &REQUEST, 1 + i, MINUTE_US, MINUTE_US);
+	EXPECT_LE(comet_crashes_count(vm.crashes).suspects, 1024U);
+}
+
+/* One team's news does not keep another's from being told. */
+TEST(Crashes, NewsTakesTurns)
+{
+	Vm one;
+	Vm two;
+
+	for (uint32_t i = 0; i < 60; i++)
+		one.crash({1000 + i, 9}, 100 + i, MINUTE_US);
+	for (uint32_t life = 1; life <= 3; life++)
+		one.crash(REQUEST, life, MINUTE_US);
+	for (uint64_t view = 0; view < 30; view++)
+		one.tell(two, MINUTE_US + view * SECOND_US / 10);
+	EXPECT_TRUE(two.bars(REQUEST));
+}
+
+} // namespace
