A test that fails: crashes whose caller left at once are not counted; the soak learns crashing requests

Symptom: with callers that close their connection as soon as the request runs, it is sent 9 times more after it has crashed three. The soak's servers crash under some requests (reset, end or silence; at once, late or inside a stream), among all other faults; once all is well such a request may be sent three times more at most, and no other may get 400.

--- a/scripts/soak_gateway.py
+++ b/scripts/soak_gateway.py
@@ -38,7 +38,10 @@
 ANSWER_FAULTS = ["answer_stop", "answer_end", "answer_reset", "answer_refuse", "answer_error", "answer_bare"]
 FAULTS = {"first": FIRST_FAULTS, "all": ALL_FAULTS, "every": ALL_FAULTS + ANSWER_FAULTS + ["answer_unnamed"],
           "answers": ANSWER_FAULTS * 3 + ["answer_unnamed", "kill", "stop", "server_reset", "server_silent",
-                                          "drain", "reborn"]}
+                                          "drain", "reborn"],
+          "crashes": ALL_FAULTS + ANSWER_FAULTS + ["crash"] * 6}
+CRASHES_MAX = 3  # of one request, and so many sendings more once all must know of them
+KNOWN_AFTER_S = 3
 TAKEN_UP_MAX = 3  # times that a caller goes on with a stream that broke off
 Outcome = collections.namedtuple("Outcome", "status whole last_id")
 FOREIGN = ["", "{", "[]", "null", "\x00", '{"service":"svc"}', '{"service":5,"state":"ready"}']
@@ -184,7 +187,9 @@
         self.faulty = set()  # VMs whose process is killed, stopped or paused just now
         self.broken = {"twice": [], "not_run_but_ran": [], "wrong_answer": [], "joined_piece": [],
                        "out_of_order": [], "looks_complete": [], "wrong_key_served": [],
-                       "not_served_after": [], "bad_exit": [], "sanitizer": []}
+                       "not_served_after": [], "bad_exit": [], "sanitizer": [],
+                       "sent_on": [], "refused_for_good": []}
+        self.crashed = {}  # body of a request that crashes servers -> names of those that ran it
         self.told_not_run = set()
         self.once = set()
         self.lock = threading.Lock()
@@ -203,6 +208,7 @@
             server = PieceServer(self.store, f"i-{number}", "svc", 2, self.seed)
             proxy = Proxy(server.port)
             server.publish(address=f"127.0.0.1:{proxy.port}", zone=f"z{number % 3}")
+            server.scripts["crash"] = self.crash_server
             self.servers.append(server)
             self.proxies.append(proxy)
         ports = free_ports(address_of(0))
@@ -258,6 +264,8 @@
                 self.told_not_run.add(ident)
         if status == 0:
             return Outcome(0, False, last_id)
+        if status == 400:
+            self.breach("refused_for_good", f"{ident} {route}/{script}")
         if status == 200 and key == "never":
             self.breach("wrong_key_served", ident)
         runs = [run for server in self.servers for run in server.made.get(ident, ())]
@@ -419,6 +427,58 @@
         time.sleep(length)
         server.publish()
 
+    def crash_server(self, server, sock, _path, headers, body):
+        """A script of servers: the request crashes its server, in a way and at a moment that its body tells."""
+        how, _, when = body.decode().split(" ")[:3]
+        self.crashed[body].append(server.name)
+        if when == "late":
+            time.sleep(0.2)
+        if when == "inside":
+            server.write_head(sock, headers, extra="Content-Type: text/event-stream\r\n")
+            server.events(sock, 1, 2)
+        server.crash(how, away_s=0.8, lapse_s=0.5)
+        return None if how == "silence" else False
+
+    def send_crashing(self, vm, body):
+        """Sends such a request, under a new id. Returns its status; 0: none."""
+        with self.lock:
+            self.serial += 1
+            ident = f"{self.serial:016x}"
+        route = body.decode().split(" ")[1]
+        data = (f"POST /{route}/crash HTTP/1.1\r\nHost: {HOST}\r\nX-Cometspindle-Request-Id: {ident}\r\n"
+                f"X-Cometspindle-Deadline-Ms: 1500\r\nAuthorization: Token k1\r\n"
+                f"Content-Length: {len(body)}\r\n\r\n").encode() + body
+        try:
+            with socket.create_connection((vm.ip, vm.callers), 2) as sock:
+                sock.settimeout(8)
+                sock.sendall(data)
+                line, _ = CallerReader(sock).head()
+                return int(line.split()[1]) if line else 0
+        except OSError:
+            return 0
+
+    def fault_crash(self, _kind, _length, _vm, _proxy, number):
+        draw = random.Random(f"crash {self.seed} {number} {len(self.crashed)}")
+        body = " ".join([draw.choice(["reset", "end", "silence"]), draw.choice(["safe", "once", "again", "sse"]),
+                         draw.choice(["at_once", "late", "inside"]), f"{draw.random()}"]).encode()
+        self.crashed[body] = []
+        for _ in range(8):
+            self.send_crashing(draw.choice(self.vms), body)
+            time.sleep(draw.random() * 0.3)
+
+    def check_crashing(self):
+        """Once all is well and must be known, requests that have crashed their share are hardly sent any more."""
+        if not self.crashed:
+            return
+        time.sleep(KNOWN_AFTER_S)
+        for body, names in self.crashed.items():
+            before = len(names)
+            if before < CRASHES_MAX:
+                continue
+            told = [self.send_crashing(vm, body) for vm in self.vms * 2]
+            if len(names) - before > CRASHES_MAX:
+                self.breach("sent_on", f"{body}: {before} crashes, then {len(names) - before}; {told}; {names}")
+
     def choose_vm(self, kind):
         """A VM for a fault: those on processes overlap on different VMs, and one VM is spared."""
         if kind not in PROCESS_FAULTS:
@@ -460,6 +520,7 @@
                          last[-5:] == [200] * 5)
             except AssertionError:
                 self.breach("not_served_after", f"{vm.ip}: {last[-20:]}")
+        self.check_crashing()
         self.over = True
         time.sleep(0.5)
         runs = {}
@@ -514,6 +575,7 @@
             json.dump(soak.broken, file, indent=1)
     print(json.dumps({"bench": "soak", "seed": args.seed, "scale": args.scale, **soak.counts,
                       "faults": soak.faults, "pairs": len(soak.pairs),
+                      "crashing": [len(names) for names in soak.crashed.values()],
                       "broken": {kind: len(found) for kind, found in soak.broken.items()},
                       "first": {kind: str(found[0])[:600] for kind, found in soak.broken.items() if found}}))
     sys.exit(1 if broken else 0)
--- a/tests/system/platform_standin.py
+++ b/tests/system/platform_standin.py
@@ -211,8 +211,12 @@
     """One server: runs scripts by the last part of the path and writes down what it ran."""
 
     def __init__(self, store, name, service, slots=4):
-        self.sock = listen()
-        self.port = self.sock.getsockname()[1]
+        # bound beside the one that listens: nobody else is given the port while the process is away
+        self.hold = socket.socket()
+        self.hold.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.hold.bind(("127.0.0.1", 0))
+        self.port = self.hold.getsockname()[1]
+        self.sock = listen(port=self.port)
         self.name = name
         self.runs = []    # (id, path, headers, body)
         self.closed = []  # ids whose connection was closed before the answer
@@ -231,6 +235,8 @@
 
     def publish(self, **change):
         self.entry.update(change)
+        if self.dead:
+            return  # who would write it?
         self.store.put("servers/" + self.name, self.entry)
 
     def accept(self):
@@ -284,7 +290,7 @@
         self.sockets = set()
         self.sock = listen(port=self.port)
         self.dead = False
-        self.publish(sequence=1)
+        self.publish(sequence=1, state="ready")
         threading.Thread(target=self.accept, daemon=True).start()
 
     def serve(self, sock):
--- a/tests/system/test_crashes.py
+++ b/tests/system/test_crashes.py
@@ -14,6 +14,7 @@
 The bound of sendings holds for one attempt, and nothing linked the attempts.
 """
 import re
+import select
 import threading
 import time
 
@@ -155,6 +156,37 @@
     return int(re.search(r"^comet_requests_barred (\d+)$", text, re.M).group(1))
 
 
+def test_caller_that_leaves():
+    """The caller leaves as soon as its request runs, before the server crashes: nobody waits for an answer any more.
+
+    Found by the soak, whose callers closed their connections after the first line: 7 crashes, of which one was
+    counted.
+
+        event=sent request=... endpoint=i-3 attempt=1
+        event=caller_left request=... endpoint=i-3 held_ms=52 started=1
+    """
+    fleet = Fleet()
+    fleet.crashing("crash", "end", lambda server, sock, headers: time.sleep(0.03))
+
+    def send_and_leave(number):
+        vm = fleet.vms[number % 2]
+        before = len(fleet.runs)
+        sock = connect(vm.ports["callers"], vm.address)
+        sock.sendall(request("/once/crash", method="POST", body=b"the same")[1])
+        wait_for(lambda: len(fleet.runs) > before or select.select([sock], [], [], 0)[0])
+        sock.close()
+    for number in range(30):
+        send_and_leave(number)
+        if len(fleet.runs) >= CRASHES:
+            break
+    time.sleep(KNOWN_AFTER_S)
+    before = len(fleet.runs)
+    for number in range(10):
+        send_and_leave(number)
+    assert len(fleet.runs) - before <= SENDINGS_AFTER, (before, fleet.runs)
+    fleet.end()
+
+
 def test_others_are_served():
     """What ran beside such a request, and the same bytes from another team, are served on."""
     fleet = Fleet(teams=[dict(document(1)["tenants"][0], name="other", api_keys=["o1"])])
@@ -263,6 +295,6 @@
 if __name__ == "__main__":
     run_tests([], [test_crash_at_once, test_crash_of_repeatable, test_crash_in_a_stream,
                    test_crash_in_a_resumable_stream, test_crash_late, test_crash_in_silence,
-                   test_crash_in_silence_of_a_stream, test_others_are_served, test_vm_that_starts_is_told,
+                   test_crash_in_silence_of_a_stream, test_caller_that_leaves, test_others_are_served, test_vm_that_starts_is_told,
                    test_endpoints_that_leave, test_broken_answers_are_no_crashes,
                    test_end_of_an_answer_without_length_proves_nothing])
