Runs whose callers left count, and a request that may have crashed a third endpoint waits until that is known

Cause: a run that its caller cancels was suspected only if its endpoint had been silent, though the crash may come in the moment after; a run that ended after its process was known to have ended was not suspected at all; and between a crash and the knowledge of it (0.3 s for refused connections, seconds in silence) a VM sent the same request on. Change: every run that ends without an answer is suspected; one that ends after its process counts at once; while what is suspected would bar a request that has crashed an endpoint, it is refused as not run, to come back in 2 s, and no VM repeats it of its own accord. A team has 256 suspects at most, so that none pushes out another's. Why it holds: a VM sends such a request once until it knows what came of it.

--- a/libcometspindle/adapters/gateway/gateway_admit.c
+++ b/libcometspindle/adapters/gateway/gateway_admit.c
@@ -38,6 +38,10 @@
 /* A VM that stops sends callers to the others, which are there. */
 #define STOPPING_RETRY_S "0.05"
 
+/* A request that may just have crashed a third endpoint comes back after this time: a process that
+ * refuses connections is known to have crashed within a second, a silent one within four. */
+#define DOUBT_RETRY_MS 2000
+
 static int
 call_destroy(struct comet_relay *relay)
 {
@@ -328,6 +332,11 @@
 		comet_relay_refuse_for_good(relay);
 		return;
 	}
+	if (comet_crashes_doubts(gateway->crashes, &relay->fingerprint, comet_timers_now_us()))
+	{
+		comet_relay_refuse(relay, "may_crash_endpoints", DOUBT_RETRY_MS);
+		return;
+	}
 	read_job(relay);
 	spend(relay);
 }
--- a/libcometspindle/adapters/gateway/gateway_crashes.c
+++ b/libcometspindle/adapters/gateway/gateway_crashes.c
@@ -167,8 +167,7 @@
 
 /* May this run have ended because the process crashed? */
 static bool
-is_suspect(const struct comet_relay *relay, const struct comet_instance *instance,
-	enum comet_dispatch_result result, uint64_t now_us)
+is_suspect(const struct comet_relay *relay, enum comet_dispatch_result result)
 {
 	if (relay->not_run)
 		return false;
@@ -176,10 +175,10 @@
 		return true;
 	if (result == COMET_DISPATCH_SERVED)
 		return !is_framed(relay->head);
-	/* Who leaves an endpoint that works has seen nothing crash. */
+	/* A caller may leave before its request's crash is seen: all attempts of one that always
+	 * did went uncounted. */
 	return result == COMET_DISPATCH_CANCELLED && relay->exchange != NULL &&
-	       comet_exchange_sent(relay->exchange) &&
-	       now_us - MAX(instance->heard_us, relay->sent_us) >= UNHEARD_US;
+	       comet_exchange_sent(relay->exchange);
 }
 
 void
@@ -193,11 +192,19 @@
 		comet_crashes_served(gateway->crashes, &relay->fingerprint, now_us);
 	if (instance != NULL && result == COMET_DISPATCH_WRONG)
 		comet_gateway_life_ended(gateway, instance, "address_taken");
-	if (instance == NULL || !is_suspect(relay, instance, result, now_us))
+	if (!is_suspect(relay, result))
 		return;
-	comet_crashes_suspect(
-		gateway->crashes, &relay->fingerprint, relay->life, instance->heard_us, now_us);
-	look_at(gateway, instance);
+	uint64_t heard_us = instance != NULL ? instance->heard_us : relay->last_us;
+	struct comet_crashes_run run = {
+		.request = relay->fingerprint,
+		.life = relay->life,
+		.heard_us = heard_us,
+		.cancelled = result == COMET_DISPATCH_CANCELLED &&
+			     now_us - MAX(heard_us, relay->sent_us) < UNHEARD_US,
+	};
+	comet_crashes_suspect(gateway->crashes, &run, now_us);
+	if (instance != NULL && !run.cancelled)
+		look_at(gateway, instance);
 }
 
 /* What is under way at a process that has not been heard for a while ended with it. */
@@ -209,9 +216,14 @@
 	{
 		const struct comet_relay *relay = at->data;
 		uint64_t heard_us = MAX(instance->heard_us, relay->sent_us);
-		if (relay->life == instance->key && now_us - heard_us >= UNHEARD_US)
-			comet_crashes_suspect(gateway->crashes, &relay->fingerprint, relay->life,
-				instance->heard_us, now_us);
+		if (relay->life != instance->key || now_us - heard_us < UNHEARD_US)
+			continue;
+		struct comet_crashes_run run = {
+			.request = relay->fingerprint,
+			.life = relay->life,
+			.heard_us = instance->heard_us,
+		};
+		comet_crashes_suspect(gateway->crashes, &run, now_us);
 	}
 }
 
--- a/libcometspindle/adapters/gateway/gateway_send.c
+++ b/libcometspindle/adapters/gateway/gateway_send.c
@@ -23,7 +23,10 @@
 
 	if (relay->may_have_run && !comet_route_repeatable(relay->route))
 		return false;
-	if (comet_relay_is_barred(relay))
+	/* Endpoints that fall silent are known to have crashed seconds later: by then one request
+	 * was sent to three more. */
+	if (comet_relay_is_barred(relay) ||
+		comet_crashes_doubts(gateway->crashes, &relay->fingerprint, now_us))
 		return false;
 	if (relay->attempts >= MAX(relay->route->max_attempts, 1) || now_us >= relay->end_us)
 		return false;
--- a/libcometspindle/gateway/crashes.c
+++ b/libcometspindle/gateway/crashes.c
@@ -20,9 +20,16 @@
  */
 #define SUSPECT_US 15000000
 
+/* Within this time it is known whether the process of a run that broke off has crashed: three
+ * missed heartbeats and a second for the news. */
+#define DOUBT_US 5000000
+
 /* Suspects at a time: ten times what breaks with one endpoint of a thousand requests a second. */
 #define SUSPECTS_MAX 1024
 
+/* And of one team: one whose callers leave by the hundred does not push out the others'. */
+#define TEAM_SUSPECTS_MAX 256
+
 /* Bytes that a process sent before it crashed may be read this long after the first of its
  * connections is seen to end. */
 #define HEARD_MARGIN_US 100000
@@ -76,6 +83,7 @@
 	struct comet_fingerprint request;
 	uint32_t life;
 	uint64_t at_us;
+	bool cancelled; /* its caller left, while the process worked */
 };
 
 /* A life that ended unplanned. */
@@ -366,6 +374,26 @@
 	return record != NULL && record->barred;
 }
 
+bool
+comet_crashes_doubts(
+	struct comet_crashes *crashes, const struct comet_fingerprint *request, uint64_t now_us)
+{
+	const struct record *record = find(crashes, request);
+	uint32_t sum = record != NULL ? counted(record) : 0;
+
+	if (sum == 0)
+		return false;
+	for (GList *at = crashes->suspects.tail; at != NULL; at = at->prev)
+	{
+		const struct suspect *suspect = at->data;
+		if (now_us - suspect->at_us > DOUBT_US)
+			break;
+		if (!suspect->cancelled && comet_fingerprint_equal(&suspect->request, request))
+			sum++;
+	}
+	return sum >= CRASHES_MAX;
+}
+
 /* Has this life ended unplanned, without a word since? */
 static bool
 has_ended(const struct comet_crashes *crashes, uint32_t life, uint64_t heard_us)
@@ -379,21 +407,46 @@
 	return false;
 }
 
+/* Makes room for a suspect: the oldest goes, of the team itself if it has many. */
+static void
+make_room_for_suspect(struct comet_crashes *crashes, uint32_t team)
+{
+	GList *oldest_of_team = NULL;
+	uint32_t of_team = 0;
+
+	for (GList *at = crashes->suspects.tail; at != NULL; at = at->prev)
+	{
+		if (((const struct suspect *)at->data)->request.team != team)
+			continue;
+		oldest_of_team = at;
+		of_team++;
+	}
+	GList *out = NULL;
+	if (of_team >= TEAM_SUSPECTS_MAX)
+		out = oldest_of_team;
+	else if (crashes->suspects.length >= SUSPECTS_MAX)
+		out = crashes->suspects.head;
+	if (out == NULL)
+		return;
+	g_free(out->data);
+	g_queue_delete_link(&crashes->suspects, out);
+}
+
 void
-comet_crashes_suspect(struct comet_crashes *crashes, const struct comet_fingerprint *request,
-	uint32_t life, uint64_t heard_us, uint64_t now_us)
+comet_crashes_suspect(
+	struct comet_crashes *crashes, const struct comet_crashes_run *run, uint64_t now_us)
 {
-	if (has_ended(crashes, life, heard_us))
+	if (has_ended(crashes, run->life, run->heard_us))
 	{
-		blame(crashes, request, life, now_us);
+		blame(crashes, &run->request, run->life, now_us);
 		return;
 	}
-	if (g_queue_get_length(&crashes->suspects) >= SUSPECTS_MAX)
-		g_free(g_queue_pop_head(&crashes->suspects));
+	make_room_for_suspect(crashes, run->request.team);
 	struct suspect *suspect = g_new0(struct suspect, 1);
-	suspect->request = *request;
-	suspect->life = life;
+	suspect->request = run->request;
+	suspect->life = run->life;
 	suspect->at_us = now_us;
+	suspect->cancelled = run->cancelled;
 	g_queue_push_tail(&crashes->suspects, suspect);
 }
 
--- a/libcometspindle/gateway/crashes.h
+++ b/libcometspindle/gateway/crashes.h
@@ -56,13 +56,27 @@
 comet_crashes_bars(struct comet_crashes *crashes, const struct comet_fingerprint *request);
 
 /**
- * The request's run in that life of an endpoint's process ended without an answer: it is counted
- * if that life turns out to have ended with it, or has, and nothing was heard of it since.
- * @param heard_us when that life was last heard
+ * @return whether a request that has crashed an endpoint may just have crashed others, so that it
+ * would be barred: it is not to be sent before that is known.
  */
+bool
+comet_crashes_doubts(
+	struct comet_crashes *crashes, const struct comet_fingerprint *request, uint64_t now_us);
+
+/** A run of a request at an endpoint that ended without an answer. */
+struct comet_crashes_run
+{
+	struct comet_fingerprint request;
+	uint32_t life;     /**< of the endpoint's process */
+	uint64_t heard_us; /**< when that life was last heard */
+	bool cancelled;    /**< its caller left, while the process worked */
+};
+
+/** The run is counted if that life turns out to have ended with it, or has, and nothing was heard
+ * of it since. */
 void
-comet_crashes_suspect(struct comet_crashes *crashes, const struct comet_fingerprint *request,
-	uint32_t life, uint64_t heard_us, uint64_t now_us);
+comet_crashes_suspect(
+	struct comet_crashes *crashes, const struct comet_crashes_run *run, uint64_t now_us);
 
 /** That life of an endpoint's process ended unplanned; heard_us: when it was last heard. */
 void
--- a/tests/system/platform_standin.py
+++ b/tests/system/platform_standin.py
@@ -255,7 +255,10 @@
     def start_again(self):
         """Its process ends with all that it had, and another begins under the same id."""
         for sock in list(self.sockets):
-            sock.shutdown(socket.SHUT_RDWR)
+            try:
+                sock.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass  # the other side was faster
         self.publish(born=self.entry.get("born", 0) + 1, state="ready", sequence=1)
 
     def crash(self, how, away_s=1.0, lapse_s=0.6):
--- a/tests/unit/test_crashes.cc
+++ b/tests/unit/test_crashes.cc
@@ -41,11 +41,21 @@
 		((Vm *)ctx)->news[news]++;
 	}
 
+	/* Its run at that life breaks off. */
+	void
+	suspect(const comet_fingerprint &request, uint32_t life, uint64_t heard_us, uint64_t now_us,
+		bool cancelled = false)
+	{
+		const comet_crashes_run run = {request, life, heard_us, cancelled};
+
+		comet_crashes_suspect(crashes, &run, now_us);
+	}
+
 	/* An endpoint's process crashes while it runs the request. */
 	void
 	crash(const comet_fingerprint &request, uint32_t life, uint64_t now_us)
 	{
-		comet_crashes_suspect(crashes, &request, life, now_us, now_us);
+		suspect(request, life, now_us, now_us);
 		comet_crashes_life_ended(crashes, life, now_us, now_us + SECOND_US / 2);
 	}
 
@@ -109,7 +119,7 @@
 	{
 		/* its connection broke; the process answered others for a second, and crashed later
 		 */
-		comet_crashes_suspect(vm.crashes, &REQUEST, life, MINUTE_US, MINUTE_US);
+		vm.suspect(REQUEST, life, MINUTE_US, MINUTE_US);
 		comet_crashes_life_ended(
 			vm.crashes, life, MINUTE_US + SECOND_US, MINUTE_US + 2 * SECOND_US);
 	}
@@ -121,7 +131,7 @@
 {
 	Vm vm;
 
-	comet_crashes_suspect(vm.crashes, &REQUEST, 1, MINUTE_US, MINUTE_US);
+	vm.suspect(REQUEST, 1, MINUTE_US, MINUTE_US);
 	comet_crashes_life_ended(vm.crashes, 1, MINUTE_US + 50000, MINUTE_US + SECOND_US);
 	EXPECT_EQ(comet_crashes_count(vm.crashes).records, 1U);
 }
@@ -132,7 +142,7 @@
 
 	for (uint32_t life = 1; life <= 5; life++)
 	{
-		comet_crashes_suspect(vm.crashes, &REQUEST, life, MINUTE_US, MINUTE_US);
+		vm.suspect(REQUEST, life, MINUTE_US, MINUTE_US);
 		comet_crashes_life_left(vm.crashes, life);
 		comet_crashes_life_ended(vm.crashes, life, MINUTE_US, MINUTE_US + SECOND_US);
 	}
@@ -148,16 +158,43 @@
 	for (uint32_t life = 1; life <= 3; life++)
 	{
 		comet_crashes_life_ended(vm.crashes, life, MINUTE_US, MINUTE_US + 1);
-		comet_crashes_suspect(vm.crashes, &REQUEST, life, MINUTE_US, MINUTE_US + SECOND_US);
+		vm.suspect(REQUEST, life, MINUTE_US, MINUTE_US + SECOND_US);
 	}
 	EXPECT_TRUE(vm.bars(REQUEST));
 }
 
+/* What is not known yet is taken into account before a request that has crashed an endpoint is sent
+ * again. */
+TEST(Crashes, ARequestIsDoubtedBeforeItIsBarred)
+{
+	Vm vm;
+
+	vm.suspect(REQUEST, 2, MINUTE_US, MINUTE_US);
+	vm.suspect(REQUEST, 3, MINUTE_US, MINUTE_US);
+	vm.suspect(REQUEST, 4, MINUTE_US, MINUTE_US, true);
+	EXPECT_FALSE(
+		comet_crashes_doubts(vm.crashes, &REQUEST, MINUTE_US)); /* nothing has crashed */
+	vm.crash(REQUEST, 1, MINUTE_US);
+	EXPECT_TRUE(comet_crashes_doubts(vm.crashes, &REQUEST, MINUTE_US + SECOND_US));
+	EXPECT_FALSE(vm.bars(REQUEST));
+	EXPECT_FALSE(comet_crashes_doubts(vm.crashes, &REQUEST, MINUTE_US + 6 * SECOND_US));
+}
+
+TEST(Crashes, ACancelledRunRaisesNoDoubt)
+{
+	Vm vm;
+
+	vm.crash(REQUEST, 1, MINUTE_US);
+	for (uint32_t life = 2; life <= 9; life++)
+		vm.suspect(REQUEST, life, MINUTE_US, MINUTE_US, true);
+	EXPECT_FALSE(comet_crashes_doubts(vm.crashes, &REQUEST, MINUTE_US));
+}
+
 TEST(Crashes, AnEndLongAfterTheRunIsNotItsDoing)
 {
 	Vm vm;
 
-	comet_crashes_suspect(vm.crashes, &REQUEST, 1, MINUTE_US, MINUTE_US);
+	vm.suspect(REQUEST, 1, MINUTE_US, MINUTE_US);
 	comet_crashes_tick(vm.crashes, MINUTE_US + 20 * SECOND_US);
 	comet_crashes_life_ended(vm.crashes, 1, MINUTE_US, MINUTE_US + 21 * SECOND_US);
 	EXPECT_EQ(comet_crashes_count(vm.crashes).records, 0U);
@@ -217,9 +254,9 @@
 
 	for (uint32_t life = 1; life <= 4; life++)
 	{
-		comet_crashes_suspect(vm.crashes, &REQUEST, life, MINUTE_US, MINUTE_US);
+		vm.suspect(REQUEST, life, MINUTE_US, MINUTE_US);
 		if (life > 2)
-			comet_crashes_suspect(vm.crashes, &beside, life, MINUTE_US, MINUTE_US);
+			vm.suspect(beside, life, MINUTE_US, MINUTE_US);
 		comet_crashes_life_ended(vm.crashes, life, MINUTE_US, MINUTE_US + SECOND_US);
 	}
 	EXPECT_TRUE(vm.bars(REQUEST));
@@ -330,8 +367,21 @@
 {
 	Vm vm;
 
-	for (uint32_t i = 0; i < 100000; i++)
-		comet_crashes_suspect(vm.crashes, &REQUEST, 1 + i, MINUTE_US, MINUTE_US);
+	vm.suspect(REQUEST, 1, MINUTE_US, MINUTE_US);
+	for (uint32_t i = 0; i < 10000; i++)
+	{
+		const comet_fingerprint other = {i, 9};
+		vm.suspect(other, 2, MINUTE_US, MINUTE_US);
+	}
+	EXPECT_LE(comet_crashes_count(vm.crashes).suspects, 257U);
+	comet_crashes_life_ended(vm.crashes, 1, MINUTE_US, MINUTE_US + SECOND_US);
+	EXPECT_EQ(
+		comet_crashes_count(vm.crashes).records, 1U); /* one team's pushed out no other's */
+	for (uint32_t i = 0; i < 10000; i++)
+	{
+		const comet_fingerprint other = {i, i % 50};
+		vm.suspect(other, 2, MINUTE_US, MINUTE_US);
+	}
 	EXPECT_LE(comet_crashes_count(vm.crashes).suspects, 1024U);
 }
 
