--- a/tests/system/platform_standin.py
+++ b/tests/system/platform_standin.py
@@ -105,6 +105,8 @@
         self.waiting = 0  # watches
         self.lost = 0     # times at which all that waited were lost
         self.waits = []   # wait_ms of each watch
+        self.mute = False
+        self.muted = []   # what was asked while it was mute: wait_ms of a watch, 0 for a list
         threading.Thread(target=self.accept, daemon=True).start()
 
     def put(self, key, value):
@@ -137,6 +139,14 @@
         with self.lock:
             return self.waits[-1] if self.waiting > 0 else 0
 
+    def fall_mute(self):
+        """Connections end; calls that come from now on are never answered, though their connections stand."""
+        with self.lock:
+            self.lock.wait_for(lambda: self.waiting > 0)
+            self.mute = True
+            for sock in list(self.sockets):
+                sock.shutdown(socket.SHUT_RDWR)
+
     def lose_watches(self, key):
         """Watches that wait are never answered, though their connections stand, and an item goes. All other calls are
         answered."""
@@ -177,6 +187,9 @@
 
     def answer(self, path, args):
         with self.lock:
+            if self.mute:
+                self.muted.append(int(args.get("wait_ms", 0)))
+                return 0, None
             if self.down:
                 return 503, {}
             self.calls += 1
--- a/tests/system/test_directory.py
+++ b/tests/system/test_directory.py
@@ -117,6 +117,23 @@
     wait_for(lambda: timers_towards(world.store.port) == ["02"])
 
 
+def test_calls_in_the_last_moments_of_an_outage(world):
+    """The store was silent for three seconds. Calls made in the last moments of that are never answered, on connections
+    that stand, and a VM that had asked for news within ten seconds learned of routes and leaving endpoints seconds
+    after others. While an outage is known, no call may wait: its answer is missed at once."""
+    def status_with(key):
+        return call(world.gateway, "/safe/x", key=key)[1]
+    for version, key in ((2, "k2"), (3, "k1")):
+        before = len(world.store.muted)
+        world.store.fall_mute()
+        wait_for(lambda: len(world.store.muted) >= before + 3)
+        # the first may come before the outage is known
+        assert max(world.store.muted[before + 1:]) <= 1, world.store.muted
+        world.store.mute = False
+        world.store.put("op/config", document(version, keys=(key,)))
+        wait_for(lambda: status_with(key) == 200 and status_with({"k1": "k2", "k2": "k1"}[key]) == 401)
+
+
 def test_unanswered_watch_is_noticed(world):
     """The store fell silent twice, and answered for a second in between. A VM of 65 then asked for news 0.4 s after it
     had fallen silent again (16.35 s): its watch was never answered, and the connection stood, so that probes of it
@@ -481,6 +498,7 @@
     """How long an endpoint keeps a connection is read strictly: one whose answer told nothing of that was taken to
     close at once."""
     world.store.remove("servers/i-1")
+    wait_for(lambda: revision_of(world) == world.store.revision)
 
     def tells(text):
         def script(server, sock, path, headers, body):
@@ -558,7 +576,7 @@
 if __name__ == "__main__":
     run_tests(
         [test_configuration, test_servers_leave, test_silent_store_is_noticed,
-         test_unanswered_watch_is_noticed, test_news_that_is_not_there,
+         test_calls_in_the_last_moments_of_an_outage, test_unanswered_watch_is_noticed, test_news_that_is_not_there,
          test_watches_begun_together_do_not_end_together, test_ended_connection_is_no_outage,
          test_unreadable_entry, test_server_starts_again, test_answer_lost_with_a_life,
          test_corrected_address, test_ids_of_unusual_bytes, test_copies_do_not_hold_up_the_next,
