Two tests that fail: a VM that was suspended goes by a clock that stood still

Symptom: after 3 s of suspension a request that waited with a deadline of 2.5 s is sent; after 2 s an endpoint is told that 4,899 of 4,900 ms are left. The clock is a small preloaded library of the tests. A third test, that answers which lie unread come before deadlines that passed, holds on this code, since no deadline passes for it.

--- /dev/null
+++ b/tests/system/test_suspended.py
@@ -0,0 +1,128 @@
+"""test_suspended.py: a VM that was suspended for seconds
+
+The steady clock does not count the time in which a VM is suspended, and all deadlines and ages went by it: after 3 s
+of it a request that waited with a deadline of 2.5 s was sent to an endpoint, and told that 1,798 ms were left; one of 5 s
+was told 4,297 ms where some 1,200 were left.
+"""
+import os
+import signal
+import struct
+import tempfile
+import threading
+import time
+
+from gateway_world import BUILD, Gateway, World, answer_of, connect, document, request, run_tests
+from platform_standin import wait_for
+
+
+class Suspendable(World):
+    """A gateway before one server of one slot, whose clock can be made that of a VM that was suspended."""
+
+    def __init__(self):
+        self.suspended = tempfile.NamedTemporaryFile()
+        self.suspended.write(struct.pack("q", 0))
+        self.suspended.flush()
+        before = dict(os.environ)
+        os.environ["COMET_TEST_SUSPENDED"] = self.suspended.name
+        os.environ["LD_PRELOAD"] = f"{BUILD}/tests/libsuspend.so"
+        os.environ["ASAN_OPTIONS"] = before.get("ASAN_OPTIONS", "") + ":verify_asan_link_order=0"
+        try:
+            super().__init__(servers=1)
+        finally:
+            os.environ.clear()
+            os.environ.update(before)
+        self.servers[0].publish(slots=1)
+        self.passed_us = 0
+
+    def stop(self):
+        self.gateway.process.send_signal(signal.SIGSTOP)
+        wait_for(lambda: open(f"/proc/{self.gateway.process.pid}/stat", encoding="utf-8").read().split()[2] == "T")
+
+    def go_on(self, seconds):
+        """It was suspended for so long."""
+        self.passed_us += int(seconds * 1000000)
+        with open(self.suspended.name, "r+b") as file:
+            file.write(struct.pack("q", self.passed_us))
+        self.gateway.process.send_signal(signal.SIGCONT)
+
+
+def occupy(world):
+    """The server's slot, until the event that is returned is set."""
+    begun, over = threading.Event(), threading.Event()
+
+    def held(server, sock, path, headers, body):
+        server.ran(path, headers, body)
+        begun.set()
+        over.wait(20)
+        server.write_head(sock, headers, length=2)
+        sock.sendall(b"ok")
+    world.script("held", held)
+    sock = connect(world.gateway.ports["callers"])
+    sock.sendall(request("/once/held", method="POST", deadline_ms=30000)[1])
+    assert begun.wait(20)
+    return over, sock
+
+
+def test_deadline_of_a_request_that_waits():
+    """Its time is over while the VM is suspended: it is not sent to anybody."""
+    world = Suspendable()
+    over, _ = occupy(world)
+    sock = connect(world.gateway.ports["callers"])
+    ident, data = request("/once/x", method="POST", deadline_ms=2500)
+    sock.sendall(data)
+    wait_for(lambda: ident.encode() in world.gateway.log_text())
+    world.stop()
+    world.go_on(3)
+    assert answer_of(sock)[0] in (503, 504)
+    over.set()
+    time.sleep(0.2)
+    assert world.runs(ident) == 0
+    assert "event=was_away" in world.gateway.end()
+
+
+def test_what_is_left_of_a_deadline():
+    """What an endpoint is told to be left does not count the time of the suspension."""
+    world = Suspendable()
+    over, _ = occupy(world)
+    sock = connect(world.gateway.ports["callers"])
+    ident, data = request("/safe/x", deadline_ms=4900)
+    sock.sendall(data)
+    wait_for(lambda: ident.encode() in world.gateway.log_text())
+    world.stop()
+    world.go_on(2)
+    over.set()
+    status = answer_of(sock)[0]
+    told = [int(headers["x-cometspindle-deadline-ms"]) for run, _, headers, _ in world.servers[0].runs if run == ident]
+    assert status == 503 or (told and told[0] <= 2900), (status, told)
+    world.gateway.end()
+
+
+def test_answers_come_before_timers():
+    """An answer, and a request, that came while the VM was suspended are handled before the deadlines that passed."""
+    world = Suspendable()
+    begun, over = threading.Event(), threading.Event()
+
+    def held(server, sock, path, headers, body):
+        server.ran(path, headers, body)
+        begun.set()
+        over.wait(20)
+        server.write_head(sock, headers, length=2)
+        sock.sendall(b"ok")
+    world.script("held", held)
+    for _ in range(5):
+        begun.clear()
+        over.clear()
+        sock = connect(world.gateway.ports["callers"])
+        sock.sendall(request("/once/held", method="POST", deadline_ms=2500)[1])
+        assert begun.wait(20)
+        world.stop()
+        over.set()
+        time.sleep(0.1)  # the answer lies unread
+        world.go_on(3)
+        assert answer_of(sock)[0] == 200
+    world.gateway.end()
+
+
+if __name__ == "__main__":
+    run_tests([], [test_deadline_of_a_request_that_waits, test_what_is_left_of_a_deadline,
+                   test_answers_come_before_timers])
