--- a/tests/system/platform_standin.py
+++ b/tests/system/platform_standin.py
@@ -92,7 +92,8 @@
     def __init__(self):
         self.sock = listen()
         self.port = self.sock.getsockname()[1]
-        self.lock = threading.Condition()
+        self.lock = threading.Condition(threading.RLock())
+        self.generation = 0  # of its history
         self.items = {}
         self.log = []
         self.revision = 0
@@ -105,6 +106,8 @@
         self.waiting = 0  # watches
         self.lost = 0     # times at which all that waited were lost
         self.waits = []   # wait_ms of each watch
+        self.era = None   # told in a header; None: not told
+        self.copies = []  # (revision, items) after each change
         self.mute = False
         self.muted = []   # what was asked while it was mute: wait_ms of a watch, 0 for a list
         threading.Thread(target=self.accept, daemon=True).start()
@@ -117,6 +120,7 @@
                     "value": base64.b64encode(text.encode()).decode()}
             self.items[key] = item
             self.log.append(item)
+            self.copies.append((self.revision, dict(self.items)))
             self.lock.notify_all()
 
     def remove(self, key):
@@ -124,8 +128,28 @@
             self.revision += 1
             del self.items[key]
             self.log.append({"private_key": key, "revision": self.revision, "removed": True})
+            self.copies.append((self.revision, dict(self.items)))
             self.lock.notify_all()
 
+    def go_back(self, changes, then=None):
+        """It was away, and comes back from a copy that lacks so many changes, one era later; then() may write to it
+        before anybody reads."""
+        with self.lock:
+            self.copies = self.copies[:-changes]
+            self.revision, items = self.copies[-1]
+            self.items = dict(items)
+            self.log = [item for item in self.log if item["revision"] <= self.revision]
+            self.era = (self.era or 0) + 1
+            self.generation += 1
+            self.lock.notify_all()
+            if then is not None:
+                then()
+            for sock in list(self.sockets):
+                try:
+                    sock.shutdown(socket.SHUT_RDWR)
+                except OSError:
+                    pass  # the other side was faster
+
     def cut(self, key):
         """While a watch waits all connections end, and an item goes before anybody can ask again."""
         with self.lock:
@@ -183,7 +207,8 @@
                     pass  # a connection that has lost an answer says nothing more
                 return
             body = json.dumps(answer).encode()
-            sock.sendall(b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n" % (status, len(body)) + body)
+            era = b"" if self.era is None else b"Store-Era: %s\r\n" % str(self.era).encode()
+            sock.sendall(b"HTTP/1.1 %d X\r\n%sContent-Length: %d\r\n\r\n" % (status, era, len(body)) + body)
 
     def answer(self, path, args):
         with self.lock:
@@ -203,15 +228,19 @@
                 return 200, {"entries": [self.items[k] for k in keys[:2]],
                              "has_more": len(keys) > 2, "current_rev": self.revision}
             since = int(args["since_rev"])
-            if since < self.forgotten:
+            if since < self.forgotten or since > self.revision:
                 return 410, {}
             self.waiting += 1
             wait_ms = int(args["wait_ms"])
             self.waits.append(wait_ms)
             lost = self.lost
             self.lock.notify_all()
-            self.lock.wait_for(lambda: self.down or self.revision > since, wait_ms / 1000)
+            history = self.generation
+            self.lock.wait_for(lambda: self.down or self.revision > since or self.generation != history,
+                               wait_ms / 1000)
             self.waiting -= 1
+            if self.generation != history:
+                return 503, {}  # cut
             if self.lost != lost:
                 return 0, None
             if self.down:
