Revisions are of an era: a store that comes back from an earlier copy is read anew

What callers saw: after the store had come back from a copy, requests went to an endpoint that was gone, for good, and none to the one that had come; a change of routes was not in force, its revision being below the one known. Cause: revisions alone said what is newer: in the watch, in the list, in other VMs' views and copies, in what is remembered of gone entries. The store's header that tells its era was not read. Change: each answer's era is read (platform/); a later one has everything listed anew, one of an earlier era decides nothing, a missing or broken one leaves what was believed, with one line. VMs compare positions: era first, then revision (directory.h), in views and for copies. In the first list of an era what is known of an endpoint stands until its server writes it again, so that one that left, or leaves, is not ready again by the old copy; what that list does not name lapses as after an outage. The routes' version decided already, and still does. Metric comet_directory_era; event=directory_era. Why it holds: whatever order answers, views and copies come in, a later era wins and an earlier one loses.

--- a/libcometspindle/adapters/endpoints/fetch.c
+++ b/libcometspindle/adapters/endpoints/fetch.c
@@ -22,6 +22,8 @@
 	comet_fetch_handler handler;
 	void *ctx;
 	unsigned int status;
+	char *wanted; /* name of a header, or NULL */
+	char *header; /* its value, or NULL */
 };
 
 static int
@@ -38,6 +40,7 @@
 	struct comet_fetch_answer answer = {
 		.failure = failure,
 		.status = fetch->status,
+		.header = fetch->header,
 		.body = (const char *)fetch->body->data,
 		.length = fetch->body->len,
 	};
@@ -52,6 +55,8 @@
 	struct comet_fetch *fetch = ctx;
 
 	fetch->status = head->status;
+	if (fetch->wanted != NULL)
+		fetch->header = talloc_strdup(fetch, comet_http_head_get(head, fetch->wanted));
 }
 
 static void
@@ -120,6 +125,7 @@
 	fetch->handler = handler;
 	fetch->ctx = ctx;
 	fetch->timers = timers;
+	fetch->wanted = talloc_strdup(fetch, request->header);
 	fetch->silence_us = request->while_silent ? request->timeout_us : 0;
 	fetch->body = g_byte_array_new();
 	talloc_set_destructor(fetch, fetch_destroy);
--- a/libcometspindle/adapters/endpoints/fetch.h
+++ b/libcometspindle/adapters/endpoints/fetch.h
@@ -18,6 +18,7 @@
 	const char *target;  /**< path and query */
 	uint64_t timeout_us; /**< until the whole answer must be there */
 	bool while_silent;   /**< instead: so long without a byte of it */
+	const char *header;  /**< a header of the answer that is wanted; NULL: none */
 };
 
 /** What came of it. */
@@ -25,6 +26,7 @@
 {
 	const char *failure; /**< NULL: there is a whole answer; else a stable code */
 	unsigned int status;
+	const char *header; /**< that was wanted; NULL: the answer has none */
 	const char *body;
 	size_t length;
 };
--- a/libcometspindle/adapters/gateway/gateway_copy.c
+++ b/libcometspindle/adapters/gateway/gateway_copy.c
@@ -57,8 +57,10 @@
 		.while_silent = true,
 	};
 
-	comet_log(COMET_LOG_NOTICE, "event=copy_asked vm=%s revision=%" G_GUINT64_FORMAT, ip,
-		gateway->revision);
+	comet_log(COMET_LOG_NOTICE,
+		"event=copy_asked vm=%s era=%" G_GUINT64_FORMAT " revision=%" G_GUINT64_FORMAT, ip,
+		comet_directory_era(gateway->position),
+		comet_directory_revision(gateway->position));
 	gateway->copying = comet_fetch_start(
 		gateway, gateway->upstream, gateway->timers, &request, on_copy, gateway);
 	g_free(address);
@@ -84,7 +86,7 @@
 comet_gateway_catch_up(struct comet_gateway *gateway, uint64_t now_us)
 {
 	uint32_t vm = comet_views_newer(
-		gateway->views, gateway->revision, comet_draw_u32(&gateway->draw));
+		gateway->views, gateway->position, comet_draw_u32(&gateway->draw));
 	uint64_t patience_us = gateway->directory_lost ? BEHIND_US : BEHIND_ANSWERED_US;
 
 	if (vm == 0)
--- a/libcometspindle/adapters/gateway/gateway_directory.c
+++ b/libcometspindle/adapters/gateway/gateway_directory.c
@@ -222,18 +222,29 @@
 }
 
 static void
-on_revision(void *ctx, uint64_t revision)
+on_revision(void *ctx, uint64_t position)
 {
 	struct comet_gateway *gateway = ctx;
 
 	gateway->listed = true;
-	if (revision > gateway->revision)
+	if (position > gateway->position)
 		gateway->behind_us = 0; /* whoever is still ahead is so from now */
-	gateway->revision = revision;
-	comet_views_set_revision(gateway->views, revision);
+	gateway->position = position;
+	comet_views_set_revision(gateway->views, position);
 	comet_placement_run(gateway->placement, comet_timers_now_us());
 }
 
+static void
+on_era(void *ctx, uint64_t era, uint64_t before)
+{
+	struct comet_gateway *gateway = ctx;
+
+	comet_log(COMET_LOG_NOTICE,
+		"event=directory_era era=%" G_GUINT64_FORMAT " before=%" G_GUINT64_FORMAT
+		" revision=%" G_GUINT64_FORMAT,
+		era, before, comet_directory_revision(gateway->position));
+}
+
 static void
 on_answered(void *ctx)
 {
@@ -267,6 +278,7 @@
 	.instance_gone = on_instance_gone,
 	.refused = on_refused,
 	.revision = on_revision,
+	.era = on_era,
 	.answered = on_answered,
 	.dependency = on_dependency,
 };
--- a/libcometspindle/adapters/gateway/gateway_metrics.c
+++ b/libcometspindle/adapters/gateway/gateway_metrics.c
@@ -272,7 +272,9 @@
 	const struct comet_gateway *gateway = page->gateway;
 	GString *out = page->out;
 
-	put(out, "directory_revision", "gauge", (double)gateway->revision);
+	put(out, "directory_era", "gauge", (double)comet_directory_era(gateway->position));
+	put(out, "directory_revision", "gauge",
+		(double)comet_directory_revision(gateway->position));
 	if (gateway->answered_us != 0)
 		put(out, "directory_answer_age_seconds", "gauge",
 			(double)(page->now_us - gateway->answered_us) / 1000000);
--- a/libcometspindle/adapters/gateway/gateway_private.h
+++ b/libcometspindle/adapters/gateway/gateway_private.h
@@ -96,8 +96,8 @@
 	struct comet_fetch *copying; /**< reading the directory's copy of another VM */
 	uint64_t answered_us;        /**< when the directory last answered a call; 0: never */
 	uint64_t behind_us;          /**< since when another VM has read more; 0: none has */
-	uint64_t overtaken;          /**< newest revision for which the directory was asked anew */
-	uint64_t revision;           /**< of the directory, as far as read */
+	uint64_t overtaken;          /**< newest position for which the directory was asked anew */
+	uint64_t position;           /**< in the directory, as far as read */
 	uint64_t lost_us;            /**< when the directory was last lost */
 	bool directory_lost;         /**< its last answer failed */
 	bool listed;                 /**< the endpoints have been told once */
--- a/libcometspindle/gateway/directory.h
+++ b/libcometspindle/gateway/directory.h
@@ -15,6 +15,34 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+/**
+ * How far somebody has read the directory, as one number by which VMs compare: what is of a later
+ * era is newer, whatever its revision. A directory that comes back from an earlier copy gives
+ * revisions out again, in the next era.
+ */
+#define COMET_DIRECTORY_REVISION_BITS 44 /* 400 writes a second for 1,300 years */
+#define COMET_DIRECTORY_ERA_MAX ((1U << 19) - 1)
+
+static inline uint64_t
+comet_directory_position(uint64_t era, uint64_t revision)
+{
+	const uint64_t most = (1ULL << COMET_DIRECTORY_REVISION_BITS) - 1;
+
+	return (era << COMET_DIRECTORY_REVISION_BITS) | (revision < most ? revision : most);
+}
+
+static inline uint64_t
+comet_directory_era(uint64_t position)
+{
+	return position >> COMET_DIRECTORY_REVISION_BITS;
+}
+
+static inline uint64_t
+comet_directory_revision(uint64_t position)
+{
+	return position & ((1ULL << COMET_DIRECTORY_REVISION_BITS) - 1);
+}
+
 /** Something in the directory that could not be read. */
 struct comet_directory_refusal
 {
@@ -36,8 +64,10 @@
 	void (*instance_gone)(void *ctx, const char *id, uint64_t out_us);
 	/** An item that cannot be read was published; the others hold. */
 	void (*refused)(void *ctx, const struct comet_directory_refusal *refusal);
-	/** Everything up to this revision has been told. */
-	void (*revision)(void *ctx, uint64_t revision);
+	/** Everything up to this position has been told. */
+	void (*revision)(void *ctx, uint64_t position);
+	/** Another history of the directory is read from now on. */
+	void (*era)(void *ctx, uint64_t era, uint64_t before);
 	/** It has answered a call; told each time. */
 	void (*answered)(void *ctx);
 	/** The directory answers again (there), or does not. */
--- a/tests/fuzz/fuzz_published.c
+++ b/tests/fuzz/fuzz_published.c
@@ -113,7 +113,7 @@
 		check(comet_store_parse(bytes, size, take_copy, two, NULL));
 		g_bytes_unref(copy);
 		check(taken_again <= taken); /* a key that comes twice is one item */
-		check(comet_catalog_revision(one) == comet_catalog_revision(two));
+		check(comet_catalog_position(one) == comet_catalog_position(two));
 	}
 	talloc_free(one);
 	talloc_free(two);
--- a/tests/system/test_eras.py
+++ b/tests/system/test_eras.py
@@ -32,8 +32,10 @@
         world.servers[0].publish(sequence=number + 2)
 
 
-def served_by(gateway):
-    return {call(gateway, "/safe/x")[3].split()[0].decode() for _ in range(10)}
+def usable(gateway):
+    """The endpoints that it may send to, by its metrics."""
+    text = get(gateway.ports["control"], "/metrics", gateway.address)[2].decode()
+    return set(re.findall(r'^comet_endpoint_draining{endpoint="([^"]*)".*} 0$', text, re.M))
 
 
 def come_and_go(world):
@@ -45,7 +47,7 @@
 
 
 def check_new_history(world, gateway):
-    wait_for(lambda: served_by(gateway) == {"i-0", "i-2"})
+    wait_for(lambda: usable(gateway) == {"i-0", "i-2"})
 
 
 def test_history_that_has_passed_again():
@@ -63,14 +65,82 @@
 
 
 def test_history_that_is_far_behind():
-    """Its revisions are below what is known for long."""
+    """Its revisions are below what is known for long: what is written there is news all the same."""
     world = eras()
     touch(world, 400)
-    wait_for(lambda: metric(world.gateway, "comet_directory_revision") > 400)
+    world.store.put("op/config", document(2))
+    wait_for(lambda: metric(world.gateway, "comet_routes_version") == 2)
     world.store.go_back(400, come_and_go(world))
     check_new_history(world, world.gateway)
+    world.store.put("op/config", document(3, keys=("k1",)))
+    wait_for(lambda: call(world.gateway, "/safe/x", key="k2")[1] == 401)
+    world.gateway.end()
+
+
+def test_twice_in_a_row():
+    world = eras()
+    touch(world, 50)
+    world.store.go_back(20)
+    touch(world, 3)
+    world.store.go_back(30, come_and_go(world))
+    check_new_history(world, world.gateway)
+    assert metric(world.gateway, "comet_directory_era") == 9
+    world.gateway.end()
+
+
+def test_routes_and_keys_do_not_go_back():
+    """The copy holds the routing document before the one in force: the one in force stays."""
+    world = eras()
+    touch(world, 3)
     world.store.put("op/config", document(2, keys=("k1",)))
     wait_for(lambda: call(world.gateway, "/safe/x", key="k2")[1] == 401)
+    world.store.go_back(1)
+    wait_for(lambda: metric(world.gateway, "comet_directory_era") == 8)
+    assert {call(world.gateway, "/safe/x", key="k2")[1] for _ in range(20)} == {401}
+    world.store.put("op/config", document(2, keys=("k1",)))
+    world.store.put("op/config", document(3, keys=("k2",)))
+    wait_for(lambda: call(world.gateway, "/safe/x", key="k1")[1] == 401)
+    world.gateway.end()
+
+
+def test_what_was_gone_does_not_come_back():
+    """The copy names an endpoint that has left since, and says that another, which leaves, is ready."""
+    world = eras()
+    world.servers.append(Server(world.store, "i-2", "svc"))
+    wait_for(lambda: usable(world.gateway) == {"i-0", "i-1", "i-2"})
+    world.servers[0].publish(state="draining")
+    world.store.remove("servers/i-1")
+    wait_for(lambda: usable(world.gateway) == {"i-2"})
+    world.store.go_back(2)
+    wait_for(lambda: metric(world.gateway, "comet_directory_era") == 8)
+    assert usable(world.gateway) == {"i-2"}
+    # what is written again counts
+    world.servers[1].publish(sequence=9)
+    wait_for(lambda: usable(world.gateway) == {"i-1", "i-2"})
+    world.gateway.end()
+
+
+def test_era_that_is_not_told():
+    """A header that is missing or no number changes nothing, and is logged once."""
+    world = eras()
+    before = world.gateway.log_text().count(b"event=directory_era_untold")
+    for told in (None, "x", "-1", "7.5"):
+        world.store.era = told
+        touch(world, 3)
+        wait_for(lambda: metric(world.gateway, "comet_directory_revision") == world.store.revision)
+        assert metric(world.gateway, "comet_directory_era") == 7
+    assert world.gateway.end().count("event=directory_era_untold") == before + 1
+
+
+def test_lower_era_decides_nothing():
+    """An answer of an earlier era, as of a store's process that was thought to be gone."""
+    world = eras()
+    world.store.era = 6
+    world.store.remove("servers/i-1")
+    threading.Event().wait(1.5)
+    assert usable(world.gateway) == {"i-0", "i-1"}
+    world.store.era = 7
+    wait_for(lambda: usable(world.gateway) == {"i-0"})
     world.gateway.end()
 
 
@@ -89,7 +159,7 @@
     nowhere.down = True
     alone = Gateway(nowhere, address=OTHER_ADDRESS, ports=there.ports, seeds=f"{ADDRESS}:{there.ports['control']}")
     wait_for(alone.ready)
-    wait_for(lambda: served_by(alone) == {"i-0", "i-1"})
+    wait_for(lambda: usable(alone) == {"i-0", "i-1"})
     store.go_back(100, come_and_go(world))
     check_new_history(world, there)
     check_new_history(world, alone)
@@ -108,5 +178,7 @@
 
 
 if __name__ == "__main__":
-    run_tests([], [test_history_that_has_passed_again, test_history_that_is_far_behind,
+    run_tests([], [test_history_that_has_passed_again, test_history_that_is_far_behind, test_twice_in_a_row,
+                   test_routes_and_keys_do_not_go_back, test_what_was_gone_does_not_come_back,
+                   test_era_that_is_not_told, test_lower_era_decides_nothing,
                    test_vm_that_cannot_reach_the_store])
--- a/tests/unit/test_lives.cc
+++ b/tests/unit/test_lives.cc
@@ -44,7 +44,7 @@
 
 	reader()
 	{
-		static const comet_catalog_events events = {put, removed};
+		static const comet_catalog_events events = {put, removed, nullptr};
 		catalog = comet_catalog_create(instances, &events, this);
 	}
 
--- a/tests/unit/test_platform.cc
+++ b/tests/unit/test_platform.cc
@@ -38,7 +38,7 @@
 	}
 };
 
-const comet_catalog_events told_events = {told::put, told::removed};
+const comet_catalog_events told_events = {told::put, told::removed, nullptr};
 
 comet_store_item
 put(const char *key, const char *value, uint64_t revision)
@@ -53,9 +53,9 @@
 	comet_store_item first = put("a", "1", 5);
 	comet_catalog_list_begin(catalog);
 	comet_catalog_take(catalog, &first, 1, false);
-	EXPECT_EQ(comet_catalog_revision(catalog), 0U); /* the list is not complete */
+	EXPECT_EQ(comet_catalog_position(catalog), 0U); /* the list is not complete */
 	comet_catalog_list_end(catalog, 6, false);
-	EXPECT_EQ(comet_catalog_revision(catalog), 5U);
+	EXPECT_EQ(comet_catalog_position(catalog), 5U);
 	/* older news, the same news, a removal, and news from before the removal */
 	comet_store_item news[] = {put("a", "0", 4), put("a", "1", 5), put("a", nullptr, 9),
 		put("a", "8", 8), put("a", "10", 10)};
@@ -127,7 +127,7 @@
 /* Six changes in every order, each of them lost once or none, and a list after so many of them. */
 TEST(Catalog, NoOrderOfChangesBringsAnOlderOne)
 {
-	static const comet_catalog_events events = {newest::put, newest::removed};
+	static const comet_catalog_events events = {newest::put, newest::removed, nullptr};
 	const comet_store_item changes[] = {put("a", "1", 1), put("b", "2", 2), put("a", "3", 3),
 		put("b", nullptr, 4), put("a", "5", 5), put("b", "6", 6)};
 	const comet_store_item list[] = {changes[4], changes[5]};
@@ -226,7 +226,7 @@
 	auto *text = static_cast<const char *>(g_bytes_get_data(copy, &length));
 	EXPECT_TRUE(comet_store_parse(text, length, take_copy, to, nullptr));
 	g_bytes_unref(copy);
-	EXPECT_EQ(comet_catalog_revision(to), 2U);
+	EXPECT_EQ(comet_catalog_position(to), 2U);
 	std::vector<std::string> lines = to_told.lines;
 	std::sort(lines.begin(), lines.end());
 	std::vector<std::string> expected = {"put a=1", "put b=x\n\"y", "put c=1", "removed c?"};
