--- a/libcometspindle/adapters/gateway/gateway_crashes.c
+++ b/libcometspindle/adapters/gateway/gateway_crashes.c
@@ -149,11 +149,12 @@
 	look->again = comet_timers_add(gateway->timers, look, 0, on_look, look);
 }
 
-/* Does the answer itself tell where it ends? */
+/* Does the answer itself tell where it ends? 204 and 304 have no body. */
 static bool
 is_framed(const struct comet_http_head *head)
 {
-	return comet_http_head_get(head, "Content-Length") != NULL ||
+	return head->status == 204 || head->status == 304 ||
+	       comet_http_head_get(head, "Content-Length") != NULL ||
 	       comet_http_head_get(head, "Transfer-Encoding") != NULL;
 }
 
@@ -203,7 +204,7 @@
 			     now_us - MAX(heard_us, relay->sent_us) < UNHEARD_US,
 	};
 	comet_crashes_suspect(gateway->crashes, &run, now_us);
-	if (instance != NULL && !run.cancelled)
+	if (instance != NULL && !run.cancelled && result != COMET_DISPATCH_SERVED)
 		look_at(gateway, instance);
 }
 
--- a/libcometspindle/gateway/crashes.c
+++ b/libcometspindle/gateway/crashes.c
@@ -5,6 +5,7 @@
 #include <libcometspindle/gateway/crashes.h>
 
 #include <glib.h>
+#include <libcometspindle/gateway/life_set.h>
 #include <string.h>
 #include <talloc.h>
 
@@ -12,9 +13,6 @@
  * requests that two endpoints in a row left for reasons of their own. */
 #define CRASHES_MAX 3
 
-/* Lives that a record names: some more than count, since a few more crash before all VMs know. */
-#define LIVES_MAX G_N_ELEMENTS(((comet_Crashed *)NULL)->lives)
-
 /* A run that ended without an answer is held against the end of its endpoint's life for this time:
  * a silent process is unlisted within four seconds, and an outage of the directory takes some more.
  */
@@ -59,20 +57,13 @@
  * seconds apart, and one may be lost. */
 #define NEWS_US 5000000
 
-/* A set of lives of endpoints' processes. */
-struct life_set
-{
-	uint32_t lives[LIVES_MAX];
-	uint32_t count;
-};
-
 /* What is known of a request. */
 struct record
 {
 	struct comet_fingerprint request;
-	struct life_set crashed;
-	struct life_set excused; /* those of them that were not its doing */
-	uint64_t last_us;        /* the last crash */
+	struct comet_life_set crashed;
+	struct comet_life_set excused; /* those of them that were not its doing */
+	uint64_t last_us;              /* the last crash */
 	uint64_t changed_us;
 	bool barred;
 };
@@ -149,39 +140,6 @@
 	return crashes;
 }
 
-static bool
-set_has(const struct life_set *set, uint32_t life)
-{
-	for (uint32_t i = 0; i < set->count; i++)
-	{
-		if (set->lives[i] == life)
-			return true;
-	}
-	return false;
-}
-
-/* Adds a life; a full set keeps the smallest, so that VMs which were told the same lives in another
- * order keep the same. @return whether the set has changed */
-static bool
-set_add(struct life_set *set, uint32_t life)
-{
-	uint32_t largest = 0;
-
-	if (life == 0 || set_has(set, life))
-		return false;
-	if (set->count < LIVES_MAX)
-	{
-		set->lives[set->count++] = life;
-		return true;
-	}
-	for (uint32_t i = 1; i < set->count; i++)
-		largest = set->lives[i] > set->lives[largest] ? i : largest;
-	if (life > set->lives[largest])
-		return false;
-	set->lives[largest] = life;
-	return true;
-}
-
 static struct record *
 find(const struct comet_crashes *crashes, const struct comet_fingerprint *request)
 {
@@ -195,7 +153,7 @@
 	uint32_t sum = 0;
 
 	for (uint32_t i = 0; i < record->crashed.count; i++)
-		sum += set_has(&record->excused, record->crashed.lives[i]) ? 0 : 1;
+		sum += comet_life_set_has(&record->excused, record->crashed.lives[i]) ? 0 : 1;
 	return sum;
 }
 
@@ -208,8 +166,9 @@
 	for (guint i = 0; i < heavy->len; i++)
 	{
 		const struct record *other = heavy->pdata[i];
-		if (other != record && counted(other) > own && set_has(&other->crashed, life) &&
-			!set_has(&other->excused, life))
+		if (other != record && counted(other) > own &&
+			comet_life_set_has(&other->crashed, life) &&
+			!comet_life_set_has(&other->excused, life))
 			return true;
 	}
 	return false;
@@ -223,7 +182,8 @@
 	for (uint32_t i = 0; i < record->crashed.count; i++)
 	{
 		uint32_t life = record->crashed.lives[i];
-		if (!set_has(&record->excused, life) && !is_explained(heavy, record, life))
+		if (!comet_life_set_has(&record->excused, life) &&
+			!is_explained(heavy, record, life))
 			sum++;
 	}
 	return sum;
@@ -320,7 +280,7 @@
 	bool changed = false;
 
 	for (uint32_t i = 0; i < record->crashed.count; i++)
-		changed = set_add(&record->excused, record->crashed.lives[i]) || changed;
+		changed = comet_life_set_add(&record->excused, record->crashed.lives[i]) || changed;
 	return changed;
 }
 
@@ -360,7 +320,7 @@
 {
 	struct record *record = find_or_add(crashes, request);
 
-	if (!set_add(&record->crashed, life))
+	if (!comet_life_set_add(&record->crashed, life))
 		return;
 	record->last_us = now_us;
 	record_changed(crashes, record, true, now_us);
@@ -526,7 +486,7 @@
 }
 
 static void
-put_set(const struct life_set *set, uint32_t *lives, pb_size_t *count)
+put_set(const struct comet_life_set *set, uint32_t *lives, pb_size_t *count)
 {
 	memcpy(lives, set->lives, set->count * sizeof set->lives[0]);
 	*count = (pb_size_t)set->count;
@@ -592,9 +552,9 @@
 		return;
 	struct record *record = find_or_add(crashes, &request);
 	for (pb_size_t i = 0; i < told->lives_count; i++)
-		changed = set_add(&record->crashed, told->lives[i]) || changed;
+		changed = comet_life_set_add(&record->crashed, told->lives[i]) || changed;
 	for (pb_size_t i = 0; i < told->excused_count; i++)
-		changed = set_add(&record->excused, told->excused[i]) || changed;
+		changed = comet_life_set_add(&record->excused, told->excused[i]) || changed;
 	if (!changed)
 		return; /* nor a later crash: told back and forth its age would shrink */
 	record->last_us = MAX(record->last_us, now_us - MIN(age_us, now_us));
--- a/scripts/soak_gateway.py
+++ b/scripts/soak_gateway.py
@@ -24,6 +24,7 @@
 
 sys.path.insert(0, os.path.join(os.path.dirname(__file__), "..", "tests", "system"))
 from platform_standin import Reader, Store, free_ports, listen, wait_for  # noqa: E402
+from suspended_clock import SuspendedClock  # noqa: E402
 from soak_pieces import EVENTS, check_body, check_stream  # noqa: E402
 from soak_servers import PieceServer  # noqa: E402
 
@@ -118,29 +119,19 @@
         json.dump({"gateway": values}, self.file)
         self.file.flush()
         self.log = tempfile.TemporaryFile()
-        self.suspended = tempfile.NamedTemporaryFile() if suspendable else None
-        self.suspended_us = 0
-        if suspendable:
-            self.suspended.write(struct.pack("q", 0))
-            self.suspended.flush()
+        self.clock = SuspendedClock(BUILD) if suspendable else None
         self.bad_exits = []
         self.start()
 
     def start(self):
-        env = dict(os.environ)
-        if self.suspended is not None:  # tests/preload/suspend.c
-            env.update(COMET_TEST_SUSPENDED=self.suspended.name, LD_PRELOAD=f"{BUILD}/tests/libsuspend.so",
-                       ASAN_OPTIONS=env.get("ASAN_OPTIONS", "") + ":verify_asan_link_order=0")
         self.process = subprocess.Popen(
             [f"{BUILD}/cli/cometspindled", "--settings", self.file.name], stdout=self.log,
-            stderr=self.log, env=env)
+            stderr=self.log, env=self.clock.environment() if self.clock else None)
 
     def suspend(self, seconds):
         """It was suspended for so long, though hardly any time has passed."""
         self.send(signal.SIGSTOP)
-        self.suspended_us += int(seconds * 1000000)
-        with open(self.suspended.name, "r+b") as file:
-            file.write(struct.pack("q", self.suspended_us))
+        self.clock.add(seconds)
         time.sleep(0.05)
         self.send(signal.SIGCONT)
 
--- a/tests/preload/suspend.c
+++ b/tests/preload/suspend.c
@@ -2,10 +2,11 @@
  * suspend.c
  * preloaded by tests: a VM that was suspended
  *
- * While a VM is suspended CLOCK_MONOTONIC stands still and CLOCK_BOOTTIME goes on. Here CLOCK_BOOTTIME jumps ahead
- * instead, by as many microseconds as the file tells that COMET_TEST_SUSPENDED names; a test stops the process,
- * writes there and lets it go on. Timers on that clock which were set before fire when they would have without it,
- * up to which a gateway wakes by its tick.
+ * While a VM is suspended CLOCK_MONOTONIC stands still and CLOCK_BOOTTIME goes on. Here
+ * CLOCK_BOOTTIME jumps ahead instead, by as many microseconds as the file tells that
+ * COMET_TEST_SUSPENDED names; a test stops the process, writes there and lets it go on. Timers on
+ * that clock which were set before fire when they would have without it, up to which a gateway
+ * wakes by its tick.
  */
 #include <dlfcn.h>
 #include <fcntl.h>
@@ -32,7 +33,8 @@
 		const char *path = getenv("COMET_TEST_SUSPENDED");
 		int fd = path != NULL ? open(path, O_RDONLY | O_CLOEXEC) : -1;
 		opened = 1;
-		void *at = fd >= 0 ? mmap(NULL, sizeof *told_us, PROT_READ, MAP_SHARED, fd, 0) : MAP_FAILED;
+		void *at = fd >= 0 ? mmap(NULL, sizeof *told_us, PROT_READ, MAP_SHARED, fd, 0)
+				   : MAP_FAILED;
 		told_us = at != MAP_FAILED ? at : NULL;
 		if (fd >= 0)
 			close(fd);
--- a/tests/system/gateway_world.py
+++ b/tests/system/gateway_world.py
@@ -24,7 +24,7 @@
 class Gateway:
     started = []
 
-    def __init__(self, store, log=None, address=ADDRESS, ports=None, **settings):
+    def __init__(self, store, log=None, address=ADDRESS, ports=None, env=None, **settings):
         self.ports = ports or free_ports(address)
         self.address = address
         values = {name: f"{address}:{port}" for name, port in self.ports.items()}
@@ -37,7 +37,7 @@
         self.log = tempfile.TemporaryFile()
         self.process = subprocess.Popen(
             [f"{BUILD}/cli/cometspindled", "--settings", self.file.name], stdout=log or self.log,
-            stderr=self.log)
+            stderr=self.log, env=env)
         Gateway.started.append(self)
 
     def ready(self):
--- a/tests/system/test_suspended.py
+++ b/tests/system/test_suspended.py
@@ -4,36 +4,23 @@
 of it a request that waited with a deadline of 2.5 s was sent to an endpoint, and told that 1,798 ms were left; one of 5 s
 was told 4,297 ms where some 1,200 were left.
 """
-import os
 import re
 import signal
-import struct
-import tempfile
 import threading
 import time
 
 from gateway_world import BUILD, World, answer_of, call, connect, get, request, run_tests
 from platform_standin import wait_for
+from suspended_clock import SuspendedClock
 
 
 class Suspendable(World):
     """A gateway before one server of one slot, whose clock can be made that of a VM that was suspended."""
 
     def __init__(self):
-        self.suspended = tempfile.NamedTemporaryFile()
-        self.suspended.write(struct.pack("q", 0))
-        self.suspended.flush()
-        before = dict(os.environ)
-        os.environ["COMET_TEST_SUSPENDED"] = self.suspended.name
-        os.environ["LD_PRELOAD"] = f"{BUILD}/tests/libsuspend.so"
-        os.environ["ASAN_OPTIONS"] = before.get("ASAN_OPTIONS", "") + ":verify_asan_link_order=0"
-        try:
-            super().__init__(servers=1)
-        finally:
-            os.environ.clear()
-            os.environ.update(before)
+        self.clock = SuspendedClock(BUILD)
+        super().__init__(servers=1, env=self.clock.environment())
         self.servers[0].publish(slots=1)
-        self.passed_us = 0
 
     def stop(self):
         self.gateway.process.send_signal(signal.SIGSTOP)
@@ -41,9 +28,7 @@
 
     def go_on(self, seconds):
         """It was suspended for so long."""
-        self.passed_us += int(seconds * 1000000)
-        with open(self.suspended.name, "r+b") as file:
-            file.write(struct.pack("q", self.passed_us))
+        self.clock.add(seconds)
         self.gateway.process.send_signal(signal.SIGCONT)
 
 
