--- a/tests/system/platform_standin.py
+++ b/tests/system/platform_standin.py
@@ -361,8 +361,8 @@
                 if script(self, sock, path, headers, body) is False:
                     sock.close()
                     return
-        except OSError:
-            return
+        except (OSError, ValueError):
+            return  # its connection, or its process, has ended
         finally:
             self.sockets.discard(sock)
 
