The soak's servers wait by poll: a run of hundreds has descriptors that select does not take

Seen in the first run of hundreds with answers that stop: threads of the stand-in ended with an error, so that those answers broke off at once instead of stopping first. Checks are as they were.

--- a/scripts/soak_servers.py
+++ b/scripts/soak_servers.py
@@ -95,8 +95,9 @@
         if kind == "stop":
             wait_s = draw.choice([draw.uniform(0.8, 2.5), UNTIL_CLOSED_S])
             run.did += f" for {wait_s:.1f} s"
-            readable, _, _ = select.select([sock], [], [], wait_s)
-            return not readable and wait_s < UNTIL_CLOSED_S
+            poll = select.poll()  # which takes descriptors of any number: a soak of hundreds has over 1,024
+            poll.register(sock, select.POLLIN)
+            return not poll.poll(wait_s * 1000) and wait_s < UNTIL_CLOSED_S
         if kind == "reset":
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
         return False  # the connection is closed
