What was built costs less: no look through endpoints at a first list, one reading of the clock a turn

By reading: each entry of a first list was held against all endpoints that were known already (4.5 million comparisons for 3,000), each turn of the loop read four clocks, and old records were looked for twenty times a second. Change: addresses are compared only once a first list is complete; one reading a turn, and the other clock only after an absence; old records are looked for once a second.

--- a/libcometspindle/adapters/gateway/gateway.c
+++ b/libcometspindle/adapters/gateway/gateway.c
@@ -366,35 +366,41 @@
 	return (uint64_t)now.tv_sec * 1000000 + (uint64_t)now.tv_nsec / 1000;
 }
 
+/* For how long the VM was suspended since it started. */
+static uint64_t
+suspended_us(uint64_t now_us)
+{
+	return now_us - MIN(steady_now_us(), now_us);
+}
+
 /* The process did not run, whether it was stopped or its VM suspended. */
 static void
-was_away(struct comet_gateway *gateway, uint64_t now_us, uint64_t steady_us)
+was_away(struct comet_gateway *gateway, uint64_t now_us)
 {
-	uint64_t passed_us = now_us - gateway->turn_us;
-	uint64_t ran_us = MIN(steady_us - gateway->steady_us, passed_us);
+	uint64_t all_us = suspended_us(now_us);
 
 	comet_log(COMET_LOG_WARNING,
 		"event=was_away away_ms=%" G_GUINT64_FORMAT " suspended_ms=%" G_GUINT64_FORMAT
 		" clock=boottime",
-		passed_us / 1000, (passed_us - ran_us) / 1000);
+		(now_us - gateway->turn_us) / 1000,
+		(all_us - MIN(gateway->suspended_us, all_us)) / 1000);
+	gateway->suspended_us = all_us;
 	gateway->away_us = now_us;
 	comet_timers_hold(gateway->timers, CATCH_UP_US);
 }
 
-/* Looks, before and after the loop waits, whether the process was away since it did so last. */
+/* Looks, each time the loop has waited, whether the process was away since it did so last. */
 static void
 on_turn(enum tevent_trace_point point, void *data)
 {
 	struct comet_gateway *gateway = data;
 
-	if (point != TEVENT_TRACE_BEFORE_WAIT && point != TEVENT_TRACE_AFTER_WAIT)
+	if (point != TEVENT_TRACE_AFTER_WAIT)
 		return;
 	uint64_t now_us = comet_timers_now_us();
-	uint64_t steady_us = steady_now_us();
 	if (gateway->turn_us != 0 && now_us - gateway->turn_us >= AWAY_US)
-		was_away(gateway, now_us, steady_us);
+		was_away(gateway, now_us);
 	gateway->turn_us = now_us;
-	gateway->steady_us = steady_us;
 }
 
 void
@@ -405,6 +411,7 @@
 		gateway->settings->name, gateway->settings->zone, gateway->settings->callers);
 	gateway->directory->ops->start(gateway->directory);
 	comet_timers_add(gateway->timers, gateway, 0, on_tick, gateway);
+	gateway->suspended_us = suspended_us(comet_timers_now_us());
 	tevent_set_trace_callback(gateway->ev, on_turn, gateway);
 	while (!gateway->over && tevent_loop_once(gateway->ev) == 0)
 		;
--- a/libcometspindle/adapters/gateway/gateway_directory.c
+++ b/libcometspindle/adapters/gateway/gateway_directory.c
@@ -132,7 +132,7 @@
 	log_listed(known, record);
 	if (reborn)
 		comet_gateway_life_ended(gateway, known, "started_again");
-	if (known == NULL)
+	if (known == NULL && gateway->listed) /* before that nobody was there */
 		end_earlier_at(gateway, record->address);
 	comet_instances_put(gateway->instances, record, comet_timers_now_us());
 	if (record->draining || reborn || moved)
--- a/libcometspindle/adapters/gateway/gateway_private.h
+++ b/libcometspindle/adapters/gateway/gateway_private.h
@@ -86,13 +86,13 @@
 	GQueue sendings;  /**< of struct comet_relay: those that are at an endpoint */
 	struct comet_draw draw;
 	uint64_t began_us;
-	bool finding;       /**< it still finds out who else is there */
-	uint64_t found_us;  /**< when another VM was last heard of for the first time */
-	uint32_t known_vms; /**< most VMs known at a time, with this one */
-	uint64_t stop_us;   /**< when the stop began; 0: none */
-	uint64_t turn_us;   /**< when the loop last waited, or was woken */
-	uint64_t steady_us; /**< the same by CLOCK_MONOTONIC */
-	uint64_t away_us;   /**< when the process was last found to have been away; 0: never */
+	bool finding;          /**< it still finds out who else is there */
+	uint64_t found_us;     /**< when another VM was last heard of for the first time */
+	uint32_t known_vms;    /**< most VMs known at a time, with this one */
+	uint64_t stop_us;      /**< when the stop began; 0: none */
+	uint64_t turn_us;      /**< when the loop had last waited */
+	uint64_t suspended_us; /**< for how long the VM was suspended, as last looked */
+	uint64_t away_us;      /**< when the process was last found to have been away; 0: never */
 	struct comet_fetch *copying; /**< reading the directory's copy of another VM */
 	uint64_t answered_us;        /**< when the directory last answered a call; 0: never */
 	uint64_t behind_us;          /**< since when another VM has read more; 0: none has */
--- a/libcometspindle/gateway/crashes.c
+++ b/libcometspindle/gateway/crashes.c
@@ -53,6 +53,9 @@
 #define TEAM_RECORDS_MAX 64
 #define RECORDS_MAX 4096
 
+/* What is old is looked for so often: its times are seconds and more. */
+#define TICK_US 1000000
+
 /* A record is told first in every view for this time after it has changed: views are at most two
  * seconds apart, and one may be lost. */
 #define NEWS_US 5000000
@@ -99,6 +102,7 @@
 	GQueue suspects;     /* of struct suspect, oldest first */
 	struct ended ended[ENDED_MAX];
 	uint32_t next_ended;
+	uint64_t ticked_us;
 	uint32_t new_turn; /* where views go on with records that are new */
 	uint32_t old_turn; /* and with the others */
 	struct served served[SERVED_MAX];
@@ -473,6 +477,9 @@
 	GHashTableIter at;
 	gpointer value = NULL;
 
+	if (now_us - crashes->ticked_us < TICK_US)
+		return;
+	crashes->ticked_us = now_us;
 	while ((suspect = g_queue_peek_head(&crashes->suspects)) != NULL &&
 		now_us - suspect->at_us > SUSPECT_US)
 		g_free(g_queue_pop_head(&crashes->suspects));
