Every VM of a large fleet is found: one that hears nobody is answered at once, with others of its zone

Callers saw limits overspent (QUOTA), requests sent to full endpoints and answers late, by 35 of 295 VMs that heard nobody. Cause: a seed tells a zone of eight VMs or more through two of its VMs, and its view was all that a new VM could hear from; and the list of VMs that a view names moved on by one VM a view, so that all named the same few for minutes. Now a view that names nobody (its sender hears nobody) is answered directly, with VMs of the sender's zone; lists move on by what they named, and begin elsewhere at each VM. A process that has heard nobody goes on finding, and counts its seeds as known. Why it holds: the answer needs nobody but the seed, and whoever is named is told directly.

--- a/libcometspindle/adapters/gateway/gateway.c
+++ b/libcometspindle/adapters/gateway/gateway.c
@@ -119,26 +119,29 @@
 	gateway->over = true;
 }
 
-/* Is this process still finding out who else is there? */
+/* Is this process still finding out who else is there? One that has heard nobody is, as long as its
+ * seeds may only be late: taken for the only VM, it spent all of each team's limit by itself. */
 static bool
-is_finding(struct comet_gateway *gateway, uint32_t known, uint64_t now_us)
+is_finding(struct comet_gateway *gateway, uint32_t heard, uint32_t known, uint64_t now_us)
 {
-	if (known > gateway->known_vms)
+	if (heard > gateway->heard_vms)
 	{
-		gateway->known_vms = known;
-		gateway->found_us = now_us;
+		gateway->heard_vms = heard;
+		gateway->found_us = heard > 1 ? now_us : 0;
 	}
 	uint64_t last_us = MAX(gateway->found_us, gateway->began_us);
 	uint64_t quiet_us =
 		MAX(FOUND_AFTER_US, FOUND_AFTER_ROUNDS * comet_views_interval_us(gateway->views));
-	return now_us - last_us < quiet_us && now_us - gateway->began_us < FIND_LONGEST_US;
+	bool unheard = heard < known && gateway->found_us == 0;
+	return (now_us - last_us < quiet_us || unheard) &&
+	       now_us - gateway->began_us < FIND_LONGEST_US;
 }
 
 /* Shares sums with the VMs that there are, or must be taken to be there. */
 static void
 set_vms(struct comet_gateway *gateway, uint32_t heard, uint32_t known, uint64_t now_us)
 {
-	bool finding = is_finding(gateway, known, now_us);
+	bool finding = is_finding(gateway, heard, known, now_us);
 
 	if (gateway->finding && !finding)
 		comet_log(COMET_LOG_NOTICE, "event=vms_found vms=%u after_ms=%" G_GUINT64_FORMAT,
--- a/libcometspindle/adapters/gateway/gateway_private.h
+++ b/libcometspindle/adapters/gateway/gateway_private.h
@@ -88,7 +88,7 @@
 	uint64_t began_us;
 	bool finding;          /**< it still finds out who else is there */
 	uint64_t found_us;     /**< when another VM was last heard of for the first time */
-	uint32_t known_vms;    /**< most VMs known at a time, with this one */
+	uint32_t heard_vms;    /**< most VMs heard at a time, with this one */
 	uint64_t stop_us;      /**< when the stop began; 0: none */
 	uint64_t turn_us;      /**< when the loop had last waited */
 	uint64_t suspended_us; /**< for how long the VM was suspended, as last looked */
--- a/libcometspindle/gateway/views.c
+++ b/libcometspindle/gateway/views.c
@@ -93,6 +93,7 @@
 	views->ops = ops;
 	views->ctx = ctx;
 	views->last_bytes = 100;
+	views->peers_turn = views->address; /* VMs that know the same name others */
 	views->peers = g_hash_table_new_full(NULL, NULL, NULL, free_peer);
 	views->zones = g_hash_table_new_full(NULL, NULL, NULL, g_free);
 	talloc_set_destructor(views, views_destroy);
@@ -163,6 +164,7 @@
 		peer->followed = false;
 	}
 	peer->owed = peer->owed || peer->heard_us == 0 || restarted;
+	peer->seeking = view->peers_count == 0;
 	if (peer->heard_us == 0 || peer->silent || restarted)
 		views->ops->changed(
 			views->ctx, peer->address, true, restarted ? "restarted" : "heard");
@@ -332,6 +334,8 @@
 	GHashTableIter at;
 	gpointer value = NULL;
 
+	uint32_t seeds = 0;
+
 	*known = 0;
 	*heard = 0;
 	g_hash_table_iter_init(&at, views->peers);
@@ -339,11 +343,14 @@
 	{
 		const struct comet_views_peer *peer = value;
 		bool gone = peer->leaving && peer->silent;
+		seeds += peer->seed ? 1 : 0;
 		if (peer->heard_us == 0 || gone)
 			continue;
 		(*known)++;
 		*heard += peer->silent ? 0 : 1;
 	}
+	if (*known == 0)
+		*known = seeds; /* it may be cut off from all: it is not the only one for that */
 }
 
 size_t
--- a/libcometspindle/gateway/views.h
+++ b/libcometspindle/gateway/views.h
@@ -86,7 +86,8 @@
 void
 comet_views_leave(struct comet_views *views, uint64_t now_us);
 
-/** VMs that are not known to have ended, and how many of them are heard; without this one. */
+/** VMs that are not known to have ended, and how many of them are heard; without this one. Where
+ * none was ever heard, the seeds count as known. */
 void
 comet_views_count(const struct comet_views *views, uint32_t *known, uint32_t *heard);
 
--- a/libcometspindle/gateway/views_rounds.c
+++ b/libcometspindle/gateway/views_rounds.c
@@ -166,16 +166,21 @@
 	};
 }
 
+/* May a VM be named to others? */
+static bool
+is_named(const struct comet_views_peer *peer)
+{
+	return !peer->silent && !peer->leaving && peer->heard_us != 0;
+}
+
+/* Names VMs from a place on; zone: those of that zone alone, or 0. */
 static void
-put_peers(struct comet_views *views, comet_View *view)
+name_peers(struct comet_views *views, comet_View *view, uint32_t from, uint32_t zone)
 {
 	GHashTableIter at;
 	gpointer value = NULL;
-	uint32_t skip = g_hash_table_size(views->peers) > G_N_ELEMENTS(view->peers)
-				? (uint32_t)(views->number % g_hash_table_size(views->peers))
-				: 0;
 
-	/* Two passes from a turning start, so that all of them are named in time. */
+	/* Two passes, so that all of them are named in turn. */
 	for (int pass = 0; pass < 2; pass++)
 	{
 		uint32_t index = 0;
@@ -183,18 +188,34 @@
 		while (g_hash_table_iter_next(&at, NULL, &value))
 		{
 			const struct comet_views_peer *peer = value;
-			bool mine = pass == 0 ? index >= skip : index < skip;
-			index++;
-			if (mine && !peer->silent && !peer->leaving && peer->heard_us != 0 &&
+			bool mine = (index++ >= from) == (pass == 0);
+			if (mine && is_named(peer) && (zone == 0 || peer->zone == zone) &&
 				view->peers_count < G_N_ELEMENTS(view->peers))
 				view->peers[view->peers_count++] = peer->address;
 		}
 	}
 }
 
+/* Names some VMs, others each time. zone: of a VM that seeks others, which those of its zone must
+ * hear of; 0: for all. */
+static void
+put_peers(struct comet_views *views, comet_View *view, uint32_t zone)
+{
+	uint32_t count = g_hash_table_size(views->peers);
+
+	if (count == 0)
+		return;
+	if (zone != 0)
+		name_peers(views, view, views->peers_turn % count, zone);
+	if (view->peers_count == 0)
+		name_peers(views, view, views->peers_turn % count, 0);
+	views->peers_turn += MAX(view->peers_count, 1);
+}
+
 /* Builds this VM's view. @return its length. */
 static size_t
-build(struct comet_views *views, uint8_t data[COMET_DATAGRAM_BYTES_MAX], bool far, uint64_t now_us)
+build(struct comet_views *views, uint8_t data[COMET_DATAGRAM_BYTES_MAX], bool far, uint32_t zone,
+	uint64_t now_us)
 {
 	comet_Datagram *datagram = &views->scratch;
 	comet_View *view = &datagram->body.view;
@@ -217,7 +238,7 @@
 	views->spent_turn += view->spent_count;
 	if (views->spent_turn >= put.seen)
 		views->spent_turn = 0;
-	put_peers(views, view);
+	put_peers(views, view, zone);
 	if (views->crashes != NULL)
 		view->crashed_count = (pb_size_t)comet_crashes_put(
 			views->crashes, view->crashed, G_N_ELEMENTS(view->crashed), now_us);
@@ -285,7 +306,7 @@
 comet_views_send_round(struct comet_views *views, bool far, uint64_t now_us)
 {
 	uint8_t data[COMET_DATAGRAM_BYTES_MAX];
-	size_t length = build(views, data, far, now_us);
+	size_t length = build(views, data, far, 0, now_us);
 	GHashTableIter at;
 	gpointer value = NULL;
 
@@ -310,6 +331,20 @@
 		send_to_relays(views);
 }
 
+/* A VM that hears nobody cannot wait for a round, which comes to large zones through VMs that may
+ * not know of it. It is answered each time it asks, with others of its zone. */
+static void
+answer_seeking(struct comet_views *views, struct comet_views_peer *peer, uint64_t now_us)
+{
+	uint8_t data[COMET_DATAGRAM_BYTES_MAX];
+	size_t length = build(views, data, false, peer->zone, now_us);
+
+	peer->seeking = false;
+	peer->owed = false;
+	peer->asked_us = now_us;
+	views->ops->send(views->ctx, peer->address, data, length);
+}
+
 void
 comet_views_greet(struct comet_views *views, uint64_t now_us)
 {
@@ -322,6 +357,8 @@
 	while (g_hash_table_iter_next(&at, NULL, &value))
 	{
 		struct comet_views_peer *peer = value;
+		if (peer->seeking)
+			answer_seeking(views, peer, now_us);
 		if (!peer->owed)
 			continue;
 		if (is_relayed(views, peer))
@@ -330,7 +367,7 @@
 			continue;
 		}
 		if (length == 0)
-			length = build(views, data, false, now_us);
+			length = build(views, data, false, 0, now_us);
 		peer->owed = false;
 		peer->asked_us = now_us;
 		views->ops->send(views->ctx, peer->address, data, length);
--- a/libcometspindle/gateway/views_state.h
+++ b/libcometspindle/gateway/views_state.h
@@ -26,6 +26,7 @@
 	bool leaving; /* it stops; until it is silent it may still spend */
 	bool silent;
 	bool owed;     /* it is new to us, so that we are to it: it gets our view at once */
+	bool seeking;  /* it hears nobody: it gets our view at once, with VMs of its zone */
 	bool followed; /* its spending has been told before */
 	bool seed;
 	GArray *busy;      /* of comet_Busy */
@@ -65,6 +66,7 @@
 	uint64_t near_sent_us;
 	uint64_t far_sent_us;
 	uint32_t spent_turn; /* where the list of teams goes on */
+	uint32_t peers_turn; /* where the list of VMs goes on */
 	bool leaving;
 	bool urgent;            /* there is news for all */
 	bool stale;             /* others' dispatches are to be summed anew */
