--- a/libcometspindle/adapters/gateway/gateway.c
+++ b/libcometspindle/adapters/gateway/gateway.c
@@ -73,9 +73,11 @@
 
 	if (!comet_datagram_decode(data, length, &datagram))
 		comet_log(COMET_LOG_WARNING, "event=datagram_malformed bytes=%zu", length);
-	else if (datagram.which_body != comet_Datagram_view_tag)
+	else if (datagram.which_body != comet_Datagram_view_tag &&
+		 !comet_charges_receive(gateway->charges, &datagram))
 		comet_grants_receive(gateway->grants, &datagram);
-	else if (!comet_views_receive(gateway->views, &datagram.body.view, now_us))
+	else if (datagram.which_body == comet_Datagram_view_tag &&
+		 !comet_views_receive(gateway->views, &datagram.body.view, now_us))
 		comet_log(COMET_LOG_WARNING, "event=view_malformed bytes=%zu", length);
 }
 
@@ -152,7 +154,8 @@
 		known = MAX(known, VMS_ASSUMED);
 		heard = known;
 	}
-	comet_allowance_set_vms(gateway->allowance, heard, known);
+	comet_allowance_set_vms(gateway->allowance, heard, known,
+		finding ? 0 : comet_views_silent_since_us(gateway->views));
 	comet_retry_budget_set_vms(gateway->retries, known);
 	gateway->directory->ops->set_vms(gateway->directory, heard);
 }
@@ -271,6 +274,8 @@
 		gateway, &config, gateway->instances, gateway->allowance, &views_ops, gateway);
 	gateway->grants =
 		comet_grants_create(gateway, config.address, &comet_gateway_grants_ops, gateway);
+	gateway->charges =
+		comet_charges_create(gateway, config.address, &comet_gateway_charges_ops, gateway);
 }
 
 /* Opens what the gateway listens on. @return false with error set. */
--- a/libcometspindle/adapters/gateway/gateway_admit.c
+++ b/libcometspindle/adapters/gateway/gateway_admit.c
@@ -21,13 +21,6 @@
 /* Within this part of its aim a refusal costs the caller little: it can still be in time. */
 #define EARLY_PART 4
 
-/* A VM that has just started, and does not know yet how many others spend a team's limit, does not
- * refuse for that limit for this time, in which VMs usually find each other, but looks again so
- * often. After a restart of six VMs 120 requests were refused in 600 ms, each to come back a second
- * later. */
-#define UNDECIDED_US 400000
-#define DECIDE_AGAIN_US 50000
-
 /* A VM that knows no routes yet asks to come back after this time: a start takes about as long.
  * Once the directory has left a call unanswered, an outage goes on, which lasts for seconds:
  * callers that may try once more would be refused again. Where all VMs restart in outages of three
@@ -220,9 +213,8 @@
 	return true;
 }
 
-/* It is admitted: places it. */
-static void
-go_on(struct comet_relay *relay, uint64_t now_us)
+void
+comet_relay_admit(struct comet_relay *relay, uint64_t now_us)
 {
 	struct comet_gateway *gateway = relay->gateway;
 
@@ -240,51 +232,6 @@
 	place(relay, now_us);
 }
 
-static void
-refuse_over_limit(struct comet_relay *relay, uint32_t wait_ms, uint64_t now_us)
-{
-	struct comet_gateway *gateway = relay->gateway;
-
-	gateway->counts.refused_team++;
-	comet_log(COMET_LOG_INFO,
-		"event=over_limit request=%s team=%s charge=%" G_GUINT64_FORMAT " left=%.0f",
-		relay->id, relay->team->name, relay->charge,
-		comet_allowance_left(gateway->allowance, relay->team->id, now_us));
-	comet_relay_answer(relay, 429, "team_limit", wait_ms);
-}
-
-static void
-on_decide(void *ctx);
-
-/* Charges the request to its team, and goes on if the team may spend it. */
-static void
-spend(struct comet_relay *relay)
-{
-	struct comet_gateway *gateway = relay->gateway;
-	uint64_t now_us = comet_timers_now_us();
-	uint32_t wait_ms = 0;
-
-	if (relay->team != NULL)
-		wait_ms = comet_allowance_spend(gateway->allowance, relay->team->id,
-			relay->route->priority, relay->charge, now_us);
-	if (wait_ms == 0)
-		go_on(relay, now_us);
-	else if (gateway->finding && now_us < relay->arrived_us + UNDECIDED_US)
-		relay->undecided =
-			comet_timers_add(gateway->timers, relay, DECIDE_AGAIN_US, on_decide, relay);
-	else
-		refuse_over_limit(relay, wait_ms, now_us);
-}
-
-static void
-on_decide(void *ctx)
-{
-	struct comet_relay *relay = ctx;
-
-	relay->undecided = NULL;
-	spend(relay);
-}
-
 /* Nothing can be admitted before the routes are known. */
 static void
 refuse_not_ready(struct comet_gateway *gateway, struct comet_front_request *request)
@@ -338,5 +285,5 @@
 		return;
 	}
 	read_job(relay);
-	spend(relay);
+	comet_relay_charge(relay);
 }
--- /dev/null
+++ b/libcometspindle/adapters/gateway/gateway_charges.c
@@ -0,0 +1,227 @@
+/*
+ * gateway_charges.c
+ * one request at a gateway: its charge to its team, and charges of other VMs' requests
+ */
+#include <libcometspindle/adapters/gateway/gateway_relay.h>
+
+#include <libcometspindle/log.h>
+
+/* How often open charges are looked at: a part of the time after which they are given up. */
+#define CHARGES_TICK_US 10000
+
+/* A VM that has just started, and does not know yet how many others spend a team's limit, does not
+ * refuse for that limit for this time, in which VMs usually find each other, but looks again so
+ * often. After a restart of six VMs 120 requests were refused in 600 ms, each to come back a second
+ * later. */
+#define UNDECIDED_US 400000
+#define DECIDE_AGAIN_US 50000
+
+/* VMs that are asked to charge one request: a keeper that is gone, and the next best in its place.
+ */
+#define KEEPERS_ASKED_MAX 2
+
+static void
+on_charges_tick(void *ctx)
+{
+	struct comet_gateway *gateway = ctx;
+
+	gateway->charges_timer = NULL;
+	if (comet_charges_tick(gateway->charges, comet_timers_now_us()))
+		gateway->charges_timer = comet_timers_add(
+			gateway->timers, gateway, CHARGES_TICK_US, on_charges_tick, gateway);
+}
+
+/* Is a VM not to be asked just now? */
+struct mute_query
+{
+	const struct comet_charges *charges;
+	uint64_t now_us;
+};
+
+static bool
+is_mute(const void *ctx, uint32_t vm)
+{
+	const struct mute_query *query = ctx;
+
+	return comet_charges_is_mute(query->charges, vm, query->now_us);
+}
+
+/* The VM that keeps a team's account, this one or another; 0: nobody that answers. */
+static uint32_t
+keeper_of(const struct comet_gateway *gateway, uint32_t team_id, uint64_t now_us)
+{
+	const struct mute_query query = {gateway->charges, now_us};
+
+	if (!gateway->settings->ask_keepers)
+		return 0;
+	if (gateway->finding)
+		return comet_views_seed_keeper(gateway->views, team_id, is_mute, &query);
+	return comet_views_keeper_but(gateway->views, team_id, 0, is_mute, &query, now_us);
+}
+
+static struct comet_charge
+charge_of(const struct comet_relay *relay)
+{
+	return (struct comet_charge){relay->team->id, relay->route->priority, relay->charge};
+}
+
+static void
+refuse_over_limit(struct comet_relay *relay, uint32_t keeper, uint32_t wait_ms)
+{
+	struct comet_gateway *gateway = relay->gateway;
+	char text[COMET_VIEW_ADDRESS_MAX];
+
+	gateway->counts.refused_team++;
+	comet_log(COMET_LOG_INFO,
+		"event=over_limit request=%s team=%s charge=%" G_GUINT64_FORMAT
+		" left=%.0f keeper=%s",
+		relay->id, relay->team->name, relay->charge,
+		comet_allowance_left(gateway->allowance, relay->team->id, comet_timers_now_us()),
+		keeper != 0 ? comet_view_link_text(keeper, text) : "-");
+	comet_relay_answer(relay, 429, "team_limit", wait_ms);
+}
+
+static void
+on_decide_again(void *ctx)
+{
+	struct comet_relay *relay = ctx;
+
+	relay->undecided = NULL;
+	relay->keepers_asked = 0;
+	comet_relay_charge(relay);
+}
+
+/* Decides by what this VM itself knows: as keeper of the account, or by views. */
+static void
+decide_here(struct comet_relay *relay, enum comet_allowance_sight sight, uint64_t now_us)
+{
+	struct comet_gateway *gateway = relay->gateway;
+	bool wait = gateway->finding && sight == COMET_ALLOWANCE_BY_VIEWS &&
+		    now_us < relay->arrived_us + UNDECIDED_US;
+	uint32_t wait_ms = comet_allowance_spend(gateway->allowance, relay->team->id,
+		relay->route->priority, relay->charge, sight, now_us);
+
+	if (wait_ms == 0)
+	{
+		relay->charged = true;
+		comet_relay_admit(relay, now_us);
+	}
+	else if (wait)
+		relay->undecided = comet_timers_add(
+			gateway->timers, relay, DECIDE_AGAIN_US, on_decide_again, relay);
+	else
+		refuse_over_limit(relay, 0, wait_ms);
+}
+
+void
+comet_relay_charge(struct comet_relay *relay)
+{
+	struct comet_gateway *gateway = relay->gateway;
+	uint64_t now_us = comet_timers_now_us();
+
+	if (relay->team == NULL || relay->team->rate_per_s == 0)
+	{
+		comet_relay_admit(relay, now_us);
+		return;
+	}
+	uint32_t keeper = keeper_of(gateway, relay->team->id, now_us);
+	if (keeper == 0 || relay->keepers_asked >= KEEPERS_ASKED_MAX)
+	{
+		decide_here(relay, COMET_ALLOWANCE_BY_VIEWS, now_us);
+		return;
+	}
+	if (keeper == comet_view_link_address(gateway->link))
+	{
+		decide_here(relay, COMET_ALLOWANCE_KEPT, now_us);
+		return;
+	}
+	const struct comet_charge charge = charge_of(relay);
+	relay->keepers_asked++;
+	gateway->counts.charges_asked++;
+	comet_charges_ask(gateway->charges, relay, keeper, &charge, now_us);
+	if (gateway->charges_timer == NULL)
+		gateway->charges_timer = comet_timers_add(
+			gateway->timers, gateway, CHARGES_TICK_US, on_charges_tick, gateway);
+}
+
+void
+comet_relay_give_back_charge(struct comet_relay *relay)
+{
+	struct comet_gateway *gateway = relay->gateway;
+
+	if (!relay->charged)
+		return;
+	relay->charged = false;
+	comet_allowance_give_back(
+		gateway->allowance, relay->team->id, relay->charge, comet_timers_now_us());
+	if (relay->charged_by == 0)
+		return;
+	const struct comet_charge charge = charge_of(relay);
+	comet_charges_return(gateway->charges, relay->charged_by, &charge);
+}
+
+static void
+send_datagram(void *ctx, uint32_t address, const uint8_t *data, size_t length)
+{
+	struct comet_gateway *gateway = ctx;
+
+	comet_view_link_send(gateway->link, address, data, length);
+}
+
+static void
+on_decided(void *ctx, void *owner, uint32_t keeper, uint32_t wait_ms)
+{
+	struct comet_gateway *gateway = ctx;
+	struct comet_relay *relay = owner;
+	uint64_t now_us = comet_timers_now_us();
+
+	if (wait_ms != 0)
+	{
+		refuse_over_limit(relay, keeper, wait_ms);
+		return;
+	}
+	comet_allowance_charged(gateway->allowance, relay->team->id, relay->charge, now_us);
+	relay->charged = true;
+	relay->charged_by = keeper;
+	comet_relay_admit(relay, now_us);
+}
+
+static void
+on_undecided(void *ctx, void *owner, uint32_t keeper)
+{
+	struct comet_gateway *gateway = ctx;
+	struct comet_relay *relay = owner;
+	char text[COMET_VIEW_ADDRESS_MAX];
+
+	gateway->counts.charges_undecided++;
+	comet_log(COMET_LOG_INFO, "event=charge_undecided request=%s team=%s vm=%s", relay->id,
+		relay->team->name, comet_view_link_text(keeper, text));
+	comet_relay_charge(relay);
+}
+
+static bool
+on_charge(void *ctx, uint32_t asker, const struct comet_charge *charge, uint32_t *wait_ms)
+{
+	struct comet_gateway *gateway = ctx;
+
+	gateway->counts.charges_answered++;
+	return comet_allowance_charge_for(gateway->allowance, asker, charge->team, charge->rank,
+		charge->amount, comet_timers_now_us(), wait_ms);
+}
+
+static void
+on_returned(void *ctx, uint32_t asker, const struct comet_charge *charge)
+{
+	struct comet_gateway *gateway = ctx;
+
+	comet_allowance_returned_by(
+		gateway->allowance, asker, charge->team, charge->amount, comet_timers_now_us());
+}
+
+const struct comet_charges_ops comet_gateway_charges_ops = {
+	.send = send_datagram,
+	.decided = on_decided,
+	.undecided = on_undecided,
+	.charge = on_charge,
+	.returned = on_returned,
+};
--- a/libcometspindle/adapters/gateway/gateway_metrics.c
+++ b/libcometspindle/adapters/gateway/gateway_metrics.c
@@ -60,6 +60,17 @@
 		counts->answered);
 }
 
+static void
+put_charges(GString *out, const struct comet_gateway_counts *counts)
+{
+	g_string_append_printf(out,
+		"# TYPE comet_charges_total counter\n"
+		"comet_charges_total{outcome=\"asked\"} %" G_GUINT64_FORMAT "\n"
+		"comet_charges_total{outcome=\"undecided\"} %" G_GUINT64_FORMAT "\n"
+		"comet_charges_total{outcome=\"answered_others\"} %" G_GUINT64_FORMAT "\n",
+		counts->charges_asked, counts->charges_undecided, counts->charges_answered);
+}
+
 static void
 put_crashes(GString *out, const struct comet_gateway *gateway)
 {
@@ -304,6 +315,7 @@
 	put(out, "repeats_total", "counter", (double)gateway->counts.repeated);
 	put(out, "resumes_total", "counter", (double)gateway->counts.resumed);
 	put_asks(out, &gateway->counts);
+	put_charges(out, &gateway->counts);
 	put_crashes(out, gateway);
 	put(out, "vms_known", "gauge", known);
 	put(out, "vms_heard", "gauge", heard);
--- a/libcometspindle/adapters/gateway/gateway_private.h
+++ b/libcometspindle/adapters/gateway/gateway_private.h
@@ -10,6 +10,7 @@
 #include <libcometspindle/adapters/gateway/gateway.h>
 #include <libcometspindle/adapters/peers/view_link.h>
 #include <libcometspindle/draw.h>
+#include <libcometspindle/gateway/charges.h>
 #include <libcometspindle/gateway/crashes.h>
 #include <libcometspindle/gateway/grants.h>
 #include <libcometspindle/gateway/lives.h>
@@ -25,11 +26,14 @@
 	uint64_t dispatched;
 	uint64_t repeated;
 	uint64_t resumed;
-	uint64_t granted;    /**< slots by other VMs */
-	uint64_t denied;     /**< asks for slots */
-	uint64_t waited;     /**< asks for slots that waited at a keeper in vain */
-	uint64_t unanswered; /**< asks for slots */
-	uint64_t answered;   /**< asks of other VMs, by this one as keeper */
+	uint64_t granted;           /**< slots by other VMs */
+	uint64_t denied;            /**< asks for slots */
+	uint64_t waited;            /**< asks for slots that waited at a keeper in vain */
+	uint64_t unanswered;        /**< asks for slots */
+	uint64_t answered;          /**< asks of other VMs, by this one as keeper */
+	uint64_t charges_asked;     /**< of other VMs that keep accounts */
+	uint64_t charges_undecided; /**< of them, those that were not answered or not known */
+	uint64_t charges_answered;  /**< for other VMs, by this one as keeper */
 	uint64_t served;
 	uint64_t relayed_errors;
 	uint64_t refused_early;    /**< not run, told when to come back */
@@ -74,6 +78,8 @@
 	struct comet_views *views;
 	struct comet_grants *grants;
 	struct comet_timer *asks_timer; /**< looks at open asks; NULL: there is none */
+	struct comet_charges *charges;
+	struct comet_timer *charges_timer; /**< looks at open charges; NULL: there is none */
 	struct comet_view_link *link;
 	struct comet_route_table *table; /**< NULL until one has been read */
 	struct comet_gateway_counts counts;
@@ -135,6 +141,9 @@
 
 extern const struct comet_grants_ops comet_gateway_grants_ops;
 
+/** Charges of requests to teams, here and at other VMs (gateway_charges.c). */
+extern const struct comet_charges_ops comet_gateway_charges_ops;
+
 /** Answers on the readiness and control addresses (gateway_pages.c). */
 extern const struct comet_front_events comet_gateway_readiness_events;
 extern const struct comet_front_events comet_gateway_control_events;
--- a/libcometspindle/adapters/gateway/gateway_relay.c
+++ b/libcometspindle/adapters/gateway/gateway_relay.c
@@ -119,6 +119,7 @@
 	struct comet_gateway *gateway = relay->gateway;
 
 	comet_placement_withdraw(gateway->placement, &relay->item);
+	comet_charges_forget(gateway->charges, relay);
 	talloc_free(relay);
 	comet_placement_run(gateway->placement, comet_timers_now_us());
 }
@@ -167,15 +168,6 @@
 	answer_error(relay, status, reason, retry_after_ms, headers, "");
 }
 
-/* What it was charged comes back to its team: it was not run. */
-static void
-give_back_charge(struct comet_relay *relay)
-{
-	if (relay->team != NULL && relay->undecided == NULL)
-		comet_allowance_give_back(relay->gateway->allowance, relay->team->id, relay->charge,
-			comet_timers_now_us());
-}
-
 /* 400 is what callers do not repeat. 503 asks them to come back, and after 502 some try once more
  * at once. */
 void
@@ -186,7 +178,7 @@
 		relay->id, relay->fingerprint.digest);
 	relay->gateway->counts.refused_crashing++;
 	if (!relay->may_have_run)
-		give_back_charge(relay);
+		comet_relay_give_back_charge(relay);
 	answer_error(relay, 400, "crashes_endpoints", 0, "Content-Type: text/plain\r\n",
 		"Endpoints crashed when they ran this request. It is not sent to any more.\n");
 }
@@ -209,7 +201,7 @@
 		return;
 	}
 	gateway->counts.refused_early++;
-	give_back_charge(relay);
+	comet_relay_give_back_charge(relay);
 	comet_relay_answer(relay, 503, reason, retry_after_ms);
 }
 
--- a/libcometspindle/adapters/gateway/gateway_relay.h
+++ b/libcometspindle/adapters/gateway/gateway_relay.h
@@ -33,7 +33,9 @@
 	GList *open;      /* its place among the gateway's open requests */
 	GByteArray *answer;
 	struct comet_http_head *head; /* copy of the answer's head, or NULL */
-	uint64_t charge;
+	uint64_t charge;              /* to its team, in the unit of its limit */
+	uint32_t keepers_asked;       /* to charge it */
+	uint32_t charged_by; /* VM that keeps the team's account; 0: this one charged it itself */
 	uint64_t arrived_us;
 	uint64_t end_us; /* the caller waits no longer */
 	uint64_t sent_us;
@@ -48,6 +50,7 @@
 	uint32_t first_count;      /* events when this sending began */
 	uint16_t status;           /* of the answer whose head is on its way to the caller */
 	char *type;                /* its content type, or NULL */
+	bool charged;              /* what it was charged is counted */
 	bool may_have_run;
 	bool not_run;  /* the answer being read says that it was not run */
 	bool started;  /* the answer's head is on its way to the caller */
@@ -92,6 +95,19 @@
 void
 comet_relay_take(void *ctx, struct comet_front_request *request);
 
+/** Charges it to its team, here or at the VM that keeps the team's account, and admits or refuses
+ * it then (gateway_charges.c). */
+void
+comet_relay_charge(struct comet_relay *relay);
+
+/** It was not run: what it was charged comes back to its team. */
+void
+comet_relay_give_back_charge(struct comet_relay *relay);
+
+/** It is charged: places it (gateway_admit.c). */
+void
+comet_relay_admit(struct comet_relay *relay, uint64_t now_us);
+
 /** Answers with an error of our own; retry_after_ms: 0 for none. Frees it. */
 void
 comet_relay_answer(struct comet_relay *relay, unsigned int status, const char *reason,
--- a/libcometspindle/gateway/allowance.c
+++ b/libcometspindle/gateway/allowance.c
@@ -31,6 +31,15 @@
 /* Weight of the newest request in a team's usual amount: about the last twenty count. */
 #define USUAL_WEIGHT 0.05
 
+/* A VM that hears nobody still lets pass one request of its team's usual size in a span, if the
+ * team had spent no more than this part of its limit: an equal part for each of hundreds of VMs is
+ * less than one request. */
+#define QUIET_PART 0.5
+
+/* VMs whose charges are told apart in one account, for those that have not been told yet: five
+ * times as many as are designed for. Whoever reaches the port can name any. */
+#define CHARGED_VMS_MAX 2048
+
 /* Part of the limit that requests leave to those of the next more urgent rank, if they are of their
  * team's usual size or more; small ones leave as much less, since to refuse them frees nothing. */
 #define RESERVE_PART 0.06
@@ -45,12 +54,14 @@
 {
 	double limit;          /* over a span; 0: none */
 	double counted[PARTS]; /* what we know to be spent, by part of the span */
+	double own[PARTS];     /* this VM's part of it */
 	double assumed[PARTS]; /* spent before this process began */
 	uint64_t part;         /* number of the newest part */
 	uint64_t spent;        /* by this VM since its start */
 	double usual;          /* amount of a request; 0: none was seen */
-	double untold; /* by this VM since it last told all others, large requests cut down */
-	bool told;     /* assumed is what another VM told */
+	double untold;       /* by this VM since it last told all others, large requests cut down */
+	bool told;           /* assumed is what another VM told */
+	GHashTable *charged; /* as keeper: VM -> uint64_t, charged and not told by it yet */
 };
 
 struct comet_allowance
@@ -60,6 +71,8 @@
 	uint64_t began_us;
 	uint32_t heard_vms;
 	uint32_t known_vms;
+	uint64_t since_us; /* the first of those that are not heard was heard last then; 0: all are
+			    */
 };
 
 static int
@@ -69,6 +82,15 @@
 	return 0;
 }
 
+static void
+free_account(gpointer data)
+{
+	struct account *account = data;
+
+	g_hash_table_destroy(account->charged);
+	g_free(account);
+}
+
 struct comet_allowance *
 comet_allowance_create(void *parent, const struct comet_allowance_bounds *bounds, uint64_t now_us)
 {
@@ -78,7 +100,7 @@
 	allowance->heard_vms = 1;
 	allowance->known_vms = 1;
 	allowance->began_us = now_us;
-	allowance->accounts = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+	allowance->accounts = g_hash_table_new_full(NULL, NULL, NULL, free_account);
 	talloc_set_destructor(allowance, allowance_destroy);
 	return allowance;
 }
@@ -106,6 +128,7 @@
 	if (part - account->part >= PARTS)
 	{
 		memset(account->counted, 0, sizeof account->counted);
+		memset(account->own, 0, sizeof account->own);
 		memset(account->assumed, 0, sizeof account->assumed);
 		account->part = part;
 	}
@@ -113,6 +136,7 @@
 	{
 		account->part++;
 		account->counted[account->part % PARTS] = 0;
+		account->own[account->part % PARTS] = 0;
 		account->assumed[account->part % PARTS] = 0;
 	}
 }
@@ -175,6 +199,7 @@
 	for (int i = 0; i < PARTS; i++)
 	{
 		account->counted[i] *= factor;
+		account->own[i] *= factor;
 		account->assumed[i] *= factor;
 	}
 }
@@ -195,6 +220,7 @@
 	{
 		account = g_new0(struct account, 1);
 		account->part = set->now_us / part_us(allowance);
+		account->charged = g_hash_table_new_full(NULL, NULL, NULL, g_free);
 		g_hash_table_insert(allowance->accounts, GUINT_TO_POINTER(team->id), account);
 	}
 	double before = account->limit;
@@ -215,33 +241,66 @@
 }
 
 void
-comet_allowance_set_vms(struct comet_allowance *allowance, uint32_t heard, uint32_t known)
+comet_allowance_set_vms(
+	struct comet_allowance *allowance, uint32_t heard, uint32_t known, uint64_t since_us)
 {
 	allowance->heard_vms = heard;
 	allowance->known_vms = MAX(known, 1);
+	allowance->since_us = since_us;
+}
+
+/* The part of what is left that belongs to the VMs that we hear. */
+static double
+heard_part(const struct comet_allowance *allowance)
+{
+	return (double)allowance->heard_vms / allowance->known_vms;
 }
 
-/* The limit, as far as the VMs that we hear may use it. */
+/* What is spent in the current span, as far as we know. */
 static double
-limit_of(const struct comet_allowance *allowance, const struct account *account)
+spent_of(const struct account *account)
 {
-	return account->limit * allowance->heard_vms / allowance->known_vms;
+	return sum_of(account->counted) + sum_of(account->assumed);
 }
 
+/* What of it was spent while all VMs were heard: both sides of a cut know of it. */
 static double
-left_of(const struct comet_allowance *allowance, const struct account *account)
+spent_together(const struct comet_allowance *allowance, const struct account *account)
 {
-	double others = account->untold * (allowance->heard_vms - 1);
+	uint64_t first = account->part - MIN(account->part, SPAN_PARTS);
+	uint64_t cut = allowance->since_us / part_us(allowance);
+	double sum = 0;
 
-	return limit_of(allowance, account) - sum_of(account->counted) - sum_of(account->assumed) -
-	       others;
+	for (uint64_t part = first; part <= account->part; part++)
+	{
+		if (part < cut)
+			sum += account->counted[part % PARTS] + account->assumed[part % PARTS];
+	}
+	return sum;
+}
+
+/* What may still be spent: of what was left when some VMs were last heard, the part of the others,
+ * less what these have spent since. */
+static double
+left_of(const struct comet_allowance *allowance, const struct account *account,
+	enum comet_allowance_sight sight)
+{
+	double part = heard_part(allowance);
+	double left = part * account->limit - spent_of(account);
+
+	if (part < 1)
+		left += (1 - part) * spent_together(allowance, account);
+	if (sight == COMET_ALLOWANCE_BY_VIEWS)
+		left -= account->untold * (allowance->heard_vms - 1);
+	return left;
 }
 
 /* How long until needed is free again, as the parts of the span go by. */
 static uint32_t
-wait_ms(const struct comet_allowance *allowance, const struct account *account, double needed)
+wait_ms_for(const struct comet_allowance *allowance, const struct account *account,
+	enum comet_allowance_sight sight, double needed)
 {
-	double left = left_of(allowance, account);
+	double left = left_of(allowance, account, sight);
 	uint64_t parts = 0;
 
 	for (; parts < PARTS && left < needed; parts++)
@@ -277,42 +336,152 @@
 	double size = account->usual > 0 ? MIN(amount / account->usual, 1.0) : 1.0;
 	double part = RESERVE_PART * MIN(rank, RESERVING_RANKS) * size;
 
-	return MAX(part * limit_of(allowance, account) - sum_of(account->assumed), 0);
+	part *= heard_part(allowance);
+	return MAX(part * account->limit - sum_of(account->assumed), 0);
+}
+
+/* Is it the only request in a span of a VM that hears nobody, for a team that was far from its
+ * limit? */
+static bool
+is_single(const struct comet_allowance *allowance, const struct account *account, double amount)
+{
+	double most = MAX(account->usual, 1);
+
+	return allowance->heard_vms == 1 && allowance->known_vms > 1 &&
+	       sum_of(account->own) + MIN(amount, most) <= most &&
+	       spent_of(account) <= QUIET_PART * account->limit;
+}
+
+/* Counts what was spent through this VM. */
+static void
+count_own(struct account *account, uint64_t amount)
+{
+	learn_usual(account, (double)amount);
+	account->counted[account->part % PARTS] += (double)amount;
+	account->own[account->part % PARTS] += (double)amount;
+	account->untold += typical_part(account, (double)amount);
+	account->spent += amount;
+}
+
+/* @return 0 if the team may spend amount, or after how many ms it is worth asking again */
+static uint32_t
+decide(const struct comet_allowance *allowance, const struct account *account, uint32_t rank,
+	uint64_t amount, enum comet_allowance_sight sight)
+{
+	if (account->limit <= 0)
+		return 0;
+	/* A request larger than the limit goes out of an untouched one. */
+	double needed = (double)amount + reserve_of(allowance, account, rank, (double)amount);
+	needed = MIN(needed, heard_part(allowance) * account->limit);
+	if (left_of(allowance, account, sight) >= needed ||
+		is_single(allowance, account, (double)amount))
+		return 0;
+	return wait_ms_for(allowance, account, sight, needed);
 }
 
 uint32_t
 comet_allowance_spend(struct comet_allowance *allowance, uint32_t team_id, uint32_t rank,
-	uint64_t amount, uint64_t now_us)
+	uint64_t amount, enum comet_allowance_sight sight, uint64_t now_us)
 {
 	struct account *account = account_now(allowance, team_id, now_us);
 
 	if (account == NULL)
 		return 0;
-	if (account->limit > 0)
+	uint32_t wait_ms = decide(allowance, account, rank, amount, sight);
+	if (wait_ms == 0)
+		count_own(account, amount);
+	return wait_ms;
+}
+
+void
+comet_allowance_charged(
+	struct comet_allowance *allowance, uint32_t team_id, uint64_t amount, uint64_t now_us)
+{
+	struct account *account = account_now(allowance, team_id, now_us);
+
+	if (account != NULL)
+		count_own(account, amount);
+}
+
+/* What a VM was charged here and has not told yet; NULL: too many VMs are told apart. */
+static uint64_t *
+charged_of(struct account *account, uint32_t vm)
+{
+	uint64_t *charged = g_hash_table_lookup(account->charged, GUINT_TO_POINTER(vm));
+
+	if (charged == NULL && g_hash_table_size(account->charged) < CHARGED_VMS_MAX)
 	{
-		/* A request larger than the limit goes out of an untouched one. */
-		double needed =
-			(double)amount + reserve_of(allowance, account, rank, (double)amount);
-		needed = MIN(needed, limit_of(allowance, account));
-		if (left_of(allowance, account) < needed)
-			return wait_ms(allowance, account, needed);
+		charged = g_new0(uint64_t, 1);
+		g_hash_table_insert(account->charged, GUINT_TO_POINTER(vm), charged);
 	}
+	return charged;
+}
+
+bool
+comet_allowance_charge_for(struct comet_allowance *allowance, uint32_t vm, uint32_t team_id,
+	uint32_t rank, uint64_t amount, uint64_t now_us, uint32_t *wait_ms)
+{
+	struct account *account = account_now(allowance, team_id, now_us);
+
+	if (account == NULL)
+		return false;
+	*wait_ms = decide(allowance, account, rank, amount, COMET_ALLOWANCE_KEPT);
+	if (*wait_ms != 0)
+		return true;
 	learn_usual(account, (double)amount);
 	account->counted[account->part % PARTS] += (double)amount;
-	account->untold += typical_part(account, (double)amount);
-	account->spent += amount;
-	return 0;
+	uint64_t *charged = charged_of(account, vm);
+	if (charged != NULL)
+		*charged += amount;
+	return true;
+}
+
+/* Takes what is not counted any more out of the newest part of the span. */
+static void
+uncount(struct account *account, uint64_t amount)
+{
+	double *newest = &account->counted[account->part % PARTS];
+
+	*newest = MAX(*newest - (double)amount, 0);
 }
 
 void
-comet_allowance_spent_elsewhere(
-	struct comet_allowance *allowance, uint32_t team_id, uint64_t amount, uint64_t now_us)
+comet_allowance_returned_by(struct comet_allowance *allowance, uint32_t vm, uint32_t team_id,
+	uint64_t amount, uint64_t now_us)
+{
+	struct account *account = account_now(allowance, team_id, now_us);
+	uint64_t *charged = account != NULL ? charged_of(account, vm) : NULL;
+
+	if (charged == NULL || *charged < amount)
+		return; /* its view has told of it as spent, and tells that it was given back */
+	*charged -= amount;
+	uncount(account, amount);
+}
+
+void
+comet_allowance_spent_elsewhere(struct comet_allowance *allowance, uint32_t vm, uint32_t team_id,
+	uint64_t amount, uint64_t now_us)
 {
 	struct account *account = account_now(allowance, team_id, now_us);
 
 	if (account == NULL)
 		return;
-	account->counted[account->part % PARTS] += (double)amount;
+	uint64_t *charged = g_hash_table_lookup(account->charged, GUINT_TO_POINTER(vm));
+	uint64_t counted = charged != NULL ? MIN(*charged, amount) : 0;
+	if (charged != NULL)
+		*charged -= counted;
+	account->counted[account->part % PARTS] += (double)(amount - counted);
+}
+
+void
+comet_allowance_vm_restarted(struct comet_allowance *allowance, uint32_t vm)
+{
+	GHashTableIter at;
+	gpointer account = NULL;
+
+	g_hash_table_iter_init(&at, allowance->accounts);
+	while (g_hash_table_iter_next(&at, NULL, &account))
+		g_hash_table_remove(((struct account *)account)->charged, GUINT_TO_POINTER(vm));
 }
 
 void
@@ -338,7 +507,8 @@
 
 	if (account == NULL)
 		return;
-	double *newest = &account->counted[account->part % PARTS];
+	double *newest = &account->own[account->part % PARTS];
+	uncount(account, amount);
 	*newest = MAX(*newest - (double)amount, 0);
 	account->untold = MAX(account->untold - typical_part(account, (double)amount), 0);
 	account->spent -= MIN(account->spent, amount);
@@ -388,5 +558,5 @@
 
 	if (account == NULL)
 		return 0;
-	return left_of(allowance, account);
+	return left_of(allowance, account, COMET_ALLOWANCE_BY_VIEWS);
 }
--- a/libcometspindle/gateway/allowance.h
+++ b/libcometspindle/gateway/allowance.h
@@ -2,13 +2,16 @@
  * allowance.h
  * what each team may still spend, summed over all VMs without shared state
  *
- * A limit holds over any span of a fixed length. Every VM keeps what it has
- * spent in the last such span and what the views of the others tell. While some
- * of them cannot be heard, the part of the limit that belongs to those heard is
- * kept, so that parts which lost each other spend no more than the whole. What
- * the others spend before they tell is taken to be what we spend meanwhile. A VM
- * that starts asks the others what was spent before; if nobody knows, it
- * assumes that much of the limit is gone.
+ * A limit holds over any span of a fixed length. One VM keeps each team's account and charges its
+ * requests, so that it counts them as they come; what other VMs let pass without it, and what was
+ * spent before it kept the account, it learns from views. A VM that no keeper answers decides by
+ * views alone: what the others spend before they tell is then taken to be what it spends meanwhile.
+ *
+ * VMs that are not heard any more may be on the other side of a cut, where they spend on. Of what
+ * was left when they were last heard, each VM has an equal part: those that hear each other use
+ * theirs, so that sides which lost each other spend no more than the whole, and a side whose team
+ * had spent little loses no more than the others' parts. A VM that starts asks the others what was
+ * spent before; if nobody knows, it assumes that much of the limit is gone.
  */
 #ifndef COMETSPINDLE_GATEWAY_ALLOWANCE_H
 #define COMETSPINDLE_GATEWAY_ALLOWANCE_H
@@ -36,9 +39,20 @@
 comet_allowance_set_teams(
 	struct comet_allowance *allowance, const struct comet_route_table *table, uint64_t now_us);
 
-/** VMs that can be heard, and that are known; this one included in both. */
+/**
+ * VMs that can be heard, and that are known; this one included in both. since_us: when the first
+ * of those that are not heard now was heard last; 0 where all are.
+ */
 void
-comet_allowance_set_vms(struct comet_allowance *allowance, uint32_t heard, uint32_t known);
+comet_allowance_set_vms(
+	struct comet_allowance *allowance, uint32_t heard, uint32_t known, uint64_t since_us);
+
+/** How the spending of the other VMs is known. */
+enum comet_allowance_sight
+{
+	COMET_ALLOWANCE_BY_VIEWS, /**< some seconds late */
+	COMET_ALLOWANCE_KEPT,     /**< at once: this VM keeps the account */
+};
 
 /**
  * Spends amount if the team may; rank: of the request, 0 is the most urgent. Less urgent ones leave
@@ -47,13 +61,37 @@
  */
 uint32_t
 comet_allowance_spend(struct comet_allowance *allowance, uint32_t team_id, uint32_t rank,
-	uint64_t amount, uint64_t now_us) G_GNUC_WARN_UNUSED_RESULT;
+	uint64_t amount, enum comet_allowance_sight sight,
+	uint64_t now_us) G_GNUC_WARN_UNUSED_RESULT;
 
-/** Another VM has spent amount. */
+/** The keeper of the account has charged amount to this VM's request. */
 void
-comet_allowance_spent_elsewhere(
+comet_allowance_charged(
 	struct comet_allowance *allowance, uint32_t team_id, uint64_t amount, uint64_t now_us);
 
+/**
+ * As keeper: charges a request of another VM.
+ * @return false when the team's limit is not known here
+ */
+bool
+comet_allowance_charge_for(struct comet_allowance *allowance, uint32_t vm, uint32_t team_id,
+	uint32_t rank, uint64_t amount, uint64_t now_us,
+	uint32_t *wait_ms) G_GNUC_WARN_UNUSED_RESULT;
+
+/** As keeper: a request that was charged to another VM has not run. */
+void
+comet_allowance_returned_by(struct comet_allowance *allowance, uint32_t vm, uint32_t team_id,
+	uint64_t amount, uint64_t now_us);
+
+/** Another VM tells that it has spent amount; what this VM charged it is not counted twice. */
+void
+comet_allowance_spent_elsewhere(struct comet_allowance *allowance, uint32_t vm, uint32_t team_id,
+	uint64_t amount, uint64_t now_us);
+
+/** The process of another VM has started again: what it was charged before will not be told. */
+void
+comet_allowance_vm_restarted(struct comet_allowance *allowance, uint32_t vm);
+
 /** Another VM tells what all VMs have spent in the last span. */
 void
 comet_allowance_told_recent(
--- a/libcometspindle/gateway/grants.c
+++ b/libcometspindle/gateway/grants.c
@@ -5,24 +5,14 @@
 #include <libcometspindle/gateway/grants.h>
 
 #include <glib.h>
+#include <libcometspindle/gateway/asks.h>
 #include <string.h>
 #include <talloc.h>
 
-/* An ask is given up after this time: a round trip takes one to three milliseconds, and a VM with
- * an eighth of a core may be busy for ten. It is a small part of any stream's aim. */
-#define ANSWER_TIMEOUT_US 40000
-
-/* A VM that did not answer is not asked for this time: as long as it takes at least until its
- * silence is noticed by its missing views. */
-#define MUTE_US 1000000
-
-/* An ask that is not answered yet. */
+/* An ask for a slot that is not answered yet. */
 struct open_ask
 {
-	struct comet_placement_item *item;
-	uint64_t number;
-	uint64_t since_us;
-	uint32_t keeper;
+	struct comet_ask ask; /* first member; its owner is the item, its VM the keeper */
 	uint32_t shard;
 	uint32_t beyond;
 	uint64_t wait_us; /* it may wait at the keeper so long */
@@ -34,19 +24,9 @@
 	uint32_t address;
 	const struct comet_grants_ops *ops;
 	void *ctx;
-	uint64_t number;
-	GQueue open;      /* of struct open_ask, oldest first */
-	GHashTable *mute; /* address -> uint64_t, until when */
+	struct comet_asks *asks; /* of struct open_ask */
 };
 
-static int
-grants_destroy(struct comet_grants *grants)
-{
-	g_queue_clear_full(&grants->open, g_free);
-	g_hash_table_destroy(grants->mute);
-	return 0;
-}
-
 struct comet_grants *
 comet_grants_create(void *parent, uint32_t address, const struct comet_grants_ops *ops, void *ctx)
 {
@@ -55,9 +35,7 @@
 	grants->address = address;
 	grants->ops = ops;
 	grants->ctx = ctx;
-	g_queue_init(&grants->open);
-	grants->mute = g_hash_table_new_full(NULL, NULL, NULL, g_free);
-	talloc_set_destructor(grants, grants_destroy);
+	grants->asks = comet_asks_create(grants, sizeof(struct open_ask));
 	return grants;
 }
 
@@ -85,18 +63,13 @@
 {
 	comet_Datagram datagram = {.which_body = comet_Datagram_ask_tag};
 	comet_SlotAsk *message = &datagram.body.ask;
-	struct open_ask *open = g_new0(struct open_ask, 1);
+	struct open_ask *open = comet_asks_add(grants->asks, item, keeper, now_us);
 
-	open->item = item;
-	open->number = ++grants->number;
-	open->since_us = now_us;
-	open->keeper = keeper;
 	open->shard = ask->shard;
 	open->beyond = ask->beyond;
 	open->wait_us = ask->wait_us;
-	g_queue_push_tail(&grants->open, open);
 	message->asker = grants->address;
-	message->number = open->number;
+	message->number = open->ask.number;
 	message->shard = ask->shard;
 	message->prompt_tokens = ask->job.prompt_tokens;
 	message->output_tokens = ask->job.output_tokens;
@@ -117,15 +90,10 @@
 void
 comet_grants_forget(struct comet_grants *grants, struct comet_placement_item *item)
 {
-	for (GList *at = grants->open.head; at != NULL; at = at->next)
-	{
-		struct open_ask *open = at->data;
-		if (open->item != item)
-			continue;
-		g_queue_delete_link(&grants->open, at);
-		g_free(open);
-		return;
-	}
+	struct open_ask *open = comet_asks_of(grants->asks, item);
+
+	if (open != NULL)
+		comet_asks_remove(grants->asks, open);
 }
 
 void
@@ -146,42 +114,30 @@
 	send(grants, keeper, &datagram);
 }
 
-static GList *
-find_open(struct comet_grants *grants, uint64_t number, uint32_t keeper)
-{
-	for (GList *at = grants->open.head; at != NULL; at = at->next)
-	{
-		const struct open_ask *open = at->data;
-		if (open->number == number && open->keeper == keeper)
-			return at;
-	}
-	return NULL;
-}
-
 static void
 take_answer(struct comet_grants *grants, const comet_SlotAnswer *answer)
 {
-	GList *at = find_open(grants, answer->number, answer->keeper);
+	struct open_ask *found = comet_asks_find(grants->asks, answer->number, answer->keeper);
 
-	if (at == NULL)
+	if (found == NULL)
 	{
 		/* It came too late, or its request is gone. */
 		if (answer->instance != 0)
 			comet_grants_release(grants, answer->keeper, answer->instance, 0, 0);
 		return;
 	}
-	struct open_ask *open = at->data;
 	if (answer->instance == 0 && answer->waits)
 	{
-		open->waits = true;
+		found->waits = true;
+		found->ask.most_us += found->wait_us;
 		return;
 	}
-	g_queue_delete_link(&grants->open, at);
+	struct open_ask open = *found;
+	comet_asks_remove(grants->asks, found);
 	if (answer->instance != 0)
-		grants->ops->granted(grants->ctx, open->item, open->keeper, answer->instance);
+		grants->ops->granted(grants->ctx, open.ask.owner, open.ask.vm, answer->instance);
 	else
-		grants->ops->denied(grants->ctx, open->item, open->shard, open->beyond);
-	g_free(open);
+		grants->ops->denied(grants->ctx, open.ask.owner, open.shard, open.beyond);
 }
 
 static void
@@ -237,55 +193,35 @@
 	}
 }
 
+/* No answer, or no slot in the time for which it was to wait. */
 static void
-mute(struct comet_grants *grants, uint32_t keeper, uint64_t until_us)
-{
-	uint64_t *until = g_new(uint64_t, 1);
-
-	*until = until_us;
-	g_hash_table_insert(grants->mute, GUINT_TO_POINTER(keeper), until);
-}
-
-/* An ask was not granted in its time. */
-static void
-give_up(struct comet_grants *grants, struct open_ask *open, uint64_t now_us)
+give_up(struct comet_grants *grants, const struct open_ask *open, uint64_t now_us)
 {
 	if (open->waits)
 	{
-		grants->ops->waited(grants->ctx, open->item);
+		grants->ops->waited(grants->ctx, open->ask.owner);
 		return;
 	}
-	mute(grants, open->keeper, now_us + MUTE_US);
-	grants->ops->unanswered(grants->ctx, open->item, open->keeper);
+	comet_asks_mute(grants->asks, open->ask.vm, now_us);
+	grants->ops->unanswered(grants->ctx, open->ask.owner, open->ask.vm);
 }
 
 bool
 comet_grants_tick(struct comet_grants *grants, uint64_t now_us)
 {
-	GList *at = grants->open.head;
+	struct open_ask *overdue = NULL;
 
-	while (at != NULL)
+	while ((overdue = comet_asks_overdue(grants->asks, now_us)) != NULL)
 	{
-		struct open_ask *open = at->data;
-		uint64_t most_us = ANSWER_TIMEOUT_US + (open->waits ? open->wait_us : 0);
-		GList *next = at->next;
-		/* An ask that was begun from within this may be younger than now_us. */
-		if (open->since_us + most_us <= now_us)
-		{
-			g_queue_delete_link(&grants->open, at);
-			give_up(grants, open, now_us);
-			g_free(open);
-			next = grants->open.head; /* others may have gone or come meanwhile */
-		}
-		at = next;
+		struct open_ask open = *overdue;
+		comet_asks_remove(grants->asks, overdue);
+		give_up(grants, &open, now_us);
 	}
-	return !g_queue_is_empty(&grants->open);
+	return comet_asks_any(grants->asks);
 }
 
 bool
 comet_grants_is_mute(const struct comet_grants *grants, uint32_t keeper, uint64_t now_us)
 {
-	const uint64_t *until = g_hash_table_lookup(grants->mute, GUINT_TO_POINTER(keeper));
-
-	return until != NULL && now_us < *until;
+	return comet_asks_is_mute(grants->asks, keeper, now_us);
 }
--- a/libcometspindle/gateway/views.c
+++ b/libcometspindle/gateway/views.c
@@ -15,14 +15,6 @@
 /* A VM that was silent for this time is forgotten: a replaced one never comes back. */
 #define FORGET_US 20000000
 
-/* A VM keeps count of endpoints once its process has run this long: by then it has heard what the
- * others have running. */
-#define KEEPER_AGE_US 3000000
-
-/* Where all have just started, nobody knows what ran before, and one that has found the others
- * serves as well. */
-#define YOUNG_KEEPER_AGE_US 500000
-
 /* Views name no more VMs than this, and each of them no more teams: five times the VMs and three
  * times the teams of the largest deployment that is designed for. Whoever reaches the port can name
  * any. */
@@ -99,9 +91,9 @@
 	talloc_set_destructor(views, views_destroy);
 	for (size_t i = 0; i < config->n_seeds; i++)
 	{
-		struct comet_views_peer *seed = config->seeds[i] != views->address
-							? peer_of(views, config->seeds[i])
-							: NULL;
+		bool is_self = config->seeds[i] == views->address;
+		struct comet_views_peer *seed = is_self ? NULL : peer_of(views, config->seeds[i]);
+		views->is_seed = views->is_seed || is_self;
 		if (seed != NULL)
 			seed->seed = true;
 	}
@@ -127,8 +119,8 @@
 		g_hash_table_insert(peer->spent, key, before);
 	}
 	if (spent->amount > *before)
-		comet_allowance_spent_elsewhere(
-			views->allowance, spent->team, spent->amount - *before, now_us);
+		comet_allowance_spent_elsewhere(views->allowance, peer->address, spent->team,
+			spent->amount - *before, now_us);
 	*before = spent->amount;
 	if (spent->recent > 0)
 		comet_allowance_told_recent(views->allowance, spent->team, spent->recent, now_us);
@@ -161,6 +153,7 @@
 	if (restarted)
 	{
 		g_hash_table_remove_all(peer->spent);
+		comet_allowance_vm_restarted(views->allowance, peer->address);
 		peer->followed = false;
 	}
 	peer->owed = peer->owed || peer->heard_us == 0 || restarted;
@@ -353,6 +346,24 @@
 		*known = seeds; /* it may be cut off from all: it is not the only one for that */
 }
 
+uint64_t
+comet_views_silent_since_us(const struct comet_views *views)
+{
+	uint64_t first_us = 0;
+	GHashTableIter at;
+	gpointer value = NULL;
+
+	g_hash_table_iter_init(&at, views->peers);
+	while (g_hash_table_iter_next(&at, NULL, &value))
+	{
+		const struct comet_views_peer *peer = value;
+		if (peer->heard_us == 0 || !peer->silent || peer->leaving)
+			continue;
+		first_us = first_us == 0 ? peer->heard_us : MIN(first_us, peer->heard_us);
+	}
+	return first_us;
+}
+
 size_t
 comet_views_remembered(const struct comet_views *views)
 {
@@ -431,72 +442,6 @@
 	return far > 0 ? newer_at(views, revision, false, draw % far) : 0;
 }
 
-/* How well a VM is suited to keep count for a key. */
-struct suitability
-{
-	uint32_t address; /* 0: nobody */
-	bool old;         /* it has run long enough to know what the others have running */
-	bool near;        /* it is in the zone of what is counted */
-	uint32_t cpu_percent;
-	uint64_t score;
-};
-
-static struct suitability
-suitability_of(uint32_t address, uint64_t began_us, bool near, uint32_t cpu_percent, uint32_t key,
-	uint64_t now_us)
-{
-	uint64_t age_us = now_us - began_us;
-
-	return (struct suitability){
-		.address = age_us >= YOUNG_KEEPER_AGE_US ? address : 0,
-		.old = age_us >= KEEPER_AGE_US,
-		.near = near,
-		.cpu_percent = cpu_percent,
-		.score = comet_hash_score(key, address),
-	};
-}
-
-/* Is it better suited than the best so far? */
-static bool
-is_better(const struct suitability *one, const struct suitability *best)
-{
-	if (one->address == 0 || best->address == 0)
-		return one->address != 0;
-	if (one->old != best->old)
-		return one->old;
-	if (one->near != best->near)
-		return one->near;
-	/* In an overload of 65 VMs a keeper with an eighth of a core left 300 asks unanswered in
-	 * one burst, whose requests then overfilled endpoints; those with half a core left few. */
-	if (one->cpu_percent != best->cpu_percent)
-		return one->cpu_percent > best->cpu_percent;
-	return one->score > best->score;
-}
-
-uint32_t
-comet_views_keeper(const struct comet_views *views, uint32_t key, uint32_t zone, uint64_t now_us)
-{
-	struct suitability best = {0};
-	GHashTableIter at;
-	gpointer value = NULL;
-
-	if (!views->leaving)
-		best = suitability_of(views->address, views->began_us, views->zone == zone,
-			views->cpu_percent, key, now_us);
-	g_hash_table_iter_init(&at, views->peers);
-	while (g_hash_table_iter_next(&at, NULL, &value))
-	{
-		const struct comet_views_peer *peer = value;
-		if (peer->heard_us == 0 || peer->silent || peer->leaving)
-			continue;
-		struct suitability one = suitability_of(peer->address, peer->began_us,
-			peer->zone == zone, peer->cpu_percent, key, now_us);
-		if (is_better(&one, &best))
-			best = one;
-	}
-	return best.address;
-}
-
 /* What a peer is known to run at an endpoint, or NULL. */
 static comet_Busy *
 busy_at(const struct comet_views_peer *peer, uint32_t instance_key)
--- a/libcometspindle/gateway/views.h
+++ b/libcometspindle/gateway/views.h
@@ -61,6 +61,22 @@
 uint32_t
 comet_views_keeper(const struct comet_views *views, uint32_t key, uint32_t zone, uint64_t now_us);
 
+/** @return whether a VM leaves questions unanswered just now. */
+typedef bool (*comet_views_is_mute)(const void *ctx, uint32_t address);
+
+/** The same but for VMs that are mute to this one: the next best is asked in their place. */
+uint32_t
+comet_views_keeper_but(const struct comet_views *views, uint32_t key, uint32_t zone,
+	comet_views_is_mute is_mute, const void *ctx, uint64_t now_us);
+
+/**
+ * @return the seed that keeps count for a key while VMs still find each other: all know the seeds
+ * before they know each other; mute ones are passed over. 0: there is none.
+ */
+uint32_t
+comet_views_seed_keeper(const struct comet_views *views, uint32_t key, comet_views_is_mute is_mute,
+	const void *ctx);
+
 /** A VM was granted a slot at an endpoint, for a prompt; its next view includes that. */
 void
 comet_views_granted(struct comet_views *views, uint32_t address, uint32_t instance_key,
@@ -91,6 +107,10 @@
 void
 comet_views_count(const struct comet_views *views, uint32_t *known, uint32_t *heard);
 
+/** @return when the first of the VMs that are silent now was last heard; 0: none is. */
+uint64_t
+comet_views_silent_since_us(const struct comet_views *views);
+
 /** Number of VMs, and of teams that they told of, that are remembered. */
 size_t
 comet_views_remembered(const struct comet_views *views);
--- a/libcometspindle/gateway/views_state.h
+++ b/libcometspindle/gateway/views_state.h
@@ -65,6 +65,7 @@
 	size_t last_bytes; /* size of the last view */
 	uint64_t near_sent_us;
 	uint64_t far_sent_us;
+	bool is_seed;        /* this VM is one of its own seeds */
 	uint32_t spent_turn; /* where the list of teams goes on */
 	uint32_t peers_turn; /* where the list of VMs goes on */
 	bool leaving;
--- a/libcometspindle/proto/view.pb.c
+++ b/libcometspindle/proto/view.pb.c
@@ -27,6 +27,15 @@
 PB_BIND(comet_SlotFreed, comet_SlotFreed, AUTO)
 
 
+PB_BIND(comet_ChargeAsk, comet_ChargeAsk, AUTO)
+
+
+PB_BIND(comet_ChargeAnswer, comet_ChargeAnswer, AUTO)
+
+
+PB_BIND(comet_ChargeReturned, comet_ChargeReturned, AUTO)
+
+
 PB_BIND(comet_Datagram, comet_Datagram, 2)
 
 
--- a/tests/unit/test_gateway_orders.cc
+++ b/tests/unit/test_gateway_orders.cc
@@ -149,8 +149,8 @@
 	{
 		for (int i = 0; i < at_once; i++)
 		{
-			if (comet_allowance_spend(
-				    one.second.allowance, team, 0, tokens, vms.now_us) == 0)
+			if (comet_allowance_spend(one.second.allowance, team, 0, tokens,
+				    COMET_ALLOWANCE_BY_VIEWS, vms.now_us) == 0)
 				spent += (double)tokens;
 		}
 	}
--- a/tests/unit/test_gateway_routes.cc
+++ b/tests/unit/test_gateway_routes.cc
@@ -158,7 +158,7 @@
 			{
 				if (i != j)
 					comet_allowance_spent_elsewhere(
-						all[j], id, untold[i], now_us);
+						all[j], 1, id, untold[i], now_us);
 			}
 			if (recent > 0)
 				comet_allowance_told_recent(all[i], id, recent, now_us);
@@ -176,8 +176,9 @@
 			for (size_t i = 0; i < all.size(); i++)
 			{
 				comet_allowance_set_vms(all[i], hearing ? (uint32_t)all.size() : 1,
-					(uint32_t)all.size());
-				while (comet_allowance_spend(all[i], id, 0, 20, now) == 0)
+					(uint32_t)all.size(), 0);
+				while (comet_allowance_spend(all[i], id, 0, 20,
+					       COMET_ALLOWANCE_BY_VIEWS, now) == 0)
 				{
 					by_step.back() += 20;
 					untold[i] += 20;
@@ -263,16 +264,25 @@
 	comet_allowance_set_teams(allowance, builder.table, 0);
 
 	uint64_t now_us = 20000000; /* a span after its start, nothing is assumed any more */
-	EXPECT_EQ(comet_allowance_spend(allowance, id, 0, 900, now_us), 0U);
-	EXPECT_EQ(comet_allowance_spend(allowance, id, 0, 100, now_us + 4000000), 0U);
-	uint32_t wait_ms = comet_allowance_spend(allowance, id, 0, 50, now_us + 4000000);
+	EXPECT_EQ(
+		comet_allowance_spend(allowance, id, 0, 900, COMET_ALLOWANCE_BY_VIEWS, now_us), 0U);
+	EXPECT_EQ(comet_allowance_spend(
+			  allowance, id, 0, 100, COMET_ALLOWANCE_BY_VIEWS, now_us + 4000000),
+		0U);
+	uint32_t wait_ms = comet_allowance_spend(
+		allowance, id, 0, 50, COMET_ALLOWANCE_BY_VIEWS, now_us + 4000000);
 	EXPECT_GE(wait_ms, 3500U);
 	EXPECT_LE(wait_ms, 4500U);
-	EXPECT_EQ(
-		comet_allowance_spend(allowance, id, 0, 50, now_us + 4000000 + wait_ms * 1000), 0U);
+	EXPECT_EQ(comet_allowance_spend(allowance, id, 0, 50, COMET_ALLOWANCE_BY_VIEWS,
+			  now_us + 4000000 + wait_ms * 1000),
+		0U);
 	/* more than the limit goes out of an untouched one */
-	EXPECT_EQ(comet_allowance_spend(allowance, id, 0, 5000, now_us + 60000000), 0U);
-	EXPECT_GT(comet_allowance_spend(allowance, id, 0, 1, now_us + 60000000), 7000U);
+	EXPECT_EQ(comet_allowance_spend(
+			  allowance, id, 0, 5000, COMET_ALLOWANCE_BY_VIEWS, now_us + 60000000),
+		0U);
+	EXPECT_GT(comet_allowance_spend(
+			  allowance, id, 0, 1, COMET_ALLOWANCE_BY_VIEWS, now_us + 60000000),
+		7000U);
 	talloc_free(allowance);
 	comet_route_table_unref(builder.table);
 }
@@ -288,11 +298,14 @@
 	comet_allowance *allowance = comet_allowance_create(nullptr, &bounds, 0);
 	uint32_t id = comet_hash_name("t");
 	comet_allowance_set_teams(allowance, high.table, 0);
-	EXPECT_EQ(comet_allowance_spend(allowance, id, 0, 4000, 20000000), 0U);
+	EXPECT_EQ(comet_allowance_spend(allowance, id, 0, 4000, COMET_ALLOWANCE_BY_VIEWS, 20000000),
+		0U);
 	comet_allowance_set_teams(allowance, low.table, 20000000);
 	EXPECT_EQ(comet_allowance_left(allowance, id, 20000000), 1000);
-	EXPECT_EQ(comet_allowance_spend(allowance, id, 0, 1000, 20000000), 0U);
-	EXPECT_NE(comet_allowance_spend(allowance, id, 0, 1, 20000000), 0U);
+	EXPECT_EQ(comet_allowance_spend(allowance, id, 0, 1000, COMET_ALLOWANCE_BY_VIEWS, 20000000),
+		0U);
+	EXPECT_NE(
+		comet_allowance_spend(allowance, id, 0, 1, COMET_ALLOWANCE_BY_VIEWS, 20000000), 0U);
 	comet_allowance_set_teams(allowance, high.table, 20000000);
 	EXPECT_EQ(comet_allowance_left(allowance, id, 20000000), 6000) << "a rise forgives nothing";
 	talloc_free(allowance);
@@ -309,15 +322,19 @@
 	comet_allowance *allowance = comet_allowance_create(nullptr, &bounds, 0);
 	uint32_t id = comet_hash_name("t");
 	comet_allowance_set_teams(allowance, builder.table, 0);
-	comet_allowance_set_vms(allowance, 6, 6);
+	comet_allowance_set_vms(allowance, 6, 6, 0);
 
 	for (int i = 0; i < 20; i++)
 	{
-		EXPECT_EQ(comet_allowance_spend(allowance, id, 0, 20, 20000000), 0U);
+		EXPECT_EQ(comet_allowance_spend(
+				  allowance, id, 0, 20, COMET_ALLOWANCE_BY_VIEWS, 20000000),
+			0U);
 		comet_allowance_told(allowance);
 	}
-	EXPECT_EQ(comet_allowance_spend(allowance, id, 0, 2000, 20000000), 0U);
-	EXPECT_EQ(comet_allowance_spend(allowance, id, 0, 20, 20000000), 0U);
+	EXPECT_EQ(comet_allowance_spend(allowance, id, 0, 2000, COMET_ALLOWANCE_BY_VIEWS, 20000000),
+		0U);
+	EXPECT_EQ(comet_allowance_spend(allowance, id, 0, 20, COMET_ALLOWANCE_BY_VIEWS, 20000000),
+		0U);
 	EXPECT_EQ(comet_allowance_left(allowance, id, 20000000), 9000 - 2420 - 5 * (238 + 20))
 		<< "twice the usual amount of each counts for each of the five others";
 	talloc_free(allowance);
@@ -337,16 +354,29 @@
 	uint64_t now_us = 20000000;
 
 	for (int i = 0; i < 88; i++)
-		ASSERT_EQ(comet_allowance_spend(allowance, id, 0, 100, now_us), 0U);
-	EXPECT_NE(comet_allowance_spend(allowance, id, 2, 100, now_us), 0U) << "12% are left";
-	EXPECT_NE(comet_allowance_spend(allowance, id, 7, 100, now_us), 0U);
-	EXPECT_EQ(comet_allowance_spend(allowance, id, 2, 10, now_us), 0U) << "a small one";
+		ASSERT_EQ(comet_allowance_spend(
+				  allowance, id, 0, 100, COMET_ALLOWANCE_BY_VIEWS, now_us),
+			0U);
+	EXPECT_NE(
+		comet_allowance_spend(allowance, id, 2, 100, COMET_ALLOWANCE_BY_VIEWS, now_us), 0U)
+		<< "12% are left";
+	EXPECT_NE(
+		comet_allowance_spend(allowance, id, 7, 100, COMET_ALLOWANCE_BY_VIEWS, now_us), 0U);
+	EXPECT_EQ(comet_allowance_spend(allowance, id, 2, 10, COMET_ALLOWANCE_BY_VIEWS, now_us), 0U)
+		<< "a small one";
 	for (int i = 0; i < 5; i++)
-		EXPECT_EQ(comet_allowance_spend(allowance, id, 1, 100, now_us), 0U);
-	EXPECT_NE(comet_allowance_spend(allowance, id, 1, 100, now_us), 0U) << "6% are left";
+		EXPECT_EQ(comet_allowance_spend(
+				  allowance, id, 1, 100, COMET_ALLOWANCE_BY_VIEWS, now_us),
+			0U);
+	EXPECT_NE(
+		comet_allowance_spend(allowance, id, 1, 100, COMET_ALLOWANCE_BY_VIEWS, now_us), 0U)
+		<< "6% are left";
 	for (int i = 0; i < 6; i++)
-		EXPECT_EQ(comet_allowance_spend(allowance, id, 0, 100, now_us), 0U);
-	EXPECT_NE(comet_allowance_spend(allowance, id, 0, 100, now_us), 0U);
+		EXPECT_EQ(comet_allowance_spend(
+				  allowance, id, 0, 100, COMET_ALLOWANCE_BY_VIEWS, now_us),
+			0U);
+	EXPECT_NE(
+		comet_allowance_spend(allowance, id, 0, 100, COMET_ALLOWANCE_BY_VIEWS, now_us), 0U);
 	talloc_free(allowance);
 	comet_route_table_unref(builder.table);
 }
@@ -361,9 +391,12 @@
 	comet_allowance *allowance = comet_allowance_create(nullptr, &bounds, 20000000);
 	uint32_t id = comet_hash_name("t");
 	comet_allowance_set_teams(allowance, builder.table, 20000000);
-	EXPECT_EQ(comet_allowance_spend(allowance, id, 2, 100, 20000000), 0U);
-	EXPECT_EQ(comet_allowance_spend(allowance, id, 2, 800, 20000000), 0U);
-	EXPECT_NE(comet_allowance_spend(allowance, id, 2, 200, 20000000), 0U)
+	EXPECT_EQ(comet_allowance_spend(allowance, id, 2, 100, COMET_ALLOWANCE_BY_VIEWS, 20000000),
+		0U);
+	EXPECT_EQ(comet_allowance_spend(allowance, id, 2, 800, COMET_ALLOWANCE_BY_VIEWS, 20000000),
+		0U);
+	EXPECT_NE(comet_allowance_spend(allowance, id, 2, 200, COMET_ALLOWANCE_BY_VIEWS, 20000000),
+		0U)
 		<< "it is a limit still";
 	talloc_free(allowance);
 	comet_route_table_unref(builder.table);
@@ -378,10 +411,13 @@
 	uint32_t id = comet_hash_name("t");
 	comet_allowance_set_teams(allowance, builder.table, 0);
 
-	EXPECT_EQ(comet_allowance_spend(allowance, id, 0, 1000, 20000000), 0U);
+	EXPECT_EQ(comet_allowance_spend(allowance, id, 0, 1000, COMET_ALLOWANCE_BY_VIEWS, 20000000),
+		0U);
 	comet_allowance_give_back(allowance, id, 1000, 20000000);
-	EXPECT_EQ(comet_allowance_spend(allowance, id, 0, 1000, 20000000), 0U);
-	EXPECT_NE(comet_allowance_spend(allowance, id, 0, 1000, 20000000), 0U);
+	EXPECT_EQ(comet_allowance_spend(allowance, id, 0, 1000, COMET_ALLOWANCE_BY_VIEWS, 20000000),
+		0U);
+	EXPECT_NE(comet_allowance_spend(allowance, id, 0, 1000, COMET_ALLOWANCE_BY_VIEWS, 20000000),
+		0U);
 	talloc_free(allowance);
 	comet_route_table_unref(builder.table);
 }
--- a/tests/unit/test_gateway_views.cc
+++ b/tests/unit/test_gateway_views.cc
@@ -254,7 +254,9 @@
 		fleet.step(now_us);
 	EXPECT_EQ(comet_allowance_left(fleet.all[3].allowance, team, now_us), 9000);
 	comet_instance_started(comet_instances_find(fleet.all[2].instances, "i"), &job);
-	EXPECT_EQ(comet_allowance_spend(fleet.all[2].allowance, team, 0, 100, now_us), 0U);
+	EXPECT_EQ(comet_allowance_spend(
+			  fleet.all[2].allowance, team, 0, 100, COMET_ALLOWANCE_BY_VIEWS, now_us),
+		0U);
 	for (int i = 0; i < 8; i++, now_us += 50000)
 		fleet.step(now_us);
 	comet_instance *instance = comet_instances_find(fleet.all[3].instances, "i");
@@ -271,7 +273,9 @@
 	vms untouched(1);
 	uint64_t now_us = 1000000;
 	uint32_t team = comet_hash_name("t");
-	EXPECT_EQ(comet_allowance_spend(fleet.all[2].allowance, team, 0, 100, now_us), 0U);
+	EXPECT_EQ(comet_allowance_spend(
+			  fleet.all[2].allowance, team, 0, 100, COMET_ALLOWANCE_BY_VIEWS, now_us),
+		0U);
 	for (int i = 0; i < 20; i++, now_us += 50000)
 		fleet.step(now_us);
 	EXPECT_EQ(comet_allowance_left(fleet.all[3].allowance, team, now_us),
@@ -316,8 +320,12 @@
 	comet_views_leave(fleet.all[2].views, now_us);
 	for (int i = 0; i < 10; i++, now_us += 50000)
 		fleet.step(now_us);
-	EXPECT_EQ(comet_allowance_spend(fleet.all[2].allowance, team, 0, 100, now_us), 0U);
-	EXPECT_EQ(comet_allowance_spend(fleet.all[1].allowance, team, 0, 1000, now_us), 0U);
+	EXPECT_EQ(comet_allowance_spend(
+			  fleet.all[2].allowance, team, 0, 100, COMET_ALLOWANCE_BY_VIEWS, now_us),
+		0U);
+	EXPECT_EQ(comet_allowance_spend(
+			  fleet.all[1].allowance, team, 0, 1000, COMET_ALLOWANCE_BY_VIEWS, now_us),
+		0U);
 	for (int i = 0; i < 8; i++, now_us += 50000)
 		fleet.step(now_us);
 	EXPECT_EQ(comet_allowance_left(fleet.all[3].allowance, team, now_us), 7900);
@@ -349,7 +357,9 @@
 		EXPECT_EQ(heard, 39U);
 	}
 	fleet.between_zones = 0;
-	EXPECT_EQ(comet_allowance_spend(fleet.all[2].allowance, team, 0, 100, now_us), 0U);
+	EXPECT_EQ(comet_allowance_spend(
+			  fleet.all[2].allowance, team, 0, 100, COMET_ALLOWANCE_BY_VIEWS, now_us),
+		0U);
 	for (int i = 0; i < 20; i++, now_us += 50000)
 		fleet.step(now_us);
 	for (auto &one : fleet.all)
@@ -357,7 +367,9 @@
 	/* a second is ten rounds at most; each round of each VM goes to two of the other zone */
 	EXPECT_LE(fleet.between_zones, 40U * 10 * 2);
 	/* with a VM of the other zone cut off, others pass views on */
-	EXPECT_EQ(comet_allowance_spend(fleet.all[2].allowance, team, 0, 100, now_us), 0U);
+	EXPECT_EQ(comet_allowance_spend(
+			  fleet.all[2].allowance, team, 0, 100, COMET_ALLOWANCE_BY_VIEWS, now_us),
+		0U);
 	for (int i = 0; i < 20; i++, now_us += 50000)
 		fleet.step(now_us, 3);
 	EXPECT_EQ(comet_allowance_left(fleet.all[5].allowance, team, now_us), 8800);
