Keepers hear how their slots' requests ended: crashed and full endpoints are granted to nobody

Callers got 503 after 0.4 to 0.7 s while endpoints were down. Change: the word of a freed slot tells its result, from which the keeper learns as from its own; guests may be the trial of a doubted endpoint, which ends after 4 s if its word is lost.

--- a/libcometspindle/adapters/gateway/gateway_grants.c
+++ b/libcometspindle/adapters/gateway/gateway_grants.c
@@ -87,7 +87,7 @@
 
 	gateway->counts.granted++;
 	if (!comet_placement_granted(gateway->placement, item, keeper, instance_key, now_us))
-		comet_grants_release(gateway->grants, keeper, instance_key, 0, 0);
+		comet_grants_release(gateway->grants, keeper, instance_key, NULL);
 	comet_placement_run(gateway->placement, now_us);
 }
 
@@ -190,6 +190,18 @@
 	comet_grants_grant(gateway->grants, ask->asker, ask->number, instance->key);
 }
 
+/* Takes another VM's word for how a slot's request ended. A keeper that did not know of crashed
+ * endpoints went on granting their slots, which looked free: a quarter of them gone, requests were
+ * sent to four in turn and refused after a second. */
+static void
+learn_result(struct comet_instance *instance, enum comet_dispatch_result result, uint64_t now_us)
+{
+	if (comet_instance_told_result(instance, result, now_us))
+		comet_log(COMET_LOG_INFO, "event=endpoint_%s endpoint=%s result=%s told=1",
+			instance->avoid_us != 0 ? "avoided" : "trusted", instance->id,
+			comet_dispatch_result_name(result));
+}
+
 static void
 on_freed(void *ctx, const comet_SlotFreed *freed)
 {
@@ -197,10 +209,15 @@
 	struct comet_instance *instance =
 		comet_instances_find_key(gateway->instances, freed->instance);
 
+	uint64_t now_us = comet_timers_now_us();
+
 	comet_views_freed(gateway->views, freed->asker, freed->instance);
 	if (instance != NULL)
+	{
 		comet_instance_learn(instance, freed->stream_us, freed->events);
-	comet_placement_run(gateway->placement, comet_timers_now_us());
+		learn_result(instance, comet_grants_result(freed->result), now_us);
+	}
+	comet_placement_run(gateway->placement, now_us);
 }
 
 const struct comet_grants_ops comet_gateway_grants_ops = {
--- a/libcometspindle/adapters/gateway/gateway_relay.c
+++ b/libcometspindle/adapters/gateway/gateway_relay.c
@@ -51,8 +51,12 @@
 
 	if (relay->item.keeper == 0)
 		return;
-	comet_grants_release(relay->gateway->grants, relay->item.keeper, relay->life,
-		whole ? events : 0, whole ? relay->last_us - relay->first_us : 0);
+	const struct comet_grants_end end = {
+		.result = result,
+		.events = whole ? events : 0,
+		.stream_us = whole ? relay->last_us - relay->first_us : 0,
+	};
+	comet_grants_release(relay->gateway->grants, relay->item.keeper, relay->life, &end);
 	relay->item.keeper = 0;
 }
 
--- a/libcometspindle/gateway/choice.c
+++ b/libcometspindle/gateway/choice.c
@@ -74,7 +74,7 @@
 {
 	if (instance->avoid_us == 0)
 		return true;
-	if (instance->on_trial || now_us < instance->avoid_us)
+	if (comet_instance_on_trial(instance, now_us) || now_us < instance->avoid_us)
 		return false;
 	return item->repeatable || now_us - instance->avoid_us > TRIAL_PATIENCE_US;
 }
@@ -197,8 +197,7 @@
 		struct comet_instance *instance = scope->among->pdata[i];
 		reason->candidates += comet_choice_is_candidate(item, instance) ? 1 : 0;
 		if (!comet_choice_is_usable(item, instance, now_us) ||
-			is_excepted(scope, instance->key) ||
-			(scope->trusted_only && instance->avoid_us != 0))
+			is_excepted(scope, instance->key))
 			continue;
 		struct prospect prospect = expect(choice, item, scope, instance, now_us);
 		bool in_time = is_in_time(item, &prospect, now_us);
--- a/libcometspindle/gateway/choice.h
+++ b/libcometspindle/gateway/choice.h
@@ -23,7 +23,6 @@
 	const GPtrArray *among; /**< of struct comet_instance; NULL: none */
 	uint32_t beyond;        /**< streams: requests that may be there beyond its slots */
 	bool kept;              /**< this VM keeps count of them */
-	bool trusted_only;      /**< no trial of one of doubtful health */
 	const uint32_t *except; /**< keys of those that are not wanted */
 	uint32_t n_except;
 };
--- a/libcometspindle/gateway/grants.c
+++ b/libcometspindle/gateway/grants.c
@@ -96,21 +96,45 @@
 		comet_asks_remove(grants->asks, open);
 }
 
+/* What is told of a result: that an address is another process's now is seen by each VM for itself,
+ * since nothing mends it. */
+static const comet_SlotResult told_results[] = {
+	[COMET_DISPATCH_SERVED] = comet_SlotResult_SERVED,
+	[COMET_DISPATCH_ERROR] = comet_SlotResult_ERROR,
+	[COMET_DISPATCH_REFUSED] = comet_SlotResult_REFUSED,
+	[COMET_DISPATCH_BROKEN] = comet_SlotResult_BROKEN,
+	[COMET_DISPATCH_SILENT] = comet_SlotResult_SILENT,
+	[COMET_DISPATCH_UNREACHED] = comet_SlotResult_UNREACHED,
+	[COMET_DISPATCH_CANCELLED] = comet_SlotResult_NOTHING,
+	[COMET_DISPATCH_WRONG] = comet_SlotResult_NOTHING,
+};
+
+enum comet_dispatch_result
+comet_grants_result(comet_SlotResult told)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(told_results); i++)
+	{
+		if (told != comet_SlotResult_NOTHING && told_results[i] == told)
+			return (enum comet_dispatch_result)i;
+	}
+	return COMET_DISPATCH_CANCELLED;
+}
+
 void
 comet_grants_release(struct comet_grants *grants, uint32_t keeper, uint32_t instance_key,
-	uint32_t events, uint64_t stream_us)
+	const struct comet_grants_end *end)
 {
-	comet_Datagram datagram = {
-		.which_body = comet_Datagram_freed_tag,
-		.body.freed =
-			{
-				.asker = grants->address,
-				.instance = instance_key,
-				.events = events,
-				.stream_us = (uint32_t)MIN(stream_us, UINT32_MAX),
-			},
-	};
+	comet_Datagram datagram = {.which_body = comet_Datagram_freed_tag};
+	comet_SlotFreed *freed = &datagram.body.freed;
 
+	freed->asker = grants->address;
+	freed->instance = instance_key;
+	if (end != NULL)
+	{
+		freed->events = end->events;
+		freed->stream_us = (uint32_t)MIN(end->stream_us, UINT32_MAX);
+		freed->result = told_results[end->result];
+	}
 	send(grants, keeper, &datagram);
 }
 
@@ -123,7 +147,7 @@
 	{
 		/* It came too late, or its request is gone. */
 		if (answer->instance != 0)
-			comet_grants_release(grants, answer->keeper, answer->instance, 0, 0);
+			comet_grants_release(grants, answer->keeper, answer->instance, NULL);
 		return;
 	}
 	if (answer->instance == 0 && answer->waits)
--- a/libcometspindle/gateway/grants.h
+++ b/libcometspindle/gateway/grants.h
@@ -53,10 +53,22 @@
 void
 comet_grants_forget(struct comet_grants *grants, struct comet_placement_item *item);
 
-/** Gives a granted slot back; events, stream_us: of a whole answer, for its speed, or 0. */
+/** What a keeper is told of a request that has left its slot. */
+struct comet_grants_end
+{
+	enum comet_dispatch_result result;
+	uint32_t events; /**< of a whole answer, for its speed; or 0 */
+	uint64_t stream_us;
+};
+
+/** Gives a granted slot back; end: NULL when the request was not sent there. */
 void
 comet_grants_release(struct comet_grants *grants, uint32_t keeper, uint32_t instance_key,
-	uint32_t events, uint64_t stream_us);
+	const struct comet_grants_end *end);
+
+/** The result that a keeper is told, as a result of its own. */
+enum comet_dispatch_result
+comet_grants_result(comet_SlotResult told);
 
 /** Keeper: a request that has waited here may have a slot. */
 void
--- a/libcometspindle/gateway/instance.c
+++ b/libcometspindle/gateway/instance.c
@@ -29,6 +29,9 @@
 #define FULL_FIRST_US 100000
 #define FULL_LONGEST_US 1600000
 
+/* A trial whose end is not told by then is over: the word of another VM may be lost. */
+#define TRIAL_LONGEST_US 4000000
+
 /* An instance that fails this part of its requests of late is avoided as well. */
 #define ERROR_RATE_TO_AVOID 0.45
 
@@ -134,6 +137,19 @@
 	return comet_speeds_slot_us(instance->speeds) * instance->pace;
 }
 
+void
+comet_instance_try(struct comet_instance *instance, uint64_t now_us)
+{
+	instance->on_trial = instance->avoid_us != 0;
+	instance->trial_us = now_us;
+}
+
+bool
+comet_instance_on_trial(const struct comet_instance *instance, uint64_t now_us)
+{
+	return instance->on_trial && now_us - instance->trial_us < TRIAL_LONGEST_US;
+}
+
 void
 comet_instance_started(struct comet_instance *instance, const struct comet_job *job)
 {
@@ -242,26 +258,22 @@
 	return avoided;
 }
 
-bool
-comet_instance_ended(struct comet_instance *instance, const struct comet_job *job, bool had_first,
-	enum comet_dispatch_result result, uint64_t stream_us, uint32_t events, uint64_t now_us)
+/* What a result tells of the endpoint. @return true when trust in it changed */
+static bool
+learn_result(struct comet_instance *instance, enum comet_dispatch_result result, uint64_t now_us)
 {
-	instance->own -= MIN(instance->own, 1);
-	if (!had_first)
-		instance->own_prompt -= MIN(instance->own_prompt, job->prompt_tokens);
+	uint64_t pause_us = (uint64_t)FULL_FIRST_US << MIN(instance->refusals, 8);
+
 	switch (result)
 	{
 	case COMET_DISPATCH_SERVED:
-		learn_speed(instance, job, stream_us, events);
 		return learn_success(instance);
 	case COMET_DISPATCH_CANCELLED:
 		instance->on_trial = false;
 		return false;
 	case COMET_DISPATCH_REFUSED:
 		instance->on_trial = false;
-		instance->full_us =
-			now_us +
-			MIN((uint64_t)FULL_FIRST_US << MIN(instance->refusals, 8), FULL_LONGEST_US);
+		instance->full_us = now_us + MIN(pause_us, FULL_LONGEST_US);
 		instance->refusals++;
 		return false;
 	case COMET_DISPATCH_WRONG:
@@ -273,6 +285,25 @@
 	}
 }
 
+bool
+comet_instance_ended(struct comet_instance *instance, const struct comet_job *job, bool had_first,
+	enum comet_dispatch_result result, uint64_t stream_us, uint32_t events, uint64_t now_us)
+{
+	instance->own -= MIN(instance->own, 1);
+	if (!had_first)
+		instance->own_prompt -= MIN(instance->own_prompt, job->prompt_tokens);
+	if (result == COMET_DISPATCH_SERVED)
+		learn_speed(instance, job, stream_us, events);
+	return learn_result(instance, result, now_us);
+}
+
+bool
+comet_instance_told_result(
+	struct comet_instance *instance, enum comet_dispatch_result result, uint64_t now_us)
+{
+	return learn_result(instance, result, now_us);
+}
+
 void
 comet_instance_heard(struct comet_instance *instance, uint64_t now_us)
 {
--- a/libcometspindle/gateway/instance.h
+++ b/libcometspindle/gateway/instance.h
@@ -73,6 +73,7 @@
 	double error_rate; /**< of late, 0 to 1 */
 	uint64_t avoid_us; /**< no work but one trial before then; 0: trusted */
 	bool on_trial;
+	uint64_t trial_us; /**< when the trial began */
 	bool replaced;     /**< another process has its address: this one is gone for good */
 	uint32_t refusals; /**< in a row */
 	uint64_t full_us;  /**< it refused as full: no work before then */
@@ -114,6 +115,14 @@
 double
 comet_instance_slot_us(const struct comet_instance *instance);
 
+/** It was chosen: if it is doubted, this is its trial. */
+void
+comet_instance_try(struct comet_instance *instance, uint64_t now_us);
+
+/** @return whether the end of a trial is awaited. */
+bool
+comet_instance_on_trial(const struct comet_instance *instance, uint64_t now_us);
+
 /** A dispatch starts. */
 void
 comet_instance_started(struct comet_instance *instance, const struct comet_job *job);
@@ -131,6 +140,12 @@
 comet_instance_ended(struct comet_instance *instance, const struct comet_job *job, bool had_first,
 	enum comet_dispatch_result result, uint64_t stream_us, uint32_t events, uint64_t now_us);
 
+/** Another VM tells how a dispatch of its own there ended. @return true when trust in it changed.
+ */
+bool
+comet_instance_told_result(
+	struct comet_instance *instance, enum comet_dispatch_result result, uint64_t now_us);
+
 /** It sent something, on whatever connection. */
 void
 comet_instance_heard(struct comet_instance *instance, uint64_t now_us);
--- a/libcometspindle/gateway/placement.c
+++ b/libcometspindle/gateway/placement.c
@@ -79,7 +79,7 @@
 					  comet_placement_queue_of(placement, item->service), item),
 			now_us);
 	item->queued = false;
-	instance->on_trial = instance->avoid_us != 0;
+	comet_instance_try(instance, now_us);
 	item->keeper = keeper;
 	if (item->n_tried < COMET_PLACEMENT_TRIED_MAX)
 		item->tried[item->n_tried++] = instance->key;
--- a/libcometspindle/gateway/placement_guests.c
+++ b/libcometspindle/gateway/placement_guests.c
@@ -27,7 +27,6 @@
 		.among = shard->members,
 		.beyond = beyond,
 		.kept = true,
-		.trusted_only = true,
 		.except = guest->except,
 		.n_except = (uint32_t)guest->ask.n_except,
 	};
@@ -55,7 +54,10 @@
 		struct comet_instance *best =
 			choose_at(placement, guest, shard, beyond, now_us, &held);
 		if (best != NULL)
+		{
+			comet_instance_try(best, now_us);
 			return best;
+		}
 		if (!held && guest->ask.n_except == 0)
 			shard->full_pass[beyond] = placement->pass;
 	}
--- a/libcometspindle/proto/view.pb.c
+++ b/libcometspindle/proto/view.pb.c
@@ -40,3 +40,4 @@
 
 
 
+
--- a/tests/unit/grants_fleet.h
+++ b/tests/unit/grants_fleet.h
@@ -175,7 +175,7 @@
 	{
 		auto *one = static_cast<vm *>(ctx);
 		if (!comet_placement_granted(one->placement, item, keeper, key, one->all->now_us))
-			comet_grants_release(one->grants, keeper, key, 0, 0);
+			comet_grants_release(one->grants, keeper, key, nullptr);
 		comet_placement_run(one->placement, one->all->now_us);
 	}
 
@@ -246,7 +246,11 @@
 		comet_instance *instance =
 			comet_instances_find_key(one->instances, freed->instance);
 		if (instance != nullptr)
+		{
 			comet_instance_learn(instance, freed->stream_us, freed->events);
+			comet_instance_told_result(
+				instance, comet_grants_result(freed->result), one->all->now_us);
+		}
 		comet_placement_run(one->placement, one->all->now_us);
 	}
 
@@ -315,17 +319,18 @@
 	/* The answer is whole. */
 	void
 	end(uint32_t address, comet_placement_item *item, uint32_t events = 0,
-		uint64_t stream_us = 0)
+		uint64_t stream_us = 0, comet_dispatch_result result = COMET_DISPATCH_CANCELLED)
 	{
 		vm &one = vms[address];
 		comet_instance *instance =
 			comet_instances_find(one.instances, one.sent[item].c_str());
-		comet_instance_ended(
-			instance, &item->job, false, COMET_DISPATCH_CANCELLED, 0, 0, now_us);
+		comet_instance_ended(instance, &item->job, false, result, 0, 0, now_us);
 		comet_placement_freed(one.placement, instance);
 		if (item->keeper != 0)
-			comet_grants_release(
-				one.grants, item->keeper, instance->key, events, stream_us);
+		{
+			comet_grants_end end = {result, events, stream_us};
+			comet_grants_release(one.grants, item->keeper, instance->key, &end);
+		}
 		item->keeper = 0;
 		one.sent.erase(item);
 		comet_placement_run(one.placement, now_us);
--- a/tests/unit/test_gateway_grants.cc
+++ b/tests/unit/test_gateway_grants.cc
@@ -279,10 +279,10 @@
 	known = comet_instances_put(all.vms[keeper].instances, &later, all.now_us);
 	EXPECT_EQ(comet_instance_kept_load(known, all.now_us), 0U);
 	comet_views_granted(all.vms[keeper].views, asker, known->key, 100, all.now_us);
-	comet_grants_release(all.vms[asker].grants, keeper, earlier, 0, 0);
+	comet_grants_release(all.vms[asker].grants, keeper, earlier, nullptr);
 	all.deliver();
 	EXPECT_EQ(comet_instance_kept_load(known, all.now_us), 1U);
-	comet_grants_release(all.vms[asker].grants, keeper, known->key, 0, 0);
+	comet_grants_release(all.vms[asker].grants, keeper, known->key, nullptr);
 	all.deliver();
 	EXPECT_EQ(comet_instance_kept_load(known, all.now_us), 0U);
 }
@@ -307,6 +307,58 @@
 	EXPECT_EQ(all.vms[asker].sent.count(next), 1U);
 }
 
+/* A quarter of the endpoints crashed, and the keeper, which had sent nothing there itself, went on
+ * granting their slots, which looked free: each VM found out for itself, and requests that met four
+ * of them were refused. */
+TEST(Grants, AKeeperHearsOfCrashedEndpointsFromWhoeverWasSentThere)
+{
+	constexpr int endpoints = 8;
+	fleet all(20, endpoints);
+	uint32_t unreached = 0;
+	auto is_down = [](const std::string &id) { return id == "i0" || id == "i1"; };
+
+	for (int round = 0; round < 30; round++)
+	{
+		std::vector<std::pair<uint32_t, comet_placement_item *>> sent;
+		for (uint32_t vm = 1; vm <= 20; vm++)
+			sent.emplace_back(vm, all.submit(vm));
+		all.deliver();
+		for (auto &one : sent)
+		{
+			if (all.vms[one.first].sent.count(one.second) == 0)
+				continue;
+			bool down = is_down(all.vms[one.first].sent[one.second]);
+			unreached += down ? 1 : 0;
+			all.end(one.first, one.second, 0, 0,
+				down ? COMET_DISPATCH_UNREACHED : COMET_DISPATCH_SERVED);
+		}
+		all.deliver();
+		all.pass(100000);
+	}
+	/* one round, and a trial of each some times in three seconds */
+	EXPECT_LE(unreached, 2 * slots + 2 * 3);
+	/* they are up again: a trial shows it */
+	all.pass(6000000);
+	std::set<std::string> used;
+	for (int round = 0; round < 20; round++)
+	{
+		std::vector<std::pair<uint32_t, comet_placement_item *>> sent;
+		for (uint32_t vm = 1; vm <= 20; vm++)
+			sent.emplace_back(vm, all.submit(vm));
+		all.deliver();
+		for (auto &one : sent)
+		{
+			if (all.vms[one.first].sent.count(one.second) == 0)
+				continue;
+			used.insert(all.vms[one.first].sent[one.second]);
+			all.end(one.first, one.second, 0, 0, COMET_DISPATCH_SERVED);
+		}
+		all.deliver();
+		all.pass(100000);
+	}
+	EXPECT_EQ(used.size(), (size_t)endpoints);
+}
+
 TEST(Grants, AKeeperLearnsSpeedsFromWhatOthersTell)
 {
 	fleet all(5, 2);
--- a/tests/unit/test_gateway_views.cc
+++ b/tests/unit/test_gateway_views.cc
@@ -145,7 +145,7 @@
 	for (uint32_t i = 0; i < view.peers_count; i++)
 		view.peers[i] = address * 1000 + i;
 	for (uint32_t i = 0; i < view.spent_count; i++)
-		view.spent[i] = {(uint32_t)number * 1000 + i, 5, 0};
+		view.spent[i] = {(uint32_t)number * 1000 + i, 5, 0, 0};
 	return view;
 }
 
