Slots for plain requests are asked for at keepers, too

Cause: a VM of 295 sends less than one plain request a second, so that what endpoints tell in answers is old before it is used, and it chose by views that are up to two seconds old. Change: plain requests ask for slots like streams, of which a round more than the slots may be there; keepers learn how long they took. Test: of 60 VMs before 6 endpoints none is sent more than that, by views some are.

--- a/libcometspindle/adapters/gateway/gateway_grants.c
+++ b/libcometspindle/adapters/gateway/gateway_grants.c
@@ -161,7 +161,7 @@
 			{
 				.prompt_tokens = ask->prompt_tokens,
 				.output_tokens = ask->output_tokens,
-				.stream = true,
+				.stream = !ask->plain,
 			},
 		.team_rank = ask->team_rank,
 		.route_rank = ask->route_rank,
@@ -214,7 +214,7 @@
 	comet_views_freed(gateway->views, freed->asker, freed->instance);
 	if (instance != NULL)
 	{
-		comet_instance_learn(instance, freed->stream_us, freed->events);
+		comet_instance_learn(instance, !freed->plain, freed->taken_us, freed->events);
 		learn_result(instance, comet_grants_result(freed->result), now_us);
 	}
 	comet_placement_run(gateway->placement, now_us);
--- a/libcometspindle/adapters/gateway/gateway_relay.c
+++ b/libcometspindle/adapters/gateway/gateway_relay.c
@@ -48,14 +48,17 @@
 {
 	bool whole = result == COMET_DISPATCH_SERVED && relay->first_us != 0 &&
 		     comet_relay_was_measured(relay);
-
-	if (relay->item.keeper == 0)
-		return;
+	bool stream = comet_relay_is_stream(relay);
+	uint64_t begun_us = stream ? relay->first_us : relay->sent_us;
 	const struct comet_grants_end end = {
 		.result = result,
+		.stream = stream,
 		.events = whole ? events : 0,
-		.stream_us = whole ? relay->last_us - relay->first_us : 0,
+		.taken_us = whole ? relay->last_us - begun_us : 0,
 	};
+
+	if (relay->item.keeper == 0)
+		return;
 	comet_grants_release(relay->gateway->grants, relay->item.keeper, relay->life, &end);
 	relay->item.keeper = 0;
 }
--- a/libcometspindle/gateway/choice.c
+++ b/libcometspindle/gateway/choice.c
@@ -52,6 +52,8 @@
 uint32_t
 comet_choice_beyond(const struct comet_placement_item *item)
 {
+	if (!item->job.stream)
+		return 0; /* any rank may queue there: a slot comes free in milliseconds */
 	if (item->route_rank == 0)
 		return HEADROOM_FIRST;
 	return item->route_rank == 1 ? HEADROOM_SECOND : 0;
--- a/libcometspindle/gateway/grants.c
+++ b/libcometspindle/gateway/grants.c
@@ -73,6 +73,7 @@
 	message->shard = ask->shard;
 	message->prompt_tokens = ask->job.prompt_tokens;
 	message->output_tokens = ask->job.output_tokens;
+	message->plain = !ask->job.stream;
 	message->beyond = ask->beyond;
 	message->team_rank = ask->team_rank;
 	message->route_rank = ask->route_rank;
@@ -132,7 +133,8 @@
 	if (end != NULL)
 	{
 		freed->events = end->events;
-		freed->stream_us = (uint32_t)MIN(end->stream_us, UINT32_MAX);
+		freed->plain = !end->stream;
+		freed->taken_us = (uint32_t)MIN(end->taken_us, UINT32_MAX);
 		freed->result = told_results[end->result];
 	}
 	send(grants, keeper, &datagram);
--- a/libcometspindle/gateway/grants.h
+++ b/libcometspindle/gateway/grants.h
@@ -57,8 +57,9 @@
 struct comet_grants_end
 {
 	enum comet_dispatch_result result;
-	uint32_t events; /**< of a whole answer, for its speed; or 0 */
-	uint64_t stream_us;
+	bool stream;
+	uint32_t events;   /**< of a whole answer that was one; or 0 */
+	uint64_t taken_us; /**< from its first event to its last, or for all of a plain one; or 0 */
 };
 
 /** Gives a granted slot back; end: NULL when the request was not sent there. */
--- a/libcometspindle/gateway/instance.c
+++ b/libcometspindle/gateway/instance.c
@@ -182,14 +182,30 @@
 			speeds, job->prompt_tokens, (double)first_us / instance->pace);
 }
 
+/* Learns how long an endpoint takes for a plain answer. */
+static void
+learn_plain(struct comet_instance *instance, uint64_t taken_us)
+{
+	struct comet_speeds *speeds = instance->speeds;
+	bool known = comet_speeds_known(speeds, COMET_SPEED_PLAIN);
+	double usual_us =
+		known ? comet_speeds_mean_us(speeds, COMET_SPEED_PLAIN) : (double)taken_us;
+
+	learn_pace(instance, (double)taken_us, usual_us);
+	comet_speeds_learn(speeds, COMET_SPEED_PLAIN, (double)taken_us);
+}
+
 void
-comet_instance_learn(struct comet_instance *instance, uint64_t stream_us, uint32_t events)
+comet_instance_learn(
+	struct comet_instance *instance, bool stream, uint64_t taken_us, uint32_t events)
 {
 	struct comet_speeds *speeds = instance->speeds;
 
-	if (events < 2)
+	if (!stream && taken_us > 0)
+		learn_plain(instance, taken_us);
+	if (!stream || events < 2)
 		return;
-	double event_us = (double)stream_us / (events - 1);
+	double event_us = (double)taken_us / (events - 1);
 	bool known = comet_speeds_known(speeds, COMET_SPEED_EVENT);
 	double usual_us = known ? comet_speeds_mean_us(speeds, COMET_SPEED_EVENT) : event_us;
 	learn_pace(instance, event_us, usual_us);
@@ -207,18 +223,14 @@
 		return;
 	if (!job->stream)
 	{
-		bool known = comet_speeds_known(speeds, COMET_SPEED_PLAIN);
-		double usual_us =
-			known ? comet_speeds_mean_us(speeds, COMET_SPEED_PLAIN) : (double)stream_us;
-		learn_pace(instance, (double)stream_us, usual_us);
-		comet_speeds_learn(speeds, COMET_SPEED_PLAIN, (double)stream_us);
+		learn_plain(instance, stream_us);
 		return;
 	}
 	double first = comet_speeds_first_us(speeds, job->prompt_tokens);
 	comet_speeds_learn(speeds, COMET_SPEED_SLOT, first + (double)stream_us / instance->pace);
 	if (events < 2 || job->output_tokens == 0)
 		return;
-	comet_instance_learn(instance, stream_us, events);
+	comet_instance_learn(instance, true, stream_us, events);
 	comet_speeds_learn(
 		speeds, COMET_SPEED_TOKEN, (double)stream_us / job->output_tokens / instance->pace);
 }
--- a/libcometspindle/gateway/instance.h
+++ b/libcometspindle/gateway/instance.h
@@ -102,9 +102,11 @@
 void
 comet_instance_freed(struct comet_instance *instance);
 
-/** Learns the speed of an instance from an answer: so many events within stream_us. */
+/** Learns the speed of an instance from a whole answer: a plain one within taken_us, or a stream
+ * with so many events within that; 0: nothing is to be learned. */
 void
-comet_instance_learn(struct comet_instance *instance, uint64_t stream_us, uint32_t events);
+comet_instance_learn(
+	struct comet_instance *instance, bool stream, uint64_t taken_us, uint32_t events);
 
 /** Expected time until the first event (or the whole plain answer) and until the end. */
 void
--- a/libcometspindle/gateway/placement_find.c
+++ b/libcometspindle/gateway/placement_find.c
@@ -153,7 +153,7 @@
 static const GPtrArray *
 shards_for(struct comet_placement *placement, const struct comet_placement_item *item)
 {
-	if (!item->job.stream || placement->ops->keeper == NULL)
+	if (placement->ops->keeper == NULL)
 		return NULL;
 	return comet_shards_of(placement->shards, item->service);
 }
--- a/tests/unit/grants_fleet.h
+++ b/tests/unit/grants_fleet.h
@@ -223,7 +223,7 @@
 		wanted.beyond = ask->beyond;
 		wanted.except = ask->except;
 		wanted.n_except = ask->except_count;
-		wanted.job = {ask->prompt_tokens, ask->output_tokens, 0, true};
+		wanted.job = {ask->prompt_tokens, ask->output_tokens, 0, !ask->plain};
 		wanted.team_rank = ask->team_rank;
 		wanted.route_rank = ask->route_rank;
 		wanted.late = ask->late;
@@ -247,7 +247,8 @@
 			comet_instances_find_key(one->instances, freed->instance);
 		if (instance != nullptr)
 		{
-			comet_instance_learn(instance, freed->stream_us, freed->events);
+			comet_instance_learn(
+				instance, !freed->plain, freed->taken_us, freed->events);
 			comet_instance_told_result(
 				instance, comet_grants_result(freed->result), one->all->now_us);
 		}
@@ -302,11 +303,13 @@
 	}
 
 	comet_placement_item *
-	submit(uint32_t address, uint32_t rank = 2, uint64_t aim_us = 0)
+	submit(uint32_t address, uint32_t rank = 2, uint64_t aim_us = 0, bool plain = false)
 	{
 		auto item = std::make_unique<comet_placement_item>();
 		item->service = "llm";
 		item->job = {1000, 100, 100, true};
+		if (plain)
+			item->job = {0, 0, 0, false};
 		item->route_rank = rank;
 		item->latest_us = now_us + 30000000;
 		item->early_us = now_us + 100000;
@@ -328,7 +331,7 @@
 		comet_placement_freed(one.placement, instance);
 		if (item->keeper != 0)
 		{
-			comet_grants_end end = {result, events, stream_us};
+			comet_grants_end end = {result, item->job.stream, events, stream_us};
 			comet_grants_release(one.grants, item->keeper, instance->key, &end);
 		}
 		item->keeper = 0;
--- a/tests/unit/test_gateway_grants.cc
+++ b/tests/unit/test_gateway_grants.cc
@@ -127,6 +127,25 @@
 	}
 }
 
+/* Plain requests were placed by views that were two seconds old: of six endpoints some were sent
+ * more than they take, and refused, while others had slots free. */
+TEST(Grants, PlainRequestsOfManyVmsDoNotFillTheSameEndpoint)
+{
+	for (bool asks : {true, false})
+	{
+		fleet all(60, 6);
+		all.asks = asks;
+		for (uint32_t i = 0; i < 6 * 2 * slots; i++)
+			all.submit(1 + i % 60, 2, 0, true);
+		all.deliver();
+		EXPECT_EQ(all.total(), 6 * 2 * slots);
+		if (asks)
+			EXPECT_EQ(all.most_at_one(), 2 * slots) << "a round may wait there";
+		else
+			EXPECT_GT(all.most_at_one(), 2 * slots);
+	}
+}
+
 TEST(Grants, WhatIsDeniedWaitsAndGetsTheNextFreeSlot)
 {
 	fleet all(4, 2);
