In a large zone two VMs read the directory for all, and the others follow them

Calls to the store grew as VMs times changes. Change: in a zone of eight VMs or more the two best suited (drawn like keepers, without any coordination) wait at the store for short, and tell the others by datagram how far they have read; these fetch what has changed. Who hears no reader whom the store has answered within a quarter of settled_ms reads for itself, drawn apart; so does who cannot have what a reader claims to have read. Changes carry era and revision, are taken whole and in order, and are checked like the store's own answers. New metrics: comet_directory_calls_total by end, comet_directory_reading.

--- a/libcometspindle/adapters/gateway/gateway.c
+++ b/libcometspindle/adapters/gateway/gateway.c
@@ -61,6 +61,11 @@
  * of a busy VM takes a few milliseconds. */
 #define CATCH_UP_US 20000
 
+/* Bounds of the time for which a reader of the directory is followed: some of its calls, and less
+ * than a change may take to be in force. */
+#define FOLLOWED_MIN_MS 500
+#define FOLLOWED_MAX_MS 2000
+
 /* Most seeds that a settings file names usefully. */
 #define SEEDS_MAX 16
 
@@ -73,6 +78,8 @@
 
 	if (!comet_datagram_decode(data, length, &datagram))
 		comet_log(COMET_LOG_WARNING, "event=datagram_malformed bytes=%zu", length);
+	else if (datagram.which_body == comet_Datagram_news_tag)
+		comet_gateway_take_news(gateway, &datagram.body.news, now_us);
 	else if (datagram.which_body != comet_Datagram_view_tag &&
 		 !comet_charges_receive(gateway->charges, &datagram))
 		comet_grants_receive(gateway->grants, &datagram);
@@ -176,6 +183,7 @@
 	comet_gateway_tick_endpoints(gateway, now_us);
 	comet_gateway_tick_crashes(gateway, now_us);
 	comet_placement_run(gateway->placement, now_us);
+	comet_gateway_tick_news(gateway, now_us);
 	comet_gateway_catch_up(gateway, now_us);
 	if (gateway->stop_us != 0)
 		continue_stop(gateway, now_us);
@@ -304,6 +312,15 @@
 	return gateway->link != NULL;
 }
 
+/* How long a VM that reads the directory for others is followed after the directory has answered
+ * it: a quarter of the time in which the directory's word is whole again after trouble, so that who
+ * loses its readers then has read for itself in half of that. */
+static uint32_t
+followed_ms(const struct comet_gateway_settings *settings)
+{
+	return CLAMP(settings->settled_ms / 4, FOLLOWED_MIN_MS, FOLLOWED_MAX_MS);
+}
+
 static void
 create_decisions(struct comet_gateway *gateway)
 {
@@ -314,6 +331,8 @@
 	gateway->allowance =
 		comet_allowance_create(gateway, &settings->allowance, comet_timers_now_us());
 	gateway->retries = comet_retry_budget_create(gateway, &settings->retries);
+	gateway->readers = comet_readers_create(
+		gateway, (uint64_t)followed_ms(settings) * 1000, comet_draw_u32(&gateway->draw));
 	gateway->crashes = comet_crashes_create(gateway, &comet_gateway_crashes_ops, gateway);
 	gateway->placement = comet_placement_create(gateway, gateway->instances,
 		&comet_gateway_placement_ops, gateway, comet_draw_u32(&gateway->draw));
@@ -354,6 +373,7 @@
 		.timers = gateway->timers,
 		.upstream = gateway->upstream,
 		.address = settings->directory,
+		.followed_ms = followed_ms(settings),
 		.events = &comet_gateway_directory_events,
 		.ctx = gateway,
 	};
--- a/libcometspindle/adapters/gateway/gateway_copy.c
+++ b/libcometspindle/adapters/gateway/gateway_copy.c
@@ -1,6 +1,6 @@
 /*
  * gateway_copy.c
- * asks the directory anew, or reads another VM's copy of it, when that VM knows more
+ * what another VM knows more of the directory: reads a copy of it, or what has changed
  */
 #include <libcometspindle/adapters/gateway/gateway_private.h>
 
@@ -35,6 +35,7 @@
 	{
 		comet_log(COMET_LOG_NOTICE, "event=copy_failed reason=%s status=%u",
 			answer->failure != NULL ? answer->failure : "status", answer->status);
+		comet_readers_failed(gateway->readers, comet_timers_now_us());
 		return;
 	}
 	if (gateway->directory->ops->offer(
@@ -45,27 +46,46 @@
 }
 
 static void
-ask_copy(struct comet_gateway *gateway, uint32_t vm)
+ask(struct comet_gateway *gateway, uint32_t vm, const char *target)
 {
 	char ip[COMET_VIEW_ADDRESS_MAX];
 	const char *port = strrchr(gateway->settings->control, ':'); /* the same on all VMs */
 	char *address = g_strconcat(comet_view_link_text(vm, ip), port, NULL);
 	struct comet_fetch_request request = {
 		.address = address,
-		.target = COMET_GATEWAY_COPY_PATH,
+		.target = target,
 		.timeout_us = COPY_TIMEOUT_US,
 		.while_silent = true,
 	};
 
-	comet_log(COMET_LOG_NOTICE,
-		"event=copy_asked vm=%s era=%" G_GUINT64_FORMAT " revision=%" G_GUINT64_FORMAT, ip,
-		comet_directory_era(gateway->position),
-		comet_directory_revision(gateway->position));
 	gateway->copying = comet_fetch_start(
 		gateway, gateway->upstream, gateway->timers, &request, on_copy, gateway);
 	g_free(address);
 }
 
+static void
+ask_copy(struct comet_gateway *gateway, uint32_t vm)
+{
+	char ip[COMET_VIEW_ADDRESS_MAX];
+
+	comet_log(COMET_LOG_NOTICE,
+		"event=copy_asked vm=%s era=%" G_GUINT64_FORMAT " revision=%" G_GUINT64_FORMAT,
+		comet_view_link_text(vm, ip), comet_directory_era(gateway->position),
+		comet_directory_revision(gateway->position));
+	ask(gateway, vm, COMET_GATEWAY_COPY_PATH);
+}
+
+void
+comet_gateway_ask_changes(struct comet_gateway *gateway, uint32_t vm)
+{
+	char *target =
+		g_strdup_printf(COMET_GATEWAY_CHANGES_PATH "%" G_GUINT64_FORMAT, gateway->position);
+
+	if (gateway->copying == NULL)
+		ask(gateway, vm, target);
+	g_free(target);
+}
+
 /* A call that was asked in an outage is never answered, though its connection stands. The directory
  * is asked anew once for what others claim to have read: what was made up is looked for no more.
  * Until then VMs of a fleet of 65 handled requests by routes over 3 s old, on 9 of 9 days with two
--- a/libcometspindle/adapters/gateway/gateway_directory.c
+++ b/libcometspindle/adapters/gateway/gateway_directory.c
@@ -231,6 +231,7 @@
 		gateway->behind_us = 0; /* whoever is still ahead is so from now */
 	gateway->position = position;
 	comet_views_set_revision(gateway->views, position);
+	comet_gateway_tell_news(gateway, comet_timers_now_us());
 	comet_placement_run(gateway->placement, comet_timers_now_us());
 }
 
@@ -245,6 +246,12 @@
 		era, before, comet_directory_revision(gateway->position));
 }
 
+static void
+on_called(void *ctx, enum comet_directory_call call)
+{
+	((struct comet_gateway *)ctx)->counts.directory_calls[call]++;
+}
+
 static void
 on_answered(void *ctx)
 {
@@ -279,6 +286,7 @@
 	.refused = on_refused,
 	.revision = on_revision,
 	.era = on_era,
+	.called = on_called,
 	.answered = on_answered,
 	.dependency = on_dependency,
 };
--- a/libcometspindle/adapters/gateway/gateway_metrics.c
+++ b/libcometspindle/adapters/gateway/gateway_metrics.c
@@ -71,6 +71,26 @@
 		counts->charges_asked, counts->charges_undecided, counts->charges_answered);
 }
 
+/* Calls to the directory by their ends, and whether this VM makes them for itself (0), for its zone
+ * (1) or not at all (2). */
+static void
+put_directory_calls(GString *out, const struct comet_gateway *gateway)
+{
+	static const char *const names[COMET_DIRECTORY_CALLS] = {
+		[COMET_DIRECTORY_CALL_PAGE] = "page",
+		[COMET_DIRECTORY_CALL_NEWS] = "news",
+		[COMET_DIRECTORY_CALL_NO_NEWS] = "no_news",
+		[COMET_DIRECTORY_CALL_FAILED] = "failed",
+	};
+
+	put_type(out, "directory_calls_total", "counter");
+	for (size_t i = 0; i < COMET_DIRECTORY_CALLS; i++)
+		g_string_append_printf(out,
+			"comet_directory_calls_total{end=\"%s\"} %" G_GUINT64_FORMAT "\n", names[i],
+			gateway->counts.directory_calls[i]);
+	put(out, "directory_reading", "gauge", gateway->reading);
+}
+
 static void
 put_crashes(GString *out, const struct comet_gateway *gateway)
 {
@@ -316,6 +336,7 @@
 	put(out, "resumes_total", "counter", (double)gateway->counts.resumed);
 	put_asks(out, &gateway->counts);
 	put_charges(out, &gateway->counts);
+	put_directory_calls(out, gateway);
 	put_crashes(out, gateway);
 	put(out, "vms_known", "gauge", known);
 	put(out, "vms_heard", "gauge", heard);
--- /dev/null
+++ b/libcometspindle/adapters/gateway/gateway_news.c
@@ -0,0 +1,108 @@
+/*
+ * gateway_news.c
+ * who reads the directory in this zone: tells those who follow, and follows those who read
+ */
+#include <libcometspindle/adapters/gateway/gateway_private.h>
+
+#include <libcometspindle/log.h>
+
+/* A reader tells how far it has read at least this often: some times in the time for which it is
+ * followed, so that a lost datagram changes nothing. */
+#define NEWS_US 200000
+
+static const char *
+reading_name(enum comet_directory_reading reading)
+{
+	static const char *const names[] = {
+		[COMET_DIRECTORY_READS] = "reads",
+		[COMET_DIRECTORY_READS_FOR_OTHERS] = "reads_for_others",
+		[COMET_DIRECTORY_FOLLOWS] = "follows",
+	};
+
+	return names[reading];
+}
+
+/* How long ago the directory answered this VM. */
+static uint64_t
+answer_age_us(const struct comet_gateway *gateway, uint64_t now_us)
+{
+	return gateway->answered_us != 0 ? now_us - gateway->answered_us : now_us;
+}
+
+void
+comet_gateway_tell_news(struct comet_gateway *gateway, uint64_t now_us)
+{
+	uint8_t data[COMET_DATAGRAM_BYTES_MAX];
+	uint64_t age_us = answer_age_us(gateway, now_us);
+	comet_Datagram datagram = {
+		.which_body = comet_Datagram_news_tag,
+		.body.news =
+			{
+				.address = comet_view_link_address(gateway->link),
+				.position = gateway->position,
+				.age_ms = (uint32_t)(age_us / 1000),
+			},
+	};
+
+	/* Who has not been answered of late has nothing to tell that may be followed. */
+	if (gateway->reading != COMET_DIRECTORY_READS_FOR_OTHERS ||
+		!comet_readers_is_fresh(gateway->readers, age_us))
+		return;
+	gateway->news_us = now_us;
+	size_t length = comet_datagram_encode(&datagram, data);
+	comet_views_send_near(gateway->views, data, length);
+}
+
+/* Asks a reader for what this VM lacks. */
+static void
+catch_up(struct comet_gateway *gateway, uint64_t now_us)
+{
+	uint32_t vm = comet_readers_ahead(gateway->readers, gateway->position, now_us);
+
+	if (vm != 0 && gateway->reading == COMET_DIRECTORY_FOLLOWS)
+		comet_gateway_ask_changes(gateway, vm);
+}
+
+void
+comet_gateway_take_news(struct comet_gateway *gateway, const comet_News *news, uint64_t now_us)
+{
+	const struct comet_readers_news told = {
+		.vm = news->address,
+		.position = news->position,
+		.age_us = (uint64_t)news->age_ms * 1000,
+	};
+
+	if (!comet_views_hears_near(gateway->views, news->address))
+		return; /* none of this zone's, or not yet known */
+	comet_readers_told(gateway->readers, &told, now_us);
+	catch_up(gateway, now_us);
+	if (gateway->reading == COMET_DIRECTORY_FOLLOWS && news->position <= gateway->position)
+		gateway->directory->ops->followed(gateway->directory);
+}
+
+static void
+set_reading(struct comet_gateway *gateway, enum comet_directory_reading reading)
+{
+	if (reading == gateway->reading)
+		return;
+	comet_log(COMET_LOG_NOTICE, "event=directory_reading how=%s before=%s",
+		reading_name(reading), reading_name(gateway->reading));
+	gateway->reading = reading;
+	gateway->directory->ops->set_reading(gateway->directory, reading);
+}
+
+void
+comet_gateway_tick_news(struct comet_gateway *gateway, uint64_t now_us)
+{
+	struct comet_readers_sight sight = {
+		.listed = gateway->listed && gateway->table != NULL,
+		.leaving = gateway->stop_us != 0,
+		.position = gateway->position,
+	};
+
+	comet_views_count_near(gateway->views, now_us, &sight.zone_vms, &sight.better);
+	set_reading(gateway, comet_readers_decide(gateway->readers, &sight, now_us));
+	if (now_us - gateway->news_us >= NEWS_US)
+		comet_gateway_tell_news(gateway, now_us);
+	catch_up(gateway, now_us);
+}
--- a/libcometspindle/adapters/gateway/gateway_pages.c
+++ b/libcometspindle/adapters/gateway/gateway_pages.c
@@ -10,6 +10,11 @@
  * another VM can be asked. */
 #define COPIES_MAX 3
 
+/* The same for what has changed, if it is no larger than so many bytes: a VM that reads for its
+ * zone is asked for it by all VMs there at once. */
+#define CHANGES_MAX 256
+#define CHANGES_BYTES_MAX (64 * 1024)
+
 #define METRICS_PATH "/metrics"
 
 const char *
@@ -42,12 +47,29 @@
 	(void)request;
 }
 
+/* What another VM asks for: what has changed after a position, or a copy of everything. */
+static GBytes *
+copy_for(struct comet_gateway *gateway, const char *after)
+{
+	const struct comet_directory_ops *ops = gateway->directory->ops;
+	uint32_t open = (uint32_t)comet_front_counts(gateway->control)->connections;
+	guint64 position = 0;
+	GBytes *copy = NULL;
+
+	if (after != NULL && open <= CHANGES_MAX &&
+		g_ascii_string_to_unsigned(after, 10, 1, G_MAXUINT64, &position, NULL))
+		copy = ops->changes(gateway->directory, position);
+	if (copy == NULL && open <= COPIES_MAX)
+		copy = ops->snapshot(gateway->directory);
+	if (copy != NULL && open > COPIES_MAX && g_bytes_get_size(copy) > CHANGES_BYTES_MAX)
+		g_clear_pointer(&copy, g_bytes_unref);
+	return copy;
+}
+
 static void
-answer_copy(struct comet_gateway *gateway, struct comet_front_request *request)
+answer_copy(struct comet_gateway *gateway, struct comet_front_request *request, const char *after)
 {
-	GBytes *copy = comet_front_counts(gateway->control)->connections > COPIES_MAX
-			       ? NULL
-			       : gateway->directory->ops->snapshot(gateway->directory);
+	GBytes *copy = copy_for(gateway, after);
 	gsize length = 0;
 
 	/* A connection kept by one that has its copy would count as a copy for four seconds: on
@@ -71,7 +93,9 @@
 	const char *target = request->head->target;
 
 	if (strcmp(target, COMET_GATEWAY_COPY_PATH) == 0)
-		answer_copy(ctx, request);
+		answer_copy(ctx, request, NULL);
+	else if (g_str_has_prefix(target, COMET_GATEWAY_CHANGES_PATH))
+		answer_copy(ctx, request, target + strlen(COMET_GATEWAY_CHANGES_PATH));
 	else if (strcmp(target, METRICS_PATH) == 0)
 		comet_gateway_answer_metrics(ctx, request);
 	else
--- a/libcometspindle/adapters/gateway/gateway_private.h
+++ b/libcometspindle/adapters/gateway/gateway_private.h
@@ -11,10 +11,12 @@
 #include <libcometspindle/adapters/peers/view_link.h>
 #include <libcometspindle/draw.h>
 #include <libcometspindle/gateway/charges.h>
+#include <libcometspindle/gateway/directory.h>
 #include <libcometspindle/gateway/crashes.h>
 #include <libcometspindle/gateway/grants.h>
 #include <libcometspindle/gateway/lives.h>
 #include <libcometspindle/gateway/placement.h>
+#include <libcometspindle/gateway/readers.h>
 #include <libcometspindle/gateway/views.h>
 #include <libcometspindle/latency.h>
 #include <libcometspindle/tally.h>
@@ -40,11 +42,12 @@
 	uint64_t refused_team;     /**< over the team's limit */
 	uint64_t refused_crashing; /**< for good: it crashes endpoints */
 	uint64_t refused_other;
-	uint64_t failed;           /**< may have run */
-	uint64_t cut;              /**< an answer that could not be completed */
-	uint64_t left;             /**< the caller left */
-	uint64_t directory_losses; /**< times at which it stopped answering */
-	uint64_t unreadable;       /**< items of the directory */
+	uint64_t failed; /**< may have run */
+	uint64_t cut;    /**< an answer that could not be completed */
+	uint64_t left;   /**< the caller left */
+	uint64_t directory_calls[COMET_DIRECTORY_CALLS]; /**< by their ends */
+	uint64_t directory_losses;                       /**< times at which it stopped answering */
+	uint64_t unreadable;                             /**< items of the directory */
 };
 
 /** Times of answers, by kind of route. */
@@ -80,6 +83,9 @@
 	struct comet_timer *asks_timer; /**< looks at open asks; NULL: there is none */
 	struct comet_charges *charges;
 	struct comet_timer *charges_timer; /**< looks at open charges; NULL: there is none */
+	struct comet_readers *readers;
+	enum comet_directory_reading reading; /**< whether this VM reads the directory itself */
+	uint64_t news_us;                     /**< when it last told news; 0: never */
 	struct comet_view_link *link;
 	struct comet_route_table *table; /**< NULL until one has been read */
 	struct comet_gateway_counts counts;
@@ -151,6 +157,25 @@
 /** Where another VM hands out its copy of the directory, on its control address. */
 #define COMET_GATEWAY_COPY_PATH "/v1/directory"
 
+/** The same, followed by a position: what has changed after it. */
+#define COMET_GATEWAY_CHANGES_PATH COMET_GATEWAY_COPY_PATH "?after="
+
+/** Reads from another VM what has changed, unless something is being read (gateway_copy.c). */
+void
+comet_gateway_ask_changes(struct comet_gateway *gateway, uint32_t vm);
+
+/** Decides whether this VM reads the directory, and tells those who follow it (gateway_news.c). */
+void
+comet_gateway_tick_news(struct comet_gateway *gateway, uint64_t now_us);
+
+/** This VM has read on: tells those who follow it at once. */
+void
+comet_gateway_tell_news(struct comet_gateway *gateway, uint64_t now_us);
+
+/** A VM that reads for others has told how far. */
+void
+comet_gateway_take_news(struct comet_gateway *gateway, const comet_News *news, uint64_t now_us);
+
 /** Asks the directory anew, or another VM for its copy, if that VM has known more for long
  * (gateway_copy.c). */
 void
--- a/libcometspindle/gateway/directory.h
+++ b/libcometspindle/gateway/directory.h
@@ -53,6 +53,17 @@
 				 the item before stays in force */
 };
 
+/** What a call to the directory was, by its end. */
+enum comet_directory_call
+{
+	COMET_DIRECTORY_CALL_PAGE,    /**< of a list: at a start, or after a loss of history */
+	COMET_DIRECTORY_CALL_NEWS,    /**< a wait that something new ended */
+	COMET_DIRECTORY_CALL_NO_NEWS, /**< a wait that ended without */
+	COMET_DIRECTORY_CALL_FAILED,  /**< refused, or not answered */
+};
+
+#define COMET_DIRECTORY_CALLS (COMET_DIRECTORY_CALL_FAILED + 1)
+
 struct comet_directory_events
 {
 	/** A newer routing document; the reference passes to the callee. */
@@ -68,12 +79,22 @@
 	void (*revision)(void *ctx, uint64_t position);
 	/** Another history of the directory is read from now on. */
 	void (*era)(void *ctx, uint64_t era, uint64_t before);
+	/** A call has ended; told each time. */
+	void (*called)(void *ctx, enum comet_directory_call call);
 	/** It has answered a call; told each time. */
 	void (*answered)(void *ctx);
 	/** The directory answers again (there), or does not. */
 	void (*dependency)(void *ctx, bool there, const char *why);
 };
 
+/** Whether a VM reads the directory itself. */
+enum comet_directory_reading
+{
+	COMET_DIRECTORY_READS,            /**< for itself */
+	COMET_DIRECTORY_READS_FOR_OTHERS, /**< and tells other VMs at once */
+	COMET_DIRECTORY_FOLLOWS,          /**< others tell it */
+};
+
 struct comet_directory;
 
 struct comet_directory_ops
@@ -85,9 +106,17 @@
 	/** Another VM has read more for so long: a call that has waited for news as long is lost,
 	 * and is made anew. @return whether there was one */
 	bool (*overtaken)(struct comet_directory *directory, uint64_t for_us);
+	/** Reads from now on in another way. */
+	void (*set_reading)(
+		struct comet_directory *directory, enum comet_directory_reading reading);
+	/** What it knows is that of a VM which the directory answers. */
+	void (*followed)(struct comet_directory *directory);
+	/** What has changed after a position, for another VM that knows all up to there; NULL when
+	 * that is not known any more: a copy has to do. */
+	GBytes *(*changes)(struct comet_directory *directory, uint64_t after);
 	/** A copy of what is known, for another VM; NULL when nothing is. */
 	GBytes *(*snapshot)(struct comet_directory *directory);
-	/** A copy from another VM: taken if it is newer. */
+	/** A copy from another VM, or changes: taken if they are newer. */
 	gboolean (*offer)(
 		struct comet_directory *directory, const char *data, size_t length, GError **error);
 };
--- a/libcometspindle/gateway/views.h
+++ b/libcometspindle/gateway/views.h
@@ -86,6 +86,20 @@
 void
 comet_views_freed(struct comet_views *views, uint32_t address, uint32_t instance_key);
 
+/** The VMs of the own zone that are heard, this one included, and how many of them are better
+ * suited than this one to do something for all of them. */
+void
+comet_views_count_near(
+	const struct comet_views *views, uint64_t now_us, uint32_t *heard, uint32_t *better);
+
+/** @return whether a VM is heard, in the own zone. */
+bool
+comet_views_hears_near(const struct comet_views *views, uint32_t address);
+
+/** Sends a datagram to the VMs of the own zone that are heard. */
+void
+comet_views_send_near(struct comet_views *views, const uint8_t *data, size_t length);
+
 /** Sends what is due; call some tens of times a second. */
 void
 comet_views_tick(struct comet_views *views, uint64_t now_us);
--- a/libcometspindle/gateway/views_keepers.c
+++ b/libcometspindle/gateway/views_keepers.c
@@ -113,3 +113,37 @@
 	}
 	return best;
 }
+
+void
+comet_views_count_near(
+	const struct comet_views *views, uint64_t now_us, uint32_t *heard, uint32_t *better)
+{
+	struct suitability self = suitability_of(
+		views->address, views->began_us, true, views->cpu_percent, views->zone, now_us);
+	GHashTableIter at;
+	gpointer value = NULL;
+
+	*heard = 1;
+	*better = 0;
+	g_hash_table_iter_init(&at, views->peers);
+	while (g_hash_table_iter_next(&at, NULL, &value))
+	{
+		const struct comet_views_peer *peer = value;
+		if (!comet_views_is_there(peer) || !comet_views_is_near(views, peer) ||
+			peer->leaving)
+			continue;
+		struct suitability one = suitability_of(peer->address, peer->began_us, true,
+			peer->cpu_percent, views->zone, now_us);
+		(*heard)++;
+		*better += is_better(&one, &self) ? 1 : 0;
+	}
+}
+
+bool
+comet_views_hears_near(const struct comet_views *views, uint32_t address)
+{
+	const struct comet_views_peer *peer =
+		g_hash_table_lookup(views->peers, GUINT_TO_POINTER(address));
+
+	return peer != NULL && comet_views_is_there(peer) && comet_views_is_near(views, peer);
+}
--- a/libcometspindle/gateway/views_rounds.c
+++ b/libcometspindle/gateway/views_rounds.c
@@ -330,27 +330,42 @@
 	return pass_on == PASS_ON_ALL || pass_on == (odd ? PASS_ON_ODD : PASS_ON_EVEN);
 }
 
-void
-comet_views_pass_on(struct comet_views *views, const comet_View *view)
+/* Sends a datagram to VMs of the own zone. */
+static void
+send_near(struct comet_views *views, uint32_t pass_on, const uint8_t *data, size_t length)
 {
-	uint8_t data[COMET_DATAGRAM_BYTES_MAX];
 	GHashTableIter at;
 	gpointer value = NULL;
 
-	views->scratch.which_body = comet_Datagram_view_tag;
-	views->scratch.body.view = *view;
-	views->scratch.body.view.pass_on = PASS_ON_NONE;
-	size_t length = comet_datagram_encode(&views->scratch, data);
 	g_hash_table_iter_init(&at, views->peers);
-	while (length > 0 && g_hash_table_iter_next(&at, NULL, &value))
+	while (g_hash_table_iter_next(&at, NULL, &value))
 	{
 		const struct comet_views_peer *peer = value;
 		if (comet_views_is_there(peer) && comet_views_is_near(views, peer) &&
-			is_passed_on_to(view->pass_on, peer->address))
+			is_passed_on_to(pass_on, peer->address))
 			views->ops->send(views->ctx, peer->address, data, length);
 	}
 }
 
+void
+comet_views_send_near(struct comet_views *views, const uint8_t *data, size_t length)
+{
+	send_near(views, PASS_ON_ALL, data, length);
+}
+
+void
+comet_views_pass_on(struct comet_views *views, const comet_View *view)
+{
+	uint8_t data[COMET_DATAGRAM_BYTES_MAX];
+
+	views->scratch.which_body = comet_Datagram_view_tag;
+	views->scratch.body.view = *view;
+	views->scratch.body.view.pass_on = PASS_ON_NONE;
+	size_t length = comet_datagram_encode(&views->scratch, data);
+	if (length > 0)
+		send_near(views, view->pass_on, data, length);
+}
+
 void
 comet_views_send_round(struct comet_views *views, bool far, uint64_t now_us)
 {
--- a/libcometspindle/proto/view.pb.c
+++ b/libcometspindle/proto/view.pb.c
@@ -36,6 +36,9 @@
 PB_BIND(comet_ChargeReturned, comet_ChargeReturned, AUTO)
 
 
+PB_BIND(comet_News, comet_News, AUTO)
+
+
 PB_BIND(comet_Datagram, comet_Datagram, 2)
 
 
--- a/tests/unit/test_platform.cc
+++ b/tests/unit/test_platform.cc
@@ -218,6 +218,61 @@
 	EXPECT_EQ(runs, 720U * 7 * 7);
 }
 
+/* What a VM that reads for others hands out is what a watch would have answered. */
+TEST(Catalog, ChangesAreTakenInOrderAndNothingIsLeftOut)
+{
+	told told;
+	comet_catalog *reader = comet_catalog_create(nullptr, &told_events, &told);
+	comet_store_item items[] = {put("a", "1", 1), put("b", "1", 2), put("c", "1", 3)};
+	comet_store_item later[] = {put("a", "2", 4), put("b", nullptr, 5)};
+	auto read = [](comet_catalog *catalog, comet_store_item *list, size_t count, uint64_t to)
+	{
+		comet_catalog_list_begin(catalog);
+		comet_catalog_take(catalog, list, count, false);
+		comet_catalog_list_end(catalog, to, false);
+	};
+	EXPECT_EQ(comet_catalog_changes(reader, 3, 0), nullptr) << "nothing was read";
+	read(reader, items, 3, 3);
+	comet_catalog_take(reader, later, 2, false);
+	told.lines.clear();
+
+	struct follower
+	{
+		comet_catalog *catalog;
+		bool taken;
+	} follower = {comet_catalog_create(nullptr, &told_events, &told), false};
+	auto take = [](void *ctx, const comet_store_answer *answer)
+	{
+		auto *one = static_cast<struct follower *>(ctx);
+		EXPECT_TRUE(answer->is_changes);
+		one->taken = comet_catalog_take_changes(one->catalog, answer, answer->out_ms != 0);
+	};
+	auto offer = [&](uint64_t after, uint64_t out_ms)
+	{
+		GBytes *changes = comet_catalog_changes(reader, after, out_ms);
+		gsize length = 0;
+		const char *text = (const char *)g_bytes_get_data(changes, &length);
+		EXPECT_TRUE(comet_store_parse(text, length, take, &follower, nullptr));
+		g_bytes_unref(changes);
+		return follower.taken;
+	};
+	EXPECT_FALSE(offer(3, 0)) << "it knows nothing before them";
+	read(follower.catalog, items, 3, 3);
+	told.lines.clear();
+	EXPECT_FALSE(offer(4, 0)) << "one before them is missing";
+	EXPECT_TRUE(told.lines.empty());
+	EXPECT_TRUE(offer(3, 40));
+	std::sort(told.lines.begin(), told.lines.end());
+	std::vector<std::string> expected = {"put a=2", "removed b?"};
+	EXPECT_EQ(told.lines, expected);
+	EXPECT_EQ(comet_catalog_position(follower.catalog), comet_catalog_position(reader));
+	EXPECT_FALSE(offer(3, 0)) << "they are not newer";
+	comet_catalog_begin_era(reader, 1); /* the name of what was read all along */
+	EXPECT_EQ(comet_catalog_changes(reader, 3, 0), nullptr) << "of another era";
+	talloc_free(reader);
+	talloc_free(follower.catalog);
+}
+
 TEST(Catalog, AListDropsWhatItDoesNotNameUnlessThatIsNewer)
 {
 	told told;
