A keeper tells how long a rank waits there, and what would wait in vain is refused at once

Cause: a VM of hundreds has one or two requests waiting, from which it cannot tell the pace of their rank. Change: the keeper, where all of them wait, tells the wait by the pace at which the rank gets slots there; a request whose caller would leave before is refused at once, told when to come back, drawn apart by a quarter.

--- a/libcometspindle/adapters/gateway/gateway_grants.c
+++ b/libcometspindle/adapters/gateway/gateway_grants.c
@@ -102,6 +102,14 @@
 	comet_placement_run(gateway->placement, now_us);
 }
 
+static void
+on_waits(void *ctx, struct comet_placement_item *item, uint64_t expected_us)
+{
+	struct comet_gateway *gateway = ctx;
+
+	comet_placement_expected(gateway->placement, item, expected_us, comet_timers_now_us());
+}
+
 static void
 on_waited(void *ctx, struct comet_placement_item *item)
 {
@@ -146,7 +154,7 @@
 
 /* Chooses an endpoint for another VM's request, now or when a slot comes free. */
 static uint32_t
-choose_for(void *ctx, const comet_SlotAsk *ask, bool *waits)
+choose_for(void *ctx, const comet_SlotAsk *ask, struct comet_placement_wait *wait)
 {
 	struct comet_gateway *gateway = ctx;
 	uint64_t now_us = comet_timers_now_us();
@@ -171,7 +179,7 @@
 		.wait_us = (uint64_t)ask->wait_ms * 1000,
 	};
 	const struct comet_instance *instance =
-		comet_placement_choose_for(gateway->placement, &wanted, now_us, waits);
+		comet_placement_choose_for(gateway->placement, &wanted, now_us, wait);
 
 	gateway->counts.answered++;
 	if (instance == NULL)
@@ -224,6 +232,7 @@
 	.send = send_datagram,
 	.granted = on_granted,
 	.denied = on_denied,
+	.waits = on_waits,
 	.waited = on_waited,
 	.unanswered = on_unanswered,
 	.choose = choose_for,
--- a/libcometspindle/gateway/grants.c
+++ b/libcometspindle/gateway/grants.c
@@ -156,6 +156,8 @@
 	{
 		found->waits = true;
 		found->ask.most_us += found->wait_us;
+		grants->ops->waits(
+			grants->ctx, found->ask.owner, (uint64_t)answer->expected_ms * 1000);
 		return;
 	}
 	struct open_ask open = *found;
@@ -168,7 +170,7 @@
 
 static void
 send_answer(struct comet_grants *grants, uint32_t asker, uint64_t number, uint32_t instance_key,
-	bool waits)
+	const struct comet_placement_wait *wait)
 {
 	comet_Datagram datagram = {
 		.which_body = comet_Datagram_answer_tag,
@@ -177,7 +179,8 @@
 				.keeper = grants->address,
 				.number = number,
 				.instance = instance_key,
-				.waits = waits,
+				.waits = wait->waits,
+				.expected_ms = (uint32_t)MIN(wait->expected_us / 1000, UINT32_MAX),
 			},
 	};
 
@@ -188,16 +191,18 @@
 comet_grants_grant(
 	struct comet_grants *grants, uint32_t asker, uint64_t number, uint32_t instance_key)
 {
-	send_answer(grants, asker, number, instance_key, false);
+	static const struct comet_placement_wait no_wait = {0};
+
+	send_answer(grants, asker, number, instance_key, &no_wait);
 }
 
 static void
 answer_ask(struct comet_grants *grants, const comet_SlotAsk *ask)
 {
-	bool waits = false;
-	uint32_t instance_key = grants->ops->choose(grants->ctx, ask, &waits);
+	struct comet_placement_wait wait = {0};
+	uint32_t instance_key = grants->ops->choose(grants->ctx, ask, &wait);
 
-	send_answer(grants, ask->asker, ask->number, instance_key, waits);
+	send_answer(grants, ask->asker, ask->number, instance_key, &wait);
 }
 
 void
--- a/libcometspindle/gateway/grants.h
+++ b/libcometspindle/gateway/grants.h
@@ -27,13 +27,14 @@
 	/** Asker: nothing in the shard has room at this level. */
 	void (*denied)(
 		void *ctx, struct comet_placement_item *item, uint32_t shard, uint32_t beyond);
+	/** Asker: it waits at the keeper, as long as is told. */
+	void (*waits)(void *ctx, struct comet_placement_item *item, uint64_t expected_us);
 	/** Asker: it has waited at the keeper for as long as it was to. */
 	void (*waited)(void *ctx, struct comet_placement_item *item);
 	/** Asker: the keeper did not answer in time. */
 	void (*unanswered)(void *ctx, struct comet_placement_item *item, uint32_t keeper);
-	/** Keeper: chooses for another VM. @return the instance's key, or 0; waits: granted later
-	 */
-	uint32_t (*choose)(void *ctx, const comet_SlotAsk *ask, bool *waits);
+	/** Keeper: chooses for another VM. @return the instance's key, or 0. */
+	uint32_t (*choose)(void *ctx, const comet_SlotAsk *ask, struct comet_placement_wait *wait);
 	/** Keeper: another VM has left a slot that it was granted. */
 	void (*freed)(void *ctx, const comet_SlotFreed *freed);
 };
--- a/libcometspindle/gateway/placement.c
+++ b/libcometspindle/gateway/placement.c
@@ -13,6 +13,9 @@
 #define RETRY_AFTER_MIN_MS 100
 #define RETRY_AFTER_MAX_MS 5000
 
+/* Part of that time by which callers are drawn apart. */
+#define RETRY_SPREAD 0.25
+
 /* A keeper that had no room is asked again after about this time (half of it or half more, drawn):
  * while much waits in many VMs, one of them then asks every few milliseconds. */
 #define DENIED_US 100000
@@ -48,10 +51,14 @@
 	return placement;
 }
 
+/* Drawn, so that callers who were refused together do not come back together. */
 static uint32_t
-retry_after_ms(uint64_t wait_us)
+retry_after_ms(struct comet_placement *placement, uint64_t wait_us)
 {
-	return (uint32_t)CLAMP(wait_us / 1000, RETRY_AFTER_MIN_MS, RETRY_AFTER_MAX_MS);
+	double spread = 1 + RETRY_SPREAD * (2 * comet_draw_unit(&placement->choice.draw) - 1);
+	double wait_ms = CLAMP((double)wait_us / 1000, RETRY_AFTER_MIN_MS, RETRY_AFTER_MAX_MS);
+
+	return (uint32_t)(wait_ms * spread);
 }
 
 bool
@@ -131,7 +138,7 @@
 			continue;
 		}
 		forget_ask(placement, item);
-		placement->ops->refuse(placement->ctx, item, retry_after_ms(wait_us));
+		placement->ops->refuse(placement->ctx, item, retry_after_ms(placement, wait_us));
 	}
 }
 
@@ -150,7 +157,7 @@
 		comet_placement_take_out(placement, item);
 		forget_ask(placement, item);
 		uint64_t wait_us = comet_placement_wait_us(placement, item, now_us);
-		placement->ops->refuse(placement->ctx, item, retry_after_ms(wait_us));
+		placement->ops->refuse(placement->ctx, item, retry_after_ms(placement, wait_us));
 	}
 }
 
@@ -260,7 +267,7 @@
 		hopeless = item->n_tried > 0 || item->latest_us <= now_us;
 	}
 	if (hopeless)
-		placement->ops->refuse(placement->ctx, item, retry_after_ms(wait_us));
+		placement->ops->refuse(placement->ctx, item, retry_after_ms(placement, wait_us));
 	else
 		comet_placement_enqueue(queue, item, now_us);
 	return !hopeless;
@@ -359,6 +366,20 @@
 	look_again(placement, item, now_us);
 }
 
+/* A VM of hundreds has one or two requests waiting, which tell it nothing of the pace at which
+ * their rank is served; the keeper sees it. Held to the end of their callers' patience, three in
+ * four of those that were refused in a burst had waited two seconds for it. */
+void
+comet_placement_expected(struct comet_placement *placement, struct comet_placement_item *item,
+	uint64_t expected_us, uint64_t now_us)
+{
+	if (!item->asking || item->place == NULL || now_us + expected_us <= item->latest_us)
+		return;
+	comet_placement_take_out(placement, item);
+	forget_ask(placement, item);
+	placement->ops->refuse(placement->ctx, item, retry_after_ms(placement, expected_us));
+}
+
 void
 comet_placement_waited(
 	struct comet_placement *placement, struct comet_placement_item *item, uint64_t now_us)
@@ -385,11 +406,11 @@
 
 struct comet_instance *
 comet_placement_choose_for(struct comet_placement *placement, const struct comet_placement_ask *ask,
-	uint64_t now_us, bool *waits)
+	uint64_t now_us, struct comet_placement_wait *wait)
 {
-	struct comet_instance *best = comet_placement_admit_guest(placement, ask, now_us, waits);
+	struct comet_instance *best = comet_placement_admit_guest(placement, ask, now_us, wait);
 
-	if (*waits)
+	if (wait->waits)
 		comet_placement_run(placement, now_us); /* what others cannot use may do for it */
 	return best;
 }
--- a/libcometspindle/gateway/placement.h
+++ b/libcometspindle/gateway/placement.h
@@ -46,6 +46,11 @@
 comet_placement_denied(struct comet_placement *placement, struct comet_placement_item *item,
 	uint32_t shard, uint32_t beyond, uint64_t now_us);
 
+/** It waits at the keeper, and would do so for about that time. */
+void
+comet_placement_expected(struct comet_placement *placement, struct comet_placement_item *item,
+	uint64_t expected_us, uint64_t now_us);
+
 /** It has waited at the keeper for as long as it was to, and no slot came free for it. */
 void
 comet_placement_waited(
@@ -62,11 +67,11 @@
 
 /**
  * Chooses, as keeper, for a request of another VM.
- * @return NULL when nothing has room; waits: it is granted a slot later, or forgotten after wait_us
+ * @return NULL when nothing has room
  */
 struct comet_instance *
 comet_placement_choose_for(struct comet_placement *placement, const struct comet_placement_ask *ask,
-	uint64_t now_us, bool *waits);
+	uint64_t now_us, struct comet_placement_wait *wait);
 
 /** @return whether there is an instance that the item was not sent to yet. */
 bool
--- a/libcometspindle/gateway/placement_guests.c
+++ b/libcometspindle/gateway/placement_guests.c
@@ -89,14 +89,31 @@
 	return guest;
 }
 
+/* How fast guests of a rank get slots here. */
+static struct comet_flow *
+flow_of(struct comet_placement_queue *queue, const struct comet_placement_guest *guest)
+{
+	uint32_t rank = MIN(comet_placement_rank(&guest->item), COMET_PLACEMENT_RANKS - 1);
+
+	return &queue->guest_flows[rank];
+}
+
+/* It waits here no more. */
+static void
+let_go(struct comet_placement_queue *queue, struct comet_placement_guest *guest)
+{
+	comet_flow_leave(flow_of(queue, guest));
+	g_sequence_remove(guest->item.place);
+}
+
 struct comet_instance *
 comet_placement_admit_guest(struct comet_placement *placement,
-	const struct comet_placement_ask *ask, uint64_t now_us, bool *waits)
+	const struct comet_placement_ask *ask, uint64_t now_us, struct comet_placement_wait *wait)
 {
 	const struct comet_shard *shard = comet_shards_find(placement->shards, ask->shard);
 	struct comet_instance *best = NULL;
 
-	*waits = false;
+	memset(wait, 0, sizeof *wait);
 	if (shard == NULL)
 		return NULL;
 	struct comet_placement_queue *queue = comet_placement_queue_of(placement, shard->service);
@@ -113,9 +130,11 @@
 		g_free(guest);
 		return best;
 	}
+	wait->waits = true;
+	wait->expected_us = (uint64_t)comet_flow_wait_us(flow_of(queue, guest), now_us);
+	comet_flow_enter(flow_of(queue, guest), now_us);
 	guest->item.place =
 		g_sequence_insert_sorted(queue->guests, guest, comet_placement_compare, NULL);
-	*waits = true;
 	return NULL;
 }
 
@@ -127,8 +146,11 @@
 
 	if (best == NULL)
 		return;
+	struct comet_placement_queue *queue =
+		comet_placement_queue_of(placement, guest->item.service);
 	placement->ops->grant(placement->ctx, &guest->ask, best);
-	g_sequence_remove(guest->item.place);
+	comet_flow_passed(flow_of(queue, guest), now_us);
+	let_go(queue, guest);
 }
 
 /* Its request cannot be in time any more: it goes behind those of its rank that can. */
@@ -155,7 +177,7 @@
 		struct comet_placement_guest *guest = g_sequence_get(at);
 		at = g_sequence_iter_next(at);
 		if (guest->item.latest_us <= now_us)
-			g_sequence_remove(guest->item.place); /* its VM asks elsewhere by now */
+			let_go(queue, guest); /* its VM asks elsewhere by now */
 		else if (!guest->item.late &&
 			 comet_placement_is_late(placement, &guest->item, 0, now_us))
 			demote(queue, guest);
--- a/libcometspindle/gateway/placement_item.h
+++ b/libcometspindle/gateway/placement_item.h
@@ -61,6 +61,13 @@
 	uint64_t wait_us; /**< it may wait so long for a slot; 0: an answer is wanted at once */
 };
 
+/** What a keeper that has no slot for a request says of its wait. */
+struct comet_placement_wait
+{
+	bool waits;           /**< it is granted a slot later, or forgotten after its wait_us */
+	uint64_t expected_us; /**< by the pace at which its rank gets slots there */
+};
+
 /** Who keeps count of a shard. */
 enum comet_placement_keeper
 {
--- a/libcometspindle/gateway/placement_state.h
+++ b/libcometspindle/gateway/placement_state.h
@@ -21,6 +21,8 @@
 	uint64_t aged_us;  /**< when it was last looked at what is late */
 	/** Of those that can be in time, and of the late. */
 	struct comet_flow flows[COMET_PLACEMENT_RANKS][2];
+	/** Of guests, by rank. */
+	struct comet_flow guest_flows[COMET_PLACEMENT_RANKS];
 };
 
 /** A request of another VM that waits here for a slot this VM keeps count of. */
@@ -106,11 +108,12 @@
 
 /**
  * Chooses, as keeper, for a request of another VM.
- * @return NULL when nothing has room; waits: it is a guest from now on, and the queue is to be run
+ * @return NULL when nothing has room; wait: whether it is a guest from now on, so that the queue is
+ * to be run
  */
 struct comet_instance *
 comet_placement_admit_guest(struct comet_placement *placement,
-	const struct comet_placement_ask *ask, uint64_t now_us, bool *waits);
+	const struct comet_placement_ask *ask, uint64_t now_us, struct comet_placement_wait *wait);
 
 /** Drops guests whose time is over, and puts late ones behind. */
 void
--- a/tests/unit/grants_fleet.h
+++ b/tests/unit/grants_fleet.h
@@ -86,7 +86,7 @@
 		static const comet_placement_ops placement_ops = {
 			on_dispatch, on_refuse, on_keeper, on_ask, on_forget, on_grant};
 		static const comet_grants_ops grants_ops = {on_send, on_granted, on_denied,
-			on_waited, on_unanswered, on_choose, on_freed};
+			on_waits, on_waited, on_unanswered, on_choose, on_freed};
 		comet_allowance_bounds bounds = {8000, 0, 0};
 		vm &one = vms[address];
 
@@ -187,6 +187,13 @@
 		comet_placement_run(one->placement, one->all->now_us);
 	}
 
+	static void
+	on_waits(void *ctx, comet_placement_item *item, uint64_t expected_us)
+	{
+		auto *one = static_cast<vm *>(ctx);
+		comet_placement_expected(one->placement, item, expected_us, one->all->now_us);
+	}
+
 	static void
 	on_waited(void *ctx, comet_placement_item *item)
 	{
@@ -212,7 +219,7 @@
 	}
 
 	static uint32_t
-	on_choose(void *ctx, const comet_SlotAsk *ask, bool *waits)
+	on_choose(void *ctx, const comet_SlotAsk *ask, comet_placement_wait *wait)
 	{
 		auto *one = static_cast<vm *>(ctx);
 		uint64_t now_us = one->all->now_us;
@@ -230,7 +237,7 @@
 		wanted.aim_us = ask->aim_ms > 0 ? now_us + ask->aim_ms * 1000 : 0;
 		wanted.wait_us = ask->wait_ms * 1000;
 		comet_instance *instance =
-			comet_placement_choose_for(one->placement, &wanted, now_us, waits);
+			comet_placement_choose_for(one->placement, &wanted, now_us, wait);
 		if (instance == nullptr)
 			return 0;
 		comet_views_granted(
--- a/tests/unit/test_gateway_grants.cc
+++ b/tests/unit/test_gateway_grants.cc
@@ -209,6 +209,7 @@
 		[](void *, uint32_t, const uint8_t *, size_t) {},
 		[](void *, comet_placement_item *, uint32_t, uint32_t) {},
 		[](void *, comet_placement_item *, uint32_t, uint32_t) {},
+		[](void *, comet_placement_item *, uint64_t) {},
 		[](void *, comet_placement_item *) {},
 		[](void *ctx, comet_placement_item *item, uint32_t keeper)
 		{
@@ -218,7 +219,7 @@
 			if (keeper < 4) /* some time has passed meanwhile */
 				comet_grants_ask(one->grants, item, keeper + 1, &ask, 1040100);
 		},
-		[](void *, const comet_SlotAsk *, bool *) { return 0U; },
+		[](void *, const comet_SlotAsk *, comet_placement_wait *) { return 0U; },
 		[](void *, const comet_SlotFreed *) {},
 	};
 	late_asker one;
@@ -262,7 +263,7 @@
 	comet_placement_item *item = all.submit(asker);
 	comet_Datagram forged = {};
 	forged.which_body = comet_Datagram_answer_tag;
-	forged.body.answer = {keeper, 1, other->key, false};
+	forged.body.answer = {keeper, 1, other->key, false, 0};
 	comet_grants_receive(all.vms[asker].grants, &forged);
 	all.deliver();
 	ASSERT_EQ(all.vms[asker].sent.count(item), 1U);
--- a/tests/unit/test_gateway_placement.cc
+++ b/tests/unit/test_gateway_placement.cc
@@ -263,21 +263,21 @@
 	comet_placement *keeper = comet_placement_create(instances, instances, &ops, this, 1);
 	comet_instance *one = add("i-1");
 	comet_placement_ask ask = {};
-	bool waits = false;
+	comet_placement_wait wait = {};
 	int waiting = 0;
 
 	grants = 0;
 	ask.job = {1000, 100, 100, true};
 	ask.wait_us = 1000ULL * UINT32_MAX;
-	comet_placement_choose_for(keeper, &ask, now_us, &waits); /* shards are formed */
-	EXPECT_FALSE(waits);
+	comet_placement_choose_for(keeper, &ask, now_us, &wait); /* shards are formed */
+	EXPECT_FALSE(wait.waits);
 	ask.shard = one->shard;
 	one->own = 2;
 	for (uint64_t number = 1; number <= 10000; number++)
 	{
 		ask.number = number;
-		EXPECT_EQ(comet_placement_choose_for(keeper, &ask, now_us, &waits), nullptr);
-		waiting += waits ? 1 : 0;
+		EXPECT_EQ(comet_placement_choose_for(keeper, &ask, now_us, &wait), nullptr);
+		waiting += wait.waits ? 1 : 0;
 	}
 	EXPECT_EQ(waiting, 8192);
 	now_us += 900000;
