--- a/tests/system/gateway_world.py
+++ b/tests/system/gateway_world.py
@@ -59,9 +59,14 @@
         if self.process.poll() is None:
             self.process.kill()
 
-    def end(self):
-        if self.process.poll() is None:
-            self.process.send_signal(signal.SIGTERM)
+    def stop(self):
+        self.process.send_signal(signal.SIGTERM)
+
+    def end(self, stopping=False):
+        """Waits for its end, which it is asked for once: a second signal may meet a process that handles none any
+        more."""
+        if self.process.poll() is None and not stopping:
+            self.stop()
         code = self.process.wait(30)
         self.log.seek(0)
         text = self.log.read().decode()
--- a/tests/system/test_readers.py
+++ b/tests/system/test_readers.py
@@ -59,9 +59,9 @@
     def end(self):
         living = [vm for vm in self.vms if vm.process.poll() is None]
         for vm in living:
-            vm.process.send_signal(signal.SIGTERM)
+            vm.stop()
         for vm in living:
-            vm.end()
+            vm.end(stopping=True)
 
 
 def test_two_read_and_all_know(zone):
