--- a/libcometspindle/adapters/clock.c
+++ b/libcometspindle/adapters/clock.c
@@ -5,24 +5,15 @@
 #include <libcometspindle/adapters/clock.h>
 
 #include <libcometspindle/adapters/timers.h>
+#include <libcometspindle/now.h>
 #include <tevent.h>
-#include <time.h>
-
-static uint64_t
-read_wall_ms(void)
-{
-	struct timespec now;
-
-	clock_gettime(CLOCK_REALTIME, &now);
-	return (uint64_t)now.tv_sec * 1000 + (uint64_t)now.tv_nsec / 1000000;
-}
 
 struct comet_time
 comet_clock_now(void)
 {
 	struct comet_time now = {
 		.mono_us = comet_timers_now_us(),
-		.wall_ms = read_wall_ms(),
+		.wall_ms = comet_now_us(CLOCK_REALTIME) / 1000,
 	};
 
 	return now;
--- a/libcometspindle/adapters/gateway/gateway.c
+++ b/libcometspindle/adapters/gateway/gateway.c
@@ -7,12 +7,12 @@
 #include <libcometspindle/adapters/socket.h>
 #include <libcometspindle/error.h>
 #include <libcometspindle/log.h>
+#include <libcometspindle/now.h>
 #include <netinet/in.h>
 #include <signal.h>
 #include <sodium.h>
 #include <string.h>
 #include <talloc.h>
-#include <time.h>
 
 /* How often waiting requests, views and silent VMs are looked at: half the shortest interval of
  * views. */
@@ -181,7 +181,8 @@
 	comet_views_count(gateway->views, &known, &heard);
 	set_vms(gateway, heard + 1, known + 1, now_us);
 	comet_gateway_tick_endpoints(gateway, now_us);
-	comet_gateway_tick_crashes(gateway, now_us);
+	comet_crashes_tick(gateway->crashes, now_us);
+	comet_relay_refuse_barred(gateway);
 	comet_placement_run(gateway->placement, now_us);
 	comet_gateway_tick_news(gateway, now_us);
 	comet_gateway_catch_up(gateway, now_us);
@@ -384,21 +385,11 @@
 	return gateway;
 }
 
-/* CLOCK_MONOTONIC in microseconds: it does not count suspension. */
-static uint64_t
-steady_now_us(void)
-{
-	struct timespec now;
-
-	clock_gettime(CLOCK_MONOTONIC, &now);
-	return (uint64_t)now.tv_sec * 1000000 + (uint64_t)now.tv_nsec / 1000;
-}
-
-/* For how long the VM was suspended since it started. */
+/* For how long the VM was suspended since it started: CLOCK_MONOTONIC does not count that. */
 static uint64_t
 suspended_us(uint64_t now_us)
 {
-	return now_us - MIN(steady_now_us(), now_us);
+	return now_us - MIN(comet_now_us(CLOCK_MONOTONIC), now_us);
 }
 
 /* The process did not run, whether it was stopped or its VM suspended. */
--- a/libcometspindle/adapters/gateway/gateway_admit.c
+++ b/libcometspindle/adapters/gateway/gateway_admit.c
@@ -213,8 +213,9 @@
 	return true;
 }
 
-void
-comet_relay_admit(struct comet_relay *relay, uint64_t now_us)
+/* It is charged: places it. */
+static void
+admit(struct comet_relay *relay, uint64_t now_us)
 {
 	struct comet_gateway *gateway = relay->gateway;
 
@@ -285,5 +286,5 @@
 		return;
 	}
 	read_job(relay);
-	comet_relay_charge(relay);
+	comet_relay_charge(relay, admit);
 }
--- a/libcometspindle/adapters/gateway/gateway_charges.c
+++ b/libcometspindle/adapters/gateway/gateway_charges.c
@@ -59,12 +59,6 @@
 	return comet_views_keeper_but(gateway->views, team_id, 0, is_mute, &query, now_us);
 }
 
-static struct comet_charge
-charge_of(const struct comet_relay *relay)
-{
-	return (struct comet_charge){relay->team->id, relay->route->priority, relay->charge};
-}
-
 static void
 refuse_over_limit(struct comet_relay *relay, uint32_t keeper, uint32_t wait_ms)
 {
@@ -81,6 +75,9 @@
 	comet_relay_answer(relay, 429, "team_limit", wait_ms);
 }
 
+static void
+charge(struct comet_relay *relay);
+
 static void
 on_decide_again(void *ctx)
 {
@@ -88,7 +85,7 @@
 
 	relay->undecided = NULL;
 	relay->keepers_asked = 0;
-	comet_relay_charge(relay);
+	charge(relay);
 }
 
 /* Decides by what this VM itself knows: as keeper of the account, or by views. */
@@ -104,7 +101,7 @@
 	if (wait_ms == 0)
 	{
 		relay->charged = true;
-		comet_relay_admit(relay, now_us);
+		relay->admitted(relay, now_us);
 	}
 	else if (wait)
 		relay->undecided = comet_timers_add(
@@ -113,15 +110,15 @@
 		refuse_over_limit(relay, 0, wait_ms);
 }
 
-void
-comet_relay_charge(struct comet_relay *relay)
+static void
+charge(struct comet_relay *relay)
 {
 	struct comet_gateway *gateway = relay->gateway;
 	uint64_t now_us = comet_timers_now_us();
 
 	if (relay->team == NULL || relay->team->rate_per_s == 0)
 	{
-		comet_relay_admit(relay, now_us);
+		relay->admitted(relay, now_us);
 		return;
 	}
 	uint32_t keeper = keeper_of(gateway, relay->team->id, now_us);
@@ -135,29 +132,21 @@
 		decide_here(relay, COMET_ALLOWANCE_KEPT, now_us);
 		return;
 	}
-	const struct comet_charge charge = charge_of(relay);
+	const struct comet_charge wanted = comet_relay_charge_of(relay);
 	relay->keepers_asked++;
 	gateway->counts.charges_asked++;
-	comet_charges_ask(gateway->charges, relay, keeper, &charge, now_us);
+	comet_charges_ask(gateway->charges, relay, keeper, &wanted, now_us);
 	if (gateway->charges_timer == NULL)
 		gateway->charges_timer = comet_timers_add(
 			gateway->timers, gateway, CHARGES_TICK_US, on_charges_tick, gateway);
 }
 
 void
-comet_relay_give_back_charge(struct comet_relay *relay)
+comet_relay_charge(
+	struct comet_relay *relay, void (*admitted)(struct comet_relay *relay, uint64_t now_us))
 {
-	struct comet_gateway *gateway = relay->gateway;
-
-	if (!relay->charged)
-		return;
-	relay->charged = false;
-	comet_allowance_give_back(
-		gateway->allowance, relay->team->id, relay->charge, comet_timers_now_us());
-	if (relay->charged_by == 0)
-		return;
-	const struct comet_charge charge = charge_of(relay);
-	comet_charges_return(gateway->charges, relay->charged_by, &charge);
+	relay->admitted = admitted;
+	charge(relay);
 }
 
 static void
@@ -183,7 +172,7 @@
 	comet_allowance_charged(gateway->allowance, relay->team->id, relay->charge, now_us);
 	relay->charged = true;
 	relay->charged_by = keeper;
-	comet_relay_admit(relay, now_us);
+	relay->admitted(relay, now_us);
 }
 
 static void
@@ -196,7 +185,7 @@
 	gateway->counts.charges_undecided++;
 	comet_log(COMET_LOG_INFO, "event=charge_undecided request=%s team=%s vm=%s", relay->id,
 		relay->team->name, comet_view_link_text(keeper, text));
-	comet_relay_charge(relay);
+	charge(relay);
 }
 
 static bool
--- a/libcometspindle/adapters/gateway/gateway_crashes.c
+++ b/libcometspindle/adapters/gateway/gateway_crashes.c
@@ -247,30 +247,3 @@
 		instance->heard_us != 0 ? (now_us - instance->heard_us) / 1000 : 0);
 	comet_crashes_life_ended(gateway->crashes, instance->key, instance->heard_us, now_us);
 }
-
-/* Answers those that wait for an endpoint and may not be sent to any more. */
-static void
-refuse_waiting(struct comet_gateway *gateway)
-{
-	GList *at = gateway->relays.head;
-
-	while (at != NULL)
-	{
-		struct comet_relay *relay = at->data;
-		at = at->next;
-		if (relay->sending != NULL || !comet_relay_is_barred(relay))
-			continue;
-		comet_relay_give_up(relay, 502, "crashes_endpoints");
-		at = gateway->relays.head; /* others may have ended with it */
-	}
-}
-
-void
-comet_gateway_tick_crashes(struct comet_gateway *gateway, uint64_t now_us)
-{
-	comet_crashes_tick(gateway->crashes, now_us);
-	if (!gateway->barred_anew)
-		return;
-	gateway->barred_anew = false;
-	refuse_waiting(gateway);
-}
--- a/libcometspindle/adapters/gateway/gateway_crashes.h
+++ b/libcometspindle/adapters/gateway/gateway_crashes.h
@@ -20,8 +20,4 @@
 comet_gateway_life_ended(
 	struct comet_gateway *gateway, const struct comet_instance *instance, const char *why);
 
-/** Looks what time has brought about, and refuses what was barred while it waited. */
-void
-comet_gateway_tick_crashes(struct comet_gateway *gateway, uint64_t now_us);
-
 #endif
--- a/libcometspindle/adapters/gateway/gateway_relay.c
+++ b/libcometspindle/adapters/gateway/gateway_relay.c
@@ -8,40 +8,6 @@
 #include <string.h>
 #include <talloc.h>
 
-bool
-comet_relay_is_stream(const struct comet_relay *relay)
-{
-	return relay->route->kind == COMET_ROUTE_STREAM;
-}
-
-struct comet_instance *
-comet_relay_instance(const struct comet_relay *relay)
-{
-	if (relay->instance == NULL)
-		return NULL;
-	struct comet_instance *instance =
-		comet_instances_find(relay->gateway->instances, relay->instance);
-	return instance != NULL && instance->born_ms == relay->born_ms ? instance : NULL;
-}
-
-bool
-comet_relay_was_measured(const struct comet_relay *relay)
-{
-	return relay->gateway->away_us < relay->sent_us;
-}
-
-uint32_t
-comet_relay_events(const struct comet_relay *relay)
-{
-	return relay->events != NULL ? comet_event_stream_count(relay->events) : 0;
-}
-
-uint64_t
-comet_relay_since_ms(uint64_t then_us, uint64_t now_us)
-{
-	return (now_us - then_us) / 1000;
-}
-
 /* Tells the keeper of the slot that it is free, and how fast a whole answer was. */
 static void
 release_slot(struct comet_relay *relay, enum comet_dispatch_result result, uint32_t events)
@@ -63,13 +29,6 @@
 	relay->item.keeper = 0;
 }
 
-bool
-comet_relay_is_barred(const struct comet_relay *relay)
-{
-	return relay->route != NULL &&
-	       comet_crashes_bars(relay->gateway->crashes, &relay->fingerprint);
-}
-
 /* Nothing that a run sent and that has not gone on to the caller outlives it: the next run's bytes
  * were put behind an event that a silent endpoint had left unfinished, and both went on as one
  * event. */
@@ -175,6 +134,23 @@
 	answer_error(relay, status, reason, retry_after_ms, headers, "");
 }
 
+/* It was not run: what it was charged comes back to its team. */
+static void
+give_back_charge(struct comet_relay *relay)
+{
+	struct comet_gateway *gateway = relay->gateway;
+
+	if (!relay->charged)
+		return;
+	relay->charged = false;
+	comet_allowance_give_back(
+		gateway->allowance, relay->team->id, relay->charge, comet_timers_now_us());
+	if (relay->charged_by == 0)
+		return;
+	const struct comet_charge charge = comet_relay_charge_of(relay);
+	comet_charges_return(gateway->charges, relay->charged_by, &charge);
+}
+
 /* 400 is what callers do not repeat. 503 asks them to come back, and after 502 some try once more
  * at once. */
 void
@@ -185,7 +161,7 @@
 		relay->id, relay->fingerprint.digest);
 	relay->gateway->counts.refused_crashing++;
 	if (!relay->may_have_run)
-		comet_relay_give_back_charge(relay);
+		give_back_charge(relay);
 	answer_error(relay, 400, "crashes_endpoints", 0, "Content-Type: text/plain\r\n",
 		"Endpoints crashed when they ran this request. It is not sent to any more.\n");
 }
@@ -208,7 +184,7 @@
 		return;
 	}
 	gateway->counts.refused_early++;
-	comet_relay_give_back_charge(relay);
+	give_back_charge(relay);
 	comet_relay_answer(relay, 503, reason, retry_after_ms);
 }
 
@@ -251,6 +227,23 @@
 	comet_relay_answer(relay, status, reason, 0);
 }
 
+void
+comet_relay_refuse_barred(struct comet_gateway *gateway)
+{
+	GList *at = gateway->barred_anew ? gateway->relays.head : NULL;
+
+	gateway->barred_anew = false;
+	while (at != NULL)
+	{
+		struct comet_relay *relay = at->data;
+		at = at->next;
+		if (relay->sending != NULL || !comet_relay_is_barred(relay))
+			continue;
+		comet_relay_give_up(relay, 502, "crashes_endpoints");
+		at = gateway->relays.head; /* others may have ended with it */
+	}
+}
+
 static void
 on_gone(void *ctx, struct comet_front_request *request)
 {
--- a/libcometspindle/adapters/gateway/gateway_relay.h
+++ b/libcometspindle/adapters/gateway/gateway_relay.h
@@ -34,7 +34,9 @@
 	GByteArray *answer;
 	struct comet_http_head *head; /* copy of the answer's head, or NULL */
 	uint64_t charge;              /* to its team, in the unit of its limit */
-	uint32_t keepers_asked;       /* to charge it */
+	/** Goes on with it once it is charged. */
+	void (*admitted)(struct comet_relay *relay, uint64_t now_us);
+	uint32_t keepers_asked; /* to charge it */
 	uint32_t charged_by; /* VM that keeps the team's account; 0: this one charged it itself */
 	uint64_t arrived_us;
 	uint64_t end_us; /* the caller waits no longer */
@@ -95,18 +97,19 @@
 void
 comet_relay_take(void *ctx, struct comet_front_request *request);
 
-/** Charges it to its team, here or at the VM that keeps the team's account, and admits or refuses
- * it then (gateway_charges.c). */
-void
-comet_relay_charge(struct comet_relay *relay);
+/** What it is to be charged, and to which team; not on an open route. */
+struct comet_charge
+comet_relay_charge_of(const struct comet_relay *relay);
 
-/** It was not run: what it was charged comes back to its team. */
+/** Charges it to its team, here or at the VM that keeps the team's account, and then goes on with
+ * admitted, or refuses it (gateway_charges.c). */
 void
-comet_relay_give_back_charge(struct comet_relay *relay);
+comet_relay_charge(
+	struct comet_relay *relay, void (*admitted)(struct comet_relay *relay, uint64_t now_us));
 
-/** It is charged: places it (gateway_admit.c). */
+/** Answers those that wait for an endpoint and may not be sent to any more, if some were barred. */
 void
-comet_relay_admit(struct comet_relay *relay, uint64_t now_us);
+comet_relay_refuse_barred(struct comet_gateway *gateway);
 
 /** Answers with an error of our own; retry_after_ms: 0 for none. Frees it. */
 void
--- a/libcometspindle/adapters/timers.c
+++ b/libcometspindle/adapters/timers.c
@@ -5,6 +5,7 @@
 #include <libcometspindle/adapters/timers.h>
 
 #include <glib.h>
+#include <libcometspindle/now.h>
 #include <sys/timerfd.h>
 #include <talloc.h>
 #include <time.h>
@@ -35,10 +36,7 @@
 uint64_t
 comet_timers_now_us(void)
 {
-	struct timespec now;
-
-	clock_gettime(COMET_CLOCK, &now);
-	return (uint64_t)now.tv_sec * 1000000 + (uint64_t)now.tv_nsec / 1000;
+	return comet_now_us(COMET_CLOCK);
 }
 
 static gint
--- a/libcometspindle/gateway/crashes.c
+++ b/libcometspindle/gateway/crashes.c
@@ -6,6 +6,7 @@
 
 #include <glib.h>
 #include <libcometspindle/gateway/life_set.h>
+#include <libcometspindle/gateway/suspects.h>
 #include <string.h>
 #include <talloc.h>
 
@@ -13,29 +14,6 @@
  * requests that two endpoints in a row left for reasons of their own. */
 #define CRASHES_MAX 3
 
-/* A run that ended without an answer is held against the end of its endpoint's life for this time:
- * a silent process is unlisted within four seconds, and an outage of the directory takes some more.
- */
-#define SUSPECT_US 15000000
-
-/* Within this time it is known whether the process of a run that broke off has crashed: three
- * missed heartbeats and a second for the news. */
-#define DOUBT_US 5000000
-
-/* Suspects at a time: ten times what breaks with one endpoint of a thousand requests a second. */
-#define SUSPECTS_MAX 1024
-
-/* And of one team: one whose callers leave by the hundred does not push out the others'. */
-#define TEAM_SUSPECTS_MAX 256
-
-/* Bytes that a process sent before it crashed may be read this long after the first of its
- * connections is seen to end. */
-#define HEARD_MARGIN_US 100000
-
-/* Lives that ended unplanned and are remembered, for runs whose end is noticed later: as many as
- * can crash within SUSPECT_US in a zone. */
-#define ENDED_MAX 256
-
 /* A request that was served within this time does not crash what runs it: one that many callers
  * send is under way wherever an endpoint dies. An engine that begins to crash under a request it
  * served before is found this much later. */
@@ -71,22 +49,6 @@
 	bool barred;
 };
 
-/* A run that ended without an answer. */
-struct suspect
-{
-	struct comet_fingerprint request;
-	uint32_t life;
-	uint64_t at_us;
-	bool cancelled; /* its caller left, while the process worked */
-};
-
-/* A life that ended unplanned. */
-struct ended
-{
-	uint32_t life;
-	uint64_t at_us;
-};
-
 /* A request that was served. */
 struct served
 {
@@ -99,9 +61,7 @@
 	const struct comet_crashes_ops *ops;
 	void *ctx;
 	GHashTable *records; /* fingerprint -> struct record */
-	GQueue suspects;     /* of struct suspect, oldest first */
-	struct ended ended[ENDED_MAX];
-	uint32_t next_ended;
+	struct comet_suspects *suspects;
 	uint64_t ticked_us;
 	uint32_t new_turn; /* where views go on with records that are new */
 	uint32_t old_turn; /* and with the others */
@@ -126,7 +86,6 @@
 crashes_destroy(struct comet_crashes *crashes)
 {
 	g_hash_table_destroy(crashes->records);
-	g_queue_clear_full(&crashes->suspects, g_free);
 	return 0;
 }
 
@@ -139,7 +98,7 @@
 	crashes->ctx = ctx;
 	crashes->records =
 		g_hash_table_new_full(hash_fingerprint, equal_fingerprints, NULL, g_free);
-	g_queue_init(&crashes->suspects);
+	crashes->suspects = comet_suspects_create(crashes);
 	talloc_set_destructor(crashes, crashes_destroy);
 	return crashes;
 }
@@ -347,113 +306,34 @@
 
 	if (sum == 0)
 		return false;
-	for (GList *at = crashes->suspects.tail; at != NULL; at = at->prev)
-	{
-		const struct suspect *suspect = at->data;
-		if (now_us - suspect->at_us > DOUBT_US)
-			break;
-		if (!suspect->cancelled && comet_fingerprint_equal(&suspect->request, request))
-			sum++;
-	}
-	return sum >= CRASHES_MAX;
-}
-
-/* Has this life ended unplanned, without a word since? */
-static bool
-has_ended(const struct comet_crashes *crashes, uint32_t life, uint64_t heard_us)
-{
-	for (size_t i = 0; i < ENDED_MAX; i++)
-	{
-		const struct ended *ended = &crashes->ended[i];
-		if (ended->life == life && heard_us <= ended->at_us)
-			return true;
-	}
-	return false;
-}
-
-/* Makes room for a suspect: the oldest goes, of the team itself if it has many. */
-static void
-make_room_for_suspect(struct comet_crashes *crashes, uint32_t team)
-{
-	GList *oldest_of_team = NULL;
-	uint32_t of_team = 0;
-
-	for (GList *at = crashes->suspects.tail; at != NULL; at = at->prev)
-	{
-		if (((const struct suspect *)at->data)->request.team != team)
-			continue;
-		oldest_of_team = at;
-		of_team++;
-	}
-	GList *out = NULL;
-	if (of_team >= TEAM_SUSPECTS_MAX)
-		out = oldest_of_team;
-	else if (crashes->suspects.length >= SUSPECTS_MAX)
-		out = crashes->suspects.head;
-	if (out == NULL)
-		return;
-	g_free(out->data);
-	g_queue_delete_link(&crashes->suspects, out);
+	return sum + comet_suspects_of(crashes->suspects, request, now_us) >= CRASHES_MAX;
 }
 
 void
 comet_crashes_suspect(
 	struct comet_crashes *crashes, const struct comet_crashes_run *run, uint64_t now_us)
 {
-	if (has_ended(crashes, run->life, run->heard_us))
-	{
+	if (comet_suspects_has_ended(crashes->suspects, run->life, run->heard_us))
 		blame(crashes, &run->request, run->life, now_us);
-		return;
-	}
-	make_room_for_suspect(crashes, run->request.team);
-	struct suspect *suspect = g_new0(struct suspect, 1);
-	suspect->request = run->request;
-	suspect->life = run->life;
-	suspect->at_us = now_us;
-	suspect->cancelled = run->cancelled;
-	g_queue_push_tail(&crashes->suspects, suspect);
-}
-
-/* Takes the suspects of a life out. @return them, oldest first */
-static GList *
-take_suspects(struct comet_crashes *crashes, uint32_t life)
-{
-	GList *taken = NULL;
-	GList *next = NULL;
-
-	for (GList *at = crashes->suspects.head; at != NULL; at = next)
-	{
-		struct suspect *suspect = at->data;
-		next = at->next;
-		if (suspect->life != life)
-			continue;
-		taken = g_list_prepend(taken, suspect);
-		g_queue_delete_link(&crashes->suspects, at);
-	}
-	return g_list_reverse(taken);
+	else
+		comet_suspects_add(crashes->suspects, run, now_us);
 }
 
 void
 comet_crashes_life_ended(
 	struct comet_crashes *crashes, uint32_t life, uint64_t heard_us, uint64_t now_us)
 {
-	GList *suspects = take_suspects(crashes, life);
+	GList *requests = comet_suspects_end(crashes->suspects, life, heard_us, now_us);
 
-	crashes->ended[crashes->next_ended++ % ENDED_MAX] =
-		(struct ended){.life = life, .at_us = now_us};
-	for (GList *at = suspects; at != NULL; at = at->next)
-	{
-		const struct suspect *suspect = at->data;
-		if (heard_us <= suspect->at_us + HEARD_MARGIN_US)
-			blame(crashes, &suspect->request, life, now_us);
-	}
-	g_list_free_full(suspects, g_free);
+	for (GList *at = requests; at != NULL; at = at->next)
+		blame(crashes, at->data, life, now_us);
+	g_list_free_full(requests, g_free);
 }
 
 void
 comet_crashes_life_left(struct comet_crashes *crashes, uint32_t life)
 {
-	g_list_free_full(take_suspects(crashes, life), g_free);
+	comet_suspects_forget(crashes->suspects, life);
 }
 
 void
@@ -473,16 +353,13 @@
 void
 comet_crashes_tick(struct comet_crashes *crashes, uint64_t now_us)
 {
-	const struct suspect *suspect = NULL;
 	GHashTableIter at;
 	gpointer value = NULL;
 
 	if (now_us - crashes->ticked_us < TICK_US)
 		return;
 	crashes->ticked_us = now_us;
-	while ((suspect = g_queue_peek_head(&crashes->suspects)) != NULL &&
-		now_us - suspect->at_us > SUSPECT_US)
-		g_free(g_queue_pop_head(&crashes->suspects));
+	comet_suspects_tick(crashes->suspects, now_us);
 	g_hash_table_iter_init(&at, crashes->records);
 	while (g_hash_table_iter_next(&at, NULL, &value))
 	{
@@ -573,7 +450,7 @@
 {
 	struct comet_crashes_counts counts = {
 		.records = g_hash_table_size(crashes->records),
-		.suspects = crashes->suspects.length,
+		.suspects = comet_suspects_count(crashes->suspects),
 	};
 	GHashTableIter at;
 	gpointer value = NULL;
--- /dev/null
+++ b/libcometspindle/gateway/suspects.h
@@ -0,0 +1,56 @@
+/*
+ * suspects.h
+ * runs that ended without an answer, until it is known whether their endpoint's process crashed
+ *
+ * A run may be seen to end before or after its process's life, so that both are kept for a while.
+ * No sockets and no clock in here.
+ */
+#ifndef COMETSPINDLE_GATEWAY_SUSPECTS_H
+#define COMETSPINDLE_GATEWAY_SUSPECTS_H
+
+#include <glib.h>
+#include <libcometspindle/gateway/crashes.h>
+#include <libcometspindle/gateway/fingerprint.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+struct comet_suspects;
+
+struct comet_suspects *
+comet_suspects_create(void *parent);
+
+/** A run ended without an answer. */
+void
+comet_suspects_add(
+	struct comet_suspects *suspects, const struct comet_crashes_run *run, uint64_t now_us);
+
+/** @return whether a life has ended unplanned, without a word since heard_us. */
+bool
+comet_suspects_has_ended(const struct comet_suspects *suspects, uint32_t life, uint64_t heard_us);
+
+/**
+ * A life has ended unplanned, which was heard last at heard_us.
+ * @return struct comet_fingerprint of the requests whose runs ended with it, oldest first, to be
+ * freed with g_list_free_full(list, g_free)
+ */
+GList *
+comet_suspects_end(
+	struct comet_suspects *suspects, uint32_t life, uint64_t heard_us, uint64_t now_us);
+
+/** A life has ended as planned. */
+void
+comet_suspects_forget(struct comet_suspects *suspects, uint32_t life);
+
+/** @return runs of a request whose process may just have crashed. */
+uint32_t
+comet_suspects_of(const struct comet_suspects *suspects, const struct comet_fingerprint *request,
+	uint64_t now_us);
+
+/** Forgets what is old. */
+void
+comet_suspects_tick(struct comet_suspects *suspects, uint64_t now_us);
+
+uint32_t
+comet_suspects_count(const struct comet_suspects *suspects);
+
+#endif
--- a/libcometspindle/log.c
+++ b/libcometspindle/log.c
@@ -5,6 +5,7 @@
 #include <libcometspindle/log.h>
 
 #include <libcometspindle/log_budget.h>
+#include <libcometspindle/now.h>
 #include <poll.h>
 #include <pthread.h>
 #include <stdarg.h>
@@ -29,15 +30,6 @@
 static pthread_mutex_t budget_lock = PTHREAD_MUTEX_INITIALIZER;
 static struct comet_log_budget budget;
 
-static uint64_t
-now_us(void)
-{
-	struct timespec now;
-
-	clock_gettime(CLOCK_BOOTTIME, &now);
-	return (uint64_t)now.tv_sec * 1000000 + (uint64_t)now.tv_nsec / 1000;
-}
-
 void
 comet_log_init(const char *program, enum comet_log_level threshold)
 {
@@ -62,7 +54,7 @@
 comet_log_set_budget(unsigned int lines_per_s)
 {
 	pthread_mutex_lock(&budget_lock);
-	comet_log_budget_init(&budget, lines_per_s, now_us());
+	comet_log_budget_init(&budget, lines_per_s, comet_now_us(CLOCK_BOOTTIME));
 	pthread_mutex_unlock(&budget_lock);
 }
 
@@ -108,7 +100,7 @@
 	char text[LINE_MAX_BYTES];
 
 	struct comet_log_budget before = budget;
-	if (comet_log_budget_summary(&budget, text, sizeof text, now_us()) &&
+	if (comet_log_budget_summary(&budget, text, sizeof text, comet_now_us(CLOCK_BOOTTIME)) &&
 		!write_line(COMET_LOG_WARNING, text))
 		budget = before; /* told with the next */
 }
@@ -128,7 +120,8 @@
 write_bounded(enum comet_log_level level, const char *text)
 {
 	pthread_mutex_lock(&budget_lock);
-	if (!comet_log_budget_take(&budget, level <= COMET_LOG_NOTICE, now_us()) ||
+	if (!comet_log_budget_take(
+		    &budget, level <= COMET_LOG_NOTICE, comet_now_us(CLOCK_BOOTTIME)) ||
 		!write_line(level, text))
 		comet_log_budget_leave_out(&budget, text);
 	write_summary();
