--- a/libcometspindle/adapters/gateway/gateway_admit.c
+++ b/libcometspindle/adapters/gateway/gateway_admit.c
@@ -23,8 +23,7 @@
 
 /* A VM that knows no routes yet asks to come back after this time: a start takes about as long.
  * Once the directory has left a call unanswered, an outage goes on, which lasts for seconds:
- * callers that may try once more would be refused again. Where all VMs restart in outages of three
- * and four seconds, 0.740 of requests were served with this time, 0.698 with half a second. */
+ * callers that may try once more would be refused again. */
 #define NOT_READY_RETRY_S "0.5"
 #define OUTAGE_RETRY_S "4"
 
--- a/libcometspindle/adapters/gateway/gateway_charges.c
+++ b/libcometspindle/adapters/gateway/gateway_charges.c
@@ -11,8 +11,7 @@
 
 /* A VM that has just started, and does not know yet how many others spend a team's limit, does not
  * refuse for that limit for this time, in which VMs usually find each other, but looks again so
- * often. After a restart of six VMs 120 requests were refused in 600 ms, each to come back a second
- * later. */
+ * often: after a restart of all, callers would be sent away for what nobody has decided. */
 #define UNDECIDED_US 400000
 #define DECIDE_AGAIN_US 50000
 
--- a/libcometspindle/adapters/gateway/gateway_copy.c
+++ b/libcometspindle/adapters/gateway/gateway_copy.c
@@ -88,8 +88,7 @@
 
 /* A call that was asked in an outage is never answered, though its connection stands. The directory
  * is asked anew once for what others claim to have read: what was made up is looked for no more.
- * Until then VMs of a fleet of 65 handled requests by routes over 3 s old, on 9 of 9 days with two
- * outages of 3 s. */
+ * Without it a VM handles requests by old routes until its watch is given up. */
 static bool
 asked_anew(struct comet_gateway *gateway, uint64_t now_us)
 {
--- a/libcometspindle/adapters/gateway/gateway_crashes.c
+++ b/libcometspindle/adapters/gateway/gateway_crashes.c
@@ -133,7 +133,7 @@
 }
 
 /* Looks whether the endpoint's process is still there. The directory tells of a crash after two to
- * four seconds, in which a request that comes four times a second crashes eight more. */
+ * four seconds, in which the same request may come again and crash others. */
 static void
 look_at(struct comet_gateway *gateway, const struct comet_instance *instance)
 {
--- a/libcometspindle/adapters/gateway/gateway_grants.c
+++ b/libcometspindle/adapters/gateway/gateway_grants.c
@@ -199,8 +199,7 @@
 }
 
 /* Takes another VM's word for how a slot's request ended. A keeper that did not know of crashed
- * endpoints went on granting their slots, which looked free: a quarter of them gone, requests were
- * sent to four in turn and refused after a second. */
+ * endpoints would go on granting their slots, which look free, to one VM after the other. */
 static void
 learn_result(struct comet_instance *instance, enum comet_dispatch_result result, uint64_t now_us)
 {
--- a/libcometspindle/adapters/gateway/gateway_pages.c
+++ b/libcometspindle/adapters/gateway/gateway_pages.c
@@ -72,10 +72,8 @@
 	GBytes *copy = copy_for(gateway, after);
 	gsize length = 0;
 
-	/* A connection kept by one that has its copy would count as a copy for four seconds: on
-	 * days in which the store turns VMs away 591 of 1,609 asks for a copy were refused so, 31
-	 * of 1,300 since.
-	 */
+	/* A connection kept by one that has its copy would count as a copy for four seconds, in
+	 * which others are refused theirs. */
 	comet_front_end_connection(request);
 	if (copy == NULL)
 	{
--- a/libcometspindle/adapters/gateway/gateway_relay.h
+++ b/libcometspindle/adapters/gateway/gateway_relay.h
@@ -69,7 +69,7 @@
 comet_relay_instance(const struct comet_relay *relay);
 
 /** Has this process run all the time since the sending? Else what passed is not the endpoint's
- * time: a VM that was suspended for 3 s took its endpoints for that much slower. */
+ * time: a VM that was suspended took its endpoints for slow. */
 bool
 comet_relay_was_measured(const struct comet_relay *relay);
 
--- a/libcometspindle/adapters/gateway/gateway_send.c
+++ b/libcometspindle/adapters/gateway/gateway_send.c
@@ -23,8 +23,8 @@
 
 	if (relay->may_have_run && !comet_route_repeatable(relay->route))
 		return false;
-	/* Endpoints that fall silent are known to have crashed seconds later: by then one request
-	 * was sent to three more. */
+	/* Endpoints that fall silent are known to have crashed seconds later, in which a request
+	 * would go on to others. */
 	if (comet_relay_is_barred(relay) ||
 		comet_crashes_doubts(gateway->crashes, &relay->fingerprint, now_us))
 		return false;
--- a/libcometspindle/gateway/allowance.c
+++ b/libcometspindle/gateway/allowance.c
@@ -24,8 +24,7 @@
 
 /* What others spend unseen is taken to be what this VM spends meanwhile, but of one request only so
  * many times its team's usual amount: sizes differ a hundredfold, and the others have not all just
- * sent as large a one. Counted whole, a request of 50,000 tokens refused its team for 100 ms on six
- * VMs, and for as long as it takes to find the others after a start. */
+ * sent as large a one, which would shut the team out until all have been told. */
 #define UNSEEN_TIMES_USUAL 2.0
 
 /* Weight of the newest request in a team's usual amount: about the last twenty count. */
--- a/libcometspindle/gateway/charges.h
+++ b/libcometspindle/gateway/charges.h
@@ -2,8 +2,8 @@
  * charges.h
  * requests charged to their teams by the VMs that keep the teams' accounts
  *
- * What hundreds of VMs tell each other of their spending is seconds old, and a team that sends six
- * times its rate spends its limit in two. So one VM keeps each team's account, and the others ask
+ * What hundreds of VMs tell each other of their spending is seconds old, in which a team that turns
+ * hot spends all of its limit. So one VM keeps each team's account, and the others ask
  * it before they send: one round trip a request, however many VMs there are. A charge that is not
  * answered in time is decided by what the asker itself knows. No sockets and no clock in here.
  */
--- a/libcometspindle/gateway/choice.c
+++ b/libcometspindle/gateway/choice.c
@@ -18,8 +18,7 @@
 #define WHOLE_WEIGHT 0.5
 
 /* Part of the time an answer takes by which a full endpoint is slower than an empty one: plain ones
- * work on more at once, and engines pause all streams while they read a prompt. Measured with exact
- * counts: 0 makes 4 in 100 streams of a calm day late, 0.5 and 1 make 3. */
+ * work on more at once, and engines pause all streams while they read a prompt. */
 #define CROWD_WEIGHT 0.5
 
 /* Estimates of an answer's length are right at the median only; this covers most of the rest. */
--- a/libcometspindle/gateway/instances.c
+++ b/libcometspindle/gateway/instances.c
@@ -11,9 +11,7 @@
 
 /* What is unlisted after an outage gets no more work so long before the directory's word is whole
  * again, however late the first answer came: it may have left since, and what leaves must get
- * nothing from then on. A VM that was cut off, and had its first answer 0.9 s after the cut, used
- * an endpoint that had left for 2.2 s more: one day in 32 with cuts and leaving endpoints, none in
- * 64 since. */
+ * nothing from then on. */
 #define SETTLED_MARGIN_US 200000
 
 struct comet_instances
--- a/libcometspindle/gateway/outage.c
+++ b/libcometspindle/gateway/outage.c
@@ -10,9 +10,8 @@
  * came that refused it, which was handled no longer ago than this. */
 #define HANDLED_WITHIN_US 1000000
 
-/* A kept connection that ends, or goes silent, says nothing of the directory. On 40 days with
- * silent connections 345 endpoints that had left were taken for lapsed by that, and got 282
- * requests. */
+/* A kept connection that ends, or goes silent, says nothing of the directory: endpoints that had
+ * left meanwhile were taken for lapsed by that, and used on. */
 static bool
 shows_outage(const struct comet_outage *outage, enum comet_call_failure failure)
 {
--- a/libcometspindle/gateway/placement.c
+++ b/libcometspindle/gateway/placement.c
@@ -367,8 +367,8 @@
 }
 
 /* A VM of hundreds has one or two requests waiting, which tell it nothing of the pace at which
- * their rank is served; the keeper sees it. Held to the end of their callers' patience, three in
- * four of those that were refused in a burst had waited two seconds for it. */
+ * their rank is served; the keeper sees it. Without its word requests are held to the end of their
+ * callers' patience, and refused then. */
 void
 comet_placement_expected(struct comet_placement *placement, struct comet_placement_item *item,
 	uint64_t expected_us, uint64_t now_us)
--- a/libcometspindle/gateway/speeds.c
+++ b/libcometspindle/gateway/speeds.c
@@ -32,9 +32,8 @@
 #define FIRST_LEAST_US 1000.0
 
 /* The first line counts like so many samples, half of them of short prompts and half of prompts of
- * this size: without it, the first few samples, of short prompts alone, say that length is free. On
- * a calm day one prompt of 42,000 tokens that was expected to take 36 ms delayed four others by
- * 600 ms (log of the gateways). */
+ * this size: without it, the first few samples, of short prompts alone, say that length is free,
+ * and a very long prompt is sent where it delays all others. */
 #define PRIOR_SAMPLES 4.0
 #define PRIOR_PROMPT_TOKENS 8000.0
 
--- a/libcometspindle/gateway/views_keepers.c
+++ b/libcometspindle/gateway/views_keepers.c
@@ -49,8 +49,8 @@
 		return one->old;
 	if (one->near != best->near)
 		return one->near;
-	/* In an overload of 65 VMs a keeper with an eighth of a core left 300 asks unanswered in
-	 * one burst, whose requests then overfilled endpoints; those with half a core left few. */
+	/* A keeper that starves leaves asks unanswered in a burst, and their requests overfill
+	 * endpoints. */
 	if (one->cpu_percent != best->cpu_percent)
 		return one->cpu_percent > best->cpu_percent;
 	return one->score > best->score;
