--- a/libcometspindle/adapters/gateway/gateway_pages.c
+++ b/libcometspindle/adapters/gateway/gateway_pages.c
@@ -61,9 +61,10 @@
 		copy = ops->changes(gateway->directory, position);
 	if (copy == NULL && open <= COPIES_MAX)
 		copy = ops->snapshot(gateway->directory);
-	if (copy != NULL && open > COPIES_MAX && g_bytes_get_size(copy) > CHANGES_BYTES_MAX)
-		g_clear_pointer(&copy, g_bytes_unref);
-	return copy;
+	if (copy == NULL || open <= COPIES_MAX || g_bytes_get_size(copy) <= CHANGES_BYTES_MAX)
+		return copy;
+	g_bytes_unref(copy);
+	return NULL;
 }
 
 static void
