--- a/libcometspindle/adapters/gateway/gateway_metrics.c
+++ b/libcometspindle/adapters/gateway/gateway_metrics.c
@@ -72,7 +72,7 @@
 }
 
 /* Calls to the directory by their ends, and whether this VM makes them for itself (0), for its zone
- * (1) or not at all (2). */
+ * (1), not at all (2), or for itself until it can follow others (3). */
 static void
 put_directory_calls(GString *out, const struct comet_gateway *gateway)
 {
--- a/libcometspindle/adapters/gateway/gateway_news.c
+++ b/libcometspindle/adapters/gateway/gateway_news.c
@@ -17,6 +17,7 @@
 		[COMET_DIRECTORY_READS] = "reads",
 		[COMET_DIRECTORY_READS_FOR_OTHERS] = "reads_for_others",
 		[COMET_DIRECTORY_FOLLOWS] = "follows",
+		[COMET_DIRECTORY_READS_MEANWHILE] = "reads_meanwhile",
 	};
 
 	return names[reading];
--- a/libcometspindle/gateway/directory.h
+++ b/libcometspindle/gateway/directory.h
@@ -93,6 +93,7 @@
 	COMET_DIRECTORY_READS,            /**< for itself */
 	COMET_DIRECTORY_READS_FOR_OTHERS, /**< and tells other VMs at once */
 	COMET_DIRECTORY_FOLLOWS,          /**< others tell it */
+	COMET_DIRECTORY_READS_MEANWHILE,  /**< for itself, until others tell it again */
 };
 
 struct comet_directory;
--- a/libcometspindle/gateway/readers.c
+++ b/libcometspindle/gateway/readers.c
@@ -147,6 +147,6 @@
 	if (!sight->leaving && sight->better < READERS)
 		return COMET_DIRECTORY_READS_FOR_OTHERS;
 	if (left_behind || readers->answered_us == 0 || now_us >= until_us)
-		return COMET_DIRECTORY_READS;
+		return COMET_DIRECTORY_READS_MEANWHILE;
 	return COMET_DIRECTORY_FOLLOWS;
 }
