A keeper that answers late is no dead one, and a dead one's next best is asked

Cause: each of the five keepers, which use up their share of a core in a burst, left some 60 asks unanswered for 40 ms, and each time that VM asked it nothing for a second and chose by views. And where a keeper is dead, its shard went by views until its views were missed, for up to ten seconds. Change: any word of a keeper, be it late, ends its muteness; while it is mute the next best is asked. Tests: Grants.AKeeperThatAnswersLateIsAskedAgain, ADeadKeeperCostsMillisecondsOnly (now also that the next best was asked).

--- a/libcometspindle/adapters/gateway/gateway_grants.c
+++ b/libcometspindle/adapters/gateway/gateway_grants.c
@@ -23,16 +23,35 @@
 			gateway->timers, gateway, ASKS_TICK_US, on_asks_tick, gateway);
 }
 
-/* Who keeps count of a shard: 0 when nobody does, or none is to be asked. */
+/* Is a VM not to be asked just now? */
+struct mute_query
+{
+	const struct comet_grants *grants;
+	uint64_t now_us;
+};
+
+static bool
+is_mute(const void *ctx, uint32_t vm)
+{
+	const struct mute_query *query = ctx;
+
+	return comet_grants_is_mute(query->grants, vm, query->now_us);
+}
+
+/* Who keeps count of a shard: 0 when nobody does, or none is to be asked. A VM that died goes on
+ * being the one until its views are missed, for seconds; the next best is asked in its place. */
 static uint32_t
 keeper_of(const struct comet_gateway *gateway, struct comet_shard *shard, uint64_t now_us)
 {
+	const struct mute_query query = {gateway->grants, now_us};
+
 	if (!gateway->settings->ask_keepers)
 		return 0;
-	if (shard->keeper_us == 0 || now_us - shard->keeper_us >= KEEPER_FRESH_US)
+	if (shard->keeper_us == 0 || now_us - shard->keeper_us >= KEEPER_FRESH_US ||
+		is_mute(&query, shard->keeper))
 	{
-		shard->keeper =
-			comet_views_keeper(gateway->views, shard->id, shard->zone_id, now_us);
+		shard->keeper = comet_views_keeper_but(
+			gateway->views, shard->id, shard->zone_id, is_mute, &query, now_us);
 		shard->keeper_us = now_us;
 	}
 	return shard->keeper;
@@ -47,7 +66,7 @@
 
 	if (keeper == comet_view_link_address(gateway->link))
 		return COMET_PLACEMENT_KEEPER_SELF;
-	if (keeper == 0 || comet_grants_is_mute(gateway->grants, keeper, now_us))
+	if (keeper == 0)
 		return COMET_PLACEMENT_KEEPER_NONE;
 	return COMET_PLACEMENT_KEEPER_OTHER;
 }
--- a/libcometspindle/gateway/asks.c
+++ b/libcometspindle/gateway/asks.c
@@ -116,6 +116,12 @@
 	g_hash_table_insert(asks->mute, GUINT_TO_POINTER(vm), until);
 }
 
+void
+comet_asks_heard(struct comet_asks *asks, uint32_t vm)
+{
+	g_hash_table_remove(asks->mute, GUINT_TO_POINTER(vm));
+}
+
 bool
 comet_asks_is_mute(const struct comet_asks *asks, uint32_t vm, uint64_t now_us)
 {
--- a/libcometspindle/gateway/asks.h
+++ b/libcometspindle/gateway/asks.h
@@ -56,6 +56,10 @@
 void
 comet_asks_mute(struct comet_asks *asks, uint32_t vm, uint64_t now_us);
 
+/** A VM has answered something, be it late: it is there, and is asked again. */
+void
+comet_asks_heard(struct comet_asks *asks, uint32_t vm);
+
 /** @return whether a VM left a question unanswered of late. */
 bool
 comet_asks_is_mute(const struct comet_asks *asks, uint32_t vm, uint64_t now_us);
--- a/libcometspindle/gateway/charges.c
+++ b/libcometspindle/gateway/charges.c
@@ -100,6 +100,7 @@
 {
 	struct open_charge *found = comet_asks_find(charges->asks, answer->number, answer->keeper);
 
+	comet_asks_heard(charges->asks, answer->keeper);
 	if (found == NULL)
 		return;
 	struct open_charge open = *found;
--- a/libcometspindle/gateway/grants.c
+++ b/libcometspindle/gateway/grants.c
@@ -145,6 +145,7 @@
 {
 	struct open_ask *found = comet_asks_find(grants->asks, answer->number, answer->keeper);
 
+	comet_asks_heard(grants->asks, answer->keeper);
 	if (found == NULL)
 	{
 		/* It came too late, or its request is gone. */
--- a/tests/unit/grants_fleet.h
+++ b/tests/unit/grants_fleet.h
@@ -44,6 +44,24 @@
 	std::map<comet_placement_item *, std::string> sent;
 	std::map<comet_placement_item *, int> dispatches; /* of each, ever */
 	std::set<comet_placement_item *> refused;
+
+	/* The best VM that is not mute. */
+	uint32_t
+	keeper_of(const comet_shard *shard, uint64_t now_us) const
+	{
+		struct query
+		{
+			const comet_grants *grants;
+			uint64_t now_us;
+		} query = {grants, now_us};
+		auto is_mute = [](const void *ctx, uint32_t vm)
+		{
+			const auto *of = static_cast<const struct query *>(ctx);
+			return comet_grants_is_mute(of->grants, vm, of->now_us);
+		};
+		return comet_views_keeper_but(
+			views, shard->id, shard->zone_id, is_mute, &query, now_us);
+	}
 };
 
 struct mail
@@ -146,12 +164,10 @@
 		uint64_t now_us = one->all->now_us;
 		if (!one->all->asks)
 			return COMET_PLACEMENT_KEEPER_NONE;
-		uint32_t keeper = comet_views_keeper(one->views, shard->id, shard->zone_id, now_us);
+		uint32_t keeper = one->keeper_of(shard, now_us);
 		if (keeper == one->address)
 			return COMET_PLACEMENT_KEEPER_SELF;
-		if (keeper == 0 || comet_grants_is_mute(one->grants, keeper, now_us))
-			return COMET_PLACEMENT_KEEPER_NONE;
-		return COMET_PLACEMENT_KEEPER_OTHER;
+		return keeper != 0 ? COMET_PLACEMENT_KEEPER_OTHER : COMET_PLACEMENT_KEEPER_NONE;
 	}
 
 	static void
@@ -160,8 +176,7 @@
 	{
 		auto *one = static_cast<vm *>(ctx);
 		uint64_t now_us = one->all->now_us;
-		uint32_t keeper = comet_views_keeper(one->views, shard->id, shard->zone_id, now_us);
-		comet_grants_ask(one->grants, item, keeper, ask, now_us);
+		comet_grants_ask(one->grants, item, one->keeper_of(shard, now_us), ask, now_us);
 	}
 
 	static void
--- a/tests/unit/test_gateway_grants.cc
+++ b/tests/unit/test_gateway_grants.cc
@@ -187,9 +187,13 @@
 	all.deliver();
 	EXPECT_EQ(all.vms[asker].sent.count(item), 0U);
 	all.pass(50000);
-	EXPECT_EQ(all.vms[asker].sent.count(item), 1U) << "placed by views";
+	EXPECT_EQ(all.vms[asker].sent.count(item), 1U);
+	EXPECT_NE(item->keeper, 0U) << "the next best was asked in its place";
+	EXPECT_NE(item->keeper, keeper);
 	comet_placement_item *second = all.submit(asker);
+	all.deliver();
 	EXPECT_EQ(all.vms[asker].sent.count(second), 1U) << "it is not asked again at once";
+	EXPECT_NE(second->keeper, keeper);
 	all.pass(2000000);
 	EXPECT_NE(all.keeper_of_all(asker), keeper) << "another one keeps count by now";
 }
@@ -233,6 +237,33 @@
 	talloc_free(one.grants);
 }
 
+/* A keeper that answers late, since it has used up its share of a core, is no dead one: for a
+ * second all that one VM sent went by views. */
+TEST(Grants, AKeeperThatAnswersLateIsAskedAgain)
+{
+	fleet all(5, 4);
+	uint32_t keeper = all.keeper_of_all(1);
+	uint32_t asker = keeper == 1 ? 2 : 1;
+	std::deque<mail> held;
+	all.lost = [&](const mail &one)
+	{
+		if (one.from != keeper || one.to != asker)
+			return false;
+		held.push_back(one);
+		return true;
+	};
+	all.submit(asker);
+	all.pass(50000);
+	EXPECT_TRUE(comet_grants_is_mute(all.vms[asker].grants, keeper, all.now_us));
+	all.lost = [](const mail &) { return false; };
+	for (const mail &one : held)
+		all.arrive(one);
+	EXPECT_FALSE(comet_grants_is_mute(all.vms[asker].grants, keeper, all.now_us));
+	comet_placement_item *next = all.submit(asker);
+	all.deliver();
+	EXPECT_EQ(next->keeper, keeper);
+}
+
 TEST(Grants, AGrantThatNobodyWaitsForIsGivenBack)
 {
 	fleet all(5, 1);
