Sight: what a transfer that was given up had received, and answers cut off by a close

The incident's logs tell neither how many bytes a failed call to the store or a failed copy had received, nor which side ended a copy's connection. Both are logged where a transfer ends, by one event each.

--- a/libcometspindle/adapters/callers/front.c
+++ b/libcometspindle/adapters/callers/front.c
@@ -106,6 +106,9 @@
 	struct connection *connection = ctx;
 
 	connection->timer = NULL;
+	if (comet_socket_queued(connection->socket) > 0)
+		comet_log(COMET_LOG_NOTICE, "event=answer_cut_off unsent_bytes=%zu",
+			comet_socket_queued(connection->socket));
 	drop(connection);
 }
 
--- a/libcometspindle/adapters/endpoints/fetch.c
+++ b/libcometspindle/adapters/endpoints/fetch.c
@@ -5,6 +5,7 @@
 #include <libcometspindle/adapters/endpoints/fetch.h>
 
 #include <glib.h>
+#include <libcometspindle/log.h>
 #include <string.h>
 #include <talloc.h>
 
@@ -21,14 +22,33 @@
 	GByteArray *body;
 	comet_fetch_handler handler;
 	void *ctx;
+	char *source; /* address and target, for the log */
+	uint64_t started_us;
+	uint64_t expected; /* length that the head announced; 0: none */
 	unsigned int status;
+	bool finished;
 	char *wanted; /* name of a header, or NULL */
 	char *header; /* its value, or NULL */
 };
 
+/* A transfer that had begun to arrive ends without its answer. */
+static void
+log_abandoned(const struct comet_fetch *fetch, const char *reason)
+{
+	if (fetch->body->len == 0)
+		return;
+	comet_log(COMET_LOG_NOTICE,
+		"event=transfer_abandoned source=%s reason=%s bytes=%u expected=%" G_GUINT64_FORMAT
+		" took_ms=%" G_GUINT64_FORMAT,
+		fetch->source, reason, fetch->body->len, fetch->expected,
+		(comet_timers_now_us() - fetch->started_us) / 1000);
+}
+
 static int
 fetch_destroy(struct comet_fetch *fetch)
 {
+	if (!fetch->finished)
+		log_abandoned(fetch, "cancelled");
 	g_byte_array_free(fetch->body, TRUE);
 	return 0;
 }
@@ -45,6 +65,9 @@
 		.length = fetch->body->len,
 	};
 
+	if (failure != NULL)
+		log_abandoned(fetch, failure);
+	fetch->finished = true;
 	fetch->handler(fetch->ctx, &answer);
 	talloc_free(fetch);
 }
@@ -54,7 +77,10 @@
 {
 	struct comet_fetch *fetch = ctx;
 
+	const char *length = comet_http_head_get(head, "Content-Length");
+
 	fetch->status = head->status;
+	fetch->expected = length != NULL ? g_ascii_strtoull(length, NULL, 10) : 0;
 	if (fetch->wanted != NULL)
 		fetch->header = talloc_strdup(fetch, comet_http_head_get(head, fetch->wanted));
 }
@@ -126,6 +152,8 @@
 	fetch->ctx = ctx;
 	fetch->timers = timers;
 	fetch->wanted = talloc_strdup(fetch, request->header);
+	fetch->source = talloc_asprintf(fetch, "%s%s", request->address, request->target);
+	fetch->started_us = comet_timers_now_us();
 	fetch->silence_us = request->while_silent ? request->timeout_us : 0;
 	fetch->body = g_byte_array_new();
 	talloc_set_destructor(fetch, fetch_destroy);
