The last answer of a connection is written before its close begins

Callers saw: copies of the directory never arrived, so that VMs handled requests by old routes; and any answer with Connection: close, or any last one at a stop, was cut off for a caller that took it more slowly than within a second. Cause: the second in which the rest of a request is read and thrown away before a close began when the answer was queued, not when it was written. The close waits for the queue as long as it shrinks; a caller that takes nothing for five seconds is gone. Ruled out: probes of the kernel, since the receiving side was acknowledging.

--- a/libcometspindle/adapters/callers/front.c
+++ b/libcometspindle/adapters/callers/front.c
@@ -26,6 +26,9 @@
  * answer is not lost to a reset. A second covers any round trip between caller and VM. */
 #define LINGER_US 1000000
 
+/* A caller that takes nothing of its last answer for so long is gone. */
+#define STALLED_US 5000000
+
 /* Connections accepted in one turn of the loop; the rest wait for the next turn. */
 #define ACCEPTS_PER_TURN 32
 
@@ -36,7 +39,8 @@
 {
 	CONNECTION_READING,   /* a request, or the pause before one */
 	CONNECTION_OPEN,      /* a request is handed over and not answered in full */
-	CONNECTION_LINGERING, /* the last answer is out: reading to the caller's end */
+	CONNECTION_ENDING,    /* the last answer is being written */
+	CONNECTION_LINGERING, /* it is written: reading to the caller's end */
 };
 
 struct comet_front
@@ -63,6 +67,7 @@
 	struct comet_timer *timer;
 	GByteArray *ahead; /* read and not yet parsed */
 	GByteArray *body;
+	size_t unsent_bytes; /* of the last answer, when its progress was last looked at */
 	enum connection_state state;
 	bool got_byte;   /* a request has begun to arrive */
 	bool got_head;   /* its head is complete */
@@ -106,23 +111,62 @@
 	struct connection *connection = ctx;
 
 	connection->timer = NULL;
-	if (comet_socket_queued(connection->socket) > 0)
-		comet_log(COMET_LOG_NOTICE, "event=answer_cut_off unsent_bytes=%zu",
-			comet_socket_queued(connection->socket));
 	drop(connection);
 }
 
-/* The last answer of this connection is out. */
+/* The last answer of this connection is written. */
 static void
 linger(struct connection *connection)
 {
 	connection->state = CONNECTION_LINGERING;
 	comet_timer_cancel(&connection->timer);
-	comet_socket_shutdown(connection->socket);
 	connection->timer = comet_timers_add(
 		connection->front->timers, connection, LINGER_US, on_linger_over, connection);
 }
 
+static void
+watch_progress(struct connection *connection);
+
+static void
+on_progress_due(void *ctx)
+{
+	struct connection *connection = ctx;
+	size_t unsent_bytes = comet_socket_queued(connection->socket);
+
+	connection->timer = NULL;
+	if (unsent_bytes < connection->unsent_bytes)
+	{
+		watch_progress(connection);
+		return;
+	}
+	comet_log(COMET_LOG_NOTICE, "event=answer_cut_off unsent_bytes=%zu", unsent_bytes);
+	drop(connection);
+}
+
+/* A slow caller gets its last answer whole, however long that takes. */
+static void
+watch_progress(struct connection *connection)
+{
+	connection->unsent_bytes = comet_socket_queued(connection->socket);
+	comet_timer_cancel(&connection->timer);
+	connection->timer = comet_timers_add(
+		connection->front->timers, connection, STALLED_US, on_progress_due, connection);
+}
+
+/* No further request is taken from this connection. */
+static void
+end_connection(struct connection *connection)
+{
+	comet_socket_shutdown(connection->socket);
+	if (comet_socket_queued(connection->socket) == 0)
+	{
+		linger(connection);
+		return;
+	}
+	connection->state = CONNECTION_ENDING;
+	watch_progress(connection);
+}
+
 /* Does the caller read its answers? */
 static bool
 is_read(const struct connection *connection)
@@ -152,7 +196,7 @@
 		comet_front_answer(&connection->request, 408, NULL, "", 0);
 		return;
 	}
-	linger(connection);
+	end_connection(connection);
 }
 
 static void
@@ -278,7 +322,7 @@
 {
 	struct connection *connection = ctx;
 
-	if (connection->state == CONNECTION_LINGERING)
+	if (connection->state == CONNECTION_ENDING || connection->state == CONNECTION_LINGERING)
 		return;
 	g_byte_array_append(connection->ahead, (const guint8 *)data, (guint)length);
 	read_on(connection);
@@ -309,6 +353,8 @@
 		front->events->drained(front->ctx, &connection->request);
 	else if (connection->state == CONNECTION_READING)
 		read_on(connection);
+	else if (connection->state == CONNECTION_ENDING)
+		linger(connection);
 }
 
 static const struct comet_socket_events socket_events = {
@@ -452,7 +498,7 @@
 	{
 		struct connection *connection = at->data;
 		if (connection->state == CONNECTION_READING && !connection->got_byte)
-			linger(connection);
+			end_connection(connection);
 	}
 	g_list_free(all);
 }
@@ -537,7 +583,7 @@
 	 * it sends from now on would be taken by a process that is about to end. */
 	if (!connection->keep_alive || connection->front->listener == NULL)
 	{
-		linger(connection);
+		end_connection(connection);
 		return;
 	}
 	connection->state = CONNECTION_READING;
