A transfer of the directory that progresses is never given up

Callers saw requests handled by routes that had been replaced seconds before. Cause: a call to the store had 0.8 s for its whole answer beside its wait, and a watch during which other VMs had read more was cancelled after 0.4 s, both also while the answer was arriving; each next attempt began anew, so that a link of 10 Mbit/s was full for seconds and nothing was read. A deadline holds until an answer begins; from then on it has to bring 16 KB a second, or its end.

--- a/libcometspindle/adapters/endpoints/fetch.c
+++ b/libcometspindle/adapters/endpoints/fetch.c
@@ -13,19 +13,25 @@
  * of a whole one for 3,000 endpoints is a little smaller. */
 #define BYTES_MAX (4 * 1024 * 1024)
 
+/* An answer that has begun brings so much within each second, or its end; how long it takes as a
+ * whole depends on the link. */
+#define PROGRESS_US 1000000
+#define PROGRESS_BYTES (16 * 1024)
+
 struct comet_fetch
 {
 	struct comet_exchange *exchange;
 	struct comet_timers *timers;
 	struct comet_timer *timer;
-	uint64_t silence_us; /* longest without a byte; 0: the timer is for the whole */
 	GByteArray *body;
+	guint progress_bytes; /* of the body, when the timer was last set */
 	comet_fetch_handler handler;
 	void *ctx;
 	char *source; /* address and target, for the log */
 	uint64_t started_us;
 	uint64_t expected; /* length that the head announced; 0: none */
 	unsigned int status;
+	bool begun; /* its head has come */
 	bool finished;
 	char *wanted; /* name of a header, or NULL */
 	char *header; /* its value, or NULL */
@@ -73,26 +79,35 @@
 }
 
 static void
-on_head(void *ctx, const struct comet_http_head *head)
+on_timeout(void *ctx)
 {
 	struct comet_fetch *fetch = ctx;
 
-	const char *length = comet_http_head_get(head, "Content-Length");
+	fetch->timer = NULL;
+	TALLOC_FREE(fetch->exchange);
+	finish(fetch, "timeout");
+}
 
-	fetch->status = head->status;
-	fetch->expected = length != NULL ? g_ascii_strtoull(length, NULL, 10) : 0;
-	if (fetch->wanted != NULL)
-		fetch->header = talloc_strdup(fetch, comet_http_head_get(head, fetch->wanted));
+static void
+expect_progress(struct comet_fetch *fetch)
+{
+	fetch->progress_bytes = fetch->body->len;
+	comet_timer_cancel(&fetch->timer);
+	fetch->timer = comet_timers_add(fetch->timers, fetch, PROGRESS_US, on_timeout, fetch);
 }
 
 static void
-on_timeout(void *ctx)
+on_head(void *ctx, const struct comet_http_head *head)
 {
 	struct comet_fetch *fetch = ctx;
+	const char *length = comet_http_head_get(head, "Content-Length");
 
-	fetch->timer = NULL;
-	TALLOC_FREE(fetch->exchange);
-	finish(fetch, "timeout");
+	fetch->begun = true;
+	fetch->status = head->status;
+	fetch->expected = length != NULL ? g_ascii_strtoull(length, NULL, 10) : 0;
+	if (fetch->wanted != NULL)
+		fetch->header = talloc_strdup(fetch, comet_http_head_get(head, fetch->wanted));
+	expect_progress(fetch);
 }
 
 static void
@@ -106,13 +121,9 @@
 		finish(fetch, "too_large");
 		return;
 	}
-	if (fetch->silence_us > 0)
-	{
-		comet_timer_cancel(&fetch->timer);
-		fetch->timer = comet_timers_add(
-			fetch->timers, fetch, fetch->silence_us, on_timeout, fetch);
-	}
 	g_byte_array_append(fetch->body, (const guint8 *)data, (guint)length);
+	if (fetch->body->len - fetch->progress_bytes >= PROGRESS_BYTES)
+		expect_progress(fetch);
 }
 
 static void
@@ -154,7 +165,6 @@
 	fetch->wanted = talloc_strdup(fetch, request->header);
 	fetch->source = talloc_asprintf(fetch, "%s%s", request->address, request->target);
 	fetch->started_us = comet_timers_now_us();
-	fetch->silence_us = request->while_silent ? request->timeout_us : 0;
 	fetch->body = g_byte_array_new();
 	talloc_set_destructor(fetch, fetch_destroy);
 	fetch->exchange = comet_upstream_send(upstream, fetch, &sending, &exchange_events, fetch);
@@ -162,3 +172,9 @@
 	g_free(bytes);
 	return fetch;
 }
+
+bool
+comet_fetch_has_begun(const struct comet_fetch *fetch)
+{
+	return fetch->begun;
+}
--- a/libcometspindle/adapters/endpoints/fetch.h
+++ b/libcometspindle/adapters/endpoints/fetch.h
@@ -16,8 +16,7 @@
 {
 	const char *address; /**< "a.b.c.d:port" */
 	const char *target;  /**< path and query */
-	uint64_t timeout_us; /**< until the whole answer must be there */
-	bool while_silent;   /**< instead: so long without a byte of it */
+	uint64_t timeout_us; /**< until its answer begins, which then has to progress */
 	const char *header;  /**< a header of the answer that is wanted; NULL: none */
 };
 
@@ -41,4 +40,8 @@
 comet_fetch_start(void *parent, struct comet_upstream *upstream, struct comet_timers *timers,
 	const struct comet_fetch_request *request, comet_fetch_handler handler, void *ctx);
 
+/** @return whether its answer has begun to arrive. */
+bool
+comet_fetch_has_begun(const struct comet_fetch *fetch);
+
 #endif
--- a/libcometspindle/adapters/gateway/gateway_copy.c
+++ b/libcometspindle/adapters/gateway/gateway_copy.c
@@ -17,8 +17,11 @@
  * the store refuses most calls, and copies of a large directory would fill their links instead. */
 #define PROGRESS_US 1000000
 
-/* A copy of the directory from another VM is given up after so long without a byte of it: a connect
- * and an answer. A large one takes seconds over the slowest links. */
+/* What arrives from the directory itself is waited for: a copy of the same would share its link. */
+#define ARRIVING_US 5000000
+
+/* Until the answer of another VM begins: a connect and a round trip, behind other bytes of a slow
+ * link. */
 #define COPY_TIMEOUT_US 1000000
 
 /* HTTP status of an answer that holds a copy. */
@@ -55,7 +58,6 @@
 		.address = address,
 		.target = target,
 		.timeout_us = COPY_TIMEOUT_US,
-		.while_silent = true,
 	};
 
 	gateway->copying = comet_fetch_start(
@@ -118,6 +120,9 @@
 		return;
 	if (gateway->behind_us == 0)
 		gateway->behind_us = now_us;
+	if (gateway->directory->ops->is_arriving(gateway->directory) &&
+		now_us - gateway->behind_us < ARRIVING_US)
+		return;
 	if (asked_anew(gateway, now_us))
 	{
 		gateway->behind_us = now_us; /* a copy waits for the answer */
--- a/libcometspindle/gateway/directory.h
+++ b/libcometspindle/gateway/directory.h
@@ -107,6 +107,8 @@
 	/** Another VM has read more for so long: a call that has waited for news as long is lost,
 	 * and is made anew. @return whether there was one */
 	bool (*overtaken)(struct comet_directory *directory, uint64_t for_us);
+	/** @return whether the answer of a call has begun to arrive. */
+	bool (*is_arriving)(const struct comet_directory *directory);
 	/** Reads from now on in another way. */
 	void (*set_reading)(
 		struct comet_directory *directory, enum comet_directory_reading reading);
