A VM that has just listed the directory tells no changes from before its list

What a caller would have seen: requests sent on and on to an endpoint that was gone, by VMs that followed a reader which had started after the endpoint went. Cause: a list does not name what is gone, but changes after a revision before it were handed out as complete.

--- a/tests/unit/test_catalog_parts.cc
+++ b/tests/unit/test_catalog_parts.cc
@@ -358,4 +358,25 @@
 	EXPECT_EQ(reader.position(), 4U);
 }
 
+/* A VM that had just listed the store read it for its zone, and told a follower, whose list was older, what had changed
+ * since: not that an endpoint had gone before its own list, which the follower went on using. */
+TEST(CatalogParts, WhoHasJustListedTellsNoChangesFromBefore)
+{
+	store store;
+	store.write("servers/a", "1");
+	store.write("servers/b", "1");
+	vm follower(&store);
+	follower.list();
+	store.write("servers/a", "", true);
+	store.write("servers/b", "2");
+	vm reader(&store);
+	reader.list();
+	store.write("servers/b", "3");
+	reader.watch();
+	follower.follow_entries(reader);
+	follower.check();
+	follower.take_text(comet_catalog_copy(reader.catalog));
+	EXPECT_EQ(follower.known, reader.known);
+}
+
 } /* namespace */
