A removal of what was not known here is passed on

Cause: who was told, by another VM, that an endpoint had gone which it had never known kept nothing of it, and told those who followed it nothing.

--- a/tests/unit/test_catalog_parts.cc
+++ b/tests/unit/test_catalog_parts.cc
@@ -358,8 +358,9 @@
 	EXPECT_EQ(reader.position(), 4U);
 }
 
-/* A VM that had just listed the store read it for its zone, and told a follower, whose list was older, what had changed
- * since: not that an endpoint had gone before its own list, which the follower went on using. */
+/* A VM that had just listed the store read it for its zone, and told a follower, whose list was
+ * older, what had changed since: not that an endpoint had gone before its own list, which the
+ * follower went on using. */
 TEST(CatalogParts, WhoHasJustListedTellsNoChangesFromBefore)
 {
 	store store;
@@ -379,4 +380,92 @@
 	EXPECT_EQ(follower.known, reader.known);
 }
 
+/* A VM was told by another that an endpoint had gone which it had never known, and did not pass
+ * that on. */
+TEST(CatalogParts, ARemovalOfWhatWasNotKnownIsPassedOn)
+{
+	store store;
+	store.write("servers/a", "1");
+	vm first(&store);
+	vm second(&store);
+	vm third(&store);
+	first.list();
+	second.list();
+	third.list();
+	store.write("servers/b", "1");
+	third.watch();
+	first.watch();
+	store.write("servers/b", "", true);
+	first.watch();
+	second.follow_entries(first); /* it never knew b */
+	third.follow_entries(second);
+	EXPECT_EQ(third.known.count("servers/b"), 0U);
+	third.check();
+}
+
+/* VMs read, follow and copy in any order, and are asked for anything at any moment. */
+TEST(CatalogParts, NothingIsClaimedThatIsNotKnown)
+{
+	for (unsigned seed = 1; seed <= 300; seed++)
+	{
+		std::mt19937 draw(seed);
+		store store;
+		std::vector<std::unique_ptr<vm>> vms;
+		store.write(DOCUMENT, "0");
+		store.write("servers/a", "0");
+		for (int i = 0; i < 3; i++)
+		{
+			vms.push_back(std::make_unique<vm>(&store));
+			vms.back()->list();
+		}
+		for (int step = 0; step < 60; step++)
+		{
+			vm &one = *vms[draw() % vms.size()];
+			const vm &other = *vms[draw() % vms.size()];
+			std::string key = std::string("servers/") + (char)('a' + draw() % 4);
+			switch (draw() % 10)
+			{
+			case 0:
+				store.write(DOCUMENT, std::to_string(step));
+				break;
+			case 1:
+				store.write(key, std::to_string(step));
+				break;
+			case 2:
+				store.write(key, "", true);
+				break;
+			case 3:
+				one.watch();
+				break;
+			case 4:
+				one.watch_entries();
+				break;
+			case 5:
+				one.read_document();
+				break;
+			case 6:
+				one.follow_entries(other);
+				break;
+			case 7:
+				one.follow_documents(other);
+				break;
+			case 8:
+				one.take_text(
+					comet_catalog_changes(other.catalog, one.position(), 0));
+				break;
+			default:
+				one.take_text(comet_catalog_copy(other.catalog));
+				break;
+			}
+			one.check();
+		}
+		for (auto &one : vms)
+		{
+			one->watch();
+			one->check();
+			EXPECT_EQ(one->known, vms[0]->known) << seed;
+		}
+	}
+}
+
 } /* namespace */
