A list of several pages claims no more than what its first page could name

Callers would have seen requests to an endpoint that was gone, by a VM of a fleet of more than 500 endpoints that started while one of them went. Cause: pages are read one after the other, and the newest revision on any of them was taken for known; a VM that then follows a reader never asks for what changed between.

--- a/tests/unit/test_catalog_parts.cc
+++ b/tests/unit/test_catalog_parts.cc
@@ -468,4 +468,25 @@
 	}
 }
 
+/* Pages of a list are read one after the other. A removal between two of them was claimed to be
+ * known, since a later page named a newer change; readers were not asked for it any more. */
+TEST(CatalogParts, AListOfSeveralPagesClaimsNoMoreThanItsFirst)
+{
+	store store;
+	store.write("servers/a", "1");
+	store.write("servers/b", "1");
+	vm one(&store);
+	std::vector<comet_store_item> page = {item_of(store.history[0])};
+	uint64_t listed = store.revision();
+	comet_catalog_list_begin(one.catalog);
+	comet_catalog_take_page(one.catalog, page.data(), page.size());
+	store.write("servers/a", "", true);
+	store.write("servers/b", "2");
+	page = {item_of(store.history[3])};
+	comet_catalog_take_page(one.catalog, page.data(), page.size());
+	comet_catalog_list_end(one.catalog, listed, false);
+	one.check();
+	EXPECT_EQ(one.position(), 2U);
+}
+
 } /* namespace */
