--- a/libcometspindle/gateway/routes.c
+++ b/libcometspindle/gateway/routes.c
@@ -14,15 +14,52 @@
 	int refs;
 	uint64_t version;
 	struct comet_http_limits limits;
-	GHashTable *hosts; /* host -> GPtrArray of comet_route */
+	GHashTable *hosts; /* host -> struct host */
 	GHashTable *keys;  /* key -> comet_route_team */
 	GHashTable *teams; /* id -> comet_route_team */
 };
 
+/* The routes of a host. A prefix is looked up by its length, so that finding one takes as long as
+ * there are lengths, however many routes there are. */
+struct host
+{
+	GHashTable *prefixes; /* path prefix -> comet_route */
+	GArray *lengths;      /* of the prefixes, size_t, longest first */
+};
+
 static void
-free_array(gpointer array)
+free_host(gpointer data)
+{
+	struct host *host = data;
+
+	g_hash_table_destroy(host->prefixes);
+	g_array_free(host->lengths, TRUE);
+	g_free(host);
+}
+
+static struct host *
+host_of(struct comet_route_table *table, const char *name)
 {
-	g_ptr_array_free(array, TRUE);
+	struct host *host = g_hash_table_lookup(table->hosts, name);
+
+	if (host != NULL)
+		return host;
+	host = g_new0(struct host, 1);
+	host->prefixes = g_hash_table_new(g_str_hash, g_str_equal);
+	host->lengths = g_array_new(FALSE, FALSE, sizeof(size_t));
+	g_hash_table_insert(table->hosts, (gpointer)name, host);
+	return host;
+}
+
+static void
+add_length(struct host *host, size_t length)
+{
+	guint at = 0;
+
+	while (at < host->lengths->len && g_array_index(host->lengths, size_t, at) > length)
+		at++;
+	if (at == host->lengths->len || g_array_index(host->lengths, size_t, at) != length)
+		g_array_insert_val(host->lengths, at, length);
 }
 
 static int
@@ -42,7 +79,7 @@
 	table->refs = 1;
 	table->version = version;
 	table->limits = *limits;
-	table->hosts = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_array);
+	table->hosts = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_host);
 	table->keys = g_hash_table_new(g_str_hash, g_str_equal);
 	table->teams = g_hash_table_new(NULL, NULL);
 	talloc_set_destructor(table, table_destroy);
@@ -66,13 +103,11 @@
 		copy->shares[i].service = talloc_strdup(copy->shares, route->shares[i].service);
 		copy->shares[i].weight = route->shares[i].weight;
 	}
-	GPtrArray *routes = g_hash_table_lookup(table->hosts, copy->host);
-	if (routes == NULL)
-	{
-		routes = g_ptr_array_new();
-		g_hash_table_insert(table->hosts, copy->host, routes);
-	}
-	g_ptr_array_add(routes, copy);
+	struct host *entry = host_of(table, copy->host);
+	if (g_hash_table_contains(entry->prefixes, copy->path_prefix))
+		return; /* the first holds */
+	g_hash_table_insert(entry->prefixes, copy->path_prefix, copy);
+	add_length(entry, strlen(copy->path_prefix));
 }
 
 void
@@ -120,27 +155,34 @@
 	return g_hash_table_size(table->teams) > 0;
 }
 
+/* The route whose prefix is the longest that begins a path. */
+static const struct comet_route *
+longest_of(const struct host *host, const char *path)
+{
+	size_t length = strlen(path);
+	char *begin = g_strndup(path, length);
+	const struct comet_route *route = NULL;
+
+	for (guint i = 0; i < host->lengths->len && route == NULL; i++)
+	{
+		size_t prefix = g_array_index(host->lengths, size_t, i);
+		if (prefix > length)
+			continue;
+		begin[prefix] = '\0';
+		route = g_hash_table_lookup(host->prefixes, begin);
+	}
+	g_free(begin);
+	return route;
+}
+
 const struct comet_route *
 comet_route_table_find(const struct comet_route_table *table, const char *host, const char *path)
 {
-	const struct comet_route *best = NULL;
-	size_t best_length = 0;
-	size_t host_length = strcspn(host, ":");
-	char *name = g_ascii_strdown(host, (gssize)host_length);
-	GPtrArray *routes = g_hash_table_lookup(table->hosts, name);
+	char *name = g_ascii_strdown(host, (gssize)strcspn(host, ":"));
+	const struct host *entry = g_hash_table_lookup(table->hosts, name);
 
 	g_free(name);
-	for (guint i = 0; routes != NULL && i < routes->len; i++)
-	{
-		const struct comet_route *route = routes->pdata[i];
-		size_t length = strlen(route->path_prefix);
-		if (length > best_length && strncmp(path, route->path_prefix, length) == 0)
-		{
-			best = route;
-			best_length = length;
-		}
-	}
-	return best;
+	return entry != NULL ? longest_of(entry, path) : NULL;
 }
 
 const struct comet_route_team *
--- a/tests/unit/test_gateway_routes.cc
+++ b/tests/unit/test_gateway_routes.cc
@@ -15,6 +15,7 @@
 }
 #include <algorithm>
 #include <cstring>
+#include <random>
 #include <string>
 #include <talloc.h>
 #include <vector>
@@ -59,6 +60,57 @@
 	}
 };
 
+/* Prefixes of any length, the same more than once, against a look through all of them. */
+TEST(Routes, TheLongestPrefixIsFoundAmongAny)
+{
+	std::mt19937 draw(7);
+	auto word = [&draw](size_t most)
+	{
+		std::string text = "/";
+		for (size_t i = draw() % (most + 1); i > 0; i--)
+			text += "ab/"[draw() % 3];
+		return text;
+	};
+	for (int round = 0; round < 50; round++)
+	{
+		comet_http_limits limits = {};
+		comet_route_table *table = comet_route_table_create(1, &limits);
+		std::vector<std::string> prefixes;
+		for (int i = 0; i < 30; i++)
+		{
+			prefixes.push_back(word(5));
+			comet_route route = {};
+			comet_route_share share = {const_cast<char *>("svc"), 1};
+			std::string name = std::to_string(i);
+			route.name = const_cast<char *>(name.c_str());
+			route.host = const_cast<char *>("h.example");
+			route.path_prefix = const_cast<char *>(prefixes.back().c_str());
+			route.shares = &share;
+			route.n_shares = 1;
+			comet_route_table_add(table, &route);
+		}
+		for (int i = 0; i < 100; i++)
+		{
+			std::string path = word(8);
+			int best = -1;
+			for (int at = 0; at < 30; at++)
+			{
+				bool begins =
+					path.compare(0, prefixes[at].size(), prefixes[at]) == 0;
+				if (begins &&
+					(best < 0 || prefixes[at].size() > prefixes[best].size()))
+					best = at;
+			}
+			const comet_route *found =
+				comet_route_table_find(table, "H.example:80", path.c_str());
+			ASSERT_EQ(found != nullptr, best >= 0) << path;
+			EXPECT_EQ(found != nullptr ? found->name : "-1", std::to_string(best))
+				<< path;
+		}
+		comet_route_table_unref(table);
+	}
+}
+
 TEST(Routes, LongestPrefixOfTheHostWins)
 {
 	table_builder builder(1);
