The product's own interface gives up no answer of the platform that progresses

Evidence: PlatformHttp.AnAnswerThatProgressesIsReadToItsEnd failed before and passes now. libcurl's low-speed limit takes the deadline's place: 16 KB/s, over 2 s and 15 s.

--- a/libcometspindle/adapters/platform/platform_http.c
+++ b/libcometspindle/adapters/platform/platform_http.c
@@ -20,8 +20,12 @@
 #include <string.h>
 #include <talloc.h>
 
-#define WATCH_TIMEOUT_MS 15000L
-#define LIST_TIMEOUT_MS 2000L
+#define CONNECT_TIMEOUT_MS 2000L
+/* An answer may take as long as its link makes it, if it brings so much a second on average of the
+ * time after which it is given up; a watch may bring nothing for ten seconds first. */
+#define PROGRESS_BYTES_PER_S 16384L
+#define WATCH_STALLED_S 15L
+#define LIST_STALLED_S 2L
 #define LIST_PERIOD_US 1000000ULL
 /* All VMs together read the list about this often a second, when there are many. */
 #define LIST_READS_PER_S 100
@@ -115,13 +119,13 @@
 }
 
 static void
-start_fetch(struct fetch *fetch, const char *path, long timeout_ms)
+start_fetch(struct fetch *fetch, const char *path, long stalled_s)
 {
 	char *url = talloc_asprintf(fetch->platform, "%s%s", fetch->platform->url, path);
 
 	g_byte_array_set_size(fetch->body, 0);
 	curl_easy_setopt(fetch->easy, CURLOPT_URL, url);
-	curl_easy_setopt(fetch->easy, CURLOPT_TIMEOUT_MS, timeout_ms);
+	curl_easy_setopt(fetch->easy, CURLOPT_LOW_SPEED_TIME, stalled_s);
 	talloc_free(url);
 	comet_curl_loop_add(fetch->platform->loop, fetch->easy, on_done, fetch);
 }
@@ -139,7 +143,7 @@
 	}
 	g_snprintf(path, sizeof path, "/v1/bundle?after=%" G_GUINT64_FORMAT,
 		base->events->version(base->ctx));
-	start_fetch(fetch, path, WATCH_TIMEOUT_MS);
+	start_fetch(fetch, path, WATCH_STALLED_S);
 }
 
 static void
@@ -159,7 +163,7 @@
 static void
 begin_list(struct fetch *fetch)
 {
-	start_fetch(fetch, "/v1/vms", LIST_TIMEOUT_MS);
+	start_fetch(fetch, "/v1/vms", LIST_STALLED_S);
 }
 
 static void
@@ -248,6 +252,8 @@
 	curl_easy_setopt(fetch->easy, CURLOPT_WRITEFUNCTION, on_body);
 	curl_easy_setopt(fetch->easy, CURLOPT_WRITEDATA, fetch);
 	curl_easy_setopt(fetch->easy, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(fetch->easy, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS);
+	curl_easy_setopt(fetch->easy, CURLOPT_LOW_SPEED_LIMIT, PROGRESS_BYTES_PER_S);
 	curl_easy_setopt(fetch->easy, CURLOPT_PROXY, "");
 }
 
