--- a/libcometspindle/adapters/callers/front.c
+++ b/libcometspindle/adapters/callers/front.c
@@ -53,6 +53,7 @@
 	void *ctx;
 	struct comet_http_limits limits;
 	struct comet_front_counts counts;
+	struct comet_bytes *bytes; /* of connections; NULL: not counted */
 	GHashTable *connections;
 	int fd;
 	bool closing;
@@ -372,6 +373,7 @@
 		connection, true, front->limits.header_bytes, &reader_events, connection);
 	connection->socket =
 		comet_socket_accepted(connection, front->ev, fd, &socket_events, connection);
+	comet_socket_count(connection->socket, front->bytes);
 	front->counts.accepted++;
 	front->counts.connections++;
 	g_hash_table_add(front->connections, connection);
@@ -460,6 +462,12 @@
 	return front;
 }
 
+void
+comet_front_count(struct comet_front *front, struct comet_bytes *bytes)
+{
+	front->bytes = bytes;
+}
+
 void
 comet_front_set_limits(struct comet_front *front, const struct comet_http_limits *limits)
 {
--- a/libcometspindle/adapters/callers/front.h
+++ b/libcometspindle/adapters/callers/front.h
@@ -10,6 +10,7 @@
 #ifndef COMETSPINDLE_ADAPTERS_FRONT_H
 #define COMETSPINDLE_ADAPTERS_FRONT_H
 
+#include <libcometspindle/adapters/bytes.h>
 #include <libcometspindle/adapters/http_reader.h>
 #include <libcometspindle/adapters/timers.h>
 #include <libcometspindle/http_limits.h>
@@ -54,6 +55,10 @@
 	const char *address, const struct comet_front_events *events, void *ctx,
 	GError **error) G_GNUC_WARN_UNUSED_RESULT;
 
+/** Counts the bytes of connections that are accepted from now on. */
+void
+comet_front_count(struct comet_front *front, struct comet_bytes *bytes);
+
 void
 comet_front_set_limits(struct comet_front *front, const struct comet_http_limits *limits);
 
--- a/libcometspindle/adapters/endpoints/fetch.c
+++ b/libcometspindle/adapters/endpoints/fetch.c
@@ -21,6 +21,7 @@
 struct comet_fetch
 {
 	struct comet_exchange *exchange;
+	struct comet_upstream *upstream;
 	struct comet_timers *timers;
 	struct comet_timer *timer;
 	GByteArray *body;
@@ -45,6 +46,7 @@
 {
 	if (fetch->body->len == 0)
 		return;
+	comet_upstream_abandoned(fetch->upstream);
 	comet_log(COMET_LOG_NOTICE,
 		"event=transfer_abandoned source=%s reason=%s bytes=%u expected=%" G_GUINT64_FORMAT
 		" took_ms=%" G_GUINT64_FORMAT,
@@ -171,10 +173,12 @@
 		.bytes = bytes,
 		.length = strlen(bytes),
 		.probe = true,
+		.counted = request->counted,
 	};
 
 	fetch->handler = handler;
 	fetch->ctx = ctx;
+	fetch->upstream = upstream;
 	fetch->timers = timers;
 	fetch->wanted = talloc_strdup(fetch, request->header);
 	fetch->source = talloc_asprintf(fetch, "%s%s", request->address, request->target);
--- a/libcometspindle/adapters/endpoints/fetch.h
+++ b/libcometspindle/adapters/endpoints/fetch.h
@@ -14,11 +14,12 @@
 /** Where to ask and for what; copied. */
 struct comet_fetch_request
 {
-	const char *address; /**< "a.b.c.d:port" */
-	const char *target;  /**< path and query */
-	uint64_t timeout_us; /**< until its answer begins, which then has to progress */
-	uint32_t most_bytes; /**< of its body; 0: any proper size */
-	const char *header;  /**< a header of the answer that is wanted; NULL: none */
+	const char *address;         /**< "a.b.c.d:port" */
+	const char *target;          /**< path and query */
+	uint64_t timeout_us;         /**< until its answer begins, which then has to progress */
+	uint32_t most_bytes;         /**< of its body; 0: any proper size */
+	struct comet_bytes *counted; /**< where a new connection counts its bytes; NULL: nowhere */
+	const char *header;          /**< a header of the answer that is wanted; NULL: none */
 };
 
 /** What came of it. */
--- a/libcometspindle/adapters/endpoints/upstream.c
+++ b/libcometspindle/adapters/endpoints/upstream.c
@@ -368,6 +368,7 @@
 	link->pool->links++;
 	link->instance = talloc_strdup(link, request->instance);
 	link->reader = comet_http_reader_create(link, false, HEAD_MAX_BYTES, &reader_events, link);
+	comet_socket_count(link->socket, request->counted);
 	if (request->probe)
 		comet_socket_probe(link->socket);
 	upstream->counts.open++;
@@ -498,6 +499,12 @@
 	g_hash_table_remove(upstream->pools, instance);
 }
 
+void
+comet_upstream_abandoned(struct comet_upstream *upstream)
+{
+	upstream->counts.abandoned++;
+}
+
 const struct comet_upstream_counts *
 comet_upstream_counts(const struct comet_upstream *upstream)
 {
--- a/libcometspindle/adapters/endpoints/upstream.h
+++ b/libcometspindle/adapters/endpoints/upstream.h
@@ -9,6 +9,7 @@
 #ifndef COMETSPINDLE_ADAPTERS_UPSTREAM_H
 #define COMETSPINDLE_ADAPTERS_UPSTREAM_H
 
+#include <libcometspindle/adapters/bytes.h>
 #include <libcometspindle/adapters/http_reader.h>
 #include <libcometspindle/adapters/timers.h>
 #include <stdbool.h>
@@ -45,6 +46,7 @@
 	/** No kept connection: one may have carried this request before, and a surplus answer to
 	 * that sending, which names the same id, may still come there. */
 	bool new_connection;
+	struct comet_bytes *counted; /**< where a new connection counts its bytes; NULL: nowhere */
 };
 
 /** Counts for metrics; monotonic but for the first two. */
@@ -57,6 +59,7 @@
 	uint64_t connect_failures;
 	uint64_t foreign_answers; /**< answers of other requests that were read past */
 	uint64_t malformed;
+	uint64_t abandoned; /**< answers that had begun to arrive and were given up, or broke off */
 };
 
 struct comet_upstream;
@@ -92,6 +95,10 @@
 void
 comet_upstream_forget(struct comet_upstream *upstream, const char *instance);
 
+/** Counts an answer that was given up. */
+void
+comet_upstream_abandoned(struct comet_upstream *upstream);
+
 const struct comet_upstream_counts *
 comet_upstream_counts(const struct comet_upstream *upstream);
 
--- a/libcometspindle/adapters/gateway/gateway.c
+++ b/libcometspindle/adapters/gateway/gateway.c
@@ -305,6 +305,8 @@
 		settings->control, &comet_gateway_control_events, gateway, error);
 	if (gateway->control == NULL)
 		return false;
+	comet_front_count(gateway->callers, &gateway->bytes[COMET_GATEWAY_USE_CALLERS]);
+	comet_front_count(gateway->control, &gateway->bytes[COMET_GATEWAY_USE_PEERS]);
 	comet_front_set_limits(gateway->callers, &first_limits);
 	comet_front_set_limits(gateway->readiness, &internal_limits);
 	comet_front_set_limits(gateway->control, &internal_limits);
@@ -374,6 +376,7 @@
 		.timers = gateway->timers,
 		.upstream = gateway->upstream,
 		.address = settings->directory,
+		.counted = &gateway->bytes[COMET_GATEWAY_USE_DIRECTORY],
 		.followed_ms = followed_ms(settings),
 		.events = &comet_gateway_directory_events,
 		.ctx = gateway,
--- a/libcometspindle/adapters/gateway/gateway.h
+++ b/libcometspindle/adapters/gateway/gateway.h
@@ -22,7 +22,8 @@
 	struct tevent_context *ev;
 	struct comet_timers *timers;
 	struct comet_upstream *upstream;
-	const char *address;  /**< of the directory */
+	const char *address;         /**< of the directory */
+	struct comet_bytes *counted; /**< where what is read is counted; NULL: nowhere */
 	uint32_t followed_ms; /**< a VM that reads for others is followed so long after an answer */
 	const struct comet_directory_events *events;
 	void *ctx;
--- a/libcometspindle/adapters/gateway/gateway_copy.c
+++ b/libcometspindle/adapters/gateway/gateway_copy.c
@@ -79,6 +79,7 @@
 		.address = address,
 		.target = target,
 		.timeout_us = COPY_TIMEOUT_US,
+		.counted = &gateway->bytes[COMET_GATEWAY_USE_PEERS],
 	};
 	struct comet_fetch *fetch = comet_fetch_start(
 		gateway, gateway->upstream, gateway->timers, &request, handler, gateway);
--- a/libcometspindle/adapters/gateway/gateway_directory.c
+++ b/libcometspindle/adapters/gateway/gateway_directory.c
@@ -25,7 +25,7 @@
 }
 
 static void
-on_routes(void *ctx, struct comet_route_table *table)
+on_routes(void *ctx, struct comet_route_table *table, uint64_t lag_us)
 {
 	struct comet_gateway *gateway = ctx;
 	uint64_t version = comet_route_table_version(table);
@@ -35,7 +35,10 @@
 		comet_route_table_unref(table); /* never an older one */
 		return;
 	}
-	comet_log(COMET_LOG_NOTICE, "event=routes_taken version=%" G_GUINT64_FORMAT, version);
+	comet_log(COMET_LOG_NOTICE,
+		"event=routes_taken version=%" G_GUINT64_FORMAT " lag_ms=%" G_GUINT64_FORMAT,
+		version, lag_us / 1000);
+	comet_latency_add(&gateway->routes_lag, lag_us);
 	comet_route_table_each_team(table, log_team, gateway);
 	comet_route_table_unref(gateway->table);
 	gateway->table = table;
--- a/libcometspindle/adapters/gateway/gateway_metrics.c
+++ b/libcometspindle/adapters/gateway/gateway_metrics.c
@@ -297,6 +297,33 @@
 		out, gateway, "comet_waited_seconds", offsetof(struct comet_gateway_times, waited));
 }
 
+static void
+put_use(GString *out, const char *use, const struct comet_bytes *bytes)
+{
+	g_string_append_printf(out,
+		"comet_link_bytes_total{use=\"%s\",direction=\"in\"} %" G_GUINT64_FORMAT "\n"
+		"comet_link_bytes_total{use=\"%s\",direction=\"out\"} %" G_GUINT64_FORMAT "\n",
+		use, bytes->received, use, bytes->sent);
+}
+
+/* Bytes through the VM's link, by what they were for. */
+static void
+put_bytes(GString *out, const struct comet_gateway *gateway)
+{
+	static const char *const names[COMET_GATEWAY_USES] = {
+		[COMET_GATEWAY_USE_CALLERS] = "callers",
+		[COMET_GATEWAY_USE_ENDPOINTS] = "endpoints",
+		[COMET_GATEWAY_USE_DIRECTORY] = "directory",
+		[COMET_GATEWAY_USE_PEERS] = "peers",
+	};
+	const struct comet_bytes *views = comet_view_link_bytes(gateway->link);
+
+	put_type(out, "link_bytes_total", "counter");
+	for (size_t i = 0; i < COMET_GATEWAY_USES; i++)
+		put_use(out, names[i], &gateway->bytes[i]);
+	put_use(out, "datagrams", views);
+}
+
 static void
 put_directory(const struct page *page)
 {
@@ -311,6 +338,10 @@
 			(double)(page->now_us - gateway->answered_us) / 1000000);
 	put(out, "directory_losses_total", "counter", (double)gateway->counts.directory_losses);
 	put(out, "directory_items_refused_total", "counter", (double)gateway->counts.unreadable);
+	put(out, "directory_transfers_abandoned_total", "counter",
+		(double)comet_upstream_counts(gateway->upstream)->abandoned);
+	put_type(out, "routes_lag_seconds", "histogram");
+	comet_latency_print(&gateway->routes_lag, out, "comet_routes_lag_seconds", "");
 	put(out, "routes_version", "gauge",
 		gateway->table != NULL ? (double)comet_route_table_version(gateway->table) : 0);
 }
@@ -345,6 +376,7 @@
 	put(out, "endpoint_connections_open", "gauge", up->open);
 	put(out, "foreign_answers_total", "counter", (double)up->foreign_answers);
 	put_directory(&page);
+	put_bytes(out, gateway);
 	put_endpoints(&page);
 	comet_front_answer(
 		request, 200, "Content-Type: text/plain; version=0.0.4\r\n", out->str, out->len);
--- a/libcometspindle/adapters/gateway/gateway_private.h
+++ b/libcometspindle/adapters/gateway/gateway_private.h
@@ -50,6 +50,17 @@
 	uint64_t unreadable;                             /**< items of the directory */
 };
 
+/** What a VM's link is used for, beside datagrams. */
+enum comet_gateway_use
+{
+	COMET_GATEWAY_USE_CALLERS,
+	COMET_GATEWAY_USE_ENDPOINTS,
+	COMET_GATEWAY_USE_DIRECTORY, /**< read from it */
+	COMET_GATEWAY_USE_PEERS,     /**< what VMs hand on of it, and metrics */
+};
+
+#define COMET_GATEWAY_USES (COMET_GATEWAY_USE_PEERS + 1)
+
 /** Times of answers, by kind of route. */
 struct comet_gateway_times
 {
@@ -89,7 +100,9 @@
 	struct comet_view_link *link;
 	struct comet_route_table *table; /**< NULL until one has been read */
 	struct comet_gateway_counts counts;
-	struct comet_tally *ends; /**< of requests, by what became of them, kind and rank */
+	struct comet_bytes bytes[COMET_GATEWAY_USES];
+	struct comet_latency routes_lag; /**< from the news of a document until it is in force */
+	struct comet_tally *ends;        /**< of requests, by what became of them, kind and rank */
 	struct comet_gateway_times times[COMET_ROUTE_KINDS];
 	uint32_t calls;   /**< requests that are open */
 	GQueue relays;    /**< of struct comet_relay: the same, as they are */
--- a/libcometspindle/adapters/gateway/gateway_send.c
+++ b/libcometspindle/adapters/gateway/gateway_send.c
@@ -230,6 +230,7 @@
 		.id = relay->id,
 		.head_only = strcmp(relay->request->head->method, "HEAD") == 0,
 		.new_connection = relay->anywhere,
+		.counted = &gateway->bytes[COMET_GATEWAY_USE_ENDPOINTS],
 	};
 
 	comet_log(COMET_LOG_INFO,
--- a/libcometspindle/adapters/peers/view_link.c
+++ b/libcometspindle/adapters/peers/view_link.c
@@ -21,6 +21,7 @@
 	struct tevent_fd *event;
 	comet_view_link_handler handler;
 	void *ctx;
+	struct comet_bytes bytes;
 	uint64_t unsent;
 	uint32_t address;
 	uint16_t port;
@@ -41,6 +42,7 @@
 		ssize_t length = recv(link->fd, buffer, sizeof buffer, 0);
 		if (length < 0)
 			return; /* none left, or an error of an earlier send */
+		link->bytes.received += (uint64_t)length;
 		link->handler(link->ctx, buffer, (size_t)length);
 	}
 }
@@ -98,6 +100,14 @@
 	/* A view that does not leave is like one that is lost: the next one makes it good. */
 	if (sendto(link->fd, data, length, 0, (const struct sockaddr *)&to, sizeof to) < 0)
 		link->unsent++;
+	else
+		link->bytes.sent += length;
+}
+
+const struct comet_bytes *
+comet_view_link_bytes(const struct comet_view_link *link)
+{
+	return &link->bytes;
 }
 
 uint32_t
--- a/libcometspindle/adapters/peers/view_link.h
+++ b/libcometspindle/adapters/peers/view_link.h
@@ -10,6 +10,7 @@
 #define COMETSPINDLE_ADAPTERS_VIEW_LINK_H
 
 #include <glib.h>
+#include <libcometspindle/adapters/bytes.h>
 #include <stddef.h>
 #include <stdint.h>
 #include <tevent.h>
@@ -23,6 +24,10 @@
 comet_view_link_create(void *parent, struct tevent_context *ev, const char *address,
 	comet_view_link_handler handler, void *ctx, GError **error) G_GNUC_WARN_UNUSED_RESULT;
 
+/** Bytes of datagrams so far. */
+const struct comet_bytes *
+comet_view_link_bytes(const struct comet_view_link *link);
+
 /** Sends to the same port of another VM (IPv4, host order). */
 void
 comet_view_link_send(
--- a/libcometspindle/adapters/socket.c
+++ b/libcometspindle/adapters/socket.c
@@ -36,6 +36,7 @@
 	struct tevent_fd *event;
 	const struct comet_socket_events *events;
 	void *ctx;
+	struct comet_bytes *bytes; /* counted by whom it serves; NULL: not counted */
 	GByteArray *queue;
 	size_t written; /* part of the queue that is gone */
 	int fd;
@@ -155,6 +156,8 @@
 		if (done < 0)
 			return false;
 		socket->written += (size_t)done;
+		if (socket->bytes != NULL)
+			socket->bytes->sent += (uint64_t)done;
 	}
 	g_byte_array_set_size(socket->queue, 0);
 	socket->written = 0;
@@ -202,6 +205,8 @@
 	}
 	ssize_t got = recv(socket->fd, buffer, sizeof buffer, 0);
 
+	if (got > 0 && socket->bytes != NULL)
+		socket->bytes->received += (uint64_t)got;
 	if (got > 0)
 		socket->events->data(socket->ctx, buffer, (size_t)got);
 	else if (got == 0)
@@ -305,6 +310,12 @@
 	return socket->queue->len - socket->written;
 }
 
+void
+comet_socket_count(struct comet_socket *socket, struct comet_bytes *bytes)
+{
+	socket->bytes = bytes;
+}
+
 void
 comet_socket_pause(struct comet_socket *socket, bool paused)
 {
--- a/libcometspindle/adapters/socket.h
+++ b/libcometspindle/adapters/socket.h
@@ -6,6 +6,7 @@
 #define COMETSPINDLE_ADAPTERS_SOCKET_H
 
 #include <glib.h>
+#include <libcometspindle/adapters/bytes.h>
 #include <netinet/in.h>
 #include <stdbool.h>
 #include <stddef.h>
@@ -48,6 +49,10 @@
 size_t
 comet_socket_queued(const struct comet_socket *socket);
 
+/** Counts its bytes from now on, until it is freed. */
+void
+comet_socket_count(struct comet_socket *socket, struct comet_bytes *bytes);
+
 /** Stops or goes on reading. */
 void
 comet_socket_pause(struct comet_socket *socket, bool paused);
--- a/libcometspindle/gateway/directory.h
+++ b/libcometspindle/gateway/directory.h
@@ -66,8 +66,9 @@
 
 struct comet_directory_events
 {
-	/** A newer routing document; the reference passes to the callee. */
-	void (*routes)(void *ctx, struct comet_route_table *table);
+	/** A newer routing document; the reference passes to the callee. lag_us: for how long it
+	 * was known to exist. */
+	void (*routes)(void *ctx, struct comet_route_table *table, uint64_t lag_us);
 	/** An endpoint's process is there, or changed. */
 	void (*instance)(void *ctx, const struct comet_instance_record *record);
 	/** It is listed no more. out_us: the directory was out and it may come back; when it was
--- a/tests/system/test_narrow_links.py
+++ b/tests/system/test_narrow_links.py
@@ -3,6 +3,7 @@
 Each process receives and sends at most LINK_BYTES_PER_S (tests/preload/narrow_link.c). What is compared is the order of
 events and what is in force in the end.
 """
+import json
 import os
 import random
 import re
@@ -94,6 +95,12 @@
     return float(found.group(1)) if found else None
 
 
+def peers_bytes(gateway):
+    """What it has received of other VMs on connections."""
+    text = get(gateway.ports["control"], "/metrics", gateway.address)[2]
+    return int(re.search(rb'^comet_link_bytes_total{use="peers",direction="in"} (\d+)$', text, re.M)[1])
+
+
 class NarrowZone:
     """Gateways of one zone on narrow links, of which two read the store."""
 
@@ -146,8 +153,12 @@
     zone = NarrowZone()
     zone.store.put("op/config", large_document(2))
     zone.wait_for_version(2)
+    before = [peers_bytes(vm) for vm in zone.vms]
     zone.store.put("op/config", large_document(3, routes=LARGE_ROUTES + 1))
     zone.wait_for_version(3)
+    # what VMs hand on grows with the change, not with the document
+    handed_on = sum(peers_bytes(vm) - number for vm, number in zip(zone.vms, before))
+    assert handed_on < len(json.dumps(large_document(3))), handed_on
     logs = zone.end()
     assert not any("transfer_abandoned" in text or "copy_failed" in text for text in logs)
 
