Followers ask for a document only readers that have read it

Cause: any reader that was heard of late was asked, also one that had not read the document yet; its empty answer sent the follower to the store. The store is asked after 0.3 s in which no reader has said that it holds the document. WhoHasNotReadThatFarIsNotPicked.

--- a/libcometspindle/adapters/gateway/gateway_copy.c
+++ b/libcometspindle/adapters/gateway/gateway_copy.c
@@ -24,6 +24,10 @@
  * link. */
 #define COPY_TIMEOUT_US 1000000
 
+/* Readers are waited for so long before the directory itself is asked for a document that one of
+ * them has told of: the one that has it may not have said so yet. */
+#define READERS_US 300000
+
 /* HTTP status of an answer that holds a copy. */
 #define STATUS_GOOD 200
 
@@ -65,7 +69,7 @@
 	const struct comet_directory_ops *ops = gateway->directory->ops;
 
 	gateway->documenting = NULL; /* frees itself after this */
-	if (!take_answer(gateway, answer) || ops->lacks_document(gateway->directory))
+	if (!take_answer(gateway, answer) || ops->lacking(gateway->directory) != 0)
 		ops->read_document(gateway->directory);
 }
 
@@ -127,13 +131,18 @@
 {
 	const struct comet_directory_ops *ops = gateway->directory->ops;
 
-	if (gateway->documenting != NULL || !ops->lacks_document(gateway->directory) ||
-		ops->is_arriving(gateway->directory))
+	uint64_t position = ops->lacking(gateway->directory);
+
+	if (position == 0)
+		gateway->lacking_us = 0;
+	else if (gateway->lacking_us == 0)
+		gateway->lacking_us = now_us;
+	if (position == 0 || gateway->documenting != NULL || ops->is_arriving(gateway->directory))
 		return;
-	uint32_t vm = comet_readers_pick(gateway->readers, now_us);
+	uint32_t vm = comet_readers_pick(gateway->readers, position, now_us);
 	if (vm != 0)
 		ask_document(gateway, vm);
-	else
+	else if (now_us - gateway->lacking_us >= READERS_US)
 		ops->read_document(gateway->directory);
 }
 
--- a/libcometspindle/gateway/directory.h
+++ b/libcometspindle/gateway/directory.h
@@ -127,8 +127,9 @@
 	char *(*query)(struct comet_directory *directory);
 	/** The routing document for another VM that asks by a query; NULL when it is not known. */
 	GBytes *(*documents)(struct comet_directory *directory, const char *query);
-	/** Has another VM told of a routing document that is not known here? */
-	bool (*lacks_document)(const struct comet_directory *directory);
+	/** Position of a routing document that another VM has told of and that is not known here;
+	 * 0: there is none. */
+	uint64_t (*lacking)(const struct comet_directory *directory);
 	/** Reads the routing document from the directory itself. */
 	void (*read_document)(struct comet_directory *directory);
 	/** A copy of what is known, for another VM; NULL when nothing is. */
--- a/libcometspindle/gateway/readers.c
+++ b/libcometspindle/gateway/readers.c
@@ -118,15 +118,16 @@
 }
 
 uint32_t
-comet_readers_pick(struct comet_readers *readers, uint64_t now_us)
+comet_readers_pick(struct comet_readers *readers, uint64_t position, uint64_t now_us)
 {
 	uint32_t fresh[HEARD_MAX];
 	uint32_t count = 0;
 
 	for (size_t i = 0; i < HEARD_MAX; i++)
 	{
-		if (is_fresh(readers, &readers->heard[i], now_us))
-			fresh[count++] = readers->heard[i].vm;
+		const struct heard *one = &readers->heard[i];
+		if (is_fresh(readers, one, now_us) && one->position >= position)
+			fresh[count++] = one->vm;
 	}
 	return count > 0 ? fresh[comet_draw_u32(&readers->draw) % count] : 0;
 }
--- a/libcometspindle/gateway/readers.h
+++ b/libcometspindle/gateway/readers.h
@@ -58,9 +58,10 @@
 uint32_t
 comet_readers_ahead(const struct comet_readers *readers, uint64_t position, uint64_t now_us);
 
-/** @return one of the readers that were heard of late, drawn; 0: there is none. */
+/** @return one of the readers that were heard of late and have read up to a position, drawn; 0:
+ * there is none. */
 uint32_t
-comet_readers_pick(struct comet_readers *readers, uint64_t now_us);
+comet_readers_pick(struct comet_readers *readers, uint64_t position, uint64_t now_us);
 
 /** @return whether what a reader knew so long ago may be followed. */
 bool
--- a/scripts/bench.py
+++ b/scripts/bench.py
@@ -14,8 +14,10 @@
         import bench_decide as bench
     elif name == "directory":
         import bench_directory as bench
+    elif name == "bulk":
+        import bench_bulk as bench
     else:
-        print("usage: bench.sh policy|slopes|overhead|decide|directory [OPTION...]", file=sys.stderr)
+        print("usage: bench.sh policy|slopes|overhead|decide|directory|bulk [OPTION...]", file=sys.stderr)
         return 2
     return bench.main(sys.argv[2:])
 
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# bench.sh: policy, slopes, overhead or decide; see docs/CAPACITY.md and docs/design/
+# bench.sh: policy, slopes, overhead, decide, directory or bulk; see docs/CAPACITY.md and docs/design/
 set -eu
 cd "$(dirname "$0")/.."
 . scripts/setup.sh
--- a/tests/unit/test_readers.cc
+++ b/tests/unit/test_readers.cc
@@ -152,4 +152,23 @@
 	EXPECT_EQ(comet_readers_ahead(readers, 100, now_us), 0U);
 }
 
+/* Followers asked any reader for a document, half of them the one that had not read it, and then read the directory
+ * themselves. */
+TEST_F(ReadersTest, WhoHasNotReadThatFarIsNotPicked)
+{
+	tell(1, 200);
+	tell(2, 100);
+	std::set<uint32_t> picked;
+	for (int i = 0; i < 50; i++)
+		picked.insert(comet_readers_pick(readers, 150, now_us));
+	EXPECT_EQ(picked, std::set<uint32_t>{1U});
+	picked.clear();
+	for (int i = 0; i < 50; i++)
+		picked.insert(comet_readers_pick(readers, 100, now_us));
+	EXPECT_EQ(picked, (std::set<uint32_t>{1U, 2U}));
+	EXPECT_EQ(comet_readers_pick(readers, 201, now_us), 0U);
+	now_us += 1000 * ms;
+	EXPECT_EQ(comet_readers_pick(readers, 100, now_us), 0U);
+}
+
 } // namespace
