A document that is older than the endpoints told with it reaches followers at once

Found by reading: a reader that told of endpoints while a document was on its way to it told nothing more when it had that document, and followers learned of it by other VMs' positions 1.5 s later. They now ask a reader again that has read everything further than they have. After a reader did not give a document, and while the store does not answer a read of it, other VMs are asked again, each 0.3 s; before, a failed read of the document kept copies away for five seconds. AReaderIsAheadByADocumentAlone, AFollowerThatIsAskedForAgainLearnsOfAnOlderDocument.

--- a/libcometspindle/adapters/gateway/gateway_copy.c
+++ b/libcometspindle/adapters/gateway/gateway_copy.c
@@ -25,7 +25,8 @@
 #define COPY_TIMEOUT_US 1000000
 
 /* Readers are waited for so long before the directory itself is asked for a document that one of
- * them has told of: the one that has it may not have said so yet. */
+ * them has told of: the one that has it may not have said so yet. After a failure they are left
+ * alone for as long. */
 #define READERS_US 300000
 
 /* HTTP status of an answer that holds a copy. */
@@ -69,8 +70,10 @@
 	const struct comet_directory_ops *ops = gateway->directory->ops;
 
 	gateway->documenting = NULL; /* frees itself after this */
-	if (!take_answer(gateway, answer) || ops->lacking(gateway->directory) != 0)
-		ops->read_document(gateway->directory);
+	if (take_answer(gateway, answer) && ops->lacking(gateway->directory) == 0)
+		return;
+	gateway->document_failed_us = comet_timers_now_us();
+	ops->read_document(gateway->directory);
 }
 
 static struct comet_fetch *
@@ -137,7 +140,9 @@
 		gateway->lacking_us = 0;
 	else if (gateway->lacking_us == 0)
 		gateway->lacking_us = now_us;
-	if (position == 0 || gateway->documenting != NULL || ops->is_arriving(gateway->directory))
+	if (position == 0 || gateway->documenting != NULL || ops->is_arriving(gateway->directory) ||
+		(gateway->document_failed_us != 0 &&
+			now_us - gateway->document_failed_us < READERS_US))
 		return;
 	uint32_t vm = comet_readers_pick(gateway->readers, position, now_us);
 	if (vm != 0)
--- a/libcometspindle/adapters/gateway/gateway_news.c
+++ b/libcometspindle/adapters/gateway/gateway_news.c
@@ -61,10 +61,14 @@
 {
 	uint32_t vm = comet_readers_ahead(gateway->readers, gateway->endpoints_position, now_us);
 
-	if (vm != 0 && gateway->reading == COMET_DIRECTORY_FOLLOWS)
+	if (gateway->reading != COMET_DIRECTORY_FOLLOWS)
+		return;
+	/* A reader may have told of endpoints before it had read a document that is older. */
+	if (vm == 0 && gateway->directory->ops->lacking(gateway->directory) == 0)
+		vm = comet_readers_ahead_whole(gateway->readers, gateway->position, now_us);
+	if (vm != 0)
 		comet_gateway_ask_entries(gateway, vm);
-	if (gateway->reading == COMET_DIRECTORY_FOLLOWS)
-		comet_gateway_seek_document(gateway, now_us);
+	comet_gateway_seek_document(gateway, now_us);
 }
 
 void
@@ -73,6 +77,7 @@
 	const struct comet_readers_news told = {
 		.vm = news->address,
 		.position = news->endpoints != 0 ? news->endpoints : news->position,
+		.whole = news->position,
 		.age_us = (uint64_t)news->age_ms * 1000,
 	};
 
--- a/libcometspindle/adapters/gateway/gateway_private.h
+++ b/libcometspindle/adapters/gateway/gateway_private.h
@@ -122,7 +122,8 @@
 	struct comet_fetch *documenting; /**< reading the routing document of another VM */
 	uint64_t answered_us;            /**< when the directory last answered a call; 0: never */
 	uint64_t behind_us;              /**< since when another VM has read more; 0: none has */
-	uint64_t lacking_us;         /**< since when a document is lacking; 0: none is */
+	uint64_t lacking_us;             /**< since when a document is lacking; 0: none is */
+	uint64_t document_failed_us;     /**< when a VM last did not give the document; 0: never */
 	uint64_t overtaken;          /**< newest position for which the directory was asked anew */
 	uint64_t position;           /**< in the directory, up to which everything is known */
 	uint64_t endpoints_position; /**< the same of endpoints */
--- a/libcometspindle/gateway/readers.c
+++ b/libcometspindle/gateway/readers.c
@@ -33,6 +33,7 @@
 {
 	uint32_t vm;
 	uint64_t position;
+	uint64_t whole;
 	uint64_t answered_us; /* when the directory had answered it */
 };
 
@@ -89,6 +90,7 @@
 
 	heard->vm = news->vm;
 	heard->position = news->position;
+	heard->whole = news->whole;
 	heard->answered_us = now_us - MIN(news->age_us, now_us);
 	readers->answered_us = MAX(readers->answered_us, heard->answered_us);
 	readers->spread_us = (uint64_t)(SPREAD_US * comet_draw_unit(&readers->draw));
@@ -117,6 +119,18 @@
 	return best != NULL ? best->vm : 0;
 }
 
+uint32_t
+comet_readers_ahead_whole(const struct comet_readers *readers, uint64_t position, uint64_t now_us)
+{
+	for (size_t i = 0; i < HEARD_MAX; i++)
+	{
+		const struct heard *one = &readers->heard[i];
+		if (is_fresh(readers, one, now_us) && one->whole > position)
+			return one->vm;
+	}
+	return 0;
+}
+
 uint32_t
 comet_readers_pick(struct comet_readers *readers, uint64_t position, uint64_t now_us)
 {
--- a/libcometspindle/gateway/readers.h
+++ b/libcometspindle/gateway/readers.h
@@ -19,7 +19,8 @@
 struct comet_readers_news
 {
 	uint32_t vm;
-	uint64_t position; /**< how far it has read */
+	uint64_t position; /**< how far it has read, of endpoints */
+	uint64_t whole;    /**< how far it has read everything */
 	uint64_t age_us;   /**< since the directory last answered it */
 };
 
@@ -58,6 +59,10 @@
 uint32_t
 comet_readers_ahead(const struct comet_readers *readers, uint64_t position, uint64_t now_us);
 
+/** The same for everything that is read, endpoints and documents. */
+uint32_t
+comet_readers_ahead_whole(const struct comet_readers *readers, uint64_t position, uint64_t now_us);
+
 /** @return one of the readers that were heard of late and have read up to a position, drawn; 0:
  * there is none. */
 uint32_t
--- a/tests/unit/test_catalog_parts.cc
+++ b/tests/unit/test_catalog_parts.cc
@@ -319,6 +319,30 @@
 	}
 }
 
+TEST(CatalogParts, AFollowerThatIsAskedForAgainLearnsOfAnOlderDocument)
+{
+	store store;
+	store.write(DOCUMENT, "one");
+	store.write("servers/a", "1");
+	vm reader(&store);
+	vm follower(&store);
+	reader.list();
+	follower.list();
+	store.write(DOCUMENT, "two");
+	store.write("servers/a", "2");
+	reader.watch_entries(); /* the document is still on its way */
+	follower.follow_entries(reader);
+	EXPECT_EQ(follower.known["servers/a"], "2");
+	EXPECT_EQ(comet_catalog_wanted(follower.catalog), 0U);
+	reader.read_document();
+	EXPECT_GT(reader.position(), follower.position());
+	follower.follow_entries(reader);
+	EXPECT_EQ(comet_catalog_wanted(follower.catalog), 3U);
+	follower.follow_documents(reader);
+	EXPECT_EQ(follower.known[DOCUMENT], "two");
+	EXPECT_EQ(follower.position(), reader.position());
+}
+
 TEST(CatalogParts, ADocumentReplacedMeanwhileIsNotPatched)
 {
 	store store;
--- a/tests/unit/test_readers.cc
+++ b/tests/unit/test_readers.cc
@@ -38,7 +38,7 @@
 	void
 	tell(uint32_t vm, uint64_t position, uint64_t age_us = 0)
 	{
-		comet_readers_news news = {vm, position, age_us};
+		comet_readers_news news = {vm, position, position, age_us};
 		comet_readers_told(readers, &news, now_us);
 	}
 
@@ -152,8 +152,8 @@
 	EXPECT_EQ(comet_readers_ahead(readers, 100, now_us), 0U);
 }
 
-/* Followers asked any reader for a document, half of them the one that had not read it, and then read the directory
- * themselves. */
+/* Followers asked any reader for a document, half of them the one that had not read it, and then
+ * read the directory themselves. */
 TEST_F(ReadersTest, WhoHasNotReadThatFarIsNotPicked)
 {
 	tell(1, 200);
@@ -171,4 +171,23 @@
 	EXPECT_EQ(comet_readers_pick(readers, 100, now_us), 0U);
 }
 
+/* A reader told of endpoints while an older document was on its way to it. */
+TEST_F(ReadersTest, AReaderIsAheadByADocumentAlone)
+{
+	comet_readers_news news = {1, 200, 150, 0};
+	comet_readers_told(readers, &news, now_us);
+	EXPECT_EQ(comet_readers_ahead(readers, 200, now_us), 0U);
+	EXPECT_EQ(comet_readers_ahead_whole(readers, 150, now_us), 0U);
+	news.whole = 200;
+	comet_readers_told(readers, &news, now_us);
+	EXPECT_EQ(comet_readers_ahead(readers, 200, now_us), 0U);
+	EXPECT_EQ(comet_readers_ahead_whole(readers, 150, now_us), 1U);
+	sight.position = 200;
+	for (int i = 0; i < 20; i++, now_us += 100 * ms)
+	{
+		comet_readers_told(readers, &news, now_us);
+		EXPECT_EQ(decide(), COMET_DIRECTORY_FOLLOWS) << "a document may take long";
+	}
+}
+
 } // namespace
