--- a/tests/unit/test_readers.cc
+++ b/tests/unit/test_readers.cc
@@ -103,7 +103,7 @@
 	for (uint64_t vm = 1; vm <= 100; vm++)
 	{
 		comet_readers *readers = comet_readers_create(nullptr, 1000 * ms, vm);
-		comet_readers_news news = {1, 100, 0};
+		comet_readers_news news = {1, 100, 100, 0};
 		comet_readers_sight sight = {true, false, 60, 5, 100};
 		uint64_t now_us = 50000000;
 		comet_readers_told(readers, &news, now_us);
