--- a/tests/system/test_eras.py
+++ b/tests/system/test_eras.py
@@ -8,7 +8,8 @@
 import re
 import threading
 
-from gateway_world import ADDRESS, OTHER_ADDRESS, Gateway, World, call, document, get, run_tests
+from gateway_world import ADDRESS, BUILD, OTHER_ADDRESS, Gateway, World, call, document, get, route, run_tests
+from narrow_link import narrow, words
 from platform_standin import Server, Store, wait_for
 
 
@@ -103,6 +104,33 @@
     world.gateway.end()
 
 
+def test_large_documents_in_new_histories():
+    """Documents that are read apart from entries, each time in another history, once while the last is on its way."""
+    def large(version):
+        result = document(version)
+        result["routes"] += [route(word, "safe", 1) for word in words(4000)]
+        return result
+    world = World(env=narrow(BUILD, incoming=1000000))
+    world.store.era = 7
+    touch(world, 3)
+    for version in range(2, 8):
+        world.store.put("op/config", large(version))
+        if version % 2:
+            wait_for(lambda version=version: metric(world.gateway, "comet_routes_version") == version)
+        world.store.go_back(1 + version % 3, lambda version=version: world.store.put("op/config", large(version)))
+        touch(world, version)
+    wait_for(lambda: metric(world.gateway, "comet_routes_version") == 7)
+    wait_for(lambda: metric(world.gateway, "comet_directory_revision") == world.store.revision)
+    assert metric(world.gateway, "comet_directory_era") == world.store.era
+    world.store.remove("servers/i-1")
+    wait_for(lambda: usable(world.gateway) == {"i-0"})
+    for _ in range(20):
+        wait_for(lambda: world.store.waiting > 0)
+        assert world.store.waiting == 1  # one watch, however often it began anew
+        touch(world, 1)
+    world.gateway.end()
+
+
 def test_what_was_gone_does_not_come_back():
     """The copy names an endpoint that has left since, and says that another, which leaves, is ready."""
     world = eras()
@@ -180,5 +208,5 @@
 if __name__ == "__main__":
     run_tests([], [test_history_that_has_passed_again, test_history_that_is_far_behind, test_twice_in_a_row,
                    test_routes_and_keys_do_not_go_back, test_what_was_gone_does_not_come_back,
-                   test_era_that_is_not_told, test_lower_era_decides_nothing,
+                   test_era_that_is_not_told, test_large_documents_in_new_histories, test_lower_era_decides_nothing,
                    test_vm_that_cannot_reach_the_store])
