--- a/tests/fuzz/fuzz_published.c
+++ b/tests/fuzz/fuzz_published.c
@@ -91,7 +91,7 @@
 static void
 take_copy(void *ctx, const struct comet_store_answer *answer)
 {
-	comet_catalog_take_copy(ctx, answer, false);
+	comet_catalog_take_snapshot(ctx, answer, false);
 }
 
 /* Reads an answer into a catalog, and the copy of that into another. */
@@ -105,7 +105,7 @@
 	struct comet_catalog *two = comet_catalog_create(NULL, &catalog_events, &taken_again);
 
 	check_error(comet_store_parse(text, length, take_copy, one, &error), error);
-	GBytes *copy = comet_catalog_copy(one);
+	GBytes *copy = comet_catalog_snapshot(one);
 	if (copy != NULL)
 	{
 		gsize size = 0;
--- a/tests/unit/test_catalog_parts.cc
+++ b/tests/unit/test_catalog_parts.cc
@@ -156,7 +156,7 @@
 		std::vector<change> changes(
 			source->history.begin() + (long)position(), source->history.end());
 		take(changes);
-		comet_catalog_join(catalog, source->revision());
+		comet_catalog_confirm_documents(catalog, source->revision());
 	}
 
 	void
@@ -186,9 +186,9 @@
 	{
 		comet_catalog *to = static_cast<comet_catalog *>(ctx);
 		if (answer->is_changes || answer->is_part)
-			comet_catalog_take_changes(to, answer, false);
+			comet_catalog_take_delta(to, answer, false);
 		else
-			comet_catalog_take_copy(to, answer, false);
+			comet_catalog_take_snapshot(to, answer, false);
 	}
 
 	void
@@ -206,7 +206,7 @@
 	void
 	follow_entries(const vm &reader)
 	{
-		take_text(comet_catalog_entries(
+		take_text(comet_catalog_entries_delta(
 			reader.catalog, comet_catalog_entries_position(catalog), 0));
 	}
 
@@ -293,7 +293,7 @@
 	follower.follow_entries(reader);
 	EXPECT_EQ(follower.known["servers/b"], "1");
 	EXPECT_EQ(follower.position(), 2U);
-	EXPECT_EQ(comet_catalog_wanted(follower.catalog), 3U);
+	EXPECT_EQ(comet_catalog_missing_document(follower.catalog), 3U);
 
 	char *query = comet_catalog_query(follower.catalog);
 	GBytes *change = comet_catalog_documents(reader.catalog, query);
@@ -302,7 +302,7 @@
 	follower.take_text(change);
 	EXPECT_EQ(follower.known[DOCUMENT], more);
 	EXPECT_EQ(follower.position(), 4U);
-	EXPECT_EQ(comet_catalog_wanted(follower.catalog), 0U);
+	EXPECT_EQ(comet_catalog_missing_document(follower.catalog), 0U);
 
 	/* whose version is not known here gets the whole document */
 	vm newcomer(&store);
@@ -333,11 +333,11 @@
 	reader.watch_entries(); /* the document is still on its way */
 	follower.follow_entries(reader);
 	EXPECT_EQ(follower.known["servers/a"], "2");
-	EXPECT_EQ(comet_catalog_wanted(follower.catalog), 0U);
+	EXPECT_EQ(comet_catalog_missing_document(follower.catalog), 0U);
 	reader.read_document();
 	EXPECT_GT(reader.position(), follower.position());
 	follower.follow_entries(reader);
-	EXPECT_EQ(comet_catalog_wanted(follower.catalog), 3U);
+	EXPECT_EQ(comet_catalog_missing_document(follower.catalog), 3U);
 	follower.follow_documents(reader);
 	EXPECT_EQ(follower.known[DOCUMENT], "two");
 	EXPECT_EQ(follower.position(), reader.position());
@@ -400,7 +400,7 @@
 	reader.watch();
 	follower.follow_entries(reader);
 	follower.check();
-	follower.take_text(comet_catalog_copy(reader.catalog));
+	follower.take_text(comet_catalog_snapshot(reader.catalog));
 	EXPECT_EQ(follower.known, reader.known);
 }
 
@@ -475,10 +475,10 @@
 				break;
 			case 8:
 				one.take_text(
-					comet_catalog_changes(other.catalog, one.position(), 0));
+					comet_catalog_delta(other.catalog, one.position(), 0));
 				break;
 			default:
-				one.take_text(comet_catalog_copy(other.catalog));
+				one.take_text(comet_catalog_snapshot(other.catalog));
 				break;
 			}
 			one.check();
--- a/tests/unit/test_lives.cc
+++ b/tests/unit/test_lives.cc
@@ -118,7 +118,7 @@
 		answer.items = &item;
 		answer.n_items = 1;
 		answer.revision = item.revision;
-		return comet_catalog_take_copy(catalog, &answer, false);
+		return comet_catalog_take_snapshot(catalog, &answer, false);
 	}
 };
 
--- a/tests/unit/test_platform.cc
+++ b/tests/unit/test_platform.cc
@@ -237,7 +237,7 @@
 		comet_catalog_take(catalog, list, count, false);
 		comet_catalog_list_end(catalog, to, false);
 	};
-	EXPECT_EQ(comet_catalog_changes(reader, 3, 0), nullptr) << "nothing was read";
+	EXPECT_EQ(comet_catalog_delta(reader, 3, 0), nullptr) << "nothing was read";
 	read(reader, items, 3, 3);
 	comet_catalog_take(reader, later, 2, false);
 	told.lines.clear();
@@ -251,11 +251,11 @@
 	{
 		auto *one = static_cast<struct follower *>(ctx);
 		EXPECT_TRUE(answer->is_changes);
-		one->taken = comet_catalog_take_changes(one->catalog, answer, answer->out_ms != 0);
+		one->taken = comet_catalog_take_delta(one->catalog, answer, answer->out_ms != 0);
 	};
 	auto offer = [&](uint64_t after, uint64_t out_ms)
 	{
-		GBytes *changes = comet_catalog_changes(reader, after, out_ms);
+		GBytes *changes = comet_catalog_delta(reader, after, out_ms);
 		gsize length = 0;
 		const char *text = (const char *)g_bytes_get_data(changes, &length);
 		EXPECT_TRUE(comet_store_parse(text, length, take, &follower, nullptr));
@@ -274,7 +274,7 @@
 	EXPECT_EQ(comet_catalog_position(follower.catalog), comet_catalog_position(reader));
 	EXPECT_FALSE(offer(3, 0)) << "they are not newer";
 	comet_catalog_begin_era(reader, 1); /* the name of what was read all along */
-	EXPECT_EQ(comet_catalog_changes(reader, 3, 0), nullptr) << "of another era";
+	EXPECT_EQ(comet_catalog_delta(reader, 3, 0), nullptr) << "of another era";
 	talloc_free(reader);
 	talloc_free(follower.catalog);
 }
@@ -315,7 +315,7 @@
 void
 take_copy(void *ctx, const comet_store_answer *answer)
 {
-	EXPECT_TRUE(comet_catalog_take_copy(static_cast<comet_catalog *>(ctx), answer, true));
+	EXPECT_TRUE(comet_catalog_take_snapshot(static_cast<comet_catalog *>(ctx), answer, true));
 }
 
 TEST(Catalog, ACopyBringsAnotherVmToTheSamePlace)
@@ -324,7 +324,7 @@
 	told to_told;
 	comet_catalog *from = comet_catalog_create(nullptr, &told_events, &from_told);
 	comet_catalog *to = comet_catalog_create(nullptr, &told_events, &to_told);
-	EXPECT_EQ(comet_catalog_copy(from), nullptr);
+	EXPECT_EQ(comet_catalog_snapshot(from), nullptr);
 	comet_store_item items[] = {put("a", "1", 1), put("b", "x\n\"y", 2)};
 	comet_catalog_list_begin(from);
 	comet_catalog_take(from, items, 2, false);
@@ -333,7 +333,7 @@
 	comet_catalog_list_begin(to);
 	comet_catalog_take(to, &gone, 1, false);
 	comet_catalog_list_end(to, 1, false);
-	GBytes *copy = comet_catalog_copy(from);
+	GBytes *copy = comet_catalog_snapshot(from);
 	gsize length = 0;
 	auto *text = static_cast<const char *>(g_bytes_get_data(copy, &length));
 	EXPECT_TRUE(comet_store_parse(text, length, take_copy, to, nullptr));
