--- a/libcometspindle/adapters/gateway/gateway.c
+++ b/libcometspindle/adapters/gateway/gateway.c
@@ -79,7 +79,7 @@
 	if (!comet_datagram_decode(data, length, &datagram))
 		comet_log(COMET_LOG_WARNING, "event=datagram_malformed bytes=%zu", length);
 	else if (datagram.which_body == comet_Datagram_news_tag)
-		comet_gateway_take_news(gateway, &datagram.body.news, now_us);
+		comet_gateway_take_report(gateway, &datagram.body.news, now_us);
 	else if (datagram.which_body != comet_Datagram_view_tag &&
 		 !comet_charges_receive(gateway->charges, &datagram))
 		comet_grants_receive(gateway->grants, &datagram);
@@ -184,8 +184,8 @@
 	comet_crashes_tick(gateway->crashes, now_us);
 	comet_relay_refuse_barred(gateway);
 	comet_placement_run(gateway->placement, now_us);
-	comet_gateway_tick_news(gateway, now_us);
-	comet_gateway_catch_up(gateway, now_us);
+	comet_gateway_tick_readers(gateway, now_us);
+	comet_gateway_resync(gateway, now_us);
 	if (gateway->stop_us != 0)
 		continue_stop(gateway, now_us);
 }
--- a/libcometspindle/adapters/gateway/gateway_directory.c
+++ b/libcometspindle/adapters/gateway/gateway_directory.c
@@ -231,11 +231,11 @@
 
 	gateway->listed = true;
 	if (position > gateway->position)
-		gateway->behind_us = 0; /* whoever is still ahead is so from now */
+		gateway->stale_us = 0; /* whoever is still ahead is so from now */
 	gateway->position = position;
 	gateway->endpoints_position = endpoints;
 	comet_views_set_revision(gateway->views, position);
-	comet_gateway_tell_news(gateway, comet_timers_now_us());
+	comet_gateway_report_position(gateway, comet_timers_now_us());
 	comet_placement_run(gateway->placement, comet_timers_now_us());
 }
 
--- a/libcometspindle/adapters/gateway/gateway_pages.c
+++ b/libcometspindle/adapters/gateway/gateway_pages.c
@@ -6,17 +6,15 @@
 
 #include <string.h>
 
-/* Copies that are handed out at a time: each may be a megabyte over a link of 10 Mbit/s, and
- * another VM can be asked. */
-#define COPIES_MAX 3
+/* Concurrent snapshots, of up to a megabyte each. */
+#define SNAPSHOTS_MAX 3
 
-/* The same for what has changed, if it is no larger than so many bytes: a VM that reads for its
- * zone is asked for it by all VMs there at once. */
-#define CHANGES_MAX 256
-#define CHANGES_BYTES_MAX (64 * 1024)
+/* Concurrent small deltas: all VMs of a zone request one from its readers at once. */
+#define DELTAS_MAX 256
+#define DELTA_BYTES_MAX (64 * 1024)
 
-/* Documents that are queued for other VMs at a time: what a link of 10 Mbit/s carries in a second.
- * Who is refused reads the directory itself. */
+/* Queued documents: one second of a link of 10 Mbit/s. A VM that is rejected reads the directory.
+ */
 #define DOCUMENTS_BYTES_MAX (1250 * 1000)
 
 #define METRICS_PATH "/metrics"
@@ -51,42 +49,40 @@
 	(void)request;
 }
 
-/* How endpoints have changed, or everything has, after a position that is read from text. */
+/* Writes a delta after a position given as text. */
 static GBytes *
-changes_after(struct comet_gateway *gateway, const char *after,
-	GBytes *(*changes)(struct comet_directory *directory, uint64_t after))
+delta_after(struct comet_gateway *gateway, const char *after,
+	GBytes *(*delta)(struct comet_directory *directory, uint64_t after))
 {
 	guint64 position = 0;
 
 	if (!g_ascii_string_to_unsigned(after, 10, 1, G_MAXUINT64, &position, NULL))
 		return NULL;
-	return changes(gateway->directory, position);
+	return delta(gateway->directory, position);
 }
 
-/* What another VM asks for: what has changed after a position, or a copy of everything. */
+/* Writes the delta that a peer requests, or a snapshot. */
 static GBytes *
-copy_for(struct comet_gateway *gateway, const char *target)
+resync_for(struct comet_gateway *gateway, const char *target)
 {
 	const struct comet_directory_ops *ops = gateway->directory->ops;
 	uint32_t open = (uint32_t)comet_front_counts(gateway->control)->connections;
-	GBytes *copy = NULL;
-
-	if (open <= CHANGES_MAX && g_str_has_prefix(target, COMET_GATEWAY_ENTRIES_PATH))
-		copy = changes_after(
-			gateway, target + strlen(COMET_GATEWAY_ENTRIES_PATH), ops->entries);
-	else if (open <= CHANGES_MAX && g_str_has_prefix(target, COMET_GATEWAY_CHANGES_PATH))
-		copy = changes_after(
-			gateway, target + strlen(COMET_GATEWAY_CHANGES_PATH), ops->changes);
-	if (copy == NULL && open <= COPIES_MAX)
-		copy = ops->snapshot(gateway->directory);
-	if (copy == NULL || open <= COPIES_MAX || g_bytes_get_size(copy) <= CHANGES_BYTES_MAX)
-		return copy;
-	g_bytes_unref(copy);
+	GBytes *data = NULL;
+
+	if (open <= DELTAS_MAX && g_str_has_prefix(target, COMET_GATEWAY_ENDPOINTS_PATH))
+		data = delta_after(gateway, target + strlen(COMET_GATEWAY_ENDPOINTS_PATH),
+			ops->endpoints_delta);
+	else if (open <= DELTAS_MAX && g_str_has_prefix(target, COMET_GATEWAY_DELTA_PATH))
+		data = delta_after(gateway, target + strlen(COMET_GATEWAY_DELTA_PATH), ops->delta);
+	if (data == NULL && open <= SNAPSHOTS_MAX)
+		data = ops->snapshot(gateway->directory);
+	if (data == NULL || open <= SNAPSHOTS_MAX || g_bytes_get_size(data) <= DELTA_BYTES_MAX)
+		return data;
+	g_bytes_unref(data);
 	return NULL;
 }
 
-/* The routing document for another VM; NULL: it is not known, or others are still being given it.
- */
+/* Writes the routing document for a peer. @return NULL if it is unknown or the queue is full. */
 static GBytes *
 document_for(struct comet_gateway *gateway, const char *query)
 {
@@ -102,21 +98,20 @@
 }
 
 static void
-answer_copy(struct comet_front_request *request, GBytes *copy)
+answer_resync(struct comet_front_request *request, GBytes *bytes)
 {
 	gsize length = 0;
 
-	/* A connection kept by one that has its copy would count as a copy for four seconds, in
-	 * which others are refused theirs. */
+	/* An idle connection would count as a transfer. */
 	comet_front_end_connection(request);
-	if (copy == NULL)
+	if (bytes == NULL)
 	{
 		comet_front_answer(request, 503, NULL, "", 0);
 		return;
 	}
-	const char *data = g_bytes_get_data(copy, &length);
+	const char *data = g_bytes_get_data(bytes, &length);
 	comet_front_answer(request, 200, "Content-Type: application/json\r\n", data, length);
-	g_bytes_unref(copy);
+	g_bytes_unref(bytes);
 }
 
 static void
@@ -125,12 +120,12 @@
 	const char *target = request->head->target;
 
 	if (g_str_has_prefix(target, COMET_GATEWAY_DOCUMENT_PATH))
-		answer_copy(
+		answer_resync(
 			request, document_for(ctx, target + strlen(COMET_GATEWAY_DOCUMENT_PATH)));
-	else if (strcmp(target, COMET_GATEWAY_COPY_PATH) == 0 ||
-		 g_str_has_prefix(target, COMET_GATEWAY_CHANGES_PATH) ||
-		 g_str_has_prefix(target, COMET_GATEWAY_ENTRIES_PATH))
-		answer_copy(request, copy_for(ctx, target));
+	else if (strcmp(target, COMET_GATEWAY_SNAPSHOT_PATH) == 0 ||
+		 g_str_has_prefix(target, COMET_GATEWAY_DELTA_PATH) ||
+		 g_str_has_prefix(target, COMET_GATEWAY_ENDPOINTS_PATH))
+		answer_resync(request, resync_for(ctx, target));
 	else if (strcmp(target, METRICS_PATH) == 0)
 		comet_gateway_answer_metrics(ctx, request);
 	else
--- a/libcometspindle/adapters/gateway/gateway_private.h
+++ b/libcometspindle/adapters/gateway/gateway_private.h
@@ -96,7 +96,7 @@
 	struct comet_timer *charges_timer; /**< looks at open charges; NULL: there is none */
 	struct comet_readers *readers;
 	enum comet_directory_reading reading; /**< whether this VM reads the directory itself */
-	uint64_t news_us;                     /**< when it last told news; 0: never */
+	uint64_t reported_us;                 /**< when it last told news; 0: never */
 	struct comet_view_link *link;
 	struct comet_route_table *table; /**< NULL until one has been read */
 	struct comet_gateway_counts counts;
@@ -118,19 +118,19 @@
 	uint64_t turn_us;      /**< when the loop had last waited */
 	uint64_t suspended_us; /**< for how long the VM was suspended, as last looked */
 	uint64_t away_us;      /**< when the process was last found to have been away; 0: never */
-	struct comet_fetch *copying;     /**< reading the directory's copy of another VM */
-	struct comet_fetch *documenting; /**< reading the routing document of another VM */
-	uint64_t answered_us;            /**< when the directory last answered a call; 0: never */
-	uint64_t behind_us;              /**< since when another VM has read more; 0: none has */
-	uint64_t lacking_us;             /**< since when a document is lacking; 0: none is */
-	uint64_t document_failed_us;     /**< when a VM last did not give the document; 0: never */
-	uint64_t overtaken;          /**< newest position for which the directory was asked anew */
-	uint64_t position;           /**< in the directory, up to which everything is known */
-	uint64_t endpoints_position; /**< the same of endpoints */
-	uint64_t lost_us;            /**< when the directory was last lost */
-	bool directory_lost;         /**< its last answer failed */
-	bool listed;                 /**< the endpoints have been told once */
-	bool refusing;               /**< a stop has come so far that nothing new is begun */
+	struct comet_fetch *resyncing;         /**< request of a snapshot or delta */
+	struct comet_fetch *fetching_document; /**< request of the routing document */
+	uint64_t answered_us;         /**< when the directory last answered a call; 0: never */
+	uint64_t stale_us;            /**< since when a peer is ahead; 0: none is */
+	uint64_t document_missing_us; /**< since when a document is missing; 0: none is */
+	uint64_t document_failed_us;  /**< last failed request of the document; 0: none */
+	uint64_t restarted_for;       /**< newest position for which the watch was restarted */
+	uint64_t position;            /**< in the directory, up to which everything is complete */
+	uint64_t endpoints_position;  /**< the same of endpoints */
+	uint64_t lost_us;             /**< when the directory was last lost */
+	bool directory_lost;          /**< its last answer failed */
+	bool listed;                  /**< the endpoints have been told once */
+	bool refusing;                /**< a stop has come so far that nothing new is begun */
 	bool over;
 };
 
@@ -171,44 +171,42 @@
 extern const struct comet_front_events comet_gateway_readiness_events;
 extern const struct comet_front_events comet_gateway_control_events;
 
-/** Where another VM hands out its copy of the directory, on its control address. */
-#define COMET_GATEWAY_COPY_PATH "/v1/directory"
+/** Path of a snapshot of the directory on a VM's control address. */
+#define COMET_GATEWAY_SNAPSHOT_PATH "/v1/directory"
 
-/** The same, followed by a position: what has changed after it. */
-#define COMET_GATEWAY_CHANGES_PATH COMET_GATEWAY_COPY_PATH "?after="
+/** Followed by a position: the delta after it. */
+#define COMET_GATEWAY_DELTA_PATH COMET_GATEWAY_SNAPSHOT_PATH "?after="
 
-/** Followed by a position: how endpoints have changed after it. */
-#define COMET_GATEWAY_ENTRIES_PATH COMET_GATEWAY_COPY_PATH "/endpoints?after="
+/** Followed by a position: the delta of endpoints after it. */
+#define COMET_GATEWAY_ENDPOINTS_PATH COMET_GATEWAY_SNAPSHOT_PATH "/endpoints?after="
 
-/** Followed by a query of the directory: the routing document. */
-#define COMET_GATEWAY_DOCUMENT_PATH COMET_GATEWAY_COPY_PATH "/document?"
+/** Followed by the directory's query: the routing document. */
+#define COMET_GATEWAY_DOCUMENT_PATH COMET_GATEWAY_SNAPSHOT_PATH "/document?"
 
-/** Reads from another VM how endpoints have changed, unless something is being read
- * (gateway_copy.c). */
+/** Requests a delta of endpoints from a peer, unless a request is under way (gateway_resync.c). */
 void
-comet_gateway_ask_entries(struct comet_gateway *gateway, uint32_t vm);
+comet_gateway_request_endpoints(struct comet_gateway *gateway, uint32_t vm);
 
-/** Reads the routing document from another VM if a newer one is known to exist; where no reader can
- * be asked, from the directory itself. */
+/** Fetches a routing document that was reported: from a reader, or else from the directory. */
 void
-comet_gateway_seek_document(struct comet_gateway *gateway, uint64_t now_us);
+comet_gateway_fetch_document(struct comet_gateway *gateway, uint64_t now_us);
 
-/** Decides whether this VM reads the directory, and tells those who follow it (gateway_news.c). */
+/** Decides whether this VM reads the directory, and reports to followers (gateway_readers.c). */
 void
-comet_gateway_tick_news(struct comet_gateway *gateway, uint64_t now_us);
+comet_gateway_tick_readers(struct comet_gateway *gateway, uint64_t now_us);
 
-/** This VM has read on: tells those who follow it at once. */
+/** Reports this VM's position to its followers. */
 void
-comet_gateway_tell_news(struct comet_gateway *gateway, uint64_t now_us);
+comet_gateway_report_position(struct comet_gateway *gateway, uint64_t now_us);
 
-/** A VM that reads for others has told how far. */
+/** Takes the report of a reader. */
 void
-comet_gateway_take_news(struct comet_gateway *gateway, const comet_News *news, uint64_t now_us);
+comet_gateway_take_report(struct comet_gateway *gateway, const comet_News *news, uint64_t now_us);
 
-/** Asks the directory anew, or another VM for its copy, if that VM has known more for long
- * (gateway_copy.c). */
+/** Restarts the watch, or resyncs from a peer, after peers have been ahead for a while
+ * (gateway_resync.c). */
 void
-comet_gateway_catch_up(struct comet_gateway *gateway, uint64_t now_us);
+comet_gateway_resync(struct comet_gateway *gateway, uint64_t now_us);
 
 /** NULL when this VM takes requests, else why not (gateway_pages.c). */
 const char *
--- a/libcometspindle/adapters/gateway/gateway_news.c
+++ b/libcometspindle/adapters/gateway/gateway_readers.c
@@ -1,14 +1,14 @@
 /*
- * gateway_news.c
- * who reads the directory in this zone: tells those who follow, and follows those who read
+ * gateway_readers.c
+ * the zone's directory readers: reports to followers, or follows the readers' reports
  */
 #include <libcometspindle/adapters/gateway/gateway_private.h>
 
 #include <libcometspindle/log.h>
 
-/* A reader tells how far it has read at least this often: some times in the time for which it is
- * followed, so that a lost datagram changes nothing. */
-#define NEWS_US 200000
+/* Report interval of a reader: a fraction of the time a report is valid, since datagrams get lost.
+ */
+#define REPORT_US 200000
 
 static const char *
 reading_name(enum comet_directory_reading reading)
@@ -23,7 +23,7 @@
 	return names[reading];
 }
 
-/* How long ago the directory answered this VM. */
+/* @return the age of the directory's last answer. */
 static uint64_t
 answer_age_us(const struct comet_gateway *gateway, uint64_t now_us)
 {
@@ -31,7 +31,7 @@
 }
 
 void
-comet_gateway_tell_news(struct comet_gateway *gateway, uint64_t now_us)
+comet_gateway_report_position(struct comet_gateway *gateway, uint64_t now_us)
 {
 	uint8_t data[COMET_DATAGRAM_BYTES_MAX];
 	uint64_t age_us = answer_age_us(gateway, now_us);
@@ -46,45 +46,45 @@
 			},
 	};
 
-	/* Who has not been answered of late has nothing to tell that may be followed. */
+	/* A stale report would not be followed. */
 	if (gateway->reading != COMET_DIRECTORY_READS_FOR_OTHERS ||
 		!comet_readers_is_fresh(gateway->readers, age_us))
 		return;
-	gateway->news_us = now_us;
+	gateway->reported_us = now_us;
 	size_t length = comet_datagram_encode(&datagram, data);
 	comet_views_send_near(gateway->views, data, length);
 }
 
-/* Asks a reader for what this VM lacks. */
+/* Fetches from a reader what is missing here. */
 static void
-catch_up(struct comet_gateway *gateway, uint64_t now_us)
+resync(struct comet_gateway *gateway, uint64_t now_us)
 {
 	uint32_t vm = comet_readers_ahead(gateway->readers, gateway->endpoints_position, now_us);
 
 	if (gateway->reading != COMET_DIRECTORY_FOLLOWS)
 		return;
-	/* A reader may have told of endpoints before it had read a document that is older. */
-	if (vm == 0 && gateway->directory->ops->lacking(gateway->directory) == 0)
-		vm = comet_readers_ahead_whole(gateway->readers, gateway->position, now_us);
+	/* A reader may report endpoints before it has read an older document. */
+	if (vm == 0 && gateway->directory->ops->missing_document(gateway->directory) == 0)
+		vm = comet_readers_ahead_complete(gateway->readers, gateway->position, now_us);
 	if (vm != 0)
-		comet_gateway_ask_entries(gateway, vm);
-	comet_gateway_seek_document(gateway, now_us);
+		comet_gateway_request_endpoints(gateway, vm);
+	comet_gateway_fetch_document(gateway, now_us);
 }
 
 void
-comet_gateway_take_news(struct comet_gateway *gateway, const comet_News *news, uint64_t now_us)
+comet_gateway_take_report(struct comet_gateway *gateway, const comet_News *news, uint64_t now_us)
 {
-	const struct comet_readers_news told = {
+	const struct comet_reader_report told = {
 		.vm = news->address,
 		.position = news->endpoints != 0 ? news->endpoints : news->position,
-		.whole = news->position,
+		.complete = news->position,
 		.age_us = (uint64_t)news->age_ms * 1000,
 	};
 
 	if (!comet_views_hears_near(gateway->views, news->address))
-		return; /* none of this zone's, or not yet known */
-	comet_readers_told(gateway->readers, &told, now_us);
-	catch_up(gateway, now_us);
+		return; /* another zone's, or not yet known */
+	comet_readers_report(gateway->readers, &told, now_us);
+	resync(gateway, now_us);
 	if (gateway->reading == COMET_DIRECTORY_FOLLOWS &&
 		told.position <= gateway->endpoints_position)
 		gateway->directory->ops->followed(gateway->directory);
@@ -102,7 +102,7 @@
 }
 
 void
-comet_gateway_tick_news(struct comet_gateway *gateway, uint64_t now_us)
+comet_gateway_tick_readers(struct comet_gateway *gateway, uint64_t now_us)
 {
 	struct comet_readers_sight sight = {
 		.listed = gateway->listed && gateway->table != NULL,
@@ -112,7 +112,7 @@
 
 	comet_views_count_near(gateway->views, now_us, &sight.zone_vms, &sight.better);
 	set_reading(gateway, comet_readers_decide(gateway->readers, &sight, now_us));
-	if (now_us - gateway->news_us >= NEWS_US)
-		comet_gateway_tell_news(gateway, now_us);
-	catch_up(gateway, now_us);
+	if (now_us - gateway->reported_us >= REPORT_US)
+		comet_gateway_report_position(gateway, now_us);
+	resync(gateway, now_us);
 }
--- /dev/null
+++ b/libcometspindle/adapters/gateway/gateway_resync.c
@@ -0,0 +1,202 @@
+/*
+ * gateway_resync.c
+ * resyncs the directory from peers: snapshots, deltas of endpoints, the routing document
+ */
+#include <libcometspindle/adapters/gateway/gateway_private.h>
+
+#include <libcometspindle/log.h>
+#include <string.h>
+
+/* Grace before a resync from a peer: our own watch usually delivers the same change. It is longer
+ * while the directory answers, so that hundreds of VMs that start together do not query each other.
+ */
+#define STALE_GRACE_US 400000
+#define STALE_GRACE_ANSWERED_US 1500000
+
+/* The first list is given time while its pages arrive at this interval: the directory rejects most
+ * calls of hundreds of VMs that start together, and snapshots would fill their links. */
+#define PROGRESS_US 1000000
+
+/* Grace for an answer that is arriving from the directory: a snapshot would share its link. */
+#define ARRIVING_US 5000000
+
+/* Until a peer's answer begins: a connect and a round trip on a busy narrow link. */
+#define RESYNC_TIMEOUT_US 1000000
+
+/* Time for a reader to report that it holds a document before the directory is read, and backoff
+ * after a failed request. */
+#define READER_RETRY_US 300000
+
+/* HTTP status of a complete answer. */
+#define STATUS_GOOD 200
+
+/* Applies a peer's answer. @return false if there is none, or it is malformed. */
+static bool
+take_answer(struct comet_gateway *gateway, const struct comet_fetch_answer *answer)
+{
+	GError *error = NULL;
+
+	if (answer->failure != NULL || answer->status != STATUS_GOOD)
+	{
+		comet_log(COMET_LOG_NOTICE, "event=resync_failed reason=%s status=%u",
+			answer->failure != NULL ? answer->failure : "status", answer->status);
+		return false;
+	}
+	if (gateway->directory->ops->offer(
+		    gateway->directory, answer->body, answer->length, &error))
+		return true;
+	comet_log(COMET_LOG_WARNING, "event=resync_rejected error=\"%s\"", error->message);
+	g_clear_error(&error);
+	return false;
+}
+
+static void
+on_copy(void *ctx, const struct comet_fetch_answer *answer)
+{
+	struct comet_gateway *gateway = ctx;
+
+	gateway->resyncing = NULL; /* frees itself after this */
+	if (!take_answer(gateway, answer))
+		comet_readers_failed(gateway->readers, comet_timers_now_us());
+	comet_gateway_fetch_document(gateway, comet_timers_now_us());
+}
+
+static void
+on_document(void *ctx, const struct comet_fetch_answer *answer)
+{
+	struct comet_gateway *gateway = ctx;
+	const struct comet_directory_ops *ops = gateway->directory->ops;
+
+	gateway->fetching_document = NULL; /* frees itself after this */
+	if (take_answer(gateway, answer) && ops->missing_document(gateway->directory) == 0)
+		return;
+	gateway->document_failed_us = comet_timers_now_us();
+	ops->read_document(gateway->directory);
+}
+
+static struct comet_fetch *
+ask(struct comet_gateway *gateway, uint32_t vm, const char *target, comet_fetch_handler handler)
+{
+	char ip[COMET_VIEW_ADDRESS_MAX];
+	const char *port = strrchr(gateway->settings->control, ':'); /* the same on all VMs */
+	char *address = g_strconcat(comet_view_link_text(vm, ip), port, NULL);
+	struct comet_fetch_request request = {
+		.address = address,
+		.target = target,
+		.timeout_us = RESYNC_TIMEOUT_US,
+		.counted = &gateway->bytes[COMET_GATEWAY_USE_PEERS],
+	};
+	struct comet_fetch *fetch = comet_fetch_start(
+		gateway, gateway->upstream, gateway->timers, &request, handler, gateway);
+
+	g_free(address);
+	return fetch;
+}
+
+static void
+request_snapshot(struct comet_gateway *gateway, uint32_t vm)
+{
+	char ip[COMET_VIEW_ADDRESS_MAX];
+
+	comet_log(COMET_LOG_NOTICE,
+		"event=snapshot_requested vm=%s era=%" G_GUINT64_FORMAT
+		" revision=%" G_GUINT64_FORMAT,
+		comet_view_link_text(vm, ip), comet_directory_era(gateway->position),
+		comet_directory_revision(gateway->position));
+	gateway->resyncing = ask(gateway, vm, COMET_GATEWAY_SNAPSHOT_PATH, on_copy);
+}
+
+void
+comet_gateway_request_endpoints(struct comet_gateway *gateway, uint32_t vm)
+{
+	if (gateway->resyncing != NULL)
+		return;
+	char *target = g_strdup_printf(
+		COMET_GATEWAY_ENDPOINTS_PATH "%" G_GUINT64_FORMAT, gateway->endpoints_position);
+	gateway->resyncing = ask(gateway, vm, target, on_copy);
+	g_free(target);
+}
+
+static void
+request_document(struct comet_gateway *gateway, uint32_t vm)
+{
+	char *query = gateway->directory->ops->query(gateway->directory);
+	char *target = g_strconcat(COMET_GATEWAY_DOCUMENT_PATH, query, NULL);
+
+	gateway->fetching_document = ask(gateway, vm, target, on_document);
+	g_free(target);
+	g_free(query);
+}
+
+void
+comet_gateway_fetch_document(struct comet_gateway *gateway, uint64_t now_us)
+{
+	const struct comet_directory_ops *ops = gateway->directory->ops;
+
+	uint64_t position = ops->missing_document(gateway->directory);
+
+	if (position == 0)
+		gateway->document_missing_us = 0;
+	else if (gateway->document_missing_us == 0)
+		gateway->document_missing_us = now_us;
+	if (position == 0 || gateway->fetching_document != NULL ||
+		ops->is_arriving(gateway->directory) ||
+		(gateway->document_failed_us != 0 &&
+			now_us - gateway->document_failed_us < READER_RETRY_US))
+		return;
+	uint32_t vm = comet_readers_pick(gateway->readers, position, now_us);
+	if (vm != 0)
+		request_document(gateway, vm);
+	else if (now_us - gateway->document_missing_us >= READER_RETRY_US)
+		ops->read_document(gateway->directory);
+}
+
+/* A watch that started in an outage is never answered, though its connection stands. It is
+ * restarted once per reported position, since a report may be false. */
+static bool
+restarted_watch(struct comet_gateway *gateway, uint64_t now_us)
+{
+	uint64_t newest = comet_views_newest(gateway->views);
+
+	if (newest <= gateway->restarted_for || now_us - gateway->stale_us < STALE_GRACE_US ||
+		!gateway->directory->ops->restart_stale_watch(gateway->directory, STALE_GRACE_US))
+		return false;
+	gateway->restarted_for = newest;
+	return true;
+}
+
+void
+comet_gateway_resync(struct comet_gateway *gateway, uint64_t now_us)
+{
+	uint32_t vm = comet_views_newer(
+		gateway->views, gateway->position, comet_draw_u32(&gateway->draw));
+	uint64_t patience_us = gateway->directory_lost ? STALE_GRACE_US : STALE_GRACE_ANSWERED_US;
+
+	if (vm == 0)
+	{
+		gateway->stale_us = 0;
+		return;
+	}
+	if (!gateway->listed && gateway->answered_us != 0 &&
+		now_us - gateway->answered_us < PROGRESS_US)
+		return;
+	if (gateway->stale_us == 0)
+		gateway->stale_us = now_us;
+	if (gateway->directory->ops->is_arriving(gateway->directory) &&
+		now_us - gateway->stale_us < ARRIVING_US)
+		return;
+	if (restarted_watch(gateway, now_us))
+	{
+		gateway->stale_us = now_us; /* grace for the new watch */
+		return;
+	}
+	if (gateway->resyncing != NULL || gateway->fetching_document != NULL ||
+		now_us - gateway->stale_us < patience_us)
+		return;
+	gateway->stale_us = now_us;
+	/* Endpoints are up to date: only the document is missing. */
+	if (comet_views_newest(gateway->views) <= gateway->endpoints_position)
+		request_document(gateway, vm);
+	else
+		request_snapshot(gateway, vm);
+}
--- a/libcometspindle/gateway/directory.h
+++ b/libcometspindle/gateway/directory.h
@@ -3,8 +3,8 @@
  * port: where the routing document and the endpoints are read from
  *
  * Behind a vtable: the platform's adapter implements it. Nothing is ever
- * written there. What one VM has read can be handed to another that cannot
- * reach the directory; the form of such a copy is the adapter's own.
+ * written there. VMs resync from one another by snapshots and deltas, whose form
+ * is the adapter's own.
  */
 #ifndef COMETSPINDLE_GATEWAY_DIRECTORY_H
 #define COMETSPINDLE_GATEWAY_DIRECTORY_H
@@ -66,8 +66,8 @@
 
 struct comet_directory_events
 {
-	/** A newer routing document; the reference passes to the callee. lag_us: for how long it
-	 * was known to exist. */
+	/** A newer routing document; the callee takes the reference. lag_us: time since its
+	 * existence was reported. */
 	void (*routes)(void *ctx, struct comet_route_table *table, uint64_t lag_us);
 	/** An endpoint's process is there, or changed. */
 	void (*instance)(void *ctx, const struct comet_instance_record *record);
@@ -76,8 +76,7 @@
 	void (*instance_gone)(void *ctx, const char *id, uint64_t out_us);
 	/** An item that cannot be read was published; the others hold. */
 	void (*refused)(void *ctx, const struct comet_directory_refusal *refusal);
-	/** Everything up to this position has been told, and of endpoints everything up to another,
-	 * which may be later. */
+	/** Everything up to a position has been reported, and endpoints up to another one. */
 	void (*revision)(void *ctx, uint64_t position, uint64_t endpoints);
 	/** Another history of the directory is read from now on. */
 	void (*era)(void *ctx, uint64_t era, uint64_t before);
@@ -106,35 +105,34 @@
 	void (*start)(struct comet_directory *directory);
 	/** So many VMs read the same directory: the more, the less each needs to ask. */
 	void (*set_vms)(struct comet_directory *directory, uint32_t vms);
-	/** Another VM has read more for so long: a call that has waited for news as long is lost,
-	 * and is made anew. @return whether there was one */
-	bool (*overtaken)(struct comet_directory *directory, uint64_t for_us);
-	/** @return whether the answer of a call has begun to arrive. */
+	/** Restarts a watch that has waited for so long while peers reported news. @return whether
+	 * there was one. */
+	bool (*restart_stale_watch)(struct comet_directory *directory, uint64_t for_us);
+	/** @return whether an answer is arriving. */
 	bool (*is_arriving)(const struct comet_directory *directory);
 	/** Reads from now on in another way. */
 	void (*set_reading)(
 		struct comet_directory *directory, enum comet_directory_reading reading);
 	/** What it knows is that of a VM which the directory answers. */
 	void (*followed)(struct comet_directory *directory);
-	/** What has changed after a position, for another VM that knows all up to there; NULL when
-	 * that is not known any more: a copy has to do. */
-	GBytes *(*changes)(struct comet_directory *directory, uint64_t after);
-	/** The same of endpoints alone; of the routing document it is told whether it has changed.
-	 */
-	GBytes *(*entries)(struct comet_directory *directory, uint64_t after);
-	/** What another VM is to be asked for the routing document by; to be freed with g_free().
+	/** Writes all changes after a position for a peer. @return NULL if they are not known: a
+	 * snapshot has to do. */
+	GBytes *(*delta)(struct comet_directory *directory, uint64_t after);
+	/** The same for endpoints only; a newer routing document is mentioned. */
+	GBytes *(*endpoints_delta)(struct comet_directory *directory, uint64_t after);
+	/** Writes the query by which a peer is asked for the routing document; free with g_free().
 	 */
 	char *(*query)(struct comet_directory *directory);
-	/** The routing document for another VM that asks by a query; NULL when it is not known. */
+	/** Answers such a query. @return NULL if the document is not known. */
 	GBytes *(*documents)(struct comet_directory *directory, const char *query);
-	/** Position of a routing document that another VM has told of and that is not known here;
-	 * 0: there is none. */
-	uint64_t (*lacking)(const struct comet_directory *directory);
+	/** @return the position of a routing document that a peer reported and that is not here, or
+	 * 0. */
+	uint64_t (*missing_document)(const struct comet_directory *directory);
 	/** Reads the routing document from the directory itself. */
 	void (*read_document)(struct comet_directory *directory);
-	/** A copy of what is known, for another VM; NULL when nothing is. */
+	/** Writes everything for a peer. @return NULL while something is missing. */
 	GBytes *(*snapshot)(struct comet_directory *directory);
-	/** A copy from another VM, or changes: taken if they are newer. */
+	/** Applies a peer's snapshot or delta if it is newer. */
 	gboolean (*offer)(
 		struct comet_directory *directory, const char *data, size_t length, GError **error);
 };
--- a/libcometspindle/gateway/readers.h
+++ b/libcometspindle/gateway/readers.h
@@ -1,12 +1,11 @@
 /*
  * readers.h
- * whether this VM reads the directory itself, or follows VMs of its zone that read it for others
+ * whether this VM reads the directory, or follows the readers of its availability zone
  *
- * Each VM that watches the directory is woken by each change, so that calls grow as VMs times
- * changes. In a large availability zone two VMs read for all, drawn like keepers, without any
- * coordination: who takes itself for a reader reads and tells, and who hears no reader that the
- * directory has answered of late reads for itself. So two views of who reads cost some calls, and
- * nothing else. No sockets and no clock in here.
+ * Two VMs of a large zone read the directory for all and report how far; calls
+ * would otherwise grow as VMs times changes. Readers are chosen by rendezvous,
+ * without coordination; a VM without a fresh report reads for itself. Two opinions
+ * on who reads cost some calls and nothing else. No sockets and no clock.
  */
 #ifndef COMETSPINDLE_GATEWAY_READERS_H
 #define COMETSPINDLE_GATEWAY_READERS_H
@@ -15,13 +14,13 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-/** What a reader tells. */
-struct comet_readers_news
+/** A report of a reader. */
+struct comet_reader_report
 {
 	uint32_t vm;
-	uint64_t position; /**< how far it has read, of endpoints */
-	uint64_t whole;    /**< how far it has read everything */
-	uint64_t age_us;   /**< since the directory last answered it */
+	uint64_t position; /**< up to which its endpoints are complete */
+	uint64_t complete; /**< up to which everything is */
+	uint64_t age_us;   /**< of the directory's last answer to it */
 };
 
 /** What this VM knows of itself and its zone. */
@@ -29,46 +28,46 @@
 {
 	bool listed;       /**< it has read the directory once */
 	bool leaving;      /**< it stops */
-	uint32_t zone_vms; /**< that are heard in its zone, itself included */
-	uint32_t better;   /**< of them, those that are better suited to read for others */
-	uint64_t position; /**< how far it has read or followed */
+	uint32_t zone_vms; /**< alive in its zone, itself included */
+	uint32_t better;   /**< of them, those better suited as readers */
+	uint64_t position; /**< up to which its endpoints are complete */
 };
 
 struct comet_readers;
 
-/** followed_us: a reader is followed so long after the directory has answered it. seed: for draws
- * that must differ between VMs. */
+/** followed_us: how long a report is fresh after the directory's answer. seed: of jitter, which
+ * must differ between VMs. */
 struct comet_readers *
 comet_readers_create(void *parent, uint64_t followed_us, uint64_t seed);
 
-/** A reader of this zone told how far it has read. */
+/** Takes a report of a reader of this zone. */
 void
-comet_readers_told(
-	struct comet_readers *readers, const struct comet_readers_news *news, uint64_t now_us);
+comet_readers_report(
+	struct comet_readers *readers, const struct comet_reader_report *report, uint64_t now_us);
 
-/** A reader did not hand out what it had read. */
+/** A reader did not provide what it had reported. */
 void
 comet_readers_failed(struct comet_readers *readers, uint64_t now_us);
 
-/** What this VM is to do now; to be asked some times a second. */
+/** @return what this VM is to do; to be asked some times a second. */
 enum comet_directory_reading
 comet_readers_decide(
 	struct comet_readers *readers, const struct comet_readers_sight *sight, uint64_t now_us);
 
-/** @return a reader that has read more than a position, and was heard of late; 0: there is none. */
+/** @return the fresh reader with the most endpoints after `position`, or 0. */
 uint32_t
 comet_readers_ahead(const struct comet_readers *readers, uint64_t position, uint64_t now_us);
 
-/** The same for everything that is read, endpoints and documents. */
+/** @return a fresh reader that is complete after `position`, or 0. */
 uint32_t
-comet_readers_ahead_whole(const struct comet_readers *readers, uint64_t position, uint64_t now_us);
+comet_readers_ahead_complete(
+	const struct comet_readers *readers, uint64_t position, uint64_t now_us);
 
-/** @return one of the readers that were heard of late and have read up to a position, drawn; 0:
- * there is none. */
+/** @return a random fresh reader whose endpoints are complete up to `position`, or 0. */
 uint32_t
 comet_readers_pick(struct comet_readers *readers, uint64_t position, uint64_t now_us);
 
-/** @return whether what a reader knew so long ago may be followed. */
+/** @return whether a report of this age is fresh. */
 bool
 comet_readers_is_fresh(const struct comet_readers *readers, uint64_t age_us);
 
--- a/libcometspindle/pack.c
+++ b/libcometspindle/pack.c
@@ -1,6 +1,6 @@
 /*
  * pack.c
- * compressed texts: alone, or as what has changed since an earlier version
+ * compressed texts, whole or as deltas of an earlier version
  */
 #include <libcometspindle/pack.h>
 
@@ -11,10 +11,10 @@
 
 #define DIGEST_BYTES 16
 
-/* Fast enough to pack a megabyte within some milliseconds. */
+/* Packs a megabyte within milliseconds. */
 #define LEVEL 3
 
-/* Largest distance of a repetition, in bits: 16 MB, beyond any text and its base. */
+/* Window sizes in bits; 16 MB exceeds any text with its base. */
 #define WINDOW_BITS_MIN 10
 #define WINDOW_BITS_MAX 24
 
@@ -28,7 +28,7 @@
 	sodium_bin2hex(digest, COMET_DIGEST_CHARS, hash, sizeof hash);
 }
 
-/* Bits of a window that holds a text and the base before it. */
+/* @return the window that covers so many bytes. */
 static int
 window_bits(size_t bytes)
 {
@@ -56,7 +56,7 @@
 	}
 	size_t length = ZSTD_compress2(context, packed, room, text->data, text->length);
 	ZSTD_freeCCtx(context);
-	g_assert(!ZSTD_isError(length)); /* the room is enough for any text */
+	g_assert(!ZSTD_isError(length)); /* the buffer fits any text */
 	return g_bytes_new_take(g_realloc(packed, MAX(length, 1)), length);
 }
 
@@ -87,7 +87,7 @@
 	unsigned long long length = ZSTD_getFrameContentSize(packed->data, packed->length);
 	char found[COMET_DIGEST_CHARS];
 
-	/* The two values that are no length are larger than any bound. */
+	/* Both error codes exceed any limit. */
 	if (length > max_bytes)
 	{
 		g_set_error(error, COMET_ERROR, COMET_ERROR_SYNTAX,
--- a/libcometspindle/pack.h
+++ b/libcometspindle/pack.h
@@ -1,9 +1,9 @@
 /*
  * pack.h
- * compressed texts: alone, or as what has changed since an earlier version
+ * compressed texts, whole or as deltas of an earlier version
  *
- * A digest names a version of a text. What is unpacked is bounded by the
- * caller, and compared with the digest that it should have.
+ * A digest names a version. The size of an unpacked text is bounded, and its
+ * digest verified.
  */
 #ifndef COMETSPINDLE_PACK_H
 #define COMETSPINDLE_PACK_H
@@ -14,7 +14,7 @@
 /** Characters of a digest, with the final NUL. */
 #define COMET_DIGEST_CHARS 33
 
-/** A text, whose bytes may be any. */
+/** A text of arbitrary bytes. */
 struct comet_text
 {
 	const char *data;
@@ -25,12 +25,12 @@
 void
 comet_digest(const struct comet_text *text, char digest[COMET_DIGEST_CHARS]);
 
-/** Compresses a text; base: an earlier version that the receiver holds, or NULL. */
+/** Compresses a text. base: a version that the receiver holds, or NULL. */
 GBytes *
 comet_pack(const struct comet_text *text, const struct comet_text *base);
 
-/** Unpacks a text of at most max_bytes against the base that it was packed with. @return NULL and
- * error when it is damaged, too large, or has another digest. */
+/** Unpacks a text of at most max_bytes. base: as it was packed with. @return NULL and error if it
+ * is damaged, too large, or has another digest. */
 GBytes *
 comet_unpack(const struct comet_text *packed, const struct comet_text *base, size_t max_bytes,
 	const char *digest, GError **error) G_GNUC_WARN_UNUSED_RESULT;
--- a/tests/system/test_directory.py
+++ b/tests/system/test_directory.py
@@ -473,7 +473,7 @@
         assert False, "64 MB were read"
     except OSError:
         pass  # it has closed
-    assert "copy_failed reason=too_large" in gateway.end()
+    assert "resync_failed reason=too_large" in gateway.end()
 
 
 def memory_kb(gateway):
@@ -551,7 +551,7 @@
                     seeds=f"{ADDRESS}:{there.ports['control']}")
     wait_for(alone.ready)
     text = alone.end()
-    assert "event=directory_lost" in text and "event=copy_asked" in text, text
+    assert "event=directory_lost" in text and "event=snapshot_requested" in text, text
     there.end()
 
 
--- a/tests/system/test_narrow_links.py
+++ b/tests/system/test_narrow_links.py
@@ -36,7 +36,7 @@
     """Copies of the directory were cut off one second after they had been queued, since the close of their connection
     did not wait until they were written: on links that share a second among several copies none arrived.
 
-        event=copy_failed reason=broken status=200"""
+        event=resync_failed reason=broken status=200"""
     store = Store()
     store.put("op/config", large_document(1))
     server = Server(store, "i-0", "svc")
@@ -149,7 +149,7 @@
     handed_on = sum(peers_bytes(vm) - number for vm, number in zip(zone.vms, before))
     assert handed_on < len(json.dumps(large_document(3))), handed_on
     logs = zone.end()
-    assert not any("transfer_abandoned" in text or "copy_failed" in text for text in logs)
+    assert not any("transfer_abandoned" in text or "resync_failed" in text for text in logs)
 
 
 if __name__ == "__main__":
--- a/tests/unit/test_catalog_parts.cc
+++ b/tests/unit/test_catalog_parts.cc
@@ -185,7 +185,7 @@
 	take_answer(void *ctx, const comet_store_answer *answer)
 	{
 		comet_catalog *to = static_cast<comet_catalog *>(ctx);
-		if (answer->is_changes || answer->is_part)
+		if (answer->is_delta || answer->is_partial)
 			comet_catalog_take_delta(to, answer, false);
 		else
 			comet_catalog_take_snapshot(to, answer, false);
--- a/tests/unit/test_platform.cc
+++ b/tests/unit/test_platform.cc
@@ -250,7 +250,7 @@
 	auto take = [](void *ctx, const comet_store_answer *answer)
 	{
 		auto *one = static_cast<struct follower *>(ctx);
-		EXPECT_TRUE(answer->is_changes);
+		EXPECT_TRUE(answer->is_delta);
 		one->taken = comet_catalog_take_delta(one->catalog, answer, answer->out_ms != 0);
 	};
 	auto offer = [&](uint64_t after, uint64_t out_ms)
--- a/tests/unit/test_readers.cc
+++ b/tests/unit/test_readers.cc
@@ -38,8 +38,8 @@
 	void
 	tell(uint32_t vm, uint64_t position, uint64_t age_us = 0)
 	{
-		comet_readers_news news = {vm, position, position, age_us};
-		comet_readers_told(readers, &news, now_us);
+		comet_reader_report report = {vm, position, position, age_us};
+		comet_readers_report(readers, &report, now_us);
 	}
 
 	comet_directory_reading
@@ -103,10 +103,10 @@
 	for (uint64_t vm = 1; vm <= 100; vm++)
 	{
 		comet_readers *readers = comet_readers_create(nullptr, 1000 * ms, vm);
-		comet_readers_news news = {1, 100, 100, 0};
+		comet_reader_report report = {1, 100, 100, 0};
 		comet_readers_sight sight = {true, false, 60, 5, 100};
 		uint64_t now_us = 50000000;
-		comet_readers_told(readers, &news, now_us);
+		comet_readers_report(readers, &report, now_us);
 		while (comet_readers_decide(readers, &sight, now_us) == COMET_DIRECTORY_FOLLOWS)
 			now_us += 10 * ms;
 		times.insert(now_us);
@@ -174,18 +174,18 @@
 /* A reader told of endpoints while an older document was on its way to it. */
 TEST_F(ReadersTest, AReaderIsAheadByADocumentAlone)
 {
-	comet_readers_news news = {1, 200, 150, 0};
-	comet_readers_told(readers, &news, now_us);
+	comet_reader_report report = {1, 200, 150, 0};
+	comet_readers_report(readers, &report, now_us);
 	EXPECT_EQ(comet_readers_ahead(readers, 200, now_us), 0U);
-	EXPECT_EQ(comet_readers_ahead_whole(readers, 150, now_us), 0U);
-	news.whole = 200;
-	comet_readers_told(readers, &news, now_us);
+	EXPECT_EQ(comet_readers_ahead_complete(readers, 150, now_us), 0U);
+	report.complete = 200;
+	comet_readers_report(readers, &report, now_us);
 	EXPECT_EQ(comet_readers_ahead(readers, 200, now_us), 0U);
-	EXPECT_EQ(comet_readers_ahead_whole(readers, 150, now_us), 1U);
+	EXPECT_EQ(comet_readers_ahead_complete(readers, 150, now_us), 1U);
 	sight.position = 200;
 	for (int i = 0; i < 20; i++, now_us += 100 * ms)
 	{
-		comet_readers_told(readers, &news, now_us);
+		comet_readers_report(readers, &report, now_us);
 		EXPECT_EQ(decide(), COMET_DIRECTORY_FOLLOWS) << "a document may take long";
 	}
 }
