Logs: what peers report in large numbers has a few lines a second

Of these events eight lines each a second are written, all of them at level debug, the others summed up in lines_left_out. Lines on a request, and what this VM itself has seen, are written as before. LogBudget.RepeatedEventsHaveAFewLinesASecond.

--- a/libcometspindle/adapters/gateway/gateway.c
+++ b/libcometspindle/adapters/gateway/gateway.c
@@ -102,8 +102,8 @@
 	char text[COMET_VIEW_ADDRESS_MAX];
 
 	(void)ctx;
-	comet_log(COMET_LOG_NOTICE, "event=vm_%s vm=%s reason=%s", there ? "heard" : "lost",
-		comet_view_link_text(address, text), why);
+	comet_log_repeated(COMET_LOG_NOTICE, "event=vm_%s vm=%s reason=%s",
+		there ? "heard" : "lost", comet_view_link_text(address, text), why);
 }
 
 static const struct comet_views_ops views_ops = {.send = send_view, .changed = on_vm_changed};
--- a/libcometspindle/adapters/gateway/gateway_crashes.c
+++ b/libcometspindle/adapters/gateway/gateway_crashes.c
@@ -50,7 +50,9 @@
 {
 	struct comet_gateway *gateway = ctx;
 
-	comet_log(news == COMET_CRASHES_COUNTED ? COMET_LOG_INFO : COMET_LOG_NOTICE,
+	comet_log_writer *write = own ? comet_log : comet_log_repeated;
+
+	write(news == COMET_CRASHES_COUNTED ? COMET_LOG_INFO : COMET_LOG_NOTICE,
 		"event=request_%s fingerprint=%016" G_GINT64_MODIFIER
 		"x team_hash=%08x crashes=%u told=%d",
 		news_name(news), request->digest, request->team, lives, !own);
--- a/libcometspindle/adapters/gateway/gateway_directory.c
+++ b/libcometspindle/adapters/gateway/gateway_directory.c
@@ -17,7 +17,9 @@
 	if (before != NULL && before->rate_per_s == team->rate_per_s &&
 		before->burst == team->burst && before->priority == team->priority)
 		return;
-	comet_log(COMET_LOG_NOTICE,
+	comet_log_writer *write = gateway->table == NULL ? comet_log_repeated : comet_log;
+
+	write(COMET_LOG_NOTICE,
 		"event=team_limit team=%s rate_per_s=%" G_GUINT64_FORMAT " burst=%" G_GUINT64_FORMAT
 		" unit=%s priority=%u",
 		team->name, team->rate_per_s, team->burst, team->in_tokens ? "tokens" : "requests",
@@ -84,14 +86,18 @@
 	return known != NULL && strcmp(known->address, record->address) != 0;
 }
 
-/* Logs what changes with an entry; known: NULL or what is known of that id. */
+/* Logs what changes with an entry. known: the instance of that id, or NULL; first: the entry is of
+ * the first list. */
 static void
-log_listed(const struct comet_instance *known, const struct comet_instance_record *record)
+log_listed(
+	const struct comet_instance *known, const struct comet_instance_record *record, bool first)
 {
 	if (known != NULL && known->draining == record->draining && known->listed &&
 		known->born_ms == record->born_ms && !has_moved(known, record))
 		return;
-	comet_log(COMET_LOG_NOTICE,
+	comet_log_writer *write = first ? comet_log_repeated : comet_log;
+
+	write(COMET_LOG_NOTICE,
 		"event=endpoint_listed endpoint=%s service=%s address=%s zone=%s slots=%u "
 		"draining=%d born=%" G_GUINT64_FORMAT " reborn=%d",
 		record->id, record->service, record->address, record->zone, record->slots,
@@ -132,7 +138,7 @@
 	bool reborn = known != NULL && known->born_ms != record->born_ms;
 	bool moved = has_moved(known, record);
 
-	log_listed(known, record);
+	log_listed(known, record, !gateway->listed);
 	if (reborn)
 		comet_gateway_life_ended(gateway, known, "started_again");
 	if (known == NULL && gateway->listed) /* before that nobody was there */
--- a/libcometspindle/log.c
+++ b/libcometspindle/log.c
@@ -115,13 +115,15 @@
 	pthread_mutex_unlock(&budget_lock);
 }
 
-/* Writes within the budget. */
+/* Writes within the budget. repeated: of an event that peers report in large numbers. */
 static void
-write_bounded(enum comet_log_level level, const char *text)
+write_bounded(enum comet_log_level level, const char *text, bool repeated)
 {
+	uint64_t now_us = comet_now_us(CLOCK_BOOTTIME);
+
 	pthread_mutex_lock(&budget_lock);
-	if (!comet_log_budget_take(
-		    &budget, level <= COMET_LOG_NOTICE, comet_now_us(CLOCK_BOOTTIME)) ||
+	bool taken = !repeated || comet_log_budget_take_repeated(&budget, text, now_us);
+	if (!taken || !comet_log_budget_take(&budget, level <= COMET_LOG_NOTICE, now_us) ||
 		!write_line(level, text))
 		comet_log_budget_leave_out(&budget, text);
 	write_summary();
@@ -140,7 +142,7 @@
 }
 
 static void
-log_line(enum comet_log_level level, const char *format, va_list args)
+log_line(enum comet_log_level level, bool repeated, const char *format, va_list args)
 {
 	char text[LINE_MAX_BYTES];
 
@@ -149,7 +151,7 @@
 	if (log_sink != NULL)
 		log_sink(log_sink_ctx, level, text);
 	else
-		write_bounded(level, text);
+		write_bounded(level, text, repeated);
 }
 
 void
@@ -160,7 +162,19 @@
 	if (level > log_threshold)
 		return;
 	va_start(args, format);
-	log_line(level, format, args);
+	log_line(level, false, format, args);
+	va_end(args);
+}
+
+void
+comet_log_repeated(enum comet_log_level level, const char *format, ...)
+{
+	va_list args;
+
+	if (level > log_threshold)
+		return;
+	va_start(args, format);
+	log_line(level, log_threshold < COMET_LOG_DEBUG, format, args);
 	va_end(args);
 }
 
--- a/libcometspindle/log.h
+++ b/libcometspindle/log.h
@@ -46,6 +46,16 @@
 comet_log(enum comet_log_level level, const char *format, ...)
 	__attribute__((format(printf, 2, 3)));
 
+/** Writes one line of an event that peers report in large numbers: a few of each a second, all of
+ * them at threshold debug. The others are summed up with the lines left out. */
+void
+comet_log_repeated(enum comet_log_level level, const char *format, ...)
+	__attribute__((format(printf, 2, 3)));
+
+/** One of the two functions above. */
+typedef void
+comet_log_writer(enum comet_log_level level, const char *format, ...);
+
 /** Parses "err", "warning", "notice", "info", "debug"; -1 when unknown. */
 int
 comet_log_level_parse(const char *name);
--- a/libcometspindle/log_budget.c
+++ b/libcometspindle/log_budget.c
@@ -13,6 +13,10 @@
 /* What was left out is told this often. */
 #define SUMMARY_US 1000000
 
+/* Lines a second of an event that peers report in large numbers. */
+#define REPEATED_PER_S 8
+#define REPEATED_WINDOW_US 1000000
+
 /* Event of lines beyond the kinds that are counted apart. */
 #define OTHER_EVENT "other"
 
@@ -74,6 +78,38 @@
 	return kind;
 }
 
+/* @return the counter of an event in this second; NULL when there are too many events. */
+static struct comet_log_repeated *
+repeated_of(struct comet_log_budget *budget, const char *event)
+{
+	for (size_t i = 0; i < budget->n_repeated; i++)
+	{
+		if (strcmp(budget->repeated[i].event, event) == 0)
+			return &budget->repeated[i];
+	}
+	if (budget->n_repeated == COMET_LOG_KINDS)
+		return NULL;
+	struct comet_log_repeated *repeated = &budget->repeated[budget->n_repeated++];
+	snprintf(repeated->event, sizeof repeated->event, "%s", event);
+	repeated->lines = 0;
+	return repeated;
+}
+
+bool
+comet_log_budget_take_repeated(struct comet_log_budget *budget, const char *line, uint64_t now_us)
+{
+	char event[sizeof budget->repeated[0].event];
+
+	if (now_us - budget->repeated_us >= REPEATED_WINDOW_US)
+	{
+		budget->repeated_us = now_us;
+		budget->n_repeated = 0;
+	}
+	copy_value(line, "event=", event, sizeof event);
+	struct comet_log_repeated *repeated = repeated_of(budget, event);
+	return repeated != NULL && ++repeated->lines <= REPEATED_PER_S;
+}
+
 void
 comet_log_budget_leave_out(struct comet_log_budget *budget, const char *line)
 {
--- a/libcometspindle/log_budget.h
+++ b/libcometspindle/log_budget.h
@@ -23,6 +23,13 @@
 	uint64_t count;
 };
 
+/** Lines of one event in the current second. */
+struct comet_log_repeated
+{
+	char event[32];
+	uint32_t lines;
+};
+
 struct comet_log_budget
 {
 	double lines_per_s; /**< 0: no bound */
@@ -31,6 +38,9 @@
 	uint64_t summed_us; /**< when what was left out was last told */
 	struct comet_log_left_out left_out[COMET_LOG_KINDS];
 	size_t n_left_out;
+	struct comet_log_repeated repeated[COMET_LOG_KINDS];
+	size_t n_repeated;
+	uint64_t repeated_us; /**< start of the current second */
 };
 
 /** Sets the bound; a second's lines may be written at once. */
@@ -41,6 +51,11 @@
 bool
 comet_log_budget_take(struct comet_log_budget *budget, bool weighty, uint64_t now_us);
 
+/** May this line be written, of an event that peers report in large numbers? Each event has a few
+ * lines a second. */
+bool
+comet_log_budget_take_repeated(struct comet_log_budget *budget, const char *line, uint64_t now_us);
+
 /** This line was not written, whatever the reason. */
 void
 comet_log_budget_leave_out(struct comet_log_budget *budget, const char *line);
--- a/tests/unit/test_log_budget.cc
+++ b/tests/unit/test_log_budget.cc
@@ -49,6 +49,36 @@
 	EXPECT_FALSE(comet_log_budget_summary(&budget, line, sizeof line, 9000000));
 }
 
+/* A start of 295 VMs had 295 lines of each of them about each other. */
+TEST(LogBudget, RepeatedEventsHaveAFewLinesASecond)
+{
+	comet_log_budget budget;
+	char line[1024];
+	unsigned int heard = 0;
+	unsigned int lost = 0;
+
+	comet_log_budget_init(&budget, 0, 0);
+	for (int i = 0; i < 300; i++)
+	{
+		if (comet_log_budget_take_repeated(&budget, "event=vm_heard vm=1", 1000000))
+			heard++;
+		else
+			comet_log_budget_leave_out(&budget, "event=vm_heard vm=1");
+	}
+	lost += comet_log_budget_take_repeated(&budget, "event=vm_lost vm=1", 1500000);
+	EXPECT_EQ(heard, 8U);
+	EXPECT_EQ(lost, 1U);
+	EXPECT_TRUE(comet_log_budget_summary(&budget, line, sizeof line, 2000000));
+	EXPECT_STREQ(line, "event=lines_left_out ms=2000 vm_heard=292");
+	EXPECT_TRUE(comet_log_budget_take_repeated(&budget, "event=vm_heard vm=1", 2000000));
+	for (int i = 0; i < 100; i++)
+	{
+		std::string text = "event=kind" + std::to_string(i);
+		comet_log_budget_take_repeated(&budget, text.c_str(), 2000000);
+	}
+	EXPECT_FALSE(comet_log_budget_take_repeated(&budget, "event=one_more", 2000000));
+}
+
 TEST(LogBudget, ManyKindsAndLongLinesStayInBounds)
 {
 	comet_log_budget budget;
