--- a/tests/system/platform_standin.py
+++ b/tests/system/platform_standin.py
@@ -113,6 +113,8 @@
         self.copies = []  # (revision, items) after each change
         self.mute = False
         self.muted = []   # what was asked while it was mute: wait_ms of a watch, 0 for a list
+        self.held_back = None      # key whose reads are not answered until it is another one
+        self.held_back_calls = 0   # reads that wait for that
         threading.Thread(target=self.accept, daemon=True).start()
 
     def put(self, key, value):
@@ -161,6 +163,12 @@
                 sock.shutdown(socket.SHUT_RDWR)
             self.remove(key)
 
+    def hold_back(self, key):
+        """Reads of this item by its key are not answered any more; those of another one are."""
+        with self.lock:
+            self.held_back = key
+            self.lock.notify_all()
+
     def waits_ms(self):
         """How long the newest watch waits; 0: none does."""
         with self.lock:
@@ -226,6 +234,8 @@
             if self.too_large:
                 return 200, {"entries": [], "current_rev": 1, "filler": "x" * (5 << 20)}
             if path == "/kv-key":
+                self.held_back_calls += self.held_back == args["private_key"]
+                self.lock.wait_for(lambda: self.held_back != args["private_key"])
                 item = self.items.get(args["private_key"])
                 return (404, {}) if item is None else (200, {**item, "current_rev": self.revision})
             prefix = args.get("path_prefix", "")
