Endpoints of a zone that operators evacuate get no new work

Callers' requests went on to endpoints of evacuated zones. Cause: no code read the orders in the directory.

Endpoints of the zone are no candidates any more, which every choice asks (own, granted, guests, repeats, trials, queues); a grant that came from a keeper which did not know goes back. Where a service has no other zone, its requests, also those that wait, are refused at once. An order that an earlier copy of the store lacks holds for settled_ms, in which operators write it again; one that ends in an outage has ended.

--- a/libcometspindle/adapters/gateway/gateway.c
+++ b/libcometspindle/adapters/gateway/gateway.c
@@ -331,6 +331,8 @@
 
 	gateway->instances = comet_instances_create(gateway, settings->zone);
 	gateway->lives = comet_lives_create(gateway);
+	gateway->evacuations = comet_evacuations_create(
+		gateway, gateway->instances, comet_gateway_zone_restored, gateway);
 	gateway->allowance =
 		comet_allowance_create(gateway, &settings->allowance, comet_timers_now_us());
 	gateway->retries = comet_retry_budget_create(gateway, &settings->retries);
--- a/libcometspindle/adapters/gateway/gateway_directory.c
+++ b/libcometspindle/adapters/gateway/gateway_directory.c
@@ -187,6 +187,7 @@
 comet_gateway_tick_endpoints(struct comet_gateway *gateway, uint64_t now_us)
 {
 	comet_instances_tick(gateway->instances, now_us, on_dropped, gateway);
+	comet_evacuations_tick(gateway->evacuations, now_us);
 	comet_lives_tick(gateway->lives, now_us, on_earlier_believed, gateway);
 }
 
@@ -215,6 +216,58 @@
 	drop_endpoint(gateway, id, "removed");
 }
 
+/* What this VM knows of a zone. */
+struct zone_count
+{
+	const char *zone;
+	uint32_t endpoints;
+	uint32_t open; /* requests of this VM */
+};
+
+static void
+count_in_zone(void *ctx, struct comet_instance *instance)
+{
+	struct zone_count *count = ctx;
+
+	if (strcmp(instance->zone, count->zone) != 0)
+		return;
+	count->endpoints++;
+	count->open += instance->own;
+}
+
+static void
+on_evacuated(void *ctx, const char *zone)
+{
+	struct comet_gateway *gateway = ctx;
+	struct zone_count count = {.zone = zone};
+
+	if (!comet_evacuations_order(gateway->evacuations, zone))
+		return;
+	comet_instances_each(gateway->instances, count_in_zone, &count);
+	comet_log(COMET_LOG_NOTICE, "event=zone_evacuated zone=%s endpoints=%u open=%u", zone,
+		count.endpoints, count.open);
+}
+
+void
+comet_gateway_zone_restored(void *ctx, const char *zone)
+{
+	(void)ctx;
+	comet_log(COMET_LOG_NOTICE, "event=zone_restored zone=%s", zone);
+}
+
+static void
+on_restored(void *ctx, const char *zone, bool doubtful)
+{
+	struct comet_gateway *gateway = ctx;
+	uint64_t now_us = comet_timers_now_us();
+	uint64_t settled_us = (uint64_t)gateway->settings->settled_ms * 1000;
+
+	if (doubtful)
+		comet_evacuations_doubt(gateway->evacuations, zone, now_us + settled_us);
+	else
+		comet_evacuations_end(gateway->evacuations, zone, now_us);
+}
+
 static void
 on_refused(void *ctx, const struct comet_directory_refusal *refusal)
 {
@@ -293,6 +346,8 @@
 	.routes = on_routes,
 	.instance = on_instance,
 	.instance_gone = on_instance_gone,
+	.evacuated = on_evacuated,
+	.restored = on_restored,
 	.refused = on_refused,
 	.revision = on_revision,
 	.era = on_era,
--- a/libcometspindle/adapters/gateway/gateway_grants.c
+++ b/libcometspindle/adapters/gateway/gateway_grants.c
@@ -98,6 +98,21 @@
 	comet_view_link_send(gateway->link, address, data, length);
 }
 
+/* A granted slot is not used: says so where the reason is an evacuation that its keeper did not
+ * know of. */
+static void
+note_returned(struct comet_gateway *gateway, const struct comet_placement_item *item, uint32_t key)
+{
+	const struct comet_instance *instance = comet_instances_find_key(gateway->instances, key);
+	const struct comet_relay *relay = item->owner;
+
+	if (instance == NULL || !instance->evacuated)
+		return;
+	gateway->counts.grants_evacuated++;
+	comet_log(COMET_LOG_INFO, "event=grant_returned request=%s endpoint=%s reason=evacuated",
+		relay->id, instance->id);
+}
+
 static void
 on_granted(void *ctx, struct comet_placement_item *item, uint32_t keeper, uint32_t instance_key)
 {
@@ -105,6 +120,7 @@
 	uint64_t now_us = comet_timers_now_us();
 
 	gateway->counts.granted++;
+	note_returned(gateway, item, instance_key); /* the item may be gone after the next call */
 	if (!comet_placement_granted(gateway->placement, item, keeper, instance_key, now_us))
 		comet_grants_release(gateway->grants, keeper, instance_key, NULL);
 	comet_placement_run(gateway->placement, now_us);
--- a/libcometspindle/adapters/gateway/gateway_metrics.c
+++ b/libcometspindle/adapters/gateway/gateway_metrics.c
@@ -228,6 +228,14 @@
 	return true;
 }
 
+static bool
+evacuated_of(const struct comet_instance *instance, uint64_t now_us, double *value)
+{
+	(void)now_us;
+	*value = instance->evacuated ? 1 : 0;
+	return true;
+}
+
 static bool
 lapsed_of(const struct comet_instance *instance, uint64_t now_us, double *value)
 {
@@ -236,12 +244,28 @@
 	return true;
 }
 
+static void
+put_zone(void *ctx, const char *zone)
+{
+	g_string_append_printf(ctx, "comet_zone_evacuated{zone=\"%s\"} 1\n", zone);
+}
+
+/* Evacuated zones, and slots there that were granted before their keepers knew. */
+static void
+put_evacuations(GString *out, const struct comet_gateway *gateway)
+{
+	put_type(out, "zone_evacuated", "gauge");
+	comet_evacuations_each(gateway->evacuations, put_zone, out);
+	put(out, "evacuated_grants_total", "counter", (double)gateway->counts.grants_evacuated);
+}
+
 static const struct endpoint_family endpoint_families[] = {
 	{"endpoint_view_age_seconds", view_age_of},
 	{"endpoint_running", running_of},
 	{"endpoint_pace", pace_of},
 	{"endpoint_avoided", avoided_of},
 	{"endpoint_draining", draining_of},
+	{"endpoint_evacuated", evacuated_of},
 	{"endpoint_lapsed", lapsed_of},
 };
 
@@ -369,6 +393,7 @@
 	put_charges(out, &gateway->counts);
 	put_directory_calls(out, gateway);
 	put_crashes(out, gateway);
+	put_evacuations(out, gateway);
 	put(out, "vms_known", "gauge", known);
 	put(out, "vms_heard", "gauge", heard);
 	put(out, "endpoint_connections_opened_total", "counter", (double)up->opened);
--- a/libcometspindle/adapters/gateway/gateway_private.h
+++ b/libcometspindle/adapters/gateway/gateway_private.h
@@ -13,6 +13,7 @@
 #include <libcometspindle/gateway/charges.h>
 #include <libcometspindle/gateway/directory.h>
 #include <libcometspindle/gateway/crashes.h>
+#include <libcometspindle/gateway/evacuations.h>
 #include <libcometspindle/gateway/grants.h>
 #include <libcometspindle/gateway/lives.h>
 #include <libcometspindle/gateway/placement.h>
@@ -29,6 +30,7 @@
 	uint64_t repeated;
 	uint64_t resumed;
 	uint64_t granted;           /**< slots by other VMs */
+	uint64_t grants_evacuated;  /**< slots by other VMs that were given back: evacuated since */
 	uint64_t denied;            /**< asks for slots */
 	uint64_t waited;            /**< asks for slots that waited at a keeper in vain */
 	uint64_t unanswered;        /**< asks for slots */
@@ -85,6 +87,7 @@
 	struct comet_directory *directory;
 	struct comet_instances *instances;
 	struct comet_lives *lives;
+	struct comet_evacuations *evacuations;
 	struct comet_placement *placement;
 	struct comet_allowance *allowance;
 	struct comet_retry_budget *retries;
@@ -140,6 +143,10 @@
 /** What the directory tells (gateway_directory.c). */
 extern const struct comet_directory_events comet_gateway_directory_events;
 
+/** Logs the end of an evacuation (gateway_directory.c). */
+void
+comet_gateway_zone_restored(void *ctx, const char *zone);
+
 /** Looks what time alone has brought about at endpoints (gateway_directory.c). */
 void
 comet_gateway_tick_endpoints(struct comet_gateway *gateway, uint64_t now_us);
--- a/libcometspindle/adapters/gateway/gateway_send.c
+++ b/libcometspindle/adapters/gateway/gateway_send.c
@@ -273,13 +273,14 @@
 static void
 on_refuse(void *ctx, struct comet_placement_item *item, uint32_t retry_after_ms)
 {
+	const struct comet_gateway *gateway = ctx;
 	struct comet_relay *relay = item->owner;
+	bool evacuated = comet_placement_is_evacuated(gateway->placement, item);
 
-	(void)ctx;
 	if (relay->started)
 		comet_relay_cut(relay, "no_endpoint");
 	else
-		comet_relay_refuse(relay, "no_room", retry_after_ms);
+		comet_relay_refuse(relay, evacuated ? "evacuated" : "no_room", retry_after_ms);
 }
 
 const struct comet_placement_ops comet_gateway_placement_ops = {
--- a/libcometspindle/gateway/choice.c
+++ b/libcometspindle/gateway/choice.c
@@ -84,7 +84,8 @@
 comet_choice_is_candidate(
 	const struct comet_placement_item *item, const struct comet_instance *instance)
 {
-	return !instance->draining && !instance->replaced && !was_tried(item, instance->key);
+	return !instance->draining && !instance->evacuated && !instance->replaced &&
+	       !was_tried(item, instance->key);
 }
 
 bool
--- a/libcometspindle/gateway/directory.h
+++ b/libcometspindle/gateway/directory.h
@@ -74,6 +74,11 @@
 	/** It is listed no more. out_us: the directory was out and it may come back; when it was
 	 * last known to be out, though not how much longer. 0: it is gone. */
 	void (*instance_gone)(void *ctx, const char *id, uint64_t out_us);
+	/** The endpoints of an availability zone are to get no new work. */
+	void (*evacuated)(void *ctx, const char *zone);
+	/** That order has ended. doubtful: it is missing in an earlier copy from which the
+	 * directory has come back, and may be written again. */
+	void (*restored)(void *ctx, const char *zone, bool doubtful);
 	/** An item that cannot be read was published; the others hold. */
 	void (*refused)(void *ctx, const struct comet_directory_refusal *refusal);
 	/** Everything up to a position has been reported, and endpoints up to another one. */
--- a/libcometspindle/gateway/instance.h
+++ b/libcometspindle/gateway/instance.h
@@ -52,6 +52,7 @@
 	uint32_t slots;
 	uint32_t shard; /**< it belongs to (shards.h) */
 	bool draining;
+	bool evacuated;      /**< its zone is: it gets no new work */
 	bool listed;         /**< the directory names it */
 	uint64_t lapse_us;   /**< unlisted during an outage: dropped then; 0: not so */
 	uint64_t warm_us;    /**< slow until then */
--- a/libcometspindle/gateway/instances.c
+++ b/libcometspindle/gateway/instances.c
@@ -17,10 +17,11 @@
 struct comet_instances
 {
 	char *own_zone;
-	GHashTable *by_id;    /* id -> comet_instance */
-	GHashTable *by_key;   /* key -> comet_instance */
-	GHashTable *services; /* service -> GPtrArray of comet_instance */
-	GHashTable *speeds;   /* service -> struct comet_speeds */
+	GHashTable *by_id;     /* id -> comet_instance */
+	GHashTable *by_key;    /* key -> comet_instance */
+	GHashTable *services;  /* service -> GPtrArray of comet_instance */
+	GHashTable *speeds;    /* service -> struct comet_speeds */
+	GHashTable *evacuated; /* zones, as a set */
 	uint64_t changes;
 };
 
@@ -37,6 +38,7 @@
 	g_hash_table_destroy(instances->by_key);
 	g_hash_table_destroy(instances->services);
 	g_hash_table_destroy(instances->speeds);
+	g_hash_table_destroy(instances->evacuated);
 	return 0;
 }
 
@@ -50,6 +52,7 @@
 	instances->by_key = g_hash_table_new(NULL, NULL);
 	instances->services = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_array);
 	instances->speeds = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	instances->evacuated = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	talloc_set_destructor(instances, instances_destroy);
 	return instances;
 }
@@ -124,6 +127,7 @@
 	instance->near = strcmp(instance->zone, instances->own_zone) == 0;
 	instance->slots = record->slots > 0 ? record->slots : 1;
 	instance->draining = record->draining;
+	instance->evacuated = g_hash_table_contains(instances->evacuated, instance->zone);
 	instance->warm_us =
 		record->warm_up_ms > 0 ? now_us + (uint64_t)record->warm_up_ms * 1000 : 0;
 	instance->listed = true;
@@ -165,6 +169,55 @@
 	talloc_free(instance);
 }
 
+/* Marks the instances of a zone. */
+static void
+mark_evacuated(struct comet_instances *instances, const char *zone, bool evacuated)
+{
+	GHashTableIter at;
+	gpointer value = NULL;
+
+	g_hash_table_iter_init(&at, instances->by_id);
+	while (g_hash_table_iter_next(&at, NULL, &value))
+	{
+		struct comet_instance *instance = value;
+		if (strcmp(instance->zone, zone) == 0)
+			instance->evacuated = evacuated;
+	}
+}
+
+void
+comet_instances_evacuate(struct comet_instances *instances, const char *zone)
+{
+	g_hash_table_add(instances->evacuated, g_strdup(zone));
+	mark_evacuated(instances, zone, true);
+}
+
+void
+comet_instances_restore(struct comet_instances *instances, const char *zone, uint64_t now_us)
+{
+	(void)now_us;
+	mark_evacuated(instances, zone, false);
+	g_hash_table_remove(instances->evacuated, zone);
+}
+
+bool
+comet_instances_all_evacuated(struct comet_instances *instances, const char *service)
+{
+	const GPtrArray *all = comet_instances_of(instances, service);
+	bool any = false;
+
+	for (guint i = 0; all != NULL && i < all->len; i++)
+	{
+		const struct comet_instance *instance = all->pdata[i];
+		if (instance->draining || instance->replaced)
+			continue;
+		if (!instance->evacuated)
+			return false;
+		any = true;
+	}
+	return any;
+}
+
 bool
 comet_instances_lapse(struct comet_instances *instances, const char *id, uint64_t out_us,
 	const struct comet_lapse_bounds *bounds, uint64_t now_us)
--- a/libcometspindle/gateway/instances.h
+++ b/libcometspindle/gateway/instances.h
@@ -57,6 +57,18 @@
 comet_instances_lapse(struct comet_instances *instances, const char *id, uint64_t out_us,
 	const struct comet_lapse_bounds *bounds, uint64_t now_us) G_GNUC_WARN_UNUSED_RESULT;
 
+/** Instances of a zone get no new work, also those that are put later. */
+void
+comet_instances_evacuate(struct comet_instances *instances, const char *zone);
+
+/** Instances of a zone get work again. */
+void
+comet_instances_restore(struct comet_instances *instances, const char *zone, uint64_t now_us);
+
+/** @return whether a service has instances, but only in evacuated zones. */
+bool
+comet_instances_all_evacuated(struct comet_instances *instances, const char *service);
+
 /** Drops lapsed instances whose time is over; calls dropped for each id before. */
 void
 comet_instances_tick(struct comet_instances *instances, uint64_t now_us,
--- a/libcometspindle/gateway/placement.c
+++ b/libcometspindle/gateway/placement.c
@@ -20,6 +20,10 @@
  * while much waits in many VMs, one of them then asks every few milliseconds. */
 #define DENIED_US 100000
 
+/* When a caller whose service is evacuated everywhere should come back: an evacuation takes seconds
+ * at least, and its end is not announced. */
+#define EVACUATED_RETRY_MS 5000
+
 /* How often it is looked which of those that wait have become late: a small part of any aim. A
  * queue is gone through with each slot that comes free, some thousand times a second at a keeper.
  */
@@ -53,14 +57,27 @@
 
 /* Drawn, so that callers who were refused together do not come back together. */
 static uint32_t
-retry_after_ms(struct comet_placement *placement, uint64_t wait_us)
+with_jitter(struct comet_placement *placement, double wait_ms)
 {
 	double spread = 1 + RETRY_SPREAD * (2 * comet_draw_unit(&placement->choice.draw) - 1);
-	double wait_ms = CLAMP((double)wait_us / 1000, RETRY_AFTER_MIN_MS, RETRY_AFTER_MAX_MS);
 
 	return (uint32_t)(wait_ms * spread);
 }
 
+static uint32_t
+retry_after_ms(struct comet_placement *placement, uint64_t wait_us)
+{
+	return with_jitter(
+		placement, CLAMP((double)wait_us / 1000, RETRY_AFTER_MIN_MS, RETRY_AFTER_MAX_MS));
+}
+
+bool
+comet_placement_is_evacuated(
+	const struct comet_placement *placement, const struct comet_placement_item *item)
+{
+	return comet_instances_all_evacuated(placement->instances, item->service);
+}
+
 bool
 comet_placement_has_other(
 	const struct comet_placement *placement, const struct comet_placement_item *item)
@@ -142,6 +159,23 @@
 	}
 }
 
+/* Refuses all that waits for a service whose zones are all evacuated. */
+static void
+refuse_evacuated(struct comet_placement *placement, struct comet_placement_queue *queue)
+{
+	if (!comet_instances_all_evacuated(placement->instances, queue->service))
+		return;
+	while (g_sequence_get_length(queue->items) > 0)
+	{
+		struct comet_placement_item *item =
+			g_sequence_get(g_sequence_get_begin_iter(queue->items));
+		comet_placement_take_out(placement, item);
+		forget_ask(placement, item);
+		placement->ops->refuse(
+			placement->ctx, item, with_jitter(placement, EVACUATED_RETRY_MS));
+	}
+}
+
 /* Refuses what cannot be dispatched in time any more. */
 static void
 refuse_late(struct comet_placement *placement, struct comet_placement_queue *queue, uint64_t now_us)
@@ -188,6 +222,7 @@
 	if (now_us - queue->aged_us >= AGE_US)
 	{
 		queue->aged_us = now_us;
+		refuse_evacuated(placement, queue);
 		refuse_late(placement, queue, now_us);
 		demote_late(placement, queue, now_us);
 		comet_placement_age_guests(placement, queue, now_us);
@@ -250,6 +285,13 @@
 	struct comet_placement *placement, struct comet_placement_item *item, uint64_t now_us)
 {
 	struct comet_placement_queue *queue = comet_placement_queue_of(placement, item->service);
+
+	if (comet_placement_is_evacuated(placement, item))
+	{
+		placement->ops->refuse(
+			placement->ctx, item, with_jitter(placement, EVACUATED_RETRY_MS));
+		return false;
+	}
 	item->late = comet_placement_is_late(placement, item, 0, now_us);
 	uint64_t wait_us = comet_placement_wait_us(placement, item, now_us);
 	if (!item->late && comet_placement_is_late(placement, item, wait_us, now_us))
--- a/libcometspindle/gateway/placement.h
+++ b/libcometspindle/gateway/placement.h
@@ -78,6 +78,11 @@
 comet_placement_has_other(
 	const struct comet_placement *placement, const struct comet_placement_item *item);
 
+/** @return whether the endpoints of the item's service are all in evacuated zones. */
+bool
+comet_placement_is_evacuated(
+	const struct comet_placement *placement, const struct comet_placement_item *item);
+
 const struct comet_placement_reason *
 comet_placement_reason(const struct comet_placement *placement);
 
--- a/libcometspindle/gateway/placement_queue.c
+++ b/libcometspindle/gateway/placement_queue.c
@@ -118,7 +118,8 @@
 	for (guint i = 0; all != NULL && i < all->len; i++)
 	{
 		const struct comet_instance *instance = all->pdata[i];
-		if (instance->draining || instance->replaced || instance->avoid_us > now_us)
+		if (instance->draining || instance->evacuated || instance->replaced ||
+			instance->avoid_us > now_us)
 			continue;
 		per_us += instance->slots / (usual_us * instance->pace);
 		own += instance->own;
