Bounds of cold endpoints are read: services of the document, settings cold_overage and cold_slack

What an endpoint bears after its start is told by the routing document for each service, and by how much all VMs together may exceed it by the settings. Where either is missing nothing ever is.

--- a/libcometspindle/adapters/gateway/gateway_directory.c
+++ b/libcometspindle/adapters/gateway/gateway_directory.c
@@ -26,6 +26,22 @@
 		team->priority);
 }
 
+static void
+bound_cold_endpoints(void *ctx, const struct comet_route_service *service)
+{
+	struct comet_gateway *gateway = ctx;
+	const struct comet_gateway_settings *settings = gateway->settings;
+	bool bounded = settings->cold_overage > 0 && service->cold_per_s > 0;
+	const struct comet_slow_start_bounds bounds = {
+		.cold_us = (uint64_t)service->cold_ms * 1000,
+		.most_per_s = bounded ? service->cold_per_s * settings->cold_overage +
+						settings->cold_slack
+				      : 0,
+	};
+
+	comet_instances_set_slow_start(gateway->instances, service->name, &bounds);
+}
+
 static void
 on_routes(void *ctx, struct comet_route_table *table, uint64_t lag_us)
 {
@@ -44,6 +60,7 @@
 	comet_route_table_each_team(table, log_team, gateway);
 	comet_route_table_unref(gateway->table);
 	gateway->table = table;
+	comet_route_table_each_service(table, bound_cold_endpoints, gateway);
 	comet_allowance_set_teams(gateway->allowance, table, comet_timers_now_us());
 	comet_front_set_limits(gateway->callers, comet_route_table_limits(table));
 }
--- a/libcometspindle/gateway/instance.h
+++ b/libcometspindle/gateway/instance.h
@@ -7,6 +7,7 @@
 #ifndef COMETSPINDLE_GATEWAY_INSTANCE_H
 #define COMETSPINDLE_GATEWAY_INSTANCE_H
 
+#include <libcometspindle/gateway/slow_start.h>
 #include <stdbool.h>
 #include <stdint.h>
 
@@ -52,11 +53,13 @@
 	uint32_t slots;
 	uint32_t shard; /**< it belongs to (shards.h) */
 	bool draining;
-	bool evacuated;      /**< its zone is: it gets no new work */
-	bool listed;         /**< the directory names it */
-	uint64_t lapse_us;   /**< unlisted during an outage: dropped then; 0: not so */
-	uint64_t warm_us;    /**< slow until then */
-	uint32_t own;        /**< our dispatches there */
+	bool evacuated;    /**< its zone is: it gets no new work */
+	bool listed;       /**< the directory names it */
+	uint64_t lapse_us; /**< unlisted during an outage: dropped then; 0: not so */
+	uint64_t warm_us;  /**< slow until then */
+	struct comet_slow_start start;
+	const struct comet_slow_start_bounds *start_bounds; /**< of its service */
+	uint32_t own;                                       /**< our dispatches there */
 	uint32_t own_prompt; /**< prompt tokens of ours whose first event is not there */
 	uint32_t others;     /**< dispatches of other VMs, from their views */
 	uint32_t others_prompt;
--- a/libcometspindle/gateway/instances.c
+++ b/libcometspindle/gateway/instances.c
@@ -21,6 +21,7 @@
 	GHashTable *by_key;    /* key -> comet_instance */
 	GHashTable *services;  /* service -> GPtrArray of comet_instance */
 	GHashTable *speeds;    /* service -> struct comet_speeds */
+	GHashTable *starts;    /* service -> struct comet_slow_start_bounds */
 	GHashTable *evacuated; /* zones, as a set */
 	uint64_t changes;
 };
@@ -38,6 +39,7 @@
 	g_hash_table_destroy(instances->by_key);
 	g_hash_table_destroy(instances->services);
 	g_hash_table_destroy(instances->speeds);
+	g_hash_table_destroy(instances->starts);
 	g_hash_table_destroy(instances->evacuated);
 	return 0;
 }
@@ -52,6 +54,7 @@
 	instances->by_key = g_hash_table_new(NULL, NULL);
 	instances->services = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_array);
 	instances->speeds = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	instances->starts = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	instances->evacuated = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	talloc_set_destructor(instances, instances_destroy);
 	return instances;
@@ -70,6 +73,27 @@
 	return speeds;
 }
 
+/* The bounds of a service; they stay where they are, since instances point there. */
+static struct comet_slow_start_bounds *
+start_bounds_of(struct comet_instances *instances, const char *service)
+{
+	struct comet_slow_start_bounds *bounds = g_hash_table_lookup(instances->starts, service);
+
+	if (bounds == NULL)
+	{
+		bounds = g_new0(struct comet_slow_start_bounds, 1);
+		g_hash_table_insert(instances->starts, g_strdup(service), bounds);
+	}
+	return bounds;
+}
+
+void
+comet_instances_set_slow_start(struct comet_instances *instances, const char *service,
+	const struct comet_slow_start_bounds *bounds)
+{
+	*start_bounds_of(instances, service) = *bounds;
+}
+
 static struct comet_instance *
 add(struct comet_instances *instances, const struct comet_instance_record *record)
 {
@@ -81,6 +105,7 @@
 	instance->place = comet_hash_name(record->id);
 	instance->service = talloc_strdup(instance, record->service);
 	instance->speeds = speeds_of(instances, record->service);
+	instance->start_bounds = start_bounds_of(instances, record->service);
 	instance->pace = 1.0;
 	instances->changes++;
 	g_hash_table_insert(instances->by_id, instance->id, instance);
@@ -148,6 +173,10 @@
 		g_hash_table_remove(instances->speeds, service);
 		talloc_free(speeds);
 	}
+	const struct comet_slow_start_bounds *bounds =
+		g_hash_table_lookup(instances->starts, service);
+	if (bounds != NULL && bounds->cold_us == 0)
+		g_hash_table_remove(instances->starts, service);
 	g_hash_table_remove(instances->services, service);
 }
 
--- a/libcometspindle/gateway/instances.h
+++ b/libcometspindle/gateway/instances.h
@@ -57,6 +57,11 @@
 comet_instances_lapse(struct comet_instances *instances, const char *id, uint64_t out_us,
 	const struct comet_lapse_bounds *bounds, uint64_t now_us) G_GNUC_WARN_UNUSED_RESULT;
 
+/** What instances of a service bear while they are cold. */
+void
+comet_instances_set_slow_start(struct comet_instances *instances, const char *service,
+	const struct comet_slow_start_bounds *bounds);
+
 /** Instances of a zone get no new work, also those that are put later. */
 void
 comet_instances_evacuate(struct comet_instances *instances, const char *zone);
--- a/libcometspindle/gateway/routes.c
+++ b/libcometspindle/gateway/routes.c
@@ -14,9 +14,10 @@
 	int refs;
 	uint64_t version;
 	struct comet_http_limits limits;
-	GHashTable *hosts; /* host -> struct host */
-	GHashTable *keys;  /* key -> comet_route_team */
-	GHashTable *teams; /* id -> comet_route_team */
+	GHashTable *hosts;   /* host -> struct host */
+	GHashTable *keys;    /* key -> comet_route_team */
+	GHashTable *teams;   /* id -> comet_route_team */
+	GPtrArray *services; /* of comet_route_service */
 };
 
 /* The routes of a host. A prefix is looked up by its length, so that finding one takes as long as
@@ -68,6 +69,7 @@
 	g_hash_table_destroy(table->hosts);
 	g_hash_table_destroy(table->keys);
 	g_hash_table_destroy(table->teams);
+	g_ptr_array_free(table->services, TRUE);
 	return 0;
 }
 
@@ -82,6 +84,7 @@
 	table->hosts = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_host);
 	table->keys = g_hash_table_new(g_str_hash, g_str_equal);
 	table->teams = g_hash_table_new(NULL, NULL);
+	table->services = g_ptr_array_new();
 	talloc_set_destructor(table, table_destroy);
 	return table;
 }
@@ -123,6 +126,24 @@
 		g_hash_table_insert(table->keys, talloc_strdup(copy, keys[i]), copy);
 }
 
+void
+comet_route_table_add_service(
+	struct comet_route_table *table, const struct comet_route_service *service)
+{
+	struct comet_route_service *copy = talloc_memdup(table, service, sizeof *service);
+
+	copy->name = talloc_strdup(copy, service->name);
+	g_ptr_array_add(table->services, copy);
+}
+
+void
+comet_route_table_each_service(const struct comet_route_table *table,
+	void (*visit)(void *ctx, const struct comet_route_service *service), void *ctx)
+{
+	for (guint i = 0; i < table->services->len; i++)
+		visit(ctx, table->services->pdata[i]);
+}
+
 struct comet_route_table *
 comet_route_table_ref(struct comet_route_table *table)
 {
--- a/libcometspindle/gateway/routes.h
+++ b/libcometspindle/gateway/routes.h
@@ -58,6 +58,14 @@
 	uint32_t default_tokens; /**< charged when a request does not tell its tokens */
 };
 
+/** A service as the document describes it. */
+struct comet_route_service
+{
+	char *name;
+	uint32_t cold_ms;  /**< how long its endpoints are cold after their starts; 0: never */
+	double cold_per_s; /**< requests a second that one bears meanwhile; 0: not told */
+};
+
 struct comet_route_table;
 
 /** Starts a table; it is filled by the calls below and then not changed any more. */
@@ -73,6 +81,11 @@
 comet_route_table_add_team(struct comet_route_table *table, const struct comet_route_team *team,
 	const char *const *keys, size_t n_keys);
 
+/** Adds a copy of a service. */
+void
+comet_route_table_add_service(
+	struct comet_route_table *table, const struct comet_route_service *service);
+
 struct comet_route_table *
 comet_route_table_ref(struct comet_route_table *table);
 
@@ -106,6 +119,11 @@
 comet_route_table_each_team(const struct comet_route_table *table,
 	void (*visit)(void *ctx, const struct comet_route_team *team), void *ctx);
 
+/** Calls visit for each service. */
+void
+comet_route_table_each_service(const struct comet_route_table *table,
+	void (*visit)(void *ctx, const struct comet_route_service *service), void *ctx);
+
 /** Draws one of the route's services by weight; draw is uniform in [0, 2^32). */
 const char *
 comet_route_pick_service(const struct comet_route *route, uint32_t draw);
--- a/libcometspindle/gateway/settings.c
+++ b/libcometspindle/gateway/settings.c
@@ -63,6 +63,8 @@
 	retries->window_ms = read_seconds(object, "retry_window_s", RETRY_WINDOW_DEFAULT_S);
 	retries->ratio = comet_check_number(object, "retry_ratio", 0, 100, 0.1);
 	retries->slack = (uint32_t)comet_check_number(object, "retry_slack", 0, 1e9, 20);
+	settings->cold_overage = comet_check_number(object, "cold_overage", 0, 1000, 0);
+	settings->cold_slack = comet_check_number(object, "cold_slack", 0, 1e9, 0);
 }
 
 static void
--- a/libcometspindle/gateway/settings.h
+++ b/libcometspindle/gateway/settings.h
@@ -31,6 +31,9 @@
 	bool ask_keepers; /**< slots are asked for at the VM that counts; else views have to do */
 	struct comet_allowance_bounds allowance;
 	struct comet_retry_bounds retries;
+	double cold_overage; /**< times what a cold endpoint bears that it may receive, of all VMs
+			      * together; 0: not bounded */
+	double cold_slack;   /**< and so many requests a second more */
 	uint32_t log_lines_per_s; /**< most lines written; 0: no bound */
 	int log_level;            /**< enum comet_log_level */
 };
