--- a/tests/unit/grants_fleet.h
+++ b/tests/unit/grants_fleet.h
@@ -77,7 +77,9 @@
 	std::deque<mail> post;
 	std::function<bool(const mail &)> lost = [](const mail &) { return false; };
 	std::vector<std::unique_ptr<comet_placement_item>> items;
-	comet_route_table *table = nullptr; /* with one team, "t" */
+	std::map<std::string, std::vector<uint64_t>> sends; /* when, by endpoint */
+	std::map<comet_placement_item *, uint64_t> sent_us; /* the last time */
+	comet_route_table *table = nullptr;                 /* with one team, "t" */
 	uint64_t now_us = 0;
 	bool asks = true;
 
@@ -149,6 +151,8 @@
 		comet_instance_started(instance, &item->job);
 		one->sent[item] = instance->id;
 		one->dispatches[item]++;
+		one->all->sends[instance->id].push_back(one->all->now_us);
+		one->all->sent_us[item] = one->all->now_us;
 	}
 
 	static void
