Cold endpoints receive no more than they bear, of all VMs together

Callers' requests overran endpoints that had just started or come back: 16 to 18 within a second, 15.35 allowed. Cause: slots alone bounded what one receives, and requests that are short or refused leave their slots at once. An endpoint counts as cold by its entry's word, after its zone is restored, when it is listed or reachable again, and when it gets its first request in two seconds, since news of a start takes as long as that. While it is cold the VM that keeps count of it grants half of the bound in each 1.1 to 1.2 s, so that a second VM which has just kept count, or does on the other side of a cut, has the other half; a VM that hears fewer than half of the others takes their part. Requests placed without a keeper share a quarter. Where no bounds are configured nothing changes.

Weighed: a token bucket (as good, but its burst and rate together must stay within the bound, which leaves half the rate of a count over a window), the bound divided evenly among VMs (79 VMs, 15 requests). A rest of one second instead of two never ended: a bounded endpoint waits that long for its next request.

--- a/libcometspindle/adapters/gateway/gateway.c
+++ b/libcometspindle/adapters/gateway/gateway.c
@@ -164,6 +164,7 @@
 	comet_allowance_set_vms(gateway->allowance, heard, known,
 		finding ? 0 : comet_views_silent_since_us(gateway->views));
 	comet_retry_budget_set_vms(gateway->retries, known);
+	comet_placement_set_vms(gateway->placement, heard, known);
 	gateway->directory->ops->set_vms(gateway->directory, heard);
 }
 
--- a/libcometspindle/gateway/choice.c
+++ b/libcometspindle/gateway/choice.c
@@ -4,6 +4,7 @@
  */
 #include <libcometspindle/gateway/choice.h>
 
+#include <libcometspindle/hash.h>
 #include <string.h>
 
 /* Requests that an urgent rank may have queued at an endpoint beyond its slots: a slot comes free
@@ -164,6 +165,18 @@
 		*best = *other;
 }
 
+/* May this VM send a cold endpoint one more request? */
+static bool
+is_admitted(const struct comet_choice *choice, const struct comet_choice_scope *scope,
+	const struct comet_instance *instance, uint64_t now_us)
+{
+	double draw = (double)(uint32_t)comet_hash_score(choice->seed, instance->key) / UINT32_MAX;
+
+	return scope->cold_share == 0 ||
+	       comet_slow_start_admits(
+		       &instance->start, instance->start_bounds, scope->cold_share, draw, now_us);
+}
+
 /* Tells what was chosen, and from what. */
 static void
 explain(struct comet_placement_reason *reason, const struct prospect *best,
@@ -208,6 +221,8 @@
 			worth_waiting = worth_waiting || in_time;
 			continue;
 		}
+		if (!is_admitted(choice, scope, instance, now_us))
+			continue;
 		reason->with_room++;
 		keep_cheaper(in_time ? &timely : &tardy, &prospect);
 	}
--- a/libcometspindle/gateway/choice.h
+++ b/libcometspindle/gateway/choice.h
@@ -15,6 +15,7 @@
 struct comet_choice
 {
 	struct comet_draw draw; /**< spreads VMs that know the same */
+	uint32_t seed;          /**< of this VM */
 };
 
 /** Among which endpoints, and by which count. */
@@ -23,6 +24,7 @@
 	const GPtrArray *among; /**< of struct comet_instance; NULL: none */
 	uint32_t beyond;        /**< streams: requests that may be there beyond its slots */
 	bool kept;              /**< this VM keeps count of them */
+	double cold_share;      /**< of what a cold one bears, decided here; 0: elsewhere */
 	const uint32_t *except; /**< keys of those that are not wanted */
 	uint32_t n_except;
 };
--- a/libcometspindle/gateway/instance.c
+++ b/libcometspindle/gateway/instance.c
@@ -142,6 +142,13 @@
 {
 	instance->on_trial = instance->avoid_us != 0;
 	instance->trial_us = now_us;
+	comet_slow_start_count(&instance->start, instance->start_bounds, now_us);
+}
+
+void
+comet_instance_may_be_cold(struct comet_instance *instance, uint64_t now_us)
+{
+	comet_slow_start_begin(&instance->start, instance->start_bounds, now_us);
 }
 
 bool
@@ -279,6 +286,8 @@
 	switch (result)
 	{
 	case COMET_DISPATCH_SERVED:
+		if (instance->avoid_us != 0)
+			comet_instance_may_be_cold(instance, now_us);
 		return learn_success(instance);
 	case COMET_DISPATCH_CANCELLED:
 		instance->on_trial = false;
@@ -292,9 +301,16 @@
 		instance->on_trial = false;
 		instance->replaced = true;
 		return true;
-	default:
+	case COMET_DISPATCH_ERROR:
+		return learn_failure(instance, result, now_us);
+	case COMET_DISPATCH_BROKEN:
+	case COMET_DISPATCH_SILENT:
+	case COMET_DISPATCH_UNREACHED:
+		comet_instance_may_be_cold(
+			instance, now_us); /* another process may be there soon */
 		return learn_failure(instance, result, now_us);
 	}
+	return false;
 }
 
 bool
--- a/libcometspindle/gateway/instance.h
+++ b/libcometspindle/gateway/instance.h
@@ -121,10 +121,15 @@
 double
 comet_instance_slot_us(const struct comet_instance *instance);
 
-/** It was chosen: if it is doubted, this is its trial. */
+/** It was chosen, by this VM or for one that it grants a slot to: if it is doubted, this is its
+ * trial. */
 void
 comet_instance_try(struct comet_instance *instance, uint64_t now_us);
 
+/** It may be cold: it has just started, or gets work again. */
+void
+comet_instance_may_be_cold(struct comet_instance *instance, uint64_t now_us);
+
 /** @return whether the end of a trial is awaited. */
 bool
 comet_instance_on_trial(const struct comet_instance *instance, uint64_t now_us);
--- a/libcometspindle/gateway/instances.c
+++ b/libcometspindle/gateway/instances.c
@@ -155,6 +155,9 @@
 	instance->evacuated = g_hash_table_contains(instances->evacuated, instance->zone);
 	instance->warm_us =
 		record->warm_up_ms > 0 ? now_us + (uint64_t)record->warm_up_ms * 1000 : 0;
+	if (!instance->listed)
+		comet_instance_may_be_cold(instance, now_us);
+	comet_slow_start_told(&instance->start, instance->warm_us);
 	instance->listed = true;
 	instance->lapse_us = 0;
 	return instance;
@@ -200,7 +203,7 @@
 
 /* Marks the instances of a zone. */
 static void
-mark_evacuated(struct comet_instances *instances, const char *zone, bool evacuated)
+mark_evacuated(struct comet_instances *instances, const char *zone, bool evacuated, uint64_t now_us)
 {
 	GHashTableIter at;
 	gpointer value = NULL;
@@ -209,8 +212,11 @@
 	while (g_hash_table_iter_next(&at, NULL, &value))
 	{
 		struct comet_instance *instance = value;
-		if (strcmp(instance->zone, zone) == 0)
-			instance->evacuated = evacuated;
+		if (strcmp(instance->zone, zone) != 0)
+			continue;
+		instance->evacuated = evacuated;
+		if (!evacuated)
+			comet_instance_may_be_cold(instance, now_us);
 	}
 }
 
@@ -218,14 +224,13 @@
 comet_instances_evacuate(struct comet_instances *instances, const char *zone)
 {
 	g_hash_table_add(instances->evacuated, g_strdup(zone));
-	mark_evacuated(instances, zone, true);
+	mark_evacuated(instances, zone, true, 0);
 }
 
 void
 comet_instances_restore(struct comet_instances *instances, const char *zone, uint64_t now_us)
 {
-	(void)now_us;
-	mark_evacuated(instances, zone, false);
+	mark_evacuated(instances, zone, false, now_us);
 	g_hash_table_remove(instances->evacuated, zone);
 }
 
--- a/libcometspindle/gateway/placement.c
+++ b/libcometspindle/gateway/placement.c
@@ -8,6 +8,14 @@
 #include <string.h>
 #include <talloc.h>
 
+/* Part of what a cold endpoint bears that the VM which keeps count of it decides on. Another may
+ * just have kept count, or still do on the other side of a cut. */
+#define OWNER_SHARE 0.5
+
+/* Part that all VMs decide on together without a keeper: some requests are placed by views at any
+ * time. */
+#define LONE_SHARE 0.25
+
 /* Bounds of what a refused caller is told: long enough for a slot to come free, and no longer
  * than a burst lasts. */
 #define RETRY_AFTER_MIN_MS 100
@@ -48,6 +56,8 @@
 	placement->instances = instances;
 	placement->shards = comet_shards_create(placement, instances);
 	comet_draw_init(&placement->choice.draw, seed);
+	placement->choice.seed = (uint32_t)seed;
+	comet_placement_set_vms(placement, 1, 1);
 	placement->ops = ops;
 	placement->ctx = ctx;
 	placement->queues = comet_placement_queues_create();
@@ -55,6 +65,15 @@
 	return placement;
 }
 
+/* A VM that hears few of the others keeps count on the smaller side of a cut: the sides' shares add
+ * up to one at most. */
+void
+comet_placement_set_vms(struct comet_placement *placement, uint32_t heard, uint32_t known)
+{
+	placement->owner_share = MIN(OWNER_SHARE, (double)heard / known);
+	placement->lone_share = LONE_SHARE / known;
+}
+
 /* Drawn, so that callers who were refused together do not come back together. */
 static uint32_t
 with_jitter(struct comet_placement *placement, double wait_ms)
--- a/libcometspindle/gateway/placement.h
+++ b/libcometspindle/gateway/placement.h
@@ -23,6 +23,11 @@
 comet_placement_create(void *parent, struct comet_instances *instances,
 	const struct comet_placement_ops *ops, void *ctx, uint64_t seed);
 
+/** So many VMs are known to be there, and heard; with this one. Cold endpoints are shared by them.
+ */
+void
+comet_placement_set_vms(struct comet_placement *placement, uint32_t heard, uint32_t known);
+
 /** A request is to be placed; answered by dispatch or refuse, perhaps before this returns. */
 void
 comet_placement_submit(
--- a/libcometspindle/gateway/placement_find.c
+++ b/libcometspindle/gateway/placement_find.c
@@ -11,6 +11,7 @@
 	struct comet_choice_scope scope = {
 		.among = comet_instances_of(placement->instances, item->service),
 		.beyond = comet_choice_beyond(item),
+		.cold_share = placement->lone_share,
 	};
 
 	return comet_choice_best(&placement->choice, item, &scope, now_us, &placement->reason);
@@ -65,6 +66,22 @@
 	struct comet_placement_reason reason;
 };
 
+/* The part of what cold endpoints of a shard bear that this VM decides on. */
+static double
+cold_share_of(const struct comet_placement *placement, enum comet_placement_keeper keeper)
+{
+	switch (keeper)
+	{
+	case COMET_PLACEMENT_KEEPER_SELF:
+		return placement->owner_share;
+	case COMET_PLACEMENT_KEEPER_NONE:
+		return placement->lone_share;
+	case COMET_PLACEMENT_KEEPER_OTHER:
+		break;
+	}
+	return 0;
+}
+
 static struct shard_prospect
 look_at(struct comet_placement *placement, const struct comet_placement_item *item,
 	struct comet_shard *shard, uint32_t beyond, uint64_t now_us)
@@ -77,6 +94,7 @@
 		.among = shard->members,
 		.beyond = beyond,
 		.kept = prospect.keeper == COMET_PLACEMENT_KEEPER_SELF,
+		.cold_share = cold_share_of(placement, prospect.keeper),
 	};
 
 	prospect.best =
--- a/libcometspindle/gateway/placement_guests.c
+++ b/libcometspindle/gateway/placement_guests.c
@@ -27,6 +27,7 @@
 		.among = shard->members,
 		.beyond = beyond,
 		.kept = true,
+		.cold_share = placement->owner_share,
 		.except = guest->except,
 		.n_except = (uint32_t)guest->ask.n_except,
 	};
--- a/libcometspindle/gateway/placement_state.h
+++ b/libcometspindle/gateway/placement_state.h
@@ -38,6 +38,8 @@
 	struct comet_instances *instances;
 	struct comet_shards *shards;
 	struct comet_choice choice;
+	double owner_share; /* of what a cold endpoint bears: where this VM keeps count of it */
+	double lone_share;  /* and where none does, or none answers */
 	const struct comet_placement_ops *ops;
 	void *ctx;
 	GHashTable *queues; /* service -> struct comet_placement_queue */
--- a/libcometspindle/gateway/slow_start.c
+++ b/libcometspindle/gateway/slow_start.c
@@ -11,8 +11,9 @@
  * since some reach the endpoint faster than others. */
 #define SLICE_US 100000
 
-/* An endpoint without a request for so long may have started again unnoticed. */
-#define REST_US 1000000
+/* An endpoint without a request for so long may have started again unnoticed. Longer than one that
+ * is bounded waits for its next: it would never be warm. */
+#define REST_US 2000000
 
 static bool
 is_bounded(const struct comet_slow_start_bounds *bounds)
--- a/tests/unit/grants_fleet.h
+++ b/tests/unit/grants_fleet.h
@@ -322,6 +322,10 @@
 			{
 				comet_grants_tick(one.second.grants, now_us);
 				comet_views_tick(one.second.views, now_us);
+				uint32_t known = 0;
+				uint32_t heard = 0;
+				comet_views_count(one.second.views, &known, &heard);
+				comet_placement_set_vms(one.second.placement, heard + 1, known + 1);
 				comet_placement_run(one.second.placement, now_us);
 			}
 			deliver();
