--- a/libcometspindle/gateway/instance.c
+++ b/libcometspindle/gateway/instance.c
@@ -305,9 +305,12 @@
 		return learn_failure(instance, result, now_us);
 	case COMET_DISPATCH_BROKEN:
 	case COMET_DISPATCH_SILENT:
+		/* With the process all that runs there ends. */
+		if (instance->own + instance->others == 0)
+			comet_instance_may_be_cold(instance, now_us);
+		return learn_failure(instance, result, now_us);
 	case COMET_DISPATCH_UNREACHED:
-		comet_instance_may_be_cold(
-			instance, now_us); /* another process may be there soon */
+		comet_instance_may_be_cold(instance, now_us); /* another process may be there soon */
 		return learn_failure(instance, result, now_us);
 	}
 	return false;
