--- a/libcometspindle/adapters/gateway/gateway_metrics.c
+++ b/libcometspindle/adapters/gateway/gateway_metrics.c
@@ -228,6 +228,13 @@
 	return true;
 }
 
+static bool
+cold_of(const struct comet_instance *instance, uint64_t now_us, double *value)
+{
+	*value = now_us < instance->start.until_us ? 1 : 0;
+	return instance->start_bounds->most_per_s > 0;
+}
+
 static bool
 evacuated_of(const struct comet_instance *instance, uint64_t now_us, double *value)
 {
@@ -266,6 +273,7 @@
 	{"endpoint_avoided", avoided_of},
 	{"endpoint_draining", draining_of},
 	{"endpoint_evacuated", evacuated_of},
+	{"endpoint_cold", cold_of},
 	{"endpoint_lapsed", lapsed_of},
 };
 
--- a/scripts/soak_gateway.py
+++ b/scripts/soak_gateway.py
@@ -43,11 +43,13 @@
                                           "drain", "reborn"],
           "crashes": ALL_FAULTS + ANSWER_FAULTS + ["crash"] * 6,
           "eras": ALL_FAULTS + ["store_back"] * 5 + ["suspend"] * 5 + ["crash"],
+          "evacuations": ALL_FAULTS + ANSWER_FAULTS + ["evacuate"] * 6,
           "bulk": ALL_FAULTS + ["document_large"] * 8 + ["document", "drain", "kill", "stop"] * 2}
 BULK_VMS_MIN = 9  # of one zone, in which some read for the others
 BULK_ROUTES_MAX = 4000
 CRASHES_MAX = 3  # of one request, and so many sendings more once all must know of them
 KNOWN_AFTER_S = 3
+HELD_BACK_S = 3  # longer than any fault holds back what was sent before
 TAKEN_UP_MAX = 3  # times that a caller goes on with a stream that broke off
 Outcome = collections.namedtuple("Outcome", "status whole last_id")
 FOREIGN = ["", "{", "[]", "null", "\x00", '{"service":"svc"}', '{"service":5,"state":"ready"}']
@@ -158,17 +160,21 @@
         self.log.seek(0)
         return self.log.read().decode(errors="replace")
 
-    def routes_version(self):
-        """Of the document in force; 0: none, or it does not answer."""
+    def metrics(self):
+        """The page of its metrics; empty: it does not answer."""
         try:
             with socket.create_connection((self.ip, self.control), 2) as sock:
                 sock.settimeout(2)
                 sock.sendall(b"GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n")
                 reader = Reader(sock)
                 _, headers = reader.head()
-                text = reader.body(headers or {})[0].decode()
+                return reader.body(headers or {})[0]
         except OSError:
-            return 0
+            return b""
+
+    def routes_version(self):
+        """Of the document in force; 0: none, or it does not answer."""
+        text = self.metrics().decode()
         found = [line.split()[1] for line in text.splitlines() if line.startswith("comet_routes_version ")]
         return int(float(found[0])) if found else 0
 
@@ -221,7 +227,8 @@
         self.broken = {"twice": [], "not_run_but_ran": [], "wrong_answer": [], "joined_piece": [],
                        "out_of_order": [], "looks_complete": [], "wrong_key_served": [],
                        "not_served_after": [], "bad_exit": [], "sanitizer": [],
-                       "sent_on": [], "refused_for_good": [], "not_in_force": []}
+                       "sent_on": [], "refused_for_good": [], "not_in_force": [], "sent_to_evacuated": []}
+        self.evacuating = threading.Lock()  # one zone at a time
         self.crashed = {}  # body of a request that crashes servers -> names of those that ran it
         self.told_not_run = set()
         self.once = set()
@@ -474,6 +481,23 @@
         time.sleep(length)
         self.servers[number].publish(state="ready")
 
+    def fault_evacuate(self, _kind, length, _vm, _proxy, number):
+        """Once all VMs know that a zone is evacuated its servers run nothing new until it is restored."""
+        zone = f"z{number % 3}"
+        with self.evacuating:
+            self.store.put(f"op/evacuate/{zone}", {})
+            wait_for(lambda: all(b'zone_evacuated{zone="%s"}' % zone.encode() in vm.metrics() for vm in self.vms), 60)
+            time.sleep(HELD_BACK_S)
+            ran = self.runs_in(zone)
+            time.sleep(length)
+            new = self.runs_in(zone) - ran
+            if new:
+                self.breach("sent_to_evacuated", f"{zone}: {sorted(new)}")
+            self.store.remove(f"op/evacuate/{zone}")
+
+    def runs_in(self, zone):
+        return {run[0] for server in self.servers if server.entry["zone"] == zone for run in server.runs}
+
     def fault_reborn(self, _kind, length, _vm, _proxy, number):
         self.servers[number].start_again()
         time.sleep(length / 4)
