gateway/ in folders that say where a decision stands; moves alone

34 files stood flat. messages, endpoints, routing, admission, placement and fleet use only those before them in this list (and fleet the directory's port); no file uses a folder in a circle. No code is changed but for paths of includes and one line break.

--- a/libcometspindle/adapters/gateway/gateway_crashes.h
+++ b/libcometspindle/adapters/gateway/gateway_crashes.h
@@ -6,7 +6,7 @@
 #define COMETSPINDLE_ADAPTERS_GATEWAY_CRASHES_H
 
 #include <libcometspindle/adapters/gateway/gateway_relay.h>
-#include <libcometspindle/gateway/crashes.h>
+#include <libcometspindle/gateway/admission/crashes.h>
 
 /** What becomes known of requests (crashes.h). */
 extern const struct comet_crashes_ops comet_gateway_crashes_ops;
--- a/libcometspindle/adapters/gateway/gateway_private.h
+++ b/libcometspindle/adapters/gateway/gateway_private.h
@@ -10,15 +10,15 @@
 #include <libcometspindle/adapters/gateway/gateway.h>
 #include <libcometspindle/adapters/peers/view_link.h>
 #include <libcometspindle/draw.h>
-#include <libcometspindle/gateway/charges.h>
+#include <libcometspindle/gateway/admission/charges.h>
 #include <libcometspindle/gateway/directory.h>
-#include <libcometspindle/gateway/crashes.h>
-#include <libcometspindle/gateway/evacuations.h>
-#include <libcometspindle/gateway/grants.h>
-#include <libcometspindle/gateway/lives.h>
-#include <libcometspindle/gateway/placement.h>
-#include <libcometspindle/gateway/readers.h>
-#include <libcometspindle/gateway/views.h>
+#include <libcometspindle/gateway/admission/crashes.h>
+#include <libcometspindle/gateway/endpoints/evacuations.h>
+#include <libcometspindle/gateway/placement/grants.h>
+#include <libcometspindle/gateway/endpoints/lives.h>
+#include <libcometspindle/gateway/placement/placement.h>
+#include <libcometspindle/gateway/fleet/readers.h>
+#include <libcometspindle/gateway/fleet/views.h>
 #include <libcometspindle/latency.h>
 #include <libcometspindle/tally.h>
 
--- a/libcometspindle/adapters/gateway/gateway_relay.h
+++ b/libcometspindle/adapters/gateway/gateway_relay.h
@@ -7,7 +7,7 @@
 
 #include <libcometspindle/adapters/gateway/gateway_private.h>
 #include <libcometspindle/gateway/event_stream.h>
-#include <libcometspindle/gateway/fingerprint.h>
+#include <libcometspindle/gateway/admission/fingerprint.h>
 
 /** A request from its admission to its end. */
 struct comet_relay
--- a/libcometspindle/adapters/peers/view_link.c
+++ b/libcometspindle/adapters/peers/view_link.c
@@ -8,7 +8,7 @@
 #include <errno.h>
 #include <libcometspindle/adapters/socket.h>
 #include <libcometspindle/error.h>
-#include <libcometspindle/gateway/views.h>
+#include <libcometspindle/gateway/fleet/views.h>
 #include <sys/socket.h>
 #include <talloc.h>
 #include <unistd.h>
--- a/libcometspindle/gateway/allowance.c
+++ b/libcometspindle/gateway/admission/allowance.c
@@ -2,7 +2,7 @@
  * allowance.c
  * what each team may still spend, summed over all VMs without shared state
  */
-#include <libcometspindle/gateway/allowance.h>
+#include <libcometspindle/gateway/admission/allowance.h>
 
 #include <glib.h>
 #include <string.h>
--- a/libcometspindle/gateway/allowance.h
+++ b/libcometspindle/gateway/admission/allowance.h
@@ -17,7 +17,7 @@
 #define COMETSPINDLE_GATEWAY_ALLOWANCE_H
 
 #include <glib.h>
-#include <libcometspindle/gateway/routes.h>
+#include <libcometspindle/gateway/routing/routes.h>
 #include <stdbool.h>
 #include <stdint.h>
 
--- a/libcometspindle/gateway/charges.c
+++ b/libcometspindle/gateway/admission/charges.c
@@ -2,9 +2,9 @@
  * charges.c
  * requests charged to their teams by the VMs that keep the teams' accounts
  */
-#include <libcometspindle/gateway/charges.h>
+#include <libcometspindle/gateway/admission/charges.h>
 
-#include <libcometspindle/gateway/asks.h>
+#include <libcometspindle/gateway/messages/asks.h>
 #include <talloc.h>
 
 /* A charge that is not answered yet. */
--- a/libcometspindle/gateway/charges.h
+++ b/libcometspindle/gateway/admission/charges.h
@@ -10,7 +10,7 @@
 #ifndef COMETSPINDLE_GATEWAY_CHARGES_H
 #define COMETSPINDLE_GATEWAY_CHARGES_H
 
-#include <libcometspindle/gateway/datagram.h>
+#include <libcometspindle/gateway/messages/datagram.h>
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
--- a/libcometspindle/gateway/crashes.c
+++ b/libcometspindle/gateway/admission/crashes.c
@@ -2,11 +2,11 @@
  * crashes.c
  * requests under which endpoints' processes crashed, as this VM and the others saw it
  */
-#include <libcometspindle/gateway/crashes.h>
+#include <libcometspindle/gateway/admission/crashes.h>
 
 #include <glib.h>
-#include <libcometspindle/gateway/life_set.h>
-#include <libcometspindle/gateway/suspects.h>
+#include <libcometspindle/gateway/admission/life_set.h>
+#include <libcometspindle/gateway/admission/suspects.h>
 #include <string.h>
 #include <talloc.h>
 
--- a/libcometspindle/gateway/crashes.h
+++ b/libcometspindle/gateway/admission/crashes.h
@@ -15,7 +15,7 @@
 #ifndef COMETSPINDLE_GATEWAY_CRASHES_H
 #define COMETSPINDLE_GATEWAY_CRASHES_H
 
-#include <libcometspindle/gateway/fingerprint.h>
+#include <libcometspindle/gateway/admission/fingerprint.h>
 #include <libcometspindle/proto/view.pb.h>
 #include <stdbool.h>
 #include <stddef.h>
--- a/libcometspindle/gateway/fingerprint.c
+++ b/libcometspindle/gateway/admission/fingerprint.c
@@ -2,7 +2,7 @@
  * fingerprint.c
  * what makes two requests the same one: their team, method, host, target and body
  */
-#include <libcometspindle/gateway/fingerprint.h>
+#include <libcometspindle/gateway/admission/fingerprint.h>
 
 #include <glib.h>
 #include <libcometspindle/hash.h>
--- a/libcometspindle/gateway/life_set.c
+++ b/libcometspindle/gateway/admission/life_set.c
@@ -2,7 +2,7 @@
  * life_set.c
  * a small set of lives of endpoints' processes, which VMs join
  */
-#include <libcometspindle/gateway/life_set.h>
+#include <libcometspindle/gateway/admission/life_set.h>
 
 bool
 comet_life_set_has(const struct comet_life_set *set, uint32_t life)
--- a/libcometspindle/gateway/retry_budget.c
+++ b/libcometspindle/gateway/admission/retry_budget.c
@@ -2,7 +2,7 @@
  * retry_budget.c
  * how many requests may be sent to a second endpoint, per service
  */
-#include <libcometspindle/gateway/retry_budget.h>
+#include <libcometspindle/gateway/admission/retry_budget.h>
 
 #include <glib.h>
 #include <talloc.h>
--- a/libcometspindle/gateway/suspects.c
+++ b/libcometspindle/gateway/admission/suspects.c
@@ -2,7 +2,7 @@
  * suspects.c
  * runs that ended without an answer, until it is known whether their endpoint's process crashed
  */
-#include <libcometspindle/gateway/suspects.h>
+#include <libcometspindle/gateway/admission/suspects.h>
 
 #include <talloc.h>
 
--- a/libcometspindle/gateway/suspects.h
+++ b/libcometspindle/gateway/admission/suspects.h
@@ -9,8 +9,8 @@
 #define COMETSPINDLE_GATEWAY_SUSPECTS_H
 
 #include <glib.h>
-#include <libcometspindle/gateway/crashes.h>
-#include <libcometspindle/gateway/fingerprint.h>
+#include <libcometspindle/gateway/admission/crashes.h>
+#include <libcometspindle/gateway/admission/fingerprint.h>
 #include <stdbool.h>
 #include <stdint.h>
 
--- a/libcometspindle/gateway/directory.h
+++ b/libcometspindle/gateway/directory.h
@@ -10,8 +10,8 @@
 #define COMETSPINDLE_GATEWAY_DIRECTORY_H
 
 #include <glib.h>
-#include <libcometspindle/gateway/instances.h>
-#include <libcometspindle/gateway/routes.h>
+#include <libcometspindle/gateway/endpoints/instances.h>
+#include <libcometspindle/gateway/routing/routes.h>
 #include <stdbool.h>
 #include <stdint.h>
 
--- a/libcometspindle/gateway/evacuations.c
+++ b/libcometspindle/gateway/endpoints/evacuations.c
@@ -2,7 +2,7 @@
  * evacuations.c
  * orders to evacuate availability zones, as the directory tells them
  */
-#include <libcometspindle/gateway/evacuations.h>
+#include <libcometspindle/gateway/endpoints/evacuations.h>
 
 #include <talloc.h>
 
--- a/libcometspindle/gateway/evacuations.h
+++ b/libcometspindle/gateway/endpoints/evacuations.h
@@ -9,7 +9,7 @@
 #ifndef COMETSPINDLE_GATEWAY_EVACUATIONS_H
 #define COMETSPINDLE_GATEWAY_EVACUATIONS_H
 
-#include <libcometspindle/gateway/instances.h>
+#include <libcometspindle/gateway/endpoints/instances.h>
 #include <stdbool.h>
 #include <stdint.h>
 
--- a/libcometspindle/gateway/instance.c
+++ b/libcometspindle/gateway/endpoints/instance.c
@@ -2,10 +2,10 @@
  * instance.c
  * one life of an endpoint's process: what runs there, how fast, how healthy
  */
-#include <libcometspindle/gateway/instance.h>
+#include <libcometspindle/gateway/endpoints/instance.h>
 
 #include <glib.h>
-#include <libcometspindle/gateway/speeds.h>
+#include <libcometspindle/gateway/endpoints/speeds.h>
 #include <libcometspindle/hash.h>
 #include <string.h>
 
@@ -310,7 +310,8 @@
 			comet_instance_may_be_cold(instance, now_us);
 		return learn_failure(instance, result, now_us);
 	case COMET_DISPATCH_UNREACHED:
-		comet_instance_may_be_cold(instance, now_us); /* another process may be there soon */
+		comet_instance_may_be_cold(
+			instance, now_us); /* another process may be there soon */
 		return learn_failure(instance, result, now_us);
 	}
 	return false;
--- a/libcometspindle/gateway/instance.h
+++ b/libcometspindle/gateway/endpoints/instance.h
@@ -7,7 +7,7 @@
 #ifndef COMETSPINDLE_GATEWAY_INSTANCE_H
 #define COMETSPINDLE_GATEWAY_INSTANCE_H
 
-#include <libcometspindle/gateway/slow_start.h>
+#include <libcometspindle/gateway/endpoints/slow_start.h>
 #include <stdbool.h>
 #include <stdint.h>
 
--- a/libcometspindle/gateway/instances.c
+++ b/libcometspindle/gateway/endpoints/instances.c
@@ -2,9 +2,9 @@
  * instances.c
  * the endpoints that this VM knows of, as the directory tells of them
  */
-#include <libcometspindle/gateway/instances.h>
+#include <libcometspindle/gateway/endpoints/instances.h>
 
-#include <libcometspindle/gateway/speeds.h>
+#include <libcometspindle/gateway/endpoints/speeds.h>
 #include <libcometspindle/hash.h>
 #include <string.h>
 #include <talloc.h>
--- a/libcometspindle/gateway/instances.h
+++ b/libcometspindle/gateway/endpoints/instances.h
@@ -8,7 +8,7 @@
 #define COMETSPINDLE_GATEWAY_INSTANCES_H
 
 #include <glib.h>
-#include <libcometspindle/gateway/instance.h>
+#include <libcometspindle/gateway/endpoints/instance.h>
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
--- a/libcometspindle/gateway/lives.c
+++ b/libcometspindle/gateway/endpoints/lives.c
@@ -2,7 +2,7 @@
  * lives.c
  * which life of each endpoint's process is the latest, by what the directory has told
  */
-#include <libcometspindle/gateway/lives.h>
+#include <libcometspindle/gateway/endpoints/lives.h>
 
 #include <glib.h>
 #include <talloc.h>
--- a/libcometspindle/gateway/lives.h
+++ b/libcometspindle/gateway/endpoints/lives.h
@@ -9,7 +9,7 @@
 #ifndef COMETSPINDLE_GATEWAY_LIVES_H
 #define COMETSPINDLE_GATEWAY_LIVES_H
 
-#include <libcometspindle/gateway/instances.h>
+#include <libcometspindle/gateway/endpoints/instances.h>
 #include <stdint.h>
 
 /** Which life of an endpoint's process an entry is of. */
--- a/libcometspindle/gateway/outage.c
+++ b/libcometspindle/gateway/endpoints/outage.c
@@ -2,7 +2,7 @@
  * outage.c
  * what failed calls tell of an outage of the directory
  */
-#include <libcometspindle/gateway/outage.h>
+#include <libcometspindle/gateway/endpoints/outage.h>
 
 #include <glib.h>
 
--- a/libcometspindle/gateway/slow_start.c
+++ b/libcometspindle/gateway/endpoints/slow_start.c
@@ -2,7 +2,7 @@
  * slow_start.c
  * how many requests an endpoint receives while it is cold
  */
-#include <libcometspindle/gateway/slow_start.h>
+#include <libcometspindle/gateway/endpoints/slow_start.h>
 
 #include <glib.h>
 #include <string.h>
--- a/libcometspindle/gateway/speeds.c
+++ b/libcometspindle/gateway/endpoints/speeds.c
@@ -2,7 +2,7 @@
  * speeds.c
  * how long the requests of one service usually take, learned from its answers
  */
-#include <libcometspindle/gateway/speeds.h>
+#include <libcometspindle/gateway/endpoints/speeds.h>
 
 #include <glib.h>
 #include <talloc.h>
--- a/libcometspindle/gateway/readers.c
+++ b/libcometspindle/gateway/fleet/readers.c
@@ -2,7 +2,7 @@
  * readers.c
  * whether this VM reads the directory, or follows the readers of its availability zone
  */
-#include <libcometspindle/gateway/readers.h>
+#include <libcometspindle/gateway/fleet/readers.h>
 
 #include <glib.h>
 #include <libcometspindle/draw.h>
--- a/libcometspindle/gateway/views.c
+++ b/libcometspindle/gateway/fleet/views.c
@@ -2,7 +2,7 @@
  * views.c
  * the other VMs, as their views tell: who is there, what they send where
  */
-#include <libcometspindle/gateway/views_state.h>
+#include <libcometspindle/gateway/fleet/views_state.h>
 
 #include <libcometspindle/hash.h>
 #include <string.h>
--- a/libcometspindle/gateway/views.h
+++ b/libcometspindle/gateway/fleet/views.h
@@ -12,10 +12,10 @@
 #define COMETSPINDLE_GATEWAY_VIEWS_H
 
 #include <glib.h>
-#include <libcometspindle/gateway/allowance.h>
-#include <libcometspindle/gateway/crashes.h>
-#include <libcometspindle/gateway/instances.h>
-#include <libcometspindle/gateway/datagram.h>
+#include <libcometspindle/gateway/admission/allowance.h>
+#include <libcometspindle/gateway/admission/crashes.h>
+#include <libcometspindle/gateway/endpoints/instances.h>
+#include <libcometspindle/gateway/messages/datagram.h>
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
--- a/libcometspindle/gateway/views_keepers.c
+++ b/libcometspindle/gateway/fleet/views_keepers.c
@@ -2,7 +2,7 @@
  * views_keepers.c
  * which VM keeps count for a key: the same one on all VMs that hear the same
  */
-#include <libcometspindle/gateway/views_state.h>
+#include <libcometspindle/gateway/fleet/views_state.h>
 
 #include <libcometspindle/hash.h>
 
--- a/libcometspindle/gateway/views_rounds.c
+++ b/libcometspindle/gateway/fleet/views_rounds.c
@@ -5,7 +5,7 @@
  * VMs of the own zone are sent every view. A large zone beyond is sent them
  * through a few of its VMs, which pass them on, since bytes between zones cost.
  */
-#include <libcometspindle/gateway/views_state.h>
+#include <libcometspindle/gateway/fleet/views_state.h>
 
 #include <libcometspindle/hash.h>
 #include <string.h>
--- a/libcometspindle/gateway/views_state.h
+++ b/libcometspindle/gateway/fleet/views_state.h
@@ -5,7 +5,7 @@
 #ifndef COMETSPINDLE_GATEWAY_VIEWS_STATE_H
 #define COMETSPINDLE_GATEWAY_VIEWS_STATE_H
 
-#include <libcometspindle/gateway/views.h>
+#include <libcometspindle/gateway/fleet/views.h>
 
 /* Relays of a zone at a time, others each time: one may be frozen or cut off. */
 #define COMET_VIEWS_RELAYS 2
--- a/libcometspindle/gateway/asks.c
+++ b/libcometspindle/gateway/messages/asks.c
@@ -2,7 +2,7 @@
  * asks.c
  * questions to other VMs that wait for their answers, and VMs that left one unanswered
  */
-#include <libcometspindle/gateway/asks.h>
+#include <libcometspindle/gateway/messages/asks.h>
 
 #include <glib.h>
 #include <talloc.h>
--- a/libcometspindle/gateway/datagram.c
+++ b/libcometspindle/gateway/messages/datagram.c
@@ -2,7 +2,7 @@
  * datagram.c
  * what gateways send each other, as bytes
  */
-#include <libcometspindle/gateway/datagram.h>
+#include <libcometspindle/gateway/messages/datagram.h>
 
 #include <pb_decode.h>
 #include <pb_encode.h>
--- a/libcometspindle/gateway/choice.c
+++ b/libcometspindle/gateway/placement/choice.c
@@ -2,7 +2,7 @@
  * choice.c
  * the cheapest endpoint with room for a request
  */
-#include <libcometspindle/gateway/choice.h>
+#include <libcometspindle/gateway/placement/choice.h>
 
 #include <libcometspindle/hash.h>
 #include <string.h>
--- a/libcometspindle/gateway/choice.h
+++ b/libcometspindle/gateway/placement/choice.h
@@ -6,8 +6,8 @@
 #define COMETSPINDLE_GATEWAY_CHOICE_H
 
 #include <libcometspindle/draw.h>
-#include <libcometspindle/gateway/instances.h>
-#include <libcometspindle/gateway/placement_item.h>
+#include <libcometspindle/gateway/endpoints/instances.h>
+#include <libcometspindle/gateway/placement/placement_item.h>
 #include <stdbool.h>
 #include <stdint.h>
 
--- a/libcometspindle/gateway/flow.c
+++ b/libcometspindle/gateway/placement/flow.c
@@ -2,7 +2,7 @@
  * flow.c
  * how fast requests of one rank leave a queue
  */
-#include <libcometspindle/gateway/flow.h>
+#include <libcometspindle/gateway/placement/flow.h>
 
 #include <glib.h>
 
--- a/libcometspindle/gateway/grants.c
+++ b/libcometspindle/gateway/placement/grants.c
@@ -2,10 +2,10 @@
  * grants.c
  * slots asked for at the VMs that keep count of endpoints
  */
-#include <libcometspindle/gateway/grants.h>
+#include <libcometspindle/gateway/placement/grants.h>
 
 #include <glib.h>
-#include <libcometspindle/gateway/asks.h>
+#include <libcometspindle/gateway/messages/asks.h>
 #include <string.h>
 #include <talloc.h>
 
--- a/libcometspindle/gateway/grants.h
+++ b/libcometspindle/gateway/placement/grants.h
@@ -12,8 +12,8 @@
 #ifndef COMETSPINDLE_GATEWAY_GRANTS_H
 #define COMETSPINDLE_GATEWAY_GRANTS_H
 
-#include <libcometspindle/gateway/datagram.h>
-#include <libcometspindle/gateway/placement.h>
+#include <libcometspindle/gateway/messages/datagram.h>
+#include <libcometspindle/gateway/placement/placement.h>
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
--- a/libcometspindle/gateway/placement.c
+++ b/libcometspindle/gateway/placement/placement.c
@@ -2,9 +2,9 @@
  * placement.c
  * which endpoint a request goes to, when, and what is refused early
  */
-#include <libcometspindle/gateway/placement.h>
+#include <libcometspindle/gateway/placement/placement.h>
 
-#include <libcometspindle/gateway/placement_state.h>
+#include <libcometspindle/gateway/placement/placement_state.h>
 #include <string.h>
 #include <talloc.h>
 
--- a/libcometspindle/gateway/placement.h
+++ b/libcometspindle/gateway/placement/placement.h
@@ -10,9 +10,9 @@
 #define COMETSPINDLE_GATEWAY_PLACEMENT_H
 
 #include <glib.h>
-#include <libcometspindle/gateway/instances.h>
-#include <libcometspindle/gateway/placement_item.h>
-#include <libcometspindle/gateway/placement_queue.h>
+#include <libcometspindle/gateway/endpoints/instances.h>
+#include <libcometspindle/gateway/placement/placement_item.h>
+#include <libcometspindle/gateway/placement/placement_queue.h>
 #include <stdbool.h>
 #include <stdint.h>
 
--- a/libcometspindle/gateway/placement_find.c
+++ b/libcometspindle/gateway/placement/placement_find.c
@@ -2,7 +2,7 @@
  * placement_find.c
  * where a request could go now: shards that this VM chooses in by itself, and keepers to ask
  */
-#include <libcometspindle/gateway/placement_state.h>
+#include <libcometspindle/gateway/placement/placement_state.h>
 
 struct comet_instance *
 comet_placement_choose_by_views(
--- a/libcometspindle/gateway/placement_guests.c
+++ b/libcometspindle/gateway/placement/placement_guests.c
@@ -5,7 +5,7 @@
  * They are served in one order with this VM's own, so that a slot goes to the
  * most urgent request in time of all VMs that wait here, as soon as it is free.
  */
-#include <libcometspindle/gateway/placement_state.h>
+#include <libcometspindle/gateway/placement/placement_state.h>
 
 #include <string.h>
 
--- a/libcometspindle/gateway/placement_item.h
+++ b/libcometspindle/gateway/placement/placement_item.h
@@ -6,8 +6,8 @@
 #define COMETSPINDLE_GATEWAY_PLACEMENT_ITEM_H
 
 #include <glib.h>
-#include <libcometspindle/gateway/instance.h>
-#include <libcometspindle/gateway/shards.h>
+#include <libcometspindle/gateway/endpoints/instance.h>
+#include <libcometspindle/gateway/placement/shards.h>
 #include <stdbool.h>
 #include <stdint.h>
 
--- a/libcometspindle/gateway/placement_queue.c
+++ b/libcometspindle/gateway/placement/placement_queue.c
@@ -2,9 +2,9 @@
  * placement_queue.c
  * what waits for a service: in which order, and for how long
  */
-#include <libcometspindle/gateway/placement_queue.h>
+#include <libcometspindle/gateway/placement/placement_queue.h>
 
-#include <libcometspindle/gateway/placement_state.h>
+#include <libcometspindle/gateway/placement/placement_state.h>
 
 /* Least part of a service's endpoints that a VM takes for its own when it reckons how fast its
  * queue moves: more VMs than this bring only a few requests each. */
--- a/libcometspindle/gateway/placement_queue.h
+++ b/libcometspindle/gateway/placement/placement_queue.h
@@ -5,7 +5,7 @@
 #ifndef COMETSPINDLE_GATEWAY_PLACEMENT_QUEUE_H
 #define COMETSPINDLE_GATEWAY_PLACEMENT_QUEUE_H
 
-#include <libcometspindle/gateway/placement_item.h>
+#include <libcometspindle/gateway/placement/placement_item.h>
 
 struct comet_placement;
 
--- a/libcometspindle/gateway/placement_state.h
+++ b/libcometspindle/gateway/placement/placement_state.h
@@ -5,9 +5,9 @@
 #ifndef COMETSPINDLE_GATEWAY_PLACEMENT_STATE_H
 #define COMETSPINDLE_GATEWAY_PLACEMENT_STATE_H
 
-#include <libcometspindle/gateway/choice.h>
-#include <libcometspindle/gateway/flow.h>
-#include <libcometspindle/gateway/placement_queue.h>
+#include <libcometspindle/gateway/placement/choice.h>
+#include <libcometspindle/gateway/placement/flow.h>
+#include <libcometspindle/gateway/placement/placement_queue.h>
 
 /** Ranks whose pace in the queue is told apart; those below share the last. */
 #define COMET_PLACEMENT_RANKS 8
--- a/libcometspindle/gateway/shards.c
+++ b/libcometspindle/gateway/placement/shards.c
@@ -2,7 +2,7 @@
  * shards.c
  * the endpoints of a service in parts, each of which one VM keeps count of
  */
-#include <libcometspindle/gateway/shards.h>
+#include <libcometspindle/gateway/placement/shards.h>
 
 #include <libcometspindle/hash.h>
 #include <string.h>
--- a/libcometspindle/gateway/shards.h
+++ b/libcometspindle/gateway/placement/shards.h
@@ -10,7 +10,7 @@
 #ifndef COMETSPINDLE_GATEWAY_SHARDS_H
 #define COMETSPINDLE_GATEWAY_SHARDS_H
 
-#include <libcometspindle/gateway/instances.h>
+#include <libcometspindle/gateway/endpoints/instances.h>
 #include <stdbool.h>
 #include <stdint.h>
 
--- a/libcometspindle/gateway/routes.c
+++ b/libcometspindle/gateway/routing/routes.c
@@ -2,7 +2,7 @@
  * routes.c
  * the routing document in force: routes, services, teams and their limits
  */
-#include <libcometspindle/gateway/routes.h>
+#include <libcometspindle/gateway/routing/routes.h>
 
 #include <libcometspindle/hash.h>
 #include <string.h>
--- a/libcometspindle/gateway/settings.h
+++ b/libcometspindle/gateway/settings.h
@@ -6,8 +6,8 @@
 #define COMETSPINDLE_GATEWAY_SETTINGS_H
 
 #include <glib.h>
-#include <libcometspindle/gateway/allowance.h>
-#include <libcometspindle/gateway/retry_budget.h>
+#include <libcometspindle/gateway/admission/allowance.h>
+#include <libcometspindle/gateway/admission/retry_budget.h>
 #include <stdbool.h>
 #include <stdint.h>
 
--- a/tests/bench/measure_directory.c
+++ b/tests/bench/measure_directory.c
@@ -7,7 +7,7 @@
 #include "cpu_time.h"
 
 #include <glib.h>
-#include <libcometspindle/gateway/instances.h>
+#include <libcometspindle/gateway/endpoints/instances.h>
 #include <platform/catalog.h>
 #include <platform/server_entry.h>
 #include <stdio.h>
--- a/tests/unit/grants_fleet.h
+++ b/tests/unit/grants_fleet.h
@@ -10,9 +10,9 @@
 
 extern "C"
 {
-#include <libcometspindle/gateway/grants.h>
-#include <libcometspindle/gateway/placement.h>
-#include <libcometspindle/gateway/views.h>
+#include <libcometspindle/gateway/placement/grants.h>
+#include <libcometspindle/gateway/placement/placement.h>
+#include <libcometspindle/gateway/fleet/views.h>
 #include <libcometspindle/hash.h>
 }
 #include <deque>
--- a/tests/unit/placement_fixture.h
+++ b/tests/unit/placement_fixture.h
@@ -9,7 +9,7 @@
 
 extern "C"
 {
-#include <libcometspindle/gateway/placement.h>
+#include <libcometspindle/gateway/placement/placement.h>
 }
 #include <map>
 #include <memory>
--- a/tests/unit/team_table.h
+++ b/tests/unit/team_table.h
@@ -9,7 +9,7 @@
 
 extern "C"
 {
-#include <libcometspindle/gateway/routes.h>
+#include <libcometspindle/gateway/routing/routes.h>
 }
 
 /** Free with comet_route_table_unref. */
--- a/tests/unit/test_crashes.cc
+++ b/tests/unit/test_crashes.cc
@@ -6,7 +6,7 @@
 
 extern "C"
 {
-#include <libcometspindle/gateway/crashes.h>
+#include <libcometspindle/gateway/admission/crashes.h>
 }
 #include <algorithm>
 #include <random>
--- a/tests/unit/test_evacuations.cc
+++ b/tests/unit/test_evacuations.cc
@@ -7,7 +7,7 @@
 
 extern "C"
 {
-#include <libcometspindle/gateway/evacuations.h>
+#include <libcometspindle/gateway/endpoints/evacuations.h>
 }
 
 namespace
--- a/tests/unit/test_gateway_routes.cc
+++ b/tests/unit/test_gateway_routes.cc
@@ -6,9 +6,9 @@
 
 extern "C"
 {
-#include <libcometspindle/gateway/allowance.h>
-#include <libcometspindle/gateway/retry_budget.h>
-#include <libcometspindle/gateway/routes.h>
+#include <libcometspindle/gateway/admission/allowance.h>
+#include <libcometspindle/gateway/admission/retry_budget.h>
+#include <libcometspindle/gateway/routing/routes.h>
 #include <libcometspindle/gateway/settings.h>
 #include <libcometspindle/gateway/wire_names.h>
 #include <libcometspindle/hash.h>
--- a/tests/unit/test_gateway_views.cc
+++ b/tests/unit/test_gateway_views.cc
@@ -7,7 +7,7 @@
 
 extern "C"
 {
-#include <libcometspindle/gateway/views.h>
+#include <libcometspindle/gateway/fleet/views.h>
 #include <libcometspindle/hash.h>
 }
 #include <map>
--- a/tests/unit/test_instances.cc
+++ b/tests/unit/test_instances.cc
@@ -6,7 +6,7 @@
 
 extern "C"
 {
-#include <libcometspindle/gateway/instances.h>
+#include <libcometspindle/gateway/endpoints/instances.h>
 }
 #include <string>
 #include <talloc.h>
--- a/tests/unit/test_limits_fleet.cc
+++ b/tests/unit/test_limits_fleet.cc
@@ -6,8 +6,8 @@
 
 extern "C"
 {
-#include <libcometspindle/gateway/allowance.h>
-#include <libcometspindle/gateway/charges.h>
+#include <libcometspindle/gateway/admission/allowance.h>
+#include <libcometspindle/gateway/admission/charges.h>
 #include <libcometspindle/hash.h>
 }
 #include <deque>
--- a/tests/unit/test_lives.cc
+++ b/tests/unit/test_lives.cc
@@ -6,7 +6,7 @@
 
 extern "C"
 {
-#include <libcometspindle/gateway/lives.h>
+#include <libcometspindle/gateway/endpoints/lives.h>
 #include <platform/catalog.h>
 #include <platform/server_entry.h>
 }
--- a/tests/unit/test_outage.cc
+++ b/tests/unit/test_outage.cc
@@ -6,7 +6,7 @@
 
 extern "C"
 {
-#include <libcometspindle/gateway/outage.h>
+#include <libcometspindle/gateway/endpoints/outage.h>
 }
 
 namespace
--- a/tests/unit/test_readers.cc
+++ b/tests/unit/test_readers.cc
@@ -6,7 +6,7 @@
 
 extern "C"
 {
-#include <libcometspindle/gateway/readers.h>
+#include <libcometspindle/gateway/fleet/readers.h>
 }
 #include <set>
 #include <talloc.h>
--- a/tests/unit/test_slow_start.cc
+++ b/tests/unit/test_slow_start.cc
@@ -9,7 +9,7 @@
 
 extern "C"
 {
-#include <libcometspindle/gateway/slow_start.h>
+#include <libcometspindle/gateway/endpoints/slow_start.h>
 }
 
 namespace
--- a/tests/unit/test_speeds.cc
+++ b/tests/unit/test_speeds.cc
@@ -6,7 +6,7 @@
 
 extern "C"
 {
-#include <libcometspindle/gateway/speeds.h>
+#include <libcometspindle/gateway/endpoints/speeds.h>
 }
 #include <talloc.h>
 
