Choice: no hash for endpoints that are not bounded as cold

Each candidate of each choice was hashed with the VM's seed, also where no bound is configured or another VM decides; the draw is taken only where it can matter.

--- a/libcometspindle/gateway/placement/choice.c
+++ b/libcometspindle/gateway/placement/choice.c
@@ -170,11 +170,11 @@
 is_admitted(const struct comet_choice *choice, const struct comet_choice_scope *scope,
 	const struct comet_instance *instance, uint64_t now_us)
 {
+	if (scope->cold_share == 0 || instance->start_bounds->most_per_s == 0)
+		return true;
 	double draw = (double)(uint32_t)comet_hash_score(choice->seed, instance->key) / UINT32_MAX;
-
-	return scope->cold_share == 0 ||
-	       comet_slow_start_admits(
-		       &instance->start, instance->start_bounds, scope->cold_share, draw, now_us);
+	return comet_slow_start_admits(
+		&instance->start, instance->start_bounds, scope->cold_share, draw, now_us);
 }
 
 /* Tells what was chosen, and from what. */
