--- a/tests/system/test_evacuation.py
+++ b/tests/system/test_evacuation.py
@@ -50,6 +50,17 @@
     wait_for(lambda: taken(world, zone))
 
 
+def evacuated_and_gone_back(settled_ms):
+    """Zone z is evacuated, and the store comes back from a copy that lacks the order."""
+    world = two_zones(settled_ms=settled_ms)
+    world.store.era = 1
+    world.store.put("op/config", document(2))
+    wait_for(lambda: b"event=directory_era" in world.gateway.log_text())
+    evacuate(world)
+    world.store.go_back(1)
+    return world
+
+
 def test_evacuated_zone_receives_nothing():
     world = two_zones()
     assert_usable(world, 0)
@@ -146,12 +157,7 @@
 
 
 def test_order_lost_by_an_earlier_copy_holds_until_it_is_written_again():
-    world = two_zones(settled_ms=60000)
-    world.store.era = 1
-    world.store.put("op/config", document(2))
-    wait_for(lambda: b"event=directory_era" in world.gateway.log_text())
-    evacuate(world)
-    world.store.go_back(1)
+    world = evacuated_and_gone_back(settled_ms=60000)
     wait_for(lambda: b"event=directory_era era=2" in world.gateway.log_text())
     world.store.put("op/config", document(3))
     wait_for(lambda: b"event=routes_taken version=3" in world.gateway.log_text())
@@ -163,12 +169,7 @@
 
 
 def test_order_that_is_not_written_again_ends():
-    world = two_zones(settled_ms=500)
-    world.store.era = 1
-    world.store.put("op/config", document(2))
-    wait_for(lambda: b"event=directory_era" in world.gateway.log_text())
-    evacuate(world)
-    world.store.go_back(1)
+    world = evacuated_and_gone_back(settled_ms=500)
     wait_for(lambda: lifted(world))
     assert_usable(world, 0)
     world.gateway.end()
