Read the load of endpoints that also report their slowdown

Cause: a load header with a fourth number (how long work takes at present) was rejected as malformed, so that the load of all endpoints of such a deployment was ignored.

Change: three or four numbers are read.

--- a/libcometspindle/gateway/header_names.c
+++ b/libcometspindle/gateway/header_names.c
@@ -13,6 +13,9 @@
 /* No endpoint has more requests, and sums of several such numbers stay in range. */
 #define LOAD_MAX 1000000
 
+/* Slowdown of an endpoint that does not report one. */
+#define SLOWDOWN_USUAL_PERCENT 100
+
 /* Longest accepted duration in seconds. */
 #define DURATION_MAX_S 3600.0
 
@@ -27,23 +30,34 @@
 	return false;
 }
 
-/* Parses numbers separated by commas. @return false unless there are exactly `count` numbers. */
-static bool
-parse_numbers(const char *text, uint32_t *numbers, size_t count)
+/* Parses up to `max_count` numbers separated by commas. @return how many there are; 0: the text is
+ * not such a list. */
+static size_t
+parse_number_list(const char *text, uint32_t *numbers, size_t max_count)
 {
-	for (size_t i = 0; i < count; i++)
+	for (size_t i = 0; i < max_count; i++)
 	{
 		char *end = NULL;
 		if (*text < '0' || *text > '9')
-			return false;
+			return 0;
 		unsigned long long value = strtoull(text, &end, 10);
-		char expected_end = i + 1 < count ? ',' : '\0';
-		if (value > UINT32_MAX || *end != expected_end)
-			return false;
+		if (value > UINT32_MAX)
+			return 0;
 		numbers[i] = (uint32_t)value;
+		if (*end == '\0')
+			return i + 1;
+		if (*end != ',')
+			return 0;
 		text = end + 1;
 	}
-	return true;
+	return 0;
+}
+
+/* Parses numbers separated by commas. @return false unless there are exactly `count` numbers. */
+static bool
+parse_numbers(const char *text, uint32_t *numbers, size_t count)
+{
+	return parse_number_list(text, numbers, count) == count;
 }
 
 bool
@@ -61,11 +75,17 @@
 bool
 comet_header_parse_load(const char *text, struct comet_header_load *load)
 {
-	uint32_t numbers[3];
+	uint32_t numbers[4];
+	size_t count = parse_number_list(text, numbers, G_N_ELEMENTS(numbers));
 
-	if (!parse_numbers(text, numbers, 3) || numbers[0] > LOAD_MAX || numbers[1] > LOAD_MAX)
+	if (count < 3 || numbers[0] > LOAD_MAX || numbers[1] > LOAD_MAX)
 		return false;
-	*load = (struct comet_header_load){numbers[0], numbers[1], numbers[2]};
+	*load = (struct comet_header_load){
+		.running = numbers[0],
+		.waiting = numbers[1],
+		.slots = numbers[2],
+		.slowdown_percent = count > 3 ? numbers[3] : SLOWDOWN_USUAL_PERCENT,
+	};
 	return true;
 }
 
--- a/libcometspindle/gateway/header_names.h
+++ b/libcometspindle/gateway/header_names.h
@@ -36,6 +36,8 @@
 	uint32_t running;
 	uint32_t waiting;
 	uint32_t slots;
+	uint32_t slowdown_percent; /**< how long work takes at present, in percent of the usual
+				      time; 100 if the header does not state it */
 };
 
 /** @return whether only the gateway sets a header, so that the value of a caller is not forwarded.
@@ -47,8 +49,8 @@
 bool
 comet_header_parse_tokens(const char *text, uint32_t *prompt, uint32_t *output);
 
-/** Parses "running,waiting,slots". @return false unless the text is three whole numbers in range.
- */
+/** Parses "running,waiting,slots" or "running,waiting,slots,slowdown". @return false unless the
+ * text is three or four whole numbers in range. */
 bool
 comet_header_parse_load(const char *text, struct comet_header_load *load);
 
