Serve requests only in the regions that their route and team allow

Cause: `allowed_regions` of routes and teams was not read, so that a request could be served in any region.

Change: the regions are part of routes and teams, the settings name the region of each zone, and an endpoint in another region, or in a zone without a region, is no candidate. An owner grants slots of its shard only, and a shard lies in one zone, so that messages between VMs do not change. An empty list does not restrict.

--- a/libcometspindle/adapters/gateway/gateway.c
+++ b/libcometspindle/adapters/gateway/gateway.c
@@ -335,12 +335,25 @@
 	return CLAMP(settings->settled_ms / 4, READER_TIMEOUT_MIN_MS, READER_TIMEOUT_MAX_MS);
 }
 
+static void
+set_regions(struct comet_instances *instances, const struct comet_gateway_settings *settings)
+{
+	GHashTableIter at;
+	gpointer zone = NULL;
+	gpointer region = NULL;
+
+	g_hash_table_iter_init(&at, settings->zone_regions);
+	while (g_hash_table_iter_next(&at, &zone, &region))
+		comet_instances_set_region(instances, zone, region);
+}
+
 static void
 create_components(struct comet_gateway *gateway)
 {
 	const struct comet_gateway_settings *settings = gateway->settings;
 
 	gateway->instances = comet_instances_create(gateway, settings->zone);
+	set_regions(gateway->instances, settings);
 	gateway->incarnations = comet_incarnations_create(gateway);
 	gateway->evacuations = comet_evacuations_create(
 		gateway, gateway->instances, comet_gateway_zone_restored, gateway);
--- a/libcometspindle/adapters/gateway/gateway_admit.c
+++ b/libcometspindle/adapters/gateway/gateway_admit.c
@@ -167,6 +167,8 @@
 	item->team_rank =
 		proxy->team != NULL && proxy->team->has_priority ? proxy->team->priority : 0;
 	item->route_rank = proxy->route->priority;
+	item->route_regions = &proxy->route->regions;
+	item->team_regions = proxy->team != NULL ? &proxy->team->regions : NULL;
 	item->retryable = comet_route_is_retryable(proxy->route) && proxy->route->max_attempts > 1;
 	proxy->buffered_body = g_byte_array_new();
 	if (comet_proxy_request_is_stream(proxy))
--- a/libcometspindle/gateway/endpoints/instances.c
+++ b/libcometspindle/gateway/endpoints/instances.c
@@ -24,6 +24,7 @@
 	GHashTable *latency_models;     /* service -> struct comet_latency_model */
 	GHashTable *slow_start_configs; /* service -> struct comet_slow_start_config */
 	GHashTable *evacuated_zones;    /* set of zone names */
+	GHashTable *regions;            /* zone name -> hash of the region's name */
 	uint64_t changes;
 };
 
@@ -42,6 +43,7 @@
 	g_hash_table_destroy(instances->latency_models);
 	g_hash_table_destroy(instances->slow_start_configs);
 	g_hash_table_destroy(instances->evacuated_zones);
+	g_hash_table_destroy(instances->regions);
 	return 0;
 }
 
@@ -58,10 +60,18 @@
 	instances->slow_start_configs =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	instances->evacuated_zones = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	instances->regions = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	talloc_set_destructor(instances, instances_destroy);
 	return instances;
 }
 
+void
+comet_instances_set_region(struct comet_instances *instances, const char *zone, const char *region)
+{
+	g_hash_table_insert(
+		instances->regions, g_strdup(zone), GUINT_TO_POINTER(comet_hash_name(region)));
+}
+
 static struct comet_latency_model *
 latency_model_of(struct comet_instances *instances, const char *service)
 {
@@ -155,6 +165,8 @@
 	if (set_string(instance, &instance->zone, record->zone))
 		instances->changes++;
 	instance->near = strcmp(instance->zone, instances->own_zone) == 0;
+	instance->region =
+		GPOINTER_TO_UINT(g_hash_table_lookup(instances->regions, instance->zone));
 	instance->slots = record->slots > 0 ? record->slots : 1;
 	instance->draining = record->draining;
 	instance->evacuated = g_hash_table_contains(instances->evacuated_zones, instance->zone);
--- a/libcometspindle/gateway/endpoints/instances.h
+++ b/libcometspindle/gateway/endpoints/instances.h
@@ -31,6 +31,10 @@
 struct comet_instances *
 comet_instances_create(void *parent, const char *own_zone);
 
+/** Sets the region of an availability zone, for instances that are added or updated later. */
+void
+comet_instances_set_region(struct comet_instances *instances, const char *zone, const char *region);
+
 /** Adds or updates an instance from its entry; another incarnation replaces the known one. @return
  * the instance. */
 struct comet_instance *
--- a/libcometspindle/gateway/placement/endpoint_picker.c
+++ b/libcometspindle/gateway/placement/endpoint_picker.c
@@ -92,6 +92,8 @@
 	const struct comet_placement_item *item, const struct comet_instance *instance)
 {
 	return !instance->draining && !instance->evacuated && !instance->replaced &&
+	       comet_region_set_allows(item->route_regions, instance->region) &&
+	       comet_region_set_allows(item->team_regions, instance->region) &&
 	       !was_attempted(item, instance->key);
 }
 
--- a/libcometspindle/gateway/placement/placement_item.h
+++ b/libcometspindle/gateway/placement/placement_item.h
@@ -9,6 +9,7 @@
 #include <glib.h>
 #include <libcometspindle/gateway/endpoints/instance.h>
 #include <libcometspindle/gateway/placement/shards.h>
+#include <libcometspindle/gateway/routing/regions.h>
 #include <stdbool.h>
 #include <stdint.h>
 
@@ -25,6 +26,10 @@
 	struct comet_request_size size;
 	uint32_t team_rank;  /**< Compared first; 0 is the most urgent. */
 	uint32_t route_rank; /**< Compared among equal team_rank; 0 is the most urgent. */
+	const struct comet_region_set *route_regions; /**< Regions that the route allows; NULL:
+							 all. */
+	const struct comet_region_set *team_regions;  /**< Regions that the team allows; NULL: all.
+						       */
 	bool retryable; /**< A failed attempt may be retried, so the request may probe an ejected
 			    endpoint. */
 	uint64_t answer_deadline_us;   /**< A response must be complete by then to be of use; 0: no
--- a/libcometspindle/gateway/routing/routes.c
+++ b/libcometspindle/gateway/routing/routes.c
@@ -103,6 +103,7 @@
 	g_free(copy->host);
 	copy->host = host;
 	copy->path_prefix = talloc_strdup(copy, route->path_prefix);
+	copy->regions = comet_region_set_copy(copy, &route->regions);
 	copy->shares = talloc_array(copy, struct comet_route_share, route->n_shares);
 	for (uint32_t i = 0; i < route->n_shares; i++)
 	{
@@ -124,6 +125,7 @@
 
 	copy->name = talloc_strdup(copy, team->name);
 	copy->id = comet_hash_name(team->name);
+	copy->regions = comet_region_set_copy(copy, &team->regions);
 	g_hash_table_insert(table->teams, GUINT_TO_POINTER(copy->id), copy);
 	for (size_t i = 0; i < n_keys; i++)
 		g_hash_table_insert(table->keys, talloc_strdup(copy, keys[i]), copy);
--- a/libcometspindle/gateway/routing/routes.h
+++ b/libcometspindle/gateway/routing/routes.h
@@ -10,6 +10,7 @@
 #define COMETSPINDLE_GATEWAY_ROUTES_H
 
 #include <glib.h>
+#include <libcometspindle/gateway/routing/regions.h>
 #include <libcometspindle/http_limits.h>
 #include <stdbool.h>
 #include <stddef.h>
@@ -45,6 +46,7 @@
 	uint32_t target_gap_ms;     /**< target for the longest pause between events; 0: none */
 	uint32_t max_attempts;      /**< maximum number of endpoints that one request is sent to */
 	uint32_t priority;          /**< 0 is the most urgent */
+	struct comet_region_set regions; /**< in which its requests may be served */
 	struct comet_route_share *shares;
 	uint32_t n_shares;
 };
@@ -60,6 +62,7 @@
 	uint64_t burst;          /**< allowed in addition to the rate */
 	bool in_tokens;          /**< the limit counts tokens, not requests */
 	uint32_t default_tokens; /**< charged if a request does not declare its number of tokens */
+	struct comet_region_set regions; /**< in which its requests may be served */
 };
 
 /** A service as the routing document describes it. */
--- a/libcometspindle/gateway/settings.c
+++ b/libcometspindle/gateway/settings.c
@@ -42,6 +42,35 @@
 	return (uint32_t)(comet_json_validator_number(object, key, 0.1, HOUR_S, default_s) * 1000);
 }
 
+static int
+settings_destroy(struct comet_gateway_settings *settings)
+{
+	g_hash_table_destroy(settings->zone_regions);
+	return 0;
+}
+
+/* Reads the optional object "zone_regions", whose keys are names of zones. */
+static void
+read_zone_regions(struct comet_gateway_settings *settings, struct comet_json_validator *validator,
+	struct comet_json_validator_object *object)
+{
+	struct json_object *member = comet_json_validator_member(object, "zone_regions", false);
+
+	settings->zone_regions = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	if (member == NULL)
+		return;
+	struct comet_json_validator_object *zones =
+		comet_json_validator_object_begin(validator, member, "gateway.zone_regions");
+	json_object_object_foreach(member, zone, region)
+	{
+		(void)region;
+		const char *name = comet_json_validator_string(zones, zone, NULL);
+		if (name != NULL)
+			g_hash_table_insert(settings->zone_regions, g_strdup(zone), g_strdup(name));
+	}
+	comet_json_validator_object_end(zones);
+}
+
 static void
 read_durations(struct comet_gateway_settings *settings, struct comet_json_validator_object *object)
 {
@@ -79,6 +108,7 @@
 
 	settings->name = read_string(settings, object, "name", NULL);
 	settings->zone = read_string(settings, object, "zone", NULL);
+	read_zone_regions(settings, validator, object);
 	settings->callers = read_string(settings, object, "callers", NULL);
 	settings->readiness = read_string(settings, object, "readiness", NULL);
 	settings->control = read_string(settings, object, "control", NULL);
@@ -122,6 +152,7 @@
 	if (root == NULL)
 		return NULL;
 	struct comet_gateway_settings *settings = talloc_zero(NULL, struct comet_gateway_settings);
+	talloc_set_destructor(settings, settings_destroy);
 	struct comet_json_validator *validator = comet_json_validator_create();
 	struct comet_json_validator_object *object =
 		comet_json_validator_object_begin(validator, root, "");
--- a/libcometspindle/gateway/settings.h
+++ b/libcometspindle/gateway/settings.h
@@ -13,16 +13,18 @@
 
 struct comet_gateway_settings
 {
-	char *name;        /**< name of this VM in logs */
-	char *zone;        /**< its availability zone */
-	char *callers;     /**< IP:PORT for connections of callers */
-	char *readiness;   /**< IP:PORT that reports whether this VM accepts requests */
-	char *control;     /**< IP:PORT for other VMs and for metrics */
-	char *peers;       /**< IP:PORT for gossip by UDP; the port is the same on all VMs */
-	char *seeds;       /**< control IP:PORT of some VMs, separated by commas */
-	char *directory;   /**< IP:PORT of the platform's store */
-	uint32_t grace_ms; /**< maximum time of a stop before the process is killed */
-	uint32_t leave_ms; /**< time for which a stopping VM still accepts requests */
+	char *name;               /**< name of this VM in logs */
+	char *zone;               /**< its availability zone */
+	GHashTable *zone_regions; /**< zone name -> name of its region; zones that are missing are
+				     in no region */
+	char *callers;            /**< IP:PORT for connections of callers */
+	char *readiness;          /**< IP:PORT that reports whether this VM accepts requests */
+	char *control;            /**< IP:PORT for other VMs and for metrics */
+	char *peers;              /**< IP:PORT for gossip by UDP; the port is the same on all VMs */
+	char *seeds;              /**< control IP:PORT of some VMs, separated by commas */
+	char *directory;          /**< IP:PORT of the platform's store */
+	uint32_t grace_ms;        /**< maximum time of a stop before the process is killed */
+	uint32_t leave_ms;        /**< time for which a stopping VM still accepts requests */
 	uint32_t lapse_ms; /**< time for which endpoints that disappeared from the list in an outage
 			      remain in use */
 	uint32_t settled_ms; /**< time after an outage until the directory is complete again */
