Look for entries of earlier incarnations only while there are any

Cause: the state of all endpoints was visited twenty times per second at each VM, although an earlier incarnation's entry waits only after a restart whose entries arrived out of order.

Change: a count of the waiting entries.

--- a/libcometspindle/gateway/endpoints/incarnations.c
+++ b/libcometspindle/gateway/endpoints/incarnations.c
@@ -25,7 +25,8 @@
 
 struct comet_incarnations
 {
-	GHashTable *by_id; /* id -> struct endpoint_state */
+	GHashTable *by_id;      /* id -> struct endpoint_state */
+	uint32_t earlier_count; /* endpoints with an entry of an earlier incarnation */
 };
 
 static void
@@ -67,12 +68,27 @@
 	return state;
 }
 
+static void
+drop_earlier(struct comet_incarnations *incarnations, struct endpoint_state *state)
+{
+	incarnations->earlier_count -= state->earlier != NULL ? 1 : 0;
+	TALLOC_FREE(state->earlier);
+}
+
+static void
+remove_state(struct comet_incarnations *incarnations, const char *id, struct endpoint_state *state)
+{
+	drop_earlier(incarnations, state);
+	g_hash_table_remove(incarnations->by_id, id);
+}
+
 /* Stores an entry of an earlier incarnation, in case that no other entry follows. */
 static void
-store_earlier(
-	struct endpoint_state *state, const struct comet_instance_record *record, uint64_t now_us)
+store_earlier(struct comet_incarnations *incarnations, struct endpoint_state *state,
+	const struct comet_instance_record *record, uint64_t now_us)
 {
-	talloc_free(state->earlier);
+	drop_earlier(incarnations, state);
+	incarnations->earlier_count++;
 	state->earlier = talloc_memdup(NULL, record, sizeof *record);
 	state->earlier->id = talloc_strdup(state->earlier, record->id);
 	state->earlier->service = talloc_strdup(state->earlier, record->service);
@@ -92,18 +108,21 @@
 		return COMET_INCARNATION_UNSPECIFIED;
 	if (record->process_start_ms < state->process_start_ms)
 	{
-		store_earlier(state, record, now_us);
+		store_earlier(incarnations, state, record, now_us);
 		return COMET_INCARNATION_EARLIER;
 	}
 	state->process_start_ms = record->process_start_ms;
-	TALLOC_FREE(state->earlier);
+	drop_earlier(incarnations, state);
 	return COMET_INCARNATION_LATEST;
 }
 
 void
 comet_incarnations_forget(struct comet_incarnations *incarnations, const char *id)
 {
-	g_hash_table_remove(incarnations->by_id, id);
+	struct endpoint_state *state = g_hash_table_lookup(incarnations->by_id, id);
+
+	if (state != NULL)
+		remove_state(incarnations, id, state);
 }
 
 void
@@ -112,16 +131,16 @@
 	struct endpoint_state *state = find_or_add_state(incarnations, id);
 
 	state->expiring = true;
-	TALLOC_FREE(state->earlier); /* the directory has no entry of it */
+	drop_earlier(incarnations, state); /* the directory has no entry of it */
 }
 
 void
 comet_incarnations_expire(struct comet_incarnations *incarnations, const char *id)
 {
-	const struct endpoint_state *state = g_hash_table_lookup(incarnations->by_id, id);
+	struct endpoint_state *state = g_hash_table_lookup(incarnations->by_id, id);
 
 	if (state != NULL && state->expiring)
-		g_hash_table_remove(incarnations->by_id, id);
+		remove_state(incarnations, id, state);
 }
 
 void
@@ -131,6 +150,8 @@
 	GHashTableIter iter;
 	gpointer value = NULL;
 
+	if (incarnations->earlier_count == 0)
+		return;
 	g_hash_table_iter_init(&iter, incarnations->by_id);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 	{
@@ -139,6 +160,7 @@
 			continue;
 		struct comet_instance_record *record = state->earlier;
 		state->earlier = NULL;
+		incarnations->earlier_count--;
 		state->process_start_ms = record->process_start_ms;
 		accepted(ctx, record);
 		talloc_free(record);
