Sum the load of other VMs by differences, and visit only endpoints that changed

Cause: each VM visited all endpoints five times in each tick of 50 ms: to sum the load in views, to mark its time, to look for expired ones, and to collect its own dispatches. The cost grew with endpoints and not with requests.

Change: a view changes the load of the endpoints that it and the VM's earlier view name; endpoints with dispatches of this VM are a set; endpoints with an expiry are counted; the time of the newest gossip is shared. The sums are computed again when endpoints were added or removed. What one VM may report at an endpoint is bounded, so that sums over all VMs stay in range. The new metric comet_endpoint_visits_total shows the visits.

Result: tests count the visits (none in a tick).

--- a/libcometspindle/adapters/gateway/gateway_metrics.c
+++ b/libcometspindle/adapters/gateway/gateway_metrics.c
@@ -194,7 +194,7 @@
 static bool
 state_age_of(const struct comet_instance *instance, uint64_t now_us, double *value)
 {
-	uint64_t updated_us = MAX(instance->gossip_us, instance->reported_us);
+	uint64_t updated_us = MAX(*instance->gossip_us, instance->reported_us);
 
 	*value = (double)(now_us - updated_us) / 1000000;
 	return updated_us != 0;
@@ -412,6 +412,8 @@
 	put_evacuations(out, gateway);
 	put(out, "vms_known", "gauge", known);
 	put(out, "vms_heard", "gauge", alive);
+	put(out, "endpoint_visits_total", "counter",
+		(double)comet_instances_visit_count(gateway->instances));
 	put(out, "endpoint_connections_opened_total", "counter", (double)up->opened);
 	put(out, "endpoint_connections_reused_total", "counter", (double)up->reused);
 	put(out, "endpoint_connections_open", "gauge", up->open);
--- a/libcometspindle/gateway/endpoints/instance.c
+++ b/libcometspindle/gateway/endpoints/instance.c
@@ -64,7 +64,7 @@
 comet_instance_load(const struct comet_instance *instance, uint64_t now_us)
 {
 	bool gossip_fresh =
-		instance->gossip_us != 0 && now_us - instance->gossip_us < GOSSIP_STALE_US;
+		*instance->gossip_us != 0 && now_us - *instance->gossip_us < GOSSIP_STALE_US;
 	bool report_fresh =
 		instance->reported_us != 0 && now_us - instance->reported_us < LOAD_REPORT_FRESH_US;
 	uint32_t others = gossip_fresh ? instance->remote_requests : 0;
@@ -182,6 +182,7 @@
 {
 	instance->local_requests++;
 	instance->local_prompt_tokens += size->prompt_tokens;
+	g_hash_table_add(instance->busy, instance);
 }
 
 static void
@@ -350,6 +351,8 @@
 	uint64_t stream_us, uint32_t events, uint64_t now_us)
 {
 	instance->local_requests -= MIN(instance->local_requests, 1);
+	if (instance->local_requests == 0)
+		g_hash_table_remove(instance->busy, instance);
 	if (!had_first)
 		instance->local_prompt_tokens -=
 			MIN(instance->local_prompt_tokens, size->prompt_tokens);
--- a/libcometspindle/gateway/endpoints/instance.h
+++ b/libcometspindle/gateway/endpoints/instance.h
@@ -7,6 +7,7 @@
 #ifndef COMETSPINDLE_GATEWAY_INSTANCE_H
 #define COMETSPINDLE_GATEWAY_INSTANCE_H
 
+#include <glib.h>
 #include <libcometspindle/gateway/endpoints/slow_start.h>
 #include <stdbool.h>
 #include <stdint.h>
@@ -60,6 +61,7 @@
 	uint64_t warm_until_us; /**< end of its warm-up, during which it is slower */
 	struct comet_slow_start slow_start;
 	const struct comet_slow_start_config *slow_start_config; /**< shared by its service */
+	GHashTable *busy;              /**< set of the instances with dispatches of this VM */
 	uint32_t local_requests;       /**< running dispatches of this VM */
 	uint32_t local_prompt_tokens;  /**< of own dispatches without a first event */
 	uint32_t remote_requests;      /**< running dispatches of other VMs, from gossip */
@@ -68,7 +70,8 @@
 					* granted_us
 					*/
 	uint64_t granted_us;
-	uint64_t gossip_us;        /**< time of the newest gossip about its load; 0: none */
+	const uint64_t *gossip_us; /**< time of the newest gossip about the load of any instance;
+				      0: none */
 	uint32_t reported_total;   /**< running and queued requests, from its last response */
 	uint32_t reported_own;     /**< local_requests at that time */
 	uint64_t reported_us;      /**< time of that response; 0: none */
--- a/libcometspindle/gateway/endpoints/instances.c
+++ b/libcometspindle/gateway/endpoints/instances.c
@@ -25,7 +25,11 @@
 	GHashTable *slow_start_configs; /* service -> struct comet_slow_start_config */
 	GHashTable *evacuated_zones;    /* set of zone names */
 	GHashTable *regions;            /* zone name -> hash of the region's name */
+	GHashTable *busy;               /* set of the instances with dispatches of this VM */
+	uint32_t expiring_count;        /* instances with an expiry */
 	uint64_t changes;
+	uint64_t gossip_us; /* shared by all instances */
+	uint64_t visits;
 };
 
 static void
@@ -44,6 +48,7 @@
 	g_hash_table_destroy(instances->slow_start_configs);
 	g_hash_table_destroy(instances->evacuated_zones);
 	g_hash_table_destroy(instances->regions);
+	g_hash_table_destroy(instances->busy);
 	return 0;
 }
 
@@ -60,6 +65,7 @@
 	instances->slow_start_configs =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	instances->evacuated_zones = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	instances->busy = g_hash_table_new(NULL, NULL);
 	instances->regions = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	talloc_set_destructor(instances, instances_destroy);
 	return instances;
@@ -122,6 +128,8 @@
 	instance->latency_model = latency_model_of(instances, record->service);
 	instance->slow_start_config = slow_start_config_of(instances, record->service);
 	instance->relative_latency = 1.0;
+	instance->gossip_us = &instances->gossip_us;
+	instance->busy = instances->busy;
 	instances->changes++;
 	g_hash_table_insert(instances->by_id, instance->id, instance);
 	g_hash_table_insert(instances->by_key, GUINT_TO_POINTER(instance->key), instance);
@@ -135,6 +143,14 @@
 	return instance;
 }
 
+static void
+set_expiry(struct comet_instances *instances, struct comet_instance *instance, uint64_t expire_us)
+{
+	instances->expiring_count -= instance->expire_us != 0 ? 1 : 0;
+	instances->expiring_count += expire_us != 0 ? 1 : 0;
+	instance->expire_us = expire_us;
+}
+
 /* Replaces a string of an instance. @return whether it differed. */
 static bool
 set_string(struct comet_instance *instance, char **string, const char *value)
@@ -176,7 +192,7 @@
 		comet_instance_begin_slow_start(instance, now_us);
 	comet_slow_start_set_until(&instance->slow_start, instance->warm_until_us);
 	instance->listed = true;
-	instance->expire_us = 0;
+	set_expiry(instances, instance, 0);
 	return instance;
 }
 
@@ -210,6 +226,8 @@
 	if (instance == NULL)
 		return;
 	instances->changes++;
+	set_expiry(instances, instance, 0);
+	g_hash_table_remove(instances->busy, instance);
 	GPtrArray *array = g_hash_table_lookup(instances->services, instance->service);
 	g_ptr_array_remove(array, instance);
 	g_hash_table_remove(instances->by_id, instance->id);
@@ -284,7 +302,7 @@
 	if (instance == NULL || until_us <= now_us)
 		return false;
 	instance->listed = false;
-	instance->expire_us = until_us;
+	set_expiry(instances, instance, until_us);
 	return true;
 }
 
@@ -292,8 +310,11 @@
 comet_instances_tick(struct comet_instances *instances, uint64_t now_us,
 	void (*dropped)(void *ctx, const char *id), void *ctx)
 {
+	if (instances->expiring_count == 0)
+		return;
 	GList *all = g_hash_table_get_values(instances->by_id);
 
+	instances->visits += g_hash_table_size(instances->by_id);
 	for (GList *at = all; at != NULL; at = at->next)
 	{
 		struct comet_instance *instance = at->data;
@@ -332,6 +353,7 @@
 	GHashTableIter at;
 	gpointer instance = NULL;
 
+	instances->visits += g_hash_table_size(instances->by_id);
 	g_hash_table_iter_init(&at, instances->by_id);
 	while (g_hash_table_iter_next(&at, NULL, &instance))
 		visit(ctx, instance);
@@ -350,6 +372,30 @@
 	return instances->changes;
 }
 
+void
+comet_instances_each_busy(struct comet_instances *instances,
+	void (*visit)(void *ctx, struct comet_instance *instance), void *ctx)
+{
+	GHashTableIter at;
+	gpointer instance = NULL;
+
+	g_hash_table_iter_init(&at, instances->busy);
+	while (g_hash_table_iter_next(&at, &instance, NULL))
+		visit(ctx, instance);
+}
+
+void
+comet_instances_set_gossip_time(struct comet_instances *instances, uint64_t now_us)
+{
+	instances->gossip_us = now_us;
+}
+
+uint64_t
+comet_instances_visit_count(const struct comet_instances *instances)
+{
+	return instances->visits;
+}
+
 uint64_t
 comet_instances_typical_first_us(struct comet_instances *instances, const char *service,
 	const struct comet_request_size *size)
--- a/libcometspindle/gateway/endpoints/instances.h
+++ b/libcometspindle/gateway/endpoints/instances.h
@@ -103,11 +103,25 @@
 uint64_t
 comet_instances_change_count(const struct comet_instances *instances);
 
+/** Records that gossip about the load of all instances was merged. */
+void
+comet_instances_set_gossip_time(struct comet_instances *instances, uint64_t now_us);
+
+/** Returns how many instances were visited by calls that visit all of them. The periodic work of a
+ * VM must not add to it while nothing changes. */
+uint64_t
+comet_instances_visit_count(const struct comet_instances *instances);
+
 /** Calls visit for each instance. */
 void
 comet_instances_each(struct comet_instances *instances,
 	void (*visit)(void *ctx, struct comet_instance *instance), void *ctx);
 
+/** Calls visit for each instance with dispatches of this VM. */
+void
+comet_instances_each_busy(struct comet_instances *instances,
+	void (*visit)(void *ctx, struct comet_instance *instance), void *ctx);
+
 /** Estimates the time until the first event at an idle instance of usual latency. */
 uint64_t
 comet_instances_typical_first_us(struct comet_instances *instances, const char *service,
--- a/libcometspindle/gateway/fleet/gossip.c
+++ b/libcometspindle/gateway/fleet/gossip.c
@@ -27,8 +27,9 @@
  * is enough if an update arrives within three seconds of its event. */
 #define BROADCAST_INTERVAL_US 500000
 
-/* Bound on the remote requests counted at an endpoint, which keeps sums in range. */
-#define REMOTE_REQUESTS_MAX 1000000
+/* Bounds on what one VM may report at an endpoint: the sums over PEERS_MAX VMs stay in range. */
+#define REPORTED_REQUESTS_MAX 1000000
+#define REPORTED_PROMPT_TOKENS_MAX 1000000
 
 static void
 free_peer(gpointer data)
@@ -157,6 +158,82 @@
 	}
 }
 
+static void
+clear_remote_load(void *ctx, struct comet_instance *instance)
+{
+	(void)ctx;
+	instance->remote_requests = 0;
+	instance->remote_prompt_tokens = 0;
+}
+
+/* Adds the load that a VM reports at each endpoint. */
+static void
+add_loads(struct comet_gossip *gossip, const struct comet_gossip_peer *peer)
+{
+	for (guint i = 0; i < peer->loads->len; i++)
+	{
+		const comet_Busy *busy = &g_array_index(peer->loads, comet_Busy, i);
+		struct comet_instance *instance =
+			comet_instances_find_key(gossip->instances, busy->instance);
+		if (instance == NULL)
+			continue;
+		instance->remote_requests += busy->running;
+		instance->remote_prompt_tokens += busy->prompt_tokens;
+	}
+}
+
+/* Takes back what add_loads() has added. */
+static void
+subtract_loads(struct comet_gossip *gossip, const struct comet_gossip_peer *peer)
+{
+	for (guint i = 0; i < peer->loads->len; i++)
+	{
+		const comet_Busy *busy = &g_array_index(peer->loads, comet_Busy, i);
+		struct comet_instance *instance =
+			comet_instances_find_key(gossip->instances, busy->instance);
+		if (instance == NULL)
+			continue;
+		instance->remote_requests -= busy->running;
+		instance->remote_prompt_tokens -= busy->prompt_tokens;
+	}
+}
+
+/* Sums the load that other VMs report again if endpoints were added or removed. Otherwise each
+ * view changes the sums only by its own endpoints. */
+static void
+refresh_remote_load(struct comet_gossip *gossip)
+{
+	uint64_t changes = comet_instances_change_count(gossip->instances);
+	GHashTableIter at;
+	gpointer value = NULL;
+
+	if (changes == gossip->summed_changes)
+		return;
+	gossip->summed_changes = changes;
+	comet_instances_each(gossip->instances, clear_remote_load, NULL);
+	g_hash_table_iter_init(&at, gossip->peers);
+	while (g_hash_table_iter_next(&at, NULL, &value))
+		add_loads(gossip, value);
+}
+
+/* Replaces the load that a VM reports. */
+static void
+set_loads(struct comet_gossip *gossip, struct comet_gossip_peer *peer, const comet_Busy *busy,
+	pb_size_t count)
+{
+	refresh_remote_load(gossip);
+	subtract_loads(gossip, peer);
+	g_array_set_size(peer->loads, 0);
+	for (pb_size_t i = 0; i < count; i++)
+	{
+		comet_Busy reported = busy[i];
+		reported.running = MIN(reported.running, REPORTED_REQUESTS_MAX);
+		reported.prompt_tokens = MIN(reported.prompt_tokens, REPORTED_PROMPT_TOKENS_MAX);
+		g_array_append_val(peer->loads, reported);
+	}
+	add_loads(gossip, peer);
+}
+
 static void
 merge_view(struct comet_gossip *gossip, struct comet_gossip_peer *peer, const comet_View *view,
 	uint64_t now_us)
@@ -185,15 +262,14 @@
 	peer->revision = view->revision;
 	peer->zone = view->zone;
 	peer->cpu_percent = view->cpu_percent;
-	g_array_set_size(peer->loads, 0);
-	g_array_append_vals(peer->loads, view->busy, view->busy_count);
+	set_loads(gossip, peer, view->busy, view->busy_count);
 	for (pb_size_t i = 0; i < view->spent_count; i++)
 		merge_spending(
 			gossip, peer, &view->spent[i], view->age_ms < gossip->window_ms, now_us);
 	for (pb_size_t i = 0; gossip->crash_tracker != NULL && i < view->crashed_count; i++)
 		comet_crash_tracker_merge(gossip->crash_tracker, &view->crashed[i], now_us);
 	peer->has_reported_spending = true;
-	gossip->remote_load_stale = true;
+	comet_instances_set_gossip_time(gossip->instances, now_us);
 }
 
 bool
@@ -241,8 +317,7 @@
 			now_us - peer->last_seen_us > timeout_us)
 		{
 			peer->unreachable = true;
-			g_array_set_size(peer->loads, 0);
-			gossip->remote_load_stale = true;
+			set_loads(gossip, peer, NULL, 0);
 			gossip->ops->peer_state_changed(gossip->ctx, peer->address, false,
 				peer->leaving ? "stopped" : "silent");
 		}
@@ -251,71 +326,12 @@
 	}
 }
 
-static void
-clear_remote_load(void *ctx, struct comet_instance *instance)
-{
-	(void)ctx;
-	instance->remote_requests = 0;
-	instance->remote_prompt_tokens = 0;
-}
-
-static void
-add_remote_load(struct comet_instance *instance, const comet_Busy *busy)
-{
-	uint64_t prompt = (uint64_t)instance->remote_prompt_tokens + busy->prompt_tokens;
-
-	instance->remote_requests += MIN(busy->running,
-		REMOTE_REQUESTS_MAX - MIN(instance->remote_requests, REMOTE_REQUESTS_MAX));
-	instance->remote_prompt_tokens = (uint32_t)MIN(prompt, UINT32_MAX);
-}
-
-/* Sums the load that other VMs report at each endpoint. */
-static void
-sum_remote_load(struct comet_gossip *gossip)
-{
-	GHashTableIter at;
-	gpointer value = NULL;
-
-	comet_instances_each(gossip->instances, clear_remote_load, NULL);
-	g_hash_table_iter_init(&at, gossip->peers);
-	while (g_hash_table_iter_next(&at, NULL, &value))
-	{
-		const struct comet_gossip_peer *peer = value;
-		for (guint i = 0; i < peer->loads->len; i++)
-		{
-			const comet_Busy *busy = &g_array_index(peer->loads, comet_Busy, i);
-			struct comet_instance *instance =
-				comet_instances_find_key(gossip->instances, busy->instance);
-			if (instance == NULL)
-				continue;
-			add_remote_load(instance, busy);
-		}
-	}
-	gossip->remote_load_stale = false;
-}
-
-struct gossip_time
-{
-	uint64_t now_us;
-};
-
-static void
-set_gossip_time(void *ctx, struct comet_instance *instance)
-{
-	instance->gossip_us = ((struct gossip_time *)ctx)->now_us;
-}
-
 void
 comet_gossip_tick(struct comet_gossip *gossip, uint64_t now_us)
 {
 	comet_gossip_count_zones(gossip);
 	expire_peers(gossip, now_us);
-	if (gossip->remote_load_stale)
-	{
-		struct gossip_time updated = {now_us};
-		sum_remote_load(gossip);
-		comet_instances_each(gossip->instances, set_gossip_time, &updated);
-	}
+	refresh_remote_load(gossip);
 	uint64_t all_interval_us = comet_gossip_round_interval_us(gossip, false);
 	if (gossip->broadcast_pending)
 		all_interval_us = MIN(all_interval_us, BROADCAST_INTERVAL_US);
--- a/libcometspindle/gateway/fleet/gossip_rounds.c
+++ b/libcometspindle/gateway/fleet/gossip_rounds.c
@@ -162,7 +162,7 @@
 {
 	comet_View *view = ctx;
 
-	if (instance->local_requests == 0 || view->busy_count >= G_N_ELEMENTS(view->busy))
+	if (view->busy_count >= G_N_ELEMENTS(view->busy))
 		return;
 	view->busy[view->busy_count++] = (comet_Busy){
 		.instance = instance->key,
@@ -269,7 +269,7 @@
 	view->zone = gossip->zone;
 	view->cpu_percent = gossip->cpu_percent;
 	view->age_ms = (uint32_t)MIN((now_us - gossip->started_us) / 1000, UINT32_MAX);
-	comet_instances_each(gossip->instances, add_load, view);
+	comet_instances_each_busy(gossip->instances, add_load, view);
 	comet_rate_limiter_each(gossip->rate_limiter, now_us, add_spending, &context);
 	if (all_zones)
 		comet_rate_limiter_mark_reported(gossip->rate_limiter);
--- a/libcometspindle/gateway/fleet/gossip_state.h
+++ b/libcometspindle/gateway/fleet/gossip_state.h
@@ -71,7 +71,7 @@
 	uint32_t next_peer; /* where the next gossip message continues the list of VMs */
 	bool leaving;
 	bool broadcast_pending;  /* the next round goes to all VMs, ahead of schedule */
-	bool remote_load_stale;  /* remote load must be summed again */
+	uint64_t summed_changes; /* change counter of the endpoints when remote load was summed */
 	comet_Datagram outgoing; /* the datagram being built */
 };
 
--- a/libcometspindle/gateway/placement/endpoint_picker.c
+++ b/libcometspindle/gateway/placement/endpoint_picker.c
@@ -208,7 +208,7 @@
 	decision->total_us = cheapest->total_us;
 	decision->cost = cheapest->cost;
 	if (!scope->owned)
-		decision->gossip_age_us = now_us - MAX(instance->gossip_us, instance->reported_us);
+		decision->gossip_age_us = now_us - MAX(*instance->gossip_us, instance->reported_us);
 }
 
 struct comet_instance *
--- a/tests/unit/test_gateway_placement.cc
+++ b/tests/unit/test_gateway_placement.cc
@@ -239,7 +239,7 @@
 {
 	comet_instance *instance = add("a");
 	instance->remote_requests = 2;
-	instance->gossip_us = now_us;
+	comet_instances_set_gossip_time(instances, now_us);
 	EXPECT_EQ(comet_instance_load(instance, now_us), 2U);
 	/* a newer report of the endpoint replaces gossip, and requests that this VM sent after it
 	 * are added */
--- a/tests/unit/test_gossip.cc
+++ b/tests/unit/test_gossip.cc
@@ -11,6 +11,7 @@
 #include <libcometspindle/hash.h>
 }
 #include <map>
+#include <random>
 #include <string>
 #include <talloc.h>
 #include <vector>
@@ -543,4 +544,94 @@
 	}
 }
 
+/* Load that a VM reported at an endpoint, by VM and endpoint. */
+using reported_loads = std::map<uint32_t, std::map<std::string, uint32_t>>;
+
+void
+add_endpoint(vm &one, const std::string &id)
+{
+	comet_instance_record record = {id.c_str(), "llm", "127.0.0.1:1", "z", 4, 0, false, 0};
+	comet_instances_update(one.instances, &record, 0);
+}
+
+/* Delivers a view of a VM that reports these loads. */
+void
+report_loads(vm &one, uint32_t address, uint64_t number,
+	const std::map<std::string, uint32_t> &loads, uint64_t now_us)
+{
+	comet_View view = {};
+	view.incarnation = address;
+	view.address = address;
+	view.number = number;
+	view.zone = 1;
+	for (const auto &load : loads)
+		view.busy[view.busy_count++] = {
+			comet_instance_key(load.first.c_str(), 0), load.second, 10 * load.second};
+	EXPECT_TRUE(comet_gossip_receive(one.gossip, &view, now_us));
+}
+
+void
+expect_sums(vm &one, const reported_loads &reported, const std::vector<std::string> &ids)
+{
+	for (const std::string &id : ids)
+	{
+		uint32_t sum = 0;
+		for (const auto &by_vm : reported)
+			sum += by_vm.second.count(id) > 0 ? by_vm.second.at(id) : 0;
+		const comet_instance *instance = comet_instances_find(one.instances, id.c_str());
+		if (instance == nullptr)
+			continue;
+		EXPECT_EQ(instance->remote_requests, sum) << id;
+		EXPECT_EQ(instance->remote_prompt_tokens, 10 * sum) << id;
+	}
+}
+
+/* A view changes the load of the endpoints that it names. A VM that summed all views and visited
+ * all endpoints twenty times per second used most of its processor time for that. */
+TEST(Gossip, AViewVisitsOnlyTheEndpointsThatItReports)
+{
+	vms fleet(1);
+	vm &one = fleet.all[1];
+	uint64_t now_us = 1000000;
+	reported_loads reported;
+	std::vector<std::string> ids;
+	std::mt19937 draw(3);
+
+	for (int i = 0; i < 200; i++)
+	{
+		ids.push_back("e" + std::to_string(i));
+		add_endpoint(one, ids.back());
+	}
+	comet_gossip_tick(one.gossip, now_us);
+	uint64_t visits = comet_instances_visit_count(one.instances);
+	for (uint64_t number = 1; number <= 20; number++)
+	{
+		for (uint32_t address = 10; address < 40; address++)
+		{
+			std::map<std::string, uint32_t> loads;
+			for (uint32_t i = draw() % 4; i > 0; i--)
+				loads[ids[draw() % ids.size()]] = 1 + draw() % 3;
+			reported[address] = loads;
+			report_loads(one, address, number, loads, now_us);
+		}
+		now_us += 50000;
+		comet_gossip_tick(one.gossip, now_us);
+		expect_sums(one, reported, ids);
+	}
+	EXPECT_EQ(comet_instances_visit_count(one.instances), visits);
+	/* endpoints that leave and come back */
+	comet_instances_remove(one.instances, "e3");
+	report_loads(one, 10, 100, {{"e3", 2}, {"e4", 1}}, now_us);
+	reported[10] = {{"e3", 2}, {"e4", 1}};
+	add_endpoint(one, "e3");
+	report_loads(one, 11, 100, {{"e3", 1}}, now_us);
+	reported[11] = {{"e3", 1}};
+	comet_gossip_tick(one.gossip, now_us);
+	expect_sums(one, reported, ids);
+	/* VMs that become unreachable */
+	now_us += 60000000;
+	comet_gossip_tick(one.gossip, now_us);
+	expect_sums(one, {}, ids);
+}
+
 } // namespace
--- a/tests/unit/test_instances.cc
+++ b/tests/unit/test_instances.cc
@@ -177,4 +177,35 @@
 	EXPECT_EQ(comet_instances_find_key(instances, remaining->key), remaining);
 }
 
+/* Each VM ticks twenty times per second before thousands of endpoints. */
+TEST_F(Expiry, ATickVisitsNoEndpointUnlessOneExpires)
+{
+	for (int i = 0; i < 3000; i++)
+	{
+		std::string id = "e" + std::to_string(i);
+		comet_instance_record record = {
+			id.c_str(), "llm", "127.0.0.1:1", "z", 4, 0, false, 0};
+		comet_instances_update(instances, &record, 0);
+	}
+	uint64_t visits = comet_instances_visit_count(instances);
+	EXPECT_TRUE(in_use(second_us));
+	EXPECT_EQ(comet_instances_visit_count(instances), visits);
+	ASSERT_TRUE(comet_instances_schedule_expiry(
+		instances, "i", 2 * second_us, &config, 2 * second_us));
+	EXPECT_TRUE(in_use(3 * second_us));
+	EXPECT_GT(comet_instances_visit_count(instances), visits);
+	EXPECT_FALSE(in_use(2 * second_us + expiry_us));
+	/* an entry that is listed again, and one that is removed, expire no longer */
+	for (const char *id : {"e1", "e2"})
+		ASSERT_TRUE(comet_instances_schedule_expiry(
+			instances, id, 5 * second_us, &config, 5 * second_us));
+	comet_instance_record again = {"e1", "llm", "127.0.0.1:1", "z", 4, 0, false, 0};
+	comet_instances_update(instances, &again, 6 * second_us);
+	comet_instances_remove(instances, "e2");
+	visits = comet_instances_visit_count(instances);
+	in_use(60 * second_us);
+	EXPECT_EQ(comet_instances_visit_count(instances), visits);
+	EXPECT_NE(comet_instances_find(instances, "e1"), nullptr);
+}
+
 } // namespace
