--- a/libcometspindle/adapters/gateway/gateway.c
+++ b/libcometspindle/adapters/gateway/gateway.c
@@ -194,6 +194,7 @@
 	comet_placement_run(gateway->placement, now_us);
 	comet_gateway_tick_reader_election(gateway, now_us);
 	comet_gateway_resync(gateway, now_us);
+	comet_gateway_tick_packed_snapshot(gateway, now_us);
 	if (gateway->stop_us != 0)
 		continue_stop(gateway, now_us);
 }
@@ -471,5 +472,6 @@
 comet_gateway_destroy(struct comet_gateway *gateway)
 {
 	comet_route_table_unref(gateway->table);
+	comet_gateway_drop_packed_snapshot(gateway);
 	talloc_free(gateway);
 }
--- a/libcometspindle/adapters/gateway/gateway_private.h
+++ b/libcometspindle/adapters/gateway/gateway_private.h
@@ -117,14 +117,18 @@
 	GQueue active_attempts;      /**< of struct comet_proxy_request: sent to an endpoint */
 	struct comet_random random;
 	uint64_t began_us;
-	bool discovering;                      /**< this VM still discovers other VMs */
-	uint64_t discovered_us;                /**< when the last new VM was discovered; 0: none */
-	uint32_t peak_alive_vms;               /**< most VMs alive at a time, including this one */
-	uint64_t stop_us;                      /**< when the shutdown began; 0: none */
-	uint64_t last_loop_us;                 /**< when the event loop last waited */
-	uint64_t suspended_us;                 /**< total time suspended, as last read */
-	uint64_t pause_detected_us;            /**< when a pause was last detected; 0: never */
-	struct comet_fetch *resyncing;         /**< fetch of a snapshot or delta; NULL: none */
+	bool discovering;               /**< this VM still discovers other VMs */
+	uint64_t discovered_us;         /**< when the last new VM was discovered; 0: none */
+	uint32_t peak_alive_vms;        /**< most VMs alive at a time, including this one */
+	uint64_t stop_us;               /**< when the shutdown began; 0: none */
+	uint64_t last_loop_us;          /**< when the event loop last waited */
+	uint64_t suspended_us;          /**< total time suspended, as last read */
+	uint64_t pause_detected_us;     /**< when a pause was last detected; 0: never */
+	struct comet_fetch *resyncing;  /**< fetch of a snapshot or delta; NULL: none */
+	uint64_t first_snapshot_due_us; /**< when to request the first snapshot again */
+	bool request_plain_snapshot;    /**< the last peer does not serve packed ones */
+	GBytes *packed;     /**< packed snapshot for peers; NULL: none was built lately */
+	uint64_t packed_us; /**< when it was built */
 	struct comet_fetch *fetching_document; /**< fetch of the routing document; NULL: none */
 	uint64_t answered_us;         /**< when the directory last answered a call; 0: never */
 	uint64_t stale_us;            /**< since when a peer has been ahead; 0: none */
@@ -184,6 +188,9 @@
 /** Path of a snapshot of the directory on a VM's control address. */
 #define COMET_GATEWAY_SNAPSHOT_PATH "/v1/directory"
 
+/** The same, packed: the digest of its text in hexadecimal, then the compressed text. */
+#define COMET_GATEWAY_PACKED_PATH COMET_GATEWAY_SNAPSHOT_PATH "/packed"
+
 /** The delta after the position that follows. */
 #define COMET_GATEWAY_DELTA_PATH COMET_GATEWAY_SNAPSHOT_PATH "?after="
 
@@ -197,6 +204,19 @@
 void
 comet_gateway_request_endpoints(struct comet_gateway *gateway, uint32_t vm);
 
+/** While this VM waits for its first snapshot: requests one from a reader of its zone, or from
+ * another peer, at most several times a second. */
+void
+comet_gateway_request_first_snapshot(struct comet_gateway *gateway, uint64_t now_us);
+
+/** Frees the packed snapshot that was built for peers (gateway_pages.c). */
+void
+comet_gateway_drop_packed_snapshot(struct comet_gateway *gateway);
+
+/** Frees it once it is too old to be sent. */
+void
+comet_gateway_tick_packed_snapshot(struct comet_gateway *gateway, uint64_t now_us);
+
 /** Fetches a reported routing document, from a reader or otherwise from the directory. */
 void
 comet_gateway_fetch_document(struct comet_gateway *gateway, uint64_t now_us);
--- a/libcometspindle/adapters/gateway/gateway_reader_election.c
+++ b/libcometspindle/adapters/gateway/gateway_reader_election.c
@@ -17,6 +17,7 @@
 		[COMET_DIRECTORY_MODE_READER] = "reads_for_others",
 		[COMET_DIRECTORY_MODE_FOLLOWER] = "follows",
 		[COMET_DIRECTORY_MODE_FALLBACK] = "reads_meanwhile",
+		[COMET_DIRECTORY_MODE_WAITING] = "waits_for_snapshot",
 	};
 
 	return names[reading];
@@ -85,6 +86,8 @@
 	if (!comet_gossip_is_zone_peer_alive(gateway->gossip, news->address))
 		return; /* the sender is in another zone or not yet known */
 	comet_reader_election_report(gateway->reader_election, &reported, now_us);
+	if (gateway->reading == COMET_DIRECTORY_MODE_WAITING)
+		comet_gateway_request_first_snapshot(gateway, now_us);
 	resync(gateway, now_us);
 	if (gateway->reading == COMET_DIRECTORY_MODE_FOLLOWER &&
 		reported.position <= gateway->endpoints_position)
@@ -109,8 +112,13 @@
 		.has_list = gateway->listed && gateway->table != NULL,
 		.leaving = gateway->stop_us != 0,
 		.position = gateway->endpoints_position,
+		.age_us = now_us - gateway->began_us,
 	};
+	uint32_t known = 0;
+	uint32_t alive = 0;
 
+	comet_gossip_count_peers(gateway->gossip, &known, &alive);
+	state.alone = known == 0;
 	comet_gossip_count_zone_peers(gateway->gossip, now_us, &state.zone_vms, &state.preferred);
 	set_mode(gateway, comet_reader_election_decide(gateway->reader_election, &state, now_us));
 	if (now_us - gateway->reported_us >= REPORT_US)
--- a/libcometspindle/adapters/gateway/gateway_resync.c
+++ b/libcometspindle/adapters/gateway/gateway_resync.c
@@ -4,6 +4,8 @@
  */
 #include <libcometspindle/adapters/gateway/gateway_private.h>
 
+#include <libcometspindle/compress.h>
+#include <libcometspindle/error.h>
 #include <libcometspindle/log.h>
 #include <string.h>
 
@@ -28,7 +30,50 @@
  * after a failed request. */
 #define READER_RETRY_US 300000
 
+/* Bound of an unpacked snapshot: about 10,000 endpoints and a large routing document. */
+#define SNAPSHOT_BYTES_MAX (16 * 1024 * 1024)
+
+/* Backoff of a VM that waits for its first snapshot, jittered by as much: of the hundreds of VMs
+ * that start together, a peer serves a few at a time. */
+#define FIRST_SNAPSHOT_RETRY_US 200000
+
 #define STATUS_OK 200
+#define STATUS_NOT_FOUND 404
+
+/* Decompresses a packed snapshot. @return NULL with error set if it is damaged. */
+static GBytes *
+unpack_snapshot(const char *body, size_t length, GError **error)
+{
+	const size_t digest_length = COMET_DIGEST_CHARS - 1;
+	char digest[COMET_DIGEST_CHARS];
+
+	if (length < digest_length)
+	{
+		g_set_error(error, COMET_ERROR, COMET_ERROR_INVALID, "the snapshot is too short");
+		return NULL;
+	}
+	g_strlcpy(digest, body, sizeof digest);
+	const struct comet_byte_span packed = {body + digest_length, length - digest_length};
+	return comet_decompress(&packed, NULL, SNAPSHOT_BYTES_MAX, digest, error);
+}
+
+/* Applies a snapshot or delta, packed or not: unpacked ones are JSON objects. */
+static bool
+apply_body(struct comet_gateway *gateway, const char *body, size_t length, GError **error)
+{
+	const struct comet_directory_ops *ops = gateway->directory->ops;
+
+	if (length > 0 && body[0] == '{')
+		return ops->apply(gateway->directory, body, length, error);
+	GBytes *text = unpack_snapshot(body, length, error);
+	if (text == NULL)
+		return false;
+	gsize text_length = 0;
+	const char *data = g_bytes_get_data(text, &text_length);
+	bool applied = ops->apply(gateway->directory, data, text_length, error);
+	g_bytes_unref(text);
+	return applied;
+}
 
 /* Applies the response of a peer. @return false if the request failed or it is malformed. */
 static bool
@@ -42,8 +87,7 @@
 			response->failure != NULL ? response->failure : "status", response->status);
 		return false;
 	}
-	if (gateway->directory->ops->apply(
-		    gateway->directory, response->body, response->length, &error))
+	if (apply_body(gateway, response->body, response->length, &error))
 		return true;
 	comet_log(COMET_LOG_WARNING, "event=resync_rejected error=\"%s\"", error->message);
 	g_clear_error(&error);
@@ -56,6 +100,9 @@
 	struct comet_gateway *gateway = ctx;
 
 	gateway->resyncing = NULL; /* the fetch frees itself after this handler */
+	/* A peer of an earlier release sends snapshots only as they are. */
+	gateway->request_plain_snapshot =
+		response->failure == NULL && response->status == STATUS_NOT_FOUND;
 	if (!apply_response(gateway, response))
 		comet_reader_election_report_failure(
 			gateway->reader_election, comet_timers_now_us());
@@ -106,7 +153,28 @@
 		comet_datagram_socket_format_address(vm, ip),
 		comet_directory_epoch(gateway->position),
 		comet_directory_revision(gateway->position));
-	gateway->resyncing = request_from_peer(gateway, vm, COMET_GATEWAY_SNAPSHOT_PATH, on_resync);
+	gateway->resyncing = request_from_peer(gateway, vm,
+		gateway->request_plain_snapshot ? COMET_GATEWAY_SNAPSHOT_PATH
+						: COMET_GATEWAY_PACKED_PATH,
+		on_resync);
+}
+
+void
+comet_gateway_request_first_snapshot(struct comet_gateway *gateway, uint64_t now_us)
+{
+	uint32_t vm = comet_reader_election_pick(gateway->reader_election, 1, now_us);
+
+	if (gateway->resyncing != NULL || now_us < gateway->first_snapshot_due_us)
+		return;
+	if (vm == 0)
+		vm = comet_gossip_pick_newer_peer(
+			gateway->gossip, gateway->position, comet_random_u32(&gateway->random));
+	if (vm == 0)
+		return;
+	gateway->first_snapshot_due_us =
+		now_us +
+		(uint64_t)(FIRST_SNAPSHOT_RETRY_US * (1 + comet_random_double(&gateway->random)));
+	request_snapshot(gateway, vm);
 }
 
 void
@@ -171,6 +239,11 @@
 void
 comet_gateway_resync(struct comet_gateway *gateway, uint64_t now_us)
 {
+	if (gateway->reading == COMET_DIRECTORY_MODE_WAITING)
+	{
+		comet_gateway_request_first_snapshot(gateway, now_us);
+		return;
+	}
 	uint32_t vm = comet_gossip_pick_newer_peer(
 		gateway->gossip, gateway->position, comet_random_u32(&gateway->random));
 	uint64_t grace_us = gateway->directory_lost ? STALE_GRACE_US : STALE_GRACE_ANSWERED_US;
--- a/libcometspindle/gateway/directory.h
+++ b/libcometspindle/gateway/directory.h
@@ -103,6 +103,8 @@
 	COMET_DIRECTORY_MODE_READER,   /**< reads it and reports changes to other VMs immediately */
 	COMET_DIRECTORY_MODE_FOLLOWER, /**< receives changes from readers */
 	COMET_DIRECTORY_MODE_FALLBACK, /**< reads it for itself until a reader reports again */
+	COMET_DIRECTORY_MODE_WAITING,  /**< has just started: reads no more than the first page of
+					  the list, and waits for the snapshot of a peer */
 };
 
 struct comet_directory;
--- a/libcometspindle/gateway/fleet/reader_election.c
+++ b/libcometspindle/gateway/fleet/reader_election.c
@@ -27,6 +27,15 @@
 /* After a failed request to a reader, a VM reads the directory itself for this time. */
 #define FAILURE_FALLBACK_US 1000000
 
+/* VMs that start together have found each other after this time, and are old enough to be compared
+ * as readers. */
+#define DISCOVERY_US 800000
+
+/* A VM that has just started waits this long for the snapshot of a peer, and the jitter in
+ * addition, before it reads the complete list itself. */
+#define SNAPSHOT_WAIT_US 4000000
+#define SNAPSHOT_WAIT_JITTER_US 2000000
+
 /* Last report of a reader. */
 struct report
 {
@@ -41,10 +50,12 @@
 	struct comet_random draw;
 	uint64_t followed_us; /* time for which a report is fresh */
 	struct report reports[REPORTS_MAX];
-	uint64_t jitter_us;   /* drawn with each report */
-	uint64_t answered_us; /* newest of all reports */
-	uint64_t stale_us;    /* since when a reader has been ahead; 0: none is */
-	uint64_t failed_us;   /* when a request to a reader last failed; 0: never */
+	uint64_t jitter_us;        /* drawn with each report */
+	uint64_t answered_us;      /* newest of all reports */
+	uint64_t stale_us;         /* since when a reader has been ahead; 0: none is */
+	uint64_t failed_us;        /* when a request to a reader last failed; 0: never */
+	uint64_t snapshot_wait_us; /* process age up to which it waits for a snapshot */
+	bool wait_over;            /* it reads the complete list, or has a snapshot */
 };
 
 struct comet_reader_election *
@@ -52,9 +63,14 @@
 {
 	struct comet_reader_election *reader_election =
 		talloc_zero(parent, struct comet_reader_election);
+	struct comet_random snapshot_draw;
 
 	reader_election->followed_us = followed_us;
 	comet_random_init(&reader_election->draw, seed);
+	comet_random_init(&snapshot_draw, ~seed);
+	reader_election->snapshot_wait_us =
+		SNAPSHOT_WAIT_US +
+		(uint64_t)(SNAPSHOT_WAIT_JITTER_US * comet_random_double(&snapshot_draw));
 	return reader_election;
 }
 
@@ -169,6 +185,21 @@
 	reader_election->failed_us = now_us;
 }
 
+/* @return whether a VM that has just started leaves the list to others. Hundreds of VMs that start
+ * together would otherwise read each page of it once each. */
+static bool
+waits_for_snapshot(struct comet_reader_election *reader_election,
+	const struct comet_reader_election_state *state)
+{
+	bool discovering = state->age_us < DISCOVERY_US && !state->alone;
+	bool others_read = state->zone_vms >= ZONE_VMS_MIN && state->preferred >= READERS_PER_ZONE;
+
+	if (state->has_list || state->age_us >= reader_election->snapshot_wait_us ||
+		!(discovering || others_read))
+		reader_election->wait_over = true;
+	return !reader_election->wait_over;
+}
+
 enum comet_directory_mode
 comet_reader_election_decide(struct comet_reader_election *reader_election,
 	const struct comet_reader_election_state *state, uint64_t now_us)
@@ -179,6 +210,8 @@
 	uint64_t expiry_us = reader_election->answered_us + reader_election->followed_us +
 			     reader_election->jitter_us;
 
+	if (waits_for_snapshot(reader_election, state))
+		return COMET_DIRECTORY_MODE_WAITING;
 	if (!state->has_list || state->zone_vms < ZONE_VMS_MIN)
 		return COMET_DIRECTORY_MODE_DIRECT;
 	if (!state->leaving && state->preferred < READERS_PER_ZONE)
--- a/libcometspindle/gateway/fleet/reader_election.h
+++ b/libcometspindle/gateway/fleet/reader_election.h
@@ -33,6 +33,8 @@
 	uint32_t zone_vms;  /**< alive VMs in its zone, including itself */
 	uint32_t preferred; /**< those of them that are preferred as readers */
 	uint64_t position;  /**< position up to which its endpoints are complete */
+	uint64_t age_us;    /**< time since the start of its process */
+	bool alone;         /**< it knows no other VM, nor the address of one */
 };
 
 struct comet_reader_election;
--- a/tests/unit/test_reader_election.cc
+++ b/tests/unit/test_reader_election.cc
@@ -20,7 +20,7 @@
 struct ReaderElectionTest : ::testing::Test
 {
 	comet_reader_election *reader_election = nullptr;
-	comet_reader_election_state state = {true, false, 60, 5, 100};
+	comet_reader_election_state state = {true, false, 60, 5, 100, 50000 * ms, false};
 	uint64_t now_us = 50000000;
 
 	void
@@ -105,7 +105,7 @@
 		comet_reader_election *reader_election =
 			comet_reader_election_create(nullptr, 1000 * ms, vm);
 		comet_reader_report report = {1, 100, 100, 0};
-		comet_reader_election_state state = {true, false, 60, 5, 100};
+		comet_reader_election_state state = {true, false, 60, 5, 100, 50000 * ms, false};
 		uint64_t now_us = 50000000;
 		comet_reader_election_report(reader_election, &report, now_us);
 		while (comet_reader_election_decide(reader_election, &state, now_us) ==
@@ -193,4 +193,68 @@
 	}
 }
 
+/* 585 VMs that started together read each of 15 pages once each. */
+TEST_F(ReaderElectionTest, AVmThatStartsWaitsForASnapshotUnlessItIsAReader)
+{
+	state.has_list = false;
+	state.zone_vms = 1;
+	state.preferred = 0;
+	state.age_us = 0;
+	EXPECT_EQ(decide(), COMET_DIRECTORY_MODE_WAITING) << "other VMs may be found";
+	state.age_us = 1000 * ms;
+	state.zone_vms = 60;
+	state.preferred = 2;
+	EXPECT_EQ(decide(), COMET_DIRECTORY_MODE_WAITING);
+	state.has_list = true;
+	add_report(1, 100);
+	EXPECT_EQ(decide(), COMET_DIRECTORY_MODE_FOLLOWER);
+	state.has_list = false;
+	EXPECT_EQ(decide(), COMET_DIRECTORY_MODE_DIRECT)
+		<< "a wait that is over does not begin again";
+}
+
+TEST_F(ReaderElectionTest, AReaderThatStartsReadsOnceOtherVmsAreFound)
+{
+	state.has_list = false;
+	state.preferred = 1;
+	state.age_us = 700 * ms;
+	EXPECT_EQ(decide(), COMET_DIRECTORY_MODE_WAITING);
+	state.age_us = 900 * ms;
+	EXPECT_EQ(decide(), COMET_DIRECTORY_MODE_DIRECT);
+}
+
+TEST_F(ReaderElectionTest, AVmWithoutOtherVmsReadsAtOnce)
+{
+	state = {false, false, 1, 0, 0, 0, true};
+	EXPECT_EQ(decide(), COMET_DIRECTORY_MODE_DIRECT);
+}
+
+TEST_F(ReaderElectionTest, AVmOfASmallZoneReadsOnceOtherVmsAreFound)
+{
+	state.has_list = false;
+	state.zone_vms = 7;
+	state.age_us = 900 * ms;
+	EXPECT_EQ(decide(), COMET_DIRECTORY_MODE_DIRECT);
+}
+
+TEST(ReaderElection, AVmThatGetsNoSnapshotReadsByItself)
+{
+	std::set<uint64_t> ends_ms;
+
+	for (uint64_t seed = 0; seed < 40; seed++)
+	{
+		comet_reader_election *election =
+			comet_reader_election_create(nullptr, 1000 * ms, seed);
+		comet_reader_election_state state = {false, false, 60, 5, 0, 0, false};
+		while (comet_reader_election_decide(election, &state, state.age_us) ==
+			COMET_DIRECTORY_MODE_WAITING)
+			state.age_us += 10 * ms;
+		ends_ms.insert(state.age_us / ms);
+		EXPECT_GE(state.age_us, 4000 * ms);
+		EXPECT_LE(state.age_us, 6010 * ms);
+		talloc_free(election);
+	}
+	EXPECT_GT(ends_ms.size(), 20U) << "not all at the same time";
+}
+
 } // namespace
