Count datagrams and their bytes by kind

Cause: the metrics showed all datagrams in one sum, so that nothing told which kind grows with the fleet.

Change: comet_datagrams_total and comet_datagram_bytes_total by kind and direction; scripts/gateway_fleet.py prints their rates per VM, and divides by the time between the two readings of each VM.

--- a/libcometspindle/adapters/gateway/gateway_metrics.c
+++ b/libcometspindle/adapters/gateway/gateway_metrics.c
@@ -363,6 +363,37 @@
 	put_use(out, "datagrams", gossip);
 }
 
+/* Writes the datagrams and their bytes by kind. */
+static void
+put_datagrams(GString *out, const struct comet_gateway *gateway)
+{
+	put_type(out, "datagrams_total", "counter");
+	for (uint32_t kind = 0; kind < COMET_DATAGRAM_KINDS; kind++)
+	{
+		const struct comet_datagram_counts *counts =
+			comet_datagram_socket_counts(gateway->datagram_socket, kind);
+		const char *name = comet_datagram_kind_name(kind);
+		g_string_append_printf(out,
+			"comet_datagrams_total{kind=\"%s\",direction=\"in\"} %" G_GUINT64_FORMAT
+			"\ncomet_datagrams_total{kind=\"%s\",direction=\"out\"} %" G_GUINT64_FORMAT
+			"\n",
+			name, counts->received, name, counts->sent);
+	}
+	put_type(out, "datagram_bytes_total", "counter");
+	for (uint32_t kind = 0; kind < COMET_DATAGRAM_KINDS; kind++)
+	{
+		const struct comet_datagram_counts *counts =
+			comet_datagram_socket_counts(gateway->datagram_socket, kind);
+		const char *name = comet_datagram_kind_name(kind);
+		g_string_append_printf(out,
+			"comet_datagram_bytes_total{kind=\"%s\",direction=\"in\"} "
+			"%" G_GUINT64_FORMAT
+			"\ncomet_datagram_bytes_total{kind=\"%s\",direction=\"out\"} "
+			"%" G_GUINT64_FORMAT "\n",
+			name, counts->bytes.received, name, counts->bytes.sent);
+	}
+}
+
 static void
 put_directory(const struct page *page)
 {
@@ -420,6 +451,7 @@
 	put(out, "foreign_answers_total", "counter", (double)up->foreign_answers);
 	put_directory(&page);
 	put_bytes(out, gateway);
+	put_datagrams(out, gateway);
 	put_endpoints(&page);
 	comet_http_server_respond(
 		request, 200, "Content-Type: text/plain; version=0.0.4\r\n", out->str, out->len);
--- a/libcometspindle/adapters/peers/datagram_socket.c
+++ b/libcometspindle/adapters/peers/datagram_socket.c
@@ -8,7 +8,7 @@
 #include <errno.h>
 #include <libcometspindle/adapters/socket.h>
 #include <libcometspindle/error.h>
-#include <libcometspindle/gateway/fleet/gossip.h>
+#include <libcometspindle/gateway/messages/datagram.h>
 #include <sys/socket.h>
 #include <talloc.h>
 #include <unistd.h>
@@ -22,12 +22,34 @@
 	comet_datagram_socket_handler handler;
 	void *ctx;
 	struct comet_byte_counters bytes;
+	struct comet_datagram_counts counts[COMET_DATAGRAM_KINDS];
 	uint64_t unsent;
 	uint32_t address;
 	uint16_t port;
 	int fd;
 };
 
+static void
+count_received(struct comet_datagram_socket *datagram_socket, const uint8_t *data, size_t length)
+{
+	struct comet_datagram_counts *counts =
+		&datagram_socket->counts[comet_datagram_kind(data, length)];
+
+	counts->received++;
+	counts->bytes.received += length;
+}
+
+static void
+count_sent(struct comet_datagram_socket *datagram_socket, const uint8_t *data, size_t length)
+{
+	struct comet_datagram_counts *counts =
+		&datagram_socket->counts[comet_datagram_kind(data, length)];
+
+	datagram_socket->bytes.sent += length;
+	counts->sent++;
+	counts->bytes.sent += length;
+}
+
 static void
 on_ready(struct tevent_context *ev, struct tevent_fd *event, uint16_t flags, void *data)
 {
@@ -43,6 +65,7 @@
 		if (length < 0)
 			return; /* none left, or an error of an earlier send */
 		datagram_socket->bytes.received += (uint64_t)length;
+		count_received(datagram_socket, buffer, (size_t)length);
 		datagram_socket->handler(datagram_socket->ctx, buffer, (size_t)length);
 	}
 }
@@ -104,7 +127,13 @@
 		0)
 		datagram_socket->unsent++;
 	else
-		datagram_socket->bytes.sent += length;
+		count_sent(datagram_socket, data, length);
+}
+
+const struct comet_datagram_counts *
+comet_datagram_socket_counts(const struct comet_datagram_socket *datagram_socket, uint32_t kind)
+{
+	return &datagram_socket->counts[kind];
 }
 
 const struct comet_byte_counters *
--- a/libcometspindle/adapters/peers/datagram_socket.h
+++ b/libcometspindle/adapters/peers/datagram_socket.h
@@ -24,6 +24,18 @@
 comet_datagram_socket_create(void *parent, struct tevent_context *ev, const char *address,
 	comet_datagram_socket_handler handler, void *ctx, GError **error) G_GNUC_WARN_UNUSED_RESULT;
 
+/** Datagrams of one kind so far. */
+struct comet_datagram_counts
+{
+	uint64_t received;
+	uint64_t sent;
+	struct comet_byte_counters bytes;
+};
+
+/** @return the counts of a kind (comet_datagram_kind()). */
+const struct comet_datagram_counts *
+comet_datagram_socket_counts(const struct comet_datagram_socket *datagram_socket, uint32_t kind);
+
 /** Bytes of datagrams so far. */
 const struct comet_byte_counters *
 comet_datagram_socket_bytes(const struct comet_datagram_socket *datagram_socket);
--- a/libcometspindle/gateway/messages/datagram.c
+++ b/libcometspindle/gateway/messages/datagram.c
@@ -24,3 +24,30 @@
 	memset(datagram, 0, sizeof *datagram);
 	return pb_decode(&stream, comet_Datagram_fields, datagram) && datagram->which_body != 0;
 }
+
+uint32_t
+comet_datagram_kind(const uint8_t *data, size_t length)
+{
+	/* The body is the only field of the message, and its key fits into one byte. */
+	uint32_t tag = length > 0 ? data[0] >> 3 : 0;
+
+	return tag < COMET_DATAGRAM_KINDS ? tag : 0;
+}
+
+const char *
+comet_datagram_kind_name(uint32_t kind)
+{
+	static const char *const names[COMET_DATAGRAM_KINDS] = {
+		[0] = "unknown",
+		[comet_Datagram_view_tag] = "gossip",
+		[comet_Datagram_ask_tag] = "slot_request",
+		[comet_Datagram_answer_tag] = "slot_answer",
+		[comet_Datagram_freed_tag] = "slot_release",
+		[comet_Datagram_charge_tag] = "quota_request",
+		[comet_Datagram_charged_tag] = "quota_answer",
+		[comet_Datagram_returned_tag] = "quota_refund",
+		[comet_Datagram_news_tag] = "reader_report",
+	};
+
+	return names[kind];
+}
--- a/libcometspindle/gateway/messages/datagram.h
+++ b/libcometspindle/gateway/messages/datagram.h
@@ -15,6 +15,17 @@
  */
 #define COMET_DATAGRAM_BYTES_MAX 1400
 
+/** Kinds of datagrams; 0: not a datagram of this release. */
+#define COMET_DATAGRAM_KINDS (comet_Datagram_news_tag + 1)
+
+/** @return the kind of an encoded datagram: the tag of its body, or 0. */
+uint32_t
+comet_datagram_kind(const uint8_t *data, size_t length);
+
+/** @return the name of a kind, for metrics. */
+const char *
+comet_datagram_kind_name(uint32_t kind);
+
 /** @return the encoded length, or 0 when the datagram exceeds COMET_DATAGRAM_BYTES_MAX. */
 size_t
 comet_datagram_encode(const comet_Datagram *datagram,
--- a/scripts/gateway_fleet.py
+++ b/scripts/gateway_fleet.py
@@ -215,7 +215,9 @@
         return line is not None and line.split()[1] == "200"
 
     async def metrics(self):
-        """Returns the samples of its metrics by name and labels; empty while it does not answer."""
+        """Returns the samples of its metrics by name and labels, and the time as "read_s"; no samples while it does
+        not answer."""
+        read_s = time.monotonic()
         try:
             reader, writer = await asyncio.open_connection(self.ip, self.ports["control"])
             writer.write(b"GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n")
@@ -223,9 +225,9 @@
             body = await reader.readexactly(int(headers["content-length"]))
             writer.close()
         except (OSError, TypeError, asyncio.IncompleteReadError):
-            return {}
+            return {"read_s": read_s}
         rows = [row.rsplit(" ", 1) for row in body.decode().splitlines() if not row.startswith("#")]
-        return {name: float(value) for name, value in rows}
+        return {"read_s": read_s, **{name: float(value) for name, value in rows}}
 
 
 class Fleet:
@@ -340,7 +342,8 @@
         rates = {}
         for name in sorted(after[0]):
             if "bytes_total" in name or "datagrams_total" in name:
-                values = sorted((late.get(name, 0) - early.get(name, 0)) / passed
+                values = sorted((late.get(name, 0) - early.get(name, 0)) /
+                                (late["read_s"] - early["read_s"])
                                 for early, late in zip(before, after))
                 rates[name[len("comet_"):]] = [round(values[len(values) // 2], 1), round(values[-1], 1)]
         waits = sorted(self.waits_s) or [0]
