Send deltas packed, build each only once, and let a refused follower try again

Cause: while 2,998 endpoints register, each change of the directory is a delta of hundreds of entries. A reader built it once for each of 117 followers by looking through all items, and refused more than three connections at a time because it exceeds 64 KB; a refused follower watched the store itself for a second.

Change: readers keep the packed responses that they have built until the next change or for a second; packed responses are limited by the bytes that are queued and not by connections. A peer of an earlier release answers 404, and is then asked as before.

--- a/libcometspindle/adapters/gateway/gateway.c
+++ b/libcometspindle/adapters/gateway/gateway.c
@@ -194,7 +194,7 @@
 	comet_placement_run(gateway->placement, now_us);
 	comet_gateway_tick_reader_election(gateway, now_us);
 	comet_gateway_resync(gateway, now_us);
-	comet_gateway_tick_packed_snapshot(gateway, now_us);
+	comet_resync_cache_tick(gateway->resync_cache, now_us);
 	if (gateway->stop_us != 0)
 		continue_stop(gateway, now_us);
 }
@@ -363,6 +363,7 @@
 	gateway->retries = comet_retry_budget_create(gateway, &settings->retries);
 	gateway->reader_election = comet_reader_election_create(gateway,
 		(uint64_t)followed_ms(settings) * 1000, comet_random_u32(&gateway->random));
+	gateway->resync_cache = comet_resync_cache_create(gateway);
 	gateway->crash_tracker =
 		comet_crash_tracker_create(gateway, &comet_gateway_crashes_ops, gateway);
 	gateway->placement = comet_placement_create(gateway, gateway->instances,
@@ -472,6 +473,5 @@
 comet_gateway_destroy(struct comet_gateway *gateway)
 {
 	comet_route_table_unref(gateway->table);
-	comet_gateway_drop_packed_snapshot(gateway);
 	talloc_free(gateway);
 }
--- a/libcometspindle/adapters/gateway/gateway_directory.c
+++ b/libcometspindle/adapters/gateway/gateway_directory.c
@@ -314,6 +314,8 @@
 	gateway->listed = true;
 	if (position > gateway->position)
 		gateway->stale_us = 0; /* the grace for peers still ahead starts again */
+	if (position != gateway->position || endpoints != gateway->endpoints_position)
+		comet_resync_cache_clear(gateway->resync_cache);
 	gateway->position = position;
 	gateway->endpoints_position = endpoints;
 	comet_gossip_set_revision(gateway->gossip, position);
--- a/libcometspindle/adapters/gateway/gateway_pages.c
+++ b/libcometspindle/adapters/gateway/gateway_pages.c
@@ -4,27 +4,19 @@
  */
 #include <libcometspindle/adapters/gateway/gateway_private.h>
 
-#include <libcometspindle/compress.h>
 #include <string.h>
 
 /* Limit of connections up to which snapshots, of up to a megabyte each, are sent. */
 #define SNAPSHOT_CONNECTIONS_MAX 3
 
-/* The same for packed snapshots, which take a tenth of the bytes. */
-#define PACKED_CONNECTIONS_MAX 16
-
-/* A packed snapshot is sent for this time although newer changes are known: its receivers request
- * those as a delta. */
-#define PACKED_REUSE_US 1000000
-
 /* Limit of connections up to which small deltas are sent: all VMs of a zone request one from the
  * zone's readers at once. */
 #define DELTA_CONNECTIONS_MAX 256
 #define DELTA_BYTES_MAX (64 * 1024)
 
-/* Limit of queued routing documents: one second of a 10 Mbit/s link. A peer that is rejected reads
- * the document from the directory. */
-#define QUEUED_DOCUMENT_BYTES_MAX (1250 * 1000)
+/* Limit of queued documents and packed responses: one second of a 10 Mbit/s link. A peer that is
+ * rejected tries again, and then reads the directory. */
+#define QUEUED_BYTES_MAX (1250 * 1000)
 
 #define METRICS_PATH "/metrics"
 
@@ -94,60 +86,46 @@
 	return NULL;
 }
 
-/* Builds a packed snapshot: the digest of the snapshot, then its compressed text. */
+/* Builds the packed delta of endpoints or snapshot that a target names. @return NULL if data is
+ * missing. */
 static GBytes *
-pack_snapshot(GBytes *snapshot)
+build_packed(struct comet_gateway *gateway, const char *target)
 {
-	struct comet_byte_span text = {0};
-	char digest[COMET_DIGEST_CHARS];
-	gsize length = 0;
+	const struct comet_directory_ops *ops = gateway->directory->ops;
+	GBytes *text = NULL;
 
-	text.data = g_bytes_get_data(snapshot, &text.length);
-	comet_digest(&text, digest);
-	GBytes *compressed = comet_compress(&text, NULL);
-	const void *data = g_bytes_get_data(compressed, &length);
-	GByteArray *packed = g_byte_array_new();
-	g_byte_array_append(packed, (const guint8 *)digest, COMET_DIGEST_CHARS - 1);
-	g_byte_array_append(packed, data, (guint)length);
-	g_bytes_unref(compressed);
-	return g_byte_array_free_to_bytes(packed);
+	if (g_str_has_prefix(target, COMET_GATEWAY_PACKED_ENDPOINTS_PATH))
+		text = delta_after(gateway, target + strlen(COMET_GATEWAY_PACKED_ENDPOINTS_PATH),
+			ops->endpoints_delta);
+	if (text == NULL)
+		text = ops->snapshot(gateway->directory);
+	if (text == NULL)
+		return NULL;
+	GBytes *packed = comet_resync_pack(text);
+	g_bytes_unref(text);
+	return packed;
 }
 
-/* Returns the packed snapshot of all data. @return NULL if data is missing or too many connections
- * are open. */
+/* Returns what build_packed() has built for the same target, or builds it. @return NULL if data is
+ * missing or the queue is full. */
 static GBytes *
-packed_snapshot(struct comet_gateway *gateway)
+packed_for(struct comet_gateway *gateway, const char *target)
 {
-	uint32_t open = (uint32_t)comet_http_server_counts(gateway->control)->connections;
-	uint64_t now_us = comet_timers_now_us();
+	size_t unsent = comet_http_server_unsent_bytes(gateway->control);
+	GBytes *response = comet_resync_cache_find(gateway->resync_cache, target);
 
-	if (open > PACKED_CONNECTIONS_MAX)
-		return NULL;
-	if (gateway->packed != NULL && now_us - gateway->packed_us >= PACKED_REUSE_US)
-		comet_gateway_drop_packed_snapshot(gateway);
-	if (gateway->packed == NULL)
+	if (response == NULL)
 	{
-		GBytes *snapshot = gateway->directory->ops->snapshot(gateway->directory);
-		if (snapshot == NULL)
+		response = build_packed(gateway, target);
+		if (response == NULL)
 			return NULL;
-		gateway->packed = pack_snapshot(snapshot);
-		gateway->packed_us = now_us;
-		g_bytes_unref(snapshot);
+		comet_resync_cache_add(
+			gateway->resync_cache, target, response, comet_timers_now_us());
 	}
-	return g_bytes_ref(gateway->packed);
-}
-
-void
-comet_gateway_drop_packed_snapshot(struct comet_gateway *gateway)
-{
-	g_clear_pointer(&gateway->packed, g_bytes_unref);
-}
-
-void
-comet_gateway_tick_packed_snapshot(struct comet_gateway *gateway, uint64_t now_us)
-{
-	if (gateway->packed != NULL && now_us - gateway->packed_us >= PACKED_REUSE_US)
-		comet_gateway_drop_packed_snapshot(gateway);
+	if (unsent == 0 || unsent + g_bytes_get_size(response) <= QUEUED_BYTES_MAX)
+		return response;
+	g_bytes_unref(response);
+	return NULL;
 }
 
 /* Returns the routing document for a peer. @return NULL if it is unknown or the queue is full. */
@@ -159,7 +137,7 @@
 	GBytes *document = ops->documents(gateway->directory, query);
 
 	if (document == NULL || unsent == 0 ||
-		unsent + g_bytes_get_size(document) <= QUEUED_DOCUMENT_BYTES_MAX)
+		unsent + g_bytes_get_size(document) <= QUEUED_BYTES_MAX)
 		return document;
 	g_bytes_unref(document);
 	return NULL;
@@ -190,8 +168,9 @@
 	if (g_str_has_prefix(target, COMET_GATEWAY_DOCUMENT_PATH))
 		respond_resync(
 			request, document_for(ctx, target + strlen(COMET_GATEWAY_DOCUMENT_PATH)));
-	else if (strcmp(target, COMET_GATEWAY_PACKED_PATH) == 0)
-		respond_resync(request, packed_snapshot(ctx));
+	else if (strcmp(target, COMET_GATEWAY_PACKED_PATH) == 0 ||
+		 g_str_has_prefix(target, COMET_GATEWAY_PACKED_ENDPOINTS_PATH))
+		respond_resync(request, packed_for(ctx, target));
 	else if (strcmp(target, COMET_GATEWAY_SNAPSHOT_PATH) == 0 ||
 		 g_str_has_prefix(target, COMET_GATEWAY_DELTA_PATH) ||
 		 g_str_has_prefix(target, COMET_GATEWAY_ENDPOINTS_PATH))
--- a/libcometspindle/adapters/gateway/gateway_private.h
+++ b/libcometspindle/adapters/gateway/gateway_private.h
@@ -5,6 +5,7 @@
 #ifndef COMETSPINDLE_ADAPTERS_GATEWAY_PRIVATE_H
 #define COMETSPINDLE_ADAPTERS_GATEWAY_PRIVATE_H
 
+#include <libcometspindle/adapters/gateway/resync_cache.h>
 #include <libcometspindle/adapters/endpoints/fetch.h>
 #include <libcometspindle/adapters/callers/http_server.h>
 #include <libcometspindle/adapters/gateway/gateway.h>
@@ -126,9 +127,9 @@
 	uint64_t pause_detected_us;     /**< when a pause was last detected; 0: never */
 	struct comet_fetch *resyncing;  /**< fetch of a snapshot or delta; NULL: none */
 	uint64_t first_snapshot_due_us; /**< when to request the first snapshot again */
-	bool request_plain_snapshot;    /**< the last peer does not serve packed ones */
-	GBytes *packed;     /**< packed snapshot for peers; NULL: none was built lately */
-	uint64_t packed_us; /**< when it was built */
+	bool peer_is_older;             /**< the last peer does not know packed responses */
+	uint64_t resync_due_us; /**< when to request a delta again after a busy peer refused one */
+	struct comet_resync_cache *resync_cache;
 	struct comet_fetch *fetching_document; /**< fetch of the routing document; NULL: none */
 	uint64_t answered_us;         /**< when the directory last answered a call; 0: never */
 	uint64_t stale_us;            /**< since when a peer has been ahead; 0: none */
@@ -188,9 +189,12 @@
 /** Path of a snapshot of the directory on a VM's control address. */
 #define COMET_GATEWAY_SNAPSHOT_PATH "/v1/directory"
 
-/** The same, packed: the digest of its text in hexadecimal, then the compressed text. */
+/** The same, packed (comet_resync_pack()). */
 #define COMET_GATEWAY_PACKED_PATH COMET_GATEWAY_SNAPSHOT_PATH "/packed"
 
+/** The packed delta of endpoints after the position that follows. */
+#define COMET_GATEWAY_PACKED_ENDPOINTS_PATH COMET_GATEWAY_SNAPSHOT_PATH "/endpoints/packed?after="
+
 /** The delta after the position that follows. */
 #define COMET_GATEWAY_DELTA_PATH COMET_GATEWAY_SNAPSHOT_PATH "?after="
 
@@ -209,14 +213,6 @@
 void
 comet_gateway_request_first_snapshot(struct comet_gateway *gateway, uint64_t now_us);
 
-/** Frees the packed snapshot that was built for peers (gateway_pages.c). */
-void
-comet_gateway_drop_packed_snapshot(struct comet_gateway *gateway);
-
-/** Frees it once it is too old to be sent. */
-void
-comet_gateway_tick_packed_snapshot(struct comet_gateway *gateway, uint64_t now_us);
-
 /** Fetches a reported routing document, from a reader or otherwise from the directory. */
 void
 comet_gateway_fetch_document(struct comet_gateway *gateway, uint64_t now_us);
--- a/libcometspindle/adapters/gateway/gateway_resync.c
+++ b/libcometspindle/adapters/gateway/gateway_resync.c
@@ -4,8 +4,6 @@
  */
 #include <libcometspindle/adapters/gateway/gateway_private.h>
 
-#include <libcometspindle/compress.h>
-#include <libcometspindle/error.h>
 #include <libcometspindle/log.h>
 #include <string.h>
 
@@ -30,8 +28,9 @@
  * after a failed request. */
 #define READER_RETRY_US 300000
 
-/* Bound of an unpacked snapshot: about 10,000 endpoints and a large routing document. */
-#define SNAPSHOT_BYTES_MAX (16 * 1024 * 1024)
+/* Backoff after a busy peer refused a delta, jittered by as much. A reader that stays ahead for
+ * longer than a few of these is considered too slow. */
+#define BUSY_RETRY_US 75000
 
 /* Backoff of a VM that waits for its first snapshot, jittered by as much: of the hundreds of VMs
  * that start together, a peer serves a few at a time. */
@@ -39,38 +38,19 @@
 
 #define STATUS_OK 200
 #define STATUS_NOT_FOUND 404
+#define STATUS_UNAVAILABLE 503
 
-/* Decompresses a packed snapshot. @return NULL with error set if it is damaged. */
-static GBytes *
-unpack_snapshot(const char *body, size_t length, GError **error)
-{
-	const size_t digest_length = COMET_DIGEST_CHARS - 1;
-	char digest[COMET_DIGEST_CHARS];
-
-	if (length < digest_length)
-	{
-		g_set_error(error, COMET_ERROR, COMET_ERROR_INVALID, "the snapshot is too short");
-		return NULL;
-	}
-	g_strlcpy(digest, body, sizeof digest);
-	const struct comet_byte_span packed = {body + digest_length, length - digest_length};
-	return comet_decompress(&packed, NULL, SNAPSHOT_BYTES_MAX, digest, error);
-}
-
-/* Applies a snapshot or delta, packed or not: unpacked ones are JSON objects. */
+/* Applies a snapshot or delta, packed or not. */
 static bool
 apply_body(struct comet_gateway *gateway, const char *body, size_t length, GError **error)
 {
-	const struct comet_directory_ops *ops = gateway->directory->ops;
+	GBytes *text = comet_resync_unpack(body, length, error);
+	gsize text_length = 0;
 
-	if (length > 0 && body[0] == '{')
-		return ops->apply(gateway->directory, body, length, error);
-	GBytes *text = unpack_snapshot(body, length, error);
 	if (text == NULL)
 		return false;
-	gsize text_length = 0;
 	const char *data = g_bytes_get_data(text, &text_length);
-	bool applied = ops->apply(gateway->directory, data, text_length, error);
+	bool applied = gateway->directory->ops->apply(gateway->directory, data, text_length, error);
 	g_bytes_unref(text);
 	return applied;
 }
@@ -94,18 +74,27 @@
 	return false;
 }
 
+static bool
+is_status(const struct comet_fetch_response *response, uint32_t status)
+{
+	return response->failure == NULL && response->status == status;
+}
+
 static void
 on_resync(void *ctx, const struct comet_fetch_response *response)
 {
 	struct comet_gateway *gateway = ctx;
+	uint64_t now_us = comet_timers_now_us();
 
 	gateway->resyncing = NULL; /* the fetch frees itself after this handler */
-	/* A peer of an earlier release sends snapshots only as they are. */
-	gateway->request_plain_snapshot =
-		response->failure == NULL && response->status == STATUS_NOT_FOUND;
-	if (!apply_response(gateway, response))
-		comet_reader_election_report_failure(
-			gateway->reader_election, comet_timers_now_us());
+	gateway->peer_is_older = is_status(response, STATUS_NOT_FOUND);
+	if (is_status(response, STATUS_UNAVAILABLE))
+		gateway->resync_due_us =
+			now_us +
+			(uint64_t)(BUSY_RETRY_US * (1 + comet_random_double(&gateway->random)));
+	if (!apply_response(gateway, response) && !gateway->peer_is_older &&
+		!is_status(response, STATUS_UNAVAILABLE))
+		comet_reader_election_report_failure(gateway->reader_election, now_us);
 	comet_gateway_fetch_document(gateway, comet_timers_now_us());
 }
 
@@ -154,8 +143,7 @@
 		comet_directory_epoch(gateway->position),
 		comet_directory_revision(gateway->position));
 	gateway->resyncing = request_from_peer(gateway, vm,
-		gateway->request_plain_snapshot ? COMET_GATEWAY_SNAPSHOT_PATH
-						: COMET_GATEWAY_PACKED_PATH,
+		gateway->peer_is_older ? COMET_GATEWAY_SNAPSHOT_PATH : COMET_GATEWAY_PACKED_PATH,
 		on_resync);
 }
 
@@ -180,10 +168,12 @@
 void
 comet_gateway_request_endpoints(struct comet_gateway *gateway, uint32_t vm)
 {
-	if (gateway->resyncing != NULL)
+	if (gateway->resyncing != NULL || comet_timers_now_us() < gateway->resync_due_us)
 		return;
-	char *target = g_strdup_printf(
-		COMET_GATEWAY_ENDPOINTS_PATH "%" G_GUINT64_FORMAT, gateway->endpoints_position);
+	char *target = g_strdup_printf("%s%" G_GUINT64_FORMAT,
+		gateway->peer_is_older ? COMET_GATEWAY_ENDPOINTS_PATH
+				       : COMET_GATEWAY_PACKED_ENDPOINTS_PATH,
+		gateway->endpoints_position);
 	gateway->resyncing = request_from_peer(gateway, vm, target, on_resync);
 	g_free(target);
 }
--- a/scripts/gateway_fleet.py
+++ b/scripts/gateway_fleet.py
@@ -31,6 +31,7 @@
 PAGE_ITEMS = 200
 WATCHED_ITEMS_MAX = 2000
 LOG_END_BYTES = 65536
+REGISTER_STEP_S = 0.1
 CLOCK_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 
@@ -262,17 +263,38 @@
         self.endpoints.start()
         await asyncio.to_thread(ready.wait)
         self.store.put_now("op/config", self.document())
-        for number, address in enumerate(addresses):
-            self.store.put_now(f"servers/i-{number}", {
-                "service": "llm", "address": f"{address}:{port}",
-                "zone": f"z{number % self.options.zones}", "slots": 6, "state": "ready",
-                "sequence": 1, "version": "v1", "warmup_left_ms": 0, "born": 1700000000000 + number})
+        entries = [(f"servers/i-{number}", {
+            "service": "llm", "address": f"{address}:{port}",
+            "zone": f"z{number % self.options.zones}", "slots": 6, "state": "ready", "sequence": 1,
+            "version": "v1", "warmup_left_ms": 0, "born": 1700000000000 + number})
+            for number, address in enumerate(addresses)]
+        if self.options.register_s == 0:
+            for entry in entries:
+                self.store.put_now(*entry)
         server = await asyncio.start_server(self.store.serve, addresses[0], 0, backlog=2000)
         self.store_address = "%s:%d" % server.sockets[0].getsockname()[:2]
         self.ports = free_ports(address_of(VM_NETWORK, 0))
         self.seeds = ",".join(f"{address_of(VM_NETWORK, n)}:{self.ports['control']}" for n in range(3))
         self.vms = [Vm(number, self) for number in range(self.options.vms)]
-        return await self.until(self.all_ready, 60)
+        if self.options.register_s > 0:
+            await self.register(entries)
+        return await self.until(self.all_current, 60)
+
+    async def register(self, entries):
+        """Writes the endpoints' entries in equal steps while the VMs start."""
+        steps = max(1, int(self.options.register_s / REGISTER_STEP_S))
+        await asyncio.sleep(1)
+        for step in range(steps):
+            for entry in entries[step::steps]:
+                self.store.put(*entry)
+            await asyncio.sleep(REGISTER_STEP_S)
+
+    async def all_current(self):
+        """Returns whether all VMs have read everything."""
+        if not await self.all_ready():
+            return False
+        found = await self.all_metrics()
+        return all(one.get("comet_directory_revision") == self.store.revision for one in found)
 
     async def until(self, condition, limit_s):
         """Returns the seconds until condition() holds, or None after limit_s."""
@@ -410,6 +432,8 @@
     parser.add_argument("--rate", type=float, default=180, help="requests per second in all")
     parser.add_argument("--warm-s", type=float, default=8)
     parser.add_argument("--seconds", type=float, default=15)
+    parser.add_argument("--register-s", type=float, default=0,
+                        help="the endpoints register over this time after the start")
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--fault", choices=FAULTS, default="none")
     fleet = Fleet(parser.parse_args())
