Learn the round trip to each VM for the timeouts of slot and quota requests

Cause: an RPC to another VM expired after 40 ms.

Change: the timeout is the learned round trip and 40 ms.

--- a/libcometspindle/adapters/gateway/gateway.c
+++ b/libcometspindle/adapters/gateway/gateway.c
@@ -83,8 +83,8 @@
 	else if (datagram.which_body == comet_Datagram_news_tag)
 		comet_gateway_handle_report(gateway, &datagram.body.news, now_us);
 	else if (datagram.which_body != comet_Datagram_view_tag &&
-		 !comet_quota_requests_receive(gateway->quota_requests, &datagram))
-		comet_grants_receive(gateway->grants, &datagram);
+		 !comet_quota_requests_receive(gateway->quota_requests, &datagram, now_us))
+		comet_grants_receive(gateway->grants, &datagram, now_us);
 	else if (datagram.which_body == comet_Datagram_view_tag &&
 		 !comet_gossip_receive(gateway->gossip, &datagram.body.view, now_us))
 		comet_log(COMET_LOG_WARNING, "event=gossip_message_malformed bytes=%zu", length);
--- a/libcometspindle/gateway/admission/quota_requests.c
+++ b/libcometspindle/gateway/admission/quota_requests.c
@@ -102,12 +102,14 @@
  * without the owner. The owner learns from gossip what was spent, as it does of everything that it
  * did not charge. */
 static void
-handle_response(struct comet_quota_requests *quota_requests, const comet_ChargeAnswer *response)
+handle_response(struct comet_quota_requests *quota_requests, const comet_ChargeAnswer *response,
+	uint64_t now_us)
 {
+	comet_pending_rpcs_answered(
+		quota_requests->pending, response->number, response->keeper, now_us);
 	struct pending_request *found = comet_pending_rpcs_find(
 		quota_requests->pending, response->number, response->keeper);
 
-	comet_pending_rpcs_mark_responsive(quota_requests->pending, response->keeper);
 	if (found == NULL)
 		return;
 	struct pending_request pending = *found;
@@ -142,8 +144,8 @@
 }
 
 bool
-comet_quota_requests_receive(
-	struct comet_quota_requests *quota_requests, const comet_Datagram *datagram)
+comet_quota_requests_receive(struct comet_quota_requests *quota_requests,
+	const comet_Datagram *datagram, uint64_t now_us)
 {
 	const comet_ChargeReturned *returned = &datagram->body.returned;
 	struct comet_quota_request request = {0};
@@ -154,7 +156,7 @@
 		handle_request(quota_requests, &datagram->body.charge);
 		return true;
 	case comet_Datagram_charged_tag:
-		handle_response(quota_requests, &datagram->body.charged);
+		handle_response(quota_requests, &datagram->body.charged, now_us);
 		return true;
 	case comet_Datagram_returned_tag:
 		request.team = returned->team;
@@ -175,8 +177,7 @@
 	{
 		struct pending_request pending = *expired;
 		comet_pending_rpcs_remove(quota_requests->pending, expired);
-		comet_pending_rpcs_mark_unresponsive(
-			quota_requests->pending, pending.rpc.vm, now_us);
+		comet_pending_rpcs_expired(quota_requests->pending, &pending.rpc, now_us);
 		if (!pending.cancelled)
 			quota_requests->ops->failed(
 				quota_requests->ctx, pending.rpc.user_data, pending.rpc.vm);
--- a/libcometspindle/gateway/admission/quota_requests.h
+++ b/libcometspindle/gateway/admission/quota_requests.h
@@ -65,8 +65,8 @@
 
 /** Handles a datagram. @return whether it belongs to this module */
 bool
-comet_quota_requests_receive(
-	struct comet_quota_requests *quota_requests, const comet_Datagram *datagram);
+comet_quota_requests_receive(struct comet_quota_requests *quota_requests,
+	const comet_Datagram *datagram, uint64_t now_us);
 
 /** Ends quota requests that have expired. @return whether any is still pending */
 bool
--- a/libcometspindle/gateway/messages/pending_rpcs.h
+++ b/libcometspindle/gateway/messages/pending_rpcs.h
@@ -3,7 +3,8 @@
  * tracks RPCs to other VMs until they are answered, and VMs that left one unanswered
  *
  * Any datagram may be lost and any VM may be down, so each RPC has a timeout. A VM that left an RPC
- * unanswered is unresponsive for a while. This module uses no sockets and no clock.
+ * unanswered is unresponsive for a while. The timeout grows with the round trip to the VM, which is
+ * learned from its answers, late ones included. This module uses no sockets and no clock.
  */
 #ifndef COMETSPINDLE_GATEWAY_PENDING_RPCS_H
 #define COMETSPINDLE_GATEWAY_PENDING_RPCS_H
@@ -20,6 +21,7 @@
 	uint64_t sent_us;
 	uint64_t timeout_us; /**< the RPC expires this long after sent_us */
 	uint32_t vm;         /**< address of the VM that was called (IPv4, host order) */
+	bool answered;       /**< a first answer has arrived; a final one may follow */
 };
 
 struct comet_pending_rpcs;
@@ -56,13 +58,20 @@
 bool
 comet_pending_rpcs_has_pending(const struct comet_pending_rpcs *rpcs);
 
-/** Marks a VM that left an RPC unanswered as unresponsive for a while. */
+/** Marks the VM that left an RPC unanswered as unresponsive for a while. */
 void
-comet_pending_rpcs_mark_unresponsive(struct comet_pending_rpcs *rpcs, uint32_t vm, uint64_t now_us);
+comet_pending_rpcs_expired(
+	struct comet_pending_rpcs *rpcs, const struct comet_pending_rpc *rpc, uint64_t now_us);
 
-/** Marks a VM as responsive again; called for every answer from it, even a late one. */
+/** Marks a VM as responsive again, and learns the round trip to it if this is the first answer to
+ * the RPC with this number. Call it for every answer, even a late one. */
 void
-comet_pending_rpcs_mark_responsive(struct comet_pending_rpcs *rpcs, uint32_t vm);
+comet_pending_rpcs_answered(
+	struct comet_pending_rpcs *rpcs, uint64_t number, uint32_t vm, uint64_t now_us);
+
+/** @return the learned round trip to a VM, or 0 if there was no answer yet. */
+uint64_t
+comet_pending_rpcs_round_trip_us(const struct comet_pending_rpcs *rpcs, uint32_t vm);
 
 /** @return whether a VM recently left an RPC unanswered. */
 bool
--- a/libcometspindle/gateway/placement/grants.c
+++ b/libcometspindle/gateway/placement/grants.c
@@ -146,12 +146,12 @@
 }
 
 static void
-handle_answer(struct comet_grants *grants, const comet_SlotAnswer *answer)
+handle_answer(struct comet_grants *grants, const comet_SlotAnswer *answer, uint64_t now_us)
 {
+	comet_pending_rpcs_answered(grants->rpcs, answer->number, answer->keeper, now_us);
 	struct pending_slot_request *found =
 		comet_pending_rpcs_find(grants->rpcs, answer->number, answer->keeper);
 
-	comet_pending_rpcs_mark_responsive(grants->rpcs, answer->keeper);
 	if (found == NULL)
 	{
 		/* The RPC has timed out, or its request was cancelled. */
@@ -215,7 +215,7 @@
 }
 
 void
-comet_grants_receive(struct comet_grants *grants, const comet_Datagram *datagram)
+comet_grants_receive(struct comet_grants *grants, const comet_Datagram *datagram, uint64_t now_us)
 {
 	switch (datagram->which_body)
 	{
@@ -223,7 +223,7 @@
 		handle_slot_request(grants, &datagram->body.ask);
 		break;
 	case comet_Datagram_answer_tag:
-		handle_answer(grants, &datagram->body.answer);
+		handle_answer(grants, &datagram->body.answer, now_us);
 		break;
 	case comet_Datagram_freed_tag:
 		grants->ops->remote_release(grants->ctx, &datagram->body.freed);
@@ -244,7 +244,7 @@
 		grants->ops->wait_expired(grants->ctx, request->rpc.user_data);
 		return;
 	}
-	comet_pending_rpcs_mark_unresponsive(grants->rpcs, request->rpc.vm, now_us);
+	comet_pending_rpcs_expired(grants->rpcs, &request->rpc, now_us);
 	grants->ops->unanswered(grants->ctx, request->rpc.user_data, request->rpc.vm);
 }
 
--- a/libcometspindle/gateway/placement/grants.h
+++ b/libcometspindle/gateway/placement/grants.h
@@ -96,7 +96,7 @@
 
 /** Handles a received slot request, answer or release; other datagrams are ignored. */
 void
-comet_grants_receive(struct comet_grants *grants, const comet_Datagram *datagram);
+comet_grants_receive(struct comet_grants *grants, const comet_Datagram *datagram, uint64_t now_us);
 
 /** Ends slot requests whose time is over. @return whether any slot request is still pending. */
 bool
--- a/tests/unit/grants_fleet.h
+++ b/tests/unit/grants_fleet.h
@@ -320,7 +320,7 @@
 			EXPECT_TRUE(comet_gossip_receive(to.gossip, &datagram.body.view, now_us));
 		}
 		else
-			comet_grants_receive(to.grants, &datagram);
+			comet_grants_receive(to.grants, &datagram, now_us);
 	}
 
 	/* Advances the clock in steps of 10 ms, and delivers the datagrams of each step. */
--- a/tests/unit/test_gateway_grants.cc
+++ b/tests/unit/test_gateway_grants.cc
@@ -302,7 +302,7 @@
 	comet_Datagram forged = {};
 	forged.which_body = comet_Datagram_answer_tag;
 	forged.body.answer = {owner, 1, other->key, false, 0};
-	comet_grants_receive(all.vms[requester].grants, &forged);
+	comet_grants_receive(all.vms[requester].grants, &forged, all.now_us);
 	all.deliver();
 	ASSERT_EQ(all.vms[requester].sent.count(item), 1U);
 	EXPECT_EQ(all.vms[requester].sent[item][0], 'i')
--- a/tests/unit/test_limits_fleet.cc
+++ b/tests/unit/test_limits_fleet.cc
@@ -268,7 +268,7 @@
 			ASSERT_TRUE(comet_datagram_decode(
 				(const uint8_t *)one.bytes.data(), one.bytes.size(), &datagram));
 			EXPECT_TRUE(comet_quota_requests_receive(
-				vms[one.to - 1].quota_requests, &datagram));
+				vms[one.to - 1].quota_requests, &datagram, now_us));
 		}
 	}
 
