--- a/libcometspindle/adapters/daemon/daemon.c
+++ b/libcometspindle/adapters/daemon/daemon.c
@@ -17,7 +17,7 @@
 #include <talloc.h>
 
 /*
- * Views are published this often, and at once when entries, bundle or readiness
+ * State snapshots are published this often, and at once when entries, bundle or readiness
  * change. A view lists every VM, so large fleets publish less often.
  */
 #define PUBLISH_US 250000ULL
--- a/libcometspindle/adapters/endpoints/upstream.c
+++ b/libcometspindle/adapters/endpoints/upstream.c
@@ -1,6 +1,6 @@
 /*
  * upstream.c
- * the endpoint side: sends requests over kept HTTP/1.1 connections
+ * sends requests to endpoints over persistent HTTP/1.1 connections
  */
 #include <libcometspindle/adapters/endpoints/upstream.h>
 
@@ -12,24 +12,24 @@
 #include <string.h>
 #include <talloc.h>
 
-/* A connection that is not there by then is given up: the fleet's zones are about a millisecond
- * apart, and the kernel repeats a lost first packet only after a second. */
+/* Timeout of a connection attempt: a few round trips between regions. The kernel repeats a lost
+ * first packet only after a second. */
 #define CONNECT_TIMEOUT_US 300000
 
 /* Idle connections are closed after this time unless the endpoint names a shorter one. */
 #define IDLE_DEFAULT_US 4000000
 
-/* More than this that an endpoint tells counts as this: no connection is kept so long. */
+/* Bound of the idle time that an endpoint announces. */
 #define KEEP_ALIVE_MAX_S 3600
 
 /* An idle connection is not used within this time of its announced end: a request must not cross
  * the endpoint's close. */
 #define IDLE_MARGIN_US 1000000
 
-/* Idle connections kept to one endpoint's process; more than its batch are never busy at once. */
+/* Idle connections per process of an endpoint; it never runs more requests than this at once. */
 #define IDLE_MAX 16
 
-/* Heads of answers: as large as servers commonly allow. */
+/* Limit of a response head, as large as servers commonly allow. */
 #define HEAD_MAX_BYTES (64 * 1024)
 
 struct comet_upstream
@@ -45,7 +45,7 @@
 {
 	GQueue idle;    /* of struct link, newest first */
 	uint32_t links; /* idle or not */
-	bool closed;    /* the process has ended or leaves: nothing is kept any more */
+	bool closed;    /* the process has ended or drains: connections are not reused */
 };
 
 /* A connection to an endpoint. */
@@ -58,10 +58,10 @@
 	struct comet_exchange *exchange; /* NULL: idle */
 	struct comet_timer *idle_timer;
 	char *instance;
-	uint64_t idle_us; /* how long it may rest */
+	uint64_t idle_us; /* how long it may stay idle */
 	bool connected;
-	bool feeding; /* inside the reader: must not be freed */
-	bool doomed;  /* to be freed once the reader returns */
+	bool feeding; /* the reader is running: the link must not be freed */
+	bool doomed;  /* freed once the reader returns */
 	bool foreign; /* the answer being read belongs to another request */
 	bool ended;   /* the answer is complete */
 	bool keep_alive;
@@ -118,7 +118,7 @@
 	return 0;
 }
 
-/* Ends an exchange: its link is closed unless it was put aside before. */
+/* Ends an exchange and closes its link, unless the link was returned to the pool. */
 static void
 finish(struct comet_exchange *exchange, enum comet_exchange_end end)
 {
@@ -138,7 +138,7 @@
 	talloc_free(link);
 }
 
-/* Keeps a link whose answer was read to its end. */
+/* Returns a link to the pool after its complete response was read. */
 static void
 put_aside(struct link *link)
 {
@@ -161,7 +161,7 @@
 		comet_timers_add(upstream->timers, link, link->idle_us, on_idle_over, link);
 }
 
-/* How long an idle connection may be used, from what the endpoint says of it. */
+/* @return how long an idle connection may be used, from the endpoint's Keep-Alive header. */
 static uint64_t
 idle_time(const struct comet_http_head *head)
 {
@@ -185,7 +185,7 @@
 	link->foreign = false;
 	if (exchange == NULL || head->status < 200)
 	{
-		link->foreign = true; /* an interim answer, or nobody waits: read past */
+		link->foreign = true; /* an interim response, or no request waits: discard it */
 		return false;
 	}
 	if (exchange->id_header != NULL)
@@ -227,7 +227,7 @@
 static const struct comet_http_reader_events reader_events = {
 	.head = on_head, .body = on_body, .end = on_end};
 
-/* The answer is whole: what follows it on the connection belongs to no request. */
+/* Handles a complete response. Data that follows it on the connection belongs to no request. */
 static void
 answer_complete(struct link *link, bool bytes_follow)
 {
@@ -246,7 +246,7 @@
 	if (link->exchange == NULL)
 	{
 		link->upstream->counts.foreign_answers++;
-		talloc_free(link); /* an idle connection has nothing to say */
+		talloc_free(link); /* data on an idle connection is unexpected */
 		return;
 	}
 	while (length > 0)
@@ -269,7 +269,7 @@
 			return;
 		}
 		if (result == COMET_HTTP_READER_END && link->keep_alive)
-			continue; /* past an answer that is not ours */
+			continue; /* a foreign response was discarded */
 		if (result != COMET_HTTP_READER_MORE)
 		{
 			link->upstream->counts.malformed++;
@@ -296,7 +296,7 @@
 		finish(exchange, COMET_EXCHANGE_UNREACHED);
 		return;
 	}
-	/* An answer without a length ends with its connection, if that ends in order. */
+	/* A response without a length is complete if its connection ends in order. */
 	if (orderly && comet_http_reader_inside(link->reader) &&
 		comet_http_reader_feed_eof(link->reader) == COMET_HTTP_READER_END && link->ended)
 	{
@@ -346,7 +346,7 @@
 	finish(exchange, COMET_EXCHANGE_UNREACHED);
 }
 
-/* Opens a new connection. @return NULL when that cannot even start. */
+/* Opens a new connection. @return NULL if the attempt cannot start. */
 static struct link *
 open_link(struct comet_upstream *upstream, const struct comet_exchange_request *request)
 {
@@ -377,7 +377,7 @@
 	return link;
 }
 
-/* Takes the idle connection used last, if one still stands. */
+/* @return the most recently used idle connection that is still open, or NULL. */
 static struct link *
 take_idle(struct comet_upstream *upstream, const char *instance)
 {
@@ -478,14 +478,14 @@
 		comet_socket_pause(exchange->link->socket, paused);
 }
 
-/* Closes what is idle; what is not idle yet is not kept either. */
+/* Closes the idle links; links in use are closed after use. */
 static void
 close_pool(gpointer data)
 {
 	struct pool *pool = data;
 	struct link *link = NULL;
 
-	pool->links++; /* held until the last of them is closed */
+	pool->links++; /* keeps the pool until the last link is closed */
 	pool->closed = true;
 	while ((link = g_queue_peek_head(&pool->idle)) != NULL)
 		talloc_free(link);
--- a/libcometspindle/adapters/http_reader.h
+++ b/libcometspindle/adapters/http_reader.h
@@ -27,7 +27,7 @@
 	char *reason;       /**< answers: the text after the status */
 	uint16_t status;    /**< answers */
 	bool http_1_0;
-	bool framed;   /**< its body has a length or comes in chunks */
+	bool framed;   /**< its body has a length or is chunked */
 	bool has_body; /**< requests: a length or chunks were announced */
 	struct comet_http_header *headers;
 	size_t n_headers;
@@ -53,7 +53,7 @@
 const char *
 comet_http_reason(unsigned int status);
 
-/** What is read goes here. */
+/** Callbacks for the parts of a message. */
 struct comet_http_reader_events
 {
 	/** A head is complete. @return true when no body follows (an answer to HEAD). */
@@ -65,7 +65,7 @@
 
 enum comet_http_reader_result
 {
-	COMET_HTTP_READER_MORE,    /**< everything was taken; the message goes on */
+	COMET_HTTP_READER_MORE,    /**< all data was consumed; the message continues */
 	COMET_HTTP_READER_END,     /**< a message ended; what was not taken is after it */
 	COMET_HTTP_READER_BAD,     /**< not HTTP, or framed in two ways */
 	COMET_HTTP_READER_TOO_BIG, /**< the head is larger than allowed */
--- a/libcometspindle/adapters/peers/datagram_socket.c
+++ b/libcometspindle/adapters/peers/datagram_socket.c
@@ -1,6 +1,6 @@
 /*
  * datagram_socket.c
- * sends and receives views between VMs by UDP
+ * sends and receives datagrams between VMs by UDP
  */
 #include <libcometspindle/adapters/peers/datagram_socket.h>
 
@@ -13,7 +13,7 @@
 #include <talloc.h>
 #include <unistd.h>
 
-/* Datagrams taken in one turn of the loop; the rest wait for the next turn. */
+/* Datagrams handled in one iteration of the event loop. */
 #define DATAGRAMS_PER_TURN 64
 
 struct comet_datagram_socket
@@ -63,7 +63,7 @@
 	{
 		ssize_t length = recv(datagram_socket->fd, buffer, sizeof buffer, 0);
 		if (length < 0)
-			return; /* none left, or an error of an earlier send */
+			return; /* no more datagrams, or the error of an earlier send */
 		datagram_socket->bytes.received += (uint64_t)length;
 		count_received(datagram_socket, buffer, (size_t)length);
 		datagram_socket->handler(datagram_socket->ctx, buffer, (size_t)length);
@@ -122,7 +122,7 @@
 		.sin_addr.s_addr = htonl(address),
 	};
 
-	/* A view that does not leave is like one that is lost: the next one makes it good. */
+	/* Datagrams may be lost anyway, so a failed send is only counted. */
 	if (sendto(datagram_socket->fd, data, length, 0, (const struct sockaddr *)&to, sizeof to) <
 		0)
 		datagram_socket->unsent++;
--- a/libcometspindle/adapters/peers/datagram_socket.h
+++ b/libcometspindle/adapters/peers/datagram_socket.h
@@ -1,10 +1,10 @@
 /*
  * datagram_socket.h
- * sends and receives views between VMs by UDP
+ * sends and receives datagrams between VMs by UDP
  *
- * Only the newest view of a VM matters, so a lost datagram is nothing to
- * repeat, and one from before a cut or a pause is never delivered late, as a
- * queue on a connection would do.
+ * A lost datagram is not sent again: later gossip replaces it, and RPCs have
+ * timeouts. Unlike the queue of a connection, UDP delivers nothing from before
+ * a partition or a pause.
  */
 #ifndef COMETSPINDLE_ADAPTERS_DATAGRAM_SOCKET_H
 #define COMETSPINDLE_ADAPTERS_DATAGRAM_SOCKET_H
@@ -19,7 +19,7 @@
 
 typedef void (*comet_datagram_socket_handler)(void *ctx, const uint8_t *data, size_t length);
 
-/** Binds to "a.b.c.d:port"; NULL and error when that fails. */
+/** Binds to "a.b.c.d:port". @return NULL with error set on failure. */
 struct comet_datagram_socket *
 comet_datagram_socket_create(void *parent, struct tevent_context *ev, const char *address,
 	comet_datagram_socket_handler handler, void *ctx, GError **error) G_GNUC_WARN_UNUSED_RESULT;
@@ -45,7 +45,7 @@
 comet_datagram_socket_send(struct comet_datagram_socket *datagram_socket, uint32_t address,
 	const uint8_t *data, size_t length);
 
-/** Room for an address as text. */
+/** Size of a buffer for an address as text. */
 #define COMET_IPV4_TEXT_BYTES 16
 
 /** Writes an address (IPv4, host order) as text. @return text */
--- a/libcometspindle/adapters/socket.c
+++ b/libcometspindle/adapters/socket.c
@@ -14,15 +14,15 @@
 #include <talloc.h>
 #include <unistd.h>
 
-/* Read at once: a page run that one event rarely exceeds. */
+/* Bytes read at once; few events have more. */
 #define READ_BYTES 16384
 
-/* A peer that acknowledges nothing for so long is gone: a few round trips of any zone. */
+/* A connection breaks if the peer acknowledges nothing for this time. */
 #define USER_TIMEOUT_MS 5000
 
-/* Of a connection that is probed: after a second without a byte the other side is asked each second
- * whether it is there, and is gone when it has acknowledged nothing for this time. A second is the
- * shortest the kernel knows. The count says the same where the kernel goes by it alone. */
+/* Keep-alive of a probed connection: the kernel sends a probe after each second without data, and
+ * the connection breaks after this time without an acknowledgement. A second is the shortest
+ * interval that the kernel offers. Kernels that ignore the time limit use the number of probes. */
 #define PROBE_IDLE_S 1
 #define PROBE_INTERVAL_S 1
 #define PROBE_COUNT 1
@@ -36,17 +36,18 @@
 	struct tevent_fd *event;
 	const struct comet_socket_events *events;
 	void *ctx;
-	struct comet_byte_counters *bytes; /* counted by whom it serves; NULL: not counted */
+	struct comet_byte_counters *bytes; /* counters of its owner; NULL: not counted */
 	GByteArray *queue;
-	size_t written; /* part of the queue that is gone */
+	size_t written; /* part of the queue that is already written */
 	int fd;
-	int error; /* errno of a connection that could not be had; 0: none known */
+	int error; /* errno of a failed connection attempt; 0: none */
 	bool connecting;
 	bool paused;
-	bool ended;        /* the other side's stream has ended */
-	bool shutting;     /* end our direction once the queue is empty */
-	bool write_failed; /* bytes were lost: none may follow them, and no end is orderly */
-	bool owes_drained; /* the queue became empty within a write: still to be told */
+	bool ended;        /* the peer has closed its direction */
+	bool shutting;     /* close this direction once the queue is empty */
+	bool write_failed; /* bytes were lost: no more are written, and the end is not orderly */
+	bool owes_drained; /* the queue became empty within a write, and the event is still to be
+			      sent */
 	bool broken;
 };
 
@@ -80,8 +81,8 @@
 		tevent_fd_set_flags(socket->event, 0);
 		return;
 	}
-	/* The loop tells an error only to who reads, also that of a connection which is refused:
-	 * requests to a crashed endpoint stayed without a word until their callers left. */
+	/* The loop reports errors, refused connections included, only while reads are enabled.
+	 * Otherwise a request to a crashed endpoint would stay open until its caller leaves. */
 	bool reads = !socket->paused || socket->write_failed || socket->connecting;
 	if (reads && !socket->ended)
 		flags |= TEVENT_FD_READ;
@@ -90,14 +91,14 @@
 	tevent_fd_set_flags(socket->event, flags);
 }
 
-/* The connection is of no more use; told at most once. */
+/* Reports the end of the connection, at most once. */
 static void
 report_closed(struct comet_socket *socket, bool orderly)
 {
 	if (socket->ended || socket->broken)
 		return;
-	/* A kernel tells a reset once: a write that met it leaves the reads an end of the stream,
-	 * by which an answer without a length would count as whole. */
+	/* The kernel reports a reset once. After a write that failed with it, a read returns the
+	 * end of the stream, and a response without a length would look complete. */
 	orderly = orderly && !socket->write_failed;
 	socket->ended = true;
 	socket->broken = !orderly;
@@ -105,7 +106,7 @@
 	socket->events->closed(socket->ctx, orderly);
 }
 
-/* The connection that was asked for is there, or cannot be had. */
+/* Handles the result of a connection attempt. */
 static void
 finish_connect(struct comet_socket *socket, bool writable)
 {
@@ -119,7 +120,7 @@
 		return;
 	}
 	if (!writable)
-		return; /* neither yet */
+		return; /* still in progress */
 	socket->connecting = false;
 	update_flags(socket);
 	socket->events->connected(socket->ctx);
@@ -133,7 +134,7 @@
 	setsockopt(socket->fd, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
 }
 
-/* Everything is written: the other side may see the end of our stream. */
+/* Handles an empty queue: closes this direction if that was requested. */
 static void
 end_in_order(struct comet_socket *socket)
 {
@@ -141,7 +142,7 @@
 	shutdown(socket->fd, SHUT_WR);
 }
 
-/* Writes what the kernel takes. @return false when the connection broke. */
+/* Writes as much as the kernel accepts. @return false if the connection broke. */
 static bool
 flush(struct comet_socket *socket)
 {
@@ -166,7 +167,7 @@
 	return true;
 }
 
-/* The end is told by the reads, after what has arrived, and not from within a write. */
+/* Reads report the end, after the bytes that have arrived; a write does not. */
 static void
 fail_writes(struct comet_socket *socket)
 {
@@ -199,7 +200,7 @@
 
 	if (socket->paused)
 	{
-		if (socket->write_failed) /* who does not read now gets only the end */
+		if (socket->write_failed) /* reads are stopped: report only the end */
 			report_closed(socket, false);
 		return;
 	}
@@ -222,7 +223,8 @@
 
 	(void)ev;
 	(void)event;
-	/* One kind an event: a callback may free the socket. tevent calls again. */
+	/* Handles one kind of event per call, since a callback may free the socket; tevent calls
+	 * again for the other kind. */
 	if (socket->connecting)
 		finish_connect(socket, (flags & TEVENT_FD_WRITE) != 0);
 	else if ((flags & TEVENT_FD_WRITE) != 0)
@@ -299,7 +301,7 @@
 		fail_writes(socket);
 		return;
 	}
-	/* Else who stopped for a full queue would never go on. */
+	/* A caller that stopped because of a full queue continues on this event. */
 	socket->owes_drained = socket->owes_drained || (waited && socket->queue->len == 0);
 	update_flags(socket);
 }
--- a/libcometspindle/adapters/socket.h
+++ b/libcometspindle/adapters/socket.h
@@ -17,11 +17,11 @@
 
 struct comet_socket_events
 {
-	/** The connection asked for is there. */
+	/** The connection is established. */
 	void (*connected)(void *ctx);
 	/** Bytes arrived. */
 	void (*data)(void *ctx, const char *data, size_t length);
-	/** Nothing more comes; orderly: the other side ended its stream, else it broke. */
+	/** The connection has ended. orderly: the peer closed its direction; otherwise it broke. */
 	void (*closed)(void *ctx, bool orderly);
 	/** The queue of bytes to write has become empty; may be NULL. */
 	void (*drained)(void *ctx);
@@ -31,59 +31,60 @@
 bool
 comet_socket_parse_address(const char *text, struct sockaddr_in *address);
 
-/** Takes over an accepted descriptor. Free with talloc_free: closes at once. */
+/** Takes ownership of an accepted descriptor. talloc_free() closes it at once. */
 struct comet_socket *
 comet_socket_accepted(void *parent, struct tevent_context *ev, int fd,
 	const struct comet_socket_events *events, void *ctx);
 
-/** Starts connecting; NULL, errno set, when that cannot even start. */
+/** Starts to connect. @return NULL and sets errno if the attempt cannot start. */
 struct comet_socket *
 comet_socket_connect(void *parent, struct tevent_context *ev, const struct sockaddr_in *address,
 	const struct comet_socket_events *events, void *ctx);
 
-/** Writes now what fits and queues the rest. */
+/** Writes as much as the kernel accepts and queues the rest. */
 void
 comet_socket_write(struct comet_socket *socket, const char *data, size_t length);
 
-/** Bytes queued and not yet taken by the kernel. */
+/** @return the number of queued bytes that the kernel has not accepted yet. */
 size_t
 comet_socket_queued(const struct comet_socket *socket);
 
-/** Counts its bytes from now on, until it is freed. */
+/** Sets the counters to which its bytes are added from now on. */
 void
 comet_socket_count(struct comet_socket *socket, struct comet_byte_counters *bytes);
 
-/** Stops or goes on reading. */
+/** Stops or resumes reading. */
 void
 comet_socket_pause(struct comet_socket *socket, bool paused);
 
-/** Ends our direction once the queue is written; reading goes on. */
+/** Closes this direction once the queue is written; reading continues. */
 void
 comet_socket_shutdown(struct comet_socket *socket);
 
-/** @return the errno with which a connection could not be had; 0: none is known. */
+/** @return the errno of a failed connection attempt, or 0. */
 int
 comet_socket_error(const struct comet_socket *socket);
 
-/** @return whether an idle connection still stands and nothing unread waits on it. */
+/** @return whether an idle connection is open and has no unread data. */
 bool
 comet_socket_is_quiet(const struct comet_socket *socket);
 
-/** @return whether the kernel holds what the loop has not told yet: bytes, an end, a connection. */
+/** @return whether the kernel has an event that the loop has not delivered yet: data, the end of
+ * the stream, or an established connection. */
 bool
 comet_socket_has_pending_events(const struct comet_socket *socket);
 
-/** Looks, while nothing comes, whether the other side is still there: a connection that has gone
- * silent for good breaks within about two seconds, however long its answer may take. */
+/** Enables keep-alive probes. A connection whose peer has become unreachable then breaks within
+ * about two seconds, even while a response is awaited. */
 void
 comet_socket_probe(struct comet_socket *socket);
 
-/** Until an orderly shutdown, any close resets the connection, also that of a killed process: what
- * is queued is lost, and no end looks orderly. */
+/** Makes any close before an orderly shutdown reset the connection, even if the process is killed:
+ * queued bytes are lost, and the end never looks orderly. */
 void
 comet_socket_set_reset(struct comet_socket *socket);
 
-/** Opens a listening socket; -1 and errno when it cannot be had. */
+/** Opens a listening socket. @return -1 and sets errno on failure. */
 int
 comet_socket_listen(const struct sockaddr_in *address);
 
--- a/libcometspindle/adapters/timers.h
+++ b/libcometspindle/adapters/timers.h
@@ -3,7 +3,7 @@
  * one-shot timers on a clock that counts suspension, for a tevent loop
  *
  * tevent's own timers follow the wall clock, which may be stepped while the
- * daemon runs; these sit on one timerfd and never notice a step.
+ * daemon runs; these use one timerfd and are not affected by a step.
  */
 #ifndef COMETSPINDLE_ADAPTERS_TIMERS_H
 #define COMETSPINDLE_ADAPTERS_TIMERS_H
@@ -17,7 +17,7 @@
 /** Called once when the timer is due; the timer is freed already. */
 typedef void (*comet_timer_handler)(void *ctx);
 
-/** NULL, with errno set, when no timerfd is to be had. */
+/** @return NULL and sets errno if no timerfd can be created. */
 struct comet_timers *
 comet_timers_create(void *parent, struct tevent_context *ev);
 
@@ -30,13 +30,13 @@
 void
 comet_timer_cancel(struct comet_timer **timer);
 
-/** Calls no timer for so long: after this process was away, what arrived meanwhile is handled
- * before the timers that fell due. */
+/** Delays all timers by this time. After a pause of the process, input that has arrived is then
+ * handled before the timers that are due. */
 void
 comet_timers_hold(struct comet_timers *timers, uint64_t for_us);
 
-/** Microseconds of the clock that all control and traffic goes by: it is never set, and counts the
- * time in which the VM was suspended. */
+/** @return microseconds of the clock that all modules use. It is never set, and it counts the time
+ * for which the VM was suspended. */
 uint64_t
 comet_timers_now_us(void);
 
--- a/libcometspindle/log.h
+++ b/libcometspindle/log.h
@@ -29,11 +29,11 @@
 void
 comet_log_set_level(enum comet_log_level threshold);
 
-/** Bounds the volume: so many lines a second; 0: no bound. What is left out is told in a line. */
+/** Limits the lines per second; 0: no limit. One line sums up those that are left out. */
 void
 comet_log_set_budget(unsigned int lines_per_s);
 
-/** Tells what was left out, if a second has passed; call now and then. */
+/** Writes the line that sums up what was left out, if a second has passed. Call it regularly. */
 void
 comet_log_tick(void);
 
@@ -46,8 +46,8 @@
 comet_log(enum comet_log_level level, const char *format, ...)
 	__attribute__((format(printf, 2, 3)));
 
-/** Writes one line of an event that peers report in large numbers: a few of each a second, all of
- * them at threshold debug. The others are summed up with the lines left out. */
+/** Writes one line of an event that peers report in large numbers: a few per second and event, or
+ * all of them at level debug. The others are summed up with the lines that are left out. */
 void
 comet_log_repeated(enum comet_log_level level, const char *format, ...)
 	__attribute__((format(printf, 2, 3)));
--- a/libcometspindle/log_budget.c
+++ b/libcometspindle/log_budget.c
@@ -1,23 +1,23 @@
 /*
  * log_budget.c
- * how many log lines may be written, and what is told of those that were not
+ * limits the rate of log lines, and sums up the lines that are left out
  */
 #include <libcometspindle/log_budget.h>
 
 #include <stdio.h>
 #include <string.h>
 
-/* Part of a second's lines that only weighty ones may use. */
+/* Fraction of the lines per second that is reserved for important ones. */
 #define KEPT_PART 0.33
 
-/* What was left out is told this often. */
+/* Interval of the lines that sum up what was left out. */
 #define SUMMARY_US 1000000
 
-/* Lines a second of an event that peers report in large numbers. */
+/* Lines per second of an event that peers report in large numbers. */
 #define REPEATED_PER_S 8
 #define REPEATED_WINDOW_US 1000000
 
-/* Event of lines beyond the kinds that are counted apart. */
+/* Event name for lines beyond the kinds that are counted separately. */
 #define OTHER_EVENT "other"
 
 void
@@ -45,7 +45,7 @@
 	return true;
 }
 
-/* Copies the value of key from a line of key=value pairs; "" when it has none. */
+/* Copies the value of a key from a line of key=value pairs; "" if the line lacks the key. */
 static void
 copy_value(const char *line, const char *key, char *value, size_t size)
 {
@@ -78,7 +78,7 @@
 	return kind;
 }
 
-/* @return the counter of an event in this second; NULL when there are too many events. */
+/* @return the counter of an event in this second, or NULL if there are too many events. */
 static struct comet_log_repeated *
 repeated_of(struct comet_log_budget *budget, const char *event)
 {
--- a/libcometspindle/log_budget.h
+++ b/libcometspindle/log_budget.h
@@ -1,9 +1,9 @@
 /*
  * log_budget.h
- * how many log lines may be written, and what is told of those that were not
+ * limits the rate of log lines, and sums up the lines that are left out
  *
- * Plain state and a clock that is passed in. Lines of less weight stop first:
- * the last third of a budget is kept for lines about what failed.
+ * The caller passes the time. The last third of a budget is reserved for lines
+ * about failures, so that other lines are left out first.
  */
 #ifndef COMETSPINDLE_LOG_BUDGET_H
 #define COMETSPINDLE_LOG_BUDGET_H
@@ -12,14 +12,14 @@
 #include <stddef.h>
 #include <stdint.h>
 
-/** Kinds of lines that are counted apart; further ones are counted together. */
+/** Kinds of lines that are counted separately; further ones are counted together. */
 #define COMET_LOG_KINDS 16
 
 /** Lines of one event that were left out. */
 struct comet_log_suppressed
 {
 	char event[32];
-	char sample[64]; /**< id of one request among them; "" when none was named */
+	char sample[64]; /**< id of one request among them; "" if none had one */
 	uint64_t count;
 };
 
@@ -35,7 +35,7 @@
 	double lines_per_s; /**< 0: no bound */
 	double level;       /**< lines that may be written now */
 	uint64_t filled_us;
-	uint64_t summed_us; /**< when what was left out was last told */
+	uint64_t summed_us; /**< when lines that were left out were last summed up */
 	struct comet_log_suppressed suppressed[COMET_LOG_KINDS];
 	size_t n_suppressed;
 	struct comet_log_repeated repeated[COMET_LOG_KINDS];
@@ -43,24 +43,24 @@
 	uint64_t repeated_us; /**< start of the current second */
 };
 
-/** Sets the bound; a second's lines may be written at once. */
+/** Sets the bound. The lines of one second may be written at once. */
 void
 comet_log_budget_init(struct comet_log_budget *budget, uint32_t lines_per_s, uint64_t now_us);
 
-/** May this line be written? weighty: it is about something that failed or changed. */
+/** @return whether a line may be written. weighty: it reports a failure or a change. */
 bool
 comet_log_budget_take(struct comet_log_budget *budget, bool important, uint64_t now_us);
 
-/** May this line be written, of an event that peers report in large numbers? Each event has a few
- * lines a second. */
+/** @return whether a line of an event that peers report in large numbers may be written. Each event
+ * has a few lines per second. */
 bool
 comet_log_budget_take_repeated(struct comet_log_budget *budget, const char *line, uint64_t now_us);
 
-/** This line was not written, whatever the reason. */
+/** Counts a line that was not written. */
 void
 comet_log_budget_suppress(struct comet_log_budget *budget, const char *line);
 
-/** Once a second: writes what was left out as one line. @return false when there is nothing. */
+/** Writes one line that sums up what was left out, once a second. @return false if nothing was. */
 bool
 comet_log_budget_summary(struct comet_log_budget *budget, char *line, size_t size, uint64_t now_us);
 
