--- a/libcometspindle/adapters/callers/http_server.c
+++ b/libcometspindle/adapters/callers/http_server.c
@@ -15,32 +15,32 @@
 #include <talloc.h>
 #include <unistd.h>
 
-/* Bytes of a next request that are taken in while one is open: one usual head and body. */
+/* Bytes of the next request that are read while one is open: a usual head and body. */
 #define READ_AHEAD_BYTES (64 * 1024)
 
-/* While so many bytes of answers wait for a caller to read them, its next request is not looked at:
- * a caller that sent requests for metrics and read nothing had 100 MB of answers a second kept. */
+/* While this many bytes of responses are unsent, the next request of the caller is not parsed. A
+ * caller that requested metrics and read nothing made the VM buffer 100 MB per second. */
 #define ANSWERS_WAITING_BYTES (64 * 1024)
 
-/* After an early answer: how long the rest of a request is read and thrown away, so that the
- * answer is not lost to a reset. A second covers any round trip between caller and VM. */
+/* Time for which the rest of a request is read and discarded after an early response, so that a
+ * reset does not destroy the response. It covers any round trip between caller and VM. */
 #define LINGER_US 1000000
 
-/* A caller that takes nothing of its last answer for so long is gone. */
+/* A caller that reads nothing of its last response for this time is considered gone. */
 #define STALLED_US 5000000
 
-/* Connections accepted in one turn of the loop; the rest wait for the next turn. */
+/* Connections accepted in one iteration of the event loop. */
 #define ACCEPTS_PER_TURN 32
 
-/* Descriptors running out: accepting is tried again after this time. */
+/* Delay before accepting again after the descriptors ran out. */
 #define ACCEPT_RETRY_US 50000
 
 enum connection_state
 {
-	CONNECTION_READING,   /* a request, or the pause before one */
-	CONNECTION_OPEN,      /* a request is handed over and not answered in full */
-	CONNECTION_ENDING,    /* the last answer is being written */
-	CONNECTION_LINGERING, /* it is written: reading to the caller's end */
+	CONNECTION_READING,   /* reading a request, or idle */
+	CONNECTION_OPEN,      /* a request is open: its response is not complete */
+	CONNECTION_ENDING,    /* the last response is being written */
+	CONNECTION_LINGERING, /* the last response is written: waiting until the caller closes */
 };
 
 struct comet_http_server
@@ -53,7 +53,7 @@
 	void *ctx;
 	struct comet_http_limits limits;
 	struct comet_http_server_counts counts;
-	struct comet_byte_counters *bytes; /* of connections; NULL: not counted */
+	struct comet_byte_counters *bytes; /* counters for connections; NULL: none */
 	GHashTable *connections;
 	int fd;
 	bool closing;
@@ -68,16 +68,16 @@
 	struct comet_timer *timer;
 	GByteArray *ahead; /* read and not yet parsed */
 	GByteArray *body;
-	size_t unsent_bytes; /* of the last answer, when its progress was last looked at */
+	size_t unsent_bytes; /* unsent bytes of the last response at the last check */
 	enum connection_state state;
 	bool got_byte;   /* a request has begun to arrive */
 	bool got_head;   /* its head is complete */
 	bool complete;   /* it is complete */
 	bool keep_alive; /* the caller allows another request */
 	bool too_large;  /* its body is over the limit */
-	bool chunked;    /* the answer goes out in chunks */
-	bool no_body;    /* the answer carries none: HEAD, 204, 304 */
-	bool started;    /* the answer's head is out */
+	bool chunked;    /* the response is chunked */
+	bool no_body;    /* the response has no body: HEAD, 204, 304 */
+	bool started;    /* the head of the response is sent */
 	bool parsing;    /* inside read_on() */
 };
 
@@ -115,7 +115,7 @@
 	drop(connection);
 }
 
-/* The last answer of this connection is written. */
+/* Handles the end of the last response of a connection. */
 static void
 linger(struct connection *connection)
 {
@@ -144,7 +144,7 @@
 	drop(connection);
 }
 
-/* A slow caller gets its last answer whole, however long that takes. */
+/* A slow caller receives its complete last response, however long that takes. */
 static void
 watch_progress(struct connection *connection)
 {
@@ -154,7 +154,7 @@
 		STALLED_US, on_progress_due, connection);
 }
 
-/* No further request is taken from this connection. */
+/* Accepts no further request on this connection. */
 static void
 end_connection(struct connection *connection)
 {
@@ -168,7 +168,7 @@
 	watch_progress(connection);
 }
 
-/* Does the caller read its answers? */
+/* @return whether the caller reads its responses. */
 static bool
 is_read(const struct connection *connection)
 {
@@ -184,7 +184,7 @@
 	struct connection *connection = ctx;
 
 	connection->timer = NULL;
-	/* After this process was stopped, timers come before the requests that arrived meanwhile.
+	/* After a pause of this process, timers fire before requests that have arrived are read.
 	 */
 	if (is_read(connection) && comet_socket_has_pending_events(connection->socket))
 	{
@@ -246,7 +246,7 @@
 static const struct comet_http_reader_events reader_events = {
 	.head = on_head, .body = on_body, .end = on_end};
 
-/* Refuses what is not a proper request; the connection cannot be used further. */
+/* Refuses a malformed request; the connection is closed after that. */
 static void
 refuse_malformed(struct connection *connection, unsigned int status)
 {
@@ -269,7 +269,7 @@
 	http_server->events->request(http_server->ctx, &connection->request);
 }
 
-/* Parses what has arrived. @return false when there is nothing more to do now. */
+/* Parses buffered bytes. @return false if nothing more can be done now. */
 static bool
 parse_some(struct connection *connection)
 {
@@ -304,12 +304,12 @@
 	return true;
 }
 
-/* Goes on parsing until a request is open or the bytes are used up. */
+/* Parses until a request is open or all bytes are consumed. */
 static void
 read_on(struct connection *connection)
 {
 	if (connection->parsing)
-		return; /* an answer was given from within: the loop below goes on */
+		return; /* a handler responded during the call: the loop below continues */
 	connection->parsing = true;
 	while (parse_some(connection))
 		;
@@ -424,7 +424,7 @@
 	GList *all = g_hash_table_get_keys(http_server->connections);
 
 	for (GList *at = all; at != NULL; at = at->next)
-		talloc_free(at->data); /* takes itself out of the table */
+		talloc_free(at->data); /* it removes itself from the table */
 	g_list_free(all);
 	g_hash_table_destroy(http_server->connections);
 	comet_http_server_stop_listening(http_server);
@@ -559,7 +559,8 @@
 	if (unknown && head->http_1_0)
 	{
 		connection->keep_alive = false;
-		/* The kernel's close for a killed process would look like the answer's end. */
+		/* If the process is killed, the kernel's close must not look like the end of the
+		 * response. */
 		comet_socket_set_reset(connection->socket);
 	}
 	g_string_append_printf(out, "HTTP/1.1 %u %s\r\n", status,
@@ -605,8 +606,8 @@
 
 	if (connection->chunked)
 		comet_socket_write(connection->socket, "0\r\n\r\n", 5);
-	/* One that was told it may stay is closed all the same once nothing more is accepted: what
-	 * it sends from now on would be taken by a process that is about to end. */
+	/* Once nothing more is accepted, a connection is closed even if its caller may keep it: a
+	 * further request would reach a process that is about to end. */
 	if (!connection->keep_alive || connection->http_server->listener == NULL)
 	{
 		end_connection(connection);
@@ -636,7 +637,7 @@
 void
 comet_http_server_abort_response(struct comet_http_server_request *request)
 {
-	/* Chunks, lengths and a reset show that the end is missing. */
+	/* The missing last chunk, the length or the reset shows that the response is incomplete. */
 	drop(connection_of(request));
 }
 
--- a/libcometspindle/adapters/callers/worker.c
+++ b/libcometspindle/adapters/callers/worker.c
@@ -13,7 +13,7 @@
 #include <talloc.h>
 
 #define IDLE_TIMEOUT_S 30
-/* Callers that left while they waited are noticed this often. */
+/* Interval of the check for callers that disconnected while they waited. */
 #define SWEEP_US 100000ULL
 /* One address may have this part of a thread's connections. */
 #define IP_SHARE_DIVISOR 2
@@ -81,12 +81,12 @@
 	default:
 		if (call->closed)
 			return MHD_NO;
-		comet_call_suspend(call); /* woken for nothing */
+		comet_call_suspend(call); /* a spurious wake-up */
 		return MHD_YES;
 	}
 }
 
-/* The caller left: nothing that may not be repeated is cut off because of it. */
+/* Handles a caller that disconnected. Calls that must not be repeated continue. */
 static void
 caller_left(struct comet_call *call)
 {
@@ -94,7 +94,7 @@
 	{
 		if (call->once && call->is_service)
 		{
-			/* held back for the caller alone: nobody else would let it go on */
+			/* paused for a slow caller, so that only this resumes it */
 			comet_endpoint_call_resume(call->upstream);
 			return;
 		}
@@ -131,7 +131,7 @@
 		comet_call_dispatch(call, endpoint);
 	else
 	{
-		/* the caller left in between: no byte was sent */
+		/* the caller disconnected meanwhile: no byte was sent */
 		struct comet_control_message *back = g_new0(struct comet_control_message, 1);
 		back->kind = COMET_CONTROL_FINISHED;
 		back->request = message->request;
@@ -200,7 +200,7 @@
 	return got == 0 || (got < 0 && errno != EAGAIN && errno != EINTR);
 }
 
-/* A suspended connection is not watched by libmicrohttpd: look for callers that left. */
+/* Looks for callers that disconnected: libmicrohttpd does not watch suspended connections. */
 static void
 on_sweep(struct tevent_context *ev, struct tevent_timer *timer, struct timeval now, void *data)
 {
@@ -306,7 +306,7 @@
 {
 	if (worker->thread != NULL)
 		g_thread_join(worker->thread);
-	TALLOC_FREE(worker->http); /* ends what is open, while the rest still stands */
+	TALLOC_FREE(worker->http); /* ends open calls while the other parts still exist */
 	talloc_free(worker->ev);
 	g_hash_table_destroy(worker->calls);
 	g_hash_table_destroy(worker->per_team);
--- a/libcometspindle/adapters/callers/worker_private.h
+++ b/libcometspindle/adapters/callers/worker_private.h
@@ -34,21 +34,21 @@
 	bool quiesced; /**< new calls are refused */
 };
 
-/** Where a caller's call stands. */
+/** State of a call. */
 enum comet_call_state
 {
-	COMET_CALL_READING,    /**< the body still comes in */
+	COMET_CALL_READING,    /**< the body is being read */
 	COMET_CALL_WAITING,    /**< submitted; the connection is suspended */
-	COMET_CALL_RESPONDING, /**< the endpoint's head is here; to be queued */
-	COMET_CALL_REFUSED,    /**< the control thread refused it; to be queued */
+	COMET_CALL_RESPONDING, /**< the endpoint's head has arrived; the response is to be queued */
+	COMET_CALL_REFUSED,    /**< the control thread refused it; the refusal is to be queued */
 	COMET_CALL_STREAMING,  /**< the response is queued, data flows */
 };
 
-/** One caller's call. */
+/** A request of a caller. */
 struct comet_call
 {
 	struct comet_worker *worker;
-	struct MHD_Connection *connection; /**< NULL: the caller left */
+	struct MHD_Connection *connection; /**< NULL: the caller disconnected */
 	enum comet_call_state state;
 	bool suspended;
 	bool counted;                      /**< in per_team */
@@ -76,7 +76,7 @@
 	bool upstream_over;
 	bool whole;
 	bool answered; /**< one answer per request */
-	bool closed;   /**< the caller closed while it waited */
+	bool closed;   /**< the caller disconnected while it waited */
 	enum comet_refusal refusal;
 	enum comet_verdict verdict;
 	uint32_t retry_after_ms;
@@ -86,15 +86,15 @@
 
 /* worker_call.c and worker_refuse.c */
 
-/** The whole body is here: parse, check, submit. */
+/** Parses, checks and submits a call whose body is complete. */
 enum MHD_Result
 comet_call_begin(struct comet_call *call, const char *url);
 
-/** Sets the connection aside until comet_call_wake(). */
+/** Suspends the connection until comet_call_wake(). */
 void
 comet_call_suspend(struct comet_call *call);
 
-/** Lets libmicrohttpd look at the call again. */
+/** Resumes the connection. */
 void
 comet_call_wake(struct comet_call *call);
 
@@ -109,7 +109,7 @@
 
 /* worker_response.c */
 
-/** Queues the endpoint's answer. */
+/** Queues the endpoint's response. */
 enum MHD_Result
 comet_call_respond(struct comet_call *call);
 
@@ -117,17 +117,17 @@
 void
 comet_call_dispatch(struct comet_call *call, const struct comet_endpoint *endpoint);
 
-/** Tells the control thread that nobody waits for the call any more. */
+/** Reports to the control thread that the caller has disconnected. */
 void
 comet_call_withdraw(struct comet_call *call);
 
-/** Frees a call whose connection and dispatch are both over. */
+/** Frees a call whose connection and dispatch have both ended. */
 void
 comet_call_free_if_over(struct comet_call *call);
 
 /* worker_pages.c */
 
-/** GET answers that need no call: entries, status, metrics, health. */
+/** Responds to GET requests that need no call: entries, status, metrics, health. */
 enum MHD_Result
 comet_worker_respond_page(
 	struct comet_worker *worker, struct MHD_Connection *connection, const char *url);
--- a/libcometspindle/adapters/callers/worker_refuse.c
+++ b/libcometspindle/adapters/callers/worker_refuse.c
@@ -1,6 +1,6 @@
 /*
  * worker_refuse.c
- * what each step of a call needs: to tell the control thread, to refuse, to wait and to be woken
+ * helpers for calls: messages to the control thread, refusals, suspending and resuming
  */
 #include <libcometspindle/adapters/callers/worker_private.h>
 
--- a/libcometspindle/adapters/callers/worker_response.c
+++ b/libcometspindle/adapters/callers/worker_response.c
@@ -8,9 +8,9 @@
 #include <string.h>
 #include <talloc.h>
 
-/* Answers held for a slow caller before the endpoint is paused. */
+/* Bytes buffered for a slow caller before reading from the endpoint is paused. */
 #define OUT_HIGH_BYTES (64 * 1024)
-/* A dispatch is ended when it is over its deadline by this. */
+/* A dispatch is ended this long after its deadline. */
 #define GRACE_MS 60000ULL
 
 static void
@@ -36,7 +36,7 @@
 	comet_call_wake(call);
 }
 
-/* A slow caller leaves some bytes at all times: what it has read must not wait for them. */
+/* A slow caller always leaves some bytes unread; those that it has read are freed anyway. */
 static void
 drop_read(struct comet_call *call)
 {
@@ -52,7 +52,7 @@
 	struct comet_call *call = ctx;
 
 	if (call->connection == NULL)
-		return true; /* the caller left; the call runs to its end for its own sake */
+		return true; /* the caller disconnected; the call must still run to its end */
 	if (out_length(call) > OUT_HIGH_BYTES)
 		return false;
 	drop_read(call);
@@ -130,7 +130,7 @@
 		/* not run: the control thread dispatches it again or refuses it */
 		call->endpoint_id = 0;
 		if (call->connection == NULL)
-			comet_call_withdraw(call); /* there is nobody to run it for */
+			comet_call_withdraw(call); /* the caller has disconnected */
 		comet_call_free_if_over(call);
 		return;
 	}
@@ -138,7 +138,7 @@
 	call->upstream_over = true;
 	call->whole = whole;
 	if (call->state == COMET_CALL_WAITING)
-		call->state = COMET_CALL_RESPONDING; /* it failed before a head came */
+		call->state = COMET_CALL_RESPONDING; /* it failed before the head arrived */
 	comet_call_wake(call);
 	comet_call_free_if_over(call);
 }
@@ -171,7 +171,7 @@
 	g_free(resume_url);
 }
 
-/* --- what goes to the caller --- */
+/* --- the response to the caller --- */
 
 static void
 out_consume(struct comet_call *call, size_t length)
@@ -195,7 +195,7 @@
 	if (length == 0)
 	{
 		if (call->upstream_over)
-			/* an answer that ended early must not look whole */
+			/* an incomplete response must not look complete */
 			return call->whole ? MHD_CONTENT_READER_END_OF_STREAM
 					   : MHD_CONTENT_READER_END_WITH_ERROR;
 		if (call->closed) /* libmicrohttpd would notice only at the next event */
@@ -228,14 +228,14 @@
 enum MHD_Result
 comet_call_respond(struct comet_call *call)
 {
-	if (call->status == 0) /* no head ever came, and bytes had left */
+	if (call->status == 0) /* no head arrived, and bytes were sent */
 		return comet_call_refuse(
 			call, COMET_REFUSAL_ENDPOINT_FAILED, COMET_VERDICT_MAY_HAVE_RUN, NULL, 0);
 	if (call->answered)
 		comet_violation("answered_twice", "request=%s", call->id);
 	call->answered = true;
 	call->state = COMET_CALL_STREAMING;
-	/* a short answer that is whole already goes with its length */
+	/* a short response that is already complete is sent with its length */
 	struct MHD_Response *response =
 		call->upstream_over && call->whole
 			? MHD_create_response_from_buffer(out_length(call),
--- a/libcometspindle/adapters/http_reader.c
+++ b/libcometspindle/adapters/http_reader.c
@@ -9,8 +9,8 @@
 #include <strings.h>
 #include <talloc.h>
 
-/* Bytes of a header beside its name and value: a colon and a line's end. A head of headers without
- * any would else be counted as less than a hundredth of the memory that it takes. */
+/* Bytes counted for each header in addition to its name and value. Otherwise a head of empty
+ * headers would count as less than a hundredth of its memory. */
 #define HEADER_FRAME_BYTES 3
 
 struct comet_http_reader
@@ -20,15 +20,15 @@
 	void *ctx;
 	size_t max_head_bytes;
 	size_t head_bytes;
-	struct comet_http_head *head; /* being collected, or that of the message being read */
+	struct comet_http_head *head; /* head being collected, or that of the message being read */
 	GString *text;                /* target or reason being collected */
 	GString *name;
 	GString *value;
 	bool in_value; /* the last header callback was for a value */
 	bool inside;
-	bool past_head; /* what comes as headers now follows the body */
+	bool past_head; /* further headers are trailers, after the body */
 	bool too_big;
-	bool bad; /* a header that is none */
+	bool bad; /* an invalid header */
 };
 
 const char *
@@ -52,7 +52,7 @@
 	return count;
 }
 
-/* Is name one of the comma-separated words of list? */
+/* @return whether name is one of the comma-separated words of list. */
 static bool
 list_names(const char *list, const char *name)
 {
@@ -135,8 +135,8 @@
 	return count_head(reader, length);
 }
 
-/* Is this a header's name as RFC 9110 has it? The parser also takes blanks in it, by which one
- * side may see a length that the other does not. */
+/* @return whether a name is a valid header name of RFC 9110. The parser also accepts blanks, with
+ * which one side may see a length that the other ignores. */
 static bool
 is_token(const GString *name)
 {
@@ -160,7 +160,7 @@
 	return true;
 }
 
-/* Takes over the header that is complete now. */
+/* Stores the header that is now complete. */
 static void
 finish_header(struct comet_http_reader *reader)
 {
@@ -184,7 +184,7 @@
 {
 	struct comet_http_reader *reader = parser->data;
 
-	/* What follows a body is read past: nobody has looked at it when the head is acted on. */
+	/* Trailers are ignored: they arrive after the head was acted on. */
 	if (reader->past_head)
 		return count_head(reader, length);
 	if (reader->in_value)
@@ -296,7 +296,7 @@
 	reader->max_head_bytes = max_head_bytes;
 }
 
-/* What became of a call of the parser. */
+/* Result of a call of the parser. */
 static enum comet_http_reader_result
 result_of(struct comet_http_reader *reader)
 {
