--- a/libcometspindle/adapters/daemon/daemon.c
+++ b/libcometspindle/adapters/daemon/daemon.c
@@ -1,6 +1,6 @@
 /*
  * daemon.c
- * the whole daemon: one control thread around a node, and traffic threads
+ * the daemon: a control thread that runs a node, and worker threads
  */
 #include <libcometspindle/adapters/daemon/daemon.h>
 
@@ -26,7 +26,7 @@
 #define CUT_PERIOD_US 200000ULL
 /* Other VMs learn so late of a stop, by heartbeat or list, and may send callers here until then. */
 #define STOP_MARGIN_US 3000000ULL
-/* Requests are numbered from the start time on, so that no number comes twice. */
+/* Request numbers begin at the start time, so that none is used twice. */
 #define FIRST_REQUEST_SHIFT 20
 #define FIRST_REQUEST_MASK 0xFFFFFULL
 
@@ -184,7 +184,7 @@
 
 	if (!comet_node_offer_bundle(daemon->node, signed_document, comet_clock_now(), &error))
 	{
-		/* an old version is what a stale service gives: nothing to shout about */
+		/* a stale service returns an old version, which is no fault */
 		comet_log(error->code == COMET_ERROR_STATE ? COMET_LOG_DEBUG : COMET_LOG_ERR,
 			"event=bundle_refused source=platform reason=\"%s\"", error->message);
 		g_clear_error(&error);
@@ -526,7 +526,7 @@
 	tell_traffic(daemon, COMET_WORKER_EXIT);
 	for (uint32_t i = 0; i < daemon->n_workers; i++)
 		comet_worker_destroy(daemon->worker[i]);
-	/* polls and watches end before the loop that carries them */
+	/* polls and watches end before their loop */
 	TALLOC_FREE(daemon->load_poller);
 	TALLOC_FREE(daemon->curl);
 	TALLOC_FREE(daemon->platform);
--- a/libcometspindle/adapters/daemon/daemon_private.h
+++ b/libcometspindle/adapters/daemon/daemon_private.h
@@ -32,7 +32,7 @@
 	char *caller_address; /**< own, from the platform's list */
 	bool flush_scheduled;
 	bool publish_now;
-	const char *not_ready; /**< as last looked at; a constant text or NULL */
+	const char *not_ready; /**< at the last check; a constant text or NULL */
 	uint64_t published_us;
 	uint64_t reported_us;
 	uint64_t cut_us;
--- a/libcometspindle/adapters/daemon/mailbox.c
+++ b/libcometspindle/adapters/daemon/mailbox.c
@@ -1,6 +1,6 @@
 /*
  * mailbox.c
- * a queue of messages into one thread's event loop
+ * a message queue to the event loop of one thread
  */
 #include <libcometspindle/adapters/daemon/mailbox.h>
 
--- a/libcometspindle/adapters/daemon/mailbox.h
+++ b/libcometspindle/adapters/daemon/mailbox.h
@@ -1,6 +1,6 @@
 /*
  * mailbox.h
- * a queue of messages into one thread's event loop
+ * a message queue to the event loop of one thread
  */
 #ifndef COMETSPINDLE_ADAPTERS_MAILBOX_H
 #define COMETSPINDLE_ADAPTERS_MAILBOX_H
@@ -12,7 +12,8 @@
 /** Called in the owning thread for each message, then with NULL once the batch is done. */
 typedef void (*comet_mailbox_handler)(void *ctx, void *message);
 
-/** Creates a mailbox; before its thread runs, or in it. NULL when no eventfd is to be had. */
+/** Creates a mailbox, before its thread runs or in that thread. @return NULL if no eventfd can be
+ * created. */
 struct comet_mailbox *
 comet_mailbox_create(
 	void *parent, struct tevent_context *ev, comet_mailbox_handler handler, void *ctx);
--- a/libcometspindle/adapters/daemon/state_snapshot.c
+++ b/libcometspindle/adapters/daemon/state_snapshot.c
@@ -1,6 +1,6 @@
 /*
  * state_snapshot.c
- * what the control thread publishes to the traffic threads: immutable, counted
+ * the immutable, reference-counted state that the control thread publishes to the worker threads
  */
 #include <libcometspindle/adapters/daemon/state_snapshot.h>
 
--- a/libcometspindle/adapters/daemon/state_snapshot.h
+++ b/libcometspindle/adapters/daemon/state_snapshot.h
@@ -1,6 +1,6 @@
 /*
  * state_snapshot.h
- * what the control thread publishes to the traffic threads: immutable, counted
+ * the immutable, reference-counted state that the control thread publishes to the worker threads
  */
 #ifndef COMETSPINDLE_ADAPTERS_STATE_SNAPSHOT_H
 #define COMETSPINDLE_ADAPTERS_STATE_SNAPSHOT_H
--- a/libcometspindle/adapters/endpoints/endpoint_call.c
+++ b/libcometspindle/adapters/endpoints/endpoint_call.c
@@ -1,6 +1,6 @@
 /*
  * endpoint_call.c
- * one dispatch to an endpoint over HTTP: sent at most once, resumed when cut
+ * one dispatch to an endpoint over HTTP, sent at most once and resumed after an interruption
  *
  * Our assumption of the wire form: the answer of an OpenAI-style server. 429
  * and 503 are the documented refusals: the request was not run. A stream ends
@@ -22,15 +22,15 @@
 #define CONNECT_TIMEOUT_MS 1000L
 #define RESUMES_MAX 3
 #define WATCH_PERIOD_US 250000ULL
-/* A stream without a byte for so long is silent. */
+/* A stream is silent after this time without data. */
 #define SILENT_US 1000000ULL
-/* Progress is told when a stretch was slower than the running mean by this factor. */
+/* A stream is reported as slow when its recent speed is below the mean by this factor. */
 #define SLOW_FACTOR 2
 #define SLOW_EVENTS_MIN 2
 #define STREAM_STATUS 200
 #define DONE_MARK "data: [DONE]"
 #define EVENT_MARK "data:"
-/* End of a stream that is kept, to know the done event and the run by. */
+/* Last bytes of a stream, by which the done event and the run are recognized. */
 #define TAIL_BYTES COMET_STREAM_OVERLAP_BYTES
 
 struct comet_endpoint_call
@@ -152,12 +152,12 @@
 	call->told_head = true;
 	call->is_error = call->streaming && status != STREAM_STATUS;
 	if (call->is_error)
-		call->overlap = 0; /* it holds nothing of the stream */
+		call->overlap = 0; /* the response contains no part of the stream */
 	call->type = talloc_strdup(call, answer_type(call));
 	call->events->head(call->ctx, (unsigned int)status, call->type);
 }
 
-/* The answer to a resume is part of the stream only when it is the stream. */
+/* A response to a resume continues the stream only if it is of the same run. */
 static bool
 resume_accepted(const struct comet_endpoint_call *call)
 {
@@ -169,8 +169,8 @@
 	return status == STREAM_STATUS && strcmp(answer_type(call), call->type) == 0;
 }
 
-/* Whether a resume begins with what came last: one that starts anew, or is of another run, does
- * not. What a caller holds that resumes is not known here. */
+/* @return whether a resumed stream begins with the last bytes received. One that starts over or
+ * belongs to another run does not. The bytes of a caller that resumes are unknown here. */
 static bool
 is_same_run(const struct comet_endpoint_call *call, const char *data, size_t length)
 {
@@ -211,7 +211,7 @@
 	if (length > known && !call->events->data(call->ctx, data + known, length - known))
 	{
 		call->paused = true;
-		return CURL_WRITEFUNC_PAUSE; /* libcurl hands the same part over again */
+		return CURL_WRITEFUNC_PAUSE; /* libcurl passes the same part again */
 	}
 	if (call->resumes == 0)
 		keep_tail(call, data, known);
@@ -221,7 +221,7 @@
 	return length;
 }
 
-/* Looks at progress now and then; a slowdown is told while the stream still runs. */
+/* Checks the progress regularly, so that a slowdown is reported while the stream runs. */
 static void
 on_watch(struct tevent_context *ev, struct tevent_timer *timer, struct timeval now, void *data)
 {
@@ -262,7 +262,7 @@
 	if (call->first_us == 0)
 		return;
 	sample->first_token_us = (uint32_t)(call->first_us - call->started_us);
-	/* the done event is no token */
+	/* the done event is not a token */
 	uint32_t tokens = call->n_events > 0 ? call->n_events - 1 : 0;
 	sample->output_tokens = tokens;
 	if (tokens > 1)
@@ -360,7 +360,7 @@
 			call->received - call->overlap);
 		curl_easy_setopt(call->easy, CURLOPT_HTTPGET, 1L);
 		curl_easy_setopt(call->easy, CURLOPT_URL, url);
-		/* to libcurl 0 is no end at all */
+		/* libcurl takes 0 as no timeout */
 		curl_easy_setopt(call->easy, CURLOPT_TIMEOUT_MS, MAX(left_ms(call), 1L));
 		talloc_free(url);
 	}
--- a/libcometspindle/adapters/endpoints/endpoint_call.h
+++ b/libcometspindle/adapters/endpoints/endpoint_call.h
@@ -1,6 +1,6 @@
 /*
  * endpoint_call.h
- * one dispatch to an endpoint over HTTP: sent at most once, resumed when cut
+ * one dispatch to an endpoint over HTTP, sent at most once and resumed after an interruption
  */
 #ifndef COMETSPINDLE_ADAPTERS_ENDPOINT_CALL_H
 #define COMETSPINDLE_ADAPTERS_ENDPOINT_CALL_H
@@ -19,21 +19,21 @@
  */
 #define COMET_STREAM_OVERLAP_BYTES 512
 
-/** What becomes of a dispatch; called in the thread of the loop. */
+/** Events of a dispatch, called in the thread of the loop. */
 struct comet_endpoint_events
 {
-	/** Status and type of the answer; once, before any data. */
+	/** Status and type of the response; called once, before any data. */
 	void (*head)(void *ctx, unsigned int status, const char *content_type);
-	/** Part of the answer. @return false: pause until comet_endpoint_call_resume(). */
+	/** Part of the response. @return false to pause until comet_endpoint_call_resume(). */
 	bool (*data)(void *ctx, const char *data, size_t length);
 	/** A stream is slow (step_us) or silent (0). */
 	void (*slow)(void *ctx, uint32_t step_us);
-	/** It is over; whole: the answer ended as it should. */
+	/** The dispatch has ended. whole: the response is complete. */
 	void (*end)(void *ctx, enum comet_outcome outcome, bool whole,
 		const struct comet_sample *sample);
 };
 
-/** What is dispatched; everything is copied. */
+/** The request; everything is copied. */
 struct comet_endpoint_request
 {
 	const char *url;        /**< whole address */
@@ -49,13 +49,14 @@
 
 struct comet_endpoint_call;
 
-/** Starts; events come later, never from within. Free with talloc_free: aborts quietly. */
+/** Starts a dispatch. No event is called before this returns. talloc_free() aborts it without an
+ * event. */
 struct comet_endpoint_call *
 comet_endpoint_call_create(void *parent, struct tevent_context *ev, struct comet_curl_loop *loop,
 	const struct comet_endpoint_request *request, const struct comet_endpoint_events *events,
 	void *ctx);
 
-/** Goes on after data returned false. */
+/** Resumes after data returned false. */
 void
 comet_endpoint_call_resume(struct comet_endpoint_call *call);
 
--- a/libcometspindle/adapters/endpoints/fetch.c
+++ b/libcometspindle/adapters/endpoints/fetch.c
@@ -1,6 +1,6 @@
 /*
  * fetch.c
- * one small document read from another process: a GET, bounded in size and time
+ * reads one document from another process with a GET, bounded in size and time
  */
 #include <libcometspindle/adapters/endpoints/fetch.h>
 
@@ -9,12 +9,12 @@
 #include <string.h>
 #include <talloc.h>
 
-/* Largest document: a page of a directory is at most about a megabyte of values, in base64; a copy
- * of a whole one for 3,000 endpoints is a little smaller. */
+/* Largest document. A page of the directory has at most about a megabyte of values, in base64; a
+ * snapshot of 3,000 endpoints is a little smaller. */
 #define BYTES_MAX (4 * 1024 * 1024)
 
-/* An answer that has begun brings so much within each second, or its end; how long it takes as a
- * whole depends on the link. */
+/* Minimum progress of a response in each second after it has begun. Its total time depends on the
+ * link. */
 #define PROGRESS_US 1000000
 #define PROGRESS_BYTES (16 * 1024)
 
@@ -25,22 +25,22 @@
 	struct comet_timers *timers;
 	struct comet_timer *timer;
 	GByteArray *body;
-	guint progress_bytes; /* of the body, when the timer was last set */
+	guint progress_bytes; /* bytes of the body when the timer was last set */
 	comet_fetch_handler handler;
 	void *ctx;
 	char *source; /* address and target, for the log */
 	uint64_t started_us;
 	uint64_t most_bytes;
-	uint64_t expected; /* length that the head announced; 0: none */
+	uint64_t expected; /* announced length; 0: none */
 	unsigned int status;
-	bool begun; /* its head has come */
+	bool begun; /* the head has arrived */
 	bool too_large;
 	bool finished;
 	char *wanted; /* name of a header, or NULL */
 	char *header; /* its value, or NULL */
 };
 
-/* A transfer that had begun to arrive ends without its answer. */
+/* Reports a transfer that ends after its response had begun. */
 static void
 log_abandoned(const struct comet_fetch *fetch, const char *reason)
 {
@@ -63,7 +63,7 @@
 	return 0;
 }
 
-/* Hands over the answer, or why there is none. */
+/* Calls the handler with the response or the failure. */
 static void
 finish(struct comet_fetch *fetch, const char *failure)
 {
@@ -101,7 +101,7 @@
 	fetch->timer = comet_timers_add(fetch->timers, fetch, PROGRESS_US, on_timeout, fetch);
 }
 
-/* What may have no end is not read further. */
+/* Stops reading: the body may have no end. */
 static void
 refuse_size(struct comet_fetch *fetch)
 {
--- a/libcometspindle/adapters/endpoints/load_poller.h
+++ b/libcometspindle/adapters/endpoints/load_poller.h
@@ -11,14 +11,14 @@
 
 struct comet_load_poller;
 
-/** total: requests running and queued on the endpoint, some time ago. */
+/** total: requests that ran and were queued at the endpoint when it built the report. */
 typedef void (*comet_load_poller_handler)(void *ctx, uint32_t endpoint_id, uint32_t total);
 
 struct comet_load_poller *
 comet_load_poller_create(
 	void *parent, struct comet_curl_loop *loop, comet_load_poller_handler handler, void *ctx);
 
-/** Asks one endpoint, unless an answer from it is still awaited. */
+/** Polls one endpoint, unless a poll of it is pending. */
 void
 comet_load_poller_poll(
 	struct comet_load_poller *load_poller, const struct comet_endpoint *endpoint);
--- a/libcometspindle/adapters/endpoints/tcp_probe.c
+++ b/libcometspindle/adapters/endpoints/tcp_probe.c
@@ -1,6 +1,6 @@
 /*
  * tcp_probe.c
- * whether anything listens at an address: a connection is opened and closed again, nothing is sent
+ * checks whether a process listens at an address by opening a connection and closing it again
  */
 #include <libcometspindle/adapters/endpoints/tcp_probe.h>
 
@@ -8,7 +8,7 @@
 #include <libcometspindle/adapters/socket.h>
 #include <talloc.h>
 
-/* As long as a request's connection may take (upstream.c). */
+/* The same as the timeout of a request's connection (upstream.c). */
 #define TIMEOUT_US 300000
 
 struct comet_tcp_probe
@@ -17,7 +17,7 @@
 	struct comet_timer *timer;
 	comet_tcp_probe_handler handler;
 	void *ctx;
-	enum comet_tcp_probe_result result; /* told once the timer is due */
+	enum comet_tcp_probe_result result; /* reported when the timer fires */
 };
 
 static void
@@ -82,7 +82,7 @@
 		errno = EINVAL;
 	if (probe->socket == NULL)
 	{
-		/* A loopback address refuses at once. */
+		/* A loopback address refuses immediately. */
 		probe->result = errno == ECONNREFUSED ? COMET_TCP_PROBE_REFUSED
 						      : COMET_TCP_PROBE_UNREACHABLE;
 		timeout_us = 0;
--- a/libcometspindle/adapters/endpoints/tcp_probe.h
+++ b/libcometspindle/adapters/endpoints/tcp_probe.h
@@ -1,6 +1,6 @@
 /*
  * tcp_probe.h
- * whether anything listens at an address: a connection is opened and closed again, nothing is sent
+ * checks whether a process listens at an address by opening a connection and closing it again
  */
 #ifndef COMETSPINDLE_ADAPTERS_TCP_PROBE_H
 #define COMETSPINDLE_ADAPTERS_TCP_PROBE_H
@@ -10,17 +10,17 @@
 
 enum comet_tcp_probe_result
 {
-	COMET_TCP_PROBE_OPEN,        /**< something listens */
-	COMET_TCP_PROBE_REFUSED,     /**< the machine is there, and nothing listens */
-	COMET_TCP_PROBE_UNREACHABLE, /**< no answer in time, or no way there */
+	COMET_TCP_PROBE_OPEN,        /**< a process listens */
+	COMET_TCP_PROBE_REFUSED,     /**< the machine refused: no process listens */
+	COMET_TCP_PROBE_UNREACHABLE, /**< no response in time, or no route */
 };
 
 struct comet_tcp_probe;
 
-/** Called once, never from within comet_tcp_probe_start(); the check is freed after it. */
+/** Called once, never before comet_tcp_probe_start() has returned; the probe is freed after it. */
 typedef void (*comet_tcp_probe_handler)(void *ctx, enum comet_tcp_probe_result result);
 
-/** Starts a check of "a.b.c.d:port". Free to cancel. */
+/** Starts to probe "a.b.c.d:port". talloc_free() cancels it. */
 struct comet_tcp_probe *
 comet_tcp_probe_start(struct comet_timers *timers, struct tevent_context *ev, void *parent,
 	const char *address, comet_tcp_probe_handler handler, void *ctx);
