Remember which peers run an earlier release

Cause: a VM that asked a peer of an earlier release for a packed response got 404, logged resync_failed and remembered only the last peer's release, so that in a fleet that is being upgraded each second request to a reader failed.

Change: the addresses of such peers are a bounded set, from which a VM is removed when its gossip appears, stops or restarts. A 404 is no failure and is not logged.

In a fleet of one release nothing changes.

--- a/libcometspindle/adapters/gateway/gateway.c
+++ b/libcometspindle/adapters/gateway/gateway.c
@@ -103,7 +103,7 @@
 {
 	char text[COMET_IPV4_TEXT_BYTES];
 
-	(void)ctx;
+	comet_gateway_forget_release(ctx, address);
 	comet_log_repeated(COMET_LOG_NOTICE, "event=vm_%s vm=%s reason=%s",
 		alive ? "heard" : "lost", comet_datagram_socket_format_address(address, text), why);
 }
@@ -364,6 +364,7 @@
 	gateway->reader_election = comet_reader_election_create(gateway,
 		(uint64_t)followed_ms(settings) * 1000, comet_random_u32(&gateway->random));
 	gateway->resync_cache = comet_resync_cache_create(gateway);
+	gateway->older_peers = g_hash_table_new(NULL, NULL);
 	gateway->crash_tracker =
 		comet_crash_tracker_create(gateway, &comet_gateway_crashes_ops, gateway);
 	gateway->placement = comet_placement_create(gateway, gateway->instances,
@@ -473,5 +474,6 @@
 comet_gateway_destroy(struct comet_gateway *gateway)
 {
 	comet_route_table_unref(gateway->table);
+	g_clear_pointer(&gateway->older_peers, g_hash_table_destroy);
 	talloc_free(gateway);
 }
--- a/libcometspindle/adapters/gateway/gateway_private.h
+++ b/libcometspindle/adapters/gateway/gateway_private.h
@@ -127,7 +127,8 @@
 	uint64_t pause_detected_us;     /**< when a pause was last detected; 0: never */
 	struct comet_fetch *resyncing;  /**< fetch of a snapshot or delta; NULL: none */
 	uint64_t first_snapshot_due_us; /**< when to request the first snapshot again */
-	bool peer_is_older;             /**< the last peer does not know packed responses */
+	uint32_t resync_vm;             /**< the peer of that fetch */
+	GHashTable *older_peers;        /**< set of peers that do not know packed responses */
 	uint64_t resync_due_us; /**< when to request a delta again after a busy peer refused one */
 	struct comet_resync_cache *resync_cache;
 	struct comet_fetch *fetching_document; /**< fetch of the routing document; NULL: none */
@@ -208,6 +209,10 @@
 void
 comet_gateway_request_endpoints(struct comet_gateway *gateway, uint32_t vm);
 
+/** Forgets which release a peer runs, because its process may be another one now. */
+void
+comet_gateway_forget_release(struct comet_gateway *gateway, uint32_t vm);
+
 /** While this VM waits for its first snapshot: requests one from a reader of its zone, or from
  * another peer, at most several times a second. */
 void
--- a/libcometspindle/adapters/gateway/gateway_resync.c
+++ b/libcometspindle/adapters/gateway/gateway_resync.c
@@ -74,6 +74,29 @@
 	return false;
 }
 
+/* Peers whose release is recorded: as many as gossip may know. */
+#define OLDER_PEERS_MAX 2048
+
+static bool
+is_older_peer(const struct comet_gateway *gateway, uint32_t vm)
+{
+	return g_hash_table_contains(gateway->older_peers, GUINT_TO_POINTER(vm));
+}
+
+/* Records that a peer of an earlier release does not know packed responses. */
+static void
+add_older_peer(struct comet_gateway *gateway, uint32_t vm)
+{
+	if (g_hash_table_size(gateway->older_peers) < OLDER_PEERS_MAX)
+		g_hash_table_add(gateway->older_peers, GUINT_TO_POINTER(vm));
+}
+
+void
+comet_gateway_forget_release(struct comet_gateway *gateway, uint32_t vm)
+{
+	g_hash_table_remove(gateway->older_peers, GUINT_TO_POINTER(vm));
+}
+
 static bool
 is_status(const struct comet_fetch_response *response, uint32_t status)
 {
@@ -87,13 +110,17 @@
 	uint64_t now_us = comet_timers_now_us();
 
 	gateway->resyncing = NULL; /* the fetch frees itself after this handler */
-	gateway->peer_is_older = is_status(response, STATUS_NOT_FOUND);
+	if (is_status(response, STATUS_NOT_FOUND) && !is_older_peer(gateway, gateway->resync_vm))
+	{
+		add_older_peer(gateway, gateway->resync_vm); /* the next request suits it */
+		gateway->first_snapshot_due_us = now_us;
+		return;
+	}
 	if (is_status(response, STATUS_UNAVAILABLE))
 		gateway->resync_due_us =
 			now_us +
 			(uint64_t)(BUSY_RETRY_US * (1 + comet_random_double(&gateway->random)));
-	if (!apply_response(gateway, response) && !gateway->peer_is_older &&
-		!is_status(response, STATUS_UNAVAILABLE))
+	if (!apply_response(gateway, response) && !is_status(response, STATUS_UNAVAILABLE))
 		comet_reader_election_report_failure(gateway->reader_election, now_us);
 	comet_gateway_fetch_document(gateway, comet_timers_now_us());
 }
@@ -142,8 +169,10 @@
 		comet_datagram_socket_format_address(vm, ip),
 		comet_directory_epoch(gateway->position),
 		comet_directory_revision(gateway->position));
+	gateway->resync_vm = vm;
 	gateway->resyncing = request_from_peer(gateway, vm,
-		gateway->peer_is_older ? COMET_GATEWAY_SNAPSHOT_PATH : COMET_GATEWAY_PACKED_PATH,
+		is_older_peer(gateway, vm) ? COMET_GATEWAY_SNAPSHOT_PATH
+					   : COMET_GATEWAY_PACKED_PATH,
 		on_resync);
 }
 
@@ -171,9 +200,10 @@
 	if (gateway->resyncing != NULL || comet_timers_now_us() < gateway->resync_due_us)
 		return;
 	char *target = g_strdup_printf("%s%" G_GUINT64_FORMAT,
-		gateway->peer_is_older ? COMET_GATEWAY_ENDPOINTS_PATH
-				       : COMET_GATEWAY_PACKED_ENDPOINTS_PATH,
+		is_older_peer(gateway, vm) ? COMET_GATEWAY_ENDPOINTS_PATH
+					   : COMET_GATEWAY_PACKED_ENDPOINTS_PATH,
 		gateway->endpoints_position);
+	gateway->resync_vm = vm;
 	gateway->resyncing = request_from_peer(gateway, vm, target, on_resync);
 	g_free(target);
 }
