Reorder a field and test a pointer before it is freed, for clang-tidy

Change: the field moved; the set of older peers is freed without g_clear_pointer, in which clang-tidy suspects a wrong sizeof.

--- a/libcometspindle/adapters/gateway/gateway.c
+++ b/libcometspindle/adapters/gateway/gateway.c
@@ -474,6 +474,7 @@
 comet_gateway_destroy(struct comet_gateway *gateway)
 {
 	comet_route_table_unref(gateway->table);
-	g_clear_pointer(&gateway->older_peers, g_hash_table_destroy);
+	if (gateway->older_peers != NULL) /* not created if a socket could not be opened */
+		g_hash_table_destroy(gateway->older_peers);
 	talloc_free(gateway);
 }
--- a/libcometspindle/adapters/gateway/gateway_private.h
+++ b/libcometspindle/adapters/gateway/gateway_private.h
@@ -120,6 +120,7 @@
 	uint64_t began_us;
 	bool discovering;               /**< this VM still discovers other VMs */
 	uint64_t discovered_us;         /**< when the last new VM was discovered; 0: none */
+	uint32_t resync_vm;             /**< the peer that `resyncing` fetches from */
 	uint32_t peak_alive_vms;        /**< most VMs alive at a time, including this one */
 	uint64_t stop_us;               /**< when the shutdown began; 0: none */
 	uint64_t last_loop_us;          /**< when the event loop last waited */
@@ -127,7 +128,6 @@
 	uint64_t pause_detected_us;     /**< when a pause was last detected; 0: never */
 	struct comet_fetch *resyncing;  /**< fetch of a snapshot or delta; NULL: none */
 	uint64_t first_snapshot_due_us; /**< when to request the first snapshot again */
-	uint32_t resync_vm;             /**< the peer of that fetch */
 	GHashTable *older_peers;        /**< set of peers that do not know packed responses */
 	uint64_t resync_due_us; /**< when to request a delta again after a busy peer refused one */
 	struct comet_resync_cache *resync_cache;
