--- a/libcometspindle/adapters/callers/worker.c
+++ b/libcometspindle/adapters/callers/worker.c
@@ -131,7 +131,7 @@
 		comet_call_dispatch(call, endpoint);
 	else
 	{
-		/* the caller disconnected meanwhile: no byte was sent */
+		/* the caller disconnected before any byte was sent */
 		struct comet_control_message *back = g_new0(struct comet_control_message, 1);
 		back->kind = COMET_CONTROL_FINISHED;
 		back->request = message->request;
--- a/libcometspindle/gateway/fleet/reader_election.c
+++ b/libcometspindle/gateway/fleet/reader_election.c
@@ -50,7 +50,7 @@
 	struct comet_random draw;
 	uint64_t followed_us; /* time for which a report is fresh */
 	struct report reports[REPORTS_MAX];
-	uint64_t jitter_us;        /* drawn with each report */
+	uint64_t jitter_us;        /* random, new with each report */
 	uint64_t answered_us;      /* newest of all reports */
 	uint64_t stale_us;         /* since when a reader has been ahead; 0: none is */
 	uint64_t failed_us;        /* when a request to a reader last failed; 0: never */
