Decode and log the request rate that endpoints advertise

Cause: nothing showed whether a VM knew the limit that an endpoint advertises in its responses, so the hypotheses on LIMIT could not be told apart.

Change: platform/ decodes the header into a typed field and logs a malformed value. The endpoint's state keeps the newest observation. Placement does not use it yet.

Measured: unit tests Advertisements.* and AdvertisedLimit.* pass.

--- a/libcometspindle/adapters/gateway/gateway.h
+++ b/libcometspindle/adapters/gateway/gateway.h
@@ -11,7 +11,9 @@
 #include <glib.h>
 #include <libcometspindle/adapters/timers.h>
 #include <libcometspindle/adapters/endpoints/upstream.h>
+#include <libcometspindle/adapters/http_reader.h>
 #include <libcometspindle/gateway/directory.h>
+#include <libcometspindle/gateway/endpoints/advertisement.h>
 #include <libcometspindle/gateway/settings.h>
 #include <libcometspindle/gateway/header_names.h>
 #include <tevent.h>
@@ -30,12 +32,18 @@
 	void *ctx;
 };
 
-/** The platform's directory adapter and its header names. */
+/** Decodes what a response states about the condition of its endpoint, and logs malformed values.
+ */
+typedef void (*comet_advertisement_decoder)(const struct comet_http_head *head,
+	const char *endpoint, struct comet_advertisement *advertisement);
+
+/** The platform's directory adapter, its header names and its decoder of response headers. */
 struct comet_platform_adapter
 {
 	struct comet_directory *(*create_directory)(
 		void *parent, const struct comet_directory_context *context);
 	const struct comet_header_names *names;
+	comet_advertisement_decoder decode_advertisement;
 };
 
 struct comet_gateway;
--- /dev/null
+++ b/libcometspindle/adapters/gateway/gateway_advertisements.c
@@ -0,0 +1,35 @@
+/*
+ * gateway_advertisements.c
+ * applies what endpoints state about their own condition in their responses
+ */
+#include <libcometspindle/adapters/gateway/gateway_private.h>
+
+#include <libcometspindle/log.h>
+
+/* Applies the limit on the request rate. A malformed value changes nothing. */
+static void
+apply_limit(struct comet_instance *instance, const struct comet_advertisement *advertisement,
+	uint64_t now_us)
+{
+	double per_s =
+		advertisement->limit == COMET_ADVERTISED_VALID ? advertisement->limit_per_s : -1;
+
+	if (advertisement->limit == COMET_ADVERTISED_MALFORMED ||
+		!comet_advertised_limit_observe(&instance->limit, per_s, now_us))
+		return;
+	if (instance->limit.active)
+		comet_log(COMET_LOG_NOTICE, "event=limit_advertised endpoint=%s per_s=%.3f",
+			instance->id, instance->limit.max_per_s);
+	else
+		comet_log(COMET_LOG_NOTICE, "event=limit_withdrawn endpoint=%s", instance->id);
+}
+
+void
+comet_gateway_apply_advertisement(struct comet_gateway *gateway, struct comet_instance *instance,
+	const struct comet_http_head *head, uint64_t now_us)
+{
+	struct comet_advertisement advertisement;
+
+	gateway->decode_advertisement(head, instance->id, &advertisement);
+	apply_limit(instance, &advertisement, now_us);
+}
--- a/libcometspindle/adapters/gateway/gateway_answer.c
+++ b/libcometspindle/adapters/gateway/gateway_answer.c
@@ -66,6 +66,9 @@
 		comet_instance_seen(instance, now_us);
 	if (instance != NULL && load_text != NULL && comet_header_parse_load(load_text, &load))
 		comet_instance_load_reported(instance, load.running + load.waiting, now_us);
+	/* A 421 is the response of another process. */
+	if (instance != NULL && head->status != 421)
+		comet_gateway_apply_advertisement(proxy->gateway, instance, head, now_us);
 	proxy->not_executed =
 		head->status == 421 || comet_http_head_get(head, names->not_run) != NULL;
 	talloc_free(proxy->head);
--- a/libcometspindle/adapters/gateway/gateway_metrics.c
+++ b/libcometspindle/adapters/gateway/gateway_metrics.c
@@ -247,6 +247,14 @@
 	return true;
 }
 
+static bool
+advertised_limit_of(const struct comet_instance *instance, uint64_t now_us, double *value)
+{
+	(void)now_us;
+	*value = instance->limit.max_per_s;
+	return instance->limit.active;
+}
+
 static bool
 stale_of(const struct comet_instance *instance, uint64_t now_us, double *value)
 {
@@ -280,6 +288,7 @@
 	{"endpoint_evacuated", evacuated_of},
 	{"endpoint_cold", slow_start_of},
 	{"endpoint_lapsed", stale_of},
+	{"endpoint_advertised_limit", advertised_limit_of},
 };
 
 static void
--- a/libcometspindle/adapters/gateway/gateway_private.h
+++ b/libcometspindle/adapters/gateway/gateway_private.h
@@ -81,6 +81,7 @@
 	const struct comet_gateway_settings *settings;
 	const char *settings_path;
 	const struct comet_header_names *names;
+	comet_advertisement_decoder decode_advertisement;
 	struct tevent_context *ev;
 	struct comet_timers *timers;
 	struct comet_upstream *upstream;
@@ -152,6 +153,11 @@
 /** Applies updates of the directory (gateway_directory.c). */
 extern const struct comet_directory_events comet_gateway_directory_events;
 
+/** Applies what the head of a response states about its endpoint (gateway_advertisements.c). */
+void
+comet_gateway_apply_advertisement(struct comet_gateway *gateway, struct comet_instance *instance,
+	const struct comet_http_head *head, uint64_t now_us);
+
 /** Logs the end of an evacuation (gateway_directory.c). */
 void
 comet_gateway_zone_restored(void *ctx, const char *zone);
--- /dev/null
+++ b/libcometspindle/gateway/endpoints/advertisement.h
@@ -0,0 +1,26 @@
+/*
+ * advertisement.h
+ * port: what an endpoint states about its own condition in a response
+ */
+#ifndef COMETSPINDLE_GATEWAY_ADVERTISEMENT_H
+#define COMETSPINDLE_GATEWAY_ADVERTISEMENT_H
+
+#include <stdbool.h>
+
+/** How a response states one property. */
+enum comet_advertised
+{
+	COMET_ADVERTISED_ABSENT,    /**< the response does not state it */
+	COMET_ADVERTISED_VALID,     /**< the value is valid */
+	COMET_ADVERTISED_MALFORMED, /**< the value cannot be read: the earlier one stays in force */
+};
+
+/** The properties that a response states, decoded by the platform adapter. */
+struct comet_advertisement
+{
+	enum comet_advertised limit;
+	double limit_per_s; /**< requests per second that the endpoint takes from all VMs together
+			     */
+};
+
+#endif
--- a/libcometspindle/gateway/endpoints/instance.h
+++ b/libcometspindle/gateway/endpoints/instance.h
@@ -8,6 +8,7 @@
 #define COMETSPINDLE_GATEWAY_INSTANCE_H
 
 #include <glib.h>
+#include <libcometspindle/gateway/endpoints/advertised_limit.h>
 #include <libcometspindle/gateway/endpoints/slow_start.h>
 #include <stdbool.h>
 #include <stdint.h>
@@ -61,6 +62,7 @@
 	uint64_t warm_until_us; /**< end of its warm-up, during which it is slower */
 	struct comet_slow_start slow_start;
 	const struct comet_slow_start_config *slow_start_config; /**< shared by its service */
+	struct comet_advertised_limit limit;                     /**< on its request rate */
 	GHashTable *busy;              /**< set of the instances with dispatches of this VM */
 	uint32_t local_requests;       /**< running dispatches of this VM */
 	uint32_t local_prompt_tokens;  /**< of own dispatches without a first event */
--- /dev/null
+++ b/tests/unit/test_advertisements.cc
@@ -0,0 +1,71 @@
+/*
+ * test_advertisements.cc
+ * what endpoints state about their own condition: decoding and observation order
+ */
+#include <gtest/gtest.h>
+
+extern "C"
+{
+#include <libcometspindle/gateway/endpoints/advertised_limit.h>
+#include <platform/advertisement.h>
+}
+#include <string>
+#include <vector>
+
+namespace
+{
+
+/* Decodes a response with these headers. */
+comet_advertisement
+decode(std::vector<std::pair<std::string, std::string>> headers)
+{
+	std::vector<comet_http_header> raw;
+	comet_http_head head = {};
+	comet_advertisement advertisement = {};
+
+	for (auto &one : headers)
+		raw.push_back({one.first.data(), one.second.data()});
+	head.headers = raw.data();
+	head.n_headers = raw.size();
+	comet_platform_decode_advertisement(&head, "i-1", &advertisement);
+	return advertisement;
+}
+
+TEST(Advertisements, LimitIsADecimalNumber)
+{
+	EXPECT_EQ(decode({}).limit, COMET_ADVERTISED_ABSENT);
+	for (auto &valid : std::vector<std::pair<std::string, double>>{
+		     {"2", 2}, {"2.8", 2.8}, {"0.25", 0.25}, {"0", 0}, {"1000000", 1e6}})
+	{
+		comet_advertisement got = decode({{"server-limit", valid.first}});
+		EXPECT_EQ(got.limit, COMET_ADVERTISED_VALID) << valid.first;
+		EXPECT_DOUBLE_EQ(got.limit_per_s, valid.second);
+	}
+}
+
+TEST(Advertisements, MalformedLimitsAreMarked)
+{
+	for (const char *invalid : {"", " ", "-1", "+1", ".5", "5.", "1.2.3", "1e3", "nan", "inf",
+		     "0x10", "2 ", "2,3", "1000001", "two"})
+		EXPECT_EQ(decode({{"Server-Limit", invalid}}).limit, COMET_ADVERTISED_MALFORMED)
+			<< invalid;
+	EXPECT_EQ(decode({{"Server-Limit", "2"}, {"Server-Limit", "3"}}).limit,
+		COMET_ADVERTISED_MALFORMED);
+}
+
+TEST(AdvertisedLimit, OlderObservationsAreIgnored)
+{
+	comet_advertised_limit limit = {};
+
+	EXPECT_FALSE(comet_advertised_limit_observe(&limit, -1, 100));
+	EXPECT_TRUE(comet_advertised_limit_observe(&limit, 2, 200));
+	EXPECT_FALSE(comet_advertised_limit_observe(&limit, -1, 150));
+	EXPECT_TRUE(limit.active);
+	EXPECT_FALSE(comet_advertised_limit_observe(&limit, 2.1, 300));
+	EXPECT_DOUBLE_EQ(limit.max_per_s, 2.1);
+	EXPECT_TRUE(comet_advertised_limit_observe(&limit, 4, 400));
+	EXPECT_TRUE(comet_advertised_limit_observe(&limit, -1, 500));
+	EXPECT_FALSE(limit.active);
+}
+
+} // namespace
