Keep the request rate that endpoints advertise, over all VMs together

Cause: no VM read the limit. Even when read, a limit that each VM applies for itself is exceeded by the sum of the VMs. The class of the fault: a condition that an endpoint states is not part of the state that placement decides on.

Change: the owner of a shard counts its own requests and its grants against a token bucket of 0.9 of the limit, and an owner that hears only some of the VMs uses their share. VMs exchange the limits that they observed by gossip, at once when a limit appears, changes or is withdrawn. The answer to a slot request says that the limit was applied; a VM that knows of a limit takes a grant without it, also of an earlier release, only within a small share of its own. Placement by gossip does not use limited endpoints while shards have owners. Crash checks count as well.

--- a/libcometspindle/adapters/gateway/gateway_advertisements.c
+++ b/libcometspindle/adapters/gateway/gateway_advertisements.c
@@ -8,15 +8,16 @@
 
 /* Applies the limit on the request rate. A malformed value changes nothing. */
 static void
-apply_limit(struct comet_instance *instance, const struct comet_advertisement *advertisement,
-	uint64_t now_us)
+apply_limit(struct comet_gateway *gateway, struct comet_instance *instance,
+	const struct comet_advertisement *advertisement, uint64_t now_us)
 {
 	double per_s =
 		advertisement->limit == COMET_ADVERTISED_VALID ? advertisement->limit_per_s : -1;
 
 	if (advertisement->limit == COMET_ADVERTISED_MALFORMED ||
-		!comet_advertised_limit_observe(&instance->limit, per_s, now_us))
+		!comet_instance_limit_advertised(instance, per_s, now_us))
 		return;
+	comet_gossip_schedule_broadcast(gateway->gossip);
 	if (instance->limit.active)
 		comet_log(COMET_LOG_NOTICE, "event=limit_advertised endpoint=%s per_s=%.3f",
 			instance->id, instance->limit.max_per_s);
@@ -31,5 +32,5 @@
 	struct comet_advertisement advertisement;
 
 	gateway->decode_advertisement(head, instance->id, &advertisement);
-	apply_limit(instance, &advertisement, now_us);
+	apply_limit(gateway, instance, &advertisement, now_us);
 }
--- a/libcometspindle/adapters/gateway/gateway_crashes.c
+++ b/libcometspindle/adapters/gateway/gateway_crashes.c
@@ -116,10 +116,12 @@
 {
 	struct crash_check *check = ctx;
 	struct comet_gateway *gateway = check->gateway;
-	const struct comet_instance *instance = checked_instance(check);
+	struct comet_instance *instance = checked_instance(check);
 
 	check->timer = NULL;
-	if (instance == NULL)
+	/* Without the check, the directory reports a crash some seconds later. */
+	if (instance == NULL ||
+		!comet_placement_limit_admits(gateway->placement, instance, comet_timers_now_us()))
 		talloc_free(check);
 	else
 		comet_tcp_probe_start(
--- a/libcometspindle/adapters/gateway/gateway_grants.c
+++ b/libcometspindle/adapters/gateway/gateway_grants.c
@@ -118,15 +118,16 @@
 }
 
 static void
-on_granted(void *ctx, struct comet_placement_item *item, uint32_t owner_vm, uint32_t instance_key)
+on_granted(void *ctx, struct comet_placement_item *item, const struct comet_slot_grant *grant)
 {
 	struct comet_gateway *gateway = ctx;
 	uint64_t now_us = comet_timers_now_us();
 
 	gateway->counts.granted++;
-	log_evacuated_grant(gateway, item, instance_key); /* the next call may free the item */
-	if (!comet_placement_granted(gateway->placement, item, owner_vm, instance_key, now_us))
-		comet_grants_release(gateway->grants, owner_vm, instance_key, NULL);
+	/* the next call may free the item */
+	log_evacuated_grant(gateway, item, grant->instance_key);
+	if (!comet_placement_granted(gateway->placement, item, grant, now_us))
+		comet_grants_release(gateway->grants, grant->owner_vm, grant->instance_key, NULL);
 	comet_placement_run(gateway->placement, now_us);
 }
 
@@ -192,9 +193,9 @@
 	return left_ms > 0 ? now_us + (uint64_t)left_ms * 1000 : 0;
 }
 
-/* Selects an endpoint for a slot request of another VM. Returns 0 if the request has to wait or is
- * denied. */
-static uint32_t
+/* Selects an endpoint for a slot request of another VM. Returns NULL if the request has to wait or
+ * is denied. */
+static const struct comet_instance *
 pick_for_remote(void *ctx, const comet_SlotAsk *ask, struct comet_placement_wait_estimate *wait)
 {
 	struct comet_gateway *gateway = ctx;
@@ -223,10 +224,9 @@
 		comet_placement_pick_remote(gateway->placement, &wanted, now_us, wait);
 
 	gateway->counts.slot_requests_answered++;
-	if (instance == NULL)
-		return 0;
-	record_grant(gateway, ask->asker, instance, ask->prompt_tokens);
-	return instance->key;
+	if (instance != NULL)
+		record_grant(gateway, ask->asker, instance, ask->prompt_tokens);
+	return instance;
 }
 
 void
@@ -236,7 +236,7 @@
 	struct comet_gateway *gateway = ctx;
 
 	record_grant(gateway, ask->requester, instance, ask->size.prompt_tokens);
-	comet_grants_grant(gateway->grants, ask->requester, ask->number, instance->key);
+	comet_grants_grant(gateway->grants, ask->requester, ask->number, instance);
 }
 
 /* Applies the result that another VM reported for a slot. Without it, the owner would go on
--- a/libcometspindle/gateway/endpoints/instance.c
+++ b/libcometspindle/gateway/endpoints/instance.c
@@ -162,6 +162,7 @@
 	instance->probe_in_flight = instance->ejected_until_us != 0;
 	instance->probe_started_us = now_us;
 	comet_slow_start_count(&instance->slow_start, instance->slow_start_config, now_us);
+	comet_advertised_limit_count(&instance->limit);
 }
 
 void
@@ -383,6 +384,17 @@
 	return true;
 }
 
+bool
+comet_instance_limit_advertised(struct comet_instance *instance, double max_per_s, uint64_t now_us)
+{
+	bool was_active = instance->limit.active;
+	bool changed = comet_advertised_limit_observe(&instance->limit, max_per_s, now_us);
+
+	if (was_active || instance->limit.active)
+		g_hash_table_add(instance->limited, instance);
+	return changed;
+}
+
 void
 comet_instance_load_reported(struct comet_instance *instance, uint32_t total, uint64_t now_us)
 {
--- a/libcometspindle/gateway/endpoints/instance.h
+++ b/libcometspindle/gateway/endpoints/instance.h
@@ -63,6 +63,7 @@
 	struct comet_slow_start slow_start;
 	const struct comet_slow_start_config *slow_start_config; /**< shared by its service */
 	struct comet_advertised_limit limit;                     /**< on its request rate */
+	GHashTable *limited;           /**< set of the instances with a limit to report */
 	GHashTable *busy;              /**< set of the instances with dispatches of this VM */
 	uint32_t local_requests;       /**< running dispatches of this VM */
 	uint32_t local_prompt_tokens;  /**< of own dispatches without a first event */
@@ -183,6 +184,12 @@
 bool
 comet_instance_eject_if_silent(struct comet_instance *instance, uint64_t since_us, uint64_t now_us);
 
+/** Records what a response of the instance to this VM stated about a limit on its request rate.
+ * @param max_per_s negative: no limit
+ * @return whether a limit appeared, was withdrawn or changed considerably */
+bool
+comet_instance_limit_advertised(struct comet_instance *instance, double max_per_s, uint64_t now_us);
+
 /** Records the number of running and queued requests that a response of the instance reported. */
 void
 comet_instance_load_reported(struct comet_instance *instance, uint32_t total, uint64_t now_us);
--- a/libcometspindle/gateway/endpoints/instances.c
+++ b/libcometspindle/gateway/endpoints/instances.c
@@ -15,6 +15,10 @@
  * complete. */
 #define SETTLED_MARGIN_US 200000
 
+/* How long the withdrawal of a limit is reported to other VMs: several rounds of gossip messages.
+ */
+#define WITHDRAWAL_REPORT_US 10000000
+
 struct comet_instances
 {
 	char *own_zone;
@@ -26,6 +30,7 @@
 	GHashTable *evacuated_zones;    /* set of zone names */
 	GHashTable *regions;            /* zone name -> hash of the region's name */
 	GHashTable *busy;               /* set of the instances with dispatches of this VM */
+	GHashTable *limited;            /* set of the instances with a limit to report */
 	uint32_t expiring_count;        /* instances with an expiry */
 	uint64_t changes;
 	uint64_t gossip_us; /* shared by all instances */
@@ -49,6 +54,7 @@
 	g_hash_table_destroy(instances->evacuated_zones);
 	g_hash_table_destroy(instances->regions);
 	g_hash_table_destroy(instances->busy);
+	g_hash_table_destroy(instances->limited);
 	return 0;
 }
 
@@ -66,6 +72,7 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	instances->evacuated_zones = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	instances->busy = g_hash_table_new(NULL, NULL);
+	instances->limited = g_hash_table_new(NULL, NULL);
 	instances->regions = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	talloc_set_destructor(instances, instances_destroy);
 	return instances;
@@ -130,6 +137,7 @@
 	instance->relative_latency = 1.0;
 	instance->gossip_us = &instances->gossip_us;
 	instance->busy = instances->busy;
+	instance->limited = instances->limited;
 	instances->changes++;
 	g_hash_table_insert(instances->by_id, instance->id, instance);
 	g_hash_table_insert(instances->by_key, GUINT_TO_POINTER(instance->key), instance);
@@ -228,6 +236,7 @@
 	instances->changes++;
 	set_expiry(instances, instance, 0);
 	g_hash_table_remove(instances->busy, instance);
+	g_hash_table_remove(instances->limited, instance);
 	GPtrArray *array = g_hash_table_lookup(instances->services, instance->service);
 	g_ptr_array_remove(array, instance);
 	g_hash_table_remove(instances->by_id, instance->id);
@@ -384,6 +393,32 @@
 		visit(ctx, instance);
 }
 
+/* Whether a limit is still reported to other VMs. A withdrawal is reported for some time, because
+ * gossip messages may be lost. */
+static bool
+is_limit_reported(const struct comet_advertised_limit *limit, uint64_t now_us)
+{
+	return limit->own && (limit->active || now_us - limit->observed_us < WITHDRAWAL_REPORT_US);
+}
+
+void
+comet_instances_each_limited(struct comet_instances *instances, uint64_t now_us,
+	void (*visit)(void *ctx, const struct comet_instance *instance), void *ctx)
+{
+	GHashTableIter at;
+	gpointer key = NULL;
+
+	g_hash_table_iter_init(&at, instances->limited);
+	while (g_hash_table_iter_next(&at, &key, NULL))
+	{
+		const struct comet_instance *instance = key;
+		if (is_limit_reported(&instance->limit, now_us))
+			visit(ctx, instance);
+		else
+			g_hash_table_iter_remove(&at);
+	}
+}
+
 void
 comet_instances_set_gossip_time(struct comet_instances *instances, uint64_t now_us)
 {
--- a/libcometspindle/gateway/endpoints/instances.h
+++ b/libcometspindle/gateway/endpoints/instances.h
@@ -122,6 +122,11 @@
 comet_instances_each_busy(struct comet_instances *instances,
 	void (*visit)(void *ctx, struct comet_instance *instance), void *ctx);
 
+/** Calls visit for each instance whose limit on its request rate this VM reports to others. */
+void
+comet_instances_each_limited(struct comet_instances *instances, uint64_t now_us,
+	void (*visit)(void *ctx, const struct comet_instance *instance), void *ctx);
+
 /** Estimates the time until the first event at an idle instance of usual latency. */
 uint64_t
 comet_instances_typical_first_us(struct comet_instances *instances, const char *service,
--- a/libcometspindle/gateway/fleet/gossip.c
+++ b/libcometspindle/gateway/fleet/gossip.c
@@ -234,6 +234,19 @@
 	add_loads(gossip, peer);
 }
 
+/* Merges a limit that an endpoint advertised to another VM. */
+static void
+merge_limit(struct comet_gossip *gossip, const comet_AdvertisedLimit *reported, uint64_t now_us)
+{
+	struct comet_instance *instance =
+		comet_instances_find_key(gossip->instances, reported->instance);
+	uint64_t observed_us = now_us - MIN((uint64_t)reported->age_ms * 1000, now_us);
+
+	if (instance != NULL)
+		comet_advertised_limit_merge(&instance->limit,
+			reported->active ? (double)reported->milli_per_s / 1000 : -1, observed_us);
+}
+
 static void
 merge_view(struct comet_gossip *gossip, struct comet_gossip_peer *peer, const comet_View *view,
 	uint64_t now_us)
@@ -268,6 +281,8 @@
 			gossip, peer, &view->spent[i], view->age_ms < gossip->window_ms, now_us);
 	for (pb_size_t i = 0; gossip->crash_tracker != NULL && i < view->crashed_count; i++)
 		comet_crash_tracker_merge(gossip->crash_tracker, &view->crashed[i], now_us);
+	for (pb_size_t i = 0; i < view->limits_count; i++)
+		merge_limit(gossip, &view->limits[i], now_us);
 	peer->has_reported_spending = true;
 	comet_instances_set_gossip_time(gossip->instances, now_us);
 }
--- a/libcometspindle/gateway/fleet/gossip_rounds.c
+++ b/libcometspindle/gateway/fleet/gossip_rounds.c
@@ -203,6 +203,43 @@
 	};
 }
 
+struct add_limits
+{
+	comet_View *view;
+	uint64_t now_us;
+	uint32_t first; /* index of the first limit that this gossip message reports */
+	uint32_t count; /* limits so far */
+};
+
+/* Adds the limits that endpoints advertised to this VM, some of them in turn. */
+static void
+add_limit(void *ctx, const struct comet_instance *instance)
+{
+	struct add_limits *context = ctx;
+	comet_View *view = context->view;
+	const struct comet_advertised_limit *limit = &instance->limit;
+
+	if (context->count++ < context->first || view->limits_count >= G_N_ELEMENTS(view->limits))
+		return;
+	view->limits[view->limits_count++] = (comet_AdvertisedLimit){
+		.instance = instance->key,
+		.active = limit->active,
+		.milli_per_s = (uint32_t)(limit->max_per_s * 1000),
+		.age_ms = (uint32_t)MIN((context->now_us - limit->observed_us) / 1000, UINT32_MAX),
+	};
+}
+
+static void
+add_limits(struct comet_gossip *gossip, comet_View *view, uint64_t now_us)
+{
+	struct add_limits context = {.view = view, .now_us = now_us, .first = gossip->next_limit};
+
+	comet_instances_each_limited(gossip->instances, now_us, add_limit, &context);
+	gossip->next_limit += view->limits_count;
+	if (gossip->next_limit >= context.count)
+		gossip->next_limit = 0;
+}
+
 /* @return whether gossip messages may list a VM. */
 static bool
 can_be_listed(const struct comet_gossip_peer *peer)
@@ -277,6 +314,7 @@
 	if (gossip->next_team >= context.other_count)
 		gossip->next_team = 0;
 	add_peers(gossip, view, zone);
+	add_limits(gossip, view, now_us);
 	if (gossip->crash_tracker != NULL)
 		view->crashed_count = (pb_size_t)comet_crash_tracker_encode(
 			gossip->crash_tracker, view->crashed, G_N_ELEMENTS(view->crashed), now_us);
--- a/libcometspindle/gateway/fleet/gossip_state.h
+++ b/libcometspindle/gateway/fleet/gossip_state.h
@@ -66,9 +66,10 @@
 	size_t view_bytes; /* size of the last gossip message */
 	uint64_t zone_sent_us;
 	uint64_t all_sent_us;
-	bool is_seed;       /* this VM is one of its own seeds */
-	uint32_t next_team; /* where the next gossip message continues the list of teams */
-	uint32_t next_peer; /* where the next gossip message continues the list of VMs */
+	bool is_seed;        /* this VM is one of its own seeds */
+	uint32_t next_team;  /* where the next gossip message continues the list of teams */
+	uint32_t next_limit; /* where the next gossip message continues the list of limits */
+	uint32_t next_peer;  /* where the next gossip message continues the list of VMs */
 	bool leaving;
 	bool broadcast_pending;  /* the next round goes to all VMs, ahead of schedule */
 	uint64_t summed_changes; /* change counter of the endpoints when remote load was summed */
--- a/libcometspindle/gateway/placement/endpoint_picker.c
+++ b/libcometspindle/gateway/placement/endpoint_picker.c
@@ -102,7 +102,8 @@
 	const struct comet_instance *instance, uint64_t now_us)
 {
 	return comet_endpoint_picker_is_candidate(item, instance) &&
-	       now_us >= instance->full_until_us && health_permits(item, instance, now_us);
+	       now_us >= instance->full_until_us && now_us >= instance->limit.blocked_until_us &&
+	       health_permits(item, instance, now_us);
 }
 
 static bool
@@ -191,6 +192,15 @@
 		scope->slow_start_share, sample, now_us);
 }
 
+/* Returns whether the limit that the instance advertises admits one more request from this VM. */
+static bool
+limit_admits(const struct comet_endpoint_picker_scope *scope, struct comet_instance *instance,
+	uint64_t now_us)
+{
+	return scope->owner_decides ||
+	       comet_advertised_limit_admits(&instance->limit, scope->limit_share, now_us);
+}
+
 /* Records the picked candidate and its estimates. */
 static void
 record_decision(struct comet_placement_decision *decision, const struct candidate *cheapest,
@@ -236,7 +246,8 @@
 			full_would_be_in_time = full_would_be_in_time || in_time;
 			continue;
 		}
-		if (!slow_start_admits(picker, scope, instance, now_us))
+		if (!slow_start_admits(picker, scope, instance, now_us) ||
+			!limit_admits(scope, instance, now_us))
 			continue;
 		decision->with_room++;
 		update_cheapest(in_time ? &cheapest_in_time : &cheapest_late, &candidate);
--- a/libcometspindle/gateway/placement/endpoint_picker.h
+++ b/libcometspindle/gateway/placement/endpoint_picker.h
@@ -27,10 +27,13 @@
 struct comet_endpoint_picker_scope
 {
 	const GPtrArray *instances; /**< Candidates, struct comet_instance; NULL: none. */
-	uint32_t queue_limit;     /**< Streams only: requests allowed beyond an endpoint's slots. */
-	bool owned;               /**< Whether this VM is the owner, which has the exact load. */
-	double slow_start_share;  /**< Share of the slow start capacity of an endpoint that this VM
-			       may use; 0: another VM decides on admission. */
+	uint32_t queue_limit;    /**< Streams only: requests allowed beyond an endpoint's slots. */
+	bool owned;              /**< Whether this VM is the owner, which has the exact load. */
+	double slow_start_share; /**< Share of the slow start capacity of an endpoint that this VM
+			      may use; 0: another VM decides on admission. */
+	bool owner_decides;      /**< Another VM, the owner, applies the limits that endpoints
+				    advertise. */
+	double limit_share; /**< Otherwise: share of such a limit that this VM may use; 0: none. */
 	const uint32_t *excluded; /**< Keys of instances that must not be picked. */
 	uint32_t n_excluded;
 };
--- a/libcometspindle/gateway/placement/grants.c
+++ b/libcometspindle/gateway/placement/grants.c
@@ -168,18 +168,22 @@
 		return;
 	}
 	struct pending_slot_request request = *found;
+	const struct comet_slot_grant grant = {
+		.owner_vm = request.rpc.vm,
+		.instance_key = answer->instance,
+		.limit_applied = answer->limit_applied,
+	};
 	comet_pending_rpcs_remove(grants->rpcs, found);
 	if (answer->instance != 0)
-		grants->ops->granted(
-			grants->ctx, request.rpc.user_data, request.rpc.vm, answer->instance);
+		grants->ops->granted(grants->ctx, request.rpc.user_data, &grant);
 	else
 		grants->ops->denied(
 			grants->ctx, request.rpc.user_data, request.shard, request.queue_limit);
 }
 
 static void
-send_answer(struct comet_grants *grants, uint32_t requester, uint64_t number, uint32_t instance_key,
-	const struct comet_placement_wait_estimate *wait)
+send_answer(struct comet_grants *grants, uint32_t requester, uint64_t number,
+	const struct comet_instance *instance, const struct comet_placement_wait_estimate *wait)
 {
 	comet_Datagram datagram = {
 		.which_body = comet_Datagram_answer_tag,
@@ -187,9 +191,10 @@
 			{
 				.keeper = grants->address,
 				.number = number,
-				.instance = instance_key,
+				.instance = instance != NULL ? instance->key : 0,
 				.waits = wait->waits,
 				.expected_ms = (uint32_t)MIN(wait->expected_us / 1000, UINT32_MAX),
+				.limit_applied = instance != NULL && instance->limit.active,
 			},
 	};
 
@@ -197,21 +202,21 @@
 }
 
 void
-comet_grants_grant(
-	struct comet_grants *grants, uint32_t requester, uint64_t number, uint32_t instance_key)
+comet_grants_grant(struct comet_grants *grants, uint32_t requester, uint64_t number,
+	const struct comet_instance *instance)
 {
 	static const struct comet_placement_wait_estimate no_wait = {0};
 
-	send_answer(grants, requester, number, instance_key, &no_wait);
+	send_answer(grants, requester, number, instance, &no_wait);
 }
 
 static void
 handle_slot_request(struct comet_grants *grants, const comet_SlotAsk *request)
 {
 	struct comet_placement_wait_estimate wait = {0};
-	uint32_t instance_key = grants->ops->pick(grants->ctx, request, &wait);
+	const struct comet_instance *instance = grants->ops->pick(grants->ctx, request, &wait);
 
-	send_answer(grants, request->asker, request->number, instance_key, &wait);
+	send_answer(grants, request->asker, request->number, instance, &wait);
 }
 
 void
--- a/libcometspindle/gateway/placement/grants.h
+++ b/libcometspindle/gateway/placement/grants.h
@@ -24,8 +24,8 @@
 {
 	void (*send)(void *ctx, uint32_t address, const uint8_t *data, size_t length);
 	/** Requesting VM: the owner granted a slot at an instance. */
-	void (*granted)(void *ctx, struct comet_placement_item *item, uint32_t owner_vm,
-		uint32_t instance_key);
+	void (*granted)(
+		void *ctx, struct comet_placement_item *item, const struct comet_slot_grant *grant);
 	/** Requesting VM: no endpoint of the shard has capacity with this queue limit. */
 	void (*denied)(
 		void *ctx, struct comet_placement_item *item, uint32_t shard, uint32_t queue_limit);
@@ -39,10 +39,10 @@
 	void (*unanswered)(void *ctx, struct comet_placement_item *item, uint32_t owner_vm);
 	/**
 	 * Owner: selects an instance for the slot request of another VM.
-	 * @return the key of the instance; 0 when none has capacity, and then *wait says whether
-	 * the request waits here.
+	 * @return the instance; NULL when none has capacity, and then *wait says whether the
+	 * request waits here.
 	 */
-	uint32_t (*pick)(void *ctx, const comet_SlotAsk *request,
+	const struct comet_instance *(*pick)(void *ctx, const comet_SlotAsk *request,
 		struct comet_placement_wait_estimate *wait);
 	/** Owner: another VM has released a slot that it had been granted. */
 	void (*remote_release)(void *ctx, const comet_SlotFreed *freed);
@@ -91,8 +91,8 @@
 
 /** Owner: grants a slot to a remote waiter. */
 void
-comet_grants_grant(
-	struct comet_grants *grants, uint32_t requester, uint64_t number, uint32_t instance_key);
+comet_grants_grant(struct comet_grants *grants, uint32_t requester, uint64_t number,
+	const struct comet_instance *instance);
 
 /** Handles a received slot request, answer or release; other datagrams are ignored. */
 void
--- a/libcometspindle/gateway/placement/placement.c
+++ b/libcometspindle/gateway/placement/placement.c
@@ -17,6 +17,11 @@
  * any time. */
 #define SLOW_START_OWNERLESS_SHARE 0.25
 
+/* The same for the limits that endpoints advertise. The owner leaves a margin, because network
+ * delays differ and requests that were sent evenly may arrive close together. */
+#define LIMIT_OWNER_SHARE 0.9
+#define LIMIT_OWNERLESS_SHARE 0.5
+
 /* Bounds of the Retry-After time of a refused caller: long enough for a slot to become free, and no
  * longer than a burst lasts. */
 #define RETRY_AFTER_MIN_MS 100
@@ -75,6 +80,8 @@
 {
 	placement->owner_share = MIN(SLOW_START_OWNER_SHARE, (double)alive / known);
 	placement->ownerless_share = SLOW_START_OWNERLESS_SHARE / known;
+	placement->limit_owner_share = MIN(LIMIT_OWNER_SHARE, (double)alive / known);
+	placement->limit_ownerless_share = LIMIT_OWNERLESS_SHARE / known;
 }
 
 /* Varies the time at random, so that callers that were refused together do not retry together. */
@@ -374,12 +381,26 @@
 		comet_placement_run(placement, now_us);
 }
 
+/* Returns whether a granted slot may be used. An owner that does not know the limit of an endpoint,
+ * or that runs an earlier release, grants slots without counting them against the limit. */
+static bool
+limit_permits_grant(const struct comet_placement *placement, struct comet_instance *instance,
+	const struct comet_slot_grant *grant, uint64_t now_us)
+{
+	if (!instance->limit.active || grant->limit_applied ||
+		comet_advertised_limit_admits(
+			&instance->limit, placement->limit_ownerless_share, now_us))
+		return true;
+	comet_advertised_limit_block(&instance->limit, now_us);
+	return false;
+}
+
 bool
 comet_placement_granted(struct comet_placement *placement, struct comet_placement_item *item,
-	uint32_t owner_vm, uint32_t instance_key, uint64_t now_us)
+	const struct comet_slot_grant *grant, uint64_t now_us)
 {
 	struct comet_instance *instance =
-		comet_instances_find_key(placement->instances, instance_key);
+		comet_instances_find_key(placement->instances, grant->instance_key);
 
 	if (!item->slot_requested)
 		return false; /* already dispatched; a second slot is not needed */
@@ -387,11 +408,13 @@
 	if (item->queue_position != NULL)
 		comet_placement_dequeue(placement, item);
 	if (instance == NULL || strcmp(instance->service, item->service) != 0 ||
-		!comet_endpoint_picker_is_usable(item, instance, now_us))
+		!comet_endpoint_picker_is_usable(item, instance, now_us) ||
+		!limit_permits_grant(placement, instance, grant, now_us))
 	{
 		/* The endpoint lists of the VMs differ, more endpoints are ejected than a slot
-		 * request can exclude, or the answer is not from an owner. The service is compared
-		 * because a request must never be sent to another service. */
+		 * request can exclude, the answer is not from an owner, or the owner does not apply
+		 * a limit. The service is compared because a request must never be sent to another
+		 * service. */
 		instance = comet_placement_pick_by_gossip(placement, item, now_us);
 		if (instance != NULL)
 			dispatch(placement, item, instance, now_us);
@@ -405,7 +428,7 @@
 	placement->decision.waited_us = now_us - item->submitted_us;
 	comet_instance_estimate(instance, &item->size, now_us, &placement->decision.first_us,
 		&placement->decision.total_us);
-	dispatch_to_slot(placement, item, instance, owner_vm, now_us);
+	dispatch_to_slot(placement, item, instance, grant->owner_vm, now_us);
 	return true;
 }
 
--- a/libcometspindle/gateway/placement/placement.h
+++ b/libcometspindle/gateway/placement/placement.h
@@ -52,7 +52,7 @@
  */
 bool
 comet_placement_granted(struct comet_placement *placement, struct comet_placement_item *item,
-	uint32_t owner_vm, uint32_t instance_key, uint64_t now_us) G_GNUC_WARN_UNUSED_RESULT;
+	const struct comet_slot_grant *grant, uint64_t now_us) G_GNUC_WARN_UNUSED_RESULT;
 
 /** Handles the denial of a slot request: no endpoint of the shard has capacity at that level. */
 void
@@ -74,6 +74,12 @@
 comet_placement_unanswered(
 	struct comet_placement *placement, struct comet_placement_item *item, uint64_t now_us);
 
+/** Counts a connection other than a request against the limit that an instance advertises.
+ * @return false if the share of this VM does not admit it */
+bool
+comet_placement_limit_admits(
+	struct comet_placement *placement, struct comet_instance *instance, uint64_t now_us);
+
 /** Records that a request of this VM has left a slot of the instance. */
 void
 comet_placement_slot_released(
--- a/libcometspindle/gateway/placement/placement_find.c
+++ b/libcometspindle/gateway/placement/placement_find.c
@@ -13,6 +13,8 @@
 		.instances = comet_instances_for_service(placement->instances, item->service),
 		.queue_limit = comet_endpoint_picker_queue_limit(item),
 		.slow_start_share = placement->ownerless_share,
+		.limit_share =
+			placement->ops->find_owner == NULL ? placement->limit_ownerless_share : 0,
 	};
 
 	return comet_endpoint_picker_pick(
@@ -85,6 +87,13 @@
 	return 0;
 }
 
+static double
+limit_share_of(const struct comet_placement *placement, enum comet_placement_owner owner)
+{
+	return owner == COMET_PLACEMENT_OWNER_SELF ? placement->limit_owner_share
+						   : placement->limit_ownerless_share;
+}
+
 static struct shard_candidate
 evaluate_shard(struct comet_placement *placement, const struct comet_placement_item *item,
 	struct comet_shard *shard, uint32_t queue_limit, uint64_t now_us)
@@ -98,6 +107,8 @@
 		.queue_limit = queue_limit,
 		.owned = candidate.owner == COMET_PLACEMENT_OWNER_SELF,
 		.slow_start_share = slow_start_share_of(placement, candidate.owner),
+		.owner_decides = candidate.owner == COMET_PLACEMENT_OWNER_OTHER,
+		.limit_share = limit_share_of(placement, candidate.owner),
 	};
 
 	candidate.best = comet_endpoint_picker_pick(
@@ -105,6 +116,23 @@
 	return candidate;
 }
 
+bool
+comet_placement_limit_admits(
+	struct comet_placement *placement, struct comet_instance *instance, uint64_t now_us)
+{
+	struct comet_shard *shard = comet_shards_find(placement->shards, instance->shard);
+	enum comet_placement_owner owner =
+		shard != NULL && placement->ops->find_owner != NULL
+			? placement->ops->find_owner(placement->ctx, shard)
+			: COMET_PLACEMENT_OWNER_NONE;
+
+	if (!comet_advertised_limit_admits(
+		    &instance->limit, limit_share_of(placement, owner), now_us))
+		return false;
+	comet_advertised_limit_count(&instance->limit);
+	return true;
+}
+
 /* Returns the instance picked by this VM, or sends a slot request to the owner. @return as
  * comet_placement_find() */
 static struct comet_instance *
--- a/libcometspindle/gateway/placement/placement_item.h
+++ b/libcometspindle/gateway/placement/placement_item.h
@@ -72,6 +72,15 @@
 			     once. */
 };
 
+/** A slot that an owner granted. */
+struct comet_slot_grant
+{
+	uint32_t owner_vm;     /**< Address of the owner. */
+	uint32_t instance_key; /**< Key of the instance. */
+	bool limit_applied; /**< The owner counted the request against the limit that the instance
+			       advertises. */
+};
+
 /** An owner's reply to a slot request that it cannot grant at once. */
 struct comet_placement_wait_estimate
 {
--- a/libcometspindle/gateway/placement/placement_remote_waiters.c
+++ b/libcometspindle/gateway/placement/placement_remote_waiters.c
@@ -31,6 +31,7 @@
 		.queue_limit = queue_limit,
 		.owned = true,
 		.slow_start_share = placement->owner_share,
+		.limit_share = placement->limit_owner_share,
 		.excluded = remote_waiter->excluded,
 		.n_excluded = (uint32_t)remote_waiter->request.n_excluded,
 	};
--- a/libcometspindle/gateway/placement/placement_state.h
+++ b/libcometspindle/gateway/placement/placement_state.h
@@ -43,6 +43,9 @@
 	 * shard has no owner that responds. */
 	double owner_share;
 	double ownerless_share;
+	/* The same for the limit that an endpoint advertises. */
+	double limit_owner_share;
+	double limit_ownerless_share;
 	const struct comet_placement_ops *ops;
 	void *ctx;
 	GHashTable *queues; /* service name -> struct comet_placement_queue */
--- a/libcometspindle/proto/view.pb.c
+++ b/libcometspindle/proto/view.pb.c
@@ -15,6 +15,9 @@
 PB_BIND(comet_Crashed, comet_Crashed, AUTO)
 
 
+PB_BIND(comet_AdvertisedLimit, comet_AdvertisedLimit, AUTO)
+
+
 PB_BIND(comet_View, comet_View, 2)
 
 
--- a/tests/unit/grants_fleet.h
+++ b/tests/unit/grants_fleet.h
@@ -81,6 +81,7 @@
 	std::map<uint32_t, vm> vms;
 	std::deque<mail> in_flight;
 	std::function<bool(const mail &)> lost = [](const mail &) { return false; };
+	std::function<void(mail &)> on_mail = [](mail &) {}; /* may change a datagram */
 	std::vector<std::unique_ptr<comet_placement_item>> items;
 	std::map<std::string, std::vector<uint64_t>> sends; /* endpoint -> dispatch times */
 	std::map<comet_placement_item *, uint64_t> sent_us; /* time of the last dispatch */
@@ -196,11 +197,12 @@
 	}
 
 	static void
-	on_granted(void *ctx, comet_placement_item *item, uint32_t owner, uint32_t key)
+	on_granted(void *ctx, comet_placement_item *item, const comet_slot_grant *grant)
 	{
 		auto *one = static_cast<vm *>(ctx);
-		if (!comet_placement_granted(one->placement, item, owner, key, one->parent->now_us))
-			comet_grants_release(one->grants, owner, key, nullptr);
+		if (!comet_placement_granted(one->placement, item, grant, one->parent->now_us))
+			comet_grants_release(
+				one->grants, grant->owner_vm, grant->instance_key, nullptr);
 		comet_placement_run(one->placement, one->parent->now_us);
 	}
 
@@ -235,7 +237,7 @@
 		auto *one = static_cast<vm *>(ctx);
 		comet_gossip_slot_granted(one->gossip, request->requester, instance->key,
 			request->size.prompt_tokens, one->parent->now_us);
-		comet_grants_grant(one->grants, request->requester, request->number, instance->key);
+		comet_grants_grant(one->grants, request->requester, request->number, instance);
 	}
 
 	static void
@@ -245,7 +247,7 @@
 		comet_placement_unanswered(one->placement, item, one->parent->now_us);
 	}
 
-	static uint32_t
+	static const comet_instance *
 	on_pick(void *ctx, const comet_SlotAsk *request, comet_placement_wait_estimate *wait)
 	{
 		auto *one = static_cast<vm *>(ctx);
@@ -267,11 +269,10 @@
 		slot_request.wait_us = request->wait_ms * 1000;
 		comet_instance *instance =
 			comet_placement_pick_remote(one->placement, &slot_request, now_us, wait);
-		if (instance == nullptr)
-			return 0;
-		comet_gossip_slot_granted(
-			one->gossip, request->asker, instance->key, request->prompt_tokens, now_us);
-		return instance->key;
+		if (instance != nullptr)
+			comet_gossip_slot_granted(one->gossip, request->asker, instance->key,
+				request->prompt_tokens, now_us);
+		return instance;
 	}
 
 	static void
@@ -299,6 +300,7 @@
 		{
 			mail one = in_flight.front();
 			in_flight.pop_front();
+			on_mail(one);
 			if (!lost(one))
 				receive(one);
 		}
--- a/tests/unit/test_gateway_grants.cc
+++ b/tests/unit/test_gateway_grants.cc
@@ -215,7 +215,7 @@
 {
 	static const comet_grants_ops ops = {
 		[](void *, uint32_t, const uint8_t *, size_t) {},
-		[](void *, comet_placement_item *, uint32_t, uint32_t) {},
+		[](void *, comet_placement_item *, const comet_slot_grant *) {},
 		[](void *, comet_placement_item *, uint32_t, uint32_t) {},
 		[](void *, comet_placement_item *, uint64_t) {},
 		[](void *, comet_placement_item *) {},
@@ -228,7 +228,8 @@
 				comet_grants_request(
 					one->grants, item, owner + 1, &request, 1040100);
 		},
-		[](void *, const comet_SlotAsk *, comet_placement_wait_estimate *) { return 0U; },
+		[](void *, const comet_SlotAsk *, comet_placement_wait_estimate *)
+		{ return static_cast<const comet_instance *>(nullptr); },
 		[](void *, const comet_SlotFreed *) {},
 	};
 	retrying_vm one;
@@ -301,7 +302,7 @@
 	comet_placement_item *item = all.submit(requester);
 	comet_Datagram forged = {};
 	forged.which_body = comet_Datagram_answer_tag;
-	forged.body.answer = {owner, 1, other->key, false, 0};
+	forged.body.answer = {owner, 1, other->key, false, 0, false};
 	comet_grants_receive(all.vms[requester].grants, &forged, all.now_us);
 	all.deliver();
 	ASSERT_EQ(all.vms[requester].sent.count(item), 1U);
--- a/tests/unit/test_gateway_remote_waiters.cc
+++ b/tests/unit/test_gateway_remote_waiters.cc
@@ -202,8 +202,9 @@
 	for (int i = 0; i < 200 && !item.slot_requested; i++)
 		comet_placement_run(placement, now_us += 20000);
 	ASSERT_TRUE(item.slot_requested);
-	EXPECT_TRUE(comet_placement_granted(placement, &item, 7, key, now_us));
-	EXPECT_FALSE(comet_placement_granted(placement, &item, 7, key, now_us))
+	const comet_slot_grant grant = {7, key, false};
+	EXPECT_TRUE(comet_placement_granted(placement, &item, &grant, now_us));
+	EXPECT_FALSE(comet_placement_granted(placement, &item, &grant, now_us))
 		<< "the second grant is not used";
 	EXPECT_EQ(one.dispatches, 1U);
 	talloc_free(instances);
--- a/tests/unit/test_limit_enforcement.cc
+++ b/tests/unit/test_limit_enforcement.cc
@@ -38,13 +38,39 @@
 	std::vector<std::pair<uint32_t, comet_placement_item *>> open;
 	std::map<std::string, double> limits; /* endpoint -> advertised limit */
 	std::set<uint32_t> unaware;           /* VMs that cannot read the limit */
+	std::set<uint32_t> earlier_release;   /* VMs that neither send nor read limits */
 	std::mt19937 draw{5};
 	uint32_t vms;
+	std::vector<uint32_t> senders; /* VMs that receive requests; empty: all */
 
 	limited_load(uint32_t vms, int endpoints) : all(vms, endpoints), vms(vms)
 	{
 	}
 
+	/* Lets these VMs run an earlier release, whose messages have no fields for limits. */
+	void
+	run_earlier_release(const std::set<uint32_t> &addresses)
+	{
+		earlier_release = addresses;
+		unaware = addresses;
+		all.on_mail = [this](grants_fleet::mail &one)
+		{
+			if (earlier_release.count(one.from) == 0 &&
+				earlier_release.count(one.to) == 0)
+				return;
+			comet_Datagram datagram;
+			uint8_t bytes[COMET_DATAGRAM_BYTES_MAX];
+			ASSERT_TRUE(comet_datagram_decode(
+				(const uint8_t *)one.bytes.data(), one.bytes.size(), &datagram));
+			if (datagram.which_body == comet_Datagram_view_tag)
+				datagram.body.view.limits_count = 0;
+			if (datagram.which_body == comet_Datagram_answer_tag)
+				datagram.body.answer.limit_applied = false;
+			size_t length = comet_datagram_encode(&datagram, bytes);
+			one.bytes = std::string((const char *)bytes, length);
+		};
+	}
+
 	void
 	respond(uint32_t address, comet_placement_item *item)
 	{
@@ -53,7 +79,7 @@
 		comet_instance *instance = comet_instances_find(vm.instances, id.c_str());
 		double limit = limits.count(id) != 0 ? limits[id] : -1;
 		if (unaware.count(address) == 0 &&
-			comet_advertised_limit_observe(&instance->limit, limit, all.now_us))
+			comet_instance_limit_advertised(instance, limit, all.now_us))
 			comet_gossip_schedule_broadcast(vm.gossip);
 		all.end(address, item, 0, 0, COMET_DISPATCH_SERVED);
 	}
@@ -68,6 +94,8 @@
 			for (uint32_t i = 0; i < batch; i++)
 			{
 				uint32_t vm = any(draw);
+				if (!senders.empty())
+					vm = senders[vm % senders.size()];
 				open.emplace_back(vm, all.submit(vm));
 			}
 			all.pass(20000);
@@ -201,6 +229,26 @@
 	EXPECT_LE(load.most_in_a_window("i1", from_us), most_allowed(4));
 }
 
+/* An owner of an earlier release grants slots without regard to limits. Only the requests of the
+ * other VMs can be limited. */
+TEST(LimitEnforcement, AnOwnerThatRunsAnEarlierRelease)
+{
+	limited_load load(9, 4);
+	uint32_t owner = load.all.owner_of(1);
+	load.run_earlier_release({owner});
+	load.run(second_us);
+	load.limits = {{"i0", 2}, {"i1", 1}};
+	load.run(settle_us);
+	for (uint32_t vm = 1; vm <= 9; vm++)
+		if (vm != owner)
+			load.senders.push_back(vm);
+	load.run(window_us);
+	uint64_t from_us = load.all.now_us;
+	load.run(8 * second_us);
+	EXPECT_LE(load.most_in_a_window("i0", from_us), most_allowed(2));
+	EXPECT_LE(load.most_in_a_window("i1", from_us), most_allowed(1));
+}
+
 TEST(LimitEnforcement, WithdrawnLimitsNoLongerBind)
 {
 	limited_load load(9, 4);
