Show when a VM reaches no endpoint, and which owner denied a slot

If none accepts a connection, its links are lost until one does (endpoints_unreachable, endpoints_reachable, metric comet_endpoints_unreachable). Some of the denials are logged with the owner. A TCP probe whose result arrived while the process was stopped is no failure any more. No decision uses the result of a check yet.

--- a/libcometspindle/adapters/endpoints/tcp_probe.c
+++ b/libcometspindle/adapters/endpoints/tcp_probe.c
@@ -13,6 +13,7 @@
 
 struct comet_tcp_probe
 {
+	struct comet_timers *timers;
 	struct comet_socket *socket;
 	struct comet_timer *timer;
 	comet_tcp_probe_handler handler;
@@ -35,7 +36,11 @@
 {
 	struct comet_tcp_probe *probe = ctx;
 
-	finish(probe, probe->result);
+	/* The result has arrived, but this process was stopped before it could read it. */
+	if (probe->socket != NULL && comet_socket_has_pending_events(probe->socket))
+		probe->timer = comet_timers_add(probe->timers, probe, TIMEOUT_US, on_timer, probe);
+	else
+		finish(probe, probe->result);
 }
 
 static void
@@ -73,6 +78,7 @@
 	uint64_t timeout_us = TIMEOUT_US;
 	struct sockaddr_in at;
 
+	probe->timers = timers;
 	probe->handler = handler;
 	probe->ctx = ctx;
 	probe->result = COMET_TCP_PROBE_UNREACHABLE;
--- a/libcometspindle/adapters/gateway/gateway.c
+++ b/libcometspindle/adapters/gateway/gateway.c
@@ -3,6 +3,7 @@
  * the gateway process: sockets, signals, the event loop and the shutdown of a plain HTTP proxy
  */
 #include <libcometspindle/adapters/gateway/gateway_crashes.h>
+#include <libcometspindle/adapters/gateway/gateway_reachability.h>
 
 #include <libcometspindle/adapters/socket.h>
 #include <libcometspindle/error.h>
@@ -189,6 +190,7 @@
 	comet_gossip_count_peers(gateway->gossip, &known, &alive);
 	set_vms(gateway, alive + 1, known + 1, now_us);
 	comet_gateway_tick_endpoints(gateway, now_us);
+	comet_gateway_links_tick(gateway->links, now_us);
 	comet_crash_tracker_tick(gateway->crash_tracker, now_us);
 	comet_proxy_request_refuse_all_quarantined(gateway);
 	comet_placement_run(gateway->placement, now_us);
@@ -364,6 +366,7 @@
 	gateway->reader_election = comet_reader_election_create(gateway,
 		(uint64_t)followed_ms(settings) * 1000, comet_random_u32(&gateway->random));
 	gateway->resync_cache = comet_resync_cache_create(gateway);
+	gateway->links = comet_gateway_links_create(gateway);
 	gateway->older_peers = g_hash_table_new(NULL, NULL);
 	gateway->crash_tracker =
 		comet_crash_tracker_create(gateway, &comet_gateway_crashes_ops, gateway);
--- a/libcometspindle/adapters/gateway/gateway_grants.c
+++ b/libcometspindle/adapters/gateway/gateway_grants.c
@@ -131,6 +131,19 @@
 	comet_placement_run(gateway->placement, now_us);
 }
 
+/* Logs some of the denials, so that a refusal can be traced to the owner that caused it. */
+static void
+log_denied(
+	struct comet_gateway *gateway, const struct comet_proxy_request *proxy, uint32_t shard_id)
+{
+	const struct comet_shard *shard = comet_placement_find_shard(gateway->placement, shard_id);
+	char text[COMET_IPV4_TEXT_BYTES];
+
+	comet_log_repeated(COMET_LOG_INFO, "event=slot_denied request=%s shard=%08x owner=%s",
+		proxy->id, shard_id,
+		shard != NULL ? comet_datagram_socket_format_address(shard->owner_vm, text) : "-");
+}
+
 static void
 on_denied(void *ctx, struct comet_placement_item *item, uint32_t shard, uint32_t queue_limit)
 {
@@ -138,6 +151,7 @@
 	uint64_t now_us = comet_timers_now_us();
 
 	gateway->counts.denied++;
+	log_denied(gateway, item->user_data, shard);
 	comet_placement_denied(gateway->placement, item, shard, queue_limit, now_us);
 	comet_placement_run(gateway->placement, now_us);
 }
--- a/libcometspindle/adapters/gateway/gateway_metrics.c
+++ b/libcometspindle/adapters/gateway/gateway_metrics.c
@@ -3,6 +3,7 @@
  * writes the metrics of a gateway in the Prometheus text format
  */
 #include <libcometspindle/adapters/gateway/gateway_private.h>
+#include <libcometspindle/adapters/gateway/gateway_reachability.h>
 
 #include <stddef.h>
 
@@ -450,6 +451,8 @@
 	put_directory_calls(out, gateway);
 	put_crashes(out, gateway);
 	put_evacuations(out, gateway);
+	put(out, "endpoints_unreachable", "gauge",
+		comet_gateway_links_are_lost(gateway->links) ? 1 : 0);
 	put(out, "vms_known", "gauge", known);
 	put(out, "vms_heard", "gauge", alive);
 	put(out, "endpoint_visits_total", "counter",
--- a/libcometspindle/adapters/gateway/gateway_private.h
+++ b/libcometspindle/adapters/gateway/gateway_private.h
@@ -98,6 +98,7 @@
 	struct comet_crash_tracker *crash_tracker;
 	struct comet_gossip *gossip;
 	struct comet_grants *grants;
+	struct comet_links *links;        /**< whether this VM reaches endpoints */
 	struct comet_timer *grants_timer; /**< timeouts of pending slot requests; NULL: none */
 	struct comet_quota_requests *quota_requests;
 	struct comet_timer *quota_timer; /**< timeouts of pending quota requests; NULL: none */
--- /dev/null
+++ b/libcometspindle/adapters/gateway/gateway_reachability.c
@@ -0,0 +1,128 @@
+/*
+ * gateway_reachability.c
+ * checks whether this VM can reach any endpoint, after attempts have failed
+ */
+#include <libcometspindle/adapters/gateway/gateway_reachability.h>
+
+#include <libcometspindle/adapters/endpoints/tcp_probe.h>
+#include <libcometspindle/adapters/gateway/gateway_private.h>
+#include <libcometspindle/gateway/endpoints/reachability.h>
+#include <libcometspindle/log.h>
+#include <talloc.h>
+
+struct comet_links
+{
+	struct comet_gateway *gateway;
+	struct comet_reachability state;
+	TALLOC_CTX *check; /* parent of the probes of the current check; NULL: none */
+	uint64_t lost_us;  /* when the links were last found lost */
+};
+
+struct comet_links *
+comet_gateway_links_create(struct comet_gateway *gateway)
+{
+	struct comet_links *links = talloc_zero(gateway, struct comet_links);
+
+	links->gateway = gateway;
+	return links;
+}
+
+static void
+links_lost(struct comet_links *links, uint64_t now_us)
+{
+	links->lost_us = now_us;
+	comet_log(COMET_LOG_WARNING, "event=endpoints_unreachable probed=%d",
+		COMET_REACHABILITY_PROBES);
+}
+
+static void
+links_restored(const struct comet_links *links, uint64_t now_us)
+{
+	comet_log(COMET_LOG_NOTICE, "event=endpoints_reachable after_ms=%" G_GUINT64_FORMAT,
+		(now_us - links->lost_us) / 1000);
+}
+
+static void
+on_probed(void *ctx, enum comet_tcp_probe_result result)
+{
+	struct comet_links *links = ctx;
+	uint64_t now_us = comet_timers_now_us();
+	enum comet_reachability_change change =
+		comet_reachability_probed(&links->state, result == COMET_TCP_PROBE_OPEN, now_us);
+
+	if (links->state.pending == 0)
+		TALLOC_FREE(links->check); /* ends the other probes */
+	if (change == COMET_REACHABILITY_LOST)
+		links_lost(links, now_us);
+	else if (change == COMET_REACHABILITY_RESTORED)
+		links_restored(links, now_us);
+}
+
+/* The endpoints that a check probes, a random sample. */
+struct sample
+{
+	struct comet_random *random;
+	uint32_t seen;
+	uint32_t count;
+	const char *addresses[COMET_REACHABILITY_PROBES];
+};
+
+static void
+consider_endpoint(void *ctx, struct comet_instance *instance)
+{
+	struct sample *sample = ctx;
+
+	/* A connection counts against the limit that an endpoint advertises. */
+	if (instance->draining || instance->replaced || instance->limit.active)
+		return;
+	uint32_t position = comet_random_u32(sample->random) % ++sample->seen;
+	if (sample->count < COMET_REACHABILITY_PROBES)
+		sample->addresses[sample->count++] = instance->address;
+	else if (position < COMET_REACHABILITY_PROBES)
+		sample->addresses[position] = instance->address;
+}
+
+static void
+begin_check(struct comet_links *links, uint64_t now_us)
+{
+	struct comet_gateway *gateway = links->gateway;
+	struct sample sample = {.random = &gateway->random};
+
+	comet_instances_each(gateway->instances, consider_endpoint, &sample);
+	comet_reachability_begin_check(&links->state, sample.count, now_us);
+	TALLOC_FREE(links->check);
+	if (sample.count > 0)
+		links->check = talloc_new(links);
+	for (uint32_t i = 0; i < sample.count; i++)
+		comet_tcp_probe_start(gateway->timers, gateway->ev, links->check,
+			sample.addresses[i], on_probed, links);
+}
+
+void
+comet_gateway_links_tick(struct comet_links *links, uint64_t now_us)
+{
+	if (comet_reachability_needs_check(&links->state, now_us))
+		begin_check(links, now_us);
+}
+
+void
+comet_gateway_links_attempt_ended(struct comet_links *links, enum comet_dispatch_result result)
+{
+	if (result != COMET_DISPATCH_UNREACHABLE && result != COMET_DISPATCH_BROKEN &&
+		result != COMET_DISPATCH_SILENT)
+		return;
+	comet_reachability_suspect(&links->state);
+	comet_gateway_links_tick(links, comet_timers_now_us());
+}
+
+bool
+comet_gateway_links_are_lost(const struct comet_links *links)
+{
+	return links->state.lost;
+}
+
+bool
+comet_gateway_links_are_in_doubt(const struct comet_links *links)
+{
+	return comet_reachability_is_in_doubt(&links->state);
+}
--- /dev/null
+++ b/libcometspindle/adapters/gateway/gateway_reachability.h
@@ -0,0 +1,34 @@
+/*
+ * gateway_reachability.h
+ * checks whether this VM can reach any endpoint, after attempts have failed
+ */
+#ifndef COMETSPINDLE_ADAPTERS_GATEWAY_REACHABILITY_H
+#define COMETSPINDLE_ADAPTERS_GATEWAY_REACHABILITY_H
+
+#include <libcometspindle/gateway/endpoints/instance.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+struct comet_gateway;
+struct comet_links;
+
+struct comet_links *
+comet_gateway_links_create(struct comet_gateway *gateway);
+
+/** Records the result of an attempt, and begins a check if lost links may have caused it. */
+void
+comet_gateway_links_attempt_ended(struct comet_links *links, enum comet_dispatch_result result);
+
+/** Begins a check if one is due; call it with each tick. */
+void
+comet_gateway_links_tick(struct comet_links *links, uint64_t now_us);
+
+/** @return whether this VM reaches no endpoint. */
+bool
+comet_gateway_links_are_lost(const struct comet_links *links);
+
+/** @return whether the links are lost or under check. */
+bool
+comet_gateway_links_are_in_doubt(const struct comet_links *links);
+
+#endif
--- a/libcometspindle/adapters/gateway/proxy_request.c
+++ b/libcometspindle/adapters/gateway/proxy_request.c
@@ -3,6 +3,7 @@
  * the end of a proxy request: response, refusal, failure or disconnected caller
  */
 #include <libcometspindle/adapters/gateway/gateway_crashes.h>
+#include <libcometspindle/adapters/gateway/gateway_reachability.h>
 
 #include <libcometspindle/log.h>
 #include <string.h>
@@ -52,6 +53,7 @@
 	uint32_t events = comet_proxy_request_events(proxy) - proxy->prior_events;
 
 	comet_timer_cancel(&proxy->silence_timer);
+	comet_gateway_links_attempt_ended(gateway->links, result);
 	comet_gateway_attempt_ending(proxy, result);
 	if (instance != NULL)
 	{
--- a/libcometspindle/gateway/placement/placement.h
+++ b/libcometspindle/gateway/placement/placement.h
@@ -74,6 +74,10 @@
 comet_placement_unanswered(
 	struct comet_placement *placement, struct comet_placement_item *item, uint64_t now_us);
 
+/** @return the shard with this id, or NULL. */
+struct comet_shard *
+comet_placement_find_shard(struct comet_placement *placement, uint32_t id);
+
 /** Counts a connection other than a request against the limit that an instance advertises.
  * @return false if the share of this VM does not admit it */
 bool
--- a/libcometspindle/gateway/placement/placement_find.c
+++ b/libcometspindle/gateway/placement/placement_find.c
@@ -116,6 +116,12 @@
 	return candidate;
 }
 
+struct comet_shard *
+comet_placement_find_shard(struct comet_placement *placement, uint32_t id)
+{
+	return comet_shards_find(placement->shards, id);
+}
+
 bool
 comet_placement_limit_admits(
 	struct comet_placement *placement, struct comet_instance *instance, uint64_t now_us)
