--- a/tests/system/vm_group.py
+++ b/tests/system/vm_group.py
@@ -3,6 +3,7 @@
 import threading
 import time
 
+from cut_links import CutLinks
 from gateway_world import ADDRESS, Gateway, answer_of, connect, document, request
 from platform_standin import Server, Store, free_ports, wait_for
 
@@ -14,7 +15,8 @@
 class VmGroup:
     """Gateways of one availability zone that know each other. Each endpoint records when requests arrive."""
 
-    def __init__(self, vms, servers, **settings):
+    def __init__(self, vms, servers, cuttable=0, **settings):
+        """cuttable: number of VMs, the last ones, whose links to the endpoints can be cut."""
         self.store = Store()
         self.store.put("op/config", document(1))
         self.extra_headers = {}  # server name -> headers of its responses
@@ -24,12 +26,14 @@
             server.scripts["x"] = self.serve
         self.ports = free_ports(ADDRESS)
         self.settings = dict(seeds=f"{ADDRESS}:{self.ports['control']}", **settings)
+        self.links = {number: CutLinks(self.servers) for number in range(vms - cuttable, vms)}
         self.vms = [self.start(number) for number in range(vms)]
         for vm in self.vms:
             wait_for(lambda vm=vm: vm.ready() and vm.log_text().count(b"event=vm_heard") >= vms - 1, 30)
 
     def start(self, number, **more):
-        return Gateway(self.store, address=address_of(number), ports=self.ports, name=f"vm-{number}",
+        env = self.links[number].environment() if number in self.links else None
+        return Gateway(self.store, address=address_of(number), ports=self.ports, name=f"vm-{number}", env=env,
                        **{**self.settings, **more})
 
     def serve(self, server, sock, path, headers, body):
