A VM without links to endpoints owns no shard and ejects nothing for others

Cause: a VM that loses its links takes all endpoints for failed. As the owner of shards it then denies every slot, and its reports eject sound endpoints at other owners. The class of the fault: a failure of the observer is reported as a failure of what it observes.

Change: a VM that reaches no endpoint says so in its gossip messages, at once, and is no owner of shards while other VMs have links. It leaves slot requests unanswered, so that VMs that do not know yet, or run an earlier release, turn to the next owner. A failed attempt is reported only after a check has shown that the links are sound. An owner ignores reports of failures from such a VM, and of endpoints from which it received data within the last second. When the links work again, ejections are forgiven.

Unit test Grants.AVmThatReachesNoEndpointOwnsNoShard.

--- a/libcometspindle/adapters/gateway/gateway.c
+++ b/libcometspindle/adapters/gateway/gateway.c
@@ -85,7 +85,7 @@
 		comet_gateway_handle_report(gateway, &datagram.body.news, now_us);
 	else if (datagram.which_body != comet_Datagram_view_tag &&
 		 !comet_quota_requests_receive(gateway->quota_requests, &datagram, now_us))
-		comet_grants_receive(gateway->grants, &datagram, now_us);
+		comet_gateway_receive_grants(gateway, &datagram, now_us);
 	else if (datagram.which_body == comet_Datagram_view_tag &&
 		 !comet_gossip_receive(gateway->gossip, &datagram.body.view, now_us))
 		comet_log(COMET_LOG_WARNING, "event=gossip_message_malformed bytes=%zu", length);
--- a/libcometspindle/adapters/gateway/gateway_grants.c
+++ b/libcometspindle/adapters/gateway/gateway_grants.c
@@ -4,6 +4,7 @@
  */
 #include <libcometspindle/adapters/gateway/proxy_request.h>
 
+#include <libcometspindle/adapters/gateway/gateway_reachability.h>
 #include <libcometspindle/log.h>
 
 /* Interval at which pending slot requests are checked; a fraction of their timeout. */
@@ -24,6 +25,10 @@
 			gateway->timers, gateway, SLOT_REQUEST_TICK_US, on_grants_tick, gateway);
 }
 
+/* An endpoint from which this VM received data within this time has not failed, whatever other VMs
+ * report: it is several times the interval between the events of a stream. */
+#define SEEN_RECENTLY_US 1000000
+
 /* Context of is_unresponsive(). */
 struct responsiveness_query
 {
@@ -52,7 +57,7 @@
 	if (shard->owner_checked_us == 0 || now_us - shard->owner_checked_us >= OWNER_RECHECK_US ||
 		is_unresponsive(&query, shard->owner_vm))
 	{
-		shard->owner_vm = comet_gossip_find_responsive_owner(gateway->gossip, shard->id,
+		shard->owner_vm = comet_gossip_find_shard_owner(gateway->gossip, shard->id,
 			shard->zone_id, is_unresponsive, &query, now_us);
 		shard->owner_checked_us = now_us;
 	}
@@ -93,6 +98,18 @@
 	comet_grants_cancel(((struct comet_gateway *)ctx)->grants, item);
 }
 
+/* While this VM reaches no endpoint, it knows nothing of their load, and takes all of them for
+ * failed. It leaves slot requests unanswered, so that they are sent to the VM that ranks next. */
+void
+comet_gateway_receive_grants(
+	struct comet_gateway *gateway, const comet_Datagram *datagram, uint64_t now_us)
+{
+	if (datagram->which_body == comet_Datagram_ask_tag &&
+		comet_gateway_links_are_lost(gateway->links))
+		return;
+	comet_grants_receive(gateway->grants, datagram, now_us);
+}
+
 static void
 send_datagram(void *ctx, uint32_t address, const uint8_t *data, size_t length)
 {
@@ -265,6 +282,20 @@
 			comet_dispatch_result_name(result));
 }
 
+/* Whether the result that another VM reported says something about the endpoint. The links of that
+ * VM may have failed instead: it then reports so, or this VM has received data from the endpoint in
+ * the last moments. */
+static bool
+is_credible(const struct comet_gateway *gateway, uint32_t reporter,
+	const struct comet_instance *instance, enum comet_dispatch_result result, uint64_t now_us)
+{
+	bool seen =
+		instance->last_seen_us != 0 && now_us - instance->last_seen_us < SEEN_RECENTLY_US;
+
+	return !comet_gateway_links_may_cause(result) ||
+	       (!seen && comet_gossip_reaches_endpoints(gateway->gossip, reporter));
+}
+
 static void
 on_remote_release(void *ctx, const comet_SlotFreed *freed)
 {
@@ -278,7 +309,10 @@
 	if (instance != NULL)
 	{
 		comet_instance_add_sample(instance, !freed->plain, freed->taken_us, freed->events);
-		apply_remote_result(instance, comet_grants_result(freed->result), now_us);
+		enum comet_dispatch_result result = comet_grants_result(freed->result);
+		if (!is_credible(gateway, freed->asker, instance, result, now_us))
+			result = COMET_DISPATCH_CANCELLED;
+		apply_remote_result(instance, result, now_us);
 	}
 	comet_placement_run(gateway->placement, now_us);
 }
--- a/libcometspindle/adapters/gateway/gateway_private.h
+++ b/libcometspindle/adapters/gateway/gateway_private.h
@@ -187,6 +187,11 @@
 
 extern const struct comet_grants_ops comet_gateway_grants_ops;
 
+/** Handles a slot request, answer or release of another VM. */
+void
+comet_gateway_receive_grants(
+	struct comet_gateway *gateway, const comet_Datagram *datagram, uint64_t now_us);
+
 /** Answers quota requests of other VMs and takes their answers (gateway_quota.c). */
 extern const struct comet_quota_requests_ops comet_gateway_quota_ops;
 
--- a/libcometspindle/adapters/gateway/gateway_reachability.c
+++ b/libcometspindle/adapters/gateway/gateway_reachability.c
@@ -16,23 +16,76 @@
 	struct comet_reachability state;
 	TALLOC_CTX *check; /* parent of the probes of the current check; NULL: none */
 	uint64_t lost_us;  /* when the links were last found lost */
+	GArray *held;      /* of struct held_release: results that wait for the end of the check */
 };
 
+/* A slot whose release tells its owner of a failure, which may have another cause. */
+struct held_release
+{
+	uint32_t owner_vm;
+	uint32_t instance_key;
+	struct comet_grants_completion completion;
+};
+
+static int
+links_destroy(struct comet_links *links)
+{
+	g_array_free(links->held, TRUE);
+	return 0;
+}
+
 struct comet_links *
 comet_gateway_links_create(struct comet_gateway *gateway)
 {
 	struct comet_links *links = talloc_zero(gateway, struct comet_links);
 
 	links->gateway = gateway;
+	links->held = g_array_new(FALSE, FALSE, sizeof(struct held_release));
+	talloc_set_destructor(links, links_destroy);
 	return links;
 }
 
+/* Releases a slot. A failure is not reported while the links are lost, since it says nothing about
+ * the endpoint. */
+static void
+release(const struct comet_links *links, const struct held_release *held)
+{
+	struct comet_grants_completion completion = held->completion;
+
+	if (links->state.lost && comet_gateway_links_may_cause(completion.result))
+		completion.result = COMET_DISPATCH_CANCELLED;
+	comet_grants_release(
+		links->gateway->grants, held->owner_vm, held->instance_key, &completion);
+}
+
+static void
+release_held(struct comet_links *links)
+{
+	for (guint i = 0; i < links->held->len; i++)
+		release(links, &g_array_index(links->held, struct held_release, i));
+	g_array_set_size(links->held, 0);
+}
+
+void
+comet_gateway_links_release(struct comet_links *links, uint32_t owner_vm, uint32_t instance_key,
+	const struct comet_grants_completion *completion)
+{
+	const struct held_release held = {owner_vm, instance_key, *completion};
+
+	if (!links->state.lost && comet_gateway_links_are_in_doubt(links) &&
+		comet_gateway_links_may_cause(completion->result))
+		g_array_append_val(links->held, held);
+	else
+		release(links, &held);
+}
+
 static void
 links_lost(struct comet_links *links, uint64_t now_us)
 {
 	links->lost_us = now_us;
 	comet_log(COMET_LOG_WARNING, "event=endpoints_unreachable probed=%d",
 		COMET_REACHABILITY_PROBES);
+	comet_gossip_set_endpoints_unreachable(links->gateway->gossip, true);
 }
 
 static void
@@ -40,6 +93,9 @@
 {
 	comet_log(COMET_LOG_NOTICE, "event=endpoints_reachable after_ms=%" G_GUINT64_FORMAT,
 		(now_us - links->lost_us) / 1000);
+	comet_gossip_set_endpoints_unreachable(links->gateway->gossip, false);
+	comet_instances_forgive_failures(links->gateway->instances);
+	comet_placement_run(links->gateway->placement, now_us);
 }
 
 static void
@@ -51,7 +107,10 @@
 		comet_reachability_probed(&links->state, result == COMET_TCP_PROBE_OPEN, now_us);
 
 	if (links->state.pending == 0)
+	{
 		TALLOC_FREE(links->check); /* ends the other probes */
+		release_held(links);
+	}
 	if (change == COMET_REACHABILITY_LOST)
 		links_lost(links, now_us);
 	else if (change == COMET_REACHABILITY_RESTORED)
@@ -91,8 +150,12 @@
 	comet_instances_each(gateway->instances, consider_endpoint, &sample);
 	comet_reachability_begin_check(&links->state, sample.count, now_us);
 	TALLOC_FREE(links->check);
-	if (sample.count > 0)
-		links->check = talloc_new(links);
+	if (sample.count == 0)
+	{
+		release_held(links);
+		return;
+	}
+	links->check = talloc_new(links);
 	for (uint32_t i = 0; i < sample.count; i++)
 		comet_tcp_probe_start(gateway->timers, gateway->ev, links->check,
 			sample.addresses[i], on_probed, links);
@@ -105,11 +168,17 @@
 		begin_check(links, now_us);
 }
 
+bool
+comet_gateway_links_may_cause(enum comet_dispatch_result result)
+{
+	return result == COMET_DISPATCH_UNREACHABLE || result == COMET_DISPATCH_BROKEN ||
+	       result == COMET_DISPATCH_SILENT;
+}
+
 void
 comet_gateway_links_attempt_ended(struct comet_links *links, enum comet_dispatch_result result)
 {
-	if (result != COMET_DISPATCH_UNREACHABLE && result != COMET_DISPATCH_BROKEN &&
-		result != COMET_DISPATCH_SILENT)
+	if (!comet_gateway_links_may_cause(result))
 		return;
 	comet_reachability_suspect(&links->state);
 	comet_gateway_links_tick(links, comet_timers_now_us());
--- a/libcometspindle/adapters/gateway/gateway_reachability.h
+++ b/libcometspindle/adapters/gateway/gateway_reachability.h
@@ -6,6 +6,7 @@
 #define COMETSPINDLE_ADAPTERS_GATEWAY_REACHABILITY_H
 
 #include <libcometspindle/gateway/endpoints/instance.h>
+#include <libcometspindle/gateway/placement/grants.h>
 #include <stdbool.h>
 #include <stdint.h>
 
@@ -19,6 +20,16 @@
 void
 comet_gateway_links_attempt_ended(struct comet_links *links, enum comet_dispatch_result result);
 
+/** @return whether lost links may cause an attempt to end with this result. */
+bool
+comet_gateway_links_may_cause(enum comet_dispatch_result result);
+
+/** Releases a slot at its owner. While the links are under check, the release of a failed attempt
+ * waits for the result; if the links are lost, the failure is not reported. */
+void
+comet_gateway_links_release(struct comet_links *links, uint32_t owner_vm, uint32_t instance_key,
+	const struct comet_grants_completion *completion);
+
 /** Begins a check if one is due; call it with each tick. */
 void
 comet_gateway_links_tick(struct comet_links *links, uint64_t now_us);
--- a/libcometspindle/adapters/gateway/proxy_request.c
+++ b/libcometspindle/adapters/gateway/proxy_request.c
@@ -26,8 +26,8 @@
 
 	if (proxy->item.owner_vm == 0)
 		return;
-	comet_grants_release(
-		proxy->gateway->grants, proxy->item.owner_vm, proxy->incarnation_key, &end);
+	comet_gateway_links_release(
+		proxy->gateway->links, proxy->item.owner_vm, proxy->incarnation_key, &end);
 	proxy->item.owner_vm = 0;
 }
 
--- a/libcometspindle/gateway/endpoints/instances.c
+++ b/libcometspindle/gateway/endpoints/instances.c
@@ -368,6 +368,22 @@
 		visit(ctx, instance);
 }
 
+static void
+forgive_failures(void *ctx, struct comet_instance *instance)
+{
+	(void)ctx;
+	instance->failures = 0;
+	instance->error_rate = 0;
+	instance->ejected_until_us = 0;
+	instance->probe_in_flight = false;
+}
+
+void
+comet_instances_forgive_failures(struct comet_instances *instances)
+{
+	comet_instances_each(instances, forgive_failures, NULL);
+}
+
 size_t
 comet_instances_service_count(const struct comet_instances *instances)
 {
--- a/libcometspindle/gateway/endpoints/instances.h
+++ b/libcometspindle/gateway/endpoints/instances.h
@@ -103,6 +103,11 @@
 uint64_t
 comet_instances_change_count(const struct comet_instances *instances);
 
+/** Readmits all ejected instances, because the links of this VM had failed and not the instances.
+ */
+void
+comet_instances_forgive_failures(struct comet_instances *instances);
+
 /** Records that gossip about the load of all instances was merged. */
 void
 comet_instances_set_gossip_time(struct comet_instances *instances, uint64_t now_us);
--- a/libcometspindle/gateway/fleet/gossip.c
+++ b/libcometspindle/gateway/fleet/gossip.c
@@ -272,6 +272,7 @@
 	peer->last_seen_us = now_us;
 	peer->unreachable = false;
 	peer->leaving = view->leaving;
+	peer->endpoints_unreachable = view->endpoints_unreachable;
 	peer->revision = view->revision;
 	peer->zone = view->zone;
 	peer->cpu_percent = view->cpu_percent;
@@ -370,6 +371,22 @@
 	gossip->revision = revision;
 }
 
+void
+comet_gossip_set_endpoints_unreachable(struct comet_gossip *gossip, bool unreachable)
+{
+	gossip->endpoints_unreachable = unreachable;
+	comet_gossip_schedule_broadcast(gossip);
+}
+
+bool
+comet_gossip_reaches_endpoints(const struct comet_gossip *gossip, uint32_t address)
+{
+	const struct comet_gossip_peer *peer =
+		g_hash_table_lookup(gossip->peers, GUINT_TO_POINTER(address));
+
+	return peer == NULL || !peer->endpoints_unreachable;
+}
+
 void
 comet_gossip_leave(struct comet_gossip *gossip, uint64_t now_us)
 {
--- a/libcometspindle/gateway/fleet/gossip.h
+++ b/libcometspindle/gateway/fleet/gossip.h
@@ -72,6 +72,12 @@
 comet_gossip_find_responsive_owner(const struct comet_gossip *gossip, uint32_t key, uint32_t zone,
 	comet_gossip_is_unresponsive is_unresponsive, const void *ctx, uint64_t now_us);
 
+/** Like comet_gossip_find_responsive_owner(), for a key whose owner has to know the state of
+ * endpoints: skips VMs that have lost their links to them, unless all have. */
+uint32_t
+comet_gossip_find_shard_owner(const struct comet_gossip *gossip, uint32_t key, uint32_t zone,
+	comet_gossip_is_unresponsive is_unresponsive, const void *ctx, uint64_t now_us);
+
 /**
  * Selects the owner of a key among the seeds, which all VMs know before they have found each other.
  * Unresponsive seeds are skipped. @return its address; 0: there is none.
@@ -118,6 +124,14 @@
 void
 comet_gossip_set_revision(struct comet_gossip *gossip, uint64_t revision);
 
+/** Sets whether this VM has lost its links to all endpoints, and reports it to all VMs early. */
+void
+comet_gossip_set_endpoints_unreachable(struct comet_gossip *gossip, bool unreachable);
+
+/** @return false if a VM reports that it has lost its links to all endpoints. */
+bool
+comet_gossip_reaches_endpoints(const struct comet_gossip *gossip, uint32_t address);
+
 /** Reports to all VMs immediately that this VM is stopping. */
 void
 comet_gossip_leave(struct comet_gossip *gossip, uint64_t now_us);
--- a/libcometspindle/gateway/fleet/gossip_owners.c
+++ b/libcometspindle/gateway/fleet/gossip_owners.c
@@ -64,32 +64,65 @@
 	return comet_gossip_find_responsive_owner(gossip, key, zone, NULL, NULL, now_us);
 }
 
-uint32_t
-comet_gossip_find_responsive_owner(const struct comet_gossip *gossip, uint32_t key, uint32_t zone,
-	comet_gossip_is_unresponsive is_unresponsive, const void *ctx, uint64_t now_us)
+/* Conditions on an owner. */
+struct owner_query
+{
+	uint32_t key;
+	uint32_t zone;
+	bool reaches_endpoints;                       /* it must have links to endpoints */
+	comet_gossip_is_unresponsive is_unresponsive; /* NULL: any VM that is alive */
+	const void *ctx;
+};
+
+/* @return the best VM that meets the conditions; 0: there is none. */
+static uint32_t
+find_owner(const struct comet_gossip *gossip, const struct owner_query *query, uint64_t now_us)
 {
 	struct candidate best = {0};
 	GHashTableIter at;
 	gpointer value = NULL;
 
-	if (!gossip->leaving)
-		best = make_candidate(gossip->address, gossip->started_us, gossip->zone == zone,
-			gossip->cpu_percent, key, now_us);
+	if (!gossip->leaving && !(query->reaches_endpoints && gossip->endpoints_unreachable))
+		best = make_candidate(gossip->address, gossip->started_us,
+			gossip->zone == query->zone, gossip->cpu_percent, query->key, now_us);
 	g_hash_table_iter_init(&at, gossip->peers);
 	while (g_hash_table_iter_next(&at, NULL, &value))
 	{
 		const struct comet_gossip_peer *peer = value;
-		if (peer->last_seen_us == 0 || peer->unreachable || peer->leaving)
+		if (peer->last_seen_us == 0 || peer->unreachable || peer->leaving ||
+			(query->reaches_endpoints && peer->endpoints_unreachable))
 			continue;
 		struct candidate candidate = make_candidate(peer->address, peer->started_us,
-			peer->zone == zone, peer->cpu_percent, key, now_us);
+			peer->zone == query->zone, peer->cpu_percent, query->key, now_us);
 		if (is_preferred(&candidate, &best) &&
-			(is_unresponsive == NULL || !is_unresponsive(ctx, candidate.address)))
+			(query->is_unresponsive == NULL ||
+				!query->is_unresponsive(query->ctx, candidate.address)))
 			best = candidate;
 	}
 	return best.address;
 }
 
+uint32_t
+comet_gossip_find_responsive_owner(const struct comet_gossip *gossip, uint32_t key, uint32_t zone,
+	comet_gossip_is_unresponsive is_unresponsive, const void *ctx, uint64_t now_us)
+{
+	const struct owner_query query = {key, zone, false, is_unresponsive, ctx};
+
+	return find_owner(gossip, &query, now_us);
+}
+
+uint32_t
+comet_gossip_find_shard_owner(const struct comet_gossip *gossip, uint32_t key, uint32_t zone,
+	comet_gossip_is_unresponsive is_unresponsive, const void *ctx, uint64_t now_us)
+{
+	const struct owner_query query = {key, zone, true, is_unresponsive, ctx};
+	uint32_t owner = find_owner(gossip, &query, now_us);
+
+	return owner != 0 ? owner
+			  : comet_gossip_find_responsive_owner(
+				    gossip, key, zone, is_unresponsive, ctx, now_us);
+}
+
 /* @return the address with the higher rendezvous score; 0: none. */
 static uint32_t
 higher_score(uint32_t key, uint32_t first, uint32_t second)
--- a/libcometspindle/gateway/fleet/gossip_state.h
+++ b/libcometspindle/gateway/fleet/gossip_state.h
@@ -23,6 +23,7 @@
 	uint64_t revision;
 	uint32_t zone; /* 0: unknown */
 	uint32_t cpu_percent;
+	bool endpoints_unreachable; /* it has lost its links to all endpoints */
 	bool leaving; /* it is stopping, but may still spend until it is unreachable */
 	bool unreachable;
 	bool needs_view; /* send it a gossip message without waiting for a round, since it may not
@@ -71,7 +72,8 @@
 	uint32_t next_limit; /* where the next gossip message continues the list of limits */
 	uint32_t next_peer;  /* where the next gossip message continues the list of VMs */
 	bool leaving;
-	bool broadcast_pending;  /* the next round goes to all VMs, ahead of schedule */
+	bool endpoints_unreachable; /* this VM has lost its links to all endpoints */
+	bool broadcast_pending;     /* the next round goes to all VMs, ahead of schedule */
 	uint64_t summed_changes; /* change counter of the endpoints when remote load was summed */
 	comet_Datagram outgoing; /* the datagram being built */
 };
--- a/tests/system/cut_links.py
+++ b/tests/system/cut_links.py
@@ -17,8 +17,12 @@
 
 
 def reset(sock):
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-    sock.close()
+    """Lets the thread that relays a connection reset it."""
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        sock.shutdown(socket.SHUT_RD)
+    except OSError:
+        pass  # the thread has closed the connection already
 
 
 class Relay:
@@ -73,7 +77,6 @@
         self.listener.close()
         if kind == "reset":
             for sock, _ in list(self.pairs):
-                sock.shutdown(socket.SHUT_RD)
                 reset(sock)
         if kind == "hang":
             self.hang_new_connections()
--- a/tests/unit/test_gateway_grants.cc
+++ b/tests/unit/test_gateway_grants.cc
@@ -448,4 +448,30 @@
 	EXPECT_EQ(all.vms[requester].sent[next], "i0");
 }
 
+/* A VM without links takes all endpoints for failed and would deny every slot. */
+TEST(Grants, AVmThatReachesNoEndpointOwnsNoShard)
+{
+	fleet all(5, 2);
+	uint32_t cut_off = all.owner_of(1);
+	uint32_t requester = cut_off == 1 ? 2 : 1;
+	auto find_owner = [&](uint32_t observer)
+	{
+		all.owner_of(observer); /* forms the shards */
+		comet_instance *any = comet_instances_find(all.vms[observer].instances, "i0");
+		return comet_gossip_find_shard_owner(all.vms[observer].gossip, any->shard,
+			comet_hash_name("z"), nullptr, nullptr, all.now_us);
+	};
+	EXPECT_EQ(find_owner(requester), cut_off);
+	comet_gossip_set_endpoints_unreachable(all.vms[cut_off].gossip, true);
+	all.pass(600000);
+	EXPECT_FALSE(comet_gossip_reaches_endpoints(all.vms[requester].gossip, cut_off));
+	uint32_t successor = find_owner(requester);
+	EXPECT_NE(successor, cut_off);
+	EXPECT_EQ(find_owner(cut_off), successor);
+	for (auto &one : all.vms)
+		comet_gossip_set_endpoints_unreachable(one.second.gossip, true);
+	all.pass(600000);
+	EXPECT_EQ(find_owner(requester), cut_off) << "all VMs are equally cut off";
+}
+
 } // namespace
