Lost links of a VM are no crash of its endpoints

Cause: a crash check takes two refused connections for the end of the endpoint's process. Links that refuse connections look the same.

Change: a crash check ends without a conclusion while this VM reaches no endpoint. The directory reports real crashes.

--- a/libcometspindle/adapters/gateway/gateway_crashes.c
+++ b/libcometspindle/adapters/gateway/gateway_crashes.c
@@ -5,6 +5,7 @@
 #include <libcometspindle/adapters/gateway/gateway_crashes.h>
 
 #include <libcometspindle/adapters/endpoints/tcp_probe.h>
+#include <libcometspindle/adapters/gateway/gateway_reachability.h>
 #include <libcometspindle/log.h>
 #include <string.h>
 #include <talloc.h>
@@ -92,11 +93,14 @@
 	struct crash_check *check = ctx;
 	const struct comet_instance *instance = checked_instance(check);
 
-	if (instance == NULL || result != COMET_TCP_PROBE_REFUSED ||
+	bool links_lost = comet_gateway_links_are_lost(check->gateway->links);
+	if (instance == NULL || links_lost || result != COMET_TCP_PROBE_REFUSED ||
 		instance->last_seen_us > check->began_us)
 	{
-		comet_log(COMET_LOG_INFO, "event=crash_check_ended endpoint=%s result=%s",
-			check->id, instance == NULL ? "gone" : comet_tcp_probe_result_name(result));
+		comet_log(COMET_LOG_INFO,
+			"event=crash_check_ended endpoint=%s result=%s links_lost=%d", check->id,
+			instance == NULL ? "gone" : comet_tcp_probe_result_name(result),
+			links_lost);
 		talloc_free(check); /* the directory will report a crash */
 		return;
 	}
--- a/tests/system/test_cut_links.py
+++ b/tests/system/test_cut_links.py
@@ -144,7 +144,35 @@
     group.end()
 
 
+def test_lost_links_are_no_crash_of_endpoints():
+    """Requests in progress when the links are lost must not count as requests that crash endpoints."""
+    group = start_group(3, 1)
+    begun = []
+
+    def stall(server, sock, path, headers, body):
+        begun.append(server.name)
+        threading.Event().wait(5)
+        return False
+    for server in group.servers:
+        server.scripts["stall"] = stall
+    socks = []
+    for _ in range(6):
+        sock = connect(group.ports["callers"], address_of(2))
+        sock.sendall(request("/once/stall", method="POST")[1])
+        socks.append(sock)
+    wait_for(lambda: len(begun) == 6)
+    cut(group, "reset", [2])
+    for sock in socks:
+        assert answer_of(sock)[0] == 502
+    wait_for(lambda: b"event=crash_check_ended" in group.vms[2].log_text() or
+             b"event=endpoint_crashed" in group.vms[2].log_text())
+    log = group.vms[2].log_text()
+    assert b"event=endpoint_crashed" not in log and b"event=request_counted" not in log
+    group.end()
+
+
 if __name__ == "__main__":
     run_tests([], [test_vm_without_links_serves_its_callers_hang, test_vm_without_links_serves_its_callers_reset,
                    test_vm_without_links_serves_its_callers_live, test_most_vms_without_links,
-                   test_all_vms_without_links_refuse_and_recover, test_stream_is_resumed_through_another_vm])
+                   test_all_vms_without_links_refuse_and_recover, test_stream_is_resumed_through_another_vm,
+                   test_lost_links_are_no_crash_of_endpoints])
