Send requests through another VM while this VM reaches no endpoint

Cause: a VM had no other way to serve its callers than its own links. Not ready would not have helped: when most of a zone is cut off, the platform uses all its VMs all the same.

Change: while a VM reaches no endpoint, it sends requests to another VM that does, by that VM's address for callers, as the caller sent them. The VM without links refunds its own charge. A refusal that promises that the request has not run is tried at up to three VMs; anything else may have run, and only requests that may be repeated are sent again. Streams that may be resumed go on through the other VM. A request goes through one VM at most, and requests that wait for a slot or a connection when the links are lost are moved. VMs of the same zone are used unless more of them are cut off than are left.

--- a/libcometspindle/adapters/gateway/forward_head.c
+++ b/libcometspindle/adapters/gateway/forward_head.c
@@ -11,7 +11,7 @@
 should_forward(const struct comet_http_head *head, const char *name,
 	const struct comet_header_names *names, const struct comet_forward_params *params)
 {
-	if (comet_header_is_reserved(names, name))
+	if (comet_header_is_reserved(names, name) || strcasecmp(name, COMET_HEADER_THROUGH_VM) == 0)
 		return false;
 	if (params->team != NULL && strcasecmp(name, names->authorization) == 0)
 		return false;
@@ -35,7 +35,13 @@
 	}
 	g_string_append_printf(
 		out, "%s: %" G_GUINT64_FORMAT "\r\n", names->deadline_ms, params->remaining_ms);
-	comet_http_write_header(out, names->expect_instance, params->instance);
+	if (params->to_peer)
+	{
+		comet_http_write_header(out, COMET_HEADER_THROUGH_VM, "1");
+		comet_http_write_header(out, "Connection", "close");
+	}
+	else
+		comet_http_write_header(out, names->expect_instance, params->instance);
 	if (params->team != NULL)
 		comet_http_write_header(out, names->team, params->team);
 	if (params->last_event != NULL)
--- a/libcometspindle/adapters/gateway/forward_head.h
+++ b/libcometspindle/adapters/gateway/forward_head.h
@@ -16,7 +16,8 @@
 struct comet_forward_params
 {
 	uint64_t remaining_ms;  /**< time until the caller's deadline */
-	const char *instance;   /**< id of the endpoint that the attempt is sent to */
+	bool to_peer;           /**< the attempt goes through another VM */
+	const char *instance;   /**< otherwise: id of the endpoint that the attempt is sent to */
 	const char *team;       /**< team that the API key belongs to; NULL on an open route */
 	const char *last_event; /**< id of the event after which to resume; NULL if not resuming */
 	size_t body_bytes;
--- a/libcometspindle/adapters/gateway/gateway_admit.c
+++ b/libcometspindle/adapters/gateway/gateway_admit.c
@@ -4,6 +4,7 @@
  */
 #include <libcometspindle/adapters/gateway/proxy_request.h>
 
+#include <libcometspindle/adapters/gateway/gateway_reachability.h>
 #include <libcometspindle/log.h>
 #include <string.h>
 #include <strings.h>
@@ -37,6 +38,9 @@
  */
 #define SUSPECT_RETRY_AFTER_MS 2000
 
+/* Retry-After of a request from another VM that took this one to reach endpoints. */
+#define UNREACHABLE_RETRY_AFTER_MS 200
+
 static int
 proxy_request_destructor(struct comet_proxy_request *proxy)
 {
@@ -177,7 +181,13 @@
 		proxy->deadline_timer = comet_timers_add(
 			gateway->timers, proxy, proxy->deadline_us - now_us, on_deadline, proxy);
 	gateway->counts.admitted++;
-	comet_placement_submit(gateway->placement, item, now_us);
+	if (comet_proxy_request_send_through_peer(proxy))
+		return;
+	if (proxy->from_peer && comet_gateway_links_are_lost(gateway->links))
+		comet_proxy_request_refuse(
+			proxy, "endpoints_unreachable", UNREACHABLE_RETRY_AFTER_MS);
+	else
+		comet_placement_submit(gateway->placement, item, now_us);
 }
 
 /* Finds the team of the request's API key. @return false if the request was refused. */
@@ -280,6 +290,7 @@
 	proxy->request = request;
 	proxy->table = comet_route_table_ref(gateway->table);
 	proxy->id = comet_http_head_get(request->head, gateway->names->request_id);
+	proxy->from_peer = comet_http_head_get(request->head, COMET_HEADER_THROUGH_VM) != NULL;
 	proxy->arrived_us = request->received_us;
 	request->user = proxy;
 	if (!find_route(proxy) || !find_team(proxy))
--- a/libcometspindle/adapters/gateway/gateway_answer.c
+++ b/libcometspindle/adapters/gateway/gateway_answer.c
@@ -278,6 +278,8 @@
 static void
 handle_complete_response(struct comet_proxy_request *proxy)
 {
+	if (comet_proxy_request_handle_peer_failure(proxy, has_server_stamp(proxy)))
+		return;
 	if (proxy->not_executed)
 	{
 		comet_proxy_request_attempt_refused(proxy);
@@ -302,7 +304,8 @@
 	proxy->may_have_run = true;
 	/* An endpoint that was already tried would fail again, so the error response is forwarded
 	 * if no untried endpoint is left. */
-	if (server_error && !proxy->response_started && comet_route_is_retryable(proxy->route) &&
+	if (server_error && proxy->peer_vm == 0 && !proxy->response_started &&
+		comet_route_is_retryable(proxy->route) &&
 		comet_placement_has_unattempted(proxy->gateway->placement, &proxy->item) &&
 		comet_proxy_request_may_retry(proxy))
 	{
@@ -332,6 +335,8 @@
 			proxy->instance_id);
 		proxy->attempts--;
 		comet_proxy_request_end_attempt(proxy, COMET_DISPATCH_UNREACHABLE);
+		if (comet_proxy_request_send_through_peer(proxy))
+			break;
 		if (comet_timers_now_us() < proxy->deadline_us &&
 			!comet_proxy_request_is_quarantined(proxy) &&
 			proxy->item.n_attempted < COMET_PLACEMENT_ATTEMPTED_MAX)
--- a/libcometspindle/adapters/gateway/gateway_metrics.c
+++ b/libcometspindle/adapters/gateway/gateway_metrics.c
@@ -446,6 +446,7 @@
 	put(out, "dispatches_total", "counter", (double)gateway->counts.dispatched);
 	put(out, "repeats_total", "counter", (double)gateway->counts.retried);
 	put(out, "resumes_total", "counter", (double)gateway->counts.resumed);
+	put(out, "peer_attempts_total", "counter", (double)gateway->counts.peer_attempts);
 	put_slot_requests(out, &gateway->counts);
 	put_quota_requests(out, &gateway->counts);
 	put_directory_calls(out, gateway);
--- a/libcometspindle/adapters/gateway/gateway_private.h
+++ b/libcometspindle/adapters/gateway/gateway_private.h
@@ -30,6 +30,7 @@
 	uint64_t dispatched;
 	uint64_t retried;
 	uint64_t resumed;
+	uint64_t peer_attempts;      /**< attempts through other VMs */
 	uint64_t granted;            /**< slots granted by other VMs */
 	uint64_t grants_evacuated;   /**< slots granted by other VMs and returned, since the
 					 zone was evacuated */
@@ -167,6 +168,11 @@
 void
 comet_gateway_tick_endpoints(struct comet_gateway *gateway, uint64_t now_us);
 
+/** Moves requests that wait for a slot or a connection to other VMs, after the links to all
+ * endpoints were lost (gateway_peer_attempt.c). */
+void
+comet_gateway_move_requests_to_peers(struct comet_gateway *gateway);
+
 /** Operations that placement needs (gateway_send.c). */
 extern const struct comet_placement_ops comet_gateway_placement_ops;
 
--- a/libcometspindle/adapters/gateway/gateway_reachability.c
+++ b/libcometspindle/adapters/gateway/gateway_reachability.c
@@ -86,6 +86,7 @@
 	comet_log(COMET_LOG_WARNING, "event=endpoints_unreachable probed=%d",
 		COMET_REACHABILITY_PROBES);
 	comet_gossip_set_endpoints_unreachable(links->gateway->gossip, true);
+	comet_gateway_move_requests_to_peers(links->gateway);
 }
 
 static void
--- a/libcometspindle/adapters/gateway/gateway_send.c
+++ b/libcometspindle/adapters/gateway/gateway_send.c
@@ -35,6 +35,15 @@
 	return comet_retry_budget_take(gateway->retries, proxy->service, now_us);
 }
 
+/* Returns whether the quota of the request was left to another VM, so that this VM must not send it
+ * to an endpoint. */
+static bool
+is_uncharged(const struct comet_proxy_request *proxy)
+{
+	return proxy->peer_attempts > 0 && !proxy->quota_charged && proxy->team != NULL &&
+	       proxy->team->rate_per_s > 0;
+}
+
 void
 comet_proxy_request_retry(struct comet_proxy_request *proxy, const char *reason)
 {
@@ -47,6 +56,13 @@
 		"unfinished_bytes=%" G_GUINT64_FORMAT,
 		proxy->id, reason, proxy->attempts, comet_proxy_request_events(proxy),
 		proxy->unfinished_bytes);
+	if (comet_proxy_request_send_through_peer(proxy))
+		return;
+	if (is_uncharged(proxy))
+	{
+		comet_proxy_request_fail(proxy, 502, reason);
+		return;
+	}
 	if (!comet_placement_has_unattempted(gateway->placement, &proxy->item))
 	{
 		proxy->item.n_attempted = 0; /* all endpoints have been tried: allow them again */
@@ -221,6 +237,27 @@
 		comet_proxy_request_refuse(proxy, "endpoint_full", MAX(retry_after_ms, 200));
 }
 
+void
+comet_proxy_request_begin_attempt(struct comet_proxy_request *proxy, uint64_t now_us)
+{
+	struct comet_gateway *gateway = proxy->gateway;
+
+	if (proxy->resuming)
+		gateway->counts.resumed++;
+	proxy->attempts++;
+	proxy->not_executed = false;
+	proxy->upstream_paused = false;
+	proxy->sent_us = now_us;
+	proxy->first_byte_us = 0;
+	proxy->last_byte_us = 0;
+	proxy->attempt_body_bytes = 0;
+	proxy->prior_events = comet_proxy_request_events(proxy);
+	proxy->process_start_ms = 0;
+	proxy->incarnation_key = 0;
+	g_queue_push_tail(&gateway->active_attempts, proxy);
+	proxy->attempt_link = g_queue_peek_tail_link(&gateway->active_attempts);
+}
+
 /* Sends the request to the endpoint that placement has selected. */
 static void
 on_dispatch(void *ctx, struct comet_placement_item *item, struct comet_instance *instance)
@@ -261,22 +298,11 @@
 			&gateway->times[proxy->route->kind].waited, now_us - proxy->arrived_us);
 	if (proxy->attempts == 0)
 		comet_retry_budget_record_first_attempt(gateway->retries, proxy->service, now_us);
-	if (proxy->resuming)
-		gateway->counts.resumed++;
 	gateway->counts.dispatched++;
-	proxy->attempts++;
-	proxy->not_executed = false;
-	proxy->upstream_paused = false;
-	proxy->sent_us = now_us;
-	proxy->first_byte_us = 0;
-	proxy->last_byte_us = 0;
-	proxy->attempt_body_bytes = 0;
-	proxy->prior_events = comet_proxy_request_events(proxy);
+	comet_proxy_request_begin_attempt(proxy, now_us);
 	proxy->instance_id = talloc_strdup(proxy, instance->id);
 	proxy->process_start_ms = instance->process_start_ms;
 	proxy->incarnation_key = instance->key;
-	g_queue_push_tail(&gateway->active_attempts, proxy);
-	proxy->attempt_link = g_queue_peek_tail_link(&gateway->active_attempts);
 	comet_instance_dispatch_started(instance, &item->size);
 	proxy->exchange = comet_upstream_send(
 		gateway->upstream, proxy, &attempt, &comet_proxy_request_response_events, proxy);
--- a/libcometspindle/adapters/gateway/proxy_request.c
+++ b/libcometspindle/adapters/gateway/proxy_request.c
@@ -53,8 +53,11 @@
 	uint32_t events = comet_proxy_request_events(proxy) - proxy->prior_events;
 
 	comet_timer_cancel(&proxy->silence_timer);
-	comet_gateway_links_attempt_ended(gateway->links, result);
-	comet_gateway_attempt_ending(proxy, result);
+	if (proxy->peer_vm == 0)
+	{
+		comet_gateway_links_attempt_ended(gateway->links, result);
+		comet_gateway_attempt_ending(proxy, result);
+	}
 	if (instance != NULL)
 	{
 		uint64_t taken_us = comet_proxy_request_is_stream(proxy)
@@ -76,6 +79,7 @@
 	discard_unsent_output(proxy);
 	g_queue_delete_link(&gateway->active_attempts, proxy->attempt_link);
 	proxy->attempt_link = NULL;
+	proxy->peer_vm = 0;
 	TALLOC_FREE(proxy->instance_id);
 	TALLOC_FREE(proxy->exchange);
 	TALLOC_FREE(proxy->head);
@@ -138,9 +142,8 @@
 	respond_error(proxy, status, reason, retry_after_ms, headers, "");
 }
 
-/* Refunds the team's quota for a request that was not run. */
-static void
-refund_quota(struct comet_proxy_request *proxy)
+void
+comet_proxy_request_refund_quota(struct comet_proxy_request *proxy)
 {
 	struct comet_gateway *gateway = proxy->gateway;
 
@@ -166,7 +169,7 @@
 		proxy->id, proxy->fingerprint.digest);
 	proxy->gateway->counts.refused_quarantined++;
 	if (!proxy->may_have_run)
-		refund_quota(proxy);
+		comet_proxy_request_refund_quota(proxy);
 	respond_error(proxy, 400, "crashes_endpoints", 0, "Content-Type: text/plain\r\n",
 		"Endpoints crashed when they ran this request. It is not sent to any more.\n");
 }
@@ -189,7 +192,7 @@
 		return;
 	}
 	gateway->counts.refused_early++;
-	refund_quota(proxy);
+	comet_proxy_request_refund_quota(proxy);
 	comet_proxy_request_respond_error(proxy, 503, reason, retry_after_ms);
 }
 
--- a/libcometspindle/adapters/gateway/proxy_request.h
+++ b/libcometspindle/adapters/gateway/proxy_request.h
@@ -48,11 +48,15 @@
 	uint64_t silence_timeout_us;
 	uint64_t unfinished_bytes;   /* of an event that the previous attempt left incomplete */
 	uint64_t attempt_body_bytes; /* body bytes received in this attempt */
-	uint32_t attempts;           /* attempts that may have reached an endpoint */
-	uint32_t prior_events;       /* events forwarded before this attempt */
-	uint16_t response_status;    /* status that was sent to the caller */
-	char *content_type;          /* content type that was sent to the caller, or NULL */
-	bool quota_charged;          /* has to be refunded if the request is not run */
+	uint32_t peer_vm;            /* VM through which the current attempt goes; 0: none */
+	uint32_t last_peer_vm;       /* VM through which the last such attempt went; 0: none */
+	uint32_t peer_attempts;
+	uint32_t attempts;        /* attempts that may have reached an endpoint */
+	uint32_t prior_events;    /* events forwarded before this attempt */
+	uint16_t response_status; /* status that was sent to the caller */
+	char *content_type;       /* content type that was sent to the caller, or NULL */
+	bool from_peer;           /* received from another VM: not sent through a further one */
+	bool quota_charged;       /* has to be refunded if the request is not run */
 	bool may_have_run;
 	bool not_executed;        /* the endpoint's response says that it did not run the request */
 	bool response_started;    /* the response head was sent to the caller */
@@ -152,6 +156,25 @@
 bool
 comet_proxy_request_may_retry(struct comet_proxy_request *proxy);
 
+/** Resets the state of the last attempt, and counts the request as sent at now_us. */
+void
+comet_proxy_request_begin_attempt(struct comet_proxy_request *proxy, uint64_t now_us);
+
+/** Sends the request through another VM if this VM reaches no endpoint (gateway_peer_attempt.c).
+ * @return false if this VM reaches endpoints, or if there is no further VM to send it through */
+bool
+comet_proxy_request_send_through_peer(struct comet_proxy_request *proxy);
+
+/** Handles a complete response of another VM that is neither a success nor a definite answer.
+ * @param from_endpoint the response has the stamp of an endpoint
+ * @return false if the response is handled like that of an endpoint */
+bool
+comet_proxy_request_handle_peer_failure(struct comet_proxy_request *proxy, bool from_endpoint);
+
+/** Refunds the team's quota for a request that was not run. */
+void
+comet_proxy_request_refund_quota(struct comet_proxy_request *proxy);
+
 /** Queues the request for a further attempt. */
 void
 comet_proxy_request_retry(struct comet_proxy_request *proxy, const char *reason);
--- a/libcometspindle/gateway/fleet/gossip.h
+++ b/libcometspindle/gateway/fleet/gossip.h
@@ -132,6 +132,16 @@
 bool
 comet_gossip_reaches_endpoints(const struct comet_gossip *gossip, uint32_t address);
 
+/**
+ * Selects a VM that reaches endpoints, by draw. VMs of this zone are preferred, unless more of them
+ * have lost their links than are left.
+ * @param excluded address of a VM that is not selected; 0: none
+ * @return its address; 0: there is none
+ */
+uint32_t
+comet_gossip_pick_endpoint_peer(
+	const struct comet_gossip *gossip, uint32_t excluded, uint32_t draw);
+
 /** Reports to all VMs immediately that this VM is stopping. */
 void
 comet_gossip_leave(struct comet_gossip *gossip, uint64_t now_us);
--- a/libcometspindle/gateway/fleet/gossip_owners.c
+++ b/libcometspindle/gateway/fleet/gossip_owners.c
@@ -123,6 +123,68 @@
 				    gossip, key, zone, is_unresponsive, ctx, now_us);
 }
 
+/* VMs that may take requests of a VM without links to endpoints. */
+struct endpoint_peers
+{
+	uint32_t excluded;
+	uint32_t near;      /* VMs of this zone with links */
+	uint32_t near_lost; /* VMs of this zone without links, other than this one */
+	uint32_t all;       /* VMs of all zones with links */
+};
+
+static bool
+is_endpoint_peer(const struct endpoint_peers *peers, const struct comet_gossip_peer *peer)
+{
+	return comet_gossip_is_alive(peer) && !peer->leaving && !peer->endpoints_unreachable &&
+	       peer->address != peers->excluded;
+}
+
+static struct endpoint_peers
+count_endpoint_peers(const struct comet_gossip *gossip, uint32_t excluded)
+{
+	struct endpoint_peers peers = {.excluded = excluded};
+	GHashTableIter at;
+	gpointer value = NULL;
+
+	g_hash_table_iter_init(&at, gossip->peers);
+	while (g_hash_table_iter_next(&at, NULL, &value))
+	{
+		const struct comet_gossip_peer *peer = value;
+		bool near = comet_gossip_is_same_zone(gossip, peer);
+		bool usable = is_endpoint_peer(&peers, peer);
+		peers.all += usable ? 1 : 0;
+		peers.near += usable && near ? 1 : 0;
+		peers.near_lost +=
+			near && comet_gossip_is_alive(peer) && peer->endpoints_unreachable ? 1 : 0;
+	}
+	return peers;
+}
+
+uint32_t
+comet_gossip_pick_endpoint_peer(const struct comet_gossip *gossip, uint32_t excluded, uint32_t draw)
+{
+	const struct endpoint_peers peers = count_endpoint_peers(gossip, excluded);
+	bool near_only = peers.near > peers.near_lost;
+	uint32_t count = near_only ? peers.near : peers.all;
+	GHashTableIter at;
+	gpointer value = NULL;
+
+	if (count == 0)
+		return 0;
+	uint32_t skipped = draw % count;
+	g_hash_table_iter_init(&at, gossip->peers);
+	while (g_hash_table_iter_next(&at, NULL, &value))
+	{
+		const struct comet_gossip_peer *peer = value;
+		if (!is_endpoint_peer(&peers, peer) ||
+			(near_only && !comet_gossip_is_same_zone(gossip, peer)))
+			continue;
+		if (skipped-- == 0)
+			return peer->address;
+	}
+	return 0;
+}
+
 /* @return the address with the higher rendezvous score; 0: none. */
 static uint32_t
 higher_score(uint32_t key, uint32_t first, uint32_t second)
--- a/libcometspindle/gateway/header_names.h
+++ b/libcometspindle/gateway/header_names.h
@@ -8,6 +8,10 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+/** Header of a request that another VM forwards, because it reaches no endpoint. Never sent to
+ * endpoints. */
+#define COMET_HEADER_THROUGH_VM "Comet-Through-Vm"
+
 /** Header names; none of them is NULL. */
 struct comet_header_names
 {
--- a/libcometspindle/gateway/placement/placement.c
+++ b/libcometspindle/gateway/placement/placement.c
@@ -494,6 +494,12 @@
 		comet_shard_slot_released(shard);
 }
 
+bool
+comet_placement_is_pending(const struct comet_placement_item *item)
+{
+	return item->queue_position != NULL || item->slot_requested;
+}
+
 void
 comet_placement_cancel(struct comet_placement *placement, struct comet_placement_item *item)
 {
--- a/libcometspindle/gateway/placement/placement.h
+++ b/libcometspindle/gateway/placement/placement.h
@@ -42,6 +42,10 @@
 void
 comet_placement_cancel(struct comet_placement *placement, struct comet_placement_item *item);
 
+/** @return whether a request waits in the queue or for the answer to a slot request. */
+bool
+comet_placement_is_pending(const struct comet_placement_item *item);
+
 /** Serves the queues. Called when a slot may have become free and at regular intervals. */
 void
 comet_placement_run(struct comet_placement *placement, uint64_t now_us);
