--- a/tests/system/vm_group.py
+++ b/tests/system/vm_group.py
@@ -15,13 +15,13 @@
 class VmGroup:
     """Gateways of one availability zone that know each other. Each endpoint records when requests arrive."""
 
-    def __init__(self, vms, servers, cuttable=0, **settings):
+    def __init__(self, vms, servers, cuttable=0, slots=8, **settings):
         """cuttable: number of VMs, the last ones, whose links to the endpoints can be cut."""
         self.store = Store()
         self.store.put("op/config", document(1))
         self.extra_headers = {}  # server name -> headers of its responses
         self.arrivals = {f"i-{n}": [] for n in range(servers)}
-        self.servers = [Server(self.store, f"i-{n}", "svc", slots=8) for n in range(servers)]
+        self.servers = [Server(self.store, f"i-{n}", "svc", slots=slots) for n in range(servers)]
         for server in self.servers:
             server.scripts["x"] = self.serve
         self.ports = free_ports(ADDRESS)
@@ -52,7 +52,7 @@
         sock.close()
         return (ident,) + answer
 
-    def press(self, seconds, callers=8, vms=None, **more):
+    def press(self, seconds, callers=8, vms=None, pause=0.05, **more):
         """Lets callers send one request after the other to random VMs; returns the number of responses by status."""
         statuses = {}
         over = time.monotonic() + seconds
@@ -64,7 +64,7 @@
                 status = self.call(choose.choice(vms or range(len(self.vms))), **more)[1]
                 with lock:
                     statuses[status] = statuses.get(status, 0) + 1
-                time.sleep(0.05)
+                time.sleep(pause)
         threads = [threading.Thread(target=run, args=(seed,)) for seed in range(callers)]
         for thread in threads:
             thread.start()
