Send brittle endpoints only what fits into free slots, one request after the other

Endpoints that state Server-Brittle fail if they have to reject more than N requests within a second. In the test, endpoints that bear 3 had to reject up to 70.

Cause: placement lets requests wait at endpoints beyond their slots, sends several at once before the first rejection is known, and returns to a full endpoint after 100 ms. The class of the fault is that of the advertised limits: a condition that an endpoint states is not part of the state that placement decides on.

Change: requests to a brittle endpoint use free slots only and are spaced so that at most half of the rejections that it bears are outstanding. After a rejection it gets none for a second or longer. Placement by gossip does not use it while its shard has an owner. The release of a slot tells the owner what the endpoint stated.

--- a/libcometspindle/adapters/gateway/gateway_advertisements.c
+++ b/libcometspindle/adapters/gateway/gateway_advertisements.c
@@ -25,6 +25,25 @@
 		comet_log(COMET_LOG_NOTICE, "event=limit_withdrawn endpoint=%s", instance->id);
 }
 
+/* Applies the number of rejections that the endpoint bears. A malformed value changes nothing. */
+static void
+apply_brittleness(struct comet_instance *instance, const struct comet_advertisement *advertisement,
+	uint64_t now_us)
+{
+	bool active = advertisement->brittle == COMET_ADVERTISED_VALID;
+
+	if (advertisement->brittle == COMET_ADVERTISED_MALFORMED ||
+		!comet_brittleness_observe(
+			&instance->brittleness, active, advertisement->rejections_per_s, now_us))
+		return;
+	if (active)
+		comet_log(COMET_LOG_NOTICE,
+			"event=endpoint_brittle endpoint=%s rejections_per_s=%u", instance->id,
+			advertisement->rejections_per_s);
+	else
+		comet_log(COMET_LOG_NOTICE, "event=endpoint_not_brittle endpoint=%s", instance->id);
+}
+
 void
 comet_gateway_apply_advertisement(struct comet_gateway *gateway, struct comet_instance *instance,
 	const struct comet_http_head *head, uint64_t now_us)
@@ -33,4 +52,5 @@
 
 	gateway->decode_advertisement(head, instance->id, &advertisement);
 	apply_limit(gateway, instance, &advertisement, now_us);
+	apply_brittleness(instance, &advertisement, now_us);
 }
--- a/libcometspindle/adapters/gateway/gateway_grants.c
+++ b/libcometspindle/adapters/gateway/gateway_grants.c
@@ -296,6 +296,16 @@
 	       (!seen && comet_gossip_reaches_endpoints(gateway->gossip, reporter));
 }
 
+static void
+merge_brittleness(struct comet_instance *instance, const comet_SlotFreed *freed, uint64_t now_us)
+{
+	uint64_t age_us = (uint64_t)freed->brittle_age_ms * 1000;
+
+	if (freed->brittle_age_ms > 0)
+		comet_brittleness_observe(&instance->brittleness, freed->brittle > 0,
+			freed->brittle - MIN(freed->brittle, 1), now_us - MIN(age_us, now_us));
+}
+
 static void
 on_remote_release(void *ctx, const comet_SlotFreed *freed)
 {
@@ -309,6 +319,7 @@
 	if (instance != NULL)
 	{
 		comet_instance_add_sample(instance, !freed->plain, freed->taken_us, freed->events);
+		merge_brittleness(instance, freed, now_us);
 		enum comet_dispatch_result result = comet_grants_result(freed->result);
 		if (!is_credible(gateway, freed->asker, instance, result, now_us))
 			result = COMET_DISPATCH_CANCELLED;
--- a/libcometspindle/adapters/gateway/gateway_metrics.c
+++ b/libcometspindle/adapters/gateway/gateway_metrics.c
@@ -256,6 +256,14 @@
 	return instance->limit.active;
 }
 
+static bool
+brittle_of(const struct comet_instance *instance, uint64_t now_us, double *value)
+{
+	(void)now_us;
+	*value = instance->brittleness.rejections_per_s;
+	return instance->brittleness.active;
+}
+
 static bool
 stale_of(const struct comet_instance *instance, uint64_t now_us, double *value)
 {
@@ -290,6 +298,7 @@
 	{"endpoint_cold", slow_start_of},
 	{"endpoint_lapsed", stale_of},
 	{"endpoint_advertised_limit", advertised_limit_of},
+	{"endpoint_brittle_rejections", brittle_of},
 };
 
 static void
--- a/libcometspindle/adapters/gateway/proxy_request.c
+++ b/libcometspindle/adapters/gateway/proxy_request.c
@@ -9,6 +9,18 @@
 #include <string.h>
 #include <talloc.h>
 
+/* Adds what this VM knows of the brittleness of the endpoint, which its owner may not know yet. */
+static void
+add_brittleness(struct comet_grants_completion *completion, const struct comet_instance *instance)
+{
+	if (instance == NULL || instance->brittleness.observed_us == 0)
+		return;
+	completion->brittle = instance->brittleness.active;
+	completion->rejections_per_s = instance->brittleness.rejections_per_s;
+	completion->brittle_age_us =
+		MAX(comet_timers_now_us() - instance->brittleness.observed_us, 1);
+}
+
 /* Releases the slot at its owner, and reports the service time of a complete response. */
 static void
 release_slot(struct comet_proxy_request *proxy, enum comet_dispatch_result result, uint32_t events)
@@ -17,7 +29,7 @@
 		     comet_proxy_request_timing_is_valid(proxy);
 	bool stream = comet_proxy_request_is_stream(proxy);
 	uint64_t begun_us = stream ? proxy->first_byte_us : proxy->sent_us;
-	const struct comet_grants_completion end = {
+	struct comet_grants_completion end = {
 		.result = result,
 		.stream = stream,
 		.events = whole ? events : 0,
@@ -26,6 +38,7 @@
 
 	if (proxy->item.owner_vm == 0)
 		return;
+	add_brittleness(&end, comet_proxy_request_instance(proxy));
 	comet_gateway_links_release(
 		proxy->gateway->links, proxy->item.owner_vm, proxy->incarnation_key, &end);
 	proxy->item.owner_vm = 0;
--- a/libcometspindle/gateway/endpoints/advertisement.h
+++ b/libcometspindle/gateway/endpoints/advertisement.h
@@ -19,6 +19,8 @@
 struct comet_advertisement
 {
 	enum comet_advertised limit;
+	enum comet_advertised brittle;
+	uint32_t rejections_per_s; /**< rejections within a second that the endpoint bears */
 	double limit_per_s; /**< requests per second that the endpoint takes from all VMs together
 			     */
 };
--- a/libcometspindle/gateway/endpoints/instance.c
+++ b/libcometspindle/gateway/endpoints/instance.c
@@ -32,6 +32,9 @@
 #define FULL_BACKOFF_BASE_US 100000
 #define FULL_BACKOFF_MAX_US 1600000
 
+/* Minimum of that backoff for a brittle instance, whose rejections within a second count. */
+#define BRITTLE_BACKOFF_US 1000000
+
 /* A probe without a result counts as finished after this time: the message in which another VM
  * reports the result of its probe may be lost. */
 #define PROBE_TIMEOUT_US 4000000
@@ -163,6 +166,7 @@
 	instance->probe_started_us = now_us;
 	comet_slow_start_count(&instance->slow_start, instance->slow_start_config, now_us);
 	comet_advertised_limit_count(&instance->limit);
+	comet_brittleness_count(&instance->brittleness, now_us);
 }
 
 void
@@ -311,6 +315,7 @@
 learn_result(struct comet_instance *instance, enum comet_dispatch_result result, uint64_t now_us)
 {
 	uint64_t backoff_us = (uint64_t)FULL_BACKOFF_BASE_US << MIN(instance->refusals, 8);
+	uint64_t min_backoff_us = instance->brittleness.active ? BRITTLE_BACKOFF_US : 0;
 
 	switch (result)
 	{
@@ -323,7 +328,8 @@
 		return false;
 	case COMET_DISPATCH_REFUSED:
 		instance->probe_in_flight = false;
-		instance->full_until_us = now_us + MIN(backoff_us, FULL_BACKOFF_MAX_US);
+		instance->full_until_us =
+			now_us + CLAMP(backoff_us, min_backoff_us, FULL_BACKOFF_MAX_US);
 		instance->refusals++;
 		return false;
 	case COMET_DISPATCH_WRONG_INSTANCE:
--- a/libcometspindle/gateway/endpoints/instance.h
+++ b/libcometspindle/gateway/endpoints/instance.h
@@ -9,6 +9,7 @@
 
 #include <glib.h>
 #include <libcometspindle/gateway/endpoints/advertised_limit.h>
+#include <libcometspindle/gateway/endpoints/brittleness.h>
 #include <libcometspindle/gateway/endpoints/slow_start.h>
 #include <stdbool.h>
 #include <stdint.h>
@@ -63,6 +64,7 @@
 	struct comet_slow_start slow_start;
 	const struct comet_slow_start_config *slow_start_config; /**< shared by its service */
 	struct comet_advertised_limit limit;                     /**< on its request rate */
+	struct comet_brittleness brittleness;
 	GHashTable *limited;           /**< set of the instances with a limit to report */
 	GHashTable *busy;              /**< set of the instances with dispatches of this VM */
 	uint32_t local_requests;       /**< running dispatches of this VM */
--- a/libcometspindle/gateway/placement/endpoint_picker.c
+++ b/libcometspindle/gateway/placement/endpoint_picker.c
@@ -69,6 +69,8 @@
 max_load(const struct comet_placement_item *item, const struct comet_instance *instance,
 	uint32_t queue_limit)
 {
+	if (instance->brittleness.active)
+		return comet_brittleness_usable_slots(&instance->brittleness, instance->slots);
 	if (!item->size.stream)
 		return instance->slots + instance->slots * PLAIN_QUEUE_PERCENT / 100;
 	return instance->slots + queue_limit;
@@ -201,6 +203,17 @@
 	       comet_advertised_limit_admits(&instance->limit, scope->limit_share, now_us);
 }
 
+/* Returns whether a brittle instance may get one more request from this VM. Requests that are
+ * placed by gossip while its shard has an owner would meet those that the owner granted. */
+static bool
+brittleness_admits(const struct comet_endpoint_picker_scope *scope,
+	const struct comet_instance *instance, uint64_t now_us)
+{
+	if (!instance->brittleness.active || scope->owner_decides)
+		return true;
+	return scope->limit_share > 0 && comet_brittleness_admits(&instance->brittleness, now_us);
+}
+
 /* Records the picked candidate and its estimates. */
 static void
 record_decision(struct comet_placement_decision *decision, const struct candidate *cheapest,
@@ -247,7 +260,8 @@
 			continue;
 		}
 		if (!slow_start_admits(picker, scope, instance, now_us) ||
-			!limit_admits(scope, instance, now_us))
+			!limit_admits(scope, instance, now_us) ||
+			!brittleness_admits(scope, instance, now_us))
 			continue;
 		decision->with_room++;
 		update_cheapest(in_time ? &cheapest_in_time : &cheapest_late, &candidate);
--- a/libcometspindle/gateway/placement/grants.c
+++ b/libcometspindle/gateway/placement/grants.c
@@ -141,6 +141,12 @@
 		freed->plain = !completion->stream;
 		freed->taken_us = (uint32_t)MIN(completion->taken_us, UINT32_MAX);
 		freed->result = reported_results[completion->result];
+		freed->brittle = completion->brittle ? completion->rejections_per_s + 1 : 0;
+		freed->brittle_age_ms =
+			completion->brittle_age_us > 0
+				? (uint32_t)MIN(completion->brittle_age_us / 1000, UINT32_MAX - 1) +
+					  1
+				: 0;
 	}
 	send_datagram(grants, owner_vm, &datagram);
 }
--- a/libcometspindle/gateway/placement/grants.h
+++ b/libcometspindle/gateway/placement/grants.h
@@ -75,6 +75,9 @@
 	/** Time from the first event to the last, or of the complete response when it is not
 	 * streamed; 0 when unknown. */
 	uint64_t taken_us;
+	bool brittle; /**< the endpoint is brittle, as far as this VM knows */
+	uint32_t rejections_per_s;
+	uint64_t brittle_age_us; /**< time since this VM learned that; 0: never */
 };
 
 /**
--- a/tests/unit/test_advertisements.cc
+++ b/tests/unit/test_advertisements.cc
@@ -7,6 +7,7 @@
 extern "C"
 {
 #include <libcometspindle/gateway/endpoints/advertised_limit.h>
+#include <libcometspindle/gateway/endpoints/brittleness.h>
 #include <platform/advertisement.h>
 }
 #include <string>
@@ -68,4 +69,34 @@
 	EXPECT_FALSE(limit.active);
 }
 
+TEST(Advertisements, RejectionsAreAWholeNumber)
+{
+	EXPECT_EQ(decode({}).brittle, COMET_ADVERTISED_ABSENT);
+	comet_advertisement got = decode({{"server-brittle", "4"}});
+	EXPECT_EQ(got.brittle, COMET_ADVERTISED_VALID);
+	EXPECT_EQ(got.rejections_per_s, 4U);
+	EXPECT_EQ(decode({{"Server-Brittle", "0"}}).brittle, COMET_ADVERTISED_VALID);
+	for (const char *invalid : {"", "-1", "2.5", "1e3", "3 ", "many", "1000001"})
+		EXPECT_EQ(decode({{"Server-Brittle", invalid}}).brittle, COMET_ADVERTISED_MALFORMED)
+			<< invalid;
+}
+
+TEST(Brittleness, RequestsAreSentOneAfterTheOther)
+{
+	comet_brittleness state = {};
+
+	EXPECT_TRUE(comet_brittleness_admits(&state, 1000000));
+	EXPECT_TRUE(comet_brittleness_observe(&state, true, 4, 1000000));
+	comet_brittleness_count(&state, 1000000);
+	EXPECT_FALSE(comet_brittleness_admits(&state, 1020000));
+	EXPECT_TRUE(comet_brittleness_admits(&state, 1025000));
+	EXPECT_EQ(comet_brittleness_usable_slots(&state, 7), 7U);
+	EXPECT_FALSE(comet_brittleness_observe(&state, false, 0, 900000)) << "older";
+	EXPECT_FALSE(comet_brittleness_observe(&state, true, 0, 1100000));
+	EXPECT_EQ(comet_brittleness_usable_slots(&state, 7), 6U);
+	EXPECT_EQ(comet_brittleness_usable_slots(&state, 1), 1U);
+	EXPECT_TRUE(comet_brittleness_observe(&state, false, 0, 1200000));
+	EXPECT_TRUE(comet_brittleness_admits(&state, 1100001));
+}
+
 } // namespace
