Probe one endpoint first when links are in doubt

Cause: each check opened four connections, although one that is accepted already shows that the links are sound, and a new connection occupies an endpoint for a moment.

Change: the three others are probed only if the first cannot be reached.

--- a/libcometspindle/adapters/gateway/gateway_reachability.c
+++ b/libcometspindle/adapters/gateway/gateway_reachability.c
@@ -10,13 +10,22 @@
 #include <libcometspindle/log.h>
 #include <talloc.h>
 
+/* A check: one endpoint is probed first. The others follow only if it cannot be reached, because
+ * new connections occupy endpoints. */
+struct check
+{
+	uint32_t count;
+	uint32_t started;
+	char *addresses[COMET_REACHABILITY_PROBES];
+};
+
 struct comet_links
 {
 	struct comet_gateway *gateway;
 	struct comet_reachability state;
-	TALLOC_CTX *check; /* parent of the probes of the current check; NULL: none */
-	uint64_t lost_us;  /* when the links were last found lost */
-	GArray *held;      /* of struct held_release: results that wait for the end of the check */
+	struct check *check; /* the current check; NULL: none */
+	uint64_t lost_us;    /* when the links were last found lost */
+	GArray *held; /* of struct held_release: results that wait for the end of the check */
 };
 
 /* A slot whose release tells its owner of a failure, which may have another cause. */
@@ -99,6 +108,20 @@
 	comet_placement_run(links->gateway->placement, now_us);
 }
 
+static void
+on_probed(void *ctx, enum comet_tcp_probe_result result);
+
+static void
+probe_until(struct comet_links *links, uint32_t count)
+{
+	struct comet_gateway *gateway = links->gateway;
+	struct check *check = links->check;
+
+	for (; check->started < count; check->started++)
+		comet_tcp_probe_start(gateway->timers, gateway->ev, check,
+			check->addresses[check->started], on_probed, links);
+}
+
 static void
 on_probed(void *ctx, enum comet_tcp_probe_result result)
 {
@@ -112,13 +135,15 @@
 		TALLOC_FREE(links->check); /* ends the other probes */
 		release_held(links);
 	}
+	else
+		probe_until(links, links->check->count);
 	if (change == COMET_REACHABILITY_LOST)
 		links_lost(links, now_us);
 	else if (change == COMET_REACHABILITY_RESTORED)
 		links_restored(links, now_us);
 }
 
-/* The endpoints that a check probes, a random sample. */
+/* A random sample of the endpoints. */
 struct sample
 {
 	struct comet_random *random;
@@ -156,10 +181,11 @@
 		release_held(links);
 		return;
 	}
-	links->check = talloc_new(links);
+	links->check = talloc_zero(links, struct check);
+	links->check->count = sample.count;
 	for (uint32_t i = 0; i < sample.count; i++)
-		comet_tcp_probe_start(gateway->timers, gateway->ev, links->check,
-			sample.addresses[i], on_probed, links);
+		links->check->addresses[i] = talloc_strdup(links->check, sample.addresses[i]);
+	probe_until(links, 1);
 }
 
 void
