Soak: VMs that lose their links, advertised limits and brittle servers

The new kind 'links' cuts VMs off from all servers in three ways, and lets servers advertise limits, also malformed ones, and brittleness, among the faults of all other kinds.

--- a/scripts/soak_gateway.py
+++ b/scripts/soak_gateway.py
@@ -23,6 +23,7 @@
 import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(__file__), "..", "tests", "system"))
+from cut_links import KINDS as CUT_KINDS, CutLinks  # noqa: E402
 from narrow_link import narrow, words  # noqa: E402
 from platform_standin import Reader, Store, free_ports, listen, wait_for  # noqa: E402
 from suspended_clock import SuspendedClock  # noqa: E402
@@ -43,10 +44,12 @@
                                           "drain", "reborn"],
           "crashes": ALL_FAULTS + ANSWER_FAULTS + ["crash"] * 6,
           "eras": ALL_FAULTS + ["store_back"] * 5 + ["suspend"] * 5 + ["crash"],
+          "links": ALL_FAULTS + ANSWER_FAULTS + ["cut"] * 8 + ["limit"] * 3 + ["brittle"] * 2,
           "evacuations": ALL_FAULTS + ANSWER_FAULTS + ["evacuate"] * 6,
           "bulk": ALL_FAULTS + ["document_large"] * 8 + ["document", "drain", "kill", "stop"] * 2}
 BULK_VMS_MIN = 9  # of one zone, in which some read for the others
 BULK_ROUTES_MAX = 4000
+LIMITS = ["0.5", "2", "8", "many"]  # that servers advertise; the last one is malformed
 CRASHES_MAX = 3  # of one request, and so many sendings more once all must know of them
 KNOWN_AFTER_S = 3
 HELD_BACK_S = 3  # longer than any fault holds back what was sent before
@@ -255,8 +258,10 @@
         ports = free_ports(address_of(0))
         seeds = ",".join(f"{address_of(n)}:{ports['control']}" for n in range(2))
         self.store.era = 1 if "store_back" in self.kinds else None
+        self.links = [CutLinks(self.proxies) if "cut" in self.kinds else None for _ in range(self.vms_n)]
         self.vms = [Vm(n, ports, seeds, self.store_proxy.port, "z0" if self.bulk else f"z{n % 3}",
-                       narrow(BUILD) if self.bulk and n % 3 else None,
+                       narrow(BUILD) if self.bulk and n % 3 else
+                       self.links[n].environment() if self.links[n] else None,
                        SuspendedClock(BUILD) if "suspend" in self.kinds else None)
                     for n in range(self.vms_n)]
         wait_for(lambda: all(self.attempt(vm, "safe", "plain", "k1").status == 200 for vm in self.vms))
@@ -412,6 +417,27 @@
         wait_for(lambda: vm.process.poll() is None and f"pid={vm.process.pid} " in vm.log_text())
         vm.send(signal.SIGHUP)
 
+    def fault_cut(self, _kind, length, vm, _proxy, _number):
+        """A VM loses its links to all servers, while callers, the store and the other VMs reach it."""
+        links = self.links[self.vms.index(vm)]
+        if links.is_cut():
+            return
+        links.cut(self.draw.choice(CUT_KINDS))
+        time.sleep(length)
+        links.restore()
+
+    def fault_limit(self, _kind, length, _vm, _proxy, number):
+        self.servers[number].advertised = f"Server-Limit: {self.draw.choice(LIMITS)}\r\n"
+        time.sleep(length)
+        self.servers[number].advertised = ""
+
+    def fault_brittle(self, _kind, length, _vm, _proxy, _number):
+        for server in self.servers:
+            server.advertised = f"Server-Brittle: {self.draw.randint(0, 4)}\r\n"
+        time.sleep(length)
+        for server in self.servers:
+            server.advertised = ""
+
     def heartbeats(self):
         """Servers write their entries anew, which is how what was lost in a copy comes back."""
         while not self.over:
--- a/scripts/soak_servers.py
+++ b/scripts/soak_servers.py
@@ -26,6 +26,7 @@
     def __init__(self, store, name, service, slots, seed):
         self.seed = seed
         self.habits = []
+        self.advertised = ""  # headers about its condition
         self.made = {}  # id of a request -> its runs
         self.seen = {}  # id of a request -> how often it came
         self.said_wrong = False  # that another process has its address: true once it starts again
@@ -56,7 +57,7 @@
     def head(self, headers, status, more, stamped=True):
         stamp = f"X-Cometspindle-Server-Stamp: {self.name}\r\n" if stamped else ""
         return (f"HTTP/1.1 {status} Word\r\nX-Cometspindle-Request-Id: {headers['x-cometspindle-request-id']}\r\n"
-                f"{stamp}{more}\r\n").encode()
+                f"{stamp}{self.advertised}{more}\r\n").encode()
 
     def refuse(self, sock, draw, headers, first):
         """Not run, with a body that must not get into any answer."""
--- a/tests/system/cut_links.py
+++ b/tests/system/cut_links.py
@@ -116,6 +116,9 @@
         return {**os.environ, "COMET_TEST_REDIRECT": pairs, "LD_PRELOAD": f"{BUILD}/tests/libredirect.so",
                 "ASAN_OPTIONS": os.environ.get("ASAN_OPTIONS", "") + ":verify_asan_link_order=0"}
 
+    def is_cut(self):
+        return any(relay.kind is not None for relay in self.relays)
+
     def cut(self, kind):
         for relay in self.relays:
             relay.cut(kind)
