Check the links also if all endpoints advertise a limit

Callers of a VM without links were not served through another VM if all endpoints advertised a limit: the check left limited endpoints out and probed none, so that the loss was never found, and a loss found before never ended.

Change: limited endpoints are probed if there are no others, within their limits.

--- a/libcometspindle/adapters/gateway/gateway_reachability.c
+++ b/libcometspindle/adapters/gateway/gateway_reachability.c
@@ -143,49 +143,68 @@
 		links_restored(links, now_us);
 }
 
-/* A random sample of the endpoints. */
+/* A random sample of endpoints. */
 struct sample
 {
-	struct comet_random *random;
 	uint32_t seen;
 	uint32_t count;
-	const char *addresses[COMET_REACHABILITY_PROBES];
+	struct comet_instance *endpoints[COMET_REACHABILITY_PROBES];
+};
+
+/* Samples of the endpoints without and with an advertised limit. */
+struct samples
+{
+	struct comet_random *random;
+	struct sample unlimited;
+	struct sample limited;
 };
 
 static void
 consider_endpoint(void *ctx, struct comet_instance *instance)
 {
-	struct sample *sample = ctx;
+	struct samples *samples = ctx;
+	struct sample *sample = instance->limit.active ? &samples->limited : &samples->unlimited;
 
-	/* A connection counts against the limit that an endpoint advertises. */
-	if (instance->draining || instance->replaced || instance->limit.active)
+	if (instance->draining || instance->replaced)
 		return;
-	uint32_t position = comet_random_u32(sample->random) % ++sample->seen;
+	uint32_t position = comet_random_u32(samples->random) % ++sample->seen;
 	if (sample->count < COMET_REACHABILITY_PROBES)
-		sample->addresses[sample->count++] = instance->address;
+		sample->endpoints[sample->count++] = instance;
 	else if (position < COMET_REACHABILITY_PROBES)
-		sample->addresses[position] = instance->address;
+		sample->endpoints[position] = instance;
 }
 
-static void
-begin_check(struct comet_links *links, uint64_t now_us)
+/* Selects the endpoints of a check. Limited ones are used only if there are no others, and only
+ * within their limits. */
+static struct check *
+create_check(struct comet_links *links, uint64_t now_us)
 {
 	struct comet_gateway *gateway = links->gateway;
-	struct sample sample = {.random = &gateway->random};
+	struct samples samples = {.random = &gateway->random};
+	struct check *check = talloc_zero(links, struct check);
 
-	comet_instances_each(gateway->instances, consider_endpoint, &sample);
-	comet_reachability_begin_check(&links->state, sample.count, now_us);
-	TALLOC_FREE(links->check);
-	if (sample.count == 0)
+	comet_instances_each(gateway->instances, consider_endpoint, &samples);
+	const struct sample *sample =
+		samples.unlimited.count > 0 ? &samples.unlimited : &samples.limited;
+	for (uint32_t i = 0; i < sample->count; i++)
 	{
-		release_held(links);
-		return;
+		struct comet_instance *instance = sample->endpoints[i];
+		if (comet_placement_limit_admits(gateway->placement, instance, now_us))
+			check->addresses[check->count++] = talloc_strdup(check, instance->address);
 	}
-	links->check = talloc_zero(links, struct check);
-	links->check->count = sample.count;
-	for (uint32_t i = 0; i < sample.count; i++)
-		links->check->addresses[i] = talloc_strdup(links->check, sample.addresses[i]);
-	probe_until(links, 1);
+	return check;
+}
+
+static void
+begin_check(struct comet_links *links, uint64_t now_us)
+{
+	TALLOC_FREE(links->check);
+	links->check = create_check(links, now_us);
+	comet_reachability_begin_check(&links->state, links->check->count, now_us);
+	if (links->check->count > 0)
+		probe_until(links, 1);
+	else
+		release_held(links);
 }
 
 void
--- a/tests/system/test_cut_links.py
+++ b/tests/system/test_cut_links.py
@@ -74,8 +74,11 @@
     return group
 
 
-def check_cut(kind, vms, cuttable):
+def check_cut(kind, vms, cuttable, header=""):
+    """header: a header line of all responses of the endpoints."""
     group = start_group(vms, cuttable)
+    group.extra_headers = {server.name: header for server in group.servers}
+    group.press(0.5)
     numbers = range(vms - cuttable, vms)
     cut(group, kind, numbers)
     statuses = press_paths(group, range(vms))
@@ -99,6 +102,10 @@
     check_cut("live", vms=3, cuttable=1)
 
 
+def test_vm_without_links_when_all_endpoints_advertise_a_limit():
+    check_cut("reset", vms=3, cuttable=1, header="Server-Limit: 1000\r\n")
+
+
 def test_most_vms_without_links():
     for kind in KINDS:
         check_cut(kind, vms=4, cuttable=3)
@@ -173,6 +180,7 @@
 
 if __name__ == "__main__":
     run_tests([], [test_vm_without_links_serves_its_callers_hang, test_vm_without_links_serves_its_callers_reset,
-                   test_vm_without_links_serves_its_callers_live, test_most_vms_without_links,
+                   test_vm_without_links_serves_its_callers_live,
+                   test_vm_without_links_when_all_endpoints_advertise_a_limit, test_most_vms_without_links,
                    test_all_vms_without_links_refuse_and_recover, test_stream_is_resumed_through_another_vm,
                    test_lost_links_are_no_crash_of_endpoints])
