Keep a started stream of a silent endpoint while no other endpoint has room

When an endpoint is silent for 0.6 s or more, the VM gives up the attempt and submits the request again; under overload placement refuses it at once, and the response, which has begun, is aborted. A silent endpoint may be sound and go on.

Change: a started response is given up for silence only while another endpoint has room and no request waits for one; otherwise the VM keeps it and looks again after 0.2 s.

Evidence: test_silent_stream_is_kept_while_no_other_endpoint_has_room fails without the change (the request runs a second time) and passes with it; the 14 other tests of test_streams pass.

--- a/libcometspindle/adapters/gateway/gateway_send.c
+++ b/libcometspindle/adapters/gateway/gateway_send.c
@@ -14,6 +14,10 @@
 #define SILENCE_FACTOR 4
 #define SILENCE_MIN_US 600000
 
+/* A started response of a silent endpoint is kept while no other endpoint has room, and looked at
+ * again after this time: given up, it would be cut off if placement refused it. */
+#define SILENCE_RECHECK_US 200000
+
 bool
 comet_proxy_request_may_retry(struct comet_proxy_request *proxy)
 {
@@ -124,13 +128,14 @@
 on_silence_timeout(void *ctx)
 {
 	struct comet_proxy_request *proxy = ctx;
+	struct comet_gateway *gateway = proxy->gateway;
 	uint64_t now_us = comet_timers_now_us();
 	uint64_t last_us = last_activity_us(proxy, now_us);
 
 	proxy->silence_timer = NULL;
 	if (now_us - last_us < proxy->silence_timeout_us)
 	{
-		proxy->silence_timer = comet_timers_add(proxy->gateway->timers, proxy,
+		proxy->silence_timer = comet_timers_add(gateway->timers, proxy,
 			proxy->silence_timeout_us - (now_us - last_us), on_silence_timeout, proxy);
 		return;
 	}
@@ -142,9 +147,17 @@
 		" ejected=%d events=%u body_bytes=%" G_GUINT64_FORMAT,
 		proxy->id, proxy->instance_id, comet_proxy_request_elapsed_ms(last_us, now_us),
 		ejected, comet_proxy_request_events(proxy), proxy->attempt_body_bytes);
-	if (!comet_route_is_retryable(proxy->route) || !can_be_continued(proxy) ||
-		!comet_proxy_request_may_retry(proxy))
+	if (!comet_route_is_retryable(proxy->route) || !can_be_continued(proxy))
 		return; /* keep waiting for this endpoint */
+	if (proxy->response_started &&
+		!comet_placement_has_room(gateway->placement, &proxy->item, now_us))
+	{
+		proxy->silence_timer = comet_timers_add(
+			gateway->timers, proxy, SILENCE_RECHECK_US, on_silence_timeout, proxy);
+		return;
+	}
+	if (!comet_proxy_request_may_retry(proxy))
+		return;
 	proxy->may_have_run = true;
 	comet_proxy_request_end_attempt(proxy, COMET_DISPATCH_SILENT);
 	proxy->resuming = proxy->response_started;
--- a/libcometspindle/gateway/placement/placement.h
+++ b/libcometspindle/gateway/placement/placement.h
@@ -42,6 +42,12 @@
 void
 comet_placement_cancel(struct comet_placement *placement, struct comet_placement_item *item);
 
+/** @return whether an endpoint to which the item was not sent yet has room for it, as far as this
+ * VM knows, and no request waits for one. */
+bool
+comet_placement_has_room(struct comet_placement *placement, const struct comet_placement_item *item,
+	uint64_t now_us);
+
 /** @return whether a request waits in the queue or for the answer to a slot request. */
 bool
 comet_placement_is_pending(const struct comet_placement_item *item);
--- a/libcometspindle/gateway/placement/placement_find.c
+++ b/libcometspindle/gateway/placement/placement_find.c
@@ -116,6 +116,14 @@
 	return candidate;
 }
 
+bool
+comet_placement_has_room(
+	struct comet_placement *placement, const struct comet_placement_item *item, uint64_t now_us)
+{
+	return !comet_placement_has_waiting(comet_placement_queue_of(placement, item->service)) &&
+	       comet_placement_pick_by_gossip(placement, item, now_us) != NULL;
+}
+
 struct comet_shard *
 comet_placement_find_shard(struct comet_placement *placement, uint32_t id)
 {
--- a/tests/system/test_streams.py
+++ b/tests/system/test_streams.py
@@ -484,10 +484,47 @@
     assert "event=silent" not in world.gateway.end()
 
 
+def test_silent_stream_is_kept_while_no_other_endpoint_has_room():
+    """A started stream that was given up for silence was cut off if no endpoint had room to resume it."""
+    world = World()
+    held, release = [], threading.Event()
+
+    def hold(server, sock, path, headers, body):
+        server.ran(path, headers, body)
+        held.append(server.name)
+        release.wait(20)
+        server.write_head(sock, headers, length=0)
+
+    def quiet(server, sock, path, headers, body):
+        first = int(headers.get("last-event-id", 0)) + 1
+        server.ran(path, headers, body)
+        server.write_head(sock, headers, extra="Content-Type: text/event-stream\r\n")
+        server.events(sock, first, 2)
+        wait_for(lambda: b"event=silent " in world.gateway.log_text())
+        time.sleep(0.3)
+        release.set()
+        server.events(sock, 3, 4)
+        server.chunk(sock, b"")
+    world.script("hold", hold)
+    world.script("quiet", quiet)
+    holders = []
+    for _ in range(2 * (4 + 1) - 1):  # slots of both endpoints, and one more request each that may queue there
+        sock = connect(world.gateway.ports["callers"])
+        sock.sendall(request("/sse/hold", method="POST")[1])
+        holders.append(sock)
+    wait_for(lambda: len(held) == len(holders))
+    ident, status, _, body, whole = call(world.gateway, "/again/quiet", method="POST")
+    assert status == 200 and whole and body.count(b"id: ") == 4, (status, whole, body)
+    assert world.runs(ident) == 1, world.runs(ident)
+    for sock in holders:
+        answer_of(sock)
+    world.gateway.end()
+
+
 if __name__ == "__main__":
     run_tests([], [test_silent_inside_event, test_silent_at_every_byte, test_broken_at_every_byte,
                    test_resumed_by_other_response, test_silent_without_ids, test_silent_inside_long_answer,
                    test_long_error, test_surplus_refusal,
                    test_silent_after_slow_reader, test_killed_before_the_end, test_resumption,
                    test_extra_blank_line, test_no_mixed_response,
-                   test_paused_gateway])
+                   test_silent_stream_is_kept_while_no_other_endpoint_has_room, test_paused_gateway])
