Limits of endpoints do not keep a stream at a silent endpoint

Cause: the check for room took endpoints that advertise a limit, or are brittle, for full while their shards have owners, since only an owner may pick them. If all endpoints of a service are such, a started stream would have stayed at an endpoint that is gone until its deadline.

Change: the check asks only for capacity, as a slot request to the owner does. Measured: test_streams, the three tests of silence and resumption pass.

--- a/libcometspindle/gateway/placement/placement_find.c
+++ b/libcometspindle/gateway/placement/placement_find.c
@@ -120,8 +120,16 @@
 comet_placement_has_room(
 	struct comet_placement *placement, const struct comet_placement_item *item, uint64_t now_us)
 {
+	struct comet_placement_decision decision;
+	const struct comet_endpoint_picker_scope scope = {
+		.instances = comet_instances_for_service(placement->instances, item->service),
+		.queue_limit = comet_endpoint_picker_queue_limit(item),
+		.owner_decides = true,
+	};
+
 	return !comet_placement_has_waiting(comet_placement_queue_of(placement, item->service)) &&
-	       comet_placement_pick_by_gossip(placement, item, now_us) != NULL;
+	       comet_endpoint_picker_pick(&placement->picker, item, &scope, now_us, &decision) !=
+		       NULL;
 }
 
 struct comet_shard *
