A retry waits until the check of the links has ended

Callers saw a stream cut off when their VM lost its links to the endpoints in the middle of the stream.

Cause: while the check that follows a failed attempt ran, the retry already went to another endpoint. Its connection was reset as well, so that the last of two attempts was used up before the VM knew of the loss.

Change: retries wait while a check is running, and continue with its result. A started stream that has used up its attempts waits for one more check, at least 50 ms after the last; if the links are lost, it goes on through another VM, and the attempt to the endpoint that the VM was cut off from does not count. No other request waits after its last attempt.

--- a/libcometspindle/adapters/gateway/gateway_admit.c
+++ b/libcometspindle/adapters/gateway/gateway_admit.c
@@ -48,6 +48,8 @@
 	g_queue_delete_link(&proxy->gateway->open_requests, proxy->open_link);
 	if (proxy->attempt_link != NULL) /* only when the gateway itself is freed */
 		g_queue_delete_link(&proxy->gateway->active_attempts, proxy->attempt_link);
+	if (proxy->held_link != NULL)
+		g_queue_delete_link(&proxy->gateway->held_retries, proxy->held_link);
 	comet_route_table_unref(proxy->table);
 	if (proxy->buffered_body != NULL)
 		g_byte_array_free(proxy->buffered_body, TRUE);
--- a/libcometspindle/adapters/gateway/gateway_private.h
+++ b/libcometspindle/adapters/gateway/gateway_private.h
@@ -119,6 +119,8 @@
 	GList *crash_checks;         /**< of struct crash_check (gateway_crashes.c) */
 	bool newly_quarantined;      /**< a request was quarantined: attempts of it may be queued */
 	GQueue active_attempts;      /**< of struct comet_proxy_request: sent to an endpoint */
+	GQueue held_retries;         /**< of struct comet_proxy_request: a retry waits until the
+					 check of the links has ended */
 	struct comet_random random;
 	uint64_t began_us;
 	bool discovering;               /**< this VM still discovers other VMs */
@@ -173,6 +175,10 @@
 void
 comet_gateway_move_requests_to_peers(struct comet_gateway *gateway);
 
+/** Sends the retries that waited for the end of a check of the links (gateway_send.c). */
+void
+comet_gateway_send_held_retries(struct comet_gateway *gateway);
+
 /** Operations that placement needs (gateway_send.c). */
 extern const struct comet_placement_ops comet_gateway_placement_ops;
 
--- a/libcometspindle/adapters/gateway/gateway_reachability.c
+++ b/libcometspindle/adapters/gateway/gateway_reachability.c
@@ -130,17 +130,18 @@
 	enum comet_reachability_change change =
 		comet_reachability_probed(&links->state, result == COMET_TCP_PROBE_OPEN, now_us);
 
-	if (links->state.pending == 0)
+	if (links->state.pending > 0)
 	{
-		TALLOC_FREE(links->check); /* ends the other probes */
-		release_held(links);
-	}
-	else
 		probe_until(links, links->check->count);
+		return;
+	}
+	TALLOC_FREE(links->check); /* ends the other probes */
+	release_held(links);
 	if (change == COMET_REACHABILITY_LOST)
 		links_lost(links, now_us);
 	else if (change == COMET_REACHABILITY_RESTORED)
 		links_restored(links, now_us);
+	comet_gateway_send_held_retries(links->gateway);
 }
 
 /* A random sample of endpoints. */
@@ -204,7 +205,10 @@
 	if (links->check->count > 0)
 		probe_until(links, 1);
 	else
+	{
 		release_held(links);
+		comet_gateway_send_held_retries(links->gateway);
+	}
 }
 
 void
@@ -236,6 +240,19 @@
 	return links->state.lost;
 }
 
+void
+comet_gateway_links_hurry(struct comet_links *links)
+{
+	comet_reachability_hurry(&links->state);
+	comet_gateway_links_tick(links, comet_timers_now_us());
+}
+
+bool
+comet_gateway_links_are_checked(const struct comet_links *links)
+{
+	return links->state.pending > 0;
+}
+
 bool
 comet_gateway_links_are_in_doubt(const struct comet_links *links)
 {
--- a/libcometspindle/adapters/gateway/gateway_reachability.h
+++ b/libcometspindle/adapters/gateway/gateway_reachability.h
@@ -38,6 +38,15 @@
 bool
 comet_gateway_links_are_lost(const struct comet_links *links);
 
+/** Begins the next check of the links soon, because a request waits for its result. */
+void
+comet_gateway_links_hurry(struct comet_links *links);
+
+/** @return whether a check of the links is running, so that the cause of a failed attempt will be
+ * known soon. */
+bool
+comet_gateway_links_are_checked(const struct comet_links *links);
+
 /** @return whether the links are lost or under check. */
 bool
 comet_gateway_links_are_in_doubt(const struct comet_links *links);
--- a/libcometspindle/adapters/gateway/gateway_send.c
+++ b/libcometspindle/adapters/gateway/gateway_send.c
@@ -5,6 +5,7 @@
 #include <libcometspindle/adapters/gateway/proxy_request.h>
 
 #include <libcometspindle/adapters/gateway/forward_head.h>
+#include <libcometspindle/adapters/gateway/gateway_reachability.h>
 #include <libcometspindle/log.h>
 #include <string.h>
 #include <talloc.h>
@@ -18,6 +19,17 @@
  * again after this time: given up, it would be cut off if placement refused it. */
 #define SILENCE_RECHECK_US 200000
 
+/* Returns whether the request may have crashed endpoints. The crash of a silent endpoint is
+ * confirmed only seconds later, and the request must not be sent to further endpoints in that
+ * time. */
+static bool
+is_held_back_as_suspect(const struct comet_proxy_request *proxy, uint64_t now_us)
+{
+	return comet_proxy_request_is_quarantined(proxy) ||
+	       comet_crash_tracker_is_undecided(
+		       proxy->gateway->crash_tracker, &proxy->fingerprint, now_us);
+}
+
 bool
 comet_proxy_request_may_retry(struct comet_proxy_request *proxy)
 {
@@ -26,11 +38,7 @@
 
 	if (proxy->may_have_run && !comet_route_is_retryable(proxy->route))
 		return false;
-	/* The crash of a silent endpoint is confirmed only seconds later. The request must not be
-	 * sent to further endpoints in that time. */
-	if (comet_proxy_request_is_quarantined(proxy) ||
-		comet_crash_tracker_is_undecided(
-			gateway->crash_tracker, &proxy->fingerprint, now_us))
+	if (is_held_back_as_suspect(proxy, now_us))
 		return false;
 	if (proxy->attempts >= MAX(proxy->route->max_attempts, 1) || now_us >= proxy->deadline_us)
 		return false;
@@ -48,18 +56,13 @@
 	       proxy->team->rate_per_s > 0;
 }
 
-void
-comet_proxy_request_retry(struct comet_proxy_request *proxy, const char *reason)
+/* Sends the request through another VM if the links are lost, and otherwise queues it again. */
+static void
+send_retry(struct comet_proxy_request *proxy, const char *reason)
 {
 	struct comet_gateway *gateway = proxy->gateway;
 	uint64_t now_us = comet_timers_now_us();
 
-	gateway->counts.retried++;
-	comet_log(COMET_LOG_INFO,
-		"event=retried request=%s reason=%s attempts=%u events=%u "
-		"unfinished_bytes=%" G_GUINT64_FORMAT,
-		proxy->id, reason, proxy->attempts, comet_proxy_request_events(proxy),
-		proxy->unfinished_bytes);
 	if (comet_proxy_request_send_through_peer(proxy))
 		return;
 	if (is_uncharged(proxy))
@@ -81,6 +84,94 @@
 	comet_placement_submit(gateway->placement, &proxy->item, now_us);
 }
 
+/* Holds a request until a check of the links has ended. */
+static void
+hold(struct comet_proxy_request *proxy, const char *reason)
+{
+	struct comet_gateway *gateway = proxy->gateway;
+
+	proxy->retry_reason = reason;
+	g_queue_push_tail(&gateway->held_retries, proxy);
+	proxy->held_link = g_queue_peek_tail_link(&gateway->held_retries);
+}
+
+void
+comet_proxy_request_retry(struct comet_proxy_request *proxy, const char *reason)
+{
+	struct comet_gateway *gateway = proxy->gateway;
+
+	gateway->counts.retried++;
+	comet_log(COMET_LOG_INFO,
+		"event=retried request=%s reason=%s attempts=%u events=%u "
+		"unfinished_bytes=%" G_GUINT64_FORMAT,
+		proxy->id, reason, proxy->attempts, comet_proxy_request_events(proxy),
+		proxy->unfinished_bytes);
+	if (comet_gateway_links_are_checked(gateway->links) &&
+		!comet_gateway_links_are_lost(gateway->links))
+		hold(proxy, reason);
+	else
+		send_retry(proxy, reason);
+}
+
+/* Returns whether a request whose attempts are used up is held. If the next check finds that the
+ * links are lost, the last attempt went to an endpoint that this VM was cut off from, and does not
+ * count. Only a started response is worth the wait: other callers can repeat their request. */
+static bool
+hold_after_last_attempt(
+	struct comet_proxy_request *proxy, enum comet_dispatch_result result, bool was_direct)
+{
+	struct comet_gateway *gateway = proxy->gateway;
+	uint64_t now_us = comet_timers_now_us();
+
+	if (!was_direct || proxy->from_peer || !proxy->response_started ||
+		!comet_gateway_links_may_cause(result) || !comet_route_is_retryable(proxy->route) ||
+		now_us >= proxy->deadline_us ||
+		proxy->attempts < MAX(proxy->route->max_attempts, 1) ||
+		is_held_back_as_suspect(proxy, now_us))
+		return false;
+	proxy->held_after_last = true;
+	hold(proxy, "endpoint_broke");
+	comet_gateway_links_hurry(gateway->links);
+	return true;
+}
+
+/* Sends a held request whose attempts are used up through another VM, or ends it. The attempt
+ * replaces the last one, and takes no further token of the retry budget. */
+static void
+end_hold_after_last_attempt(struct comet_proxy_request *proxy)
+{
+	struct comet_gateway *gateway = proxy->gateway;
+
+	proxy->held_after_last = false;
+	if (comet_gateway_links_are_lost(gateway->links))
+	{
+		proxy->attempts--;
+		proxy->resuming = proxy->response_started;
+		if (comet_proxy_request_send_through_peer(proxy))
+			return;
+	}
+	comet_proxy_request_fail(proxy, 502, proxy->retry_reason);
+}
+
+void
+comet_gateway_send_held_retries(struct comet_gateway *gateway)
+{
+	GList *link = NULL;
+
+	/* A new check may begin, and hold the remaining retries for its own result. */
+	while (!comet_gateway_links_are_checked(gateway->links) &&
+		(link = gateway->held_retries.head) != NULL)
+	{
+		struct comet_proxy_request *proxy = link->data;
+		proxy->held_link = NULL;
+		g_queue_delete_link(&gateway->held_retries, link);
+		if (proxy->held_after_last)
+			end_hold_after_last_attempt(proxy);
+		else
+			send_retry(proxy, proxy->retry_reason);
+	}
+}
+
 /* Writes the request that is sent to the endpoint. */
 static GString *
 write_request(
@@ -202,6 +293,8 @@
 comet_proxy_request_attempt_failed(
 	struct comet_proxy_request *proxy, enum comet_dispatch_result result)
 {
+	bool was_direct = proxy->peer_vm == 0;
+
 	proxy->may_have_run = true;
 	comet_log(COMET_LOG_NOTICE,
 		"event=attempt_failed request=%s endpoint=%s result=%s status=%u events=%u "
@@ -215,13 +308,13 @@
 		comet_proxy_request_abort(proxy, "endpoint_broke");
 		return;
 	}
-	if (!comet_proxy_request_may_retry(proxy))
+	if (comet_proxy_request_may_retry(proxy))
 	{
-		comet_proxy_request_fail(proxy, 502, "endpoint_broke");
-		return;
+		proxy->resuming = proxy->response_started;
+		comet_proxy_request_retry(proxy, "endpoint_broke");
 	}
-	proxy->resuming = proxy->response_started;
-	comet_proxy_request_retry(proxy, "endpoint_broke");
+	else if (!hold_after_last_attempt(proxy, result, was_direct))
+		comet_proxy_request_fail(proxy, 502, "endpoint_broke");
 }
 
 void
--- a/libcometspindle/adapters/gateway/proxy_request.h
+++ b/libcometspindle/adapters/gateway/proxy_request.h
@@ -26,11 +26,13 @@
 	struct comet_timer *quota_retry_timer; /* repeats the quota check during discovery */
 	struct comet_timer *deadline_timer;
 	struct comet_timer *silence_timer;
+	const char *retry_reason;     /* code of the reason of a held retry */
 	char *instance_id;            /* endpoint of the current attempt, or NULL */
 	uint64_t process_start_ms;    /* process start of that endpoint */
 	uint32_t incarnation_key;     /* key of that incarnation */
 	GList *attempt_link;          /* link in gateway->active_attempts, or NULL */
 	GList *open_link;             /* link in gateway->open_requests */
+	GList *held_link;             /* link in gateway->held_retries, or NULL */
 	GByteArray *buffered_body;    /* body of a plain response until it is forwarded */
 	struct comet_http_head *head; /* copy of the response head, or NULL */
 	uint64_t quota_amount;        /* charged to the team, in the unit of its limit */
@@ -62,6 +64,7 @@
 	bool response_started;    /* the response head was sent to the caller */
 	bool resuming;            /* this attempt resumes a stream that was interrupted */
 	bool upstream_paused;     /* reading from the endpoint is paused for a slow caller */
+	bool held_after_last;     /* held although its attempts are used up */
 	bool retry_same_endpoint; /* may be sent to an endpoint that was tried before */
 };
 
@@ -175,7 +178,7 @@
 void
 comet_proxy_request_refund_quota(struct comet_proxy_request *proxy);
 
-/** Queues the request for a further attempt. */
+/** Queues the request for a further attempt, after a check of the links that is running. */
 void
 comet_proxy_request_retry(struct comet_proxy_request *proxy, const char *reason);
 
--- a/libcometspindle/gateway/endpoints/reachability.c
+++ b/libcometspindle/gateway/endpoints/reachability.c
@@ -7,6 +7,10 @@
 /* Minimum time between two checks that failed attempts cause. */
 #define CHECK_INTERVAL_US 500000
 
+/* The same if a request waits for the result: links that fail one after the other have failed by
+ * then. */
+#define URGENT_INTERVAL_US 50000
+
 /* Time between two checks while the links are lost. */
 #define LOST_INTERVAL_US 250000
 
@@ -16,11 +20,20 @@
 	reachability->suspected = true;
 }
 
+void
+comet_reachability_hurry(struct comet_reachability *reachability)
+{
+	reachability->urgent = true;
+}
+
 bool
 comet_reachability_needs_check(const struct comet_reachability *reachability, uint64_t now_us)
 {
 	uint64_t interval_us = reachability->lost ? LOST_INTERVAL_US : CHECK_INTERVAL_US;
 
+	if (reachability->urgent)
+		interval_us = URGENT_INTERVAL_US;
+
 	if (reachability->pending > 0 || (!reachability->lost && !reachability->suspected))
 		return false;
 	return reachability->checked_us == 0 || now_us - reachability->checked_us >= interval_us;
@@ -39,6 +52,7 @@
 	struct comet_reachability *reachability, uint32_t probes, uint64_t now_us)
 {
 	reachability->suspected = false;
+	reachability->urgent = false;
 	reachability->pending = probes;
 	if (probes == 0)
 		end_check(reachability, reachability->lost, now_us);
--- a/libcometspindle/gateway/endpoints/reachability.h
+++ b/libcometspindle/gateway/endpoints/reachability.h
@@ -19,6 +19,7 @@
 struct comet_reachability
 {
 	bool suspected;      /**< an attempt has failed since the last check began */
+	bool urgent;         /**< a request waits for the next check */
 	bool lost;           /**< the last check reached no endpoint */
 	uint32_t pending;    /**< probes of the current check without a result; 0: no check */
 	uint64_t checked_us; /**< when the last check ended; 0: never */
@@ -36,6 +37,10 @@
 void
 comet_reachability_suspect(struct comet_reachability *reachability);
 
+/** Shortens the time until the next check, because a request waits for its result. */
+void
+comet_reachability_hurry(struct comet_reachability *reachability);
+
 /** @return whether a check has to begin now. */
 bool
 comet_reachability_needs_check(const struct comet_reachability *reachability, uint64_t now_us);
--- a/tests/unit/test_reachability.cc
+++ b/tests/unit/test_reachability.cc
@@ -74,4 +74,18 @@
 	EXPECT_FALSE(comet_reachability_is_in_doubt(&state)) << "there is no endpoint";
 }
 
+TEST(Reachability, ARequestThatWaitsShortensTheInterval)
+{
+	comet_reachability state = {};
+
+	comet_reachability_suspect(&state);
+	check(&state, true, 1000 * ms);
+	comet_reachability_suspect(&state);
+	comet_reachability_hurry(&state);
+	EXPECT_FALSE(comet_reachability_needs_check(&state, 1040 * ms));
+	EXPECT_TRUE(comet_reachability_needs_check(&state, 1050 * ms));
+	EXPECT_EQ(check(&state, false, 1050 * ms), COMET_REACHABILITY_LOST);
+	EXPECT_FALSE(comet_reachability_needs_check(&state, 1200 * ms)) << "nothing waits now";
+}
+
 } // namespace
