--- a/libcometspindle/adapters/gateway/gateway.c
+++ b/libcometspindle/adapters/gateway/gateway.c
@@ -385,6 +385,7 @@
 	gateway->settings_path = settings_path;
 	gateway->names = port->names;
 	gateway->decode_advertisement = port->decode_advertisement;
+	gateway->decode_resumption = port->decode_resumption;
 	gateway->ends = comet_counter_set_create(gateway);
 	gateway->began_us = comet_timers_now_us();
 	randombytes_buf(&seed, sizeof seed);
--- a/libcometspindle/adapters/gateway/gateway.h
+++ b/libcometspindle/adapters/gateway/gateway.h
@@ -15,6 +15,7 @@
 #include <libcometspindle/gateway/directory.h>
 #include <libcometspindle/gateway/endpoints/advertisement.h>
 #include <libcometspindle/gateway/settings.h>
+#include <libcometspindle/gateway/streams/resumption.h>
 #include <libcometspindle/gateway/header_names.h>
 #include <tevent.h>
 
@@ -37,13 +38,18 @@
 typedef void (*comet_advertisement_decoder)(const struct comet_http_head *head,
 	const char *endpoint, struct comet_advertisement *advertisement);
 
-/** The platform's directory adapter, its header names and its decoder of response headers. */
+/** Decodes the stream that a request resumes, and logs malformed values. */
+typedef void (*comet_resumption_decoder)(const struct comet_http_head *head, const char *request,
+	struct comet_resumption *resumption);
+
+/** The platform's directory adapter, its header names and its decoders of headers. */
 struct comet_platform_adapter
 {
 	struct comet_directory *(*create_directory)(
 		void *parent, const struct comet_directory_context *context);
 	const struct comet_header_names *names;
 	comet_advertisement_decoder decode_advertisement;
+	comet_resumption_decoder decode_resumption;
 };
 
 struct comet_gateway;
--- a/libcometspindle/adapters/gateway/gateway_directory.c
+++ b/libcometspindle/adapters/gateway/gateway_directory.c
@@ -119,10 +119,11 @@
 
 	write(COMET_LOG_NOTICE,
 		"event=endpoint_listed endpoint=%s service=%s address=%s zone=%s slots=%u "
-		"draining=%d born=%" G_GUINT64_FORMAT " restarted=%d",
+		"draining=%d born=%" G_GUINT64_FORMAT " restarted=%d software=%s",
 		record->id, record->service, record->address, record->zone, record->slots,
 		record->draining, record->process_start_ms,
-		known != NULL && known->process_start_ms != record->process_start_ms);
+		known != NULL && known->process_start_ms != record->process_start_ms,
+		record->software_version != NULL ? record->software_version : "");
 }
 
 /* Arguments of crash_if_at_address(). */
--- a/libcometspindle/adapters/gateway/gateway_private.h
+++ b/libcometspindle/adapters/gateway/gateway_private.h
@@ -83,6 +83,7 @@
 	const char *settings_path;
 	const struct comet_header_names *names;
 	comet_advertisement_decoder decode_advertisement;
+	comet_resumption_decoder decode_resumption;
 	struct tevent_context *ev;
 	struct comet_timers *timers;
 	struct comet_upstream *upstream;
--- a/libcometspindle/adapters/gateway/gateway_send.c
+++ b/libcometspindle/adapters/gateway/gateway_send.c
@@ -391,14 +391,16 @@
 		"event=sent request=%s endpoint=%s load=%u slots=%u candidates=%u with_room=%u "
 		"waited_ms=%" G_GUINT64_FORMAT " expect_first_ms=%" G_GUINT64_FORMAT
 		" view_age_ms=%" G_GUINT64_FORMAT
-		" relative_latency=%.2f attempt=%u after_events=%u owner=%s limit_per_s=%.3f",
+		" relative_latency=%.2f attempt=%u after_events=%u owner=%s limit_per_s=%.3f "
+		"software=%s",
 		proxy->id, instance->id, reason->load, reason->slots, reason->candidates,
 		reason->with_room, reason->waited_us / 1000, reason->first_us / 1000,
 		reason->gossip_age_us / 1000, instance->relative_latency, proxy->attempts + 1,
 		comet_proxy_request_events(proxy),
 		item->owner_vm != 0 ? comet_datagram_socket_format_address(item->owner_vm, owner_vm)
 				    : "-",
-		instance->limit.active ? instance->limit.max_per_s : -1.0);
+		instance->limit.active ? instance->limit.max_per_s : -1.0,
+		instance->software_version);
 	if (proxy->attempts == 0)
 		comet_latency_histogram_add(
 			&gateway->times[proxy->route->kind].waited, now_us - proxy->arrived_us);
--- a/libcometspindle/gateway/endpoints/incarnations.c
+++ b/libcometspindle/gateway/endpoints/incarnations.c
@@ -94,6 +94,7 @@
 	state->earlier->service = talloc_strdup(state->earlier, record->service);
 	state->earlier->address = talloc_strdup(state->earlier, record->address);
 	state->earlier->zone = talloc_strdup(state->earlier, record->zone);
+	state->earlier->software_version = talloc_strdup(state->earlier, record->software_version);
 	state->earlier_us = now_us;
 }
 
--- a/libcometspindle/gateway/endpoints/instance.h
+++ b/libcometspindle/gateway/endpoints/instance.h
@@ -52,8 +52,9 @@
 	struct comet_latency_model *latency_model; /**< shared by its service */
 	char *address;
 	char *zone;
-	bool near;       /**< in this VM's availability zone */
-	uint32_t region; /**< of its zone; COMET_REGION_UNKNOWN if that is not configured */
+	bool near;              /**< in this VM's availability zone */
+	uint32_t region;        /**< of its zone; COMET_REGION_UNKNOWN if that is not configured */
+	char *software_version; /**< empty if the directory does not state it */
 	uint32_t slots;
 	uint32_t shard; /**< shard that it belongs to (shards.h) */
 	bool draining;
--- a/libcometspindle/gateway/endpoints/instances.c
+++ b/libcometspindle/gateway/endpoints/instances.c
@@ -188,6 +188,8 @@
 		instance->replaced = false;
 	if (set_string(instance, &instance->zone, record->zone))
 		instances->changes++;
+	set_string(instance, &instance->software_version,
+		record->software_version != NULL ? record->software_version : "");
 	instance->near = strcmp(instance->zone, instances->own_zone) == 0;
 	instance->region =
 		GPOINTER_TO_UINT(g_hash_table_lookup(instances->regions, instance->zone));
--- a/libcometspindle/gateway/endpoints/instances.h
+++ b/libcometspindle/gateway/endpoints/instances.h
@@ -24,6 +24,7 @@
 	uint32_t warm_up_ms;       /**< remaining time of its warm-up, during which it is slower */
 	bool draining;             /**< it accepts no new requests */
 	uint64_t process_start_ms; /**< process start by its own clock; 0: unknown */
+	const char *software_version; /**< of the software that serves requests; NULL: unknown */
 };
 
 struct comet_instances;
--- a/tests/unit/grants_fleet.h
+++ b/tests/unit/grants_fleet.h
@@ -125,7 +125,7 @@
 		{
 			std::string id = "i" + std::to_string(i);
 			comet_instance_record record = {
-				id.c_str(), "llm", "127.0.0.1:1", "z", slots, 0, false, 0};
+				id.c_str(), "llm", "127.0.0.1:1", "z", slots, 0, false, 0, "v1"};
 			comet_instances_update(one.instances, &record, now_us);
 		}
 		comet_gossip_config config = {address, address, now_us, 8000, seeds, 1, "z", 100000,
--- a/tests/unit/placement_fixture.h
+++ b/tests/unit/placement_fixture.h
@@ -80,7 +80,8 @@
 	comet_instance *
 	add(const char *id, const char *zone = "z1", bool draining = false)
 	{
-		comet_instance_record record = {id, "llm", "127.0.0.1:1", zone, 2, 0, draining, 0};
+		comet_instance_record record = {
+			id, "llm", "127.0.0.1:1", zone, 2, 0, draining, 0, "v1"};
 		return comet_instances_update(instances, &record, now_us);
 	}
 
--- a/tests/unit/test_gateway_grants.cc
+++ b/tests/unit/test_gateway_grants.cc
@@ -24,7 +24,7 @@
 			int at = vm == 0 ? i : 199 - i;
 			std::string id = "i" + std::to_string(at);
 			comet_instance_record record = {id.c_str(), "llm", "127.0.0.1:1",
-				at % 2 == 0 ? "a" : "b", slots, 0, false, 0};
+				at % 2 == 0 ? "a" : "b", slots, 0, false, 0, "v1"};
 			comet_instances_update(lists[vm], &record, 0);
 		}
 	}
@@ -296,7 +296,7 @@
 	fleet all(5, 2);
 	uint32_t owner = all.owner_of(1);
 	uint32_t requester = owner == 1 ? 2 : 1;
-	comet_instance_record record = {"p0", "app", "127.0.0.1:2", "z", slots, 0, false, 0};
+	comet_instance_record record = {"p0", "app", "127.0.0.1:2", "z", slots, 0, false, 0, "v1"};
 	const comet_instance *other =
 		comet_instances_update(all.vms[requester].instances, &record, all.now_us);
 	comet_placement_item *item = all.submit(requester);
@@ -318,7 +318,8 @@
 	fleet all(5, 1);
 	uint32_t owner = all.owner_of(1);
 	uint32_t requester = owner == 1 ? 2 : 1;
-	comet_instance_record later = {"i0", "llm", "127.0.0.1:1", "z", slots, 0, false, 2000};
+	comet_instance_record later = {
+		"i0", "llm", "127.0.0.1:1", "z", slots, 0, false, 2000, "v1"};
 	comet_placement_item *before = all.submit(requester);
 	all.deliver();
 	ASSERT_EQ(all.vms[requester].sent.count(before), 1U);
--- a/tests/unit/test_gateway_remote_waiters.cc
+++ b/tests/unit/test_gateway_remote_waiters.cc
@@ -173,7 +173,8 @@
 	comet_instances *instances = comet_instances_create(nullptr, "a");
 	for (const char *zone : {"a", "b", "c"})
 	{
-		comet_instance_record record = {zone, "llm", "127.0.0.1:1", zone, 1, 0, false, 0};
+		comet_instance_record record = {
+			zone, "llm", "127.0.0.1:1", zone, 1, 0, false, 0, "v1"};
 		comet_instances_update(instances, &record, 0)->local_requests = 1;
 	}
 	comet_placement *placement = comet_placement_create(instances, instances, &ops, &one, 1);
--- a/tests/unit/test_gossip.cc
+++ b/tests/unit/test_gossip.cc
@@ -69,7 +69,8 @@
 		one.rate_limiter =
 			comet_rate_limiter_create(one.instances, &limiter_config, now_us);
 		comet_rate_limiter_set_teams(one.rate_limiter, table, now_us);
-		comet_instance_record record = {"i", "llm", "127.0.0.1:1", "z", 4, 0, false, 0};
+		comet_instance_record record = {
+			"i", "llm", "127.0.0.1:1", "z", 4, 0, false, 0, "v1"};
 		comet_instances_update(one.instances, &record, now_us);
 		comet_gossip_config config = {address, incarnation, now_us, 8000, seeds, 1,
 			zone.c_str(), bytes_per_s, bytes_per_s, 100, nullptr};
@@ -222,7 +223,7 @@
 {
 	vms fleet(2);
 	uint64_t now_us = 1000000;
-	comet_instance_record record = {"i", "llm", "127.0.0.1:1", "z", 4, 0, false, 1000};
+	comet_instance_record record = {"i", "llm", "127.0.0.1:1", "z", 4, 0, false, 1000, "v1"};
 	comet_request_size size = {600, 10, 10, true};
 
 	for (auto &one : fleet.all)
@@ -550,7 +551,8 @@
 void
 add_endpoint(vm &one, const std::string &id)
 {
-	comet_instance_record record = {id.c_str(), "llm", "127.0.0.1:1", "z", 4, 0, false, 0};
+	comet_instance_record record = {
+		id.c_str(), "llm", "127.0.0.1:1", "z", 4, 0, false, 0, "v1"};
 	comet_instances_update(one.instances, &record, 0);
 }
 
--- a/tests/unit/test_incarnations.cc
+++ b/tests/unit/test_incarnations.cc
@@ -224,7 +224,7 @@
 	observe(uint64_t process_start_ms, uint64_t now_us = 0)
 	{
 		comet_instance_record record = {
-			"i", "llm", "127.0.0.1:1", "z", 4, 0, false, process_start_ms};
+			"i", "llm", "127.0.0.1:1", "z", 4, 0, false, process_start_ms, "v1"};
 		return comet_incarnations_observe(incarnations, &record, now_us);
 	}
 
--- a/tests/unit/test_instances.cc
+++ b/tests/unit/test_instances.cc
@@ -26,7 +26,8 @@
 	void
 	SetUp() override
 	{
-		comet_instance_record record = {"i", "llm", "127.0.0.1:1", "z", 4, 0, false, 0};
+		comet_instance_record record = {
+			"i", "llm", "127.0.0.1:1", "z", 4, 0, false, 0, "v1"};
 		comet_instances_update(instances, &record, 0);
 	}
 
@@ -89,7 +90,7 @@
 	uint64_t outage_us = 10 * second_us;
 	ASSERT_TRUE(comet_instances_schedule_expiry(
 		instances, "i", outage_us, &config, outage_us + 100000));
-	comet_instance_record record = {"i", "llm", "127.0.0.1:1", "z", 4, 0, false, 0};
+	comet_instance_record record = {"i", "llm", "127.0.0.1:1", "z", 4, 0, false, 0, "v1"};
 	comet_instances_update(instances, &record, outage_us + second_us);
 	EXPECT_TRUE(in_use(outage_us + 9 * second_us));
 }
@@ -109,7 +110,7 @@
 	{
 		std::string service = "s" + std::to_string(i);
 		comet_instance_record record = {
-			"j", service.c_str(), "127.0.0.1:1", "z", 4, 0, false, 0};
+			"j", service.c_str(), "127.0.0.1:1", "z", 4, 0, false, 0, "v1"};
 		comet_instances_update(instances, &record, second_us);
 	}
 	EXPECT_EQ(comet_instances_service_count(instances), 2U);
@@ -131,7 +132,7 @@
 	put(uint64_t process_start_ms, bool draining = false)
 	{
 		comet_instance_record record = {
-			"i", "llm", "127.0.0.1:1", "z", 4, 0, draining, process_start_ms};
+			"i", "llm", "127.0.0.1:1", "z", 4, 0, draining, process_start_ms, "v1"};
 		return comet_instances_update(instances, &record, second_us);
 	}
 };
@@ -170,7 +171,7 @@
 TEST_F(InstanceIncarnations, RemovingAnEndpointKeepsAnotherWithTheSameKey)
 {
 	comet_instance *remaining = put(1000);
-	comet_instance_record record = {"j", "llm", "127.0.0.1:2", "z", 4, 0, false, 5};
+	comet_instance_record record = {"j", "llm", "127.0.0.1:2", "z", 4, 0, false, 5, "v1"};
 	comet_instance *removed = comet_instances_update(instances, &record, second_us);
 	removed->key = remaining->key;
 	comet_instances_remove(instances, "j");
@@ -184,7 +185,7 @@
 	{
 		std::string id = "e" + std::to_string(i);
 		comet_instance_record record = {
-			id.c_str(), "llm", "127.0.0.1:1", "z", 4, 0, false, 0};
+			id.c_str(), "llm", "127.0.0.1:1", "z", 4, 0, false, 0, "v1"};
 		comet_instances_update(instances, &record, 0);
 	}
 	uint64_t visits = comet_instances_visit_count(instances);
@@ -199,7 +200,7 @@
 	for (const char *id : {"e1", "e2"})
 		ASSERT_TRUE(comet_instances_schedule_expiry(
 			instances, id, 5 * second_us, &config, 5 * second_us));
-	comet_instance_record again = {"e1", "llm", "127.0.0.1:1", "z", 4, 0, false, 0};
+	comet_instance_record again = {"e1", "llm", "127.0.0.1:1", "z", 4, 0, false, 0, "v1"};
 	comet_instances_update(instances, &again, 6 * second_us);
 	comet_instances_remove(instances, "e2");
 	visits = comet_instances_visit_count(instances);
--- /dev/null
+++ b/tests/unit/test_resumption.cc
@@ -0,0 +1,50 @@
+/*
+ * test_resumption.cc
+ * how callers name the stream that a request resumes
+ */
+#include <gtest/gtest.h>
+
+extern "C"
+{
+#include <platform/resumption.h>
+}
+#include <string>
+#include <vector>
+
+namespace
+{
+
+/* Decodes a request with these values of the header. @return the stream; "": none */
+std::string
+decode(std::vector<std::string> values)
+{
+	std::string name = "resumes";
+	std::vector<comet_http_header> raw;
+	comet_http_head head = {};
+	comet_resumption resumption = {};
+
+	for (std::string &value : values)
+		raw.push_back({name.data(), value.data()});
+	head.headers = raw.data();
+	head.n_headers = raw.size();
+	comet_platform_decode_resumption(&head, "request", &resumption);
+	return resumption.stream != nullptr ? resumption.stream : "";
+}
+
+TEST(Resumption, NamesARequest)
+{
+	EXPECT_EQ(decode({}), "");
+	EXPECT_EQ(decode({"748465a1d2fa64ed"}), "748465a1d2fa64ed");
+	EXPECT_EQ(decode({"Caller-1_a.b:7"}), "Caller-1_a.b:7");
+	EXPECT_EQ(decode({std::string(128, 'a')}), std::string(128, 'a'));
+}
+
+TEST(Resumption, MalformedNamesAreIgnored)
+{
+	for (const char *value : {"", " ", "a b", "a,b", "a\"b", "a=b", "\xc3\xa4", "a\tb"})
+		EXPECT_EQ(decode({value}), "") << value;
+	EXPECT_EQ(decode({std::string(129, 'a')}), "");
+	EXPECT_EQ(decode({"a", "a"}), "");
+}
+
+} // namespace
--- a/tests/unit/test_slow_start.cc
+++ b/tests/unit/test_slow_start.cc
@@ -114,7 +114,7 @@
 		{
 			std::string id = "i" + std::to_string(i);
 			comet_instance_record record = {id.c_str(), "llm", "127.0.0.1:1", "z",
-				grants_fleet::slots, 3000, false, 0};
+				grants_fleet::slots, 3000, false, 0, "v1"};
 			comet_instances_update(one.second.instances, &record, cold_us);
 		}
 	load.run(3 * second_us, 20);
