Tests that fail: streams hold events of two software versions

VMs select the endpoint of a resumed stream regardless of its software version, and a VM to which a caller returns does not know where the stream began.

--- a/tests/system/vm_group.py
+++ b/tests/system/vm_group.py
@@ -15,13 +15,16 @@
 class VmGroup:
     """Gateways of one availability zone that know each other. Each endpoint records when requests arrive."""
 
-    def __init__(self, vms, servers, cuttable=0, slots=8, **settings):
-        """cuttable: number of VMs, the last ones, whose links to the endpoints can be cut."""
+    def __init__(self, vms, servers, cuttable=0, slots=8, versions=None, **settings):
+        """cuttable: number of VMs, the last ones, whose links to the endpoints can be cut.
+        versions: software version of each endpoint; None: all have the same."""
         self.store = Store()
         self.store.put("op/config", document(1))
         self.extra_headers = {}  # server name -> headers of its responses
         self.arrivals = {f"i-{n}": [] for n in range(servers)}
         self.servers = [Server(self.store, f"i-{n}", "svc", slots=slots) for n in range(servers)]
+        for server, version in zip(self.servers, versions or []):
+            server.publish(version=version)
         for server in self.servers:
             server.scripts["x"] = self.serve
         self.ports = free_ports(ADDRESS)
