Resume a caller's stream only at the version that began it

Callers that took up a stream with a new request received events of another software version of the service.

Cause: the VM to which a caller returns does not know where its stream began.

Change: the VM that forwards the first event of a resumable stream records the version of its endpoint under the id of the request, and sends the record to two other VMs, of two zones if there are several, before it forwards the event. A VM to which a caller returns uses its own record, or asks the best three VMs of each zone; one answer is enough. Records are sent again when a VM that keeps them restarts or is lost, and handed over by a VM that stops. A resume extends the record. Without a record a stream goes on only if this VM and all that answered have known one version of the service since before the stream can have begun; otherwise it is refused (503, not run), as it is if no endpoint of its version is left. VMs of earlier releases get none of the new datagrams, which they would log as malformed.

--- a/libcometspindle/adapters/gateway/gateway.c
+++ b/libcometspindle/adapters/gateway/gateway.c
@@ -4,6 +4,7 @@
  */
 #include <libcometspindle/adapters/gateway/gateway_crashes.h>
 #include <libcometspindle/adapters/gateway/gateway_reachability.h>
+#include <libcometspindle/adapters/gateway/gateway_streams.h>
 
 #include <libcometspindle/adapters/socket.h>
 #include <libcometspindle/error.h>
@@ -83,6 +84,8 @@
 		comet_log(COMET_LOG_WARNING, "event=datagram_malformed bytes=%zu", length);
 	else if (datagram.which_body == comet_Datagram_news_tag)
 		comet_gateway_handle_report(gateway, &datagram.body.news, now_us);
+	else if (comet_gateway_streams_receive(gateway->streams, &datagram, now_us))
+		return;
 	else if (datagram.which_body != comet_Datagram_view_tag &&
 		 !comet_quota_requests_receive(gateway->quota_requests, &datagram, now_us))
 		comet_gateway_receive_grants(gateway, &datagram, now_us);
@@ -104,7 +107,10 @@
 {
 	char text[COMET_IPV4_TEXT_BYTES];
 
-	comet_gateway_forget_release(ctx, address);
+	struct comet_gateway *gateway = ctx;
+
+	comet_gateway_forget_release(gateway, address);
+	comet_gateway_streams_vm_changed(gateway->streams, address);
 	comet_log_repeated(COMET_LOG_NOTICE, "event=vm_%s vm=%s reason=%s",
 		alive ? "heard" : "lost", comet_datagram_socket_format_address(address, text), why);
 }
@@ -191,6 +197,7 @@
 	set_vms(gateway, alive + 1, known + 1, now_us);
 	comet_gateway_tick_endpoints(gateway, now_us);
 	comet_gateway_links_tick(gateway->links, now_us);
+	comet_gateway_streams_tick(gateway->streams, now_us);
 	comet_crash_tracker_tick(gateway->crash_tracker, now_us);
 	comet_proxy_request_refuse_all_quarantined(gateway);
 	comet_placement_run(gateway->placement, now_us);
@@ -218,6 +225,7 @@
 		gateway->open_request_count);
 	comet_http_server_set_draining(gateway->callers);
 	comet_gossip_leave(gateway->gossip, gateway->stop_us);
+	comet_gateway_streams_hand_over(gateway->streams, gateway->stop_us);
 }
 
 static void
@@ -295,6 +303,7 @@
 		gateway, &config, gateway->instances, gateway->rate_limiter, &gossip_ops, gateway);
 	gateway->grants =
 		comet_grants_create(gateway, config.address, &comet_gateway_grants_ops, gateway);
+	gateway->streams = comet_gateway_streams_create(gateway, config.address);
 	gateway->quota_requests = comet_quota_requests_create(
 		gateway, config.address, &comet_gateway_quota_ops, gateway);
 }
--- a/libcometspindle/adapters/gateway/gateway_admit.c
+++ b/libcometspindle/adapters/gateway/gateway_admit.c
@@ -5,6 +5,7 @@
 #include <libcometspindle/adapters/gateway/proxy_request.h>
 
 #include <libcometspindle/adapters/gateway/gateway_reachability.h>
+#include <libcometspindle/adapters/gateway/gateway_streams.h>
 #include <libcometspindle/log.h>
 #include <string.h>
 #include <strings.h>
@@ -234,22 +235,6 @@
 	return true;
 }
 
-/* Logs the stream that a request resumes. */
-static void
-log_resumption(const struct comet_proxy_request *proxy)
-{
-	const struct comet_gateway *gateway = proxy->gateway;
-	const char *last_event =
-		comet_http_head_get(proxy->request->head, gateway->names->last_event);
-	struct comet_resumption resumption;
-
-	if (!comet_proxy_request_is_stream(proxy) || last_event == NULL)
-		return;
-	gateway->decode_resumption(proxy->request->head, proxy->id, &resumption);
-	comet_log(COMET_LOG_INFO, "event=resume_requested request=%s stream=%s last_event=%.32s",
-		proxy->id, resumption.stream != NULL ? resumption.stream : "-", last_event);
-}
-
 /* Called once the request has been charged: selects a service and queues the request. */
 static void
 admit(struct comet_proxy_request *proxy, uint64_t now_us)
@@ -267,8 +252,10 @@
 		proxy->team != NULL ? proxy->team->name : "-", proxy->item.size.prompt_tokens,
 		proxy->item.size.output_tokens, proxy->item.size.max_output_tokens,
 		comet_route_table_version(proxy->table));
-	log_resumption(proxy);
-	queue_request(proxy, now_us);
+	if (comet_gateway_streams_identify(proxy))
+		comet_gateway_streams_resolve(proxy, queue_request);
+	else
+		queue_request(proxy, now_us);
 }
 
 /* Refuses a request that arrived before the first routing table. */
--- a/libcometspindle/adapters/gateway/gateway_answer.c
+++ b/libcometspindle/adapters/gateway/gateway_answer.c
@@ -2,6 +2,7 @@
  * gateway_answer.c
  * forwards an endpoint's response to the caller
  */
+#include <libcometspindle/adapters/gateway/gateway_streams.h>
 #include <libcometspindle/adapters/gateway/proxy_request.h>
 
 #include <libcometspindle/log.h>
@@ -150,7 +151,9 @@
 		return;
 	if (!proxy->response_started)
 	{
-		proxy->item.version_id = proxy->attempt_version_id;
+		if (proxy->item.version_id == 0)
+			proxy->item.version_id = proxy->attempt_version_id;
+		comet_gateway_streams_began(proxy);
 		start_response(proxy, -1);
 	}
 	comet_http_server_send_body(proxy->request, comet_event_stream_ready(proxy->events), ready);
--- a/libcometspindle/adapters/gateway/gateway_metrics.c
+++ b/libcometspindle/adapters/gateway/gateway_metrics.c
@@ -4,6 +4,7 @@
  */
 #include <libcometspindle/adapters/gateway/gateway_private.h>
 #include <libcometspindle/adapters/gateway/gateway_reachability.h>
+#include <libcometspindle/adapters/gateway/gateway_streams.h>
 
 #include <stddef.h>
 
@@ -62,6 +63,16 @@
 		counts->slot_requests_unanswered, counts->slot_requests_answered);
 }
 
+static void
+put_stream_versions(GString *out, const struct comet_gateway_counts *counts)
+{
+	g_string_append_printf(out,
+		"# TYPE comet_stream_lookups_total counter\n"
+		"comet_stream_lookups_total{outcome=\"known\"} %" G_GUINT64_FORMAT "\n"
+		"comet_stream_lookups_total{outcome=\"unknown\"} %" G_GUINT64_FORMAT "\n",
+		counts->stream_versions_known, counts->stream_versions_unknown);
+}
+
 static void
 put_quota_requests(GString *out, const struct comet_gateway_counts *counts)
 {
@@ -455,6 +466,8 @@
 	put(out, "dispatches_total", "counter", (double)gateway->counts.dispatched);
 	put(out, "repeats_total", "counter", (double)gateway->counts.retried);
 	put(out, "resumes_total", "counter", (double)gateway->counts.resumed);
+	put(out, "stream_versions", "gauge", (double)comet_gateway_streams_count(gateway->streams));
+	put_stream_versions(out, &gateway->counts);
 	put(out, "peer_attempts_total", "counter", (double)gateway->counts.peer_attempts);
 	put_slot_requests(out, &gateway->counts);
 	put_quota_requests(out, &gateway->counts);
--- a/libcometspindle/adapters/gateway/gateway_peer_attempt.c
+++ b/libcometspindle/adapters/gateway/gateway_peer_attempt.c
@@ -95,8 +95,8 @@
 	if (!comet_gateway_links_are_lost(gateway->links) || proxy->from_peer ||
 		proxy->peer_attempts >= PEER_ATTEMPTS_MAX || now_us >= proxy->deadline_us)
 		return false;
-	uint32_t vm = comet_gossip_pick_endpoint_peer(
-		gateway->gossip, proxy->last_peer_vm, comet_random_u32(&gateway->random));
+	uint32_t vm = comet_gossip_pick_endpoint_peer(gateway->gossip, proxy->last_peer_vm,
+		proxy->item.version_id != 0, comet_random_u32(&gateway->random));
 	if (vm == 0)
 		return false;
 	proxy->last_peer_vm = vm;
--- a/libcometspindle/adapters/gateway/gateway_private.h
+++ b/libcometspindle/adapters/gateway/gateway_private.h
@@ -30,11 +30,13 @@
 	uint64_t dispatched;
 	uint64_t retried;
 	uint64_t resumed;
-	uint64_t peer_attempts;      /**< attempts through other VMs */
-	uint64_t granted;            /**< slots granted by other VMs */
-	uint64_t grants_evacuated;   /**< slots granted by other VMs and returned, since the
-					 zone was evacuated */
-	uint64_t denied;             /**< slot requests that were denied */
+	uint64_t peer_attempts;           /**< attempts through other VMs */
+	uint64_t granted;                 /**< slots granted by other VMs */
+	uint64_t grants_evacuated;        /**< slots granted by other VMs and returned, since the
+					      zone was evacuated */
+	uint64_t denied;                  /**< slot requests that were denied */
+	uint64_t stream_versions_known;   /**< resumed streams whose version was found */
+	uint64_t stream_versions_unknown; /**< resumed streams that were refused or cut off */
 	uint64_t slot_waits_expired; /**< slot requests that waited at the owner without a grant */
 	uint64_t slot_requests_unanswered; /**< slot requests without an answer */
 	uint64_t slot_requests_answered;   /**< slot requests of other VMs, answered as owner */
@@ -100,6 +102,7 @@
 	struct comet_crash_tracker *crash_tracker;
 	struct comet_gossip *gossip;
 	struct comet_grants *grants;
+	struct comet_streams *streams;    /**< versions of streams */
 	struct comet_links *links;        /**< whether this VM reaches endpoints */
 	struct comet_timer *grants_timer; /**< timeouts of pending slot requests; NULL: none */
 	struct comet_quota_requests *quota_requests;
--- a/libcometspindle/adapters/gateway/gateway_send.c
+++ b/libcometspindle/adapters/gateway/gateway_send.c
@@ -19,6 +19,10 @@
  * again after this time: given up, it would be cut off if placement refused it. */
 #define SILENCE_RECHECK_US 200000
 
+/* Retry-After of a resumed stream if no endpoint of its version is left. None usually comes back.
+ */
+#define VERSION_GONE_RETRY_MS 5000
+
 /* Returns whether the request may have crashed endpoints. The crash of a silent endpoint is
  * confirmed only seconds later, and the request must not be sent to further endpoints in that
  * time. */
@@ -425,13 +429,19 @@
 {
 	const struct comet_gateway *gateway = ctx;
 	struct comet_proxy_request *proxy = item->user_data;
-	bool evacuated = comet_placement_is_evacuated(gateway->placement, item);
+	const char *reason = "no_room";
 
+	if (comet_placement_is_evacuated(gateway->placement, item))
+		reason = "evacuated";
+	else if (comet_placement_version_is_gone(gateway->placement, item))
+	{
+		reason = "stream_version_gone";
+		retry_after_ms = MAX(retry_after_ms, VERSION_GONE_RETRY_MS);
+	}
 	if (proxy->response_started)
 		comet_proxy_request_abort(proxy, "no_endpoint");
 	else
-		comet_proxy_request_refuse(
-			proxy, evacuated ? "evacuated" : "no_room", retry_after_ms);
+		comet_proxy_request_refuse(proxy, reason, retry_after_ms);
 }
 
 const struct comet_placement_ops comet_gateway_placement_ops = {
--- a/libcometspindle/adapters/gateway/proxy_request.c
+++ b/libcometspindle/adapters/gateway/proxy_request.c
@@ -4,6 +4,7 @@
  */
 #include <libcometspindle/adapters/gateway/gateway_crashes.h>
 #include <libcometspindle/adapters/gateway/gateway_reachability.h>
+#include <libcometspindle/adapters/gateway/gateway_streams.h>
 
 #include <libcometspindle/log.h>
 #include <string.h>
@@ -106,6 +107,7 @@
 
 	comet_placement_cancel(gateway->placement, &proxy->item);
 	comet_quota_requests_cancel(gateway->quota_requests, proxy);
+	comet_gateway_streams_cancel(gateway->streams, proxy);
 	talloc_free(proxy);
 	comet_placement_run(gateway->placement, comet_timers_now_us());
 }
--- a/libcometspindle/adapters/gateway/proxy_request.h
+++ b/libcometspindle/adapters/gateway/proxy_request.h
@@ -26,6 +26,11 @@
 	struct comet_timer *quota_retry_timer; /* repeats the quota check during discovery */
 	struct comet_timer *deadline_timer;
 	struct comet_timer *silence_timer;
+	uint64_t stream_key; /* comet_stream_key() of its stream; 0: not known */
+	/** Called once the version of its stream is known. */
+	void (*on_version_known)(struct comet_proxy_request *proxy, uint64_t now_us);
+	uint32_t peer_version_id;     /* version that the VM states that forwarded the request */
+	bool resolving;               /* the version of its stream is being looked up */
 	const char *retry_reason;     /* code of the reason of a held retry */
 	char *instance_id;            /* endpoint of the current attempt, or NULL */
 	uint64_t process_start_ms;    /* process start of that endpoint */
--- a/libcometspindle/gateway/endpoints/instances.c
+++ b/libcometspindle/gateway/endpoints/instances.c
@@ -26,12 +26,14 @@
 	GHashTable *by_key;             /* key -> comet_instance */
 	GHashTable *services;           /* service -> GPtrArray of comet_instance */
 	GHashTable *latency_models;     /* service -> struct comet_latency_model */
+	GHashTable *version_histories;  /* service -> struct comet_version_history */
 	GHashTable *slow_start_configs; /* service -> struct comet_slow_start_config */
 	GHashTable *evacuated_zones;    /* set of zone names */
 	GHashTable *regions;            /* zone name -> hash of the region's name */
 	GHashTable *busy;               /* set of the instances with dispatches of this VM */
 	GHashTable *limited;            /* set of the instances with a limit to report */
 	uint32_t expiring_count;        /* instances with an expiry */
+	bool version_removed;           /* an instance was removed since the last tick */
 	uint64_t changes;
 	uint64_t gossip_us; /* shared by all instances */
 	uint64_t visits;
@@ -50,6 +52,7 @@
 	g_hash_table_destroy(instances->by_key);
 	g_hash_table_destroy(instances->services);
 	g_hash_table_destroy(instances->latency_models);
+	g_hash_table_destroy(instances->version_histories);
 	g_hash_table_destroy(instances->slow_start_configs);
 	g_hash_table_destroy(instances->evacuated_zones);
 	g_hash_table_destroy(instances->regions);
@@ -68,6 +71,7 @@
 	instances->by_key = g_hash_table_new(NULL, NULL);
 	instances->services = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_array);
 	instances->latency_models = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	instances->version_histories = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	instances->slow_start_configs =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	instances->evacuated_zones = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
@@ -99,6 +103,46 @@
 	return latency_model;
 }
 
+static struct comet_version_history *
+version_history_of(struct comet_instances *instances, const char *service)
+{
+	struct comet_version_history *history =
+		g_hash_table_lookup(instances->version_histories, service);
+
+	if (history == NULL)
+	{
+		history = comet_version_history_create(instances);
+		g_hash_table_insert(instances->version_histories, g_strdup(service), history);
+	}
+	return history;
+}
+
+const char *
+comet_instances_service_name(struct comet_instances *instances, uint32_t service_id)
+{
+	GHashTableIter at;
+	gpointer name = NULL;
+
+	g_hash_table_iter_init(&at, instances->services);
+	while (g_hash_table_iter_next(&at, &name, NULL))
+	{
+		if (comet_hash_name(name) == service_id)
+			return name;
+	}
+	return NULL;
+}
+
+struct comet_only_version
+comet_instances_only_version(
+	struct comet_instances *instances, const char *service, uint64_t now_us)
+{
+	struct comet_version_history *history =
+		g_hash_table_lookup(instances->version_histories, service);
+
+	return history != NULL ? comet_version_history_only(history, now_us)
+			       : (struct comet_only_version){0};
+}
+
 /* Returns the slow start settings of a service. Instances hold pointers to them, so that they are
  * updated in place. */
 static struct comet_slow_start_config *
@@ -170,6 +214,21 @@
 	return true;
 }
 
+static void
+set_version(struct comet_instances *instances, struct comet_instance *instance, const char *version,
+	uint64_t now_us)
+{
+	struct comet_version_history *history = version_history_of(instances, instance->service);
+
+	if (!set_string(instance, &instance->software_version, version != NULL ? version : ""))
+		return;
+	if (instance->version_id != 0)
+		comet_version_history_remove(history, instance->version_id);
+	instance->version_id = comet_hash_name(instance->software_version);
+	comet_version_history_add(history, instance->version_id);
+	comet_version_history_only(history, now_us); /* records the time of the change */
+}
+
 struct comet_instance *
 comet_instances_update(struct comet_instances *instances,
 	const struct comet_instance_record *record, uint64_t now_us)
@@ -188,9 +247,7 @@
 		instance->replaced = false;
 	if (set_string(instance, &instance->zone, record->zone))
 		instances->changes++;
-	set_string(instance, &instance->software_version,
-		record->software_version != NULL ? record->software_version : "");
-	instance->version_id = comet_hash_name(instance->software_version);
+	set_version(instances, instance, record->software_version, now_us);
 	instance->near = strcmp(instance->zone, instances->own_zone) == 0;
 	instance->region =
 		GPOINTER_TO_UINT(g_hash_table_lookup(instances->regions, instance->zone));
@@ -222,6 +279,8 @@
 		g_hash_table_remove(instances->latency_models, service);
 		talloc_free(latency_model);
 	}
+	talloc_free(g_hash_table_lookup(instances->version_histories, service));
+	g_hash_table_remove(instances->version_histories, service);
 	const struct comet_slow_start_config *config =
 		g_hash_table_lookup(instances->slow_start_configs, service);
 	if (config != NULL && config->cold_us == 0)
@@ -242,6 +301,9 @@
 	g_hash_table_remove(instances->limited, instance);
 	GPtrArray *array = g_hash_table_lookup(instances->services, instance->service);
 	g_ptr_array_remove(array, instance);
+	comet_version_history_remove(
+		version_history_of(instances, instance->service), instance->version_id);
+	instances->version_removed = true;
 	g_hash_table_remove(instances->by_id, instance->id);
 	/* Another instance may have the same key and stays in the table. */
 	if (comet_instances_find_key(instances, instance->key) == instance)
@@ -318,10 +380,26 @@
 	return true;
 }
 
+/* Records the time at which the last instance of a version was removed. */
+static void
+record_version_changes(struct comet_instances *instances, uint64_t now_us)
+{
+	GHashTableIter at;
+	gpointer history = NULL;
+
+	if (!instances->version_removed)
+		return;
+	instances->version_removed = false;
+	g_hash_table_iter_init(&at, instances->version_histories);
+	while (g_hash_table_iter_next(&at, NULL, &history))
+		comet_version_history_only(history, now_us);
+}
+
 void
 comet_instances_tick(struct comet_instances *instances, uint64_t now_us,
 	void (*dropped)(void *ctx, const char *id), void *ctx)
 {
+	record_version_changes(instances, now_us);
 	if (instances->expiring_count == 0)
 		return;
 	GList *all = g_hash_table_get_values(instances->by_id);
--- a/libcometspindle/gateway/endpoints/instances.h
+++ b/libcometspindle/gateway/endpoints/instances.h
@@ -9,6 +9,7 @@
 
 #include <glib.h>
 #include <libcometspindle/gateway/endpoints/instance.h>
+#include <libcometspindle/gateway/endpoints/version_history.h>
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
@@ -123,6 +124,15 @@
 comet_instances_each(struct comet_instances *instances,
 	void (*visit)(void *ctx, struct comet_instance *instance), void *ctx);
 
+/** @return the name of the service with this hash (comet_hash_name()); NULL: it has no instances */
+const char *
+comet_instances_service_name(struct comet_instances *instances, uint32_t service_id);
+
+/** @return the only software version of a service, and since when no other one has been known. */
+struct comet_only_version
+comet_instances_only_version(
+	struct comet_instances *instances, const char *service, uint64_t now_us);
+
 /** Calls visit for each instance with dispatches of this VM. */
 void
 comet_instances_each_busy(struct comet_instances *instances,
--- a/libcometspindle/gateway/messages/datagram.c
+++ b/libcometspindle/gateway/messages/datagram.c
@@ -47,6 +47,9 @@
 		[comet_Datagram_charged_tag] = "quota_answer",
 		[comet_Datagram_returned_tag] = "quota_refund",
 		[comet_Datagram_news_tag] = "reader_report",
+		[comet_Datagram_streams_tag] = "stream_versions",
+		[comet_Datagram_stream_ask_tag] = "stream_request",
+		[comet_Datagram_stream_answer_tag] = "stream_answer",
 	};
 
 	return names[kind];
--- a/libcometspindle/gateway/placement/placement.c
+++ b/libcometspindle/gateway/placement/placement.c
@@ -107,6 +107,16 @@
 	return comet_instances_all_evacuated(placement->instances, item->service);
 }
 
+bool
+comet_placement_version_is_gone(
+	const struct comet_placement *placement, const struct comet_placement_item *item)
+{
+	struct comet_placement_item any = *item;
+
+	any.n_attempted = 0;
+	return item->version_id != 0 && !comet_placement_has_unattempted(placement, &any);
+}
+
 bool
 comet_placement_has_unattempted(
 	const struct comet_placement *placement, const struct comet_placement_item *item)
--- a/libcometspindle/gateway/placement/placement.h
+++ b/libcometspindle/gateway/placement/placement.h
@@ -42,6 +42,11 @@
 void
 comet_placement_cancel(struct comet_placement *placement, struct comet_placement_item *item);
 
+/** @return whether no endpoint of the software version that the item needs accepts requests. */
+bool
+comet_placement_version_is_gone(
+	const struct comet_placement *placement, const struct comet_placement_item *item);
+
 /** @return whether an endpoint to which the item was not sent yet has room for it, as far as this
  * VM knows, and no request waits for one. */
 bool
--- a/libcometspindle/proto/view.pb.c
+++ b/libcometspindle/proto/view.pb.c
@@ -42,6 +42,18 @@
 PB_BIND(comet_News, comet_News, AUTO)
 
 
+PB_BIND(comet_StreamVersion, comet_StreamVersion, AUTO)
+
+
+PB_BIND(comet_StreamVersions, comet_StreamVersions, 2)
+
+
+PB_BIND(comet_StreamAsk, comet_StreamAsk, AUTO)
+
+
+PB_BIND(comet_StreamAnswer, comet_StreamAnswer, AUTO)
+
+
 PB_BIND(comet_Datagram, comet_Datagram, 2)
 
 
