Test that fails: a stream that began through another VM goes on at another version

Cause: a VM without links to endpoints sends a stream through another VM, and does not learn the version of its endpoint.

Change: system test in which the links work again and the other VM is killed, so that the first VM selects the next endpoint.

--- a/tests/system/test_stream_versions.py
+++ b/tests/system/test_stream_versions.py
@@ -3,7 +3,7 @@
 import re
 import threading
 
-from gateway_world import answer_of, connect, request, run_tests
+from gateway_world import connect, document, request, run_tests
 from platform_standin import wait_for
 from vm_group import VmGroup, address_of
 
@@ -246,6 +246,35 @@
     group.end()
 
 
+def test_stream_through_another_vm_goes_on_at_its_version_when_that_vm_is_killed():
+    """The links of the caller's VM work again by then, so that it selects the next endpoint itself."""
+    group = Group(vms=3, cuttable=1)
+    config = document(2)
+    del config["tenants"][0]["rate_per_s"]  # otherwise the other VM has charged the team, and this one may not go on
+    group.store.put("op/config", config)
+    for vm in group.vms:
+        wait_for(lambda vm=vm: b"event=routes_taken version=2" in vm.log_text())
+    group.press(0.5)
+    group.links[2].cut("reset")
+    wait_for(lambda: b"event=endpoints_unreachable" in group.vms[2].log_text() or
+             group.press(0.2, vms=[2], deadline_ms=1000) is None)
+    streams = group.begin_all([2])
+    group.links[2].restore()
+    wait_for(lambda: b"event=endpoints_reachable" in group.vms[2].log_text())
+    for number in (0, 1):
+        group.vms[number].process.kill()
+        group.vms[number].process.wait()
+    whole = 0
+    for _, sock, first in streams:
+        rest = b""
+        while not rest.endswith(b"0\r\n\r\n") and (more := sock.recv(65536)):
+            rest += more
+        assert len(group.versions(first + rest)) == 1, first + rest
+        whole += rest.endswith(b"0\r\n\r\n")
+    assert whole == len(streams), whole
+    group.end()
+
+
 def test_stream_goes_on_when_all_endpoints_have_one_version():
     group = Group(versions=["v1"] * 3)
     for number in range(STREAMS):
@@ -264,6 +293,7 @@
          test_stream_is_refused_when_no_endpoint_of_its_version_is_left,
          test_unfinished_answer_ends_when_no_endpoint_of_its_version_is_left,
          test_stream_through_another_vm_goes_on_at_its_version,
+         test_stream_through_another_vm_goes_on_at_its_version_when_that_vm_is_killed,
          test_stream_goes_on_when_all_endpoints_have_one_version]
 
 if __name__ == "__main__":
