Tell the VM that sends a stream through another VM the version that began it

Callers of a VM whose links to endpoints had been lost received events of two software versions.

Cause: such a VM gets the first events from another VM and does not know the version. When that VM fails and the own links work again, the first VM resumes the stream at any endpoint.

Change: VMs state the version of a stream to each other in requests and responses (Comet-Stream-Version, never sent to endpoints or callers). A started stream whose version is not known, because the other VM runs an earlier release, is looked up before it is resumed.

--- a/libcometspindle/adapters/gateway/forward_head.c
+++ b/libcometspindle/adapters/gateway/forward_head.c
@@ -11,7 +11,9 @@
 should_forward(const struct comet_http_head *head, const char *name,
 	const struct comet_header_names *names, const struct comet_forward_params *params)
 {
-	if (comet_header_is_reserved(names, name) || strcasecmp(name, COMET_HEADER_THROUGH_VM) == 0)
+	if (comet_header_is_reserved(names, name) ||
+		strcasecmp(name, COMET_HEADER_THROUGH_VM) == 0 ||
+		strcasecmp(name, COMET_HEADER_STREAM_VERSION) == 0)
 		return false;
 	if (params->team != NULL && strcasecmp(name, names->authorization) == 0)
 		return false;
@@ -22,6 +24,14 @@
 	return strcasecmp(name, names->request_id) == 0 || !comet_http_head_hop_by_hop(head, name);
 }
 
+uint32_t
+comet_forward_read_version(const struct comet_http_head *head)
+{
+	const char *text = comet_http_head_get(head, COMET_HEADER_STREAM_VERSION);
+
+	return text != NULL ? comet_header_parse_stream_version(text) : 0;
+}
+
 void
 comet_forward_write_head(GString *out, const struct comet_http_head *head,
 	const struct comet_header_names *names, const struct comet_forward_params *params)
@@ -39,6 +49,9 @@
 	{
 		comet_http_write_header(out, COMET_HEADER_THROUGH_VM, "1");
 		comet_http_write_header(out, "Connection", "close");
+		if (params->version_id != 0)
+			g_string_append_printf(out, "%s: %08x\r\n", COMET_HEADER_STREAM_VERSION,
+				params->version_id);
 	}
 	else
 		comet_http_write_header(out, names->expect_instance, params->instance);
--- a/libcometspindle/adapters/gateway/gateway_answer.c
+++ b/libcometspindle/adapters/gateway/gateway_answer.c
@@ -2,11 +2,13 @@
  * gateway_answer.c
  * forwards an endpoint's response to the caller
  */
+#include <libcometspindle/adapters/gateway/forward_head.h>
 #include <libcometspindle/adapters/gateway/gateway_streams.h>
 #include <libcometspindle/adapters/gateway/proxy_request.h>
 
 #include <libcometspindle/log.h>
 #include <string.h>
+#include <strings.h>
 #include <talloc.h>
 
 /* Plain responses up to this size are buffered completely before any byte is forwarded, so that the
@@ -41,10 +43,14 @@
 
 	for (size_t i = 0; i < head->n_headers; i++)
 	{
-		if (!comet_http_head_hop_by_hop(head, head->headers[i].name))
-			comet_http_write_header(
-				headers, head->headers[i].name, head->headers[i].value);
+		const char *name = head->headers[i].name;
+		if (!comet_http_head_hop_by_hop(head, name) &&
+			strcasecmp(name, COMET_HEADER_STREAM_VERSION) != 0)
+			comet_http_write_header(headers, name, head->headers[i].value);
 	}
+	if (proxy->from_peer && proxy->item.version_id != 0)
+		g_string_append_printf(headers, "%s: %08x\r\n", COMET_HEADER_STREAM_VERSION,
+			proxy->item.version_id);
 	comet_http_server_start_response(
 		proxy->request, head->status, head->reason, headers->str, length);
 	g_string_free(headers, TRUE);
@@ -70,6 +76,8 @@
 	/* A 421 is the response of another process. */
 	if (instance != NULL && head->status != 421)
 		comet_gateway_apply_advertisement(proxy->gateway, instance, head, now_us);
+	if (proxy->peer_vm != 0)
+		proxy->attempt_version_id = comet_forward_read_version(head);
 	proxy->not_executed =
 		head->status == 421 || comet_http_head_get(head, names->not_run) != NULL;
 	talloc_free(proxy->head);
--- a/libcometspindle/adapters/gateway/gateway_peer_attempt.c
+++ b/libcometspindle/adapters/gateway/gateway_peer_attempt.c
@@ -37,6 +37,7 @@
 		.last_event = proxy->resuming ? comet_event_stream_last_id(proxy->events) : NULL,
 		.body_bytes = body->len,
 		.to_peer = true,
+		.version_id = proxy->item.version_id,
 	};
 	GString *out = g_string_sized_new(1024 + body->len);
 
--- a/libcometspindle/adapters/gateway/gateway_send.c
+++ b/libcometspindle/adapters/gateway/gateway_send.c
@@ -6,6 +6,7 @@
 
 #include <libcometspindle/adapters/gateway/forward_head.h>
 #include <libcometspindle/adapters/gateway/gateway_reachability.h>
+#include <libcometspindle/adapters/gateway/gateway_streams.h>
 #include <libcometspindle/log.h>
 #include <string.h>
 #include <talloc.h>
@@ -60,6 +61,25 @@
 	       proxy->team->rate_per_s > 0;
 }
 
+/* Returns whether the version of a started stream is not known: the VM that it went through runs an
+ * earlier release. */
+static bool
+needs_version(const struct comet_proxy_request *proxy)
+{
+	return proxy->resuming && comet_proxy_request_is_stream(proxy) &&
+	       proxy->item.version_id == 0;
+}
+
+static void
+send_retry(struct comet_proxy_request *proxy, const char *reason);
+
+static void
+on_version_known(struct comet_proxy_request *proxy, uint64_t now_us)
+{
+	(void)now_us;
+	send_retry(proxy, proxy->retry_reason);
+}
+
 /* Sends the request through another VM if the links are lost, and otherwise queues it again. */
 static void
 send_retry(struct comet_proxy_request *proxy, const char *reason)
@@ -67,6 +87,12 @@
 	struct comet_gateway *gateway = proxy->gateway;
 	uint64_t now_us = comet_timers_now_us();
 
+	if (needs_version(proxy))
+	{
+		proxy->retry_reason = reason;
+		comet_gateway_streams_resolve(proxy, on_version_known);
+		return;
+	}
 	if (comet_proxy_request_send_through_peer(proxy))
 		return;
 	if (is_uncharged(proxy))
@@ -151,7 +177,7 @@
 	{
 		proxy->attempts--;
 		proxy->resuming = proxy->response_started;
-		if (comet_proxy_request_send_through_peer(proxy))
+		if (!needs_version(proxy) && comet_proxy_request_send_through_peer(proxy))
 			return;
 	}
 	comet_proxy_request_fail(proxy, 502, proxy->retry_reason);
--- a/libcometspindle/adapters/gateway/gateway_streams.c
+++ b/libcometspindle/adapters/gateway/gateway_streams.c
@@ -9,6 +9,7 @@
  */
 #include <libcometspindle/adapters/gateway/gateway_streams.h>
 
+#include <libcometspindle/adapters/gateway/forward_head.h>
 #include <libcometspindle/adapters/gateway/proxy_request.h>
 #include <libcometspindle/gateway/streams/stream_lookups.h>
 #include <libcometspindle/gateway/streams/stream_versions.h>
@@ -247,6 +248,8 @@
 	if (last_event == NULL)
 		return false;
 	gateway->decode_resumption(proxy->request->head, proxy->id, &resumption);
+	if (proxy->from_peer)
+		proxy->peer_version_id = comet_forward_read_version(proxy->request->head);
 	comet_log(COMET_LOG_INFO, "event=resume_requested request=%s stream=%s last_event=%.32s",
 		proxy->id, resumption.stream != NULL ? resumption.stream : "-", last_event);
 	if (resumption.stream != NULL)
--- a/libcometspindle/gateway/header_names.c
+++ b/libcometspindle/gateway/header_names.c
@@ -89,6 +89,16 @@
 	return true;
 }
 
+uint32_t
+comet_header_parse_stream_version(const char *text)
+{
+	guint64 version_id = 0;
+
+	return g_ascii_string_to_unsigned(text, 16, 1, UINT32_MAX, &version_id, NULL)
+		       ? (uint32_t)version_id
+		       : 0;
+}
+
 bool
 comet_header_parse_ms(const char *text, uint32_t *ms)
 {
--- a/libcometspindle/gateway/header_names.h
+++ b/libcometspindle/gateway/header_names.h
@@ -12,6 +12,10 @@
  * endpoints. */
 #define COMET_HEADER_THROUGH_VM "Comet-Through-Vm"
 
+/** Header of requests and responses between VMs: the version of a stream, as comet_hash_name() in
+ * hexadecimal. Never sent to endpoints or callers. */
+#define COMET_HEADER_STREAM_VERSION "Comet-Stream-Version"
+
 /** Header names; none of them is NULL. */
 struct comet_header_names
 {
@@ -58,6 +62,10 @@
 bool
 comet_header_parse_load(const char *text, struct comet_header_load *load);
 
+/** Parses a value of COMET_HEADER_STREAM_VERSION. @return 0 if the text is not one */
+uint32_t
+comet_header_parse_stream_version(const char *text);
+
 /** Parses a whole number of milliseconds. @return false if the text is not one. */
 bool
 comet_header_parse_ms(const char *text, uint32_t *ms);
--- a/tests/system/test_stream_versions.py
+++ b/tests/system/test_stream_versions.py
@@ -74,9 +74,13 @@
 
     def begin_all(self, numbers):
         """Begins streams at these VMs, in turn, that run at the same time; they begin at all versions."""
-        streams = [self.begin(numbers[count % len(numbers)], **{"X-Then": "wait"}) for count in range(STREAMS)]
-        begun = set().union(*(self.versions(first) for _, _, first in streams))
-        assert begun == {server.entry["version"] for server in self.servers}, begun
+        streams = []
+        begun = set()
+        wanted = {server.entry["version"] for server in self.servers}
+        while len(streams) < STREAMS or begun != wanted:
+            assert len(streams) < 3 * STREAMS, begun
+            streams.append(self.begin(numbers[len(streams) % len(numbers)], **{"X-Then": "wait"}))
+            begun |= self.versions(streams[-1][2])
         return streams
 
     def resume(self, number, stream_id, after, **headers):
