Log endpoints that say they leave or ask for a pause

New events endpoint_leaves and endpoint_rests.

Result: unit tests Advertisements.* pass (2 new). No decision changed.

--- a/libcometspindle/adapters/gateway/gateway_advertisements.c
+++ b/libcometspindle/adapters/gateway/gateway_advertisements.c
@@ -53,4 +53,10 @@
 	gateway->decode_advertisement(head, instance->id, &advertisement);
 	apply_limit(gateway, instance, &advertisement, now_us);
 	apply_brittleness(instance, &advertisement, now_us);
+	if (advertisement.leaving == COMET_ADVERTISED_VALID)
+		comet_log_repeated(
+			COMET_LOG_NOTICE, "event=endpoint_leaves endpoint=%s", instance->id);
+	if (advertisement.rest == COMET_ADVERTISED_VALID)
+		comet_log(COMET_LOG_NOTICE, "event=endpoint_rests endpoint=%s rest_ms=%u",
+			instance->id, advertisement.rest_ms);
 }
--- a/libcometspindle/gateway/endpoints/advertisement.h
+++ b/libcometspindle/gateway/endpoints/advertisement.h
@@ -20,6 +20,9 @@
 {
 	enum comet_advertised limit;
 	enum comet_advertised brittle;
+	enum comet_advertised leaving; /**< valid: the endpoint leaves */
+	enum comet_advertised rest;    /**< valid: it wants no requests from this VM for rest_ms */
+	uint32_t rest_ms;
 	uint32_t rejections_per_s; /**< rejections within a second that the endpoint bears */
 	double limit_per_s; /**< requests per second that the endpoint takes from all VMs together
 			     */
--- a/tests/unit/test_advertisements.cc
+++ b/tests/unit/test_advertisements.cc
@@ -18,7 +18,7 @@
 
 /* Decodes a response with these headers. */
 comet_advertisement
-decode(std::vector<std::pair<std::string, std::string>> headers)
+decode(std::vector<std::pair<std::string, std::string>> headers, uint16_t status = 200)
 {
 	std::vector<comet_http_header> raw;
 	comet_http_head head = {};
@@ -28,6 +28,7 @@
 		raw.push_back({one.first.data(), one.second.data()});
 	head.headers = raw.data();
 	head.n_headers = raw.size();
+	head.status = status;
 	comet_platform_decode_advertisement(&head, "i-1", &advertisement);
 	return advertisement;
 }
@@ -99,4 +100,36 @@
 	EXPECT_TRUE(comet_brittleness_admits(&state, 1100001));
 }
 
+TEST(Advertisements, LeavingHasOneValue)
+{
+	EXPECT_EQ(decode({}).leaving, COMET_ADVERTISED_ABSENT);
+	EXPECT_EQ(decode({{"server-leaving", "1"}}).leaving, COMET_ADVERTISED_VALID);
+	EXPECT_EQ(decode({{"Server-Leaving", "1"}}, 503).leaving, COMET_ADVERTISED_VALID);
+	for (const char *invalid : {"", "0", "2", "-1", "01", "1 ", "1.0", "true", "yes"})
+		EXPECT_EQ(decode({{"Server-Leaving", invalid}}).leaving, COMET_ADVERTISED_MALFORMED)
+			<< invalid;
+	EXPECT_EQ(decode({{"Server-Leaving", "1"}, {"Server-Leaving", "1"}}).leaving,
+		COMET_ADVERTISED_MALFORMED);
+}
+
+TEST(Advertisements, RestIsStatedWithARejection)
+{
+	EXPECT_EQ(decode({}, 503).rest, COMET_ADVERTISED_ABSENT);
+	EXPECT_EQ(decode({{"Retry-After", "3"}}, 200).rest, COMET_ADVERTISED_ABSENT);
+	EXPECT_EQ(decode({{"Retry-After", "3"}}, 429).rest, COMET_ADVERTISED_ABSENT);
+	for (auto &valid : std::vector<std::pair<std::string, uint32_t>>{
+		     {"3", 3000}, {"0", 0}, {"0.25", 250}, {"2.5", 2500}, {"600", 600000}})
+	{
+		comet_advertisement got = decode({{"retry-after", valid.first}}, 503);
+		EXPECT_EQ(got.rest, COMET_ADVERTISED_VALID) << valid.first;
+		EXPECT_EQ(got.rest_ms, valid.second);
+	}
+	for (const char *invalid : {"", "-1", "+3", "3s", "1e3", "0x3", "nan", "601", "1000000000",
+		     "soon", "Fri, 31 Dec 1999 23:59:59 GMT"})
+		EXPECT_EQ(decode({{"Retry-After", invalid}}, 503).rest, COMET_ADVERTISED_MALFORMED)
+			<< invalid;
+	EXPECT_EQ(decode({{"Retry-After", "1"}, {"Retry-After", "2"}}, 503).rest,
+		COMET_ADVERTISED_MALFORMED);
+}
+
 } // namespace
