Send no requests to endpoints that say they leave

Callers' requests reached endpoints seconds after a response had said that they leave, and were lost if the endpoint ended.

Cause: placement learned from the directory only that an endpoint leaves.

Change: that an endpoint leaves binds all VMs. A response that says so, of whatever status, excludes the endpoint from placement, grants, retries, resumes, probes and checks of the links until its next incarnation, whatever the directory lists; its idle connections are closed, and its end counts as an exit and not as a crash. VMs report it to each other by gossip, early when it is new, for up to 10 minutes. While all endpoints of a service leave, requests are refused within the time in which a refusal costs callers little, with a Retry-After of a second or more.

--- a/libcometspindle/adapters/gateway/gateway_advertisements.c
+++ b/libcometspindle/adapters/gateway/gateway_advertisements.c
@@ -44,6 +44,19 @@
 		comet_log(COMET_LOG_NOTICE, "event=endpoint_not_brittle endpoint=%s", instance->id);
 }
 
+/* Excludes the endpoint from new requests of all VMs. Responses that were sent before may arrive
+ * later; they change nothing. */
+static void
+apply_leaving(struct comet_gateway *gateway, struct comet_instance *instance, uint64_t now_us)
+{
+	if (!comet_instance_left(instance, now_us))
+		return;
+	comet_log(COMET_LOG_NOTICE, "event=endpoint_leaves endpoint=%s listed_draining=%d",
+		instance->id, instance->draining);
+	comet_upstream_close_instance(gateway->upstream, instance->id);
+	comet_gossip_schedule_broadcast(gateway->gossip);
+}
+
 void
 comet_gateway_apply_advertisement(struct comet_gateway *gateway, struct comet_instance *instance,
 	const struct comet_http_head *head, uint64_t now_us)
@@ -54,8 +67,7 @@
 	apply_limit(gateway, instance, &advertisement, now_us);
 	apply_brittleness(instance, &advertisement, now_us);
 	if (advertisement.leaving == COMET_ADVERTISED_VALID)
-		comet_log_repeated(
-			COMET_LOG_NOTICE, "event=endpoint_leaves endpoint=%s", instance->id);
+		apply_leaving(gateway, instance, now_us);
 	if (advertisement.rest == COMET_ADVERTISED_VALID)
 		comet_log(COMET_LOG_NOTICE, "event=endpoint_rests endpoint=%s rest_ms=%u",
 			instance->id, advertisement.rest_ms);
--- a/libcometspindle/adapters/gateway/gateway_crashes.c
+++ b/libcometspindle/adapters/gateway/gateway_crashes.c
@@ -249,7 +249,7 @@
 {
 	uint64_t now_us = comet_timers_now_us();
 
-	if (instance->draining)
+	if (comet_instance_is_leaving(instance))
 	{
 		comet_crash_tracker_process_exited(gateway->crash_tracker, instance->key);
 		return;
--- a/libcometspindle/adapters/gateway/gateway_metrics.c
+++ b/libcometspindle/adapters/gateway/gateway_metrics.c
@@ -244,6 +244,14 @@
 	return true;
 }
 
+static bool
+leaving_of(const struct comet_instance *instance, uint64_t now_us, double *value)
+{
+	(void)now_us;
+	*value = 1;
+	return instance->leaving_us != 0;
+}
+
 static bool
 slow_start_of(const struct comet_instance *instance, uint64_t now_us, double *value)
 {
@@ -305,6 +313,7 @@
 	{"endpoint_pace", relative_latency_of},
 	{"endpoint_avoided", ejected_of},
 	{"endpoint_draining", draining_of},
+	{"endpoint_leaving", leaving_of},
 	{"endpoint_evacuated", evacuated_of},
 	{"endpoint_cold", slow_start_of},
 	{"endpoint_lapsed", stale_of},
--- a/libcometspindle/adapters/gateway/gateway_reachability.c
+++ b/libcometspindle/adapters/gateway/gateway_reachability.c
@@ -166,7 +166,7 @@
 	struct samples *samples = ctx;
 	struct sample *sample = instance->limit.active ? &samples->limited : &samples->unlimited;
 
-	if (instance->draining || instance->replaced)
+	if (comet_instance_is_leaving(instance) || instance->replaced)
 		return;
 	uint32_t position = comet_random_u32(samples->random) % ++sample->seen;
 	if (sample->count < COMET_REACHABILITY_PROBES)
--- a/libcometspindle/gateway/endpoints/instance.c
+++ b/libcometspindle/gateway/endpoints/instance.c
@@ -401,6 +401,22 @@
 	return changed;
 }
 
+bool
+comet_instance_is_leaving(const struct comet_instance *instance)
+{
+	return instance->draining || instance->leaving_us != 0;
+}
+
+bool
+comet_instance_left(struct comet_instance *instance, uint64_t observed_us)
+{
+	if (instance->leaving_us != 0)
+		return false;
+	instance->leaving_us = MAX(observed_us, 1);
+	g_hash_table_add(instance->leaving, instance);
+	return true;
+}
+
 void
 comet_instance_load_reported(struct comet_instance *instance, uint32_t total, uint64_t now_us)
 {
--- a/libcometspindle/gateway/endpoints/instance.h
+++ b/libcometspindle/gateway/endpoints/instance.h
@@ -57,16 +57,19 @@
 	char *software_version; /**< empty if the directory does not state it */
 	uint32_t version_id;    /**< comet_hash_name(software_version), never 0 */
 	uint32_t slots;
-	uint32_t shard; /**< shard that it belongs to (shards.h) */
-	bool draining;
-	bool evacuated;     /**< its zone is evacuated: it receives no new requests */
-	bool listed;        /**< the directory lists it */
-	uint64_t expire_us; /**< removed at this time, if unlisted after an outage; 0: no expiry */
+	uint32_t shard;      /**< shard that it belongs to (shards.h) */
+	bool draining;       /**< the directory says that it leaves */
+	uint64_t leaving_us; /**< when a response first said that it leaves, to whichever VM; 0:
+				none did */
+	bool evacuated;      /**< its zone is evacuated: it receives no new requests */
+	bool listed;         /**< the directory lists it */
+	uint64_t expire_us;  /**< removed at this time, if unlisted after an outage; 0: no expiry */
 	uint64_t warm_until_us; /**< end of its warm-up, during which it is slower */
 	struct comet_slow_start slow_start;
 	const struct comet_slow_start_config *slow_start_config; /**< shared by its service */
 	struct comet_advertised_limit limit;                     /**< on its request rate */
 	struct comet_brittleness brittleness;
+	GHashTable *leaving;           /**< set of the instances that said that they leave */
 	GHashTable *limited;           /**< set of the instances with a limit to report */
 	GHashTable *busy;              /**< set of the instances with dispatches of this VM */
 	uint32_t local_requests;       /**< running dispatches of this VM */
@@ -194,6 +197,17 @@
 bool
 comet_instance_limit_advertised(struct comet_instance *instance, double max_per_s, uint64_t now_us);
 
+/** @return whether the instance accepts no new requests, whichever VM they come from, because it
+ * leaves. This is final for an incarnation: the directory may list it as ready until it ends. */
+bool
+comet_instance_is_leaving(const struct comet_instance *instance);
+
+/** Records that a response of the instance to any VM said that it leaves.
+ * @param observed_us when the response arrived
+ * @return whether this VM did not know it */
+bool
+comet_instance_left(struct comet_instance *instance, uint64_t observed_us);
+
 /** Records the number of running and queued requests that a response of the instance reported. */
 void
 comet_instance_load_reported(struct comet_instance *instance, uint32_t total, uint64_t now_us);
--- a/libcometspindle/gateway/endpoints/instances.c
+++ b/libcometspindle/gateway/endpoints/instances.c
@@ -19,6 +19,10 @@
  */
 #define WITHDRAWAL_REPORT_US 10000000
 
+/* How long after the first response VMs report to each other that an instance leaves. A report that
+ * VMs echo to each other must end. */
+#define LEAVING_REPORT_US 600000000
+
 struct comet_instances
 {
 	char *own_zone;
@@ -31,6 +35,7 @@
 	GHashTable *evacuated_zones;    /* set of zone names */
 	GHashTable *regions;            /* zone name -> hash of the region's name */
 	GHashTable *busy;               /* set of the instances with dispatches of this VM */
+	GHashTable *leaving;            /* set of the instances that said that they leave */
 	GHashTable *limited;            /* set of the instances with a limit to report */
 	uint32_t expiring_count;        /* instances with an expiry */
 	bool version_removed;           /* an instance was removed since the last tick */
@@ -57,6 +62,7 @@
 	g_hash_table_destroy(instances->evacuated_zones);
 	g_hash_table_destroy(instances->regions);
 	g_hash_table_destroy(instances->busy);
+	g_hash_table_destroy(instances->leaving);
 	g_hash_table_destroy(instances->limited);
 	return 0;
 }
@@ -76,6 +82,7 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	instances->evacuated_zones = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	instances->busy = g_hash_table_new(NULL, NULL);
+	instances->leaving = g_hash_table_new(NULL, NULL);
 	instances->limited = g_hash_table_new(NULL, NULL);
 	instances->regions = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	talloc_set_destructor(instances, instances_destroy);
@@ -181,6 +188,7 @@
 	instance->relative_latency = 1.0;
 	instance->gossip_us = &instances->gossip_us;
 	instance->busy = instances->busy;
+	instance->leaving = instances->leaving;
 	instance->limited = instances->limited;
 	instances->changes++;
 	g_hash_table_insert(instances->by_id, instance->id, instance);
@@ -298,6 +306,7 @@
 	instances->changes++;
 	set_expiry(instances, instance, 0);
 	g_hash_table_remove(instances->busy, instance);
+	g_hash_table_remove(instances->leaving, instance);
 	g_hash_table_remove(instances->limited, instance);
 	GPtrArray *array = g_hash_table_lookup(instances->services, instance->service);
 	g_ptr_array_remove(array, instance);
@@ -355,7 +364,7 @@
 	for (guint i = 0; all != NULL && i < all->len; i++)
 	{
 		const struct comet_instance *instance = all->pdata[i];
-		if (instance->draining || instance->replaced)
+		if (comet_instance_is_leaving(instance) || instance->replaced)
 			continue;
 		if (!instance->evacuated)
 			return false;
@@ -364,6 +373,20 @@
 	return any_usable;
 }
 
+bool
+comet_instances_all_leaving(struct comet_instances *instances, const char *service)
+{
+	const GPtrArray *all = comet_instances_for_service(instances, service);
+
+	for (guint i = 0; all != NULL && i < all->len; i++)
+	{
+		const struct comet_instance *instance = all->pdata[i];
+		if (!comet_instance_is_leaving(instance) && !instance->replaced)
+			return false;
+	}
+	return all != NULL;
+}
+
 bool
 comet_instances_schedule_expiry(struct comet_instances *instances, const char *id,
 	uint64_t outage_us, const struct comet_expiry_config *config, uint64_t now_us)
@@ -516,6 +539,22 @@
 	}
 }
 
+void
+comet_instances_each_leaving(struct comet_instances *instances, uint64_t now_us,
+	void (*visit)(void *ctx, const struct comet_instance *instance), void *ctx)
+{
+	GHashTableIter at;
+	gpointer key = NULL;
+
+	g_hash_table_iter_init(&at, instances->leaving);
+	while (g_hash_table_iter_next(&at, &key, NULL))
+	{
+		const struct comet_instance *instance = key;
+		if (now_us - MIN(instance->leaving_us, now_us) < LEAVING_REPORT_US)
+			visit(ctx, instance);
+	}
+}
+
 void
 comet_instances_set_gossip_time(struct comet_instances *instances, uint64_t now_us)
 {
--- a/libcometspindle/gateway/endpoints/instances.h
+++ b/libcometspindle/gateway/endpoints/instances.h
@@ -82,6 +82,10 @@
 bool
 comet_instances_all_evacuated(struct comet_instances *instances, const char *service);
 
+/** @return whether a service has instances, all of which leave. */
+bool
+comet_instances_all_leaving(struct comet_instances *instances, const char *service);
+
 /** Removes expired instances; calls dropped for each id before its removal. */
 void
 comet_instances_tick(struct comet_instances *instances, uint64_t now_us,
@@ -143,6 +147,11 @@
 comet_instances_each_limited(struct comet_instances *instances, uint64_t now_us,
 	void (*visit)(void *ctx, const struct comet_instance *instance), void *ctx);
 
+/** Calls visit for each instance of which this VM reports to others that it leaves. */
+void
+comet_instances_each_leaving(struct comet_instances *instances, uint64_t now_us,
+	void (*visit)(void *ctx, const struct comet_instance *instance), void *ctx);
+
 /** Estimates the time until the first event at an idle instance of usual latency. */
 uint64_t
 comet_instances_typical_first_us(struct comet_instances *instances, const char *service,
--- a/libcometspindle/gateway/fleet/gossip.c
+++ b/libcometspindle/gateway/fleet/gossip.c
@@ -247,6 +247,18 @@
 			reported->active ? (double)reported->milli_per_s / 1000 : -1, observed_us);
 }
 
+/* Merges that an endpoint told another VM that it leaves. */
+static void
+merge_leaving(struct comet_gossip *gossip, const comet_LeavingEndpoint *reported, uint64_t now_us)
+{
+	struct comet_instance *instance =
+		comet_instances_find_key(gossip->instances, reported->instance);
+
+	if (instance != NULL)
+		comet_instance_left(
+			instance, now_us - MIN((uint64_t)reported->age_ms * 1000, now_us));
+}
+
 static void
 merge_view(struct comet_gossip *gossip, struct comet_gossip_peer *peer, const comet_View *view,
 	uint64_t now_us)
@@ -285,6 +297,8 @@
 		comet_crash_tracker_merge(gossip->crash_tracker, &view->crashed[i], now_us);
 	for (pb_size_t i = 0; i < view->limits_count; i++)
 		merge_limit(gossip, &view->limits[i], now_us);
+	for (pb_size_t i = 0; i < view->leaving_endpoints_count; i++)
+		merge_leaving(gossip, &view->leaving_endpoints[i], now_us);
 	peer->has_reported_spending = true;
 	comet_instances_set_gossip_time(gossip->instances, now_us);
 }
--- a/libcometspindle/gateway/fleet/gossip_rounds.c
+++ b/libcometspindle/gateway/fleet/gossip_rounds.c
@@ -240,6 +240,41 @@
 		gossip->next_limit = 0;
 }
 
+struct add_leaving
+{
+	comet_View *view;
+	uint64_t now_us;
+	uint32_t first; /* index of the first endpoint that this gossip message reports */
+	uint32_t count; /* endpoints so far */
+};
+
+static void
+add_leaving_endpoint(void *ctx, const struct comet_instance *instance)
+{
+	struct add_leaving *context = ctx;
+	comet_View *view = context->view;
+	uint64_t age_us = context->now_us - MIN(instance->leaving_us, context->now_us);
+
+	if (context->count++ < context->first ||
+		view->leaving_endpoints_count >= G_N_ELEMENTS(view->leaving_endpoints))
+		return;
+	view->leaving_endpoints[view->leaving_endpoints_count++] = (comet_LeavingEndpoint){
+		.instance = instance->key, .age_ms = (uint32_t)(age_us / 1000)};
+}
+
+/* Adds the endpoints that leave, some of them in turn. */
+static void
+add_leaving_endpoints(struct comet_gossip *gossip, comet_View *view, uint64_t now_us)
+{
+	struct add_leaving context = {
+		.view = view, .now_us = now_us, .first = gossip->next_leaving};
+
+	comet_instances_each_leaving(gossip->instances, now_us, add_leaving_endpoint, &context);
+	gossip->next_leaving += view->leaving_endpoints_count;
+	if (gossip->next_leaving >= context.count)
+		gossip->next_leaving = 0;
+}
+
 /* @return whether gossip messages may list a VM. */
 static bool
 can_be_listed(const struct comet_gossip_peer *peer)
@@ -317,6 +352,7 @@
 		gossip->next_team = 0;
 	add_peers(gossip, view, zone);
 	add_limits(gossip, view, now_us);
+	add_leaving_endpoints(gossip, view, now_us);
 	if (gossip->crash_tracker != NULL)
 		view->crashed_count = (pb_size_t)comet_crash_tracker_encode(
 			gossip->crash_tracker, view->crashed, G_N_ELEMENTS(view->crashed), now_us);
--- a/libcometspindle/gateway/fleet/gossip_state.h
+++ b/libcometspindle/gateway/fleet/gossip_state.h
@@ -71,7 +71,9 @@
 	bool is_seed;        /* this VM is one of its own seeds */
 	uint32_t next_team;  /* where the next gossip message continues the list of teams */
 	uint32_t next_limit; /* where the next gossip message continues the list of limits */
-	uint32_t next_peer;  /* where the next gossip message continues the list of VMs */
+	uint32_t
+		next_leaving; /* where the next gossip message continues the endpoints that leave */
+	uint32_t next_peer;   /* where the next gossip message continues the list of VMs */
 	bool leaving;
 	bool endpoints_unreachable; /* this VM has lost its links to all endpoints */
 	bool broadcast_pending;     /* the next round goes to all VMs, ahead of schedule */
--- a/libcometspindle/gateway/placement/endpoint_picker.c
+++ b/libcometspindle/gateway/placement/endpoint_picker.c
@@ -93,7 +93,8 @@
 comet_endpoint_picker_is_candidate(
 	const struct comet_placement_item *item, const struct comet_instance *instance)
 {
-	return !instance->draining && !instance->evacuated && !instance->replaced &&
+	return !comet_instance_is_leaving(instance) && !instance->evacuated &&
+	       !instance->replaced &&
 	       (item->version_id == 0 || item->version_id == instance->version_id) &&
 	       comet_region_set_allows(item->route_regions, instance->region) &&
 	       comet_region_set_allows(item->team_regions, instance->region) &&
--- a/libcometspindle/gateway/placement/placement.c
+++ b/libcometspindle/gateway/placement/placement.c
@@ -39,6 +39,9 @@
  * or longer, and its end is not announced. */
 #define EVACUATED_RETRY_MS 5000
 
+/* Retry-After time while all endpoints of a service leave: about the time in which others start. */
+#define LEAVING_RETRY_MS 1000
+
 /* Interval between checks for late and expired requests, short compared with any latency target. A
  * queue is run for each slot that becomes free, which is some thousand times per second at an
  * owner, so it is not checked on every run. */
@@ -218,6 +221,35 @@
 	}
 }
 
+/* Shortens the waits of a service whose endpoints all leave: a new endpoint may be listed soon, but
+ * callers lose little only while they are refused early. */
+static void
+shorten_waits(struct comet_placement *placement, struct comet_placement_queue *queue)
+{
+	GSequenceIter *iter = g_sequence_get_begin_iter(queue->items);
+
+	if (!comet_instances_all_leaving(placement->instances, queue->service))
+		return;
+	for (; !g_sequence_iter_is_end(iter); iter = g_sequence_iter_next(iter))
+	{
+		struct comet_placement_item *item = g_sequence_get(iter);
+		item->dispatch_deadline_us =
+			MIN(item->dispatch_deadline_us, item->early_refusal_us);
+	}
+}
+
+/* @return the Retry-After time of a request that is refused after wait_us */
+static uint32_t
+refusal_ms(struct comet_placement *placement, const struct comet_placement_item *item,
+	uint64_t wait_us)
+{
+	uint32_t ms = retry_after_ms(placement, wait_us);
+
+	if (comet_instances_all_leaving(placement->instances, item->service))
+		ms = MAX(ms, with_jitter(placement, LEAVING_RETRY_MS));
+	return ms;
+}
+
 /* Refuses requests whose dispatch deadline has passed. */
 static void
 refuse_expired(
@@ -234,7 +266,7 @@
 		comet_placement_dequeue(placement, item);
 		cancel_slot_request(placement, item);
 		uint64_t wait_us = comet_placement_wait_us(placement, item, now_us);
-		placement->ops->refuse(placement->ctx, item, retry_after_ms(placement, wait_us));
+		placement->ops->refuse(placement->ctx, item, refusal_ms(placement, item, wait_us));
 	}
 }
 
@@ -267,6 +299,7 @@
 	{
 		queue->expiry_checked_us = now_us;
 		refuse_evacuated(placement, queue);
+		shorten_waits(placement, queue);
 		refuse_expired(placement, queue, now_us);
 		demote_late_items(placement, queue, now_us);
 		comet_placement_expire_remote_waiters(placement, queue, now_us);
@@ -355,7 +388,7 @@
 		must_refuse = item->n_attempted > 0 || item->dispatch_deadline_us <= now_us;
 	}
 	if (must_refuse)
-		placement->ops->refuse(placement->ctx, item, retry_after_ms(placement, wait_us));
+		placement->ops->refuse(placement->ctx, item, refusal_ms(placement, item, wait_us));
 	else
 		comet_placement_enqueue(queue, item, now_us);
 	return !must_refuse;
--- a/libcometspindle/gateway/placement/placement_queue.c
+++ b/libcometspindle/gateway/placement/placement_queue.c
@@ -121,8 +121,8 @@
 	for (guint i = 0; all != NULL && i < all->len; i++)
 	{
 		const struct comet_instance *instance = all->pdata[i];
-		if (instance->draining || instance->evacuated || instance->replaced ||
-			instance->ejected_until_us > now_us)
+		if (comet_instance_is_leaving(instance) || instance->evacuated ||
+			instance->replaced || instance->ejected_until_us > now_us)
 			continue;
 		slots_per_us += instance->slots / (typical_us * instance->relative_latency);
 		local_load += instance->local_requests;
--- a/libcometspindle/proto/view.pb.c
+++ b/libcometspindle/proto/view.pb.c
@@ -18,6 +18,9 @@
 PB_BIND(comet_AdvertisedLimit, comet_AdvertisedLimit, AUTO)
 
 
+PB_BIND(comet_LeavingEndpoint, comet_LeavingEndpoint, AUTO)
+
+
 PB_BIND(comet_View, comet_View, 2)
 
 
