Send no requests of a VM to an endpoint that has asked it for a pause

Endpoints that had rejected a request with 503 and Retry-After received up to nine more requests from the same VM in that time; callers waited for rejections that were certain.

Change: the pause binds the VM that got the response: placement, grants of other VMs, retries, resumes, waiting requests, crash checks and checks of the links leave the endpoint out until its end, or until the next incarnation. The VM still grants the endpoint's slots to other VMs if it owns the shard. While all endpoints rest, requests wait for the first that ends its rest; those that cannot wait that long are refused at once, with a Retry-After that ends after it.

--- a/libcometspindle/adapters/gateway/gateway_advertisements.c
+++ b/libcometspindle/adapters/gateway/gateway_advertisements.c
@@ -57,6 +57,19 @@
 	comet_gossip_schedule_broadcast(gateway->gossip);
 }
 
+/* Sends no requests of this VM to the endpoint for the time that it states. The time binds this VM
+ * only, since the endpoint states another one to each VM. */
+static void
+apply_rest(struct comet_instance *instance, uint32_t rest_ms, uint64_t now_us)
+{
+	comet_log_writer *write =
+		comet_instance_is_resting(instance, now_us) ? comet_log_repeated : comet_log;
+
+	comet_instance_rest_requested(instance, (uint64_t)rest_ms * 1000, now_us);
+	write(COMET_LOG_NOTICE, "event=endpoint_rests endpoint=%s rest_ms=%u", instance->id,
+		rest_ms);
+}
+
 void
 comet_gateway_apply_advertisement(struct comet_gateway *gateway, struct comet_instance *instance,
 	const struct comet_http_head *head, uint64_t now_us)
@@ -69,6 +82,5 @@
 	if (advertisement.leaving == COMET_ADVERTISED_VALID)
 		apply_leaving(gateway, instance, now_us);
 	if (advertisement.rest == COMET_ADVERTISED_VALID)
-		comet_log(COMET_LOG_NOTICE, "event=endpoint_rests endpoint=%s rest_ms=%u",
-			instance->id, advertisement.rest_ms);
+		apply_rest(instance, advertisement.rest_ms, now_us);
 }
--- a/libcometspindle/adapters/gateway/gateway_crashes.c
+++ b/libcometspindle/adapters/gateway/gateway_crashes.c
@@ -123,9 +123,10 @@
 	struct comet_instance *instance = checked_instance(check);
 
 	check->timer = NULL;
+	uint64_t now_us = comet_timers_now_us();
 	/* Without the check, the directory reports a crash some seconds later. */
-	if (instance == NULL ||
-		!comet_placement_limit_admits(gateway->placement, instance, comet_timers_now_us()))
+	if (instance == NULL || comet_instance_is_resting(instance, now_us) ||
+		!comet_placement_limit_admits(gateway->placement, instance, now_us))
 		talloc_free(check);
 	else
 		comet_tcp_probe_start(
--- a/libcometspindle/adapters/gateway/gateway_metrics.c
+++ b/libcometspindle/adapters/gateway/gateway_metrics.c
@@ -252,6 +252,15 @@
 	return instance->leaving_us != 0;
 }
 
+static bool
+rest_of(const struct comet_instance *instance, uint64_t now_us, double *value)
+{
+	if (!comet_instance_is_resting(instance, now_us))
+		return false;
+	*value = (double)(instance->rest_until_us - now_us) / 1000000;
+	return true;
+}
+
 static bool
 slow_start_of(const struct comet_instance *instance, uint64_t now_us, double *value)
 {
@@ -314,6 +323,7 @@
 	{"endpoint_avoided", ejected_of},
 	{"endpoint_draining", draining_of},
 	{"endpoint_leaving", leaving_of},
+	{"endpoint_rest_seconds", rest_of},
 	{"endpoint_evacuated", evacuated_of},
 	{"endpoint_cold", slow_start_of},
 	{"endpoint_lapsed", stale_of},
--- a/libcometspindle/adapters/gateway/gateway_reachability.c
+++ b/libcometspindle/adapters/gateway/gateway_reachability.c
@@ -156,6 +156,7 @@
 struct samples
 {
 	struct comet_random *random;
+	uint64_t now_us;
 	struct sample unlimited;
 	struct sample limited;
 };
@@ -166,7 +167,8 @@
 	struct samples *samples = ctx;
 	struct sample *sample = instance->limit.active ? &samples->limited : &samples->unlimited;
 
-	if (comet_instance_is_leaving(instance) || instance->replaced)
+	if (comet_instance_is_leaving(instance) || instance->replaced ||
+		comet_instance_is_resting(instance, samples->now_us))
 		return;
 	uint32_t position = comet_random_u32(samples->random) % ++sample->seen;
 	if (sample->count < COMET_REACHABILITY_PROBES)
@@ -181,7 +183,7 @@
 create_check(struct comet_links *links, uint64_t now_us)
 {
 	struct comet_gateway *gateway = links->gateway;
-	struct samples samples = {.random = &gateway->random};
+	struct samples samples = {.random = &gateway->random, .now_us = now_us};
 	struct check *check = talloc_zero(links, struct check);
 
 	comet_instances_each(gateway->instances, consider_endpoint, &samples);
--- a/libcometspindle/gateway/endpoints/instance.c
+++ b/libcometspindle/gateway/endpoints/instance.c
@@ -417,6 +417,18 @@
 	return true;
 }
 
+void
+comet_instance_rest_requested(struct comet_instance *instance, uint64_t rest_us, uint64_t now_us)
+{
+	instance->rest_until_us = MAX(instance->rest_until_us, now_us + rest_us);
+}
+
+bool
+comet_instance_is_resting(const struct comet_instance *instance, uint64_t now_us)
+{
+	return now_us < instance->rest_until_us;
+}
+
 void
 comet_instance_load_reported(struct comet_instance *instance, uint32_t total, uint64_t now_us)
 {
--- a/libcometspindle/gateway/endpoints/instance.h
+++ b/libcometspindle/gateway/endpoints/instance.h
@@ -57,13 +57,14 @@
 	char *software_version; /**< empty if the directory does not state it */
 	uint32_t version_id;    /**< comet_hash_name(software_version), never 0 */
 	uint32_t slots;
-	uint32_t shard;      /**< shard that it belongs to (shards.h) */
-	bool draining;       /**< the directory says that it leaves */
-	uint64_t leaving_us; /**< when a response first said that it leaves, to whichever VM; 0:
-				none did */
-	bool evacuated;      /**< its zone is evacuated: it receives no new requests */
-	bool listed;         /**< the directory lists it */
-	uint64_t expire_us;  /**< removed at this time, if unlisted after an outage; 0: no expiry */
+	uint32_t shard;         /**< shard that it belongs to (shards.h) */
+	bool draining;          /**< the directory says that it leaves */
+	uint64_t leaving_us;    /**< when a response first said that it leaves, to whichever VM; 0:
+				   none did */
+	uint64_t rest_until_us; /**< it wants no requests from this VM before then */
+	bool evacuated;         /**< its zone is evacuated: it receives no new requests */
+	bool listed;            /**< the directory lists it */
+	uint64_t expire_us; /**< removed at this time, if unlisted after an outage; 0: no expiry */
 	uint64_t warm_until_us; /**< end of its warm-up, during which it is slower */
 	struct comet_slow_start slow_start;
 	const struct comet_slow_start_config *slow_start_config; /**< shared by its service */
@@ -208,6 +209,14 @@
 bool
 comet_instance_left(struct comet_instance *instance, uint64_t observed_us);
 
+/** Records that the instance wants no requests from this VM for rest_us. Other VMs may go on. */
+void
+comet_instance_rest_requested(struct comet_instance *instance, uint64_t rest_us, uint64_t now_us);
+
+/** @return whether the instance wants no requests from this VM now. */
+bool
+comet_instance_is_resting(const struct comet_instance *instance, uint64_t now_us);
+
 /** Records the number of running and queued requests that a response of the instance reported. */
 void
 comet_instance_load_reported(struct comet_instance *instance, uint32_t total, uint64_t now_us);
--- a/libcometspindle/gateway/placement/endpoint_picker.c
+++ b/libcometspindle/gateway/placement/endpoint_picker.c
@@ -106,6 +106,7 @@
 	const struct comet_instance *instance, uint64_t now_us)
 {
 	return comet_endpoint_picker_is_candidate(item, instance) &&
+	       (item->for_other_vm || !comet_instance_is_resting(instance, now_us)) &&
 	       now_us >= instance->full_until_us && now_us >= instance->limit.blocked_until_us &&
 	       health_permits(item, instance, now_us);
 }
--- a/libcometspindle/gateway/placement/placement.c
+++ b/libcometspindle/gateway/placement/placement.c
@@ -250,6 +250,65 @@
 	return ms;
 }
 
+/* @return when the first endpoint for the item ends its rest; 0: one does not rest, or there is
+ * none */
+static uint64_t
+rest_end_us(const struct comet_placement *placement, const struct comet_placement_item *item,
+	uint64_t now_us)
+{
+	const GPtrArray *all = comet_instances_for_service(placement->instances, item->service);
+	uint64_t end_us = 0;
+
+	for (guint i = 0; all != NULL && i < all->len; i++)
+	{
+		const struct comet_instance *instance = all->pdata[i];
+		if (!comet_endpoint_picker_is_candidate(item, instance))
+			continue;
+		if (!comet_instance_is_resting(instance, now_us))
+			return 0;
+		end_us = end_us == 0 ? instance->rest_until_us
+				     : MIN(end_us, instance->rest_until_us);
+	}
+	return end_us;
+}
+
+/* Refuses an item that can be dispatched only after its deadline, because all endpoints rest. Its
+ * caller comes back when the first of them has ended its rest.
+ * @return false if it is not refused */
+static bool
+refuse_if_resting(
+	struct comet_placement *placement, struct comet_placement_item *item, uint64_t now_us)
+{
+	uint64_t end_us = rest_end_us(placement, item, now_us);
+
+	if (end_us <= item->dispatch_deadline_us)
+		return false;
+	double rest_ms = (double)(end_us - now_us) / 1000;
+	double jitter = RETRY_JITTER * comet_random_double(&placement->picker.rng);
+	if (item->queue_position != NULL)
+		comet_placement_dequeue(placement, item);
+	cancel_slot_request(placement, item);
+	placement->ops->refuse(placement->ctx, item, (uint32_t)(rest_ms * (1 + jitter)));
+	return true;
+}
+
+/* Refuses the requests that would wait for the end of a rest beyond their dispatch deadline. */
+static void
+refuse_resting(
+	struct comet_placement *placement, struct comet_placement_queue *queue, uint64_t now_us)
+{
+	GSequenceIter *iter = g_sequence_get_begin_iter(queue->items);
+
+	if (!comet_instances_any_resting(placement->instances, queue->service, now_us))
+		return;
+	while (!g_sequence_iter_is_end(iter))
+	{
+		struct comet_placement_item *item = g_sequence_get(iter);
+		iter = g_sequence_iter_next(iter);
+		refuse_if_resting(placement, item, now_us);
+	}
+}
+
 /* Refuses requests whose dispatch deadline has passed. */
 static void
 refuse_expired(
@@ -300,6 +359,7 @@
 		queue->expiry_checked_us = now_us;
 		refuse_evacuated(placement, queue);
 		shorten_waits(placement, queue);
+		refuse_resting(placement, queue, now_us);
 		refuse_expired(placement, queue, now_us);
 		demote_late_items(placement, queue, now_us);
 		comet_placement_expire_remote_waiters(placement, queue, now_us);
@@ -369,6 +429,8 @@
 			placement->ctx, item, with_jitter(placement, EVACUATED_RETRY_MS));
 		return false;
 	}
+	if (refuse_if_resting(placement, item, now_us))
+		return false;
 	item->late = comet_placement_is_late(placement, item, 0, now_us);
 	uint64_t wait_us = comet_placement_wait_us(placement, item, now_us);
 	if (!item->late && comet_placement_is_late(placement, item, wait_us, now_us))
--- a/libcometspindle/gateway/placement/placement_item.h
+++ b/libcometspindle/gateway/placement/placement_item.h
@@ -32,6 +32,7 @@
 						       */
 	uint32_t version_id; /**< Software version that the endpoint must have
 				(comet_hash_name()), because it began the stream; 0: any. */
+	bool for_other_vm;   /**< The request is that of another VM, which waits here for a slot. */
 	bool retryable; /**< A failed attempt may be retried, so the request may probe an ejected
 			    endpoint. */
 	uint64_t answer_deadline_us;   /**< A response must be complete by then to be of use; 0: no
--- a/libcometspindle/gateway/placement/placement_remote_waiters.c
+++ b/libcometspindle/gateway/placement/placement_remote_waiters.c
@@ -87,6 +87,7 @@
 		memcpy(remote_waiter->excluded, request->excluded,
 			n_excluded * sizeof remote_waiter->excluded[0]);
 	remote_waiter->request.excluded = remote_waiter->excluded;
+	remote_waiter->item.for_other_vm = true;
 	remote_waiter->item.version_id = request->version_id;
 	remote_waiter->item.size = request->size;
 	remote_waiter->item.team_rank = request->team_rank;
--- a/tests/unit/test_endpoints_that_leave.cc
+++ b/tests/unit/test_endpoints_that_leave.cc
@@ -62,4 +62,54 @@
 	EXPECT_FALSE(comet_instance_is_leaving(endpoint(all, 1, "i0")));
 }
 
+/* The owner of a shard granted slots at an endpoint that had asked the requesting VM for a rest. */
+TEST(EndpointsThatRest, ARestBindsOneVmWhicheverOwnsTheShard)
+{
+	for (uint32_t resting = 1; resting <= 3; resting++)
+	{
+		fleet all(3, 2);
+		comet_instance_rest_requested(endpoint(all, resting, "i0"), 3 * s, all.now_us);
+		for (uint32_t vm = 1; vm <= 3; vm++)
+		{
+			uint32_t free = vm == resting ? slots : 2 * slots;
+			std::vector<comet_placement_item *> items;
+			for (uint32_t i = 0; i < free; i++)
+				items.push_back(all.submit(vm));
+			all.deliver();
+			uint32_t sent = 0;
+			uint32_t at_i0 = 0;
+			for (comet_placement_item *item : items)
+			{
+				auto found = all.vms[vm].sent.find(item);
+				if (found == all.vms[vm].sent.end())
+					continue;
+				sent++;
+				at_i0 += found->second == "i0" ? 1 : 0;
+				all.end(vm, item);
+			}
+			all.deliver();
+			EXPECT_EQ(sent, free) << "vm " << vm << " resting " << resting;
+			EXPECT_EQ(at_i0, vm == resting ? 0 : slots);
+		}
+	}
+}
+
+TEST(EndpointsThatRest, RequestsWaitForTheEndOfARestOrAreRefusedAtOnce)
+{
+	fleet all(1, 2);
+	comet_instance_rest_requested(endpoint(all, 1, "i0"), 3 * s, all.now_us);
+	comet_instance_rest_requested(endpoint(all, 1, "i1"), 2 * s, all.now_us);
+	comet_placement_item *patient = all.submit(1);
+	comet_placement_item hasty = *patient;
+	hasty.queue_position = nullptr;
+	hasty.dispatch_deadline_us = all.now_us + s;
+	comet_placement_submit(all.vms[1].placement, &hasty, all.now_us);
+	EXPECT_EQ(all.vms[1].refused.count(&hasty), 1U);
+	all.pass(s);
+	EXPECT_EQ(all.vms[1].sent.count(patient), 0U);
+	all.pass(s + s / 10);
+	EXPECT_EQ(all.vms[1].sent.count(patient), 1U);
+	EXPECT_EQ(all.vms[1].sent[patient], "i1");
+}
+
 } // namespace
