Test that fails: what an endpoint stated is forgotten with its entry

Cause: an entry that expires in an outage of the store, or cannot be read for a while, removes the endpoint from a VM. Listed again, the same process got requests although it had said that it leaves or had asked for a pause.

Change: unit test in which entries are removed and listed again.

--- a/tests/unit/test_endpoints_that_leave.cc
+++ b/tests/unit/test_endpoints_that_leave.cc
@@ -112,4 +112,29 @@
 	EXPECT_EQ(all.vms[1].sent[patient], "i1");
 }
 
+/* An endpoint whose entry had expired in an outage of the directory was listed again as ready, and
+ * got requests although it had said that it leaves. */
+TEST(EndpointsThatLeave, WhatAnIncarnationStatedOutlivesItsEntry)
+{
+	fleet all(1, 2);
+	comet_instances *instances = all.vms[1].instances;
+	comet_instance_record record = {"i0", "llm", "127.0.0.1:1", "z", slots, 0, false, 0, "v1"};
+	comet_instance_left(endpoint(all, 1, "i0"), all.now_us);
+	comet_instance_rest_requested(endpoint(all, 1, "i1"), 5 * s, all.now_us);
+	for (const char *id : {"i0", "i1"})
+	{
+		comet_instances_remove(instances, id);
+		all.pass(s);
+		record.id = id;
+		comet_instances_update(instances, &record, all.now_us);
+	}
+	EXPECT_TRUE(comet_instance_is_leaving(endpoint(all, 1, "i0")));
+	EXPECT_TRUE(comet_instance_is_resting(endpoint(all, 1, "i1"), all.now_us));
+	EXPECT_FALSE(comet_instance_is_resting(endpoint(all, 1, "i1"), all.now_us + 5 * s));
+	comet_instances_remove(instances, "i0");
+	record = {"i0", "llm", "127.0.0.1:1", "z", slots, 0, false, 7000, "v1"};
+	comet_instances_update(instances, &record, all.now_us);
+	EXPECT_FALSE(comet_instance_is_leaving(endpoint(all, 1, "i0"))) << "another incarnation";
+}
+
 } // namespace
