Remember what an endpoint stated while the directory does not list it

Callers' requests would have reached endpoints that leave or rest after their entry had expired in an outage of the store, or had been unreadable, and was listed again.

Cause: what an endpoint states was kept with its entry.

--- a/libcometspindle/gateway/endpoints/instances.c
+++ b/libcometspindle/gateway/endpoints/instances.c
@@ -5,6 +5,7 @@
 #include <libcometspindle/gateway/endpoints/instances.h>
 
 #include <libcometspindle/gateway/endpoints/latency_model.h>
+#include <libcometspindle/gateway/endpoints/statements.h>
 #include <libcometspindle/hash.h>
 #include <string.h>
 #include <talloc.h>
@@ -26,19 +27,20 @@
 struct comet_instances
 {
 	char *own_zone;
-	GHashTable *by_id;              /* id -> comet_instance */
-	GHashTable *by_key;             /* key -> comet_instance */
-	GHashTable *services;           /* service -> GPtrArray of comet_instance */
-	GHashTable *latency_models;     /* service -> struct comet_latency_model */
-	GHashTable *version_histories;  /* service -> struct comet_version_history */
-	GHashTable *slow_start_configs; /* service -> struct comet_slow_start_config */
-	GHashTable *evacuated_zones;    /* set of zone names */
-	GHashTable *regions;            /* zone name -> hash of the region's name */
-	GHashTable *busy;               /* set of the instances with dispatches of this VM */
-	GHashTable *leaving;            /* set of the instances that said that they leave */
-	GHashTable *limited;            /* set of the instances with a limit to report */
-	uint32_t expiring_count;        /* instances with an expiry */
-	bool version_removed;           /* an instance was removed since the last tick */
+	GHashTable *by_id;                   /* id -> comet_instance */
+	GHashTable *by_key;                  /* key -> comet_instance */
+	GHashTable *services;                /* service -> GPtrArray of comet_instance */
+	GHashTable *latency_models;          /* service -> struct comet_latency_model */
+	GHashTable *version_histories;       /* service -> struct comet_version_history */
+	GHashTable *slow_start_configs;      /* service -> struct comet_slow_start_config */
+	GHashTable *evacuated_zones;         /* set of zone names */
+	GHashTable *regions;                 /* zone name -> hash of the region's name */
+	GHashTable *busy;                    /* set of the instances with dispatches of this VM */
+	struct comet_statements *statements; /* of incarnations that are not listed */
+	GHashTable *leaving;                 /* set of the instances that said that they leave */
+	GHashTable *limited;                 /* set of the instances with a limit to report */
+	uint32_t expiring_count;             /* instances with an expiry */
+	bool version_removed;                /* an instance was removed since the last tick */
 	uint64_t changes;
 	uint64_t gossip_us; /* shared by all instances */
 	uint64_t visits;
@@ -82,6 +84,7 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	instances->evacuated_zones = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	instances->busy = g_hash_table_new(NULL, NULL);
+	instances->statements = comet_statements_create(instances);
 	instances->leaving = g_hash_table_new(NULL, NULL);
 	instances->limited = g_hash_table_new(NULL, NULL);
 	instances->regions = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
@@ -200,6 +203,7 @@
 		g_hash_table_insert(instances->services, g_strdup(record->service), array);
 	}
 	g_ptr_array_add(array, instance);
+	comet_statements_apply(instances->statements, instance);
 	return instance;
 }
 
@@ -304,6 +308,7 @@
 	if (instance == NULL)
 		return;
 	instances->changes++;
+	comet_statements_keep(instances->statements, instance);
 	set_expiry(instances, instance, 0);
 	g_hash_table_remove(instances->busy, instance);
 	g_hash_table_remove(instances->leaving, instance);
@@ -436,6 +441,7 @@
 	void (*dropped)(void *ctx, const char *id), void *ctx)
 {
 	record_version_changes(instances, now_us);
+	comet_statements_expire(instances->statements, LEAVING_REPORT_US, now_us);
 	if (instances->expiring_count == 0)
 		return;
 	GList *all = g_hash_table_get_values(instances->by_id);
