Name the VMs that store the versions of streams owners

Cause: "keeper" is a word of earlier releases; the glossary has owner for a VM that rendezvous hashing selects.

Change: names of functions, of a field and a flag of new messages, and of tests; the wire format does not change.

--- a/libcometspindle/adapters/gateway/gateway_streams.c
+++ b/libcometspindle/adapters/gateway/gateway_streams.c
@@ -137,32 +137,32 @@
 complete_copies(void *ctx, struct comet_stream_version_entry *entry)
 {
 	struct comet_streams *streams = ctx;
-	uint32_t keepers[COMET_GOSSIP_STREAM_COPIES];
+	uint32_t owners[COMET_GOSSIP_STREAM_COPIES];
 
 	if (!entry->own || !has_copy(entry, 0) || streams->now_us >= entry->begun.until_us)
 		return;
-	comet_gossip_pick_stream_keepers(streams->gateway->gossip, entry->begun.stream, keepers);
-	for (size_t i = 0; i < G_N_ELEMENTS(keepers); i++)
+	comet_gossip_pick_stream_owners(streams->gateway->gossip, entry->begun.stream, owners);
+	for (size_t i = 0; i < G_N_ELEMENTS(owners); i++)
 	{
-		if (keepers[i] != 0 && !has_copy(entry, keepers[i]))
-			queue_copy(streams, keepers[i], &entry->begun);
+		if (owners[i] != 0 && !has_copy(entry, owners[i]))
+			queue_copy(streams, owners[i], &entry->begun);
 	}
-	memcpy(entry->copies, keepers, sizeof entry->copies);
+	memcpy(entry->copies, owners, sizeof entry->copies);
 }
 
 static void
 hand_over_copy(void *ctx, struct comet_stream_version_entry *entry)
 {
 	struct comet_streams *streams = ctx;
-	uint32_t keepers[COMET_GOSSIP_STREAM_COPIES];
+	uint32_t owners[COMET_GOSSIP_STREAM_COPIES];
 
 	if (entry->own || streams->now_us >= entry->begun.until_us)
 		return;
-	comet_gossip_pick_stream_keepers(streams->gateway->gossip, entry->begun.stream, keepers);
-	for (size_t i = 0; i < G_N_ELEMENTS(keepers); i++)
+	comet_gossip_pick_stream_owners(streams->gateway->gossip, entry->begun.stream, owners);
+	for (size_t i = 0; i < G_N_ELEMENTS(owners); i++)
 	{
-		if (keepers[i] != 0)
-			queue_copy(streams, keepers[i], &entry->begun);
+		if (owners[i] != 0)
+			queue_copy(streams, owners[i], &entry->begun);
 	}
 }
 
@@ -458,7 +458,7 @@
 	result.version_id = begun != NULL ? begun->version_id : proxy->peer_version_id;
 	result.service_id = begun != NULL ? begun->service_id : 0;
 	if (result.version_id == 0 && proxy->stream_key != 0)
-		n_vms = comet_gossip_list_stream_keepers(
+		n_vms = comet_gossip_list_stream_owners(
 			gateway->gossip, proxy->stream_key, vms, G_N_ELEMENTS(vms));
 	if (n_vms > 0)
 		comet_stream_lookups_start(streams->lookups, proxy, proxy->stream_key,
--- a/libcometspindle/gateway/fleet/gossip.c
+++ b/libcometspindle/gateway/fleet/gossip.c
@@ -285,7 +285,7 @@
 	peer->unreachable = false;
 	peer->leaving = view->leaving;
 	peer->endpoints_unreachable = view->endpoints_unreachable;
-	peer->keeps_streams = view->keeps_streams;
+	peer->stores_streams = view->stores_streams;
 	peer->revision = view->revision;
 	peer->zone = view->zone;
 	peer->cpu_percent = view->cpu_percent;
--- a/libcometspindle/gateway/fleet/gossip.h
+++ b/libcometspindle/gateway/fleet/gossip.h
@@ -136,31 +136,31 @@
  * Selects a VM that reaches endpoints, by draw. VMs of this zone are preferred, unless more of them
  * have lost their links than are left.
  * @param excluded address of a VM that is not selected; 0: none
- * @param keeps_streams whether its release has to know the versions of streams
+ * @param stores_streams whether its release has to know the versions of streams
  * @return its address; 0: there is none
  */
 uint32_t
 comet_gossip_pick_endpoint_peer(
-	const struct comet_gossip *gossip, uint32_t excluded, bool keeps_streams, uint32_t draw);
+	const struct comet_gossip *gossip, uint32_t excluded, bool stores_streams, uint32_t draw);
 
 /** VMs that keep a copy of the version of a stream. */
 #define COMET_GOSSIP_STREAM_COPIES 2
 
 /** Selects other VMs that keep the version of a stream, if possible one of this zone and one of
- * another. @param keepers addresses; 0: none */
+ * another. @param owners addresses; 0: none */
 void
-comet_gossip_pick_stream_keepers(const struct comet_gossip *gossip, uint64_t stream,
-	uint32_t keepers[COMET_GOSSIP_STREAM_COPIES]);
+comet_gossip_pick_stream_owners(const struct comet_gossip *gossip, uint64_t stream,
+	uint32_t owners[COMET_GOSSIP_STREAM_COPIES]);
 
 /** Lists the other VMs that may keep the version of a stream: the best three of each zone.
  * @return how many there are, at most max */
 uint32_t
-comet_gossip_list_stream_keepers(
-	const struct comet_gossip *gossip, uint64_t stream, uint32_t *keepers, uint32_t max);
+comet_gossip_list_stream_owners(
+	const struct comet_gossip *gossip, uint64_t stream, uint32_t *owners, uint32_t max);
 
 /** @return whether the release of a VM keeps the versions of streams. */
 bool
-comet_gossip_keeps_streams(const struct comet_gossip *gossip, uint32_t address);
+comet_gossip_stores_streams(const struct comet_gossip *gossip, uint32_t address);
 
 /** Reports to all VMs immediately that this VM is stopping. */
 void
--- a/libcometspindle/gateway/fleet/gossip_owners.c
+++ b/libcometspindle/gateway/fleet/gossip_owners.c
@@ -127,23 +127,23 @@
 struct endpoint_peers
 {
 	uint32_t excluded;
-	bool keeps_streams; /* its release has to know the versions of streams */
-	uint32_t near;      /* VMs of this zone with links */
-	uint32_t near_lost; /* VMs of this zone without links, other than this one */
-	uint32_t all;       /* VMs of all zones with links */
+	bool stores_streams; /* its release has to know the versions of streams */
+	uint32_t near;       /* VMs of this zone with links */
+	uint32_t near_lost;  /* VMs of this zone without links, other than this one */
+	uint32_t all;        /* VMs of all zones with links */
 };
 
 static bool
 is_endpoint_peer(const struct endpoint_peers *peers, const struct comet_gossip_peer *peer)
 {
 	return comet_gossip_is_alive(peer) && !peer->leaving && !peer->endpoints_unreachable &&
-	       peer->address != peers->excluded && (peer->keeps_streams || !peers->keeps_streams);
+	       peer->address != peers->excluded && (peer->stores_streams || !peers->stores_streams);
 }
 
 static struct endpoint_peers
-count_endpoint_peers(const struct comet_gossip *gossip, uint32_t excluded, bool keeps_streams)
+count_endpoint_peers(const struct comet_gossip *gossip, uint32_t excluded, bool stores_streams)
 {
-	struct endpoint_peers peers = {.excluded = excluded, .keeps_streams = keeps_streams};
+	struct endpoint_peers peers = {.excluded = excluded, .stores_streams = stores_streams};
 	GHashTableIter at;
 	gpointer value = NULL;
 
@@ -163,9 +163,9 @@
 
 uint32_t
 comet_gossip_pick_endpoint_peer(
-	const struct comet_gossip *gossip, uint32_t excluded, bool keeps_streams, uint32_t draw)
+	const struct comet_gossip *gossip, uint32_t excluded, bool stores_streams, uint32_t draw)
 {
-	const struct endpoint_peers peers = count_endpoint_peers(gossip, excluded, keeps_streams);
+	const struct endpoint_peers peers = count_endpoint_peers(gossip, excluded, stores_streams);
 	bool near_only = peers.near > peers.near_lost;
 	uint32_t count = near_only ? peers.near : peers.all;
 	GHashTableIter at;
--- a/libcometspindle/gateway/fleet/gossip_rounds.c
+++ b/libcometspindle/gateway/fleet/gossip_rounds.c
@@ -338,7 +338,7 @@
 	view->address = gossip->address;
 	view->leaving = gossip->leaving;
 	view->endpoints_unreachable = gossip->endpoints_unreachable;
-	view->keeps_streams = true;
+	view->stores_streams = true;
 	view->revision = gossip->revision;
 	view->zone = gossip->zone;
 	view->cpu_percent = gossip->cpu_percent;
--- a/libcometspindle/gateway/fleet/gossip_state.h
+++ b/libcometspindle/gateway/fleet/gossip_state.h
@@ -24,7 +24,7 @@
 	uint32_t zone; /* 0: unknown */
 	uint32_t cpu_percent;
 	bool endpoints_unreachable; /* it has lost its links to all endpoints */
-	bool keeps_streams;         /* its release keeps the versions of streams for other VMs */
+	bool stores_streams;        /* its release keeps the versions of streams for other VMs */
 	bool leaving; /* it is stopping, but may still spend until it is unreachable */
 	bool unreachable;
 	bool needs_view; /* send it a gossip message without waiting for a round, since it may not
--- a/libcometspindle/gateway/fleet/gossip_streams.c
+++ b/libcometspindle/gateway/fleet/gossip_streams.c
@@ -15,7 +15,7 @@
 #define ASKED_IN_ZONE 3
 
 /* The VMs of a zone with the highest rendezvous scores, the best first. */
-struct zone_keepers
+struct zone_owners
 {
 	uint32_t zone;
 	uint32_t addresses[ASKED_IN_ZONE]; /* 0: none */
@@ -23,7 +23,7 @@
 };
 
 static void
-insert_keeper(struct zone_keepers *zone, uint32_t address, uint64_t score)
+insert_owner(struct zone_owners *zone, uint32_t address, uint64_t score)
 {
 	for (uint32_t i = 0; i < ASKED_IN_ZONE; i++)
 	{
@@ -40,25 +40,25 @@
 	}
 }
 
-static struct zone_keepers *
+static struct zone_owners *
 find_or_add_zone(GArray *zones, uint32_t zone)
 {
 	for (guint i = 0; i < zones->len; i++)
 	{
-		struct zone_keepers *known = &g_array_index(zones, struct zone_keepers, i);
+		struct zone_owners *known = &g_array_index(zones, struct zone_owners, i);
 		if (known->zone == zone)
 			return known;
 	}
-	const struct zone_keepers added = {.zone = zone};
+	const struct zone_owners added = {.zone = zone};
 	g_array_append_val(zones, added);
-	return &g_array_index(zones, struct zone_keepers, zones->len - 1);
+	return &g_array_index(zones, struct zone_owners, zones->len - 1);
 }
 
-/* @return an array of struct zone_keepers for a stream, without this VM. */
+/* @return an array of struct zone_owners for a stream, without this VM. */
 static GArray *
-find_keepers(const struct comet_gossip *gossip, uint64_t stream)
+find_owners(const struct comet_gossip *gossip, uint64_t stream)
 {
-	GArray *zones = g_array_new(FALSE, FALSE, sizeof(struct zone_keepers));
+	GArray *zones = g_array_new(FALSE, FALSE, sizeof(struct zone_owners));
 	GHashTableIter at;
 	gpointer value = NULL;
 
@@ -66,22 +66,22 @@
 	while (g_hash_table_iter_next(&at, NULL, &value))
 	{
 		const struct comet_gossip_peer *peer = value;
-		if (comet_gossip_is_alive(peer) && !peer->leaving && peer->keeps_streams)
-			insert_keeper(find_or_add_zone(zones, peer->zone), peer->address,
+		if (comet_gossip_is_alive(peer) && !peer->leaving && peer->stores_streams)
+			insert_owner(find_or_add_zone(zones, peer->zone), peer->address,
 				comet_hash_score(stream, peer->address));
 	}
 	return zones;
 }
 
 /* @return the best VM of the zones whose being this VM's zone is as given; NULL: there is none */
-static const struct zone_keepers *
+static const struct zone_owners *
 best_zone(const struct comet_gossip *gossip, const GArray *zones, bool own)
 {
-	const struct zone_keepers *best = NULL;
+	const struct zone_owners *best = NULL;
 
 	for (guint i = 0; i < zones->len; i++)
 	{
-		const struct zone_keepers *zone = &g_array_index(zones, struct zone_keepers, i);
+		const struct zone_owners *zone = &g_array_index(zones, struct zone_owners, i);
 		if ((zone->zone == gossip->zone) == own &&
 			(best == NULL || zone->scores[0] > best->scores[0]))
 			best = zone;
@@ -90,27 +90,27 @@
 }
 
 void
-comet_gossip_pick_stream_keepers(const struct comet_gossip *gossip, uint64_t stream,
-	uint32_t keepers[COMET_GOSSIP_STREAM_COPIES])
+comet_gossip_pick_stream_owners(const struct comet_gossip *gossip, uint64_t stream,
+	uint32_t owners[COMET_GOSSIP_STREAM_COPIES])
 {
-	GArray *zones = find_keepers(gossip, stream);
-	const struct zone_keepers *near = best_zone(gossip, zones, true);
-	const struct zone_keepers *far = best_zone(gossip, zones, false);
+	GArray *zones = find_owners(gossip, stream);
+	const struct zone_owners *near = best_zone(gossip, zones, true);
+	const struct zone_owners *far = best_zone(gossip, zones, false);
 
-	keepers[0] = near != NULL ? near->addresses[0] : 0;
-	keepers[1] = far != NULL ? far->addresses[0] : 0;
+	owners[0] = near != NULL ? near->addresses[0] : 0;
+	owners[1] = far != NULL ? far->addresses[0] : 0;
 	if (near == NULL && far != NULL)
-		keepers[0] = far->addresses[1];
+		owners[0] = far->addresses[1];
 	if (far == NULL && near != NULL)
-		keepers[1] = near->addresses[1];
+		owners[1] = near->addresses[1];
 	g_array_free(zones, TRUE);
 }
 
 uint32_t
-comet_gossip_list_stream_keepers(
-	const struct comet_gossip *gossip, uint64_t stream, uint32_t *keepers, uint32_t max)
+comet_gossip_list_stream_owners(
+	const struct comet_gossip *gossip, uint64_t stream, uint32_t *owners, uint32_t max)
 {
-	GArray *zones = find_keepers(gossip, stream);
+	GArray *zones = find_owners(gossip, stream);
 	uint32_t count = 0;
 
 	/* The best VMs of all zones first, in case that there are more zones than max. */
@@ -119,9 +119,9 @@
 		for (guint i = 0; i < zones->len && count < max; i++)
 		{
 			uint32_t address =
-				g_array_index(zones, struct zone_keepers, i).addresses[rank];
+				g_array_index(zones, struct zone_owners, i).addresses[rank];
 			if (address != 0)
-				keepers[count++] = address;
+				owners[count++] = address;
 		}
 	}
 	g_array_free(zones, TRUE);
@@ -129,10 +129,10 @@
 }
 
 bool
-comet_gossip_keeps_streams(const struct comet_gossip *gossip, uint32_t address)
+comet_gossip_stores_streams(const struct comet_gossip *gossip, uint32_t address)
 {
 	const struct comet_gossip_peer *peer =
 		g_hash_table_lookup(gossip->peers, GUINT_TO_POINTER(address));
 
-	return peer != NULL && peer->keeps_streams;
+	return peer != NULL && peer->stores_streams;
 }
--- a/libcometspindle/gateway/streams/stream_lookups.c
+++ b/libcometspindle/gateway/streams/stream_lookups.c
@@ -170,7 +170,7 @@
 		struct comet_stream_lookup_result *result = &lookup->result;
 		if (lookup->number != answer->number)
 			continue;
-		if (!mark_answered(lookup, answer->keeper))
+		if (!mark_answered(lookup, answer->owner))
 			return;
 		result->version_id = answer->version;
 		result->service_id = answer->service;
@@ -186,7 +186,7 @@
 {
 	comet_Datagram datagram = {
 		.which_body = comet_Datagram_stream_answer_tag,
-		.body.stream_answer = {.keeper = lookups->address, .number = request->number},
+		.body.stream_answer = {.owner = lookups->address, .number = request->number},
 	};
 
 	lookups->ops->answer(lookups->ctx, request, &datagram.body.stream_answer);
--- a/tests/unit/test_stream_versions.cc
+++ b/tests/unit/test_stream_versions.cc
@@ -218,28 +218,28 @@
 
 /* Whichever VM the caller returns to, it asks a VM that keeps a copy, as long as one of them is
  * left. */
-TEST(StreamKeepers, AnyVmAsksAVmThatKeepsACopy)
+TEST(StreamOwners, AnyVmAsksAVmThatKeepsACopy)
 {
 	fleet all(9, 1);
 	for (uint64_t stream = 1; stream <= 200; stream++)
 	{
-		uint32_t keepers[COMET_GOSSIP_STREAM_COPIES];
-		comet_gossip_pick_stream_keepers(all.vms[1].gossip, stream, keepers);
-		EXPECT_NE(keepers[0], keepers[1]);
+		uint32_t owners[COMET_GOSSIP_STREAM_COPIES];
+		comet_gossip_pick_stream_owners(all.vms[1].gossip, stream, owners);
+		EXPECT_NE(owners[0], owners[1]);
 		for (uint32_t vm = 2; vm <= 9; vm++)
 		{
 			uint32_t list[COMET_STREAM_LOOKUP_VMS_MAX];
-			uint32_t count = comet_gossip_list_stream_keepers(
+			uint32_t count = comet_gossip_list_stream_owners(
 				all.vms[vm].gossip, stream, list, COMET_STREAM_LOOKUP_VMS_MAX);
 			std::set<uint32_t> holders(list, list + count);
 			holders.insert(vm);
 			EXPECT_EQ(count, 3U) << "in each zone";
-			EXPECT_TRUE(holders.count(keepers[0]) || holders.count(keepers[1]));
+			EXPECT_TRUE(holders.count(owners[0]) || holders.count(owners[1]));
 		}
 	}
 }
 
-TEST(StreamKeepers, VmsOfEarlierReleasesKeepNoStreams)
+TEST(StreamOwners, VmsOfEarlierReleasesKeepNoStreams)
 {
 	fleet all(1, 1);
 	all.on_mail = [](mail &one)
@@ -249,7 +249,7 @@
 		ASSERT_TRUE(comet_datagram_decode(
 			(const uint8_t *)one.bytes.data(), one.bytes.size(), &datagram));
 		if (datagram.which_body == comet_Datagram_view_tag)
-			datagram.body.view.keeps_streams = one.from != 2;
+			datagram.body.view.stores_streams = one.from != 2;
 		size_t length = comet_datagram_encode(&datagram, data);
 		one.bytes.assign((const char *)data, length);
 	};
@@ -258,12 +258,12 @@
 	all.pass(2000000);
 	for (uint64_t stream = 1; stream <= 50; stream++)
 	{
-		uint32_t keepers[COMET_GOSSIP_STREAM_COPIES];
-		comet_gossip_pick_stream_keepers(all.vms[1].gossip, stream, keepers);
-		EXPECT_EQ(keepers[0], 3U);
-		EXPECT_EQ(keepers[1], 0U);
+		uint32_t owners[COMET_GOSSIP_STREAM_COPIES];
+		comet_gossip_pick_stream_owners(all.vms[1].gossip, stream, owners);
+		EXPECT_EQ(owners[0], 3U);
+		EXPECT_EQ(owners[1], 0U);
 	}
-	EXPECT_FALSE(comet_gossip_keeps_streams(all.vms[1].gossip, 2));
+	EXPECT_FALSE(comet_gossip_stores_streams(all.vms[1].gossip, 2));
 }
 
 } // namespace
