Soak: endpoints of two versions, that leave, or that ask for a rest

Change: the kind conditions. Callers resume streams at other VMs and name the first request; the events of a stream must come from one version. A VM that knows that an endpoint leaves sends it nothing until its next incarnation, and a VM that was asked for a rest at most two requests after half a second; VMs that have restarted or paused since are excused.

--- a/scripts/soak_gateway.py
+++ b/scripts/soak_gateway.py
@@ -12,6 +12,7 @@
 import json
 import os
 import random
+import re
 import selectors
 import signal
 import socket
@@ -44,6 +45,7 @@
                                           "drain", "reborn"],
           "crashes": ALL_FAULTS + ANSWER_FAULTS + ["crash"] * 6,
           "eras": ALL_FAULTS + ["store_back"] * 5 + ["suspend"] * 5 + ["crash"],
+          "conditions": ALL_FAULTS + ANSWER_FAULTS * 3 + ["kill"] * 4 + ["versions"] + ["leave"] * 5 + ["rest"] * 5,
           "links": ALL_FAULTS + ANSWER_FAULTS + ["cut"] * 8 + ["limit"] * 3 + ["brittle"] * 2,
           "evacuations": ALL_FAULTS + ANSWER_FAULTS + ["evacuate"] * 6,
           "bulk": ALL_FAULTS + ["document_large"] * 8 + ["document", "drain", "kill", "stop"] * 2}
@@ -54,7 +56,8 @@
 KNOWN_AFTER_S = 3
 HELD_BACK_S = 3  # longer than any fault holds back what was sent before
 TAKEN_UP_MAX = 3  # times that a caller goes on with a stream that broke off
-Outcome = collections.namedtuple("Outcome", "status whole last_id")
+VERSIONED = re.compile(rb"data: [0-9a-f]{16} \d+ (\S+)\.\d+ ")  # the server of an event
+Outcome = collections.namedtuple("Outcome", "status whole last_id ident versions")
 FOREIGN = ["", "{", "[]", "null", "\x00", '{"service":"svc"}', '{"service":5,"state":"ready"}']
 
 
@@ -132,6 +135,7 @@
         self.clock = clock
         self.env = clock.environment() if clock else env
         self.bad_exits = []
+        self.epoch = 0  # counts restarts and pauses
         self.start()
 
     def start(self):
@@ -147,6 +151,7 @@
         self.send(signal.SIGCONT)
 
     def send(self, number):
+        self.epoch += number != signal.SIGHUP
         if self.process.poll() is None:
             self.process.send_signal(number)
 
@@ -230,8 +235,10 @@
         self.broken = {"twice": [], "not_run_but_ran": [], "wrong_answer": [], "joined_piece": [],
                        "out_of_order": [], "looks_complete": [], "wrong_key_served": [],
                        "not_served_after": [], "bad_exit": [], "sanitizer": [],
-                       "sent_on": [], "refused_for_good": [], "not_in_force": [], "sent_to_evacuated": []}
+                       "sent_on": [], "refused_for_good": [], "not_in_force": [], "sent_to_evacuated": [],
+                       "mixed_versions": [], "sent_to_leaving": [], "sent_in_rest": []}
         self.evacuating = threading.Lock()  # one zone at a time
+        self.leaving = threading.Lock()  # one server at a time
         self.crashed = {}  # body of a request that crashes servers -> names of those that ran it
         self.told_not_run = set()
         self.once = set()
@@ -252,6 +259,9 @@
             server = PieceServer(self.store, f"i-{number}", "svc", 2, self.seed)
             proxy = Proxy(server.port)
             server.publish(address=f"127.0.0.1:{proxy.port}", zone=f"z{number % 3}")
+            if "versions" in self.kinds:
+                server.publish(version=f"v{number % 2}")
+            server.epoch_of = lambda vm: self.vms[int(vm)].epoch
             server.scripts["crash"] = self.crash_server
             self.servers.append(server)
             self.proxies.append(proxy)
@@ -270,14 +280,16 @@
         with self.lock:
             self.broken[kind].append(what)
 
-    def attempt(self, vm, route, script, key, sock=None, last_id=0):
+    def attempt(self, vm, route, script, key, sock=None, last_id=0, stream=None):
         """One request, whose answer is checked; a status of 0: none."""
         with self.lock:
             self.serial += 1
             ident = f"{self.serial:016x}"
             self.counts["requests"] += 1
         body = ident.encode()
-        more = f"Last-Event-Id: {last_id}\r\n" if last_id else ""
+        more = f"X-Vm: {self.vms.index(vm)}\r\n"
+        more += f"Last-Event-Id: {last_id}\r\n" if last_id else ""
+        more += f"Resumes: {stream}\r\n" if stream else ""
         data = (f"POST /{route}/{script} HTTP/1.1\r\nHost: {HOST}\r\nX-Cometspindle-Request-Id: "
                 f"{ident}\r\nX-Cometspindle-Deadline-Ms: 4000\r\nAuthorization: Token {key}\r\n{more}"
                 f"Content-Length: {len(body)}\r\n\r\n").encode() + body
@@ -313,7 +325,7 @@
             if status in (408, 421, 429, 503):
                 self.told_not_run.add(ident)
         if status == 0:
-            return Outcome(0, False, last_id)
+            return Outcome(0, False, last_id, ident, set())
         if status == 400:
             self.breach("refused_for_good", f"{ident} {route}/{script}")
         if status == 200 and key == "never":
@@ -337,17 +349,27 @@
         if found[0]:
             self.breach(found[0], f"{ident} {route}/{script} status={status} whole={whole} stamp={stamp}: {found[1]}; "
                         f"runs {[(run.name, run.first, run.did) for run in runs]}")
-        return Outcome(status, whole, last_id)
+        versions = {self.version_of(name) for name in VERSIONED.findall(answer)} if script == "stream" else set()
+        if len(versions) > 1:
+            self.breach("mixed_versions", f"{ident}: {versions} within an answer")
+        return Outcome(status, whole, last_id, ident, versions)
+
+    def version_of(self, name):
+        return self.servers[int(name.split(b"+")[0][2:])].entry["version"]
 
     def take_up(self, vm, key, outcome, draw):
         """Goes on with a stream that broke off, at other VMs and as other requests: the whole must come together."""
+        stream, versions = outcome.ident, outcome.versions
         for _ in range(TAKEN_UP_MAX):
             if outcome.whole or not outcome.last_id or self.over:
                 return
             vm = draw.choice([one for one in self.vms if one is not vm])
             with self.lock:
                 self.counts["taken_up"] += 1
-            outcome = self.attempt(vm, "again", "stream", key, last_id=outcome.last_id)
+            outcome = self.attempt(vm, "again", "stream", key, last_id=outcome.last_id, stream=stream)
+            versions |= outcome.versions
+            if len(versions) > 1:
+                self.breach("mixed_versions", f"{stream}: {versions} over its tries")
             outcome = outcome._replace(whole=outcome.whole and outcome.status == 200)
             with self.lock:
                 self.counts["taken_up_whole"] += outcome.whole
@@ -431,6 +453,37 @@
         time.sleep(length)
         self.servers[number].advertised = ""
 
+    def fault_versions(self, *_):
+        """Servers of two versions run all the time."""
+
+    def fault_leave(self, _kind, length, _vm, _proxy, number):
+        """VMs that know that a server leaves send it nothing until it starts again, though the store lists it."""
+        server = self.servers[number]
+        with self.leaving:
+            server.advertised = "Server-Leaving: 1\r\n"
+            time.sleep(length)
+            line = b'comet_endpoint_leaving{endpoint="%s"' % server.name.encode()
+            epochs = [vm.epoch for vm in self.vms]
+            known = {str(n): epochs[n] for n, vm in enumerate(self.vms) if line in vm.metrics()}
+            born = server.entry.get("born")
+            time.sleep(HELD_BACK_S)
+            ran = len(server.runs)
+            time.sleep(length)
+            new = [(run[0], run[2]["x-vm"]) for run in server.runs[ran:]
+                   if known.get(run[2]["x-vm"]) == self.vms[int(run[2]["x-vm"])].epoch]
+            if new and server.entry.get("born") == born:
+                self.breach("sent_to_leaving", f"{server.name}: {new}")
+            server.advertised = ""
+            server.start_again()
+
+    def fault_rest(self, _kind, length, _vm, _proxy, number):
+        server = self.servers[number]
+        server.rest_s = round(1 + length, 2)  # beyond the time in which it rejects
+        server.habits.append("refuse")
+        time.sleep(length)
+        server.habits.remove("refuse")
+        server.rest_s = 0
+
     def fault_brittle(self, _kind, length, _vm, _proxy, _number):
         for server in self.servers:
             server.advertised = f"Server-Brittle: {self.draw.randint(0, 4)}\r\n"
@@ -653,6 +706,8 @@
         for server in self.servers:
             for run in server.runs:
                 runs[run[0]] = runs.get(run[0], 0) + 1
+        for server in self.servers:
+            self.broken["sent_in_rest"] += server.too_many_in_rest
         self.broken["twice"] += [i for i in self.once if runs.get(i, 0) > 1]
         self.broken["not_run_but_ran"] += [i for i in self.told_not_run if i in runs]
         for vm in self.vms:
--- a/scripts/soak_servers.py
+++ b/scripts/soak_servers.py
@@ -17,6 +17,8 @@
 
 TROUBLES = {"stop", "end", "reset", "refuse", "error"}  # one a request; bare and unnamed come with any of them
 HABIT_PART = 0.7  # of the requests that come while a server has a habit
+REST_SETTLE_S = 0.5  # requests that were under way when a VM was asked for a rest do not count
+REST_REQUESTS_MAX = 2
 UNTIL_CLOSED_S = 8.0  # longer than any request is held
 
 
@@ -29,6 +31,10 @@
         self.advertised = ""  # headers about its condition
         self.made = {}  # id of a request -> its runs
         self.seen = {}  # id of a request -> how often it came
+        self.rest_s = 0  # stated with rejections; 0: not stated
+        self.rests = {}  # VM -> (its epoch, begin and end of the rest that it was asked for, requests in that time)
+        self.too_many_in_rest = []
+        self.epoch_of = lambda vm: 0  # counts the restarts and pauses of a VM
         self.said_wrong = False  # that another process has its address: true once it starts again
         super().__init__(store, name, service, slots)
         self.scripts = {"plain": PieceServer.small, "large": PieceServer.large, "stream": PieceServer.stream}
@@ -38,6 +44,7 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         ident = headers["x-cometspindle-request-id"]
         self.seen[ident] = self.seen.get(ident, 0) + 1
+        self.count_in_rest(headers.get("x-vm"))
         draw = random.Random(f"{self.seed} {self.name} {ident} {self.seen[ident]}")
         habits = sorted(set(self.habits) & TROUBLES)
         trouble = draw.choice(habits) if habits and draw.random() < HABIT_PART else None
@@ -54,6 +61,14 @@
         self.ran(path, headers, body)
         return draw, run if run.error is None else None, trouble
 
+    def count_in_rest(self, vm):
+        """Counts a request of a VM that was asked for a rest, unless the VM has restarted or paused since."""
+        rest = self.rests.get(vm)
+        if rest and rest[0] == self.epoch_of(vm) and REST_SETTLE_S < time.monotonic() - rest[1] < rest[2]:
+            rest[3] += 1
+            if rest[3] > REST_REQUESTS_MAX:
+                self.too_many_in_rest.append(f"{self.name}: {rest[3]} requests of VM {vm} within {rest[2]} s")
+
     def head(self, headers, status, more, stamped=True):
         stamp = f"X-Cometspindle-Server-Stamp: {self.name}\r\n" if stamped else ""
         return (f"HTTP/1.1 {status} Word\r\nX-Cometspindle-Request-Id: {headers['x-cometspindle-request-id']}\r\n"
@@ -64,6 +79,10 @@
         status = draw.choice([503, 503, 503, 421])
         self.said_wrong |= status == 421
         more = "X-Cometspindle-Not-Executed: 1\r\n" if status == 503 or draw.random() < 0.5 else ""
+        if status == 503 and self.rest_s:
+            vm = headers.get("x-vm")
+            self.rests[vm] = [self.epoch_of(vm), time.monotonic(), self.rest_s, 0]
+            more += f"Retry-After: {self.rest_s}\r\n"
         body = looks_like_event(self.name, headers["x-cometspindle-request-id"], first, draw.random() < 0.4)
         self.write(sock, draw, self.head(headers, status, f"{more}Content-Length: {len(body)}\r\n") + body)
 
