--- a/libcometspindle/gateway/endpoints/instances.c
+++ b/libcometspindle/gateway/endpoints/instances.c
@@ -392,19 +392,6 @@
 	return all != NULL;
 }
 
-bool
-comet_instances_any_resting(struct comet_instances *instances, const char *service, uint64_t now_us)
-{
-	const GPtrArray *all = comet_instances_for_service(instances, service);
-
-	for (guint i = 0; all != NULL && i < all->len; i++)
-	{
-		if (comet_instance_is_resting(all->pdata[i], now_us))
-			return true;
-	}
-	return false;
-}
-
 bool
 comet_instances_schedule_expiry(struct comet_instances *instances, const char *id,
 	uint64_t outage_us, const struct comet_expiry_config *config, uint64_t now_us)
--- a/libcometspindle/gateway/endpoints/instances.h
+++ b/libcometspindle/gateway/endpoints/instances.h
@@ -86,11 +86,6 @@
 bool
 comet_instances_all_leaving(struct comet_instances *instances, const char *service);
 
-/** @return whether an instance of a service wants no requests from this VM now. */
-bool
-comet_instances_any_resting(
-	struct comet_instances *instances, const char *service, uint64_t now_us);
-
 /** Removes expired instances; calls dropped for each id before its removal. */
 void
 comet_instances_tick(struct comet_instances *instances, uint64_t now_us,
--- a/libcometspindle/gateway/fleet/gossip.c
+++ b/libcometspindle/gateway/fleet/gossip.c
@@ -247,7 +247,7 @@
 			reported->active ? (double)reported->milli_per_s / 1000 : -1, observed_us);
 }
 
-/* Merges that an endpoint told another VM that it leaves. */
+/* Merges the report of another VM that an endpoint leaves. */
 static void
 merge_leaving(struct comet_gossip *gossip, const comet_LeavingEndpoint *reported, uint64_t now_us)
 {
--- a/libcometspindle/gateway/placement/placement.c
+++ b/libcometspindle/gateway/placement/placement.c
@@ -103,38 +103,6 @@
 		placement, CLAMP((double)wait_us / 1000, RETRY_AFTER_MIN_MS, RETRY_AFTER_MAX_MS));
 }
 
-bool
-comet_placement_is_evacuated(
-	const struct comet_placement *placement, const struct comet_placement_item *item)
-{
-	return comet_instances_all_evacuated(placement->instances, item->service);
-}
-
-bool
-comet_placement_version_is_gone(
-	const struct comet_placement *placement, const struct comet_placement_item *item)
-{
-	struct comet_placement_item any = *item;
-
-	any.n_attempted = 0;
-	return item->version_id != 0 && !comet_placement_has_unattempted(placement, &any);
-}
-
-bool
-comet_placement_has_unattempted(
-	const struct comet_placement *placement, const struct comet_placement_item *item)
-{
-	const GPtrArray *all = comet_instances_for_service(placement->instances, item->service);
-
-	for (guint i = 0; all != NULL && i < all->len; i++)
-	{
-		const struct comet_instance *instance = all->pdata[i];
-		if (comet_endpoint_picker_is_candidate(item, instance))
-			return true;
-	}
-	return false;
-}
-
 /* Dispatches the item. owner_vm: the VM that granted the slot, or 0. */
 static void
 dispatch_to_slot(struct comet_placement *placement, struct comet_placement_item *item,
@@ -250,28 +218,6 @@
 	return ms;
 }
 
-/* @return when the first endpoint for the item ends its rest; 0: one does not rest, or there is
- * none */
-static uint64_t
-rest_end_us(const struct comet_placement *placement, const struct comet_placement_item *item,
-	uint64_t now_us)
-{
-	const GPtrArray *all = comet_instances_for_service(placement->instances, item->service);
-	uint64_t end_us = 0;
-
-	for (guint i = 0; all != NULL && i < all->len; i++)
-	{
-		const struct comet_instance *instance = all->pdata[i];
-		if (!comet_endpoint_picker_is_candidate(item, instance))
-			continue;
-		if (!comet_instance_is_resting(instance, now_us))
-			return 0;
-		end_us = end_us == 0 ? instance->rest_until_us
-				     : MIN(end_us, instance->rest_until_us);
-	}
-	return end_us;
-}
-
 /* Refuses an item that can be dispatched only after its deadline, because all endpoints rest. Its
  * caller comes back when the first of them has ended its rest.
  * @return false if it is not refused */
@@ -279,7 +225,7 @@
 refuse_if_resting(
 	struct comet_placement *placement, struct comet_placement_item *item, uint64_t now_us)
 {
-	uint64_t end_us = rest_end_us(placement, item, now_us);
+	uint64_t end_us = comet_placement_rest_end_us(placement, item, now_us);
 
 	if (end_us <= item->dispatch_deadline_us)
 		return false;
@@ -299,7 +245,7 @@
 {
 	GSequenceIter *iter = g_sequence_get_begin_iter(queue->items);
 
-	if (!comet_instances_any_resting(placement->instances, queue->service, now_us))
+	if (!comet_placement_any_resting(placement, queue->service, now_us))
 		return;
 	while (!g_sequence_iter_is_end(iter))
 	{
--- a/libcometspindle/gateway/placement/placement_find.c
+++ b/libcometspindle/gateway/placement/placement_find.c
@@ -1,8 +1,10 @@
 /*
  * placement_find.c
  * Finds a slot for a request: in shards where this VM may pick an endpoint
- * itself, or by a slot request to the owner of a shard.
+ * itself, or by a slot request to the owner of a shard. Answers why there is
+ * none.
  */
+#include <libcometspindle/gateway/placement/placement.h>
 #include <libcometspindle/gateway/placement/placement_state.h>
 
 struct comet_instance *
@@ -280,3 +282,69 @@
 {
 	return find_slot(placement, item, true, now_us);
 }
+
+bool
+comet_placement_is_evacuated(
+	const struct comet_placement *placement, const struct comet_placement_item *item)
+{
+	return comet_instances_all_evacuated(placement->instances, item->service);
+}
+
+bool
+comet_placement_version_is_gone(
+	const struct comet_placement *placement, const struct comet_placement_item *item)
+{
+	struct comet_placement_item any = *item;
+
+	any.n_attempted = 0;
+	return item->version_id != 0 && !comet_placement_has_unattempted(placement, &any);
+}
+
+bool
+comet_placement_has_unattempted(
+	const struct comet_placement *placement, const struct comet_placement_item *item)
+{
+	const GPtrArray *all = comet_instances_for_service(placement->instances, item->service);
+
+	for (guint i = 0; all != NULL && i < all->len; i++)
+	{
+		const struct comet_instance *instance = all->pdata[i];
+		if (comet_endpoint_picker_is_candidate(item, instance))
+			return true;
+	}
+	return false;
+}
+
+uint64_t
+comet_placement_rest_end_us(const struct comet_placement *placement,
+	const struct comet_placement_item *item, uint64_t now_us)
+{
+	const GPtrArray *all = comet_instances_for_service(placement->instances, item->service);
+	uint64_t end_us = 0;
+
+	for (guint i = 0; all != NULL && i < all->len; i++)
+	{
+		const struct comet_instance *instance = all->pdata[i];
+		if (!comet_endpoint_picker_is_candidate(item, instance))
+			continue;
+		if (!comet_instance_is_resting(instance, now_us))
+			return 0;
+		end_us = end_us == 0 ? instance->rest_until_us
+				     : MIN(end_us, instance->rest_until_us);
+	}
+	return end_us;
+}
+
+bool
+comet_placement_any_resting(
+	const struct comet_placement *placement, const char *service, uint64_t now_us)
+{
+	const GPtrArray *all = comet_instances_for_service(placement->instances, service);
+
+	for (guint i = 0; all != NULL && i < all->len; i++)
+	{
+		if (comet_instance_is_resting(all->pdata[i], now_us))
+			return true;
+	}
+	return false;
+}
--- a/libcometspindle/gateway/placement/placement_state.h
+++ b/libcometspindle/gateway/placement/placement_state.h
@@ -116,6 +116,18 @@
 comet_placement_find_local(
 	struct comet_placement *placement, struct comet_placement_item *item, uint64_t now_us);
 
+/** @return when the first endpoint for the item ends its rest; 0: one does not rest, or there is
+ * none
+ */
+uint64_t
+comet_placement_rest_end_us(const struct comet_placement *placement,
+	const struct comet_placement_item *item, uint64_t now_us);
+
+/** Returns whether an endpoint of a service wants no requests from this VM now. */
+bool
+comet_placement_any_resting(
+	const struct comet_placement *placement, const char *service, uint64_t now_us);
+
 /* placement_remote_waiters.c */
 
 /**
