Look up streams safely if answers arrive while VMs are asked; free a VM in a test

The daemon sends by UDP and cannot get an answer inside the loop. A unit test that restarts a VM did not free the VM before.

Change: the loop works on a copy. The test frees the VM.

--- a/libcometspindle/gateway/streams/stream_lookups.c
+++ b/libcometspindle/gateway/streams/stream_lookups.c
@@ -65,10 +65,12 @@
 	lookups->ops->send(lookups->ctx, address, data, length);
 }
 
-/* Asks the VMs that have not answered. */
+/* Asks the VMs that have not answered. The lookup may end while they are asked, if send delivers
+ * answers at once. */
 static void
 ask(struct comet_stream_lookups *lookups, struct lookup *lookup, uint64_t now_us)
 {
+	const struct lookup asked = *lookup;
 	const comet_Datagram datagram = {
 		.which_body = comet_Datagram_stream_ask_tag,
 		.body.stream_ask =
@@ -81,10 +83,10 @@
 	};
 
 	lookup->sent_us = now_us;
-	for (uint32_t i = 0; i < lookup->result.asked; i++)
+	for (uint32_t i = 0; i < asked.result.asked; i++)
 	{
-		if (lookup->waiting[i] != 0)
-			send(lookups, lookup->waiting[i], &datagram);
+		if (asked.waiting[i] != 0)
+			send(lookups, asked.waiting[i], &datagram);
 	}
 }
 
@@ -217,9 +219,11 @@
 	while ((oldest = g_queue_peek_head(&lookups->pending)) != NULL &&
 		oldest->started_us + LOOKUP_TIMEOUT_US <= now_us)
 		end(lookups, oldest);
-	for (GList *at = lookups->pending.head; at != NULL; at = at->next)
+	GList *next = NULL;
+	for (GList *at = lookups->pending.head; at != NULL; at = next)
 	{
 		struct lookup *lookup = at->data;
+		next = at->next;
 		if (lookup->sent_us + REPEAT_INTERVAL_US <= now_us)
 			ask(lookups, lookup, now_us);
 	}
--- a/tests/unit/test_endpoints_that_leave.cc
+++ b/tests/unit/test_endpoints_that_leave.cc
@@ -56,6 +56,7 @@
 	fleet all(3, 2);
 	comet_instance_left(endpoint(all, 1, "i1"), all.now_us);
 	all.pass(3 * s);
+	talloc_free(all.vms[1].instances);
 	all.start(1, 2); /* the VM that got the response restarts */
 	all.pass(3 * s);
 	EXPECT_TRUE(comet_instance_is_leaving(endpoint(all, 1, "i1")));
