--- a/libcometspindle/adapters/endpoints/fetch.c
+++ b/libcometspindle/adapters/endpoints/fetch.c
@@ -18,6 +18,10 @@
 #define PROGRESS_US 1000000
 #define PROGRESS_BYTES (16 * 1024)
 
+/* Extension of the time if input has arrived that is not read yet. Reading all connections of a
+ * busy VM takes a few milliseconds (CATCH_UP_US in gateway.c). */
+#define PENDING_INPUT_US 20000
+
 struct comet_fetch
 {
 	struct comet_exchange *exchange;
@@ -35,6 +39,7 @@
 	unsigned int status;
 	bool begun; /* the head has arrived */
 	bool too_large;
+	bool extended; /* the time was extended since the timer was set for progress */
 	bool finished;
 	char *wanted; /* name of a header, or NULL */
 	char *header; /* its value, or NULL */
@@ -89,6 +94,15 @@
 	struct comet_fetch *fetch = ctx;
 
 	fetch->timer = NULL;
+	/* A process that did not run for a time has not read what has arrived. This is granted
+	 * once, since an incomplete response may arrive byte by byte. */
+	if (!fetch->extended && comet_exchange_has_pending_events(fetch->exchange))
+	{
+		fetch->extended = true;
+		fetch->timer =
+			comet_timers_add(fetch->timers, fetch, PENDING_INPUT_US, on_timeout, fetch);
+		return;
+	}
 	TALLOC_FREE(fetch->exchange);
 	finish(fetch, "timeout");
 }
@@ -97,6 +111,7 @@
 expect_progress(struct comet_fetch *fetch)
 {
 	fetch->progress_bytes = fetch->body->len;
+	fetch->extended = false;
 	comet_timer_cancel(&fetch->timer);
 	fetch->timer = comet_timers_add(fetch->timers, fetch, PROGRESS_US, on_timeout, fetch);
 }
--- a/libcometspindle/adapters/gateway/gateway.c
+++ b/libcometspindle/adapters/gateway/gateway.c
@@ -4,6 +4,7 @@
  */
 #include <libcometspindle/adapters/gateway/gateway_crashes.h>
 #include <libcometspindle/adapters/gateway/gateway_reachability.h>
+#include <libcometspindle/adapters/gateway/gateway_returns.h>
 #include <libcometspindle/adapters/gateway/gateway_streams.h>
 
 #include <libcometspindle/adapters/socket.h>
@@ -48,15 +49,6 @@
 	.idle_timeout_ms = IDLE_TIMEOUT_MS,
 };
 
-/* After the start, discovery is complete once no further VM has appeared for the quiet time or for
- * some gossip rounds, and at the latest after DISCOVERY_MAX_US. Until then this VM divides shared
- * limits by at least DISCOVERY_ASSUMED_VMS: all VMs may have started at once, and each would count
- * only itself. */
-#define DISCOVERY_QUIET_US 200000
-#define DISCOVERY_QUIET_ROUNDS 2
-#define DISCOVERY_MAX_US 4000000
-#define DISCOVERY_ASSUMED_VMS 128
-
 /* An iteration of the event loop takes milliseconds and waits for a tick at most. A longer one
  * shows that the process did not run. */
 #define PAUSE_MIN_US 400000
@@ -84,7 +76,8 @@
 		comet_log(COMET_LOG_WARNING, "event=datagram_malformed bytes=%zu", length);
 	else if (datagram.which_body == comet_Datagram_news_tag)
 		comet_gateway_handle_report(gateway, &datagram.body.news, now_us);
-	else if (comet_gateway_streams_receive(gateway->streams, &datagram, now_us))
+	else if (comet_gateway_streams_receive(gateway->streams, &datagram, now_us) ||
+		 comet_gateway_returns_receive(gateway->returns, &datagram, now_us))
 		return;
 	else if (datagram.which_body != comet_Datagram_view_tag &&
 		 !comet_quota_requests_receive(gateway->quota_requests, &datagram, now_us))
@@ -140,45 +133,29 @@
 	gateway->stopped = true;
 }
 
-/* Returns whether this process is still discovering other VMs. A VM that has received no gossip
- * message from any known VM keeps discovering, since its seeds may only be late: when it took
- * itself for the only VM, it spent the complete limit of each team alone. */
-static bool
-is_discovering(struct comet_gateway *gateway, uint32_t alive, uint32_t known, uint64_t now_us)
-{
-	if (alive > gateway->peak_alive_vms)
-	{
-		gateway->peak_alive_vms = alive;
-		gateway->discovered_us = alive > 1 ? now_us : 0;
-	}
-	uint64_t last_us = MAX(gateway->discovered_us, gateway->began_us);
-	uint64_t quiet_us = MAX(DISCOVERY_QUIET_US,
-		DISCOVERY_QUIET_ROUNDS * comet_gossip_interval_us(gateway->gossip));
-	bool unheard = alive < known && gateway->discovered_us == 0;
-	return (now_us - last_us < quiet_us || unheard) &&
-	       now_us - gateway->began_us < DISCOVERY_MAX_US;
-}
-
 /* Sets the numbers of VMs among which shared limits are divided; during discovery, assumed ones. */
 static void
 set_vms(struct comet_gateway *gateway, uint32_t alive, uint32_t known, uint64_t now_us)
 {
-	bool discovering = is_discovering(gateway, alive, known, now_us);
+	bool was_discovering = gateway->discovery.active;
 
-	if (gateway->discovering && !discovering)
+	comet_discovery_update(&gateway->discovery, alive, known,
+		comet_gossip_interval_us(gateway->gossip), now_us);
+	bool discovering = gateway->discovery.active;
+	if (was_discovering && !discovering)
 		comet_log(COMET_LOG_NOTICE,
 			"event=discovery_complete vms=%u after_ms=%" G_GUINT64_FORMAT, known,
 			(now_us - gateway->began_us) / 1000);
-	gateway->discovering = discovering;
 	if (discovering)
 	{
-		known = MAX(known, DISCOVERY_ASSUMED_VMS);
+		known = MAX(known, COMET_DISCOVERY_ASSUMED_VMS);
 		alive = known;
 	}
 	comet_rate_limiter_set_vms(gateway->rate_limiter, alive, known,
 		discovering ? 0 : comet_gossip_unreachable_since_us(gateway->gossip));
 	comet_retry_budget_set_vms(gateway->retries, known);
 	comet_placement_set_vms(gateway->placement, alive, known);
+	comet_gateway_update_cold_shares(gateway, now_us);
 	gateway->directory->ops->set_vms(gateway->directory, alive);
 }
 
@@ -198,6 +175,7 @@
 	comet_gateway_tick_endpoints(gateway, now_us);
 	comet_gateway_links_tick(gateway->links, now_us);
 	comet_gateway_streams_tick(gateway->streams, now_us);
+	comet_gateway_returns_tick(gateway->returns, now_us);
 	comet_crash_tracker_tick(gateway->crash_tracker, now_us);
 	comet_proxy_request_refuse_all_quarantined(gateway);
 	comet_placement_run(gateway->placement, now_us);
@@ -281,6 +259,12 @@
 	return count;
 }
 
+static bool
+is_zone_peer(const void *ctx, uint32_t address)
+{
+	return comet_gossip_is_zone_peer_alive(ctx, address);
+}
+
 static void
 create_gossip(struct comet_gateway *gateway)
 {
@@ -304,6 +288,7 @@
 	gateway->grants =
 		comet_grants_create(gateway, config.address, &comet_gateway_grants_ops, gateway);
 	gateway->streams = comet_gateway_streams_create(gateway, config.address);
+	gateway->returns = comet_gateway_returns_create(gateway, config.address);
 	gateway->quota_requests = comet_quota_requests_create(
 		gateway, config.address, &comet_gateway_quota_ops, gateway);
 }
@@ -375,12 +360,18 @@
 	gateway->reader_election = comet_reader_election_create(gateway,
 		(uint64_t)followed_ms(settings) * 1000, comet_random_u32(&gateway->random));
 	gateway->resync_cache = comet_resync_cache_create(gateway);
-	gateway->links = comet_gateway_links_create(gateway);
+	gateway->links = comet_gateway_links_create(gateway, &comet_gateway_links_ops);
+	gateway->response_events = &comet_proxy_request_response_events;
 	gateway->older_peers = g_hash_table_new(NULL, NULL);
 	gateway->crash_tracker =
 		comet_crash_tracker_create(gateway, &comet_gateway_crashes_ops, gateway);
+	gateway->placement_ops = comet_gateway_placement_ops;
+	if (!settings->returning_callers)
+		gateway->placement_ops.find_caller = NULL;
 	gateway->placement = comet_placement_create(gateway, gateway->instances,
-		&comet_gateway_placement_ops, gateway, comet_random_u32(&gateway->random));
+		&gateway->placement_ops, gateway, comet_random_u32(&gateway->random));
+	if (settings->prefer_own_zone)
+		comet_placement_prefer_own_zone(gateway->placement);
 }
 
 struct comet_gateway *
@@ -397,6 +388,7 @@
 	gateway->decode_resumption = port->decode_resumption;
 	gateway->ends = comet_counter_set_create(gateway);
 	gateway->began_us = comet_timers_now_us();
+	gateway->discovery.began_us = gateway->began_us;
 	randombytes_buf(&seed, sizeof seed);
 	comet_random_init(&gateway->random, seed);
 	gateway->ev = tevent_context_init(gateway);
@@ -415,6 +407,8 @@
 	}
 	create_components(gateway);
 	create_gossip(gateway);
+	comet_datagram_socket_set_zone_check(
+		gateway->datagram_socket, is_zone_peer, gateway->gossip);
 	struct comet_directory_context context = {
 		.ev = gateway->ev,
 		.timers = gateway->timers,
@@ -454,6 +448,7 @@
 	gateway->suspended_us = all_us;
 	gateway->pause_detected_us = now_us;
 	comet_timers_hold(gateway->timers, CATCH_UP_US);
+	comet_gateway_handle_cold_pause(gateway, now_us - gateway->last_loop_us, now_us);
 }
 
 /* Detects a pause of the process each time the event loop has waited. */
--- a/libcometspindle/adapters/gateway/gateway_admit.c
+++ b/libcometspindle/adapters/gateway/gateway_admit.c
@@ -6,6 +6,7 @@
 
 #include <libcometspindle/adapters/gateway/gateway_reachability.h>
 #include <libcometspindle/adapters/gateway/gateway_streams.h>
+#include <libcometspindle/hash.h>
 #include <libcometspindle/log.h>
 #include <string.h>
 #include <strings.h>
@@ -47,8 +48,6 @@
 {
 	proxy->gateway->open_request_count--;
 	g_queue_delete_link(&proxy->gateway->open_requests, proxy->open_link);
-	if (proxy->attempt_link != NULL) /* only when the gateway itself is freed */
-		g_queue_delete_link(&proxy->gateway->active_attempts, proxy->attempt_link);
 	if (proxy->held_link != NULL)
 		g_queue_delete_link(&proxy->gateway->held_retries, proxy->held_link);
 	comet_route_table_unref(proxy->table);
@@ -63,9 +62,10 @@
 	struct comet_proxy_request *proxy = ctx;
 
 	proxy->deadline_timer = NULL;
-	if (proxy->exchange != NULL)
+	if (proxy->attempt != NULL && proxy->attempt->exchange != NULL)
 	{
-		proxy->may_have_run = proxy->may_have_run || comet_exchange_sent(proxy->exchange);
+		proxy->may_have_run =
+			proxy->may_have_run || comet_exchange_sent(proxy->attempt->exchange);
 		comet_proxy_request_end_attempt(proxy, COMET_DISPATCH_CANCELLED);
 	}
 	comet_proxy_request_fail(proxy, 504, "deadline");
@@ -86,6 +86,28 @@
 	return value + length;
 }
 
+/* Reads the caller's hint of the output length. A hint that cannot be right does not count as one.
+ */
+static void
+parse_output_hint(struct comet_proxy_request *proxy, const char *hint)
+{
+	struct comet_request_size *size = &proxy->item.size;
+	uint32_t expected = 0;
+	bool valid = comet_header_parse_ms(hint, &expected);
+
+	if (!valid || expected > COMET_ORDER_OUTPUT_TOKENS_MAX)
+	{
+		comet_log_repeated(COMET_LOG_WARNING,
+			"event=output_hint_ignored request=%s team=%s value=%.32s", proxy->id,
+			proxy->team != NULL ? proxy->team->name : "-", hint);
+		return;
+	}
+	if (expected == 0)
+		return;
+	proxy->item.output_hinted = true;
+	size->output_tokens = MIN(expected, size->output_tokens);
+}
+
 /* Reads the size of the request from the caller's headers. */
 static void
 parse_request_size(struct comet_proxy_request *proxy)
@@ -95,7 +117,6 @@
 	const char *tokens = comet_http_head_get(head, names->tokens);
 	const char *hint = comet_http_head_get(head, names->output_hint);
 	struct comet_request_size *size = &proxy->item.size;
-	uint32_t expected = 0;
 
 	size->stream = comet_proxy_request_is_stream(proxy);
 	proxy->quota_amount =
@@ -106,8 +127,8 @@
 	size->max_output_tokens = size->output_tokens;
 	if (proxy->team != NULL && proxy->team->in_tokens)
 		proxy->quota_amount = (uint64_t)size->prompt_tokens + size->output_tokens;
-	if (hint != NULL && comet_header_parse_ms(hint, &expected) && expected > 0)
-		size->output_tokens = MIN(expected, size->output_tokens);
+	if (hint != NULL)
+		parse_output_hint(proxy, hint);
 }
 
 /* Computes a fingerprint that stays the same when a caller repeats the request under another id. */
@@ -174,6 +195,7 @@
 	item->team_rank =
 		proxy->team != NULL && proxy->team->has_priority ? proxy->team->priority : 0;
 	item->route_rank = proxy->route->priority;
+	item->team_id = proxy->team != NULL ? comet_hash_name(proxy->team->name) : 0;
 	item->route_regions = &proxy->route->regions;
 	item->team_regions = proxy->team != NULL ? &proxy->team->regions : NULL;
 	item->retryable = comet_route_is_retryable(proxy->route) && proxy->route->max_attempts > 1;
@@ -246,14 +268,15 @@
 		proxy, comet_route_pick_service(proxy->route, comet_random_u32(&gateway->random)));
 	comet_log(COMET_LOG_INFO,
 		"event=admitted request=%s fingerprint=%016" G_GINT64_MODIFIER
-		"x route=%s service=%s team=%s prompt=%u output=%u most=%u "
+		"x route=%s service=%s team=%s prompt=%u output=%u most=%u hinted=%d "
 		"version=%" G_GUINT64_FORMAT,
 		proxy->id, proxy->fingerprint.digest, proxy->route->name, proxy->service,
 		proxy->team != NULL ? proxy->team->name : "-", proxy->item.size.prompt_tokens,
 		proxy->item.size.output_tokens, proxy->item.size.max_output_tokens,
-		comet_route_table_version(proxy->table));
+		proxy->item.output_hinted, comet_route_table_version(proxy->table));
 	if (comet_gateway_streams_identify(proxy))
-		comet_gateway_streams_resolve(proxy, queue_request);
+		comet_gateway_streams_resolve(
+			proxy, queue_request, comet_proxy_request_version_unknown);
 	else
 		queue_request(proxy, now_us);
 }
--- a/libcometspindle/adapters/gateway/gateway_answer.c
+++ b/libcometspindle/adapters/gateway/gateway_answer.c
@@ -38,7 +38,7 @@
 static void
 start_response(struct comet_proxy_request *proxy, int64_t length)
 {
-	const struct comet_http_head *head = proxy->head;
+	const struct comet_http_head *head = proxy->attempt->head;
 	GString *headers = g_string_sized_new(512);
 
 	for (size_t i = 0; i < head->n_headers; i++)
@@ -63,38 +63,29 @@
 on_response_head(void *ctx, const struct comet_http_head *head)
 {
 	struct comet_proxy_request *proxy = ctx;
-	const struct comet_header_names *names = proxy->gateway->names;
-	const char *load_text = comet_http_head_get(head, names->load);
-	struct comet_header_load load;
+	struct comet_attempt *attempt = proxy->attempt;
 	uint64_t now_us = comet_timers_now_us();
-	struct comet_instance *instance = comet_proxy_request_instance(proxy);
 
-	if (instance != NULL)
-		comet_instance_seen(instance, now_us);
-	if (instance != NULL && load_text != NULL && comet_header_parse_load(load_text, &load))
-		comet_instance_load_reported(instance, load.running + load.waiting, now_us);
-	/* A 421 is the response of another process. */
-	if (instance != NULL && head->status != 421)
-		comet_gateway_apply_advertisement(proxy->gateway, instance, head, now_us);
-	if (proxy->peer_vm != 0)
-		proxy->attempt_version_id = comet_forward_read_version(head);
-	proxy->not_executed =
-		head->status == 421 || comet_http_head_get(head, names->not_run) != NULL;
-	talloc_free(proxy->head);
-	proxy->head = copy_head(proxy, head);
-	proxy->last_byte_us = now_us;
+	comet_proxy_request_cancel_replacement(proxy, "endpoint_sends");
+	attempt->type->forward(attempt, head, now_us);
+	attempt->not_executed = head->status == 421 ||
+				comet_http_head_get(head, proxy->gateway->names->not_run) != NULL;
+	talloc_free(attempt->head);
+	attempt->head = copy_head(attempt, head);
+	attempt->last_byte_us = now_us;
 }
 
 static bool
 is_success(const struct comet_proxy_request *proxy)
 {
-	return proxy->head->status >= 200 && proxy->head->status < 300;
+	return proxy->attempt->head->status >= 200 && proxy->attempt->head->status < 300;
 }
 
 static bool
 has_server_stamp(const struct comet_proxy_request *proxy)
 {
-	return comet_http_head_get(proxy->head, proxy->gateway->names->server_stamp) != NULL;
+	return comet_http_head_get(proxy->attempt->head, proxy->gateway->names->server_stamp) !=
+	       NULL;
 }
 
 /* Returns whether the head matches the stream that this attempt is to resume. A different status or
@@ -103,9 +94,9 @@
 static bool
 is_continuation(const struct comet_proxy_request *proxy)
 {
-	const char *type = comet_http_head_get(proxy->head, "Content-Type");
+	const char *type = comet_http_head_get(proxy->attempt->head, "Content-Type");
 
-	return proxy->head->status == proxy->response_status &&
+	return proxy->attempt->head->status == proxy->response_status &&
 	       g_strcmp0(type, proxy->content_type) == 0;
 }
 
@@ -113,7 +104,7 @@
 static bool
 is_valid_success(const struct comet_proxy_request *proxy)
 {
-	return !proxy->not_executed && is_success(proxy) && has_server_stamp(proxy) &&
+	return !proxy->attempt->not_executed && is_success(proxy) && has_server_stamp(proxy) &&
 	       (!proxy->resuming || is_continuation(proxy));
 }
 
@@ -133,7 +124,7 @@
 {
 	if (comet_proxy_request_is_stream(proxy) && is_valid_success(proxy))
 		return BODY_EVENTS;
-	if (proxy->not_executed || proxy->resuming ||
+	if (proxy->attempt->not_executed || proxy->resuming ||
 		(is_success(proxy) && !has_server_stamp(proxy)))
 		return BODY_DISCARDED;
 	return BODY_PLAIN;
@@ -142,11 +133,11 @@
 static void
 pause_for_slow_caller(struct comet_proxy_request *proxy)
 {
-	if (proxy->upstream_paused ||
+	if (proxy->attempt->upstream_paused ||
 		comet_http_server_queued_bytes(proxy->request) < PAUSE_THRESHOLD_BYTES)
 		return;
-	proxy->upstream_paused = true;
-	comet_exchange_pause(proxy->exchange, true);
+	proxy->attempt->upstream_paused = true;
+	comet_exchange_pause(proxy->attempt->exchange, true);
 }
 
 /* Forwards the complete events. */
@@ -160,7 +151,7 @@
 	if (!proxy->response_started)
 	{
 		if (proxy->item.version_id == 0)
-			proxy->item.version_id = proxy->attempt_version_id;
+			proxy->item.version_id = proxy->attempt->version_id;
 		comet_gateway_streams_began(proxy);
 		start_response(proxy, -1);
 	}
@@ -181,7 +172,7 @@
 	g_byte_array_append(proxy->buffered_body, (const guint8 *)data, (guint)length);
 	if (proxy->buffered_body->len < PLAIN_BUFFER_BYTES)
 		return;
-	const char *length_text = comet_http_head_get(proxy->head, "Content-Length");
+	const char *length_text = comet_http_head_get(proxy->attempt->head, "Content-Length");
 	start_response(proxy, length_text != NULL ? g_ascii_strtoll(length_text, NULL, 10) : -1);
 	comet_http_server_send_body(proxy->request, (const char *)proxy->buffered_body->data,
 		proxy->buffered_body->len);
@@ -197,26 +188,31 @@
 
 	struct comet_instance *instance = comet_proxy_request_instance(proxy);
 
+	comet_proxy_request_cancel_replacement(proxy, "endpoint_sends");
 	if (proxy->response_start_us == 0)
 		proxy->response_start_us = now_us;
 	else
-		proxy->max_gap_us = MAX(proxy->max_gap_us, now_us - proxy->last_byte_us);
-	proxy->last_byte_us = now_us;
-	proxy->attempt_body_bytes += length;
+		proxy->max_gap_us = MAX(proxy->max_gap_us, now_us - proxy->attempt->last_byte_us);
+	proxy->attempt->last_byte_us = now_us;
+	proxy->attempt->body_bytes += length;
 	if (instance != NULL)
 		comet_instance_seen(instance, now_us);
-	if (proxy->first_byte_us == 0)
+	if (proxy->attempt->first_byte_us == 0)
 	{
-		proxy->first_byte_us = now_us;
+		proxy->attempt->first_byte_us = now_us;
 		if (instance != NULL)
 			comet_instance_first_event(instance, &proxy->item.size,
-				comet_proxy_request_timing_is_valid(proxy) ? now_us - proxy->sent_us
-									   : COMET_LATENCY_UNKNOWN);
+				proxy->attempt->prompt_tokens_ahead,
+				comet_proxy_request_timing_is_valid(proxy)
+					? now_us - proxy->attempt->sent_us
+					: COMET_LATENCY_UNKNOWN,
+				now_us);
 	}
 	switch (select_body_mode(proxy))
 	{
 	case BODY_EVENTS:
 		forward_events(proxy, data, length);
+		comet_proxy_request_sample(proxy, now_us);
 		break;
 	case BODY_PLAIN:
 		forward_plain_body(proxy, data, length);
@@ -235,10 +231,11 @@
 		"event=answered request=%s status=%u endpoint=%s total_ms=%" G_GUINT64_FORMAT
 		" attempt_first_byte_ms=%" G_GUINT64_FORMAT " first_byte_ms=%" G_GUINT64_FORMAT
 		" max_gap_ms=%" G_GUINT64_FORMAT " events=%u attempts=%u",
-		proxy->id, status, proxy->instance_id,
+		proxy->id, status, proxy->attempt->instance_id,
 		comet_proxy_request_elapsed_ms(proxy->arrived_us, now_us),
-		proxy->first_byte_us != 0
-			? comet_proxy_request_elapsed_ms(proxy->sent_us, proxy->first_byte_us)
+		proxy->attempt->first_byte_us != 0
+			? comet_proxy_request_elapsed_ms(
+				  proxy->attempt->sent_us, proxy->attempt->first_byte_us)
 			: 0,
 		proxy->response_start_us != 0 ? comet_proxy_request_elapsed_ms(
 							proxy->arrived_us, proxy->response_start_us)
@@ -251,9 +248,9 @@
 {
 	struct comet_gateway_times *times = &proxy->gateway->times[proxy->route->kind];
 
-	if (proxy->first_byte_us != 0)
+	if (proxy->attempt->first_byte_us != 0)
 		comet_latency_histogram_add(
-			&times->first, proxy->first_byte_us - proxy->arrived_us);
+			&times->first, proxy->attempt->first_byte_us - proxy->arrived_us);
 	comet_latency_histogram_add(&times->whole, comet_timers_now_us() - proxy->arrived_us);
 }
 
@@ -266,7 +263,8 @@
 	if (!proxy->response_started)
 	{
 		bool head_only = strcmp(request->head->method, "HEAD") == 0;
-		const char *length_text = comet_http_head_get(proxy->head, "Content-Length");
+		const char *length_text =
+			comet_http_head_get(proxy->attempt->head, "Content-Length");
 		int64_t length = head_only && length_text != NULL
 					 ? g_ascii_strtoll(length_text, NULL, 10)
 					 : (int64_t)proxy->buffered_body->len;
@@ -274,7 +272,7 @@
 		comet_http_server_send_body(request, (const char *)proxy->buffered_body->data,
 			proxy->buffered_body->len);
 	}
-	log_answered(proxy, proxy->head->status);
+	log_answered(proxy, proxy->attempt->head->status);
 	record_latency(proxy);
 	if (result == COMET_DISPATCH_SERVED)
 		proxy->gateway->counts.served++;
@@ -292,9 +290,17 @@
 static void
 handle_complete_response(struct comet_proxy_request *proxy)
 {
-	if (comet_proxy_request_handle_peer_failure(proxy, has_server_stamp(proxy)))
+	switch (comet_proxy_request_handle_peer_response(proxy, has_server_stamp(proxy)))
+	{
+	case COMET_PEER_RESPONSE_HANDLED:
 		return;
-	if (proxy->not_executed)
+	case COMET_PEER_RESPONSE_BROKEN:
+		comet_proxy_request_attempt_failed(proxy, COMET_DISPATCH_BROKEN);
+		return;
+	case COMET_PEER_RESPONSE_FORWARDED:
+		break;
+	}
+	if (proxy->attempt->not_executed)
 	{
 		comet_proxy_request_attempt_refused(proxy);
 		return;
@@ -309,7 +315,7 @@
 			complete_response(proxy, COMET_DISPATCH_SERVED);
 		return;
 	}
-	bool server_error = proxy->head->status >= 500;
+	bool server_error = proxy->attempt->head->status >= 500;
 	if (proxy->resuming || (is_success(proxy) && !has_server_stamp(proxy)))
 	{
 		comet_proxy_request_attempt_failed(proxy, COMET_DISPATCH_BROKEN);
@@ -318,7 +324,7 @@
 	proxy->may_have_run = true;
 	/* An endpoint that was already tried would fail again, so the error response is forwarded
 	 * if no untried endpoint is left. */
-	if (server_error && proxy->peer_vm == 0 && !proxy->response_started &&
+	if (server_error && proxy->attempt->peer_vm == 0 && !proxy->response_started &&
 		comet_route_is_retryable(proxy->route) &&
 		comet_placement_has_unattempted(proxy->gateway->placement, &proxy->item) &&
 		comet_proxy_request_may_retry(proxy))
@@ -335,7 +341,7 @@
 {
 	struct comet_proxy_request *proxy = ctx;
 
-	proxy->exchange = NULL; /* the exchange frees itself */
+	proxy->attempt->exchange = NULL; /* the exchange frees itself */
 	switch (end)
 	{
 	case COMET_EXCHANGE_COMPLETE:
@@ -346,7 +352,7 @@
 		break;
 	case COMET_EXCHANGE_UNREACHED:
 		comet_log(COMET_LOG_NOTICE, "event=unreached request=%s endpoint=%s", proxy->id,
-			proxy->instance_id);
+			proxy->attempt->instance_id);
 		proxy->attempts--;
 		comet_proxy_request_end_attempt(proxy, COMET_DISPATCH_UNREACHABLE);
 		if (comet_proxy_request_send_through_peer(proxy))
--- /dev/null
+++ b/libcometspindle/adapters/gateway/gateway_callers.c
@@ -0,0 +1,48 @@
+/*
+ * gateway_callers.c
+ * what the gateway does when callers send requests, disconnect, or have read what was queued
+ */
+#include <libcometspindle/adapters/gateway/proxy_request.h>
+
+#include <libcometspindle/log.h>
+
+static void
+on_caller_disconnected(void *ctx, struct comet_http_server_request *request)
+{
+	struct comet_gateway *gateway = ctx;
+	struct comet_proxy_request *proxy = request->user;
+
+	if (proxy == NULL)
+		return;
+	gateway->counts.callers_disconnected++;
+	comet_log(COMET_LOG_INFO,
+		"event=caller_left request=%s endpoint=%s elapsed_ms=%" G_GUINT64_FORMAT
+		" started=%d",
+		proxy->id, proxy->attempt != NULL ? proxy->attempt->instance_id : "-",
+		comet_proxy_request_elapsed_ms(proxy->arrived_us, comet_timers_now_us()),
+		proxy->response_started);
+	if (proxy->attempt != NULL)
+		comet_proxy_request_end_attempt(proxy, COMET_DISPATCH_CANCELLED);
+	comet_proxy_request_count_end(proxy, "caller_left");
+	comet_proxy_request_close(proxy);
+}
+
+static void
+on_caller_drained(void *ctx, struct comet_http_server_request *request)
+{
+	struct comet_proxy_request *proxy = request->user;
+
+	(void)ctx;
+	if (proxy == NULL || proxy->attempt == NULL || !proxy->attempt->upstream_paused ||
+		proxy->attempt->exchange == NULL)
+		return;
+	proxy->attempt->upstream_paused = false;
+	proxy->attempt->last_byte_us =
+		comet_timers_now_us(); /* the pause does not count as silence */
+	comet_exchange_pause(proxy->attempt->exchange, false);
+}
+
+const struct comet_http_server_events comet_gateway_caller_events = {
+	.request = comet_proxy_request_handle,
+	.gone = on_caller_disconnected,
+	.drained = on_caller_drained};
--- a/libcometspindle/adapters/gateway/gateway_crashes.c
+++ b/libcometspindle/adapters/gateway/gateway_crashes.c
@@ -105,6 +105,13 @@
 		return;
 	}
 	check->refusals++;
+	/* Links may fail one after the other: until a check of the links has ended, the refusal
+	 * says nothing about the endpoint. */
+	if (comet_gateway_links_are_in_doubt(check->gateway->links))
+	{
+		comet_gateway_links_hurry(check->gateway->links);
+		check->refusals = 1;
+	}
 	if (check->refusals == 1)
 	{
 		check->timer = comet_timers_add(
@@ -185,16 +192,16 @@
 static bool
 is_suspect(const struct comet_proxy_request *proxy, enum comet_dispatch_result result)
 {
-	if (proxy->not_executed)
+	if (proxy->attempt->not_executed)
 		return false;
 	if (result == COMET_DISPATCH_BROKEN || result == COMET_DISPATCH_SILENT)
 		return true;
 	if (result == COMET_DISPATCH_SERVED)
-		return !is_framed(proxy->head);
+		return !is_framed(proxy->attempt->head);
 	/* A caller may disconnect before the crash is detected. Without this rule, no attempt of a
 	 * caller that always did so was counted. */
-	return result == COMET_DISPATCH_CANCELLED && proxy->exchange != NULL &&
-	       comet_exchange_sent(proxy->exchange);
+	return result == COMET_DISPATCH_CANCELLED && proxy->attempt->exchange != NULL &&
+	       comet_exchange_sent(proxy->attempt->exchange);
 }
 
 void
@@ -204,20 +211,21 @@
 	const struct comet_instance *instance = comet_proxy_request_instance(proxy);
 	uint64_t now_us = comet_timers_now_us();
 
-	if (result == COMET_DISPATCH_SERVED && proves_completion(proxy->head))
+	if (result == COMET_DISPATCH_SERVED && proves_completion(proxy->attempt->head))
 		comet_crash_tracker_mark_served(
 			gateway->crash_tracker, &proxy->fingerprint, now_us);
 	if (instance != NULL && result == COMET_DISPATCH_WRONG_INSTANCE)
 		comet_gateway_process_crashed(gateway, instance, "address_reused");
 	if (!is_suspect(proxy, result))
 		return;
-	uint64_t last_seen_us = instance != NULL ? instance->last_seen_us : proxy->last_byte_us;
+	uint64_t last_seen_us =
+		instance != NULL ? instance->last_seen_us : proxy->attempt->last_byte_us;
 	struct comet_crash_attempt attempt = {
 		.request = proxy->fingerprint,
-		.incarnation_key = proxy->incarnation_key,
+		.incarnation_key = proxy->attempt->incarnation_key,
 		.last_seen_us = last_seen_us,
 		.cancelled = result == COMET_DISPATCH_CANCELLED &&
-			     now_us - MAX(last_seen_us, proxy->sent_us) < UNSEEN_US,
+			     now_us - MAX(last_seen_us, proxy->attempt->sent_us) < UNSEEN_US,
 	};
 	comet_crash_tracker_add_suspect(gateway->crash_tracker, &attempt, now_us);
 	if (instance != NULL && !attempt.cancelled && result != COMET_DISPATCH_SERVED)
@@ -232,12 +240,13 @@
 	for (GList *at = gateway->active_attempts.head; at != NULL; at = at->next)
 	{
 		const struct comet_proxy_request *proxy = at->data;
-		uint64_t last_seen_us = MAX(instance->last_seen_us, proxy->sent_us);
-		if (proxy->incarnation_key != instance->key || now_us - last_seen_us < UNSEEN_US)
+		uint64_t last_seen_us = MAX(instance->last_seen_us, proxy->attempt->sent_us);
+		if (proxy->attempt->incarnation_key != instance->key ||
+			now_us - last_seen_us < UNSEEN_US)
 			continue;
 		struct comet_crash_attempt attempt = {
 			.request = proxy->fingerprint,
-			.incarnation_key = proxy->incarnation_key,
+			.incarnation_key = proxy->attempt->incarnation_key,
 			.last_seen_us = instance->last_seen_us,
 		};
 		comet_crash_tracker_add_suspect(gateway->crash_tracker, &attempt, now_us);
--- a/libcometspindle/adapters/gateway/gateway_grants.c
+++ b/libcometspindle/adapters/gateway/gateway_grants.c
@@ -5,6 +5,7 @@
 #include <libcometspindle/adapters/gateway/proxy_request.h>
 
 #include <libcometspindle/adapters/gateway/gateway_reachability.h>
+#include <libcometspindle/gateway/placement/return_schedule.h>
 #include <libcometspindle/log.h>
 
 /* Interval at which pending slot requests are checked; a fraction of their timeout. */
@@ -182,6 +183,19 @@
 		gateway->placement, item, expected_us, comet_timers_now_us());
 }
 
+static void
+on_return_time(void *ctx, struct comet_placement_item *item, uint64_t return_us)
+{
+	struct comet_gateway *gateway = ctx;
+	const struct comet_proxy_request *proxy = item->user_data;
+
+	if (return_us > COMET_RETURN_MAX_US)
+		comet_log_repeated(COMET_LOG_WARNING,
+			"event=return_time_bounded request=%s return_ms=%" G_GUINT64_FORMAT,
+			proxy->id, return_us / 1000);
+	comet_placement_set_return_time(gateway->placement, item, return_us, comet_timers_now_us());
+}
+
 static void
 on_wait_expired(void *ctx, struct comet_placement_item *item)
 {
@@ -224,6 +238,19 @@
 	return left_ms > 0 ? now_us + (uint64_t)left_ms * 1000 : 0;
 }
 
+/* Placement replaces such values by the bound. */
+static void
+log_if_out_of_bounds(const comet_SlotAsk *ask)
+{
+	char text[COMET_IPV4_TEXT_BYTES];
+
+	if (ask->waited_ms > COMET_ORDER_MS_MAX || ask->order_ms > COMET_ORDER_MS_MAX + 1)
+		comet_log_repeated(COMET_LOG_WARNING,
+			"event=slot_order_out_of_bounds requester=%s waited_ms=%u order_ms=%u",
+			comet_datagram_socket_format_address(ask->asker, text), ask->waited_ms,
+			ask->order_ms);
+}
+
 /* Selects an endpoint for a slot request of another VM. Returns NULL if the request has to wait or
  * is denied. */
 static const struct comet_instance *
@@ -247,11 +274,16 @@
 			},
 		.team_rank = ask->team_rank,
 		.route_rank = ask->route_rank,
+		.returned = ask->returned,
 		.late = ask->late,
+		.waited_us = (uint64_t)ask->waited_ms * 1000,
+		.delay_known = ask->order_ms > 0,
+		.delay_us = ask->order_ms > 0 ? (uint64_t)(ask->order_ms - 1) * 1000 : 0,
 		.answer_deadline_us = time_from_remaining(ask->left_ms, now_us),
 		.soft_deadline_us = time_from_remaining(ask->aim_ms, now_us),
 		.wait_us = (uint64_t)ask->wait_ms * 1000,
 	};
+	log_if_out_of_bounds(ask);
 	const struct comet_instance *instance =
 		comet_placement_pick_remote(gateway->placement, &wanted, now_us, wait);
 
@@ -316,10 +348,13 @@
 
 	uint64_t now_us = comet_timers_now_us();
 
+	if (instance != NULL)
+		comet_gateway_learn_speed(gateway, instance, freed, now_us);
+	if (freed->still_running)
+		return;
 	comet_gossip_slot_released(gateway->gossip, freed->asker, freed->instance);
 	if (instance != NULL)
 	{
-		comet_instance_add_sample(instance, !freed->plain, freed->taken_us, freed->events);
 		merge_brittleness(instance, freed, now_us);
 		enum comet_dispatch_result result = comet_grants_result(freed->result);
 		if (!is_credible(gateway, freed->asker, instance, result, now_us))
@@ -338,4 +373,5 @@
 	.unanswered = on_owner_unresponsive,
 	.pick = pick_for_remote,
 	.remote_release = on_remote_release,
+	.return_time = on_return_time,
 };
--- a/libcometspindle/adapters/gateway/gateway_metrics.c
+++ b/libcometspindle/adapters/gateway/gateway_metrics.c
@@ -4,6 +4,7 @@
  */
 #include <libcometspindle/adapters/gateway/gateway_private.h>
 #include <libcometspindle/adapters/gateway/gateway_reachability.h>
+#include <libcometspindle/adapters/gateway/gateway_returns.h>
 #include <libcometspindle/adapters/gateway/gateway_streams.h>
 
 #include <stddef.h>
@@ -49,6 +50,19 @@
 			rows[i].name, rows[i].value);
 }
 
+static void
+put_speed(GString *out, const struct comet_gateway *gateway)
+{
+	const struct comet_gateway_counts *counts = &gateway->counts;
+
+	put(out, "fast_slots_spared_total", "counter",
+		(double)comet_placement_spared_fast(gateway->placement));
+	put(out, "stream_samples_sent_total", "counter", (double)counts->samples_sent);
+	put(out, "stream_samples_received_total", "counter", (double)counts->samples_received);
+	put(out, "slowdowns_stated_total", "counter", (double)counts->slowdowns_stated);
+	put(out, "slowdowns_ignored_total", "counter", (double)counts->slowdowns_ignored);
+}
+
 static void
 put_slot_requests(GString *out, const struct comet_gateway_counts *counts)
 {
@@ -63,6 +77,30 @@
 		counts->slot_requests_unanswered, counts->slot_requests_answered);
 }
 
+/* Writes the requests that were not sent or granted to cold endpoints with a free slot, and the
+ * fraction of the VMs on which the share of this VM is based. */
+static void
+put_cold_endpoints(GString *out, const struct comet_gateway *gateway)
+{
+	put(out, "cold_endpoint_refusals_total", "counter",
+		(double)comet_placement_cold_refusal(gateway->placement)->count);
+	put(out, "cold_endpoint_fraction", "gauge",
+		comet_placement_cold_fraction(gateway->placement));
+}
+
+static void
+put_order(GString *out, const struct comet_gateway *gateway)
+{
+	const struct comet_order_counts counts = comet_placement_order_counts(gateway->placement);
+
+	g_string_append_printf(out,
+		"# TYPE comet_order_requests_total counter\n"
+		"comet_order_requests_total{size=\"known\"} %" G_GUINT64_FORMAT "\n"
+		"comet_order_requests_total{size=\"unknown\"} %" G_GUINT64_FORMAT "\n",
+		counts.sized, counts.unsized);
+	put(out, "order_advanced_total", "counter", (double)counts.advanced);
+}
+
 static void
 put_stream_versions(GString *out, const struct comet_gateway_counts *counts)
 {
@@ -224,10 +262,17 @@
 relative_latency_of(const struct comet_instance *instance, uint64_t now_us, double *value)
 {
 	(void)now_us;
-	*value = instance->relative_latency;
+	*value = comet_instance_relative_to_typical(instance);
 	return true;
 }
 
+static bool
+slowdown_of(const struct comet_instance *instance, uint64_t now_us, double *value)
+{
+	*value = comet_current_speed_factor(&instance->speed, now_us);
+	return comet_current_speed_is_fresh(&instance->speed, now_us);
+}
+
 static bool
 ejected_of(const struct comet_instance *instance, uint64_t now_us, double *value)
 {
@@ -320,6 +365,7 @@
 	{"endpoint_view_age_seconds", state_age_of},
 	{"endpoint_running", running_of},
 	{"endpoint_pace", relative_latency_of},
+	{"endpoint_slowdown", slowdown_of},
 	{"endpoint_avoided", ejected_of},
 	{"endpoint_draining", draining_of},
 	{"endpoint_leaving", leaving_of},
@@ -384,32 +430,68 @@
 		out, gateway, "comet_waited_seconds", offsetof(struct comet_gateway_times, waited));
 }
 
+struct comet_byte_counters *
+comet_gateway_peer_bytes(struct comet_gateway *gateway, uint32_t vm)
+{
+	return comet_gossip_is_zone_peer_alive(gateway->gossip, vm)
+		       ? &gateway->bytes[COMET_GATEWAY_USE_PEERS]
+		       : &gateway->crossing[COMET_GATEWAY_USE_PEERS];
+}
+
+/* Writes the bytes of one use or kind of datagram. label: its name */
 static void
-put_use(GString *out, const char *use, const struct comet_byte_counters *bytes)
+put_bytes_of(GString *out, const char *family, const char *label, const char *value,
+	const struct comet_byte_counters *bytes)
 {
 	g_string_append_printf(out,
-		"comet_link_bytes_total{use=\"%s\",direction=\"in\"} %" G_GUINT64_FORMAT "\n"
-		"comet_link_bytes_total{use=\"%s\",direction=\"out\"} %" G_GUINT64_FORMAT "\n",
-		use, bytes->received, use, bytes->sent);
+		"comet_%s{%s=\"%s\",direction=\"in\"} %" G_GUINT64_FORMAT "\n"
+		"comet_%s{%s=\"%s\",direction=\"out\"} %" G_GUINT64_FORMAT "\n",
+		family, label, value, bytes->received, family, label, value, bytes->sent);
 }
 
+static const char *const use_names[COMET_GATEWAY_USES] = {
+	[COMET_GATEWAY_USE_CALLERS] = "callers",
+	[COMET_GATEWAY_USE_ENDPOINTS] = "endpoints",
+	[COMET_GATEWAY_USE_DIRECTORY] = "directory",
+	[COMET_GATEWAY_USE_PEERS] = "peers",
+};
+
 /* Writes the bytes on the VM's link by use. */
 static void
 put_bytes(GString *out, const struct comet_gateway *gateway)
 {
-	static const char *const names[COMET_GATEWAY_USES] = {
-		[COMET_GATEWAY_USE_CALLERS] = "callers",
-		[COMET_GATEWAY_USE_ENDPOINTS] = "endpoints",
-		[COMET_GATEWAY_USE_DIRECTORY] = "directory",
-		[COMET_GATEWAY_USE_PEERS] = "peers",
-	};
 	const struct comet_byte_counters *gossip =
 		comet_datagram_socket_bytes(gateway->datagram_socket);
 
 	put_type(out, "link_bytes_total", "counter");
 	for (size_t i = 0; i < COMET_GATEWAY_USES; i++)
-		put_use(out, names[i], &gateway->bytes[i]);
-	put_use(out, "datagrams", gossip);
+	{
+		const struct comet_byte_counters all = {
+			.received = gateway->bytes[i].received + gateway->crossing[i].received,
+			.sent = gateway->bytes[i].sent + gateway->crossing[i].sent,
+		};
+		put_bytes_of(out, "link_bytes_total", "use", use_names[i], &all);
+	}
+	put_bytes_of(out, "link_bytes_total", "use", "datagrams", gossip);
+}
+
+/* Writes the bytes to and from other availability zones. The zones of callers and of the directory
+ * are not known. */
+static void
+put_crossing_bytes(GString *out, const struct comet_gateway *gateway)
+{
+	static const enum comet_gateway_use uses[] = {
+		COMET_GATEWAY_USE_ENDPOINTS, COMET_GATEWAY_USE_PEERS};
+
+	put_type(out, "zone_crossing_bytes_total", "counter");
+	for (size_t i = 0; i < G_N_ELEMENTS(uses); i++)
+		put_bytes_of(out, "zone_crossing_bytes_total", "use", use_names[uses[i]],
+			&gateway->crossing[uses[i]]);
+	put_type(out, "zone_crossing_datagram_bytes_total", "counter");
+	for (uint32_t kind = 0; kind < COMET_DATAGRAM_KINDS; kind++)
+		put_bytes_of(out, "zone_crossing_datagram_bytes_total", "kind",
+			comet_datagram_kind_name(kind),
+			&comet_datagram_socket_counts(gateway->datagram_socket, kind)->crossing);
 }
 
 /* Writes the datagrams and their bytes by kind. */
@@ -431,15 +513,8 @@
 	put_type(out, "datagram_bytes_total", "counter");
 	for (uint32_t kind = 0; kind < COMET_DATAGRAM_KINDS; kind++)
 	{
-		const struct comet_datagram_counts *counts =
-			comet_datagram_socket_counts(gateway->datagram_socket, kind);
-		const char *name = comet_datagram_kind_name(kind);
-		g_string_append_printf(out,
-			"comet_datagram_bytes_total{kind=\"%s\",direction=\"in\"} "
-			"%" G_GUINT64_FORMAT
-			"\ncomet_datagram_bytes_total{kind=\"%s\",direction=\"out\"} "
-			"%" G_GUINT64_FORMAT "\n",
-			name, counts->bytes.received, name, counts->bytes.sent);
+		put_bytes_of(out, "datagram_bytes_total", "kind", comet_datagram_kind_name(kind),
+			&comet_datagram_socket_counts(gateway->datagram_socket, kind)->bytes);
 	}
 }
 
@@ -485,11 +560,20 @@
 	put(out, "dispatches_total", "counter", (double)gateway->counts.dispatched);
 	put(out, "repeats_total", "counter", (double)gateway->counts.retried);
 	put(out, "resumes_total", "counter", (double)gateway->counts.resumed);
+	put(out, "replacements_requested_total", "counter",
+		(double)gateway->counts.replacements_requested);
+	put(out, "replacements_total", "counter", (double)gateway->counts.replaced);
+	put(out, "replacements_cancelled_total", "counter",
+		(double)gateway->counts.replacements_cancelled);
 	put(out, "stream_versions", "gauge", (double)comet_gateway_streams_count(gateway->streams));
 	put_stream_versions(out, &gateway->counts);
 	put(out, "peer_attempts_total", "counter", (double)gateway->counts.peer_attempts);
 	put_slot_requests(out, &gateway->counts);
+	put_speed(out, gateway);
+	put_order(out, gateway);
+	put_cold_endpoints(out, gateway);
 	put_quota_requests(out, &gateway->counts);
+	comet_gateway_returns_put_metrics(gateway->returns, out);
 	put_directory_calls(out, gateway);
 	put_crashes(out, gateway);
 	put_evacuations(out, gateway);
@@ -505,6 +589,7 @@
 	put(out, "foreign_answers_total", "counter", (double)up->foreign_answers);
 	put_directory(&page);
 	put_bytes(out, gateway);
+	put_crossing_bytes(out, gateway);
 	put_datagrams(out, gateway);
 	put_endpoints(&page);
 	comet_http_server_respond(
--- a/libcometspindle/adapters/gateway/gateway_peer_attempt.c
+++ b/libcometspindle/adapters/gateway/gateway_peer_attempt.c
@@ -58,35 +58,75 @@
 }
 
 static void
-send_to(struct comet_proxy_request *proxy, uint32_t vm, uint64_t now_us)
+begin(struct comet_attempt *attempt, struct comet_instance *instance, uint64_t now_us)
 {
+	struct comet_proxy_request *proxy = attempt->proxy;
 	struct comet_gateway *gateway = proxy->gateway;
 	size_t length = 0;
 	char *bytes = write_request(proxy, now_us, &length);
 
-	comet_proxy_request_begin_attempt(proxy, now_us);
-	proxy->peer_vm = vm;
-	proxy->peer_attempts++;
-	proxy->instance_id = callers_address(proxy, gateway, vm);
-	gateway->counts.peer_attempts++;
-	comet_log(COMET_LOG_INFO,
-		"event=sent_through_vm request=%s vm=%s attempt=%u after_events=%u", proxy->id,
-		proxy->instance_id, proxy->attempts, comet_proxy_request_events(proxy));
-	const struct comet_exchange_request attempt = {
-		.instance = proxy->instance_id,
-		.address = proxy->instance_id,
+	(void)instance;
+	const struct comet_exchange_request request = {
+		.instance = attempt->instance_id,
+		.address = attempt->instance_id,
 		.bytes = bytes,
 		.length = length,
 		.head_only = strcmp(proxy->request->head->method, "HEAD") == 0,
 		.probe = true,
 		.new_connection = true,
-		.counted = &gateway->bytes[COMET_GATEWAY_USE_PEERS],
+		.counted = comet_gateway_peer_bytes(gateway, attempt->peer_vm),
 	};
-	proxy->exchange = comet_upstream_send(
-		gateway->upstream, proxy, &attempt, &comet_proxy_request_response_events, proxy);
+
+	attempt->exchange = comet_upstream_send(
+		gateway->upstream, attempt, &request, gateway->response_events, proxy);
 	g_free(bytes);
 }
 
+static void
+forward(struct comet_attempt *attempt, const struct comet_http_head *head, uint64_t now_us)
+{
+	(void)now_us;
+	attempt->version_id = comet_forward_read_version(head);
+}
+
+/* The other VM watches the endpoint itself, so a silence says nothing about the VM. */
+static enum comet_dispatch_result
+give_up(const struct comet_attempt *attempt)
+{
+	(void)attempt;
+	return COMET_DISPATCH_CANCELLED;
+}
+
+/* The other VM records the result and releases the slot. */
+static void
+end(struct comet_attempt *attempt, enum comet_dispatch_result result, uint64_t now_us)
+{
+	(void)attempt;
+	(void)result;
+	(void)now_us;
+}
+
+static const struct comet_attempt_type peer_attempt = {
+	.begin = begin, .forward = forward, .give_up = give_up, .end = end};
+
+static void
+send_to(struct comet_proxy_request *proxy, uint32_t vm, uint64_t now_us)
+{
+	struct comet_gateway *gateway = proxy->gateway;
+
+	comet_proxy_request_give_up_replaced(proxy);
+	struct comet_attempt *attempt = comet_attempt_create(proxy, &peer_attempt, now_us);
+
+	attempt->peer_vm = vm;
+	attempt->instance_id = callers_address(attempt, gateway, vm);
+	proxy->peer_attempts++;
+	gateway->counts.peer_attempts++;
+	comet_log(COMET_LOG_INFO,
+		"event=sent_through_vm request=%s vm=%s attempt=%u after_events=%u", proxy->id,
+		attempt->instance_id, proxy->attempts, comet_proxy_request_events(proxy));
+	attempt->type->begin(attempt, NULL, now_us);
+}
+
 bool
 comet_proxy_request_send_through_peer(struct comet_proxy_request *proxy)
 {
@@ -113,14 +153,14 @@
 static void
 handle_refusal(struct comet_proxy_request *proxy)
 {
-	uint16_t status = proxy->head->status;
-	const char *retry_after = comet_http_head_get(proxy->head, "Retry-After");
+	uint16_t status = proxy->attempt->head->status;
+	const char *retry_after = comet_http_head_get(proxy->attempt->head, "Retry-After");
 	uint32_t retry_after_ms = 0;
 
 	if (retry_after == NULL || !comet_header_parse_seconds(retry_after, &retry_after_ms))
 		retry_after_ms = RETRY_AFTER_MS;
 	comet_log(COMET_LOG_INFO, "event=vm_refused request=%s vm=%s status=%u", proxy->id,
-		proxy->instance_id, status);
+		proxy->attempt->instance_id, status);
 	proxy->attempts--;
 	comet_proxy_request_end_attempt(proxy, COMET_DISPATCH_CANCELLED);
 	if (status == 503 && comet_proxy_request_send_through_peer(proxy))
@@ -139,22 +179,19 @@
 	comet_proxy_request_refuse(proxy, "vm_refused", retry_after_ms);
 }
 
-bool
-comet_proxy_request_handle_peer_failure(struct comet_proxy_request *proxy, bool from_endpoint)
+enum comet_peer_response
+comet_proxy_request_handle_peer_response(struct comet_proxy_request *proxy, bool from_endpoint)
 {
-	uint16_t status = proxy->head->status;
+	uint16_t status = proxy->attempt->head->status;
 
-	if (proxy->peer_vm == 0 || from_endpoint || status < 400)
-		return false;
+	if (proxy->attempt->peer_vm == 0 || from_endpoint || status < 400)
+		return COMET_PEER_RESPONSE_FORWARDED;
 	if (promises_not_run(status))
 	{
 		handle_refusal(proxy);
-		return true;
+		return COMET_PEER_RESPONSE_HANDLED;
 	}
-	if (status < 500)
-		return false;
-	comet_proxy_request_attempt_failed(proxy, COMET_DISPATCH_BROKEN);
-	return true;
+	return status < 500 ? COMET_PEER_RESPONSE_FORWARDED : COMET_PEER_RESPONSE_BROKEN;
 }
 
 /* Moves a request to another VM if it waits for a slot or a connection. */
@@ -163,7 +200,14 @@
 {
 	struct comet_gateway *gateway = proxy->gateway;
 
-	if (proxy->attempt_link == NULL)
+	if (proxy->replacing)
+	{
+		comet_placement_cancel(gateway->placement, &proxy->item);
+		if (!comet_proxy_request_send_through_peer(proxy))
+			comet_proxy_request_cancel_replacement(proxy, "no_vm");
+		return true;
+	}
+	if (proxy->attempt == NULL)
 	{
 		if (!comet_placement_is_pending(&proxy->item))
 			return false;
@@ -171,7 +215,7 @@
 	}
 	else
 	{
-		if (proxy->peer_vm != 0 || comet_exchange_sent(proxy->exchange))
+		if (proxy->attempt->peer_vm != 0 || comet_exchange_sent(proxy->attempt->exchange))
 			return false;
 		proxy->attempts--;
 		comet_proxy_request_end_attempt(proxy, COMET_DISPATCH_UNREACHABLE);
--- a/libcometspindle/adapters/gateway/gateway_private.h
+++ b/libcometspindle/adapters/gateway/gateway_private.h
@@ -19,6 +19,7 @@
 #include <libcometspindle/gateway/endpoints/incarnations.h>
 #include <libcometspindle/gateway/placement/placement.h>
 #include <libcometspindle/gateway/fleet/reader_election.h>
+#include <libcometspindle/gateway/fleet/discovery.h>
 #include <libcometspindle/gateway/fleet/gossip.h>
 #include <libcometspindle/latency_histogram.h>
 #include <libcometspindle/counter_set.h>
@@ -30,6 +31,9 @@
 	uint64_t dispatched;
 	uint64_t retried;
 	uint64_t resumed;
+	uint64_t replacements_requested;  /**< for silent attempts of started responses */
+	uint64_t replaced;                /**< of these: the next attempt had a slot or a VM */
+	uint64_t replacements_cancelled;  /**< of these: the attempt went on */
 	uint64_t peer_attempts;           /**< attempts through other VMs */
 	uint64_t granted;                 /**< slots granted by other VMs */
 	uint64_t grants_evacuated;        /**< slots granted by other VMs and returned, since the
@@ -37,6 +41,10 @@
 	uint64_t denied;                  /**< slot requests that were denied */
 	uint64_t stream_versions_known;   /**< resumed streams whose version was found */
 	uint64_t stream_versions_unknown; /**< resumed streams that were refused or cut off */
+	uint64_t samples_sent;            /**< of streams that went on, to owners */
+	uint64_t samples_received;        /**< of streams at other VMs that went on */
+	uint64_t slowdowns_stated;        /**< responses that stated another speed than the usual */
+	uint64_t slowdowns_ignored;       /**< statements out of bounds */
 	uint64_t slot_waits_expired; /**< slot requests that waited at the owner without a grant */
 	uint64_t slot_requests_unanswered; /**< slot requests without an answer */
 	uint64_t slot_requests_answered;   /**< slot requests of other VMs, answered as owner */
@@ -97,23 +105,28 @@
 	struct comet_incarnations *incarnations;
 	struct comet_evacuations *evacuations;
 	struct comet_placement *placement;
+	struct comet_placement_ops placement_ops;
 	struct comet_rate_limiter *rate_limiter;
 	struct comet_retry_budget *retries;
 	struct comet_crash_tracker *crash_tracker;
 	struct comet_gossip *gossip;
 	struct comet_grants *grants;
-	struct comet_streams *streams;    /**< versions of streams */
-	struct comet_links *links;        /**< whether this VM reaches endpoints */
-	struct comet_timer *grants_timer; /**< timeouts of pending slot requests; NULL: none */
+	struct comet_streams *streams;         /**< versions of streams */
+	struct comet_links *links;             /**< whether this VM reaches endpoints */
+	struct comet_timer *grants_timer;      /**< timeouts of pending slot requests; NULL: none */
+	struct comet_gateway_returns *returns; /**< refused callers and their return */
 	struct comet_quota_requests *quota_requests;
 	struct comet_timer *quota_timer; /**< timeouts of pending quota requests; NULL: none */
 	struct comet_reader_election *reader_election;
 	enum comet_directory_mode reading; /**< whether this VM reads the directory itself */
 	uint64_t reported_us;              /**< when this VM last reported; 0: never */
 	struct comet_datagram_socket *datagram_socket;
-	struct comet_route_table *table; /**< NULL until one has been read */
+	const struct comet_exchange_events *response_events; /**< handle responses to attempts */
+	struct comet_route_table *table;                     /**< NULL until one has been read */
 	struct comet_gateway_counts counts;
-	struct comet_byte_counters bytes[COMET_GATEWAY_USES];
+	struct comet_byte_counters bytes[COMET_GATEWAY_USES];    /**< within this zone, or of an
+								      unknown zone */
+	struct comet_byte_counters crossing[COMET_GATEWAY_USES]; /**< to and from other zones */
 	struct comet_latency_histogram
 		routes_lag;             /**< from the report of a document until it is in force */
 	struct comet_counter_set *ends; /**< requests by outcome, kind and rank */
@@ -127,14 +140,15 @@
 					 check of the links has ended */
 	struct comet_random random;
 	uint64_t began_us;
-	bool discovering;               /**< this VM still discovers other VMs */
-	uint64_t discovered_us;         /**< when the last new VM was discovered; 0: none */
+	struct comet_discovery discovery;
 	uint32_t resync_vm;             /**< the peer that `resyncing` fetches from */
-	uint32_t peak_alive_vms;        /**< most VMs alive at a time, including this one */
 	uint64_t stop_us;               /**< when the shutdown began; 0: none */
 	uint64_t last_loop_us;          /**< when the event loop last waited */
 	uint64_t suspended_us;          /**< total time suspended, as last read */
 	uint64_t pause_detected_us;     /**< when a pause was last detected; 0: never */
+	uint64_t long_pause_us;         /**< when other VMs may last have taken this one for dead,
+					   because it paused; 0: never */
+	uint64_t cold_refusals_logged;  /**< refused requests to cold endpoints that were logged */
 	struct comet_fetch *resyncing;  /**< fetch of a snapshot or delta; NULL: none */
 	uint64_t first_snapshot_due_us; /**< when to request the first snapshot again */
 	GHashTable *older_peers;        /**< set of peers that do not know packed responses */
@@ -155,7 +169,7 @@
 	bool stopped;                 /**< the shutdown is complete: the event loop ends */
 };
 
-/** Handles the requests of callers (proxy_request.c). */
+/** Handles the requests of callers (gateway_callers.c). */
 extern const struct comet_http_server_events comet_gateway_caller_events;
 
 /** Applies updates of the directory (gateway_directory.c). */
@@ -166,6 +180,15 @@
 comet_gateway_apply_advertisement(struct comet_gateway *gateway, struct comet_instance *instance,
 	const struct comet_http_head *head, uint64_t now_us);
 
+/** Applies the speed that another VM reported with a release or a sample (gateway_speed.c). */
+void
+comet_gateway_learn_speed(struct comet_gateway *gateway, struct comet_instance *instance,
+	const comet_SlotFreed *freed, uint64_t now_us);
+
+/** Returns the counters of bytes exchanged with another VM (gateway_metrics.c). */
+struct comet_byte_counters *
+comet_gateway_peer_bytes(struct comet_gateway *gateway, uint32_t vm);
+
 /** Logs the end of an evacuation (gateway_directory.c). */
 void
 comet_gateway_zone_restored(void *ctx, const char *zone);
@@ -179,13 +202,25 @@
 void
 comet_gateway_move_requests_to_peers(struct comet_gateway *gateway);
 
-/** Sends the retries that waited for the end of a check of the links (gateway_send.c). */
-void
-comet_gateway_send_held_retries(struct comet_gateway *gateway);
+/** Continues requests after a check of the links (gateway_send.c). */
+extern const struct comet_links_ops comet_gateway_links_ops;
 
 /** Operations that placement needs (gateway_send.c). */
 extern const struct comet_placement_ops comet_gateway_placement_ops;
 
+/** Counts the VMs that are preferred as the owner of a shard, for placement's operations
+ * (gateway_cold.c). */
+uint32_t
+comet_gateway_count_preferred(void *ctx, const struct comet_shard *shard);
+
+/** Updates the share of this VM in the requests to cold endpoints, and logs refused ones. */
+void
+comet_gateway_update_cold_shares(struct comet_gateway *gateway, uint64_t now_us);
+
+/** Reduces the share after a pause of this process, before it handles other input. */
+void
+comet_gateway_handle_cold_pause(struct comet_gateway *gateway, uint64_t paused_us, uint64_t now_us);
+
 /** Requests slots from their owners, for placement's operations (gateway_grants.c). */
 enum comet_placement_owner
 comet_gateway_find_shard_owner(void *ctx, struct comet_shard *shard);
--- a/libcometspindle/adapters/gateway/gateway_quota.c
+++ b/libcometspindle/adapters/gateway/gateway_quota.c
@@ -55,7 +55,7 @@
 
 	if (!gateway->settings->ask_keepers)
 		return 0;
-	if (gateway->discovering)
+	if (gateway->discovery.active)
 		return comet_gossip_find_seed_owner(
 			gateway->gossip, team_id, is_unresponsive, &query);
 	return comet_gossip_find_responsive_owner(
@@ -98,7 +98,7 @@
 	struct comet_proxy_request *proxy, enum comet_rate_limiter_source source, uint64_t now_us)
 {
 	struct comet_gateway *gateway = proxy->gateway;
-	bool wait = gateway->discovering && source == COMET_RATE_LIMITER_GOSSIP &&
+	bool wait = gateway->discovery.active && source == COMET_RATE_LIMITER_GOSSIP &&
 		    now_us < proxy->arrived_us + DISCOVERY_WAIT_US;
 	uint32_t wait_ms = comet_rate_limiter_spend(gateway->rate_limiter, proxy->team->id,
 		proxy->route->priority, proxy->quota_amount, source, now_us);
--- a/libcometspindle/adapters/gateway/gateway_reachability.c
+++ b/libcometspindle/adapters/gateway/gateway_reachability.c
@@ -22,6 +22,7 @@
 struct comet_links
 {
 	struct comet_gateway *gateway;
+	const struct comet_links_ops *ops;
 	struct comet_reachability state;
 	struct check *check; /* the current check; NULL: none */
 	uint64_t lost_us;    /* when the links were last found lost */
@@ -44,11 +45,12 @@
 }
 
 struct comet_links *
-comet_gateway_links_create(struct comet_gateway *gateway)
+comet_gateway_links_create(struct comet_gateway *gateway, const struct comet_links_ops *ops)
 {
 	struct comet_links *links = talloc_zero(gateway, struct comet_links);
 
 	links->gateway = gateway;
+	links->ops = ops;
 	links->held = g_array_new(FALSE, FALSE, sizeof(struct held_release));
 	talloc_set_destructor(links, links_destroy);
 	return links;
@@ -95,7 +97,7 @@
 	comet_log(COMET_LOG_WARNING, "event=endpoints_unreachable probed=%d",
 		COMET_REACHABILITY_PROBES);
 	comet_gossip_set_endpoints_unreachable(links->gateway->gossip, true);
-	comet_gateway_move_requests_to_peers(links->gateway);
+	links->ops->lost(links->gateway);
 }
 
 static void
@@ -141,7 +143,7 @@
 		links_lost(links, now_us);
 	else if (change == COMET_REACHABILITY_RESTORED)
 		links_restored(links, now_us);
-	comet_gateway_send_held_retries(links->gateway);
+	links->ops->checked(links->gateway);
 }
 
 /* A random sample of endpoints. */
@@ -209,7 +211,7 @@
 	else
 	{
 		release_held(links);
-		comet_gateway_send_held_retries(links->gateway);
+		links->ops->checked(links->gateway);
 	}
 }
 
--- a/libcometspindle/adapters/gateway/gateway_reachability.h
+++ b/libcometspindle/adapters/gateway/gateway_reachability.h
@@ -13,8 +13,17 @@
 struct comet_gateway;
 struct comet_links;
 
+/** What the requests of a VM do when a check of its links ends. */
+struct comet_links_ops
+{
+	/** The VM reaches no endpoint: requests that wait move to other VMs. */
+	void (*lost)(struct comet_gateway *gateway);
+	/** The check has ended: requests that were held until then go on. */
+	void (*checked)(struct comet_gateway *gateway);
+};
+
 struct comet_links *
-comet_gateway_links_create(struct comet_gateway *gateway);
+comet_gateway_links_create(struct comet_gateway *gateway, const struct comet_links_ops *ops);
 
 /** Records the result of an attempt, and begins a check if lost links may have caused it. */
 void
--- a/libcometspindle/adapters/gateway/gateway_resync.c
+++ b/libcometspindle/adapters/gateway/gateway_resync.c
@@ -149,7 +149,7 @@
 		.address = address,
 		.target = target,
 		.timeout_us = RESYNC_TIMEOUT_US,
-		.counted = &gateway->bytes[COMET_GATEWAY_USE_PEERS],
+		.counted = comet_gateway_peer_bytes(gateway, vm),
 	};
 	struct comet_fetch *fetch = comet_fetch_start(
 		gateway, gateway->upstream, gateway->timers, &request, handler, gateway);
--- a/libcometspindle/adapters/gateway/gateway_streams.c
+++ b/libcometspindle/adapters/gateway/gateway_streams.c
@@ -281,7 +281,7 @@
 			COMET_LOG_WARNING, "event=stream_version_dropped request=%s", proxy->id);
 		return;
 	}
-	if (proxy->peer_vm != 0)
+	if (proxy->attempt->peer_vm != 0)
 		return; /* the other VM sends the copies */
 	entry->own = true;
 	memset(entry->copies, 0, sizeof entry->copies);
@@ -426,11 +426,8 @@
 	comet_log(COMET_LOG_NOTICE,
 		"event=stream_version_unknown request=%s asked=%u answered=%u several=%d",
 		proxy->id, result->asked, result->answered, result->several);
-	if (proxy->response_started)
-		comet_proxy_request_abort(proxy, "stream_version_unknown");
-	else
-		comet_proxy_request_refuse(proxy, "stream_version_unknown",
-			result->answered < result->asked ? UNANSWERED_RETRY_MS : UNKNOWN_RETRY_MS);
+	proxy->on_version_unknown(
+		proxy, result->answered < result->asked ? UNANSWERED_RETRY_MS : UNKNOWN_RETRY_MS);
 }
 
 static void
@@ -442,7 +439,8 @@
 
 void
 comet_gateway_streams_resolve(struct comet_proxy_request *proxy,
-	void (*on_known)(struct comet_proxy_request *proxy, uint64_t now_us))
+	void (*on_known)(struct comet_proxy_request *proxy, uint64_t now_us),
+	void (*on_unknown)(struct comet_proxy_request *proxy, uint32_t retry_after_ms))
 {
 	struct comet_gateway *gateway = proxy->gateway;
 	struct comet_streams *streams = gateway->streams;
@@ -454,6 +452,7 @@
 		comet_stream_versions_find(streams->versions, proxy->stream_key, now_us);
 
 	proxy->on_version_known = on_known;
+	proxy->on_version_unknown = on_unknown;
 	proxy->resolving = true;
 	result.version_id = begun != NULL ? begun->version_id : proxy->peer_version_id;
 	result.service_id = begun != NULL ? begun->service_id : 0;
--- a/libcometspindle/adapters/gateway/gateway_streams.h
+++ b/libcometspindle/adapters/gateway/gateway_streams.h
@@ -22,11 +22,13 @@
 comet_gateway_streams_identify(struct comet_proxy_request *proxy);
 
 /** Finds the version that began the stream of a request, and makes it a condition on its endpoint.
- * Refuses or aborts the request if the version is not known.
- * @param on_known called at once or later, once the version is known */
+ * Calls one of the functions, at once or later.
+ * @param on_known called once the version is known
+ * @param on_unknown called if no VM knows it; the request has to be refused or aborted */
 void
 comet_gateway_streams_resolve(struct comet_proxy_request *proxy,
-	void (*on_known)(struct comet_proxy_request *proxy, uint64_t now_us));
+	void (*on_known)(struct comet_proxy_request *proxy, uint64_t now_us),
+	void (*on_unknown)(struct comet_proxy_request *proxy, uint32_t retry_after_ms));
 
 /** Cancels the lookup of a request that has ended. */
 void
--- a/libcometspindle/adapters/gateway/proxy_request.h
+++ b/libcometspindle/adapters/gateway/proxy_request.h
@@ -5,6 +5,7 @@
 #ifndef COMETSPINDLE_ADAPTERS_PROXY_REQUEST_H
 #define COMETSPINDLE_ADAPTERS_PROXY_REQUEST_H
 
+#include <libcometspindle/adapters/gateway/attempt.h>
 #include <libcometspindle/adapters/gateway/gateway_private.h>
 #include <libcometspindle/gateway/event_stream.h>
 #include <libcometspindle/gateway/admission/fingerprint.h>
@@ -21,56 +22,45 @@
 	struct comet_fingerprint fingerprint;
 	char *service;
 	struct comet_placement_item item;
-	struct comet_exchange *exchange;
+	struct comet_attempt *attempt;         /* the current attempt, or NULL */
 	struct comet_event_stream *events;     /* NULL unless the route is a streaming route */
 	struct comet_timer *quota_retry_timer; /* repeats the quota check during discovery */
 	struct comet_timer *deadline_timer;
-	struct comet_timer *silence_timer;
 	uint64_t stream_key; /* comet_stream_key() of its stream; 0: not known */
 	/** Called once the version of its stream is known. */
 	void (*on_version_known)(struct comet_proxy_request *proxy, uint64_t now_us);
-	uint32_t peer_version_id;     /* version that the VM states that forwarded the request */
-	bool resolving;               /* the version of its stream is being looked up */
-	const char *retry_reason;     /* code of the reason of a held retry */
-	char *instance_id;            /* endpoint of the current attempt, or NULL */
-	uint64_t process_start_ms;    /* process start of that endpoint */
-	uint32_t incarnation_key;     /* key of that incarnation */
-	uint32_t attempt_version_id;  /* its software version when the request was sent */
-	GList *attempt_link;          /* link in gateway->active_attempts, or NULL */
-	GList *open_link;             /* link in gateway->open_requests */
-	GList *held_link;             /* link in gateway->held_retries, or NULL */
-	GByteArray *buffered_body;    /* body of a plain response until it is forwarded */
-	struct comet_http_head *head; /* copy of the response head, or NULL */
-	uint64_t quota_amount;        /* charged to the team, in the unit of its limit */
+	/** Called if it is not known. */
+	void (*on_version_unknown)(struct comet_proxy_request *proxy, uint32_t retry_after_ms);
+	uint32_t peer_version_id;  /* version that the VM states that forwarded the request */
+	bool resolving;            /* the version of its stream is being looked up */
+	const char *retry_reason;  /* code of the reason of a held retry */
+	GList *open_link;          /* link in gateway->open_requests */
+	GList *held_link;          /* link in gateway->held_retries, or NULL */
+	GByteArray *buffered_body; /* body of a plain response until it is forwarded */
+	uint64_t quota_amount;     /* charged to the team, in the unit of its limit */
 	/** Called once the request has been charged. */
 	void (*on_admitted)(struct comet_proxy_request *proxy, uint64_t now_us);
 	uint32_t owners_tried;   /* owners that were sent a quota request */
 	uint32_t quota_owner_vm; /* VM that charged the request; 0 if this VM did */
 	uint64_t arrived_us;
-	uint64_t deadline_us; /* the caller stops waiting */
-	uint64_t sent_us;
-	uint64_t first_byte_us;     /* first body byte of this attempt; 0 if none yet */
-	uint64_t last_byte_us;      /* last bytes of this attempt's response; 0 if none yet */
+	uint64_t deadline_us;       /* the caller stops waiting */
 	uint64_t response_start_us; /* first body byte of any attempt; 0 if none yet */
 	uint64_t max_gap_us;        /* longest time between two parts of the response */
-	uint64_t silence_timeout_us;
-	uint64_t unfinished_bytes;   /* of an event that the previous attempt left incomplete */
-	uint64_t attempt_body_bytes; /* body bytes received in this attempt */
-	uint32_t peer_vm;            /* VM through which the current attempt goes; 0: none */
-	uint32_t last_peer_vm;       /* VM through which the last such attempt went; 0: none */
+	uint64_t unfinished_bytes;  /* of an event that the previous attempt left incomplete */
+	uint32_t last_peer_vm;      /* VM through which the last such attempt went; 0: none */
 	uint32_t peer_attempts;
 	uint32_t attempts;        /* attempts that may have reached an endpoint */
-	uint32_t prior_events;    /* events forwarded before this attempt */
 	uint16_t response_status; /* status that was sent to the caller */
 	char *content_type;       /* content type that was sent to the caller, or NULL */
 	bool from_peer;           /* received from another VM: not sent through a further one */
 	bool quota_charged;       /* has to be refunded if the request is not run */
 	bool may_have_run;
-	bool not_executed;        /* the endpoint's response says that it did not run the request */
-	bool response_started;    /* the response head was sent to the caller */
-	bool resuming;            /* this attempt resumes a stream that was interrupted */
-	bool upstream_paused;     /* reading from the endpoint is paused for a slow caller */
-	bool held_after_last;     /* held although its attempts are used up */
+	bool response_started; /* the response head was sent to the caller */
+	bool resuming;         /* this attempt resumes a stream that was interrupted */
+	bool held_after_last;  /* held although its attempts are used up */
+	bool has_retry_token;  /* the retry budget was charged for the next attempt */
+	bool replacing; /* the next attempt is held or requests a slot while this one goes on */
+	uint64_t replacement_requested_us;
 	bool retry_same_endpoint; /* may be sent to an endpoint that was tried before */
 };
 
@@ -99,11 +89,6 @@
 void
 comet_proxy_request_count_end(const struct comet_proxy_request *proxy, const char *reason);
 
-/** Ends the current attempt, records its result for the endpoint and releases the slot. */
-void
-comet_proxy_request_end_attempt(
-	struct comet_proxy_request *proxy, enum comet_dispatch_result result);
-
 /** Probes the connections of attempts that were sent to an earlier process of an endpoint. */
 void
 comet_proxy_request_probe_previous_incarnation(
@@ -161,24 +146,32 @@
 comet_proxy_request_fail(
 	struct comet_proxy_request *proxy, unsigned int status, const char *reason);
 
-/** Returns whether the request may be sent again, and if so takes a token of the retry budget. */
+/** Ends a resumed request whose stream's version is not known. Frees it. */
+void
+comet_proxy_request_version_unknown(struct comet_proxy_request *proxy, uint32_t retry_after_ms);
+
+/** Returns whether the request may be sent again, and if so takes a token of the retry budget, once
+ * for each attempt. */
 bool
 comet_proxy_request_may_retry(struct comet_proxy_request *proxy);
 
-/** Resets the state of the last attempt, and counts the request as sent at now_us. */
-void
-comet_proxy_request_begin_attempt(struct comet_proxy_request *proxy, uint64_t now_us);
-
 /** Sends the request through another VM if this VM reaches no endpoint (gateway_peer_attempt.c).
  * @return false if this VM reaches endpoints, or if there is no further VM to send it through */
 bool
 comet_proxy_request_send_through_peer(struct comet_proxy_request *proxy);
 
-/** Handles a complete response of another VM that is neither a success nor a definite answer.
- * @param from_endpoint the response has the stamp of an endpoint
- * @return false if the response is handled like that of an endpoint */
-bool
-comet_proxy_request_handle_peer_failure(struct comet_proxy_request *proxy, bool from_endpoint);
+/** How a complete response of another VM is handled. */
+enum comet_peer_response
+{
+	COMET_PEER_RESPONSE_FORWARDED, /**< like the response of an endpoint */
+	COMET_PEER_RESPONSE_HANDLED,   /**< a refusal, which has been handled */
+	COMET_PEER_RESPONSE_BROKEN,    /**< the attempt has failed */
+};
+
+/** Handles a refusal by another VM, and tells what to do with another response.
+ * @param from_endpoint the response has the stamp of an endpoint */
+enum comet_peer_response
+comet_proxy_request_handle_peer_response(struct comet_proxy_request *proxy, bool from_endpoint);
 
 /** Refunds the team's quota for a request that was not run. */
 void
@@ -197,6 +190,16 @@
 void
 comet_proxy_request_attempt_refused(struct comet_proxy_request *proxy);
 
+/** Applies the load header of a response of the current attempt (gateway_speed.c). */
+void
+comet_proxy_request_load_stated(struct comet_proxy_request *proxy, struct comet_instance *instance,
+	const char *load_text, uint64_t now_us);
+
+/** Takes a sample of the endpoint's speed once the current attempt has enough events, for this VM
+ * and for an owner that wants it (gateway_speed.c). */
+void
+comet_proxy_request_sample(struct comet_proxy_request *proxy, uint64_t now_us);
+
 /** Handlers of an endpoint's response (gateway_answer.c). */
 extern const struct comet_exchange_events comet_proxy_request_response_events;
 
--- a/libcometspindle/adapters/gateway/proxy_request_state.c
+++ b/libcometspindle/adapters/gateway/proxy_request_state.c
@@ -13,18 +13,19 @@
 struct comet_instance *
 comet_proxy_request_instance(const struct comet_proxy_request *proxy)
 {
-	if (proxy->instance_id == NULL)
+	if (proxy->attempt == NULL || proxy->attempt->instance_id == NULL)
 		return NULL;
 	struct comet_instance *instance =
-		comet_instances_find(proxy->gateway->instances, proxy->instance_id);
-	return instance != NULL && instance->process_start_ms == proxy->process_start_ms ? instance
-											 : NULL;
+		comet_instances_find(proxy->gateway->instances, proxy->attempt->instance_id);
+	return instance != NULL && instance->process_start_ms == proxy->attempt->process_start_ms
+		       ? instance
+		       : NULL;
 }
 
 bool
 comet_proxy_request_timing_is_valid(const struct comet_proxy_request *proxy)
 {
-	return proxy->gateway->pause_detected_us < proxy->sent_us;
+	return proxy->gateway->pause_detected_us < proxy->attempt->sent_us;
 }
 
 uint32_t
--- a/libcometspindle/adapters/peers/datagram_socket.c
+++ b/libcometspindle/adapters/peers/datagram_socket.c
@@ -21,6 +21,8 @@
 	struct tevent_fd *event;
 	comet_datagram_socket_handler handler;
 	void *ctx;
+	bool (*is_near)(const void *ctx, uint32_t address); /* NULL: not known */
+	const void *is_near_ctx;
 	struct comet_byte_counters bytes;
 	struct comet_datagram_counts counts[COMET_DATAGRAM_KINDS];
 	uint64_t unsent;
@@ -29,18 +31,31 @@
 	int fd;
 };
 
+/* Returns whether a VM is in another availability zone. VMs that are not known yet count as such.
+ */
+static bool
+is_far(const struct comet_datagram_socket *datagram_socket, uint32_t address)
+{
+	return datagram_socket->is_near != NULL &&
+	       !datagram_socket->is_near(datagram_socket->is_near_ctx, address);
+}
+
 static void
-count_received(struct comet_datagram_socket *datagram_socket, const uint8_t *data, size_t length)
+count_received(struct comet_datagram_socket *datagram_socket, uint32_t from, const uint8_t *data,
+	size_t length)
 {
 	struct comet_datagram_counts *counts =
 		&datagram_socket->counts[comet_datagram_kind(data, length)];
 
 	counts->received++;
 	counts->bytes.received += length;
+	if (is_far(datagram_socket, from))
+		counts->crossing.received += length;
 }
 
 static void
-count_sent(struct comet_datagram_socket *datagram_socket, const uint8_t *data, size_t length)
+count_sent(struct comet_datagram_socket *datagram_socket, uint32_t to, const uint8_t *data,
+	size_t length)
 {
 	struct comet_datagram_counts *counts =
 		&datagram_socket->counts[comet_datagram_kind(data, length)];
@@ -48,6 +63,8 @@
 	datagram_socket->bytes.sent += length;
 	counts->sent++;
 	counts->bytes.sent += length;
+	if (is_far(datagram_socket, to))
+		counts->crossing.sent += length;
 }
 
 static void
@@ -61,11 +78,15 @@
 	(void)flags;
 	for (int i = 0; i < DATAGRAMS_PER_TURN; i++)
 	{
-		ssize_t length = recv(datagram_socket->fd, buffer, sizeof buffer, 0);
+		struct sockaddr_in from = {0};
+		socklen_t from_length = sizeof from;
+		ssize_t length = recvfrom(datagram_socket->fd, buffer, sizeof buffer, 0,
+			(struct sockaddr *)&from, &from_length);
 		if (length < 0)
 			return; /* no more datagrams, or the error of an earlier send */
 		datagram_socket->bytes.received += (uint64_t)length;
-		count_received(datagram_socket, buffer, (size_t)length);
+		count_received(
+			datagram_socket, ntohl(from.sin_addr.s_addr), buffer, (size_t)length);
 		datagram_socket->handler(datagram_socket->ctx, buffer, (size_t)length);
 	}
 }
@@ -127,7 +148,15 @@
 		0)
 		datagram_socket->unsent++;
 	else
-		count_sent(datagram_socket, data, length);
+		count_sent(datagram_socket, address, data, length);
+}
+
+void
+comet_datagram_socket_set_zone_check(struct comet_datagram_socket *datagram_socket,
+	bool (*is_near)(const void *ctx, uint32_t address), const void *ctx)
+{
+	datagram_socket->is_near = is_near;
+	datagram_socket->is_near_ctx = ctx;
 }
 
 const struct comet_datagram_counts *
--- a/libcometspindle/adapters/peers/datagram_socket.h
+++ b/libcometspindle/adapters/peers/datagram_socket.h
@@ -11,6 +11,7 @@
 
 #include <glib.h>
 #include <libcometspindle/adapters/byte_counters.h>
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 #include <tevent.h>
@@ -30,8 +31,15 @@
 	uint64_t received;
 	uint64_t sent;
 	struct comet_byte_counters bytes;
+	struct comet_byte_counters crossing; /**< the part to and from other availability zones */
 };
 
+/** Sets the function that tells whether a VM is in the availability zone of this one. Until then,
+ * no bytes count as crossing. */
+void
+comet_datagram_socket_set_zone_check(struct comet_datagram_socket *datagram_socket,
+	bool (*is_near)(const void *ctx, uint32_t address), const void *ctx);
+
 /** @return the counts of a kind (comet_datagram_kind()). */
 const struct comet_datagram_counts *
 comet_datagram_socket_counts(const struct comet_datagram_socket *datagram_socket, uint32_t kind);
--- a/libcometspindle/gateway/admission/rate_limiter.c
+++ b/libcometspindle/gateway/admission/rate_limiter.c
@@ -5,14 +5,10 @@
 #include <libcometspindle/gateway/admission/rate_limiter.h>
 
 #include <glib.h>
+#include <libcometspindle/gateway/admission/spending_window.h>
 #include <string.h>
 #include <talloc.h>
 
-/* A window is divided into slices. One more is kept, because the newest slice is incomplete and the
- * amount of a slice expires all at once; fewer slices would cover less than a window. */
-#define WINDOW_SLICES 16
-#define SLICES (WINDOW_SLICES + 1)
-
 /* Fraction of the permitted excess that is used. The rest covers what other VMs spend between two
  * reports, requests that are sent later than they were counted, and what a killed VM never
  * reported. */
@@ -52,18 +48,20 @@
 /* Shortest delay that is returned with a rejection. */
 #define RETRY_AFTER_MIN_MS 200
 
+/* Minimum depth of a team's token bucket, as time at the team's rate. Rates are configured per
+ * second, and requests arrive unevenly within a second. */
+#define BUCKET_MIN_S 1.0
+
 struct quota
 {
-	double limit;                 /* per window; 0: unlimited */
-	double all_spent[SLICES];     /* known spending of all VMs, by slice */
-	double own_spent[SLICES];     /* this VM's part of it */
-	double assumed_spent[SLICES]; /* spending before this process started */
-	uint64_t slice;               /* number of the newest slice */
-	uint64_t own_spent_total;     /* by this VM since its process started */
-	uint64_t last_us;             /* when own_spent_total last increased */
+	double limit;                        /* per window; 0: unlimited */
+	struct comet_token_bucket bucket;    /* limit on the rate within the window */
+	struct comet_spending_window window; /* what was spent */
+	uint64_t own_spent_total;            /* by this VM since its process started */
+	uint64_t last_us;                    /* when own_spent_total last increased */
 	double typical_amount; /* moving average of the requests' amounts; 0: no request yet */
 	double unreported;     /* by this VM since its last report, each request capped */
-	bool reported;         /* assumed_spent is what another VM reported */
+	bool reported;         /* the assumed spending is what another VM reported */
 	GHashTable *charged;   /* owner: VM -> uint64_t, charged and not reported by that VM yet */
 };
 
@@ -118,31 +116,7 @@
 static uint64_t
 slice_us(const struct comet_rate_limiter *rate_limiter)
 {
-	return (uint64_t)rate_limiter->config.window_ms * 1000 / WINDOW_SLICES;
-}
-
-/* Clears the slices that have left the window. */
-static void
-advance(const struct comet_rate_limiter *rate_limiter, struct quota *quota, uint64_t now_us)
-{
-	uint64_t slice = now_us / slice_us(rate_limiter);
-
-	if (slice <= quota->slice)
-		return;
-	if (slice - quota->slice >= SLICES)
-	{
-		memset(quota->all_spent, 0, sizeof quota->all_spent);
-		memset(quota->own_spent, 0, sizeof quota->own_spent);
-		memset(quota->assumed_spent, 0, sizeof quota->assumed_spent);
-		quota->slice = slice;
-	}
-	while (quota->slice < slice)
-	{
-		quota->slice++;
-		quota->all_spent[quota->slice % SLICES] = 0;
-		quota->own_spent[quota->slice % SLICES] = 0;
-		quota->assumed_spent[quota->slice % SLICES] = 0;
-	}
+	return (uint64_t)rate_limiter->config.window_ms * 1000 / COMET_SPENDING_WINDOW_SLICES;
 }
 
 /* @return the quota of a team with its window advanced to now, or NULL if the team is not
@@ -153,61 +127,27 @@
 	struct quota *quota = find_quota(rate_limiter, team_id);
 
 	if (quota != NULL)
-		advance(rate_limiter, quota, now_us);
+		comet_spending_window_advance(&quota->window, now_us);
 	return quota;
 }
 
-static double
-sum_slices(const double slices[SLICES])
-{
-	double sum = 0;
-
-	for (int i = 0; i < SLICES; i++)
-		sum += slices[i];
-	return sum;
-}
-
-/* Slices of the current window that lie before the start of this process. */
-static uint64_t
-slices_before_start(const struct comet_rate_limiter *rate_limiter, const struct quota *quota)
-{
-	uint64_t elapsed = quota->slice - rate_limiter->started_us / slice_us(rate_limiter);
-
-	return elapsed >= SLICES ? 0 : SLICES - elapsed;
-}
-
-/* Spreads an amount over the slices before the start of this process. */
-static void
-set_assumed_spent(const struct comet_rate_limiter *rate_limiter, struct quota *quota, double amount)
-{
-	uint64_t slices = slices_before_start(rate_limiter, quota);
-
-	memset(quota->assumed_spent, 0, sizeof quota->assumed_spent);
-	for (uint64_t i = 0; i < slices; i++)
-	{
-		/* The oldest slice of the window follows the newest one in the ring. */
-		uint64_t slice = quota->slice + 1 + i;
-		quota->assumed_spent[slice % SLICES] = amount / (double)slices;
-	}
-}
-
 struct team_update
 {
 	struct comet_rate_limiter *rate_limiter;
 	uint64_t now_us;
 };
 
-/* Scales past spending after a limit was lowered. It was permitted under the higher limit; without
- * scaling, the team would be blocked for a full window. */
+/* Sets the token bucket so that it permits the team's rate at any time, and no more over a window
+ * than the team's limit. */
 static void
-scale_spent(struct quota *quota, double factor)
+set_bucket(const struct comet_rate_limiter *rate_limiter, struct quota *quota, double rate_per_s)
 {
-	for (int i = 0; i < SLICES; i++)
-	{
-		quota->all_spent[i] *= factor;
-		quota->own_spent[i] *= factor;
-		quota->assumed_spent[i] *= factor;
-	}
+	double slice_s = (double)slice_us(rate_limiter) / 1e6;
+
+	quota->bucket.refill = rate_per_s * slice_s;
+	quota->bucket.depth =
+		MAX(quota->limit - COMET_SPENDING_WINDOW_SLICES * quota->bucket.refill,
+			rate_per_s * BUCKET_MIN_S);
 }
 
 static void
@@ -226,16 +166,20 @@
 	if (is_new)
 	{
 		quota = g_new0(struct quota, 1);
-		quota->slice = update->now_us / slice_us(rate_limiter);
+		comet_spending_window_init(&quota->window, slice_us(rate_limiter), update->now_us);
 		quota->charged = g_hash_table_new_full(NULL, NULL, NULL, g_free);
 		g_hash_table_insert(rate_limiter->quotas, GUINT_TO_POINTER(team->id), quota);
 	}
 	double before = quota->limit;
 	quota->limit = team->rate_per_s > 0 ? limit + EXCESS_USED_RATIO * excess : 0;
+	set_bucket(rate_limiter, quota, (double)team->rate_per_s);
+	/* Past spending was permitted under the higher limit; without scaling, the team would be
+	 * blocked for a full window. */
 	if (quota->limit > 0 && quota->limit < before)
-		scale_spent(quota, quota->limit / before);
+		comet_spending_window_scale(&quota->window, quota->limit / before);
 	if (is_new)
-		set_assumed_spent(rate_limiter, quota, ASSUMED_SPENT_RATIO * quota->limit);
+		comet_spending_window_assume(&quota->window, rate_limiter->started_us,
+			ASSUMED_SPENT_RATIO * quota->limit);
 }
 
 void
@@ -263,28 +207,11 @@
 	return (double)rate_limiter->alive_vms / rate_limiter->known_vms;
 }
 
-/* Known and assumed spending in the current window. */
-static double
-spent_in_window(const struct quota *quota)
-{
-	return sum_slices(quota->all_spent) + sum_slices(quota->assumed_spent);
-}
-
-/* The part of it that was spent before the partition, which the VMs on both sides know. */
-static double
-spent_before_partition(const struct comet_rate_limiter *rate_limiter, const struct quota *quota)
+/* Whether this process has run for the whole window, so that nothing in it is assumed. */
+static bool
+is_window_known(const struct comet_rate_limiter *rate_limiter, const struct quota *quota)
 {
-	uint64_t first = quota->slice - MIN(quota->slice, WINDOW_SLICES);
-	uint64_t partition_slice = rate_limiter->partitioned_since_us / slice_us(rate_limiter);
-	double sum = 0;
-
-	for (uint64_t slice = first; slice <= quota->slice; slice++)
-	{
-		if (slice < partition_slice)
-			sum += quota->all_spent[slice % SLICES] +
-			       quota->assumed_spent[slice % SLICES];
-	}
-	return sum;
+	return comet_spending_window_slices_before(&quota->window, rate_limiter->started_us) == 0;
 }
 
 /* What may still be spent: the limit's share of the alive VMs, less what was spent. Spending from
@@ -294,10 +221,11 @@
 	enum comet_rate_limiter_source source)
 {
 	double share = alive_share(rate_limiter);
-	double available = share * quota->limit - spent_in_window(quota);
+	double available = share * quota->limit - comet_spending_window_total(&quota->window);
 
 	if (share < 1)
-		available += (1 - share) * spent_before_partition(rate_limiter, quota);
+		available += (1 - share) * comet_spending_window_before(&quota->window,
+						   rate_limiter->partitioned_since_us);
 	if (source == COMET_RATE_LIMITER_GOSSIP)
 		available -= quota->unreported * (rate_limiter->alive_vms - 1);
 	return available;
@@ -311,12 +239,8 @@
 	double available = remaining(rate_limiter, quota, source);
 	uint64_t slices = 0;
 
-	for (; slices < SLICES && available < needed; slices++)
-	{
-		uint64_t slice = quota->slice + 1 + slices;
-		available +=
-			quota->all_spent[slice % SLICES] + quota->assumed_spent[slice % SLICES];
-	}
+	for (; slices < COMET_SPENDING_SLICES && available < needed; slices++)
+		available += comet_spending_window_expiring(&quota->window, slices);
 	uint64_t ms = slices * slice_us(rate_limiter) / 1000;
 	return (uint32_t)MAX(ms, RETRY_AFTER_MIN_MS);
 }
@@ -348,7 +272,7 @@
 	double ratio = RESERVE_RATIO * MIN(rank, RESERVE_RANKS_MAX) * relative_amount;
 
 	ratio *= alive_share(rate_limiter);
-	return MAX(ratio * quota->limit - sum_slices(quota->assumed_spent), 0);
+	return MAX(ratio * quota->limit - comet_spending_window_assumed(&quota->window), 0);
 }
 
 /* Returns whether an isolated VM may admit this request as its only one in a window. The team must
@@ -360,8 +284,9 @@
 	double max_amount = MAX(quota->typical_amount, 1);
 
 	return rate_limiter->alive_vms == 1 && rate_limiter->known_vms > 1 &&
-	       sum_slices(quota->own_spent) + MIN(amount, max_amount) <= max_amount &&
-	       spent_in_window(quota) <= ISOLATED_SPENT_RATIO_MAX * quota->limit;
+	       comet_spending_window_own(&quota->window) + MIN(amount, max_amount) <= max_amount &&
+	       comet_spending_window_total(&quota->window) <=
+		       ISOLATED_SPENT_RATIO_MAX * quota->limit;
 }
 
 /* Counts what was spent through this VM. */
@@ -369,27 +294,50 @@
 add_own_spent(struct quota *quota, uint64_t amount, uint64_t now_us)
 {
 	update_typical_amount(quota, (double)amount);
-	quota->all_spent[quota->slice % SLICES] += (double)amount;
-	quota->own_spent[quota->slice % SLICES] += (double)amount;
+	comet_spending_window_add_own(&quota->window, (double)amount);
 	quota->unreported += capped_amount(quota, (double)amount);
 	quota->own_spent_total += amount;
 	quota->last_us = now_us;
 }
 
+/* Checks the token bucket. The limit over the window alone would let a team with excess demand
+ * spend all of it at once and then reject its requests until the window has passed, although the
+ * team is entitled to its rate at any time. Only the owner can check it: gossip delivers the
+ * spending of other VMs in batches, which would look like bursts. @return as check_limit() */
+static uint32_t
+bucket_wait_ms(const struct comet_rate_limiter *rate_limiter, const struct quota *quota,
+	uint32_t rank, double amount, uint64_t now_us)
+{
+	double share = alive_share(rate_limiter);
+	const struct comet_token_bucket bucket = {
+		share * quota->bucket.refill, share * quota->bucket.depth};
+	double reserve = RESERVE_RATIO * MIN(rank, RESERVE_RANKS_MAX) * bucket.depth;
+	double missing = MIN(amount + reserve, bucket.depth) -
+			 comet_spending_window_bucket_level(&quota->window, &bucket,
+				 rate_limiter->partitioned_since_us, share, now_us);
+
+	if (missing <= 0)
+		return 0;
+	double wait_ms = missing / bucket.refill * (double)slice_us(rate_limiter) / 1000;
+	return (uint32_t)CLAMP(wait_ms, RETRY_AFTER_MIN_MS, rate_limiter->config.window_ms);
+}
+
 /* @return 0 if the team may spend amount, or the delay in ms before another attempt may succeed */
 static uint32_t
 check_limit(const struct comet_rate_limiter *rate_limiter, const struct quota *quota, uint32_t rank,
-	uint64_t amount, enum comet_rate_limiter_source source)
+	uint64_t amount, enum comet_rate_limiter_source source, uint64_t now_us)
 {
 	if (quota->limit <= 0)
 		return 0;
 	/* A request larger than the limit is admitted when nothing of the limit is spent. */
 	double needed = (double)amount + compute_reserve(rate_limiter, quota, rank, (double)amount);
 	needed = MIN(needed, alive_share(rate_limiter) * quota->limit);
-	if (remaining(rate_limiter, quota, source) >= needed ||
-		is_allowed_isolated(rate_limiter, quota, (double)amount))
-		return 0;
-	return compute_wait_ms(rate_limiter, quota, source, needed);
+	if (remaining(rate_limiter, quota, source) < needed &&
+		!is_allowed_isolated(rate_limiter, quota, (double)amount))
+		return compute_wait_ms(rate_limiter, quota, source, needed);
+	return source == COMET_RATE_LIMITER_OWNER
+		       ? bucket_wait_ms(rate_limiter, quota, rank, (double)amount, now_us)
+		       : 0;
 }
 
 uint32_t
@@ -400,7 +348,7 @@
 
 	if (quota == NULL)
 		return 0;
-	uint32_t wait_ms = check_limit(rate_limiter, quota, rank, amount, source);
+	uint32_t wait_ms = check_limit(rate_limiter, quota, rank, amount, source, now_us);
 	if (wait_ms == 0)
 		add_own_spent(quota, amount, now_us);
 	return wait_ms;
@@ -438,26 +386,17 @@
 
 	if (quota == NULL)
 		return false;
-	*wait_ms = check_limit(rate_limiter, quota, rank, amount, COMET_RATE_LIMITER_OWNER);
+	*wait_ms = check_limit(rate_limiter, quota, rank, amount, COMET_RATE_LIMITER_OWNER, now_us);
 	if (*wait_ms != 0)
 		return true;
 	update_typical_amount(quota, (double)amount);
-	quota->all_spent[quota->slice % SLICES] += (double)amount;
+	comet_spending_window_add_remote(&quota->window, (double)amount);
 	uint64_t *charged = find_or_add_charged(quota, vm);
 	if (charged != NULL)
 		*charged += amount;
 	return true;
 }
 
-/* Subtracts a refunded amount from the newest slice. */
-static void
-subtract_spent(struct quota *quota, uint64_t amount)
-{
-	double *newest = &quota->all_spent[quota->slice % SLICES];
-
-	*newest = MAX(*newest - (double)amount, 0);
-}
-
 void
 comet_rate_limiter_refund_remote(struct comet_rate_limiter *rate_limiter, uint32_t vm,
 	uint32_t team_id, uint64_t amount, uint64_t now_us)
@@ -469,7 +408,7 @@
 	if (charged == NULL || *charged < amount)
 		return;
 	*charged -= amount;
-	subtract_spent(quota, amount);
+	comet_spending_window_refund(&quota->window, (double)amount);
 }
 
 void
@@ -484,7 +423,7 @@
 	uint64_t already_charged = charged != NULL ? MIN(*charged, amount) : 0;
 	if (charged != NULL)
 		*charged -= already_charged;
-	quota->all_spent[quota->slice % SLICES] += (double)(amount - already_charged);
+	comet_spending_window_add_remote(&quota->window, (double)(amount - already_charged));
 }
 
 void
@@ -506,11 +445,12 @@
 
 	if (quota == NULL)
 		return;
-	if (quota->reported || slices_before_start(rate_limiter, quota) == 0)
+	if (quota->reported || is_window_known(rate_limiter, quota))
 		return;
 	quota->reported = true;
-	double before = (double)recent - sum_slices(quota->all_spent);
-	set_assumed_spent(rate_limiter, quota, MAX(before, 0));
+	double before = (double)recent - (comet_spending_window_total(&quota->window) -
+						 comet_spending_window_assumed(&quota->window));
+	comet_spending_window_assume(&quota->window, rate_limiter->started_us, MAX(before, 0));
 }
 
 void
@@ -521,9 +461,7 @@
 
 	if (quota == NULL)
 		return;
-	double *newest = &quota->own_spent[quota->slice % SLICES];
-	subtract_spent(quota, amount);
-	*newest = MAX(*newest - (double)amount, 0);
+	comet_spending_window_refund_own(&quota->window, (double)amount);
 	quota->unreported = MAX(quota->unreported - capped_amount(quota, (double)amount), 0);
 	quota->own_spent_total -= MIN(quota->own_spent_total, amount);
 }
@@ -556,12 +494,12 @@
 			.spent = quota->own_spent_total,
 			.last_us = quota->last_us,
 		};
-		advance(rate_limiter, quota, now_us);
-		report.own_spent_in_window = (uint64_t)sum_slices(quota->own_spent);
+		comet_spending_window_advance(&quota->window, now_us);
+		report.own_spent_in_window = (uint64_t)comet_spending_window_own(&quota->window);
 		/* An assumption is not reported as knowledge. */
-		if (quota->reported || slices_before_start(rate_limiter, quota) == 0)
-			report.all_spent_in_window = (uint64_t)(sum_slices(quota->all_spent) +
-								sum_slices(quota->assumed_spent));
+		if (quota->reported || is_window_known(rate_limiter, quota))
+			report.all_spent_in_window =
+				(uint64_t)comet_spending_window_total(&quota->window);
 		if (report.spent > 0 || report.all_spent_in_window > 0)
 			visit(ctx, &report);
 	}
--- a/libcometspindle/gateway/endpoints/instance.c
+++ b/libcometspindle/gateway/endpoints/instance.c
@@ -18,6 +18,14 @@
 #define RELATIVE_LATENCY_MIN 0.2
 #define RELATIVE_LATENCY_MAX 20.0
 
+/* Samples before the learned relative latency is relied on. Each of the first ones has the same
+ * weight; from three on, one that was disturbed by a long prompt counts a third at most. */
+#define FEW_SAMPLES 3
+
+/* Weight of a typical latency before the first sample of a plain response, in samples. A single
+ * slow response would otherwise make an endpoint look so slow that it gets no further request. */
+#define PLAIN_PRIOR_SAMPLES 1
+
 /* Expected latency of a cold instance, relative to a warm one. */
 #define COLD_LATENCY_FACTOR 2.0
 
@@ -99,7 +107,7 @@
 	const struct comet_instance *instance, uint64_t now_us)
 {
 	double token_us = comet_latency_model_prompt_us(latency_model, 1000) / 1000 *
-			  instance->relative_latency;
+			  comet_instance_relative_latency(instance);
 	double processed = (double)(now_us - instance->granted_us) / MAX(token_us, 1.0);
 
 	return MAX(instance->granted_prompt_tokens - processed, 0.0);
@@ -125,38 +133,51 @@
 	instance->reported_total -= MIN(instance->reported_total, 1);
 }
 
+uint32_t
+comet_instance_prompt_tokens_ahead(const struct comet_instance *instance, uint64_t now_us)
+{
+	/* The maximum, since gossip includes granted tokens a little later. */
+	double others = MAX((double)instance->remote_prompt_tokens,
+		granted_prompt_tokens(instance->latency_model, instance, now_us));
+
+	return instance->local_prompt_tokens + (uint32_t)others;
+}
+
 void
 comet_instance_estimate(const struct comet_instance *instance,
 	const struct comet_request_size *size, uint64_t now_us, uint64_t *first_us,
 	uint64_t *total_us)
 {
 	const struct comet_latency_model *latency_model = instance->latency_model;
-	double cold_factor = instance->warm_until_us > now_us ? COLD_LATENCY_FACTOR : 1.0;
+	double relative = comet_instance_relative_latency(instance) *
+			  (instance->warm_until_us > now_us ? COLD_LATENCY_FACTOR : 1.0);
 
 	if (!size->stream)
 	{
 		double plain_us =
 			comet_latency_model_mean_us(latency_model, COMET_LATENCY_KIND_PLAIN);
-		*first_us = (uint64_t)(plain_us * instance->relative_latency * cold_factor);
+		*first_us = (uint64_t)comet_current_speed_stretch(
+			&instance->speed, plain_us * relative, now_us);
 		*total_us = *first_us;
 		return;
 	}
 	double token = comet_latency_model_mean_us(latency_model, COMET_LATENCY_KIND_TOKEN);
-	/* The maximum, since gossip includes granted tokens a little later. */
-	double others = MAX((double)instance->remote_prompt_tokens,
-		granted_prompt_tokens(latency_model, instance, now_us));
 	double ahead = comet_latency_model_prompt_us(
-		latency_model, instance->local_prompt_tokens + (uint32_t)others);
+		latency_model, comet_instance_prompt_tokens_ahead(instance, now_us));
 	double first = comet_latency_model_first_us(latency_model, size->prompt_tokens) + ahead;
-	*first_us = (uint64_t)(first * instance->relative_latency * cold_factor);
-	*total_us = (uint64_t)((first + token * size->output_tokens) * instance->relative_latency *
-			       cold_factor);
+	*first_us =
+		(uint64_t)comet_current_speed_stretch(&instance->speed, first * relative, now_us);
+	*total_us = (uint64_t)comet_current_speed_stretch(
+		&instance->speed, (first + token * size->output_tokens) * relative, now_us);
 }
 
 double
-comet_instance_slot_us(const struct comet_instance *instance)
+comet_instance_slot_us(const struct comet_instance *instance, uint64_t now_us)
 {
-	return comet_latency_model_slot_us(instance->latency_model) * instance->relative_latency;
+	double usual_us = comet_latency_model_slot_us(instance->latency_model) *
+			  comet_instance_relative_latency(instance);
+
+	return comet_current_speed_stretch(&instance->speed, usual_us, now_us);
 }
 
 void
@@ -175,6 +196,12 @@
 	comet_slow_start_begin(&instance->slow_start, instance->slow_start_config, now_us);
 }
 
+void
+comet_instance_presume_cold(struct comet_instance *instance, uint64_t now_us)
+{
+	comet_slow_start_presume(&instance->slow_start, instance->slow_start_config, now_us);
+}
+
 bool
 comet_instance_is_probing(const struct comet_instance *instance, uint64_t now_us)
 {
@@ -190,30 +217,62 @@
 	g_hash_table_add(instance->busy, instance);
 }
 
+double
+comet_instance_relative_latency(const struct comet_instance *instance)
+{
+	if (instance->samples > 0)
+		return instance->relative_latency;
+	return instance->relative_latency *
+	       comet_latency_model_typical_relative(instance->latency_model);
+}
+
+double
+comet_instance_relative_to_typical(const struct comet_instance *instance)
+{
+	return comet_instance_relative_latency(instance) /
+	       comet_latency_model_typical_relative(instance->latency_model);
+}
+
+bool
+comet_instance_wants_samples(const struct comet_instance *instance)
+{
+	return instance->samples < FEW_SAMPLES;
+}
+
+/* The first samples have equal weights, so that an endpoint that is far slower than others is known
+ * from its first sample on.
+ * @param prior weight of the latency before, in samples */
 static void
-learn_relative_latency(struct comet_instance *instance, double taken_us, double usual_us)
+learn_relative_latency(
+	struct comet_instance *instance, double taken_us, double usual_us, uint32_t prior)
 {
-	double sample =
-		CLAMP(taken_us / MAX(usual_us, 1.0), RELATIVE_LATENCY_MIN, RELATIVE_LATENCY_MAX);
+	struct comet_latency_model *latency_model = instance->latency_model;
+	double typical = comet_latency_model_typical_relative(latency_model);
+	double sample = CLAMP(taken_us / MAX(usual_us, 1.0), RELATIVE_LATENCY_MIN * typical,
+		RELATIVE_LATENCY_MAX * typical);
 
 	instance->samples++;
-	double weight = MAX(RELATIVE_LATENCY_WEIGHT, 1.0 / (1.0 + instance->samples));
+	double weight = MAX(RELATIVE_LATENCY_WEIGHT, 1.0 / (instance->samples + prior));
 	instance->relative_latency += weight * (sample - instance->relative_latency);
+	comet_latency_model_record_relative(
+		latency_model, instance->recorded_latency, instance->relative_latency);
+	instance->recorded_latency = instance->relative_latency;
 }
 
 void
-comet_instance_first_event(
-	struct comet_instance *instance, const struct comet_request_size *size, uint64_t first_us)
+comet_instance_first_event(struct comet_instance *instance, const struct comet_request_size *size,
+	uint32_t tokens_ahead, uint64_t first_us, uint64_t now_us)
 {
 	struct comet_latency_model *latency_model = instance->latency_model;
 
 	instance->local_prompt_tokens -= MIN(instance->local_prompt_tokens, size->prompt_tokens);
-	if (!size->stream || first_us == COMET_LATENCY_UNKNOWN)
+	uint64_t usual_us = comet_current_speed_usual_us(&instance->speed, first_us, now_us);
+	if (!size->stream || usual_us == COMET_LATENCY_UNKNOWN)
 		return;
 	/* A sample includes queueing time, so it is only used while no request waits there. */
 	if (instance->local_requests + instance->remote_requests <= instance->slots)
-		comet_latency_model_learn_first(latency_model, size->prompt_tokens,
-			(double)first_us / instance->relative_latency);
+		comet_latency_model_learn_first(latency_model, size->prompt_tokens + tokens_ahead,
+			(double)usual_us / comet_instance_relative_latency(instance));
 }
 
 /* Updates the relative latency and the latency model from a plain response. */
@@ -226,8 +285,9 @@
 		known ? comet_latency_model_mean_us(latency_model, COMET_LATENCY_KIND_PLAIN)
 		      : (double)taken_us;
 
-	learn_relative_latency(instance, (double)taken_us, usual_us);
-	comet_latency_model_learn(latency_model, COMET_LATENCY_KIND_PLAIN, (double)taken_us);
+	learn_relative_latency(instance, (double)taken_us, usual_us, PLAIN_PRIOR_SAMPLES);
+	comet_latency_model_learn(latency_model, COMET_LATENCY_KIND_PLAIN,
+		(double)taken_us / instance->relative_latency);
 }
 
 void
@@ -245,7 +305,7 @@
 	double usual_us =
 		known ? comet_latency_model_mean_us(latency_model, COMET_LATENCY_KIND_EVENT)
 		      : event_us;
-	learn_relative_latency(instance, event_us, usual_us);
+	learn_relative_latency(instance, event_us, usual_us, 0);
 	comet_latency_model_learn(
 		latency_model, COMET_LATENCY_KIND_EVENT, event_us / instance->relative_latency);
 }
@@ -266,12 +326,13 @@
 	}
 	double first = comet_latency_model_first_us(latency_model, size->prompt_tokens);
 	comet_latency_model_learn(latency_model, COMET_LATENCY_KIND_SLOT,
-		first + (double)stream_us / instance->relative_latency);
+		first + (double)stream_us / comet_instance_relative_latency(instance));
 	if (events < 2 || size->output_tokens == 0)
 		return;
 	comet_instance_add_sample(instance, true, stream_us, events);
 	comet_latency_model_learn(latency_model, COMET_LATENCY_KIND_TOKEN,
-		(double)stream_us / size->output_tokens / instance->relative_latency);
+		(double)stream_us / size->output_tokens /
+			comet_instance_relative_latency(instance));
 }
 
 /* Records a failed dispatch and ejects the instance after too many of them. @return whether the
@@ -364,7 +425,8 @@
 		instance->local_prompt_tokens -=
 			MIN(instance->local_prompt_tokens, size->prompt_tokens);
 	if (result == COMET_DISPATCH_SERVED)
-		learn_latency(instance, size, stream_us, events);
+		learn_latency(instance, size,
+			comet_current_speed_usual_us(&instance->speed, stream_us, now_us), events);
 	return learn_result(instance, result, now_us);
 }
 
--- a/libcometspindle/gateway/endpoints/instance.h
+++ b/libcometspindle/gateway/endpoints/instance.h
@@ -10,6 +10,7 @@
 #include <glib.h>
 #include <libcometspindle/gateway/endpoints/advertised_limit.h>
 #include <libcometspindle/gateway/endpoints/brittleness.h>
+#include <libcometspindle/gateway/endpoints/current_speed.h>
 #include <libcometspindle/gateway/endpoints/slow_start.h>
 #include <stdbool.h>
 #include <stdint.h>
@@ -64,33 +65,38 @@
 	uint64_t rest_until_us; /**< it wants no requests from this VM before then */
 	bool evacuated;         /**< its zone is evacuated: it receives no new requests */
 	bool listed;            /**< the directory lists it */
+	struct comet_slow_start_allowance cold_allowance; /**< of this VM while it is cold */
 	uint64_t expire_us; /**< removed at this time, if unlisted after an outage; 0: no expiry */
 	uint64_t warm_until_us; /**< end of its warm-up, during which it is slower */
 	struct comet_slow_start slow_start;
 	const struct comet_slow_start_config *slow_start_config; /**< shared by its service */
 	struct comet_advertised_limit limit;                     /**< on its request rate */
 	struct comet_brittleness brittleness;
-	GHashTable *leaving;           /**< set of the instances that said that they leave */
-	GHashTable *limited;           /**< set of the instances with a limit to report */
-	GHashTable *busy;              /**< set of the instances with dispatches of this VM */
-	uint32_t local_requests;       /**< running dispatches of this VM */
-	uint32_t local_prompt_tokens;  /**< of own dispatches without a first event */
-	uint32_t remote_requests;      /**< running dispatches of other VMs, from gossip */
-	uint32_t remote_prompt_tokens; /**< of dispatches of other VMs without a first event */
-	double granted_prompt_tokens;  /**< of grants to other VMs, not processed yet at
-					* granted_us
-					*/
+	struct comet_current_speed speed; /**< as it states */
+	GHashTable *leaving;              /**< set of the instances that said that they leave */
+	GHashTable *limited;              /**< set of the instances with a limit to report */
+	GHashTable *busy;                 /**< set of the instances with dispatches of this VM */
+	uint32_t local_requests;          /**< running dispatches of this VM */
+	uint32_t local_prompt_tokens;     /**< of own dispatches without a first event */
+	uint32_t remote_requests;         /**< running dispatches of other VMs, from gossip */
+	uint32_t remote_prompt_tokens;    /**< of dispatches of other VMs without a first event */
+	double granted_prompt_tokens;     /**< of grants to other VMs, not processed yet at
+					   * granted_us
+					   */
 	uint64_t granted_us;
 	const uint64_t *gossip_us; /**< time of the newest gossip about the load of any instance;
 				      0: none */
 	uint32_t reported_total;   /**< running and queued requests, from its last response */
 	uint32_t reported_own;     /**< local_requests at that time */
 	uint64_t reported_us;      /**< time of that response; 0: none */
-	double relative_latency;   /**< latency relative to the usual latency of its service */
-	uint32_t samples;          /**< number of samples of the relative latency */
-	uint64_t last_seen_us;     /**< last time it sent data on any connection; 0: never */
-	uint32_t failures;         /**< consecutive */
-	double error_rate;         /**< moving average, 0 to 1 */
+	double relative_latency;   /**< learned; see comet_instance_relative_latency() */
+	double recorded_latency;   /**< as recorded in the latency model; 0: no samples yet */
+	uint64_t needed_us;    /**< when a request was last picked for it, or waited for it, that a
+				  slower instance would not have served in time; 0: never */
+	uint32_t samples;      /**< number of samples of the relative latency */
+	uint64_t last_seen_us; /**< last time it sent data on any connection; 0: never */
+	uint32_t failures;     /**< consecutive */
+	double error_rate;     /**< moving average, 0 to 1 */
 	uint64_t ejected_until_us; /**< no requests before then, then a probe; 0: not ejected */
 	bool probe_in_flight;
 	uint64_t probe_started_us; /**< time at which the probe was sent or granted */
@@ -124,9 +130,28 @@
 void
 comet_instance_slot_released(struct comet_instance *instance);
 
-/** Updates the relative latency and the latency model from a complete response: a plain one after
- * taken_us, or a stream of that many events within taken_us. A plain response with taken_us 0 and a
- * stream of fewer than two events are ignored. */
+/** Returns the latency relative to the latency model of its service; that of a typical endpoint as
+ * long as there are no samples. */
+double
+comet_instance_relative_latency(const struct comet_instance *instance);
+
+/** Returns the latency relative to that of a typical endpoint of its service, for logs. */
+double
+comet_instance_relative_to_typical(const struct comet_instance *instance);
+
+/** Events of a stream after which it is a sample of the endpoint's speed although it has not ended:
+ * enough that single pauses for the prompts of other requests do not decide, and no more than short
+ * responses have. */
+#define COMET_INSTANCE_SAMPLE_EVENTS 8
+
+/** @return whether there are too few samples to rely on, so that samples of streams that have not
+ * ended are of use. */
+bool
+comet_instance_wants_samples(const struct comet_instance *instance);
+
+/** Updates the relative latency and the latency model from a response: a plain one after taken_us,
+ * or events of a stream within taken_us, each as long as it usually takes. A plain response with
+ * taken_us 0 and a stream of fewer than two events are ignored. */
 void
 comet_instance_add_sample(
 	struct comet_instance *instance, bool stream, uint64_t taken_us, uint32_t events);
@@ -137,9 +162,14 @@
 	const struct comet_request_size *size, uint64_t now_us, uint64_t *first_us,
 	uint64_t *total_us);
 
+/** Estimates how many prompt tokens the instance reads before those of a request that is sent now.
+ */
+uint32_t
+comet_instance_prompt_tokens_ahead(const struct comet_instance *instance, uint64_t now_us);
+
 /** Estimates how long a typical request of its service occupies a slot of this instance. */
 double
-comet_instance_slot_us(const struct comet_instance *instance);
+comet_instance_slot_us(const struct comet_instance *instance, uint64_t now_us);
 
 /** Records that this VM selected the instance, for its own request or for a grant to another VM. If
  * the instance is ejected, this request is its probe. */
@@ -151,6 +181,10 @@
 void
 comet_instance_begin_slow_start(struct comet_instance *instance, uint64_t now_us);
 
+/** Presumes that an instance is cold, for which only the lack of requests speaks. */
+void
+comet_instance_presume_cold(struct comet_instance *instance, uint64_t now_us);
+
 /** @return whether a probe is in flight and has not timed out. */
 bool
 comet_instance_is_probing(const struct comet_instance *instance, uint64_t now_us);
@@ -163,10 +197,11 @@
 /** Marks a time that is excluded from learning. */
 #define COMET_LATENCY_UNKNOWN 0
 
-/** Records that the first event of a dispatch arrived after first_us. */
+/** Records that the first event of a dispatch arrived after first_us, and that the endpoint read
+ * tokens_ahead prompt tokens of other requests before. */
 void
-comet_instance_first_event(
-	struct comet_instance *instance, const struct comet_request_size *size, uint64_t first_us);
+comet_instance_first_event(struct comet_instance *instance, const struct comet_request_size *size,
+	uint32_t tokens_ahead, uint64_t first_us, uint64_t now_us);
 
 /** Records the end of a dispatch. @return true when the instance was ejected, readmitted or found
  * to be replaced. */
--- a/libcometspindle/gateway/endpoints/instances.c
+++ b/libcometspindle/gateway/endpoints/instances.c
@@ -253,7 +253,8 @@
 		comet_instances_remove(instances, record->id);
 		instance = NULL;
 	}
-	if (instance == NULL)
+	bool is_new = instance == NULL;
+	if (is_new)
 		instance = add_instance(instances, record);
 	if (set_string(instance, &instance->address, record->address))
 		instance->replaced = false;
@@ -268,7 +269,11 @@
 	instance->evacuated = g_hash_table_contains(instances->evacuated_zones, instance->zone);
 	instance->warm_until_us =
 		record->warm_up_ms > 0 ? now_us + (uint64_t)record->warm_up_ms * 1000 : 0;
-	if (!instance->listed)
+	/* An endpoint that disappeared from the directory and is listed again may have been cold
+	 * for some time. The entry of a new one states its warm-up. */
+	if (is_new)
+		comet_instance_presume_cold(instance, now_us);
+	else if (!instance->listed)
 		comet_instance_begin_slow_start(instance, now_us);
 	comet_slow_start_set_until(&instance->slow_start, instance->warm_until_us);
 	instance->listed = true;
@@ -309,6 +314,7 @@
 		return;
 	instances->changes++;
 	comet_statements_keep(instances->statements, instance);
+	comet_latency_model_record_relative(instance->latency_model, instance->recorded_latency, 0);
 	set_expiry(instances, instance, 0);
 	g_hash_table_remove(instances->busy, instance);
 	g_hash_table_remove(instances->leaving, instance);
@@ -579,10 +585,13 @@
 {
 	const struct comet_latency_model *latency_model = latency_model_of(instances, service);
 
+	double relative = comet_latency_model_typical_relative(latency_model);
+
 	if (!size->stream)
-		return (uint64_t)comet_latency_model_mean_us(
-			latency_model, COMET_LATENCY_KIND_PLAIN);
-	return (uint64_t)comet_latency_model_first_us(latency_model, size->prompt_tokens);
+		return (uint64_t)(relative * comet_latency_model_mean_us(
+						     latency_model, COMET_LATENCY_KIND_PLAIN));
+	return (uint64_t)(relative *
+			  comet_latency_model_first_us(latency_model, size->prompt_tokens));
 }
 
 uint64_t
--- a/libcometspindle/gateway/endpoints/instances.h
+++ b/libcometspindle/gateway/endpoints/instances.h
@@ -152,13 +152,13 @@
 comet_instances_each_leaving(struct comet_instances *instances, uint64_t now_us,
 	void (*visit)(void *ctx, const struct comet_instance *instance), void *ctx);
 
-/** Estimates the time until the first event at an idle instance of usual latency. */
+/** Estimates the time until the first event at an idle instance of typical latency. */
 uint64_t
 comet_instances_typical_first_us(struct comet_instances *instances, const char *service,
 	const struct comet_request_size *size);
 
-/** Estimates how long a typical request of a service occupies a slot of an instance of usual
- * latency. */
+/** Estimates how long a typical request of a service occupies a slot of an instance with a relative
+ * latency of 1. */
 uint64_t
 comet_instances_typical_slot_us(struct comet_instances *instances, const char *service);
 
--- a/libcometspindle/gateway/endpoints/latency_model.c
+++ b/libcometspindle/gateway/endpoints/latency_model.c
@@ -47,6 +47,9 @@
 struct comet_latency_model
 {
 	struct mean means[COMET_LATENCY_KINDS];
+	double inverse_sum; /* of the relative latencies of endpoints with samples */
+	uint32_t endpoints; /* number of these endpoints */
+	double typical;     /* their harmonic mean, also after they were removed */
 	double n; /* decayed sums of the linear fit of first event time (y) to prompt tokens (x) */
 	double x;
 	double y;
@@ -71,6 +74,7 @@
 	double long_prompt_us =
 		DEFAULT_FIRST_EVENT_US + DEFAULT_PROMPT_TOKEN_US * PRIOR_PROMPT_TOKENS;
 
+	latency_model->typical = 1;
 	add_point(latency_model, PRIOR_SAMPLES / 2, 0, DEFAULT_FIRST_EVENT_US);
 	add_point(latency_model, PRIOR_SAMPLES / 2, PRIOR_PROMPT_TOKENS, long_prompt_us);
 	return latency_model;
@@ -111,6 +115,32 @@
 		latency_model, plain ? COMET_LATENCY_KIND_PLAIN : COMET_LATENCY_KIND_SLOT);
 }
 
+void
+comet_latency_model_record_relative(
+	struct comet_latency_model *latency_model, double recorded, double current)
+{
+	if (recorded > 0)
+	{
+		latency_model->inverse_sum -= 1 / recorded;
+		latency_model->endpoints--;
+	}
+	if (current > 0)
+	{
+		latency_model->inverse_sum += 1 / current;
+		latency_model->endpoints++;
+	}
+	if (latency_model->endpoints > 0)
+		latency_model->typical = latency_model->endpoints / latency_model->inverse_sum;
+	else
+		latency_model->inverse_sum = 0; /* removes rounding errors */
+}
+
+double
+comet_latency_model_typical_relative(const struct comet_latency_model *latency_model)
+{
+	return latency_model->typical;
+}
+
 void
 comet_latency_model_learn(
 	struct comet_latency_model *latency_model, enum comet_latency_kind kind, double sample_us)
--- a/libcometspindle/gateway/endpoints/latency_model.h
+++ b/libcometspindle/gateway/endpoints/latency_model.h
@@ -2,8 +2,10 @@
  * latency_model.h
  * usual latency of the requests of one service, learned from its responses
  *
- * All times are those of an endpoint of usual latency; the relative latency of
- * an endpoint multiplies them (instance.h). This module uses no clock.
+ * All times are those of an endpoint with a relative latency of 1 (instance.h), which multiplies
+ * them. The first sample decides which one that is. The relative latency of a typical endpoint
+ * follows from those of all endpoints with samples, so that the order in which endpoints respond
+ * does not matter. This module uses no clock.
  */
 #ifndef COMETSPINDLE_GATEWAY_LATENCY_MODEL_H
 #define COMETSPINDLE_GATEWAY_LATENCY_MODEL_H
@@ -46,6 +48,20 @@
 double
 comet_latency_model_slot_us(const struct comet_latency_model *latency_model);
 
+/**
+ * Records the relative latency of an endpoint, of which samples were learned.
+ * @param recorded what is recorded of the endpoint so far; 0: nothing
+ * @param current the present value; 0: the endpoint is removed
+ */
+void
+comet_latency_model_record_relative(
+	struct comet_latency_model *latency_model, double recorded, double current);
+
+/** @return the relative latency of a typical endpoint, weighted by how much work endpoints do in
+ * the same time; 1 until one is recorded. */
+double
+comet_latency_model_typical_relative(const struct comet_latency_model *latency_model);
+
 /** Adds a sample to the average of a kind. */
 void
 comet_latency_model_learn(
--- a/libcometspindle/gateway/endpoints/slow_start.c
+++ b/libcometspindle/gateway/endpoints/slow_start.c
@@ -36,6 +36,14 @@
 		comet_slow_start_set_until(start, now_us + config->cold_us);
 }
 
+void
+comet_slow_start_presume(struct comet_slow_start *start,
+	const struct comet_slow_start_config *config, uint64_t now_us)
+{
+	if (is_limited(config))
+		start->presumed_until_us = MAX(start->presumed_until_us, now_us + config->cold_us);
+}
+
 void
 comet_slow_start_set_until(struct comet_slow_start *start, uint64_t until_us)
 {
@@ -49,7 +57,7 @@
 	uint64_t slice = now_us / SLICE_US;
 
 	if (has_been_idle(start, now_us))
-		comet_slow_start_begin(start, config, now_us);
+		comet_slow_start_presume(start, config, now_us);
 	if (slice - start->slice >= COMET_SLOW_START_SLICES)
 		memset(start->counts, 0, sizeof start->counts);
 	for (uint64_t at = start->slice + 1;
@@ -60,9 +68,8 @@
 	start->last_us = now_us;
 }
 
-/* Returns the number of requests in the current time slices. */
-static uint32_t
-recent_requests(const struct comet_slow_start *start, uint64_t now_us)
+uint32_t
+comet_slow_start_recent(const struct comet_slow_start *start, uint64_t now_us)
 {
 	uint64_t slice = now_us / SLICE_US;
 	uint64_t oldest = slice - MIN(slice, COMET_SLOW_START_SLICES - 1);
@@ -73,16 +80,25 @@
 	return sum;
 }
 
+uint32_t
+comet_slow_start_limit(const struct comet_slow_start *start,
+	const struct comet_slow_start_config *config,
+	const struct comet_slow_start_allowance *allowance, uint64_t now_us)
+{
+	if (!is_limited(config))
+		return UINT32_MAX;
+	if (now_us < start->until_us)
+		return allowance->known;
+	if (now_us < start->presumed_until_us || has_been_idle(start, now_us))
+		return allowance->presumed;
+	return UINT32_MAX;
+}
+
 bool
 comet_slow_start_admits(const struct comet_slow_start *start,
-	const struct comet_slow_start_config *config, double share, double draw, uint64_t now_us)
+	const struct comet_slow_start_config *config,
+	const struct comet_slow_start_allowance *allowance, uint64_t now_us)
 {
-	bool cold = now_us < start->until_us || has_been_idle(start, now_us);
-	double limit = config->max_per_s * share;
-
-	if (!is_limited(config) || !cold)
-		return true;
-	if (limit < 1)
-		return draw < limit && recent_requests(start, now_us) == 0;
-	return recent_requests(start, now_us) < (uint32_t)limit;
+	return comet_slow_start_recent(start, now_us) <
+	       comet_slow_start_limit(start, config, allowance, now_us);
 }
--- a/libcometspindle/gateway/endpoints/slow_start.h
+++ b/libcometspindle/gateway/endpoints/slow_start.h
@@ -5,7 +5,7 @@
  * An endpoint is cold after its start, and a burst may arrive before the news of
  * the start. An endpoint that receives requests after an idle period therefore
  * counts as cold as well. All VMs together must stay within the limit in any
- * second; each VM decides on a share of it. This module uses no clock.
+ * second; each VM decides on a share of it (cold_share.h). This module uses no clock.
  */
 #ifndef COMETSPINDLE_GATEWAY_SLOW_START_H
 #define COMETSPINDLE_GATEWAY_SLOW_START_H
@@ -26,9 +26,10 @@
 /** Slow start state of one endpoint; all zero: no requests yet. */
 struct comet_slow_start
 {
-	uint64_t until_us;                        /**< end of the cold period */
-	uint64_t last_us;                         /**< time of the last request; 0: none */
-	uint64_t slice;                           /**< index of the newest slice */
+	uint64_t until_us;          /**< end of the cold period */
+	uint64_t presumed_until_us; /**< end of a cold period that nothing but idleness suggests */
+	uint64_t last_us;           /**< time of the last request; 0: none */
+	uint64_t slice;             /**< index of the newest slice */
 	uint32_t counts[COMET_SLOW_START_SLICES]; /**< requests per slice, a ring buffer */
 };
 
@@ -37,6 +38,12 @@
 comet_slow_start_begin(struct comet_slow_start *start, const struct comet_slow_start_config *config,
 	uint64_t now_us);
 
+/** Starts a cold period that is only presumed: the directory states no warm-up for the endpoint,
+ * and no failure of it was seen. */
+void
+comet_slow_start_presume(struct comet_slow_start *start,
+	const struct comet_slow_start_config *config, uint64_t now_us);
+
 /** Extends the cold period to a time that the endpoint itself reported. */
 void
 comet_slow_start_set_until(struct comet_slow_start *start, uint64_t until_us);
@@ -46,14 +53,27 @@
 comet_slow_start_count(struct comet_slow_start *start, const struct comet_slow_start_config *config,
 	uint64_t now_us);
 
-/**
- * Returns whether this VM may send or grant one more request.
- * @param share fraction of the limit that this VM decides on
- * @param draw fixed number from 0 to 1 for the endpoint and this VM. If the share is less than one
- * request, only VMs whose draw is below it may send one.
- */
+/** Requests per second to a cold endpoint on which this VM decides (cold_share.h). */
+struct comet_slow_start_allowance
+{
+	uint32_t known;    /**< if the endpoint is known to be cold */
+	uint32_t presumed; /**< if that is only presumed */
+};
+
+/** @return the allowance that applies now; UINT32_MAX: the endpoint is not limited. */
+uint32_t
+comet_slow_start_limit(const struct comet_slow_start *start,
+	const struct comet_slow_start_config *config,
+	const struct comet_slow_start_allowance *allowance, uint64_t now_us);
+
+/** Returns whether this VM may send or grant one more request. */
 bool
 comet_slow_start_admits(const struct comet_slow_start *start,
-	const struct comet_slow_start_config *config, double share, double draw, uint64_t now_us);
+	const struct comet_slow_start_config *config,
+	const struct comet_slow_start_allowance *allowance, uint64_t now_us);
+
+/** Returns the number of requests that this VM has counted in the last second or a little more. */
+uint32_t
+comet_slow_start_recent(const struct comet_slow_start *start, uint64_t now_us);
 
 #endif
--- a/libcometspindle/gateway/fleet/gossip.c
+++ b/libcometspindle/gateway/fleet/gossip.c
@@ -27,16 +27,13 @@
  * is enough if an update arrives within three seconds of its event. */
 #define BROADCAST_INTERVAL_US 500000
 
-/* Bounds on what one VM may report at an endpoint: the sums over PEERS_MAX VMs stay in range. */
-#define REPORTED_REQUESTS_MAX 1000000
-#define REPORTED_PROMPT_TOKENS_MAX 1000000
-
 static void
 free_peer(gpointer data)
 {
 	struct comet_gossip_peer *peer = data;
 
 	g_array_free(peer->loads, TRUE);
+	g_array_free(peer->grants, TRUE);
 	g_hash_table_destroy(peer->reported_spending);
 	g_free(peer);
 }
@@ -61,6 +58,7 @@
 		peer = g_new0(struct comet_gossip_peer, 1);
 		peer->address = address;
 		peer->loads = g_array_new(FALSE, FALSE, sizeof(comet_Busy));
+		peer->grants = g_array_new(FALSE, FALSE, sizeof(struct comet_gossip_grant));
 		peer->reported_spending = g_hash_table_new_full(NULL, NULL, NULL, g_free);
 		g_hash_table_insert(gossip->peers, GUINT_TO_POINTER(address), peer);
 	}
@@ -150,6 +148,8 @@
 		if (view->peers[i] == gossip->address || view->peers[i] == 0)
 			continue;
 		struct comet_gossip_peer *peer = find_or_add_peer(gossip, view->peers[i]);
+		if (peer != NULL)
+			peer->listed_us = now_us;
 		if (peer != NULL && peer->first_known_us == 0)
 		{
 			peer->first_known_us = now_us;
@@ -158,82 +158,6 @@
 	}
 }
 
-static void
-clear_remote_load(void *ctx, struct comet_instance *instance)
-{
-	(void)ctx;
-	instance->remote_requests = 0;
-	instance->remote_prompt_tokens = 0;
-}
-
-/* Adds the load that a VM reports at each endpoint. */
-static void
-add_loads(struct comet_gossip *gossip, const struct comet_gossip_peer *peer)
-{
-	for (guint i = 0; i < peer->loads->len; i++)
-	{
-		const comet_Busy *busy = &g_array_index(peer->loads, comet_Busy, i);
-		struct comet_instance *instance =
-			comet_instances_find_key(gossip->instances, busy->instance);
-		if (instance == NULL)
-			continue;
-		instance->remote_requests += busy->running;
-		instance->remote_prompt_tokens += busy->prompt_tokens;
-	}
-}
-
-/* Takes back what add_loads() has added. */
-static void
-subtract_loads(struct comet_gossip *gossip, const struct comet_gossip_peer *peer)
-{
-	for (guint i = 0; i < peer->loads->len; i++)
-	{
-		const comet_Busy *busy = &g_array_index(peer->loads, comet_Busy, i);
-		struct comet_instance *instance =
-			comet_instances_find_key(gossip->instances, busy->instance);
-		if (instance == NULL)
-			continue;
-		instance->remote_requests -= busy->running;
-		instance->remote_prompt_tokens -= busy->prompt_tokens;
-	}
-}
-
-/* Sums the load that other VMs report again if endpoints were added or removed. Otherwise each
- * view changes the sums only by its own endpoints. */
-static void
-refresh_remote_load(struct comet_gossip *gossip)
-{
-	uint64_t changes = comet_instances_change_count(gossip->instances);
-	GHashTableIter at;
-	gpointer value = NULL;
-
-	if (changes == gossip->summed_changes)
-		return;
-	gossip->summed_changes = changes;
-	comet_instances_each(gossip->instances, clear_remote_load, NULL);
-	g_hash_table_iter_init(&at, gossip->peers);
-	while (g_hash_table_iter_next(&at, NULL, &value))
-		add_loads(gossip, value);
-}
-
-/* Replaces the load that a VM reports. */
-static void
-set_loads(struct comet_gossip *gossip, struct comet_gossip_peer *peer, const comet_Busy *busy,
-	pb_size_t count)
-{
-	refresh_remote_load(gossip);
-	subtract_loads(gossip, peer);
-	g_array_set_size(peer->loads, 0);
-	for (pb_size_t i = 0; i < count; i++)
-	{
-		comet_Busy reported = busy[i];
-		reported.running = MIN(reported.running, REPORTED_REQUESTS_MAX);
-		reported.prompt_tokens = MIN(reported.prompt_tokens, REPORTED_PROMPT_TOKENS_MAX);
-		g_array_append_val(peer->loads, reported);
-	}
-	add_loads(gossip, peer);
-}
-
 /* Merges a limit that an endpoint advertised to another VM. */
 static void
 merge_limit(struct comet_gossip *gossip, const comet_AdvertisedLimit *reported, uint64_t now_us)
@@ -272,7 +196,10 @@
 		g_hash_table_remove_all(peer->reported_spending);
 		comet_rate_limiter_vm_restarted(gossip->rate_limiter, peer->address);
 		peer->has_reported_spending = false;
+		g_array_set_size(peer->grants, 0);
 	}
+	if (peer->last_seen_us == 0)
+		comet_gossip_peer_found(gossip);
 	peer->needs_view = peer->needs_view || peer->last_seen_us == 0 || restarted;
 	peer->isolated = view->peers_count == 0;
 	if (peer->last_seen_us == 0 || peer->unreachable || restarted)
@@ -289,7 +216,7 @@
 	peer->revision = view->revision;
 	peer->zone = view->zone;
 	peer->cpu_percent = view->cpu_percent;
-	set_loads(gossip, peer, view->busy, view->busy_count);
+	comet_gossip_set_loads(gossip, peer, view->busy, view->busy_count, now_us);
 	for (pb_size_t i = 0; i < view->spent_count; i++)
 		merge_spending(
 			gossip, peer, &view->spent[i], view->age_ms < gossip->window_ms, now_us);
@@ -348,12 +275,16 @@
 			now_us - peer->last_seen_us > timeout_us)
 		{
 			peer->unreachable = true;
-			set_loads(gossip, peer, NULL, 0);
+			g_array_set_size(peer->grants, 0);
+			comet_gossip_set_loads(gossip, peer, NULL, 0, now_us);
 			gossip->ops->peer_state_changed(gossip->ctx, peer->address, false,
 				peer->leaving ? "stopped" : "silent");
 		}
 		if (!peer->seed && last_us != 0 && now_us - last_us > PEER_EXPIRY_US)
+		{
+			comet_gossip_peer_lost(gossip, peer, now_us);
 			g_hash_table_iter_remove(&at);
+		}
 	}
 }
 
@@ -362,7 +293,7 @@
 {
 	comet_gossip_count_zones(gossip);
 	expire_peers(gossip, now_us);
-	refresh_remote_load(gossip);
+	comet_gossip_refresh_loads(gossip);
 	uint64_t all_interval_us = comet_gossip_round_interval_us(gossip, false);
 	if (gossip->broadcast_pending)
 		all_interval_us = MIN(all_interval_us, BROADCAST_INTERVAL_US);
@@ -537,54 +468,6 @@
 	return other_count > 0 ? nth_newer_peer(gossip, revision, false, draw % other_count) : 0;
 }
 
-/* @return the reported load of a peer at an endpoint, or NULL. */
-static comet_Busy *
-find_load(const struct comet_gossip_peer *peer, uint32_t instance_key)
-{
-	for (guint i = 0; i < peer->loads->len; i++)
-	{
-		comet_Busy *busy = &g_array_index(peer->loads, comet_Busy, i);
-		if (busy->instance == instance_key)
-			return busy;
-	}
-	return NULL;
-}
-
-void
-comet_gossip_slot_granted(struct comet_gossip *gossip, uint32_t address, uint32_t instance_key,
-	uint32_t prompt_tokens, uint64_t now_us)
-{
-	struct comet_gossip_peer *peer =
-		g_hash_table_lookup(gossip->peers, GUINT_TO_POINTER(address));
-	struct comet_instance *instance = comet_instances_find_key(gossip->instances, instance_key);
-
-	if (peer == NULL || instance == NULL)
-		return; /* an unknown VM: its first gossip message will include the slot */
-	comet_Busy *busy = find_load(peer, instance_key);
-	if (busy != NULL)
-		busy->running++;
-	else
-	{
-		comet_Busy added = {.instance = instance_key, .running = 1};
-		g_array_append_val(peer->loads, added);
-	}
-	comet_instance_slot_granted(instance, prompt_tokens, now_us);
-}
-
-void
-comet_gossip_slot_released(struct comet_gossip *gossip, uint32_t address, uint32_t instance_key)
-{
-	const struct comet_gossip_peer *peer =
-		g_hash_table_lookup(gossip->peers, GUINT_TO_POINTER(address));
-	struct comet_instance *instance = comet_instances_find_key(gossip->instances, instance_key);
-	comet_Busy *busy = peer != NULL ? find_load(peer, instance_key) : NULL;
-
-	if (instance == NULL || busy == NULL || busy->running == 0)
-		return; /* the next gossip message of the VM has already removed it */
-	busy->running--;
-	comet_instance_slot_released(instance);
-}
-
 uint64_t
 comet_gossip_interval_us(const struct comet_gossip *gossip)
 {
--- a/libcometspindle/gateway/fleet/gossip.h
+++ b/libcometspindle/gateway/fleet/gossip.h
@@ -14,6 +14,7 @@
 #include <glib.h>
 #include <libcometspindle/gateway/admission/rate_limiter.h>
 #include <libcometspindle/gateway/admission/crash_tracker.h>
+#include <libcometspindle/gateway/endpoints/cold_share.h>
 #include <libcometspindle/gateway/endpoints/instances.h>
 #include <libcometspindle/gateway/messages/datagram.h>
 #include <stdbool.h>
@@ -86,8 +87,24 @@
 comet_gossip_find_seed_owner(const struct comet_gossip *gossip, uint32_t key,
 	comet_gossip_is_unresponsive is_unresponsive, const void *ctx);
 
-/** Counts a slot that this VM has granted to another VM, until the next gossip message of that VM
- * includes it. */
+/**
+ * Counts the VMs that may be alive and are preferred over this one as the owner of a key, whatever
+ * their age. A VM that this one does not hear is included as long as others hear it.
+ * @return their number; UINT32_MAX: this VM is stopping and owns nothing
+ */
+uint32_t
+comet_gossip_count_preferred(
+	const struct comet_gossip *gossip, uint32_t key, uint32_t zone, uint64_t now_us);
+
+/** Counts the VMs that this one hears, and all that may be alive, and compares their ages. A VM
+ * discovers others while it has received no gossip from one that it knows of, for some seconds
+ * after its start. */
+void
+comet_gossip_observe_vms(
+	const struct comet_gossip *gossip, struct comet_cold_vms *vms, uint64_t now_us);
+
+/** Counts a slot that this VM has granted to another VM, until a gossip message of that VM was sent
+ * after the grant had arrived there. */
 void
 comet_gossip_slot_granted(struct comet_gossip *gossip, uint32_t address, uint32_t instance_key,
 	uint32_t prompt_tokens, uint64_t now_us);
--- a/libcometspindle/gateway/fleet/gossip_state.h
+++ b/libcometspindle/gateway/fleet/gossip_state.h
@@ -18,6 +18,7 @@
 	uint64_t view_number;    /* number of the last gossip message */
 	uint64_t last_seen_us;   /* 0: no gossip message received yet */
 	uint64_t first_known_us; /* when this VM first learned of it */
+	uint64_t listed_us;      /* when another VM last listed it; 0: never */
 	uint64_t started_us;     /* start of its process, from the age that it reports */
 	uint64_t last_sent_us;   /* when a gossip message was last sent to it */
 	uint64_t revision;
@@ -32,10 +33,18 @@
 	bool isolated;   /* it has no peers: answer with a list of VMs of its zone */
 	bool has_reported_spending; /* an earlier gossip message of this incarnation was merged */
 	bool seed;
-	GArray *loads;                 /* of comet_Busy */
+	GArray *loads;  /* of comet_Busy */
+	GArray *grants; /* of struct comet_gossip_grant, that its messages may not include yet */
 	GHashTable *reported_spending; /* team -> uint64_t, the amount last reported */
 };
 
+/** A slot that this VM has granted to another VM. */
+struct comet_gossip_grant
+{
+	uint32_t instance_key;
+	uint64_t granted_us;
+};
+
 /** Alive VMs of another zone. */
 struct comet_gossip_zone
 {
@@ -68,9 +77,13 @@
 	size_t view_bytes; /* size of the last gossip message */
 	uint64_t zone_sent_us;
 	uint64_t all_sent_us;
-	bool is_seed;        /* this VM is one of its own seeds */
-	uint32_t next_team;  /* where the next gossip message continues the list of teams */
-	uint32_t next_limit; /* where the next gossip message continues the list of limits */
+	/* Numbers of VMs that stopped sending gossip without announcing that they leave, and have
+	 * not sent any since: in the current and in the previous period (gossip_cold.c). */
+	uint32_t lost_vms[2];
+	uint64_t lost_period; /* index of this period */
+	bool is_seed;         /* this VM is one of its own seeds */
+	uint32_t next_team;   /* where the next gossip message continues the list of teams */
+	uint32_t next_limit;  /* where the next gossip message continues the list of limits */
 	uint32_t
 		next_leaving; /* where the next gossip message continues the endpoints that leave */
 	uint32_t next_peer;   /* where the next gossip message continues the list of VMs */
@@ -95,6 +108,25 @@
 	return peer->last_seen_us != 0 && !peer->unreachable && peer->zone != 0;
 }
 
+/** Replaces the load that a VM reports (gossip_loads.c). Recent grants that the report may have
+ * missed stay counted. */
+void
+comet_gossip_set_loads(struct comet_gossip *gossip, struct comet_gossip_peer *peer,
+	const comet_Busy *busy, pb_size_t count, uint64_t now_us);
+
+/** Sums the load that other VMs report again if endpoints were added or removed. */
+void
+comet_gossip_refresh_loads(struct comet_gossip *gossip);
+
+/** Records that the first gossip of a VM has arrived (gossip_cold.c). */
+void
+comet_gossip_peer_found(struct comet_gossip *gossip);
+
+/** Records that a VM expires (gossip_cold.c). */
+void
+comet_gossip_peer_lost(
+	struct comet_gossip *gossip, const struct comet_gossip_peer *peer, uint64_t now_us);
+
 /** Counts the VMs of each zone and selects the forwarders of the other zones (gossip_rounds.c). */
 void
 comet_gossip_count_zones(struct comet_gossip *gossip);
--- a/libcometspindle/gateway/header_names.c
+++ b/libcometspindle/gateway/header_names.c
@@ -85,6 +85,7 @@
 		.waiting = numbers[1],
 		.slots = numbers[2],
 		.slowdown_percent = count > 3 ? numbers[3] : SLOWDOWN_USUAL_PERCENT,
+		.slowdown_stated = count > 3,
 	};
 	return true;
 }
--- a/libcometspindle/gateway/header_names.h
+++ b/libcometspindle/gateway/header_names.h
@@ -45,7 +45,8 @@
 	uint32_t waiting;
 	uint32_t slots;
 	uint32_t slowdown_percent; /**< how long work takes at present, in percent of the usual
-				      time; 100 if the header does not state it */
+				      time, as stated; 100 if the header does not state it */
+	bool slowdown_stated;
 };
 
 /** @return whether only the gateway sets a header, so that the value of a caller is not forwarded.
--- a/libcometspindle/gateway/messages/datagram.c
+++ b/libcometspindle/gateway/messages/datagram.c
@@ -50,6 +50,9 @@
 		[comet_Datagram_streams_tag] = "stream_versions",
 		[comet_Datagram_stream_ask_tag] = "stream_request",
 		[comet_Datagram_stream_answer_tag] = "stream_answer",
+		[comet_Datagram_refused_tag] = "refusal",
+		[comet_Datagram_refused_ask_tag] = "refusal_request",
+		[comet_Datagram_refused_answer_tag] = "refusal_answer",
 	};
 
 	return names[kind];
--- a/libcometspindle/gateway/messages/datagram.h
+++ b/libcometspindle/gateway/messages/datagram.h
@@ -16,7 +16,7 @@
 #define COMET_DATAGRAM_BYTES_MAX 1400
 
 /** Kinds of datagrams; 0: not a datagram of this release. */
-#define COMET_DATAGRAM_KINDS (comet_Datagram_stream_answer_tag + 1)
+#define COMET_DATAGRAM_KINDS (comet_Datagram_refused_answer_tag + 1)
 
 /** @return the kind of an encoded datagram: the tag of its body, or 0. */
 uint32_t
--- a/libcometspindle/gateway/placement/dequeue_rate.c
+++ b/libcometspindle/gateway/placement/dequeue_rate.c
@@ -16,10 +16,11 @@
 void
 comet_dequeue_rate_enqueued(struct comet_dequeue_rate *dequeue_rate, uint64_t now_us)
 {
-	if (dequeue_rate->n_waiting == 0 && now_us - dequeue_rate->measured_from_us > IDLE_RESET_US)
+	if (dequeue_rate->n_waiting == 0)
 	{
+		if (now_us - dequeue_rate->measured_from_us > IDLE_RESET_US)
+			dequeue_rate->interval_us = 0;
 		dequeue_rate->measured_from_us = now_us;
-		dequeue_rate->interval_us = 0;
 	}
 	dequeue_rate->n_waiting++;
 }
@@ -42,10 +43,11 @@
 }
 
 double
-comet_dequeue_rate_expected_wait_us(const struct comet_dequeue_rate *dequeue_rate, uint64_t now_us)
+comet_dequeue_rate_expected_wait_us(
+	const struct comet_dequeue_rate *dequeue_rate, uint32_t n_ahead, uint64_t now_us)
 {
 	if (dequeue_rate->n_waiting == 0)
 		return 0;
-	return (dequeue_rate->n_waiting + 1) *
+	return (MIN(dequeue_rate->n_waiting, n_ahead) + 1) *
 	       MAX(dequeue_rate->interval_us, (double)(now_us - dequeue_rate->measured_from_us));
 }
--- a/libcometspindle/gateway/placement/dequeue_rate.h
+++ b/libcometspindle/gateway/placement/dequeue_rate.h
@@ -33,9 +33,12 @@
 comet_dequeue_rate_dispatched(struct comet_dequeue_rate *dequeue_rate, uint64_t now_us);
 
 /**
+ * @param n_ahead number of requests that would be served before; those that are counted elsewhere
+ * are left out
  * @return the time that one more request would wait at the measured rate; 0: the queue is empty.
  */
 double
-comet_dequeue_rate_expected_wait_us(const struct comet_dequeue_rate *dequeue_rate, uint64_t now_us);
+comet_dequeue_rate_expected_wait_us(
+	const struct comet_dequeue_rate *dequeue_rate, uint32_t n_ahead, uint64_t now_us);
 
 #endif
--- a/libcometspindle/gateway/placement/endpoint_picker.h
+++ b/libcometspindle/gateway/placement/endpoint_picker.h
@@ -15,24 +15,38 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+/** The last cold endpoint that had a free slot and was not picked, for the log. */
+struct comet_cold_refusal
+{
+	uint64_t count;        /**< of all refusals since the start of the process */
+	uint32_t instance_key; /**< of the last one, like the fields below; 0: none yet */
+	uint32_t recent;       /**< requests in the last second or a little more */
+	uint32_t allowance;
+	bool for_other_vm; /**< it was a slot request of another VM */
+	uint64_t at_us;
+};
+
 /** State that one VM uses for all its picks. */
 struct comet_endpoint_picker
 {
 	struct comet_random rng; /**< Adds jitter to costs, so that VMs with equal gossip pick
 				    different endpoints. */
-	uint32_t seed;           /**< Per-VM seed of the admission to endpoints in slow start. */
+	bool prefer_own_zone; /**< Prefer free slots in this VM's availability zone to cheaper ones
+				 in others. */
+	struct comet_cold_refusal cold_refusal;
+	uint64_t spared_fast; /**< Requests for which this VM, as owner, picked a slow endpoint
+				 since others need the fast ones. */
 };
 
 /** The endpoints to pick from, and how their load is counted. */
 struct comet_endpoint_picker_scope
 {
 	const GPtrArray *instances; /**< Candidates, struct comet_instance; NULL: none. */
-	uint32_t queue_limit;    /**< Streams only: requests allowed beyond an endpoint's slots. */
-	bool owned;              /**< Whether this VM is the owner, which has the exact load. */
-	double slow_start_share; /**< Share of the slow start capacity of an endpoint that this VM
-			      may use; 0: another VM decides on admission. */
-	bool owner_decides;      /**< Another VM, the owner, applies the limits that endpoints
-				    advertise. */
+	uint32_t queue_limit; /**< Streams only: requests allowed beyond an endpoint's slots. */
+	bool owned;           /**< Whether this VM is the owner, which has the exact load. */
+	bool decides_on_cold; /**< Whether this VM decides on requests to cold endpoints. */
+	bool owner_decides;   /**< Another VM, the owner, applies the limits that endpoints
+				 advertise. */
 	double limit_share; /**< Otherwise: share of such a limit that this VM may use; 0: none. */
 	const uint32_t *excluded; /**< Keys of instances that must not be picked. */
 	uint32_t n_excluded;
--- a/libcometspindle/gateway/placement/grants.c
+++ b/libcometspindle/gateway/placement/grants.c
@@ -6,6 +6,7 @@
 
 #include <glib.h>
 #include <libcometspindle/gateway/messages/pending_rpcs.h>
+#include <libcometspindle/gateway/placement/placement_order.h>
 #include <string.h>
 #include <talloc.h>
 
@@ -82,6 +83,9 @@
 	message->team_rank = request->team_rank;
 	message->route_rank = request->route_rank;
 	message->late = request->late;
+	message->returned = request->returned;
+	message->waited_ms = (uint32_t)MIN(request->waited_us / 1000, COMET_ORDER_MS_MAX);
+	message->order_ms = (uint32_t)MIN(request->delay_us / 1000, COMET_ORDER_MS_MAX) + 1;
 	message->version = request->version_id;
 	message->wait_ms = (uint32_t)(request->wait_us / 1000);
 	message->left_ms = remaining_ms(request->answer_deadline_us, now_us);
@@ -127,15 +131,16 @@
 	return COMET_DISPATCH_CANCELLED;
 }
 
-void
-comet_grants_release(struct comet_grants *grants, uint32_t owner_vm, uint32_t instance_key,
-	const struct comet_grants_completion *completion)
+static void
+send_freed(struct comet_grants *grants, uint32_t owner_vm, uint32_t instance_key,
+	const struct comet_grants_completion *completion, bool still_running)
 {
 	comet_Datagram datagram = {.which_body = comet_Datagram_freed_tag};
 	comet_SlotFreed *freed = &datagram.body.freed;
 
 	freed->asker = grants->address;
 	freed->instance = instance_key;
+	freed->still_running = still_running;
 	if (completion != NULL)
 	{
 		freed->events = completion->events;
@@ -148,10 +153,49 @@
 				? (uint32_t)MIN(completion->brittle_age_us / 1000, UINT32_MAX - 1) +
 					  1
 				: 0;
+		freed->slowdown_percent = completion->slowdown_percent;
+		freed->slowdown_age_ms =
+			(uint32_t)MIN(completion->slowdown_age_us / 1000, UINT32_MAX);
 	}
 	send_datagram(grants, owner_vm, &datagram);
 }
 
+void
+comet_grants_release(struct comet_grants *grants, uint32_t owner_vm, uint32_t instance_key,
+	const struct comet_grants_completion *completion)
+{
+	send_freed(grants, owner_vm, instance_key, completion, false);
+}
+
+void
+comet_grants_send_sample(struct comet_grants *grants, uint32_t owner_vm, uint32_t instance_key,
+	const struct comet_grants_completion *sample)
+{
+	send_freed(grants, owner_vm, instance_key, sample, true);
+}
+
+void
+comet_grants_add_slowdown(struct comet_grants_completion *completion,
+	const struct comet_instance *instance, uint64_t now_us)
+{
+	if (!comet_current_speed_is_fresh(&instance->speed, now_us))
+		return;
+	completion->slowdown_percent = instance->speed.percent;
+	completion->slowdown_age_us = now_us - MIN(instance->speed.stated_us, now_us);
+}
+
+bool
+comet_grants_learn_speed(
+	struct comet_instance *instance, const comet_SlotFreed *freed, uint64_t now_us)
+{
+	uint64_t age_us = (uint64_t)freed->slowdown_age_ms * 1000;
+
+	comet_instance_add_sample(instance, !freed->plain, freed->taken_us, freed->events);
+	return freed->slowdown_percent == 0 ||
+	       comet_current_speed_observe(
+		       &instance->speed, freed->slowdown_percent, now_us - MIN(age_us, now_us));
+}
+
 static void
 handle_answer(struct comet_grants *grants, const comet_SlotAnswer *answer, uint64_t now_us)
 {
@@ -166,6 +210,9 @@
 			comet_grants_release(grants, answer->keeper, answer->instance, NULL);
 		return;
 	}
+	if (answer->instance == 0 && answer->return_ms > 0)
+		grants->ops->return_time(
+			grants->ctx, found->rpc.user_data, (uint64_t)answer->return_ms * 1000);
 	if (answer->instance == 0 && answer->waits)
 	{
 		found->queued = true;
@@ -179,6 +226,7 @@
 		.owner_vm = request.rpc.vm,
 		.instance_key = answer->instance,
 		.limit_applied = answer->limit_applied,
+		.sample_wanted = answer->sample_wanted,
 	};
 	comet_pending_rpcs_remove(grants->rpcs, found);
 	if (answer->instance != 0)
@@ -188,6 +236,10 @@
 			grants->ctx, request.rpc.user_data, request.shard, request.queue_limit);
 }
 
+/* Also asks for samples of endpoints that have stated another speed than the usual: the statement
+ * of a stream's response would otherwise reach the owner at the end of the stream, when it is too
+ * old.
+ */
 static void
 send_answer(struct comet_grants *grants, uint32_t requester, uint64_t number,
 	const struct comet_instance *instance, const struct comet_placement_wait_estimate *wait)
@@ -202,6 +254,13 @@
 				.waits = wait->waits,
 				.expected_ms = (uint32_t)MIN(wait->expected_us / 1000, UINT32_MAX),
 				.limit_applied = instance != NULL && instance->limit.active,
+				.sample_wanted = instance != NULL &&
+						 (comet_instance_wants_samples(instance) ||
+							 instance->speed.changed_us != 0),
+				.return_ms =
+					instance == NULL
+						? (uint32_t)MIN(wait->return_us / 1000, UINT32_MAX)
+						: 0,
 			},
 	};
 
--- a/libcometspindle/gateway/placement/grants.h
+++ b/libcometspindle/gateway/placement/grants.h
@@ -46,6 +46,10 @@
 		struct comet_placement_wait_estimate *wait);
 	/** Owner: another VM has released a slot that it had been granted. */
 	void (*remote_release)(void *ctx, const comet_SlotFreed *freed);
+	/** Requesting VM: the owner denies the slot or lets the request wait, and expects to have
+	 * room in return_us for the request if its caller is refused now. Called before denied and
+	 * expected_wait. */
+	void (*return_time)(void *ctx, struct comet_placement_item *item, uint64_t return_us);
 };
 
 struct comet_grants;
@@ -77,7 +81,9 @@
 	uint64_t taken_us;
 	bool brittle; /**< the endpoint is brittle, as far as this VM knows */
 	uint32_t rejections_per_s;
-	uint64_t brittle_age_us; /**< time since this VM learned that; 0: never */
+	uint64_t brittle_age_us;   /**< time since this VM learned that; 0: never */
+	uint32_t slowdown_percent; /**< that the endpoint states; 0: none */
+	uint64_t slowdown_age_us;  /**< time since it stated that */
 };
 
 /**
@@ -88,6 +94,26 @@
 comet_grants_release(struct comet_grants *grants, uint32_t owner_vm, uint32_t instance_key,
 	const struct comet_grants_completion *completion);
 
+/** Sends a sample of a stream that goes on, which releases nothing. Must only be sent to an owner
+ * that wants one (struct comet_slot_grant), since an earlier release takes it for the release of a
+ * slot.
+ */
+void
+comet_grants_send_sample(struct comet_grants *grants, uint32_t owner_vm, uint32_t instance_key,
+	const struct comet_grants_completion *sample);
+
+/** Adds what this VM knows of the slowdown that the endpoint states. The time taken must be given
+ * without it (comet_current_speed_usual_us()). */
+void
+comet_grants_add_slowdown(struct comet_grants_completion *completion,
+	const struct comet_instance *instance, uint64_t now_us);
+
+/** Owner: learns the speed of an endpoint from a release or a sample of another VM.
+ * @return false if the stated slowdown is out of bounds; it is ignored then */
+bool
+comet_grants_learn_speed(
+	struct comet_instance *instance, const comet_SlotFreed *freed, uint64_t now_us);
+
 /** @return the dispatch result for a result that another VM reported to this owner. */
 enum comet_dispatch_result
 comet_grants_result(comet_SlotResult reported);
--- a/libcometspindle/gateway/placement/placement.c
+++ b/libcometspindle/gateway/placement/placement.c
@@ -9,48 +9,22 @@
 #include <string.h>
 #include <talloc.h>
 
-/* Fraction of the slow start capacity of an endpoint that the owner of its shard uses. During a
- * change of ownership or a network partition two VMs may act as owner. */
-#define SLOW_START_OWNER_SHARE 0.5
-
-/* Fraction that all VMs together use without a grant, because some requests are placed by gossip at
- * any time. */
-#define SLOW_START_OWNERLESS_SHARE 0.25
-
-/* The same for the limits that endpoints advertise. The owner leaves a margin, because network
- * delays differ and requests that were sent evenly may arrive close together. */
+/* Fractions of the limit that an endpoint advertises which the owner of its shard uses, and which
+ * all VMs together use without a grant. The owner leaves a margin, because network delays differ
+ * and requests that were sent evenly may arrive close together. */
 #define LIMIT_OWNER_SHARE 0.9
 #define LIMIT_OWNERLESS_SHARE 0.5
 
-/* Bounds of the Retry-After time of a refused caller: long enough for a slot to become free, and no
- * longer than a burst lasts. */
-#define RETRY_AFTER_MIN_MS 100
-#define RETRY_AFTER_MAX_MS 5000
-
-/* Fraction by which Retry-After times vary at random. */
-#define RETRY_JITTER 0.25
-
 /* Mean time before another slot request is sent to an owner that denied one, varied at random by
  * half. While requests wait at many VMs, the owner then receives a slot request every few
  * milliseconds. */
 #define DENIED_BACKOFF_US 100000
 
-/* Retry-After time while all zones of a service are evacuated. An evacuation takes several seconds
- * or longer, and its end is not announced. */
-#define EVACUATED_RETRY_MS 5000
-
-/* Retry-After time while all endpoints of a service leave: about the time in which others start. */
-#define LEAVING_RETRY_MS 1000
-
 /* Interval between checks for late and expired requests, short compared with any latency target. A
  * queue is run for each slot that becomes free, which is some thousand times per second at an
  * owner, so it is not checked on every run. */
 #define EXPIRY_CHECK_INTERVAL_US 10000
 
-/* A queued request sends a slot request only while fewer than this are pending. Any more would rank
- * behind these at any owner. */
-#define QUEUED_SLOT_REQUESTS_MAX 4
-
 static int
 placement_destroy(struct comet_placement *placement)
 {
@@ -67,7 +41,6 @@
 	placement->instances = instances;
 	placement->shards = comet_shards_create(placement, instances);
 	comet_random_init(&placement->picker.rng, seed);
-	placement->picker.seed = (uint32_t)seed;
 	comet_placement_set_vms(placement, 1, 1);
 	placement->ops = ops;
 	placement->ctx = ctx;
@@ -81,28 +54,10 @@
 void
 comet_placement_set_vms(struct comet_placement *placement, uint32_t alive, uint32_t known)
 {
-	placement->owner_share = MIN(SLOW_START_OWNER_SHARE, (double)alive / known);
-	placement->ownerless_share = SLOW_START_OWNERLESS_SHARE / known;
 	placement->limit_owner_share = MIN(LIMIT_OWNER_SHARE, (double)alive / known);
 	placement->limit_ownerless_share = LIMIT_OWNERLESS_SHARE / known;
 }
 
-/* Varies the time at random, so that callers that were refused together do not retry together. */
-static uint32_t
-with_jitter(struct comet_placement *placement, double wait_ms)
-{
-	double jitter = 1 + RETRY_JITTER * (2 * comet_random_double(&placement->picker.rng) - 1);
-
-	return (uint32_t)(wait_ms * jitter);
-}
-
-static uint32_t
-retry_after_ms(struct comet_placement *placement, uint64_t wait_us)
-{
-	return with_jitter(
-		placement, CLAMP((double)wait_us / 1000, RETRY_AFTER_MIN_MS, RETRY_AFTER_MAX_MS));
-}
-
 /* Dispatches the item. owner_vm: the VM that granted the slot, or 0. */
 static void
 dispatch_to_slot(struct comet_placement *placement, struct comet_placement_item *item,
@@ -114,6 +69,11 @@
 				comet_placement_queue_of(placement, item->service), item),
 			now_us);
 	item->was_queued = false;
+	comet_placement_count_served(placement, item, true);
+	placement->decision.slot_us = item->slot_us;
+	placement->decision.mean_slot_us = item->mean_slot_us;
+	placement->decision.advanced = item->advanced;
+	placement->decision.delay_us = item->order_us - item->arrived_us;
 	comet_instance_selected(instance, now_us);
 	item->owner_vm = owner_vm;
 	if (item->n_attempted < COMET_PLACEMENT_ATTEMPTED_MAX)
@@ -125,6 +85,7 @@
 dispatch(struct comet_placement *placement, struct comet_placement_item *item,
 	struct comet_instance *instance, uint64_t now_us)
 {
+	item->sample_wanted = false;
 	dispatch_to_slot(placement, item, instance, 0, now_us);
 }
 
@@ -135,9 +96,9 @@
 	placement->n_slot_requests--;
 }
 
-/* Cancels the pending slot request of the item, if any. */
-static void
-cancel_slot_request(struct comet_placement *placement, struct comet_placement_item *item)
+void
+comet_placement_cancel_slot_request(
+	struct comet_placement *placement, struct comet_placement_item *item)
 {
 	if (!item->slot_requested)
 		return;
@@ -145,154 +106,46 @@
 	placement->ops->cancel_slot_request(placement->ctx, item);
 }
 
-/* Moves requests that can no longer meet their soft deadline behind those of their rank that
- * can. */
-static void
-demote_late_items(
-	struct comet_placement *placement, struct comet_placement_queue *queue, uint64_t now_us)
-{
-	GSequenceIter *iter = g_sequence_get_begin_iter(queue->items);
-
-	while (!g_sequence_iter_is_end(iter))
-	{
-		struct comet_placement_item *item = g_sequence_get(iter);
-		iter = g_sequence_iter_next(iter);
-		if (item->late || !comet_placement_is_late(placement, item, 0, now_us))
-			continue;
-		comet_placement_dequeue(placement, item);
-		item->late = true;
-		uint64_t wait_us = comet_placement_wait_us(placement, item, now_us);
-		if (now_us + wait_us <= item->dispatch_deadline_us)
-		{
-			comet_placement_enqueue(queue, item, now_us);
-			continue;
-		}
-		cancel_slot_request(placement, item);
-		placement->ops->refuse(placement->ctx, item, retry_after_ms(placement, wait_us));
-	}
-}
-
-/* Refuses all queued requests of a service whose zones are all evacuated. */
-static void
-refuse_evacuated(struct comet_placement *placement, struct comet_placement_queue *queue)
-{
-	if (!comet_instances_all_evacuated(placement->instances, queue->service))
-		return;
-	while (g_sequence_get_length(queue->items) > 0)
-	{
-		struct comet_placement_item *item =
-			g_sequence_get(g_sequence_get_begin_iter(queue->items));
-		comet_placement_dequeue(placement, item);
-		cancel_slot_request(placement, item);
-		placement->ops->refuse(
-			placement->ctx, item, with_jitter(placement, EVACUATED_RETRY_MS));
-	}
-}
-
-/* Shortens the waits of a service whose endpoints all leave: a new endpoint may be listed soon, but
- * callers lose little only while they are refused early. */
-static void
-shorten_waits(struct comet_placement *placement, struct comet_placement_queue *queue)
-{
-	GSequenceIter *iter = g_sequence_get_begin_iter(queue->items);
-
-	if (!comet_instances_all_leaving(placement->instances, queue->service))
-		return;
-	for (; !g_sequence_iter_is_end(iter); iter = g_sequence_iter_next(iter))
-	{
-		struct comet_placement_item *item = g_sequence_get(iter);
-		item->dispatch_deadline_us =
-			MIN(item->dispatch_deadline_us, item->early_refusal_us);
-	}
-}
-
-/* @return the Retry-After time of a request that is refused after wait_us */
-static uint32_t
-refusal_ms(struct comet_placement *placement, const struct comet_placement_item *item,
-	uint64_t wait_us)
-{
-	uint32_t ms = retry_after_ms(placement, wait_us);
-
-	if (comet_instances_all_leaving(placement->instances, item->service))
-		ms = MAX(ms, with_jitter(placement, LEAVING_RETRY_MS));
-	return ms;
-}
-
-/* Refuses an item that can be dispatched only after its deadline, because all endpoints rest. Its
- * caller comes back when the first of them has ended its rest.
- * @return false if it is not refused */
+/* Dispatches a queued request if an endpoint has capacity, or sends a slot request to an owner.
+ * waits: set to whether it still waits. @return false if no request behind it can have capacity */
 static bool
-refuse_if_resting(
-	struct comet_placement *placement, struct comet_placement_item *item, uint64_t now_us)
+serve_item(struct comet_placement *placement, struct comet_placement_item *item, guint position,
+	uint64_t now_us, bool *waits)
 {
-	uint64_t end_us = comet_placement_rest_end_us(placement, item, now_us);
+	struct comet_instance *instance =
+		comet_placement_may_request_slot(placement, item, position)
+			? comet_placement_find(placement, item, now_us)
+			: comet_placement_find_local(placement, item, now_us);
 
-	if (end_us <= item->dispatch_deadline_us)
-		return false;
-	double rest_ms = (double)(end_us - now_us) / 1000;
-	double jitter = RETRY_JITTER * comet_random_double(&placement->picker.rng);
-	if (item->queue_position != NULL)
-		comet_placement_dequeue(placement, item);
-	cancel_slot_request(placement, item);
-	placement->ops->refuse(placement->ctx, item, (uint32_t)(rest_ms * (1 + jitter)));
+	*waits = instance == NULL;
+	if (instance == NULL)
+		return item->slot_requested || item->deferred || item->n_attempted > 0 ||
+		       item->version_id != 0;
+	comet_placement_cancel_slot_request(placement, item);
+	comet_placement_dequeue(placement, item);
+	dispatch(placement, item, instance, now_us);
 	return true;
 }
 
-/* Refuses the requests that would wait for the end of a rest beyond their dispatch deadline. */
-static void
-refuse_resting(
-	struct comet_placement *placement, struct comet_placement_queue *queue, uint64_t now_us)
+/* Bound of the queue beyond the slots in a pass over the items in their order. */
+struct queue_bound
 {
-	GSequenceIter *iter = g_sequence_get_begin_iter(queue->items);
-
-	if (!comet_placement_any_resting(placement, queue->service, now_us))
-		return;
-	while (!g_sequence_iter_is_end(iter))
-	{
-		struct comet_placement_item *item = g_sequence_get(iter);
-		iter = g_sequence_iter_next(iter);
-		refuse_if_resting(placement, item, now_us);
-	}
-}
+	uint32_t team_rank;
+	uint32_t of_team;         /* of the items of this team rank that still wait */
+	uint32_t of_urgent_teams; /* of those of more urgent team ranks */
+};
 
-/* Refuses requests whose dispatch deadline has passed. */
+/* Sets the bound of the next item. */
 static void
-refuse_expired(
-	struct comet_placement *placement, struct comet_placement_queue *queue, uint64_t now_us)
+advance_bound(struct queue_bound *bound, struct comet_placement_item *item)
 {
-	GSequenceIter *iter = g_sequence_get_begin_iter(queue->items);
-
-	while (!g_sequence_iter_is_end(iter))
+	if (item->team_rank != bound->team_rank)
 	{
-		struct comet_placement_item *item = g_sequence_get(iter);
-		iter = g_sequence_iter_next(iter);
-		if (item->dispatch_deadline_us > now_us)
-			continue;
-		comet_placement_dequeue(placement, item);
-		cancel_slot_request(placement, item);
-		uint64_t wait_us = comet_placement_wait_us(placement, item, now_us);
-		placement->ops->refuse(placement->ctx, item, refusal_ms(placement, item, wait_us));
+		bound->of_urgent_teams = MIN(bound->of_urgent_teams, bound->of_team);
+		bound->of_team = COMET_PLACEMENT_UNBOUND;
+		bound->team_rank = item->team_rank;
 	}
-}
-
-/* Dispatches a queued request if an endpoint has capacity, or sends a slot request to an owner.
- * @return false if no request behind it can have capacity */
-static bool
-serve_item(struct comet_placement *placement, struct comet_placement_item *item, uint64_t now_us)
-{
-	bool may_request_slot =
-		!item->slot_requested && placement->n_slot_requests < QUEUED_SLOT_REQUESTS_MAX;
-	struct comet_instance *instance =
-		may_request_slot ? comet_placement_find(placement, item, now_us)
-				 : comet_placement_find_local(placement, item, now_us);
-
-	if (instance == NULL)
-		return item->slot_requested || item->deferred || item->n_attempted > 0 ||
-		       item->version_id != 0;
-	cancel_slot_request(placement, item);
-	comet_placement_dequeue(placement, item);
-	dispatch(placement, item, instance, now_us);
-	return true;
+	item->queue_bound = bound->of_urgent_teams;
 }
 
 /* Serves requests of this VM and remote waiters in one order of rank until no endpoint has
@@ -303,36 +156,42 @@
 	if (now_us - queue->expiry_checked_us >= EXPIRY_CHECK_INTERVAL_US)
 	{
 		queue->expiry_checked_us = now_us;
-		refuse_evacuated(placement, queue);
-		shorten_waits(placement, queue);
-		refuse_resting(placement, queue, now_us);
-		refuse_expired(placement, queue, now_us);
-		demote_late_items(placement, queue, now_us);
+		comet_placement_check_waits(placement, queue, now_us);
 		comet_placement_expire_remote_waiters(placement, queue, now_us);
 	}
 	placement->pass++;
 	GSequenceIter *local = g_sequence_get_begin_iter(queue->items);
 	GSequenceIter *remote = g_sequence_get_begin_iter(queue->remote_waiters);
+	guint position = 0;
 	bool local_done = g_sequence_iter_is_end(local);
 	bool remote_done = g_sequence_iter_is_end(remote);
+	bool more = true; /* local items that have not been visited may find capacity */
+	struct queue_bound bound = {0, COMET_PLACEMENT_UNBOUND, COMET_PLACEMENT_UNBOUND};
 	while (!local_done || !remote_done)
 	{
 		bool local_next = remote_done ||
 				  (!local_done && comet_placement_compare(g_sequence_get(local),
 							  g_sequence_get(remote), NULL) < 0);
-		gpointer next = g_sequence_get(local_next ? local : remote);
+		struct comet_placement_item *next = g_sequence_get(local_next ? local : remote);
+		uint32_t next_bound = comet_placement_bound_of(next);
+		advance_bound(&bound, next);
+		bool waits = true;
 		if (local_next)
 		{
 			local = g_sequence_iter_next(local);
-			bool more = serve_item(placement, next, now_us);
-			local_done = !more || g_sequence_iter_is_end(local);
+			if (more)
+				more = serve_item(placement, next, position++, now_us, &waits);
+			local_done = g_sequence_iter_is_end(local);
 		}
 		else
 		{
 			remote = g_sequence_iter_next(remote);
-			comet_placement_grant_remote_waiter(placement, next, now_us);
+			waits = !comet_placement_grant_remote_waiter(
+				placement, (struct comet_placement_remote_waiter *)next, now_us);
 			remote_done = g_sequence_iter_is_end(remote);
 		}
+		if (waits)
+			bound.of_team = MIN(bound.of_team, next_bound);
 	}
 }
 
@@ -369,25 +228,33 @@
 {
 	struct comet_placement_queue *queue = comet_placement_queue_of(placement, item->service);
 
+	if (item->replaces_attempt)
+	{
+		/* not counted as refused: the current attempt goes on */
+		placement->ops->refuse(placement->ctx, item, 0);
+		return false;
+	}
 	if (comet_placement_is_evacuated(placement, item))
 	{
-		placement->ops->refuse(
-			placement->ctx, item, with_jitter(placement, EVACUATED_RETRY_MS));
+		comet_placement_refuse_evacuated(placement, item);
 		return false;
 	}
-	if (refuse_if_resting(placement, item, now_us))
+	if (comet_placement_refuse_if_resting(placement, item, now_us))
 		return false;
+	bool accepted = comet_placement_has_unattempted(placement, item);
+	if (accepted)
+		comet_placement_find_caller(placement, item, now_us);
 	item->late = comet_placement_is_late(placement, item, 0, now_us);
-	uint64_t wait_us = comet_placement_wait_us(placement, item, now_us);
+	uint64_t wait_us = comet_placement_newcomer_wait_us(placement, item, now_us);
 	if (!item->late && comet_placement_is_late(placement, item, wait_us, now_us))
 	{
 		item->late = true;
-		wait_us = MAX(wait_us, comet_placement_wait_us(placement, item, now_us));
+		wait_us = MAX(wait_us, comet_placement_newcomer_wait_us(placement, item, now_us));
 		item->late = false;
 	}
-	bool must_refuse = now_us + wait_us > item->dispatch_deadline_us;
+	bool must_refuse = comet_placement_waits_in_vain(placement, item, wait_us, now_us);
 
-	if (!comet_placement_has_unattempted(placement, item))
+	if (!accepted)
 	{
 		/* No endpoint accepts the item at present. A short wait is worthwhile unless an
 		 * endpoint has already been tried. */
@@ -395,8 +262,15 @@
 			MIN(item->dispatch_deadline_us, item->early_refusal_us);
 		must_refuse = item->n_attempted > 0 || item->dispatch_deadline_us <= now_us;
 	}
-	if (must_refuse)
-		placement->ops->refuse(placement->ctx, item, refusal_ms(placement, item, wait_us));
+	if (must_refuse && accepted && item->caller_pending)
+	{
+		item->held = true;
+		return false;
+	}
+	if (must_refuse && accepted)
+		comet_placement_refuse_waiting(placement, item, COMET_WAIT_QUEUE, wait_us, now_us);
+	else if (must_refuse)
+		comet_placement_refuse_unaccepted(placement, item, wait_us);
 	else
 		comet_placement_enqueue(queue, item, now_us);
 	return !must_refuse;
@@ -406,6 +280,7 @@
 static void
 place_item(struct comet_placement *placement, struct comet_placement_item *item, uint64_t now_us)
 {
+	comet_placement_set_queue_bound(placement, item);
 	struct comet_instance *instance = comet_placement_find(placement, item, now_us);
 
 	if (instance != NULL)
@@ -415,11 +290,19 @@
 }
 
 void
-comet_placement_submit(
+comet_placement_place(
 	struct comet_placement *placement, struct comet_placement_item *item, uint64_t now_us)
 {
-	struct comet_placement_queue *queue = comet_placement_queue_of(placement, item->service);
+	if (!comet_placement_has_waiting(comet_placement_queue_of(placement, item->service)))
+		place_item(placement, item, now_us);
+	else if (enqueue_or_refuse(placement, item, now_us))
+		comet_placement_run(placement, now_us);
+}
 
+void
+comet_placement_submit(
+	struct comet_placement *placement, struct comet_placement_item *item, uint64_t now_us)
+{
 	item->submitted_us = now_us;
 	item->sequence = placement->next_sequence++;
 	item->queue_position = NULL;
@@ -427,10 +310,14 @@
 	item->was_queued = false;
 	item->late = false;
 	item->deferred = false;
-	if (!comet_placement_has_waiting(queue))
-		place_item(placement, item, now_us);
-	else if (enqueue_or_refuse(placement, item, now_us))
-		comet_placement_run(placement, now_us);
+	comet_placement_set_place(
+		placement, comet_placement_queue_of(placement, item->service), item, now_us);
+	item->held = false;
+	item->room_us = 0;
+	item->queue_bound = COMET_PLACEMENT_UNBOUND;
+	item->wait_source = COMET_WAIT_NONE;
+	item->expected_wait_us = 0;
+	comet_placement_place(placement, item, now_us);
 }
 
 /* Returns whether a granted slot may be used. An owner that does not know the limit of an endpoint,
@@ -480,6 +367,7 @@
 	placement->decision.waited_us = now_us - item->submitted_us;
 	comet_instance_estimate(instance, &item->size, now_us, &placement->decision.first_us,
 		&placement->decision.total_us);
+	item->sample_wanted = grant->sample_wanted;
 	dispatch_to_slot(placement, item, instance, grant->owner_vm, now_us);
 	return true;
 }
@@ -502,8 +390,16 @@
 	double jitter = 0.5 + comet_random_double(&placement->picker.rng);
 
 	if (shard != NULL)
-		comet_shard_denied(shard, item->version_id, queue_limit,
-			now_us + (uint64_t)(DENIED_BACKOFF_US * jitter));
+	{
+		const struct comet_shard_denial denial = {
+			.version_id = item->version_id,
+			.team_rank = item->team_rank,
+			.level = queue_limit,
+			.waited = item->waits_at_owner,
+		};
+		comet_shard_denied(
+			shard, &denial, now_us + (uint64_t)(DENIED_BACKOFF_US * jitter), now_us);
+	}
 	retry_placement(placement, item, now_us);
 }
 
@@ -514,21 +410,6 @@
 	retry_placement(placement, item, now_us);
 }
 
-/* One VM of hundreds has only one or two requests queued, too few to measure the dequeue rate of
- * their rank, which the owner knows. Without the estimate of the owner a request would be held
- * until its dispatch deadline and then refused. */
-void
-comet_placement_set_expected_wait(struct comet_placement *placement,
-	struct comet_placement_item *item, uint64_t expected_us, uint64_t now_us)
-{
-	if (!item->slot_requested || item->queue_position == NULL ||
-		now_us + expected_us <= item->dispatch_deadline_us)
-		return;
-	comet_placement_dequeue(placement, item);
-	cancel_slot_request(placement, item);
-	placement->ops->refuse(placement->ctx, item, retry_after_ms(placement, expected_us));
-}
-
 void
 comet_placement_wait_expired(
 	struct comet_placement *placement, struct comet_placement_item *item, uint64_t now_us)
@@ -546,18 +427,15 @@
 		comet_shard_slot_released(shard);
 }
 
-bool
-comet_placement_is_pending(const struct comet_placement_item *item)
-{
-	return item->queue_position != NULL || item->slot_requested;
-}
-
 void
 comet_placement_cancel(struct comet_placement *placement, struct comet_placement_item *item)
 {
+	if (comet_placement_is_pending(item))
+		comet_placement_count_served(placement, item, false);
 	if (item->queue_position != NULL)
 		comet_placement_dequeue(placement, item);
-	cancel_slot_request(placement, item);
+	comet_placement_cancel_slot_request(placement, item);
+	item->held = false;
 }
 
 struct comet_instance *
--- a/libcometspindle/gateway/placement/placement.h
+++ b/libcometspindle/gateway/placement/placement.h
@@ -12,6 +12,8 @@
 
 #include <glib.h>
 #include <libcometspindle/gateway/endpoints/instances.h>
+#include <libcometspindle/gateway/endpoints/cold_share.h>
+#include <libcometspindle/gateway/placement/endpoint_picker.h>
 #include <libcometspindle/gateway/placement/placement_item.h>
 #include <libcometspindle/gateway/placement/placement_queue.h>
 #include <stdbool.h>
@@ -24,13 +26,31 @@
 comet_placement_create(void *parent, struct comet_instances *instances,
 	const struct comet_placement_ops *ops, void *ctx, uint64_t seed);
 
+/** Prefers free slots in this VM's availability zone to cheaper ones in others; off at first. */
+void
+comet_placement_prefer_own_zone(struct comet_placement *placement);
+
 /**
  * Sets the number of VMs from which gossip is received, and of all known VMs; both include this
- * one. The VMs share the capacity of endpoints in slow start.
+ * one. The VMs share the limits that endpoints advertise.
  */
 void
 comet_placement_set_vms(struct comet_placement *placement, uint32_t alive, uint32_t known);
 
+/** Updates the share of this VM in the requests to cold endpoints (placement_cold.c); call this
+ * several times a second. */
+void
+comet_placement_update_cold_shares(
+	struct comet_placement *placement, const struct comet_cold_vms *vms, uint64_t now_us);
+
+/** @return the last refusal of a request to a cold endpoint, and the number of them. */
+const struct comet_cold_refusal *
+comet_placement_cold_refusal(const struct comet_placement *placement);
+
+/** @return the fraction of the VMs on which the share of this VM in cold endpoints is based. */
+double
+comet_placement_cold_fraction(const struct comet_placement *placement);
+
 /** Submits a request. It is dispatched or refused later, or before this call returns. */
 void
 comet_placement_submit(
@@ -79,6 +99,21 @@
 comet_placement_set_expected_wait(struct comet_placement *placement,
 	struct comet_placement_item *item, uint64_t expected_us, uint64_t now_us);
 
+/** Handles an owner's estimate of when it has room for the request if its caller is refused now.
+ * return_us: time from now. */
+void
+comet_placement_set_return_time(struct comet_placement *placement,
+	const struct comet_placement_item *item, uint64_t return_us, uint64_t now_us);
+
+/**
+ * Handles the answer to a find_caller that was pending. An item that waits and whose caller
+ * returned moves up within its rank, also at the owner where it waits. The item may be dispatched
+ * or refused before this call returns.
+ */
+void
+comet_placement_set_caller(struct comet_placement *placement, struct comet_placement_item *item,
+	bool returned, uint64_t now_us);
+
 /** Handles the expiry of a slot request that has waited at the owner without a grant. */
 void
 comet_placement_wait_expired(
@@ -123,7 +158,14 @@
 comet_placement_is_evacuated(
 	const struct comet_placement *placement, const struct comet_placement_item *item);
 
+const struct comet_placement_announcement *
+comet_placement_announcement(const struct comet_placement *placement);
+
 const struct comet_placement_decision *
 comet_placement_decision(const struct comet_placement *placement);
 
+/** @return how many requests this VM, as owner, sent to slow endpoints to spare fast ones. */
+uint64_t
+comet_placement_spared_fast(const struct comet_placement *placement);
+
 #endif
--- a/libcometspindle/gateway/placement/placement_find.c
+++ b/libcometspindle/gateway/placement/placement_find.c
@@ -13,8 +13,8 @@
 {
 	struct comet_endpoint_picker_scope scope = {
 		.instances = comet_instances_for_service(placement->instances, item->service),
-		.queue_limit = comet_endpoint_picker_queue_limit(item),
-		.slow_start_share = placement->ownerless_share,
+		.queue_limit = comet_placement_queue_limit(item),
+		.decides_on_cold = true,
 		.limit_share =
 			placement->ops->find_owner == NULL ? placement->limit_ownerless_share : 0,
 	};
@@ -43,7 +43,11 @@
 		.size = item->size,
 		.team_rank = item->team_rank,
 		.route_rank = item->route_rank,
+		.returned = item->returned,
 		.late = item->late,
+		.waited_us = now_us - item->arrived_us,
+		.delay_known = true,
+		.delay_us = item->order_us - item->arrived_us,
 		.answer_deadline_us = item->answer_deadline_us,
 		.soft_deadline_us = item->soft_deadline_us,
 		.wait_us = wait_us,
@@ -61,6 +65,7 @@
 	if (usable == 0)
 		return;
 	item->slot_requested = true;
+	item->waits_at_owner = wait_us > 0;
 	placement->n_slot_requests++;
 	placement->ops->request_slot(placement->ctx, item, shard, &request);
 }
@@ -74,22 +79,6 @@
 	struct comet_placement_decision decision;
 };
 
-/* The share of the slow start capacity of the endpoints of a shard that this VM may use. */
-static double
-slow_start_share_of(const struct comet_placement *placement, enum comet_placement_owner owner)
-{
-	switch (owner)
-	{
-	case COMET_PLACEMENT_OWNER_SELF:
-		return placement->owner_share;
-	case COMET_PLACEMENT_OWNER_NONE:
-		return placement->ownerless_share;
-	case COMET_PLACEMENT_OWNER_OTHER:
-		break;
-	}
-	return 0;
-}
-
 static double
 limit_share_of(const struct comet_placement *placement, enum comet_placement_owner owner)
 {
@@ -99,17 +88,15 @@
 
 static struct shard_candidate
 evaluate_shard(struct comet_placement *placement, const struct comet_placement_item *item,
-	struct comet_shard *shard, uint32_t queue_limit, uint64_t now_us)
+	struct comet_shard *shard, enum comet_placement_owner owner, uint32_t queue_limit,
+	uint64_t now_us)
 {
-	struct shard_candidate candidate = {
-		.shard = shard,
-		.owner = placement->ops->find_owner(placement->ctx, shard),
-	};
+	struct shard_candidate candidate = {.shard = shard, .owner = owner};
 	struct comet_endpoint_picker_scope scope = {
 		.instances = shard->members,
 		.queue_limit = queue_limit,
 		.owned = candidate.owner == COMET_PLACEMENT_OWNER_SELF,
-		.slow_start_share = slow_start_share_of(placement, candidate.owner),
+		.decides_on_cold = candidate.owner != COMET_PLACEMENT_OWNER_OTHER,
 		.owner_decides = candidate.owner == COMET_PLACEMENT_OWNER_OTHER,
 		.limit_share = limit_share_of(placement, candidate.owner),
 	};
@@ -173,7 +160,29 @@
 	return candidate->best;
 }
 
-/* Searches all shards, from a random one on. Prefers the cheapest shard with capacity, and
+/* Returns whether a shard is that of endpoints in this VM's availability zone. */
+static bool
+is_near(const struct comet_shard *shard)
+{
+	const struct comet_instance *member =
+		shard->members->len > 0 ? shard->members->pdata[0] : NULL;
+
+	return member != NULL && member->near;
+}
+
+/* Returns whether the picked instance of one shard suits the request better than that of another.
+ */
+static bool
+is_better(const struct comet_placement_decision *decision,
+	const struct comet_placement_decision *other)
+{
+	if (decision->preference != other->preference)
+		return decision->preference < other->preference;
+	return decision->cost < other->cost;
+}
+
+/* Searches all shards, from a random one on. Prefers free slots in this VM's availability zone that
+ * meet the soft deadline, then such slots in others, then the cheapest endpoint with capacity, and
  * otherwise an owner that may know of capacity which gossip does not show. local_only: skips shards
  * that need a slot request. */
 static struct comet_instance *
@@ -187,21 +196,26 @@
 	for (guint i = 0; i < shards->len; i++)
 	{
 		struct comet_shard *shard = shards->pdata[(i + offset) % shards->len];
-		if (now_us < comet_shard_denied_until_us(shard, item->version_id, queue_limit))
+		if (now_us < comet_shard_denied_until_us(
+				     shard, item->version_id, item->team_rank, queue_limit))
 			continue;
-		struct shard_candidate candidate =
-			evaluate_shard(placement, item, shard, queue_limit, now_us);
-		if (local_only && candidate.owner == COMET_PLACEMENT_OWNER_OTHER)
+		enum comet_placement_owner owner =
+			placement->ops->find_owner(placement->ctx, shard);
+		if (local_only && owner == COMET_PLACEMENT_OWNER_OTHER)
 			continue;
+		struct shard_candidate candidate =
+			evaluate_shard(placement, item, shard, owner, queue_limit, now_us);
 		if (candidate.best == NULL)
 		{
 			item->deferred = item->deferred || candidate.decision.deferred;
 			if (candidate.owner == COMET_PLACEMENT_OWNER_OTHER &&
-				candidate.decision.candidates > 0)
+				candidate.decision.candidates > 0 &&
+				(full.shard == NULL || !placement->picker.prefer_own_zone ||
+					!is_near(full.shard)))
 				full = candidate;
 			continue;
 		}
-		if (cheapest.best == NULL || candidate.decision.cost < cheapest.decision.cost)
+		if (cheapest.best == NULL || is_better(&candidate.decision, &cheapest.decision))
 			cheapest = candidate;
 	}
 	if (cheapest.best != NULL)
@@ -211,7 +225,8 @@
 		       : NULL;
 }
 
-/* Sends a slot request with a wait time to one of the owners. */
+/* Sends a slot request with a wait time to one of the owners that did not deny such a request
+ * recently: an owner that has no place for more waiters would be asked again at once. */
 static void
 wait_at_owner(struct comet_placement *placement, struct comet_placement_item *item,
 	const GPtrArray *shards, uint64_t now_us)
@@ -221,10 +236,11 @@
 	for (guint i = 0; i < shards->len && !item->slot_requested; i++)
 	{
 		struct comet_shard *shard = shards->pdata[(i + offset) % shards->len];
-		if (placement->ops->find_owner(placement->ctx, shard) ==
-			COMET_PLACEMENT_OWNER_OTHER)
-			request_slot(placement, item, shard,
-				comet_endpoint_picker_queue_limit(item), OWNER_WAIT_US, now_us);
+		if (now_us >= shard->wait_denied_until_us &&
+			placement->ops->find_owner(placement->ctx, shard) ==
+				COMET_PLACEMENT_OWNER_OTHER)
+			request_slot(placement, item, shard, comet_placement_queue_limit(item),
+				OWNER_WAIT_US, now_us);
 	}
 }
 
@@ -252,8 +268,8 @@
 		item->deferred = placement->decision.deferred;
 		return instance;
 	}
-	for (uint32_t queue_limit = 0; queue_limit <= comet_endpoint_picker_queue_limit(item);
-		queue_limit++)
+	uint32_t max_queue_limit = comet_placement_queue_limit(item);
+	for (uint32_t queue_limit = 0; queue_limit <= max_queue_limit; queue_limit++)
 	{
 		bool was_requested = item->slot_requested;
 		instance = find_at_level(placement, item, shards, queue_limit, local_only, now_us);
@@ -283,6 +299,53 @@
 	return find_slot(placement, item, true, now_us);
 }
 
+/* A queued request sends a slot request only while fewer than this are pending. Any more would rank
+ * behind these at any owner. */
+#define QUEUED_SLOT_REQUESTS_MAX 4
+
+/* Maximum number of pending slot requests while the first items of a queue have overtaken others. A
+ * slot request waits at its owner for 300 ms, in which few requests of a VM overtake others. */
+#define SLOT_REQUESTS_MAX 8
+
+/* Returns whether an item that is close behind this one in the queue has a pending slot request. */
+static bool
+has_overtaken(const struct comet_placement_item *item)
+{
+	GSequenceIter *iter = g_sequence_iter_next(item->queue_position);
+
+	for (uint32_t i = 0; i < SLOT_REQUESTS_MAX && !g_sequence_iter_is_end(iter); i++)
+	{
+		const struct comet_placement_item *behind = g_sequence_get(iter);
+		if (behind->slot_requested)
+			return true;
+		iter = g_sequence_iter_next(iter);
+	}
+	return false;
+}
+
+bool
+comet_placement_may_request_slot(const struct comet_placement *placement,
+	const struct comet_placement_item *item, guint position)
+{
+	if (item->slot_requested)
+		return false;
+	return placement->n_slot_requests < QUEUED_SLOT_REQUESTS_MAX ||
+	       (position < QUEUED_SLOT_REQUESTS_MAX &&
+		       placement->n_slot_requests < SLOT_REQUESTS_MAX && has_overtaken(item));
+}
+
+void
+comet_placement_prefer_own_zone(struct comet_placement *placement)
+{
+	placement->picker.prefer_own_zone = true;
+}
+
+uint64_t
+comet_placement_spared_fast(const struct comet_placement *placement)
+{
+	return placement->picker.spared_fast;
+}
+
 bool
 comet_placement_is_evacuated(
 	const struct comet_placement *placement, const struct comet_placement_item *item)
--- a/libcometspindle/gateway/placement/placement_queue.h
+++ b/libcometspindle/gateway/placement/placement_queue.h
@@ -7,6 +7,7 @@
 #define COMETSPINDLE_GATEWAY_PLACEMENT_QUEUE_H
 
 #include <libcometspindle/gateway/placement/placement_item.h>
+#include <libcometspindle/gateway/placement/placement_order.h>
 
 struct comet_placement;
 
@@ -20,7 +21,18 @@
 comet_placement_wait_us(struct comet_placement *placement, const struct comet_placement_item *item,
 	uint64_t now_us);
 
-/** @return the rank as one number, for metrics and dequeue rates; 0 is the most urgent. */
+/** Learns how wrong the hint of an item was, from a complete stream of that many events. */
+void
+comet_placement_learn_size(struct comet_placement *placement,
+	const struct comet_placement_item *item, uint32_t events);
+
+/** Adds up the counters of the order of all services. */
+struct comet_order_counts
+comet_placement_order_counts(const struct comet_placement *placement);
+
+/** @return both ranks as one number below COMET_ORDER_RANKS, in the order of
+ * comet_placement_compare(); 0 is the most urgent. It is the route rank if there are no team ranks.
+ */
 uint32_t
 comet_placement_rank(const struct comet_placement_item *item);
 
--- a/libcometspindle/gateway/placement/placement_remote_waiters.c
+++ b/libcometspindle/gateway/placement/placement_remote_waiters.c
@@ -18,19 +18,19 @@
 /* Maximum number of remote waiters of a service: four for each VM that may be known. */
 #define REMOTE_WAITERS_MAX 8192
 
-/* Picks an instance for a remote waiter at one level of capacity, or returns NULL. deferred:
- * endpoints with capacity would miss the soft deadline. */
+/* Picks an instance for a remote waiter at one level of capacity, or returns NULL. full: no
+ * endpoint of the shard has capacity, whatever the request accepts. */
 static struct comet_instance *
 pick_at_level(struct comet_placement *placement,
 	const struct comet_placement_remote_waiter *remote_waiter, const struct comet_shard *shard,
-	uint32_t queue_limit, uint64_t now_us, bool *deferred)
+	uint32_t queue_limit, uint64_t now_us, bool *full)
 {
 	struct comet_placement_decision decision;
 	struct comet_endpoint_picker_scope scope = {
 		.instances = shard->members,
 		.queue_limit = queue_limit,
 		.owned = true,
-		.slow_start_share = placement->owner_share,
+		.decides_on_cold = true,
 		.limit_share = placement->limit_owner_share,
 		.excluded = remote_waiter->excluded,
 		.n_excluded = (uint32_t)remote_waiter->request.n_excluded,
@@ -38,35 +38,37 @@
 	struct comet_instance *best = comet_endpoint_picker_pick(
 		&placement->picker, &remote_waiter->item, &scope, now_us, &decision);
 
-	*deferred = decision.deferred;
+	*full = best == NULL && !decision.deferred && !decision.others_have_room;
 	return best;
 }
 
-/* Picks an instance for a remote waiter, with free slots first. A level that is full for a request
- * that accepts any endpoint is skipped for the rest of the pass. */
+/* Picks an instance for a remote waiter, with free slots first. A full level is skipped for the
+ * rest of the pass: during failures most requests exclude endpoints, and with hundreds of waiters
+ * the owner had no time left to answer slot requests. */
 static struct comet_instance *
 pick(struct comet_placement *placement, const struct comet_placement_remote_waiter *remote_waiter,
 	uint64_t now_us)
 {
 	struct comet_shard *shard =
 		comet_shards_find(placement->shards, remote_waiter->request.shard);
-	uint32_t max_queue_limit = MIN(remote_waiter->request.queue_limit, COMET_SHARD_LEVELS - 1);
+	uint32_t max_queue_limit = MIN(MIN(remote_waiter->request.queue_limit,
+					       comet_placement_queue_limit(&remote_waiter->item)),
+		COMET_SHARD_LEVELS - 1);
 
 	for (uint32_t queue_limit = 0; shard != NULL && queue_limit <= max_queue_limit;
 		queue_limit++)
 	{
-		bool deferred = false;
+		bool full = false;
 		if (shard->full_pass[queue_limit] == placement->pass)
 			continue;
-		struct comet_instance *best = pick_at_level(
-			placement, remote_waiter, shard, queue_limit, now_us, &deferred);
+		struct comet_instance *best =
+			pick_at_level(placement, remote_waiter, shard, queue_limit, now_us, &full);
 		if (best != NULL)
 		{
 			comet_instance_selected(best, now_us);
 			return best;
 		}
-		if (!deferred && remote_waiter->request.n_excluded == 0 &&
-			remote_waiter->request.version_id == 0)
+		if (full)
 			shard->full_pass[queue_limit] = placement->pass;
 	}
 	return NULL;
@@ -95,6 +97,7 @@
 	remote_waiter->item.answer_deadline_us = request->answer_deadline_us;
 	remote_waiter->item.soft_deadline_us = request->soft_deadline_us;
 	remote_waiter->item.late = request->late;
+	remote_waiter->item.returned = request->returned;
 	remote_waiter->item.dispatch_deadline_us =
 		now_us + MIN(request->wait_us, REMOTE_WAIT_MAX_US);
 	remote_waiter->item.submitted_us = now_us;
@@ -107,9 +110,11 @@
 dequeue_rate_of(struct comet_placement_queue *queue,
 	const struct comet_placement_remote_waiter *remote_waiter)
 {
-	uint32_t rank = MIN(comet_placement_rank(&remote_waiter->item), COMET_PLACEMENT_RANKS - 1);
+	uint32_t rank = comet_placement_rank(&remote_waiter->item);
 
-	return &queue->remote_dequeue_rates[rank];
+	if (remote_waiter->item.returned)
+		return &queue->remote_returned_dequeue_rates[rank];
+	return &queue->remote_dequeue_rates[rank][remote_waiter->item.large ? 1 : 0];
 }
 
 /* Removes and frees a remote waiter. */
@@ -136,11 +141,19 @@
 	struct comet_placement_remote_waiter *remote_waiter =
 		create_remote_waiter(placement, request, now_us);
 	remote_waiter->item.service = queue->service;
+	comet_placement_set_remote_place(placement, queue, &remote_waiter->item, request, now_us);
+	comet_placement_set_queue_bound(placement, &remote_waiter->item);
 	if (!comet_placement_has_waiting(queue) || request->wait_us == 0)
 	{
 		placement->pass++;
 		best = pick(placement, remote_waiter, now_us);
 	}
+	wait->expected_us = (uint64_t)comet_dequeue_rate_expected_wait_us(
+		dequeue_rate_of(queue, remote_waiter),
+		comet_placement_n_ahead(queue->remote_waiters, &remote_waiter->item), now_us);
+	uint64_t room_us = comet_return_schedule_room_us(&queue->returns,
+		comet_placement_rank(&remote_waiter->item), now_us + wait->expected_us);
+	wait->return_us = MIN(room_us - now_us, COMET_RETURN_MAX_US);
 	bool full = g_sequence_get_length(queue->remote_waiters) >= REMOTE_WAITERS_MAX;
 	if (best != NULL || request->wait_us == 0 || full)
 	{
@@ -148,27 +161,26 @@
 		return best;
 	}
 	wait->waits = true;
-	wait->expected_us = (uint64_t)comet_dequeue_rate_expected_wait_us(
-		dequeue_rate_of(queue, remote_waiter), now_us);
 	comet_dequeue_rate_enqueued(dequeue_rate_of(queue, remote_waiter), now_us);
 	remote_waiter->item.queue_position = g_sequence_insert_sorted(
 		queue->remote_waiters, remote_waiter, comet_placement_compare, NULL);
 	return NULL;
 }
 
-void
+bool
 comet_placement_grant_remote_waiter(struct comet_placement *placement,
 	struct comet_placement_remote_waiter *remote_waiter, uint64_t now_us)
 {
 	struct comet_instance *best = pick(placement, remote_waiter, now_us);
 
 	if (best == NULL)
-		return;
+		return false;
 	struct comet_placement_queue *queue =
 		comet_placement_queue_of(placement, remote_waiter->item.service);
 	placement->ops->grant(placement->ctx, &remote_waiter->request, best);
 	comet_dequeue_rate_dispatched(dequeue_rate_of(queue, remote_waiter), now_us);
 	remove_remote_waiter(queue, remote_waiter);
+	return true;
 }
 
 /* Moves a late remote waiter behind those of its rank that are in time. */
--- a/libcometspindle/gateway/placement/shards.c
+++ b/libcometspindle/gateway/placement/shards.c
@@ -114,6 +114,8 @@
 	guint in_group = GPOINTER_TO_UINT(g_hash_table_lookup(shards->counts, group));
 	struct comet_shard *shard = find_or_create_shard(shards, instance, in_group);
 
+	if (instance->shard != 0 && instance->shard != shard->id)
+		shard->reformed = true;
 	instance->shard = shard->id;
 	g_ptr_array_add(shard->members, instance);
 }
@@ -180,18 +182,42 @@
 }
 
 void
-comet_shard_denied(
-	struct comet_shard *shard, uint32_t version_id, uint32_t level, uint64_t until_us)
+comet_shards_each(
+	struct comet_shards *shards, void (*visit)(void *ctx, struct comet_shard *shard), void *ctx)
 {
-	uint64_t *denied_us = shard->denied_us[version_id != 0];
+	GHashTableIter iter;
+	gpointer shard = NULL;
+
+	refresh(shards);
+	g_hash_table_iter_init(&iter, shards->by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &shard))
+		visit(ctx, shard);
+}
+
+void
+comet_shard_denied(struct comet_shard *shard, const struct comet_shard_denial *denial,
+	uint64_t until_us, uint64_t now_us)
+{
+	uint64_t *denied_us = shard->denied_us[denial->version_id != 0];
+	uint32_t *team_rank = shard->denied_team_rank[denial->version_id != 0];
 
-	for (uint32_t i = 0; i <= level && i < COMET_SHARD_LEVELS; i++)
+	if (denial->waited)
+		shard->wait_denied_until_us = until_us;
+	for (uint32_t i = 0; i <= denial->level && i < COMET_SHARD_LEVELS; i++)
+	{
+		team_rank[i] = now_us < denied_us[i] ? MIN(team_rank[i], denial->team_rank)
+						     : denial->team_rank;
 		denied_us[i] = MAX(denied_us[i], until_us);
+	}
 }
 
 uint64_t
-comet_shard_denied_until_us(const struct comet_shard *shard, uint32_t version_id, uint32_t level)
+comet_shard_denied_until_us(
+	const struct comet_shard *shard, uint32_t version_id, uint32_t team_rank, uint32_t level)
 {
+	/* A free slot is denied to all teams alike. */
+	if (level > 0 && team_rank < shard->denied_team_rank[version_id != 0][level])
+		return 0;
 	return shard->denied_us[version_id != 0][level];
 }
 
--- a/libcometspindle/gateway/placement/shards.h
+++ b/libcometspindle/gateway/placement/shards.h
@@ -10,6 +10,7 @@
 #ifndef COMETSPINDLE_GATEWAY_SHARDS_H
 #define COMETSPINDLE_GATEWAY_SHARDS_H
 
+#include <libcometspindle/gateway/endpoints/cold_share.h>
 #include <libcometspindle/gateway/endpoints/instances.h>
 #include <stdbool.h>
 #include <stdint.h>
@@ -31,6 +32,13 @@
 	 * the time until which the owner is taken to have no capacity; 0 when it is not known to be
 	 * full. */
 	uint64_t denied_us[2][COMET_SHARD_LEVELS];
+	/** The most urgent team rank that was denied so. An owner denies less urgent teams a place
+	 * beyond the slots that it grants to others. */
+	uint32_t denied_team_rank[2][COMET_SHARD_LEVELS];
+	/** Until then no request is to wait at the owner, which denied one that would. */
+	uint64_t wait_denied_until_us;
+	struct comet_cold_position cold_position;
+	bool reformed; /**< it was formed of members of other shards, and nobody has noticed yet */
 	/** On the owner, by queue limit: the last pass over the queue that found the shard full. */
 	uint64_t full_pass[COMET_SHARD_LEVELS];
 };
@@ -48,16 +56,30 @@
 struct comet_shard *
 comet_shards_find(struct comet_shards *shards, uint32_t id);
 
+/** Calls visit for each shard. */
+void
+comet_shards_each(struct comet_shards *shards, void (*visit)(void *ctx, struct comet_shard *shard),
+	void *ctx);
+
+/** A slot request that the owner denied. */
+struct comet_shard_denial
+{
+	uint32_t version_id; /**< software version that the request needs; 0: any */
+	uint32_t team_rank;
+	uint32_t level; /**< its queue limit */
+	bool waited;    /**< it was to wait at the owner */
+};
+
 /** Records that the owner has no capacity with this queue limit, and hence with no smaller one,
- * until until_us.
- * @param version_id software version that the request needs; 0: any */
+ * until until_us. */
 void
-comet_shard_denied(
-	struct comet_shard *shard, uint32_t version_id, uint32_t level, uint64_t until_us);
+comet_shard_denied(struct comet_shard *shard, const struct comet_shard_denial *denial,
+	uint64_t until_us, uint64_t now_us);
 
 /** @return the time until which the owner is taken to have no capacity for such a request. */
 uint64_t
-comet_shard_denied_until_us(const struct comet_shard *shard, uint32_t version_id, uint32_t level);
+comet_shard_denied_until_us(
+	const struct comet_shard *shard, uint32_t version_id, uint32_t team_rank, uint32_t level);
 
 /** Forgets the recorded denials, because a slot of the shard was released. */
 void
--- a/libcometspindle/gateway/settings.c
+++ b/libcometspindle/gateway/settings.c
@@ -122,6 +122,8 @@
 	settings->cpu_percent =
 		(uint32_t)(comet_json_validator_number(object, "cpu_share", 0, CORES_MAX, 1) * 100);
 	settings->ask_keepers = comet_json_validator_bool(object, "ask_keepers", true);
+	settings->prefer_own_zone = comet_json_validator_bool(object, "prefer_own_zone", false);
+	settings->returning_callers = comet_json_validator_bool(object, "returning_callers", false);
 	read_durations(settings, object);
 	settings->log_lines_per_s = (uint32_t)comet_json_validator_int(
 		object, "log_lines_per_s", 0, LOG_LINES_PER_S_MAX, LOG_LINES_PER_S_DEFAULT);
--- a/libcometspindle/gateway/settings.h
+++ b/libcometspindle/gateway/settings.h
@@ -31,8 +31,11 @@
 	uint32_t near_bytes_per_s; /**< byte budget of gossip to VMs of the same zone */
 	uint32_t far_bytes_per_s;  /**< byte budget of gossip to VMs of other zones */
 	uint32_t cpu_percent;      /**< CPU allowance of this VM, in percent of a core */
-	bool ask_keepers; /**< request slots from the owner of a shard; otherwise only gossip is
-			     used */
+	bool ask_keepers;     /**< request slots from the owner of a shard; otherwise only gossip is
+				 used */
+	bool prefer_own_zone; /**< prefer free slots in the own zone to cheaper ones in others */
+	bool returning_callers; /**< recognize callers that come back after a refusal, serve them
+				   first, and spread the times at which they come back */
 	struct comet_rate_limiter_config rate_limiter;
 	struct comet_retry_budget_config retries;
 	double cold_overage;      /**< bound on the rate that a cold endpoint receives from all VMs
--- a/libcometspindle/log.c
+++ b/libcometspindle/log.c
@@ -35,6 +35,9 @@
 {
 	log_program = program;
 	log_threshold = threshold;
+	pthread_mutex_lock(&budget_lock);
+	comet_log_budget_init(&budget, 0, comet_now_us(CLOCK_BOOTTIME));
+	pthread_mutex_unlock(&budget_lock);
 }
 
 void
@@ -54,7 +57,7 @@
 comet_log_set_budget(unsigned int lines_per_s)
 {
 	pthread_mutex_lock(&budget_lock);
-	comet_log_budget_init(&budget, lines_per_s, comet_now_us(CLOCK_BOOTTIME));
+	comet_log_budget_set_rate(&budget, lines_per_s, comet_now_us(CLOCK_BOOTTIME));
 	pthread_mutex_unlock(&budget_lock);
 }
 
@@ -119,9 +122,10 @@
 static void
 write_bounded(enum comet_log_level level, const char *text, bool repeated)
 {
-	uint64_t now_us = comet_now_us(CLOCK_BOOTTIME);
-
 	pthread_mutex_lock(&budget_lock);
+	/* Read under the lock, since an earlier time than that of the last line of another thread
+	 * would refill the budget. */
+	uint64_t now_us = comet_now_us(CLOCK_BOOTTIME);
 	bool taken = !repeated || comet_log_budget_take_repeated(&budget, text, now_us);
 	if (!taken || !comet_log_budget_take(&budget, level <= COMET_LOG_NOTICE, now_us) ||
 		!write_line(level, text))
--- a/libcometspindle/log_budget.c
+++ b/libcometspindle/log_budget.c
@@ -30,15 +30,34 @@
 	budget->summed_us = now_us;
 }
 
-bool
-comet_log_budget_take(struct comet_log_budget *budget, bool important, uint64_t now_us)
+/* Adds the lines that the time since the last call allows. */
+static void
+refill(struct comet_log_budget *budget, uint64_t now_us)
 {
-	if (budget->lines_per_s <= 0)
-		return true;
 	budget->level += budget->lines_per_s * (double)(now_us - budget->filled_us) / 1e6;
 	if (budget->level > budget->lines_per_s)
 		budget->level = budget->lines_per_s;
 	budget->filled_us = now_us;
+}
+
+void
+comet_log_budget_set_rate(struct comet_log_budget *budget, uint32_t lines_per_s, uint64_t now_us)
+{
+	refill(budget, now_us);
+	/* Without a bound, lines written so far are not counted, and the difference is the new
+	 * bound. */
+	budget->level += (double)lines_per_s - budget->lines_per_s;
+	if (budget->level < 0)
+		budget->level = 0;
+	budget->lines_per_s = lines_per_s;
+}
+
+bool
+comet_log_budget_take(struct comet_log_budget *budget, bool important, uint64_t now_us)
+{
+	if (budget->lines_per_s <= 0)
+		return true;
+	refill(budget, now_us);
 	if (budget->level < (important ? 1.0 : 1.0 + KEPT_PART * budget->lines_per_s))
 		return false;
 	budget->level -= 1.0;
--- a/libcometspindle/log_budget.h
+++ b/libcometspindle/log_budget.h
@@ -47,7 +47,11 @@
 void
 comet_log_budget_init(struct comet_log_budget *budget, uint32_t lines_per_s, uint64_t now_us);
 
-/** @return whether a line may be written. weighty: it reports a failure or a change. */
+/** Changes the bound. Lines of the running second stay counted, also those that were left out. */
+void
+comet_log_budget_set_rate(struct comet_log_budget *budget, uint32_t lines_per_s, uint64_t now_us);
+
+/** @return whether a line may be written. important: it reports a failure or a change. */
 bool
 comet_log_budget_take(struct comet_log_budget *budget, bool important, uint64_t now_us);
 
--- a/libcometspindle/proto/view.pb.c
+++ b/libcometspindle/proto/view.pb.c
@@ -33,6 +33,15 @@
 PB_BIND(comet_SlotFreed, comet_SlotFreed, AUTO)
 
 
+PB_BIND(comet_RefusedRequest, comet_RefusedRequest, AUTO)
+
+
+PB_BIND(comet_RefusedAsk, comet_RefusedAsk, AUTO)
+
+
+PB_BIND(comet_RefusedAnswer, comet_RefusedAnswer, AUTO)
+
+
 PB_BIND(comet_ChargeAsk, comet_ChargeAsk, AUTO)
 
 
--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -22,7 +22,7 @@
 STANDIN = os.path.join(BUILD, "tests", "standin")
 LOAD = os.path.join(BUILD, "tests", "load")
 
-_given = set()
+_reservations = []  # sockets that keep the ports of free_port()
 _fleets = itertools.count(1)
 
 
@@ -33,14 +33,13 @@
 
 
 def free_port(host):
-    """A port that the kernel chose, not given out before by this process."""
-    while True:
-        with socket.socket() as probe:
-            probe.bind((host, 0))
-            port = probe.getsockname()[1]
-        if port not in _given:
-            _given.add(port)
-            return port
+    """A port that the kernel chose, reserved until this process ends: a port of a closed socket was given to a test's
+    own server before the daemon could listen on it. Listeners share the reserved port because they set SO_REUSEADDR."""
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.bind((host, 0))
+    _reservations.append(sock)
+    return sock.getsockname()[1]
 
 
 def fetch(url, timeout=2):
