Count attempts that became silent together as one failure of the endpoint

Each silent attempt counted as a further consecutive failure, and the ejection doubles with each. Some twelve streams that were silent at an endpoint at the same time ejected it for the maximum of 4 s at once, so that neither endpoint could take the other's streams before the deadline of 5 s. Which streams were retried before that depended on the machine's speed. Ruled out: the silence timeout (expected first events were 100 ms at most) and the retry budget.

Change: a silent attempt that ends while the endpoint is ejected, after two failures and without a probe, does not count as a further failure. A silent probe still doubles the ejection; broken and refused connections count as before.

The unit test fails without the change (ejected until 6.0 s instead of 3.1 s). 427 unit tests pass.

--- a/libcometspindle/gateway/endpoints/instance.c
+++ b/libcometspindle/gateway/endpoints/instance.c
@@ -335,6 +335,17 @@
 			comet_instance_relative_latency(instance));
 }
 
+/* Returns whether a silent attempt was sent before the instance was ejected. It shows the same
+ * silence as the others: counted as further failures, attempts that were open together ejected an
+ * instance for the maximum at once, although it was not silent any more. */
+static bool
+is_part_of_known_silence(
+	const struct comet_instance *instance, enum comet_dispatch_result result, uint64_t now_us)
+{
+	return result == COMET_DISPATCH_SILENT && instance->failures >= EJECTION_FAILURES &&
+	       now_us < instance->ejected_until_us && !instance->probe_in_flight;
+}
+
 /* Records a failed dispatch and ejects the instance after too many of them. @return whether the
  * instance is newly ejected. */
 static bool
@@ -342,8 +353,9 @@
 {
 	bool newly_ejected = instance->ejected_until_us == 0;
 
-	if (result != COMET_DISPATCH_ERROR)
-		instance->failures++; /* an error response counts in the error rate alone */
+	/* An error response counts in the error rate alone. */
+	if (result != COMET_DISPATCH_ERROR && !is_part_of_known_silence(instance, result, now_us))
+		instance->failures++;
 	instance->error_rate += ERROR_WEIGHT * (1.0 - instance->error_rate);
 	/* A failed connection attempt or a failed probe is sufficient on its own. */
 	bool conclusive = result == COMET_DISPATCH_UNREACHABLE || instance->probe_in_flight;
--- a/tests/unit/test_instances.cc
+++ b/tests/unit/test_instances.cc
@@ -200,6 +200,34 @@
 	EXPECT_EQ(comet_instances_for_service(instances, "llm")->len, 1U);
 }
 
+/* Streams that became silent together extended the ejection up to its maximum: of two endpoints
+ * with twelve silent streams each, none was used again before the callers' deadlines. */
+TEST_F(InstanceIncarnations, AttemptsThatBecameSilentTogetherEjectOnce)
+{
+	comet_instance *instance = put(1000);
+	comet_request_size size = {600, 10, 10, true};
+	for (int i = 0; i < 12; i++)
+		comet_instance_dispatch_started(instance, &size);
+	for (int i = 0; i < 12; i++)
+	{
+		uint64_t now_us = 2 * second_us + (uint64_t)i * 1000;
+		comet_instance_eject_if_silent(instance, second_us, now_us);
+		comet_instance_dispatch_ended(
+			instance, &size, false, COMET_DISPATCH_SILENT, 0, 0, now_us);
+	}
+	EXPECT_GE(instance->ejected_until_us, 3 * second_us);
+	EXPECT_LE(instance->ejected_until_us, 3 * second_us + 100000);
+
+	/* A probe that is silent too shows that the endpoint has not recovered. */
+	uint64_t probe_us = 4 * second_us;
+	comet_instance_selected(instance, probe_us);
+	comet_instance_dispatch_started(instance, &size);
+	comet_instance_eject_if_silent(instance, probe_us, probe_us + second_us);
+	comet_instance_dispatch_ended(
+		instance, &size, false, COMET_DISPATCH_SILENT, 0, 0, probe_us + second_us);
+	EXPECT_GE(instance->ejected_until_us, probe_us + 3 * second_us);
+}
+
 /* Two endpoints may have the same key: after one is removed, the other must still be found. */
 TEST_F(InstanceIncarnations, RemovingAnEndpointKeepsAnotherWithTheSameKey)
 {
