--- a/libcometspindle/gateway/admission/rate_limiter.c
+++ b/libcometspindle/gateway/admission/rate_limiter.c
@@ -260,16 +260,6 @@
 	quota->typical_amount += TYPICAL_AMOUNT_WEIGHT * (amount - quota->typical_amount);
 }
 
-/* Fraction of a limit or of a bucket's depth that a request leaves to more urgent ones. */
-static double
-reserve_ratio(const struct quota *quota, uint32_t rank, double amount)
-{
-	double relative_amount =
-		quota->typical_amount > 0 ? MIN(amount / quota->typical_amount, 1.0) : 1.0;
-
-	return RESERVE_RATIO * MIN(rank, RESERVE_RANKS_MAX) * relative_amount;
-}
-
 /* Reserve that a request leaves to more urgent ones. Assumed spending counts as part of the
  * reserve, since after a start only the most urgent requests would be served until the assumption
  * expires. */
@@ -277,8 +267,11 @@
 compute_reserve(const struct comet_rate_limiter *rate_limiter, const struct quota *quota,
 	uint32_t rank, double amount)
 {
-	double ratio = reserve_ratio(quota, rank, amount) * alive_share(rate_limiter);
+	double relative_amount =
+		quota->typical_amount > 0 ? MIN(amount / quota->typical_amount, 1.0) : 1.0;
+	double ratio = RESERVE_RATIO * MIN(rank, RESERVE_RANKS_MAX) * relative_amount;
 
+	ratio *= alive_share(rate_limiter);
 	return MAX(ratio * quota->limit - comet_spending_window_assumed(&quota->window), 0);
 }
 
@@ -318,7 +311,7 @@
 	double share = alive_share(rate_limiter);
 	const struct comet_token_bucket bucket = {
 		share * quota->bucket.refill, share * quota->bucket.depth};
-	double reserve = reserve_ratio(quota, rank, amount) * bucket.depth;
+	double reserve = RESERVE_RATIO * MIN(rank, RESERVE_RANKS_MAX) * bucket.depth;
 	double missing = MIN(amount + reserve, bucket.depth) -
 			 comet_spending_window_bucket_level(&quota->window, &bucket,
 				 rate_limiter->partitioned_since_us, share, now_us);
