Tell silent attempts from before an ejection by the time they were sent

Older attempts that ended after the ejection, or during a probe, still doubled it or counted as the probe, and raised the error rate, which ejected recovered endpoints.

Change: an instance keeps the time at which failures last ejected it. A silent attempt that was sent before is ignored.

--- a/libcometspindle/adapters/gateway/gateway_endpoint_attempt.c
+++ b/libcometspindle/adapters/gateway/gateway_endpoint_attempt.c
@@ -138,7 +138,7 @@
 	if (!comet_proxy_request_timing_is_valid(proxy))
 		taken_us = COMET_LATENCY_UNKNOWN;
 	if (comet_instance_dispatch_ended(instance, &proxy->item.size, attempt->first_byte_us != 0,
-		    result, taken_us, events, now_us))
+		    result, taken_us, events, attempt->sent_us, now_us))
 		comet_log(COMET_LOG_NOTICE,
 			"event=endpoint_%s endpoint=%s result=%s failures=%u "
 			"error_rate=%.2f",
--- a/libcometspindle/gateway/endpoints/instance.c
+++ b/libcometspindle/gateway/endpoints/instance.c
@@ -335,15 +335,19 @@
 			comet_instance_relative_latency(instance));
 }
 
-/* Returns whether a silent attempt was sent before the instance was ejected. It shows the same
- * silence as the others: counted as further failures, attempts that were open together ejected an
- * instance for the maximum at once, although it was not silent any more. */
+/* Returns whether the attempt is a silent one that was sent before failures ejected the instance.
+ * It shows the same silence as the others. When each of them counted, attempts that were open
+ * together ejected an instance for the maximum at once, and again after it had recovered.
+ * @param sent_us 0: not known; an attempt that ends during the ejection was sent before */
 static bool
-is_part_of_known_silence(
-	const struct comet_instance *instance, enum comet_dispatch_result result, uint64_t now_us)
+is_known_silence(const struct comet_instance *instance, enum comet_dispatch_result result,
+	uint64_t sent_us, uint64_t now_us)
 {
-	return result == COMET_DISPATCH_SILENT && instance->failures >= EJECTION_FAILURES &&
-	       now_us < instance->ejected_until_us && !instance->probe_in_flight;
+	if (result != COMET_DISPATCH_SILENT || instance->ejected_by_failure_us == 0)
+		return false;
+	if (sent_us != 0)
+		return sent_us <= instance->ejected_by_failure_us;
+	return now_us < instance->ejected_until_us && !instance->probe_in_flight;
 }
 
 /* Records a failed dispatch and ejects the instance after too many of them. @return whether the
@@ -353,9 +357,8 @@
 {
 	bool newly_ejected = instance->ejected_until_us == 0;
 
-	/* An error response counts in the error rate alone. */
-	if (result != COMET_DISPATCH_ERROR && !is_part_of_known_silence(instance, result, now_us))
-		instance->failures++;
+	if (result != COMET_DISPATCH_ERROR)
+		instance->failures++; /* an error response counts in the error rate alone */
 	instance->error_rate += ERROR_WEIGHT * (1.0 - instance->error_rate);
 	/* A failed connection attempt or a failed probe is sufficient on its own. */
 	bool conclusive = result == COMET_DISPATCH_UNREACHABLE || instance->probe_in_flight;
@@ -365,6 +368,7 @@
 	uint64_t ejection_us = (uint64_t)EJECTION_BASE_US << MIN(instance->failures, 4);
 	ejection_us = MIN(ejection_us / 2, EJECTION_MAX_US);
 	instance->ejected_until_us = now_us + ejection_us;
+	instance->ejected_by_failure_us = now_us;
 	instance->probe_in_flight = false;
 	return newly_ejected;
 }
@@ -385,7 +389,8 @@
 
 /* Updates the health of an instance. @return true when it was ejected, readmitted or replaced. */
 static bool
-learn_result(struct comet_instance *instance, enum comet_dispatch_result result, uint64_t now_us)
+learn_result(struct comet_instance *instance, enum comet_dispatch_result result, uint64_t sent_us,
+	uint64_t now_us)
 {
 	uint64_t backoff_us = (uint64_t)FULL_BACKOFF_BASE_US << MIN(instance->refusals, 8);
 	uint64_t min_backoff_us = instance->brittleness.active ? BRITTLE_BACKOFF_US : 0;
@@ -416,7 +421,8 @@
 		/* All requests of a process end with it: if none remains, it may have restarted. */
 		if (instance->local_requests + instance->remote_requests == 0)
 			comet_instance_begin_slow_start(instance, now_us);
-		return learn_failure(instance, result, now_us);
+		return !is_known_silence(instance, result, sent_us, now_us) &&
+		       learn_failure(instance, result, now_us);
 	case COMET_DISPATCH_UNREACHABLE:
 		/* Another process may soon listen on the address. */
 		comet_instance_begin_slow_start(instance, now_us);
@@ -428,7 +434,7 @@
 bool
 comet_instance_dispatch_ended(struct comet_instance *instance,
 	const struct comet_request_size *size, bool had_first, enum comet_dispatch_result result,
-	uint64_t stream_us, uint32_t events, uint64_t now_us)
+	uint64_t stream_us, uint32_t events, uint64_t sent_us, uint64_t now_us)
 {
 	instance->local_requests -= MIN(instance->local_requests, 1);
 	if (instance->local_requests == 0)
@@ -439,14 +445,14 @@
 	if (result == COMET_DISPATCH_SERVED)
 		learn_latency(instance, size,
 			comet_current_speed_usual_us(&instance->speed, stream_us, now_us), events);
-	return learn_result(instance, result, now_us);
+	return learn_result(instance, result, sent_us, now_us);
 }
 
 bool
 comet_instance_remote_result(
 	struct comet_instance *instance, enum comet_dispatch_result result, uint64_t now_us)
 {
-	return learn_result(instance, result, now_us);
+	return learn_result(instance, result, 0, now_us);
 }
 
 void
--- a/libcometspindle/gateway/endpoints/instance.h
+++ b/libcometspindle/gateway/endpoints/instance.h
@@ -98,6 +98,7 @@
 	uint32_t failures;     /**< consecutive */
 	double error_rate;     /**< moving average, 0 to 1 */
 	uint64_t ejected_until_us; /**< no requests before then, then a probe; 0: not ejected */
+	uint64_t ejected_by_failure_us; /**< when failures last ejected it; 0: never */
 	bool probe_in_flight;
 	uint64_t probe_started_us; /**< time at which the probe was sent or granted */
 	bool replaced;             /**< another process uses its address: this one has ended */
@@ -203,12 +204,12 @@
 comet_instance_first_event(struct comet_instance *instance, const struct comet_request_size *size,
 	uint32_t tokens_ahead, uint64_t first_us, uint64_t now_us);
 
-/** Records the end of a dispatch. @return true when the instance was ejected, readmitted or found
- * to be replaced. */
+/** Records the end of a dispatch. @param sent_us when it was sent; 0: not known. @return true when
+ * the instance was ejected, readmitted or found to be replaced. */
 bool
 comet_instance_dispatch_ended(struct comet_instance *instance,
 	const struct comet_request_size *size, bool had_first, enum comet_dispatch_result result,
-	uint64_t stream_us, uint32_t events, uint64_t now_us);
+	uint64_t stream_us, uint32_t events, uint64_t sent_us, uint64_t now_us);
 
 /** Records the result of a dispatch of another VM. @return as comet_instance_dispatch_ended. */
 bool
--- a/tests/unit/grants_fleet.h
+++ b/tests/unit/grants_fleet.h
@@ -534,7 +534,8 @@
 		vm &one = vms[address];
 		comet_instance *instance =
 			comet_instances_find(one.instances, one.sent[item].c_str());
-		comet_instance_dispatch_ended(instance, &item->size, false, result, 0, 0, now_us);
+		comet_instance_dispatch_ended(
+			instance, &item->size, false, result, 0, 0, 0, now_us);
 		comet_placement_slot_released(one.placement, instance);
 		if (item->owner_vm != 0)
 		{
--- a/tests/unit/placement_fixture.h
+++ b/tests/unit/placement_fixture.h
@@ -102,7 +102,7 @@
 	{
 		comet_instance *instance = comet_instances_find(instances, one.instance.c_str());
 		comet_instance_dispatch_ended(
-			instance, &one.item->size, false, result, 0, 0, now_us);
+			instance, &one.item->size, false, result, 0, 0, 0, now_us);
 	}
 };
 
--- a/tests/unit/speed_simulation.h
+++ b/tests/unit/speed_simulation.h
@@ -345,7 +345,7 @@
 		uint32_t events = item->size.stream && usual_us > 0 ? request.events : 0;
 
 		comet_instance_dispatch_ended(instance, &item->size, true, COMET_DISPATCH_SERVED,
-			taken_us, events, all.now_us);
+			taken_us, events, 0, all.now_us);
 		comet_placement_slot_released(vm.placement, instance);
 		if (item->owner_vm != 0)
 		{
--- a/tests/unit/test_gateway_placement.cc
+++ b/tests/unit/test_gateway_placement.cc
@@ -139,8 +139,8 @@
 	for (int i = 0; i < 20; i++)
 	{
 		comet_instance *instance = comet_instances_find(instances, "i1");
-		comet_instance_dispatch_ended(
-			instance, &running[0].size, false, COMET_DISPATCH_CANCELLED, 0, 0, now_us);
+		comet_instance_dispatch_ended(instance, &running[0].size, false,
+			COMET_DISPATCH_CANCELLED, 0, 0, 0, now_us);
 		comet_placement_run(placement, now_us);
 		now_us += 100000;
 		auto *next = new comet_placement_item(item(2));
--- a/tests/unit/test_instances.cc
+++ b/tests/unit/test_instances.cc
@@ -103,7 +103,7 @@
 	comet_request_size size = {0, 0, 0, false};
 	comet_instance_dispatch_started(only, &size);
 	comet_instance_dispatch_ended(
-		only, &size, true, COMET_DISPATCH_SERVED, 700000, 0, second_us);
+		only, &size, true, COMET_DISPATCH_SERVED, 700000, 0, 0, second_us);
 	uint64_t learned_us = comet_instances_typical_first_us(instances, "llm", &size);
 	comet_instances_remove(instances, "i");
 	for (int i = 0; i < 1000; i++)
@@ -143,7 +143,7 @@
 			instance, &other, size.prompt_tokens, COMET_LATENCY_UNKNOWN, now_us);
 		for (const auto &ended : {size, other})
 			comet_instance_dispatch_ended(
-				instance, &ended, true, COMET_DISPATCH_CANCELLED, 0, 0, now_us);
+				instance, &ended, true, COMET_DISPATCH_CANCELLED, 0, 0, 0, now_us);
 	}
 	uint64_t first_us = 0;
 	uint64_t total_us = 0;
@@ -182,7 +182,7 @@
 	comet_instance_seen(earlier, second_us);
 	for (int i = 0; i < 5; i++)
 		comet_instance_dispatch_ended(
-			earlier, &size, false, COMET_DISPATCH_BROKEN, 0, 0, 2 * second_us);
+			earlier, &size, false, COMET_DISPATCH_BROKEN, 0, 0, 0, 2 * second_us);
 	earlier->relative_latency = 3;
 	comet_instance *later = put(2000);
 	EXPECT_NE(later->key, key);
@@ -200,32 +200,87 @@
 	EXPECT_EQ(comet_instances_for_service(instances, "llm")->len, 1U);
 }
 
-/* Streams that became silent together extended the ejection up to its maximum: of two endpoints
- * with twelve silent streams each, none was used again before the callers' deadlines. */
-TEST_F(InstanceIncarnations, AttemptsThatBecameSilentTogetherEjectOnce)
+/* An endpoint with silent attempts. */
+struct SilentAttempts : InstanceIncarnations
 {
 	comet_instance *instance = put(1000);
 	comet_request_size size = {600, 10, 10, true};
-	for (int i = 0; i < 12; i++)
-		comet_instance_dispatch_started(instance, &size);
-	for (int i = 0; i < 12; i++)
+
+	void
+	end(enum comet_dispatch_result result, uint64_t sent_us, uint64_t now_us)
 	{
-		uint64_t now_us = 2 * second_us + (uint64_t)i * 1000;
-		comet_instance_eject_if_silent(instance, second_us, now_us);
+		comet_instance_dispatch_started(instance, &size);
+		if (result == COMET_DISPATCH_SILENT)
+			comet_instance_eject_if_silent(instance, sent_us, now_us);
 		comet_instance_dispatch_ended(
-			instance, &size, false, COMET_DISPATCH_SILENT, 0, 0, now_us);
+			instance, &size, false, result, 0, 0, sent_us, now_us);
+	}
+
+	void
+	end_together(uint64_t now_us, int n)
+	{
+		for (int i = 0; i < n; i++)
+			end(COMET_DISPATCH_SILENT, second_us, now_us + (uint64_t)i * 1000);
+	}
+
+	void
+	end_probe(enum comet_dispatch_result result, uint64_t sent_us, uint64_t now_us)
+	{
+		comet_instance_selected(instance, sent_us);
+		end(result, sent_us, now_us);
 	}
+};
+
+/* Streams that became silent together extended the ejection up to its maximum: of two endpoints
+ * with twelve silent streams each, none was used again before the callers' deadlines. */
+TEST_F(SilentAttempts, EjectOnceIfTheyBecameSilentTogether)
+{
+	end_together(2 * second_us, 12);
 	EXPECT_GE(instance->ejected_until_us, 3 * second_us);
 	EXPECT_LE(instance->ejected_until_us, 3 * second_us + 100000);
+	/* Some end only when their replacements get slots. */
+	end(COMET_DISPATCH_SILENT, second_us, 4 * second_us);
+	EXPECT_EQ(instance->failures, 2U);
+	EXPECT_LE(instance->ejected_until_us, 4 * second_us + 500000);
+}
 
-	/* A probe that is silent too shows that the endpoint has not recovered. */
-	uint64_t probe_us = 4 * second_us;
-	comet_instance_selected(instance, probe_us);
-	comet_instance_dispatch_started(instance, &size);
-	comet_instance_eject_if_silent(instance, probe_us, probe_us + second_us);
-	comet_instance_dispatch_ended(
-		instance, &size, false, COMET_DISPATCH_SILENT, 0, 0, probe_us + second_us);
-	EXPECT_GE(instance->ejected_until_us, probe_us + 3 * second_us);
+/* An endpoint that stays silent must not be probed again and again at the shortest interval, also
+ * if another attempt ends while a probe is under way. */
+TEST_F(SilentAttempts, OfProbesExtendTheEjection)
+{
+	end_together(2 * second_us, 12);
+	comet_instance_selected(instance, 4 * second_us);
+	end(COMET_DISPATCH_CANCELLED, second_us, 4 * second_us + 100000);
+	end(COMET_DISPATCH_SILENT, 4 * second_us, 5 * second_us);
+	EXPECT_EQ(instance->ejected_until_us, 7 * second_us);
+	end_probe(COMET_DISPATCH_SILENT, 8 * second_us, 9 * second_us);
+	EXPECT_EQ(instance->ejected_until_us, 13 * second_us);
+}
+
+/* A silent attempt that was sent before the ejection must not count as the probe, nor eject an
+ * endpoint that has recovered since. */
+TEST_F(SilentAttempts, FromBeforeTheEjectionDoNotCountDuringOrAfterAProbe)
+{
+	end_together(2 * second_us, 12);
+	comet_instance_selected(instance, 4 * second_us);
+	comet_instance_seen(instance, 4 * second_us + 50000);
+	end(COMET_DISPATCH_SILENT, second_us, 4 * second_us + 100000);
+	EXPECT_TRUE(instance->probe_in_flight);
+	end(COMET_DISPATCH_SERVED, 4 * second_us, 4 * second_us + 200000);
+	EXPECT_EQ(instance->ejected_until_us, 0U);
+	end_together(5 * second_us, 3);
+	EXPECT_EQ(instance->ejected_until_us, 0U);
+}
+
+/* The owner of a shard is told of silent attempts by other VMs, without the time of sending. */
+TEST_F(SilentAttempts, OfOtherVmsEjectOnce)
+{
+	for (uint64_t i = 0; i < 12; i++)
+		comet_instance_remote_result(
+			instance, COMET_DISPATCH_SILENT, 2 * second_us + i * 1000);
+	EXPECT_EQ(instance->ejected_until_us, 3 * second_us + 1000);
+	comet_instance_remote_result(instance, COMET_DISPATCH_BROKEN, 2 * second_us + 100000);
+	EXPECT_EQ(instance->failures, 3U);
 }
 
 /* Two endpoints may have the same key: after one is removed, the other must still be found. */
