Comments of attempts, cold endpoints and speeds: units, reasons and conditions

Cause: some comments that were added since had to be decoded, lacked a unit or the source of a constant, or did not match the code beside them: version_id of attempts through other VMs, byte counters of VMs that are not known, the return value of continue_replacement(), the quiet time of discovery, the condition of comet_gossip_refresh_loads(), the hold time of cold shares, the parameters of put_bytes_of().

Change: they say what the code does, with units, the constants that they depend on and the reasons of the design notes. Comments only: the tokens of the C files and the syntax trees of the Python files are the same. Nothing was built and no test was run.

--- a/libcometspindle/adapters/endpoints/fetch.c
+++ b/libcometspindle/adapters/endpoints/fetch.c
@@ -18,8 +18,8 @@
 #define PROGRESS_US 1000000
 #define PROGRESS_BYTES (16 * 1024)
 
-/* Extension of the time if input has arrived that is not read yet. Reading all connections of a
- * busy VM takes a few milliseconds (CATCH_UP_US in gateway.c). */
+/* Extra time before the timeout if input has arrived but has not been read. Reading all connections
+ * of a busy VM takes a few milliseconds (CATCH_UP_US in gateway.c). */
 #define PENDING_INPUT_US 20000
 
 struct comet_fetch
--- a/libcometspindle/adapters/gateway/attempt.h
+++ b/libcometspindle/adapters/gateway/attempt.h
@@ -11,9 +11,9 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-/** A started response of a silent endpoint that cannot be replaced yet is checked again after this
- * time, in microseconds: a part of the shortest silence (600 ms), and longer than an owner takes to
- * answer a slot request. */
+/** Time, in microseconds, after which a silent attempt of a started response is checked again if it
+ * cannot be replaced yet: a part of the shortest silence (600 ms), and longer than an owner takes
+ * to answer a slot request (40 ms). */
 #define COMET_SILENCE_RECHECK_US 200000
 
 struct comet_attempt;
@@ -47,7 +47,8 @@
 	char *instance_id;            /* id of the endpoint, or address of the VM */
 	uint64_t process_start_ms;    /* process start of the endpoint */
 	uint32_t incarnation_key;     /* key of that incarnation */
-	uint32_t version_id;          /* its software version when the request was sent */
+	uint32_t version_id;          /* software version when the request was sent; through a VM:
+					 as stated in the response, 0 before */
 	uint32_t owner_vm;            /* VM that granted the slot; 0: none */
 	bool sample_wanted;           /* that VM wants a sample before the end */
 	uint32_t peer_vm;             /* VM through which the attempt goes; 0: none */
@@ -58,14 +59,15 @@
 	uint64_t last_byte_us;  /* last bytes of the response; 0 if none yet */
 	uint64_t body_bytes;    /* body bytes received */
 	uint32_t prior_events;  /* events forwarded before this attempt */
-	uint32_t first_events;  /* events that arrived with the first data */
-	bool sampled;           /* it was a sample of the endpoint's speed */
+	uint32_t first_events;  /* events that arrived with the first one; 0: none yet */
+	bool sampled;           /* a sample of the endpoint's speed is done */
 	bool not_executed;      /* the response says that the endpoint did not run the request */
 	bool silence_reported;  /* its silence has been reported to the check of the links */
 	bool upstream_paused;   /* reading is paused for a slow caller */
 	/* Prompt tokens of other requests that the endpoint was to read first. */
 	uint32_t prompt_tokens_ahead;
-	/* Time of the last activity before the silence that the endpoint was ejected for. */
+	/* Time of the last activity before the silence that was checked last; 0: none. A silence
+	 * ejects the endpoint at its first check only. */
 	uint64_t ejected_for_us;
 };
 
@@ -80,11 +82,12 @@
 comet_attempt_begin_at_endpoint(
 	struct comet_proxy_request *proxy, struct comet_instance *instance, uint64_t now_us);
 
-/** Calls on_silence() of the current attempt after delay_us. */
+/** Sets the silence timer of the attempt anew, to delay_us. An attempt without on_silence() gets
+ * none. */
 void
 comet_attempt_check_silence_after(struct comet_attempt *attempt, uint64_t delay_us);
 
-/** Ends the wait of a request for a check of the links, if it waits. */
+/** Removes the request from those that are held until a check of the links ends, if it is held. */
 void
 comet_proxy_request_unhold(struct comet_proxy_request *proxy);
 
@@ -92,8 +95,8 @@
 void
 comet_proxy_request_log_replaced(struct comet_proxy_request *proxy, const char *reason);
 
-/** Gives up the attempt that is current while the next one is sent: closes it, and makes the
- * request continue its response. Does nothing if there is none. */
+/** Ends the silent attempt right before the next one is sent, which resumes the response if it has
+ * started. Does nothing if there is no current attempt. */
 void
 comet_proxy_request_give_up_replaced(struct comet_proxy_request *proxy);
 
--- a/libcometspindle/adapters/gateway/gateway_admit.c
+++ b/libcometspindle/adapters/gateway/gateway_admit.c
@@ -86,8 +86,8 @@
 	return value + length;
 }
 
-/* Reads the caller's hint of the output length. A hint that cannot be right does not count as one.
- */
+/* Reads the caller's hint of the output length, in tokens. A hint that is malformed or exceeds
+ * COMET_ORDER_OUTPUT_TOKENS_MAX is logged and ignored; 0 is ignored. */
 static void
 parse_output_hint(struct comet_proxy_request *proxy, const char *hint)
 {
--- a/libcometspindle/adapters/gateway/gateway_cold.c
+++ b/libcometspindle/adapters/gateway/gateway_cold.c
@@ -6,8 +6,8 @@
 
 #include <libcometspindle/log.h>
 
-/* After a pause of this length other VMs may have taken this one for dead, and its grants count as
- * those of a VM that has just started. It is the minimum time in gossip.c. */
+/* After a pause of this length, other VMs may have taken this one for dead (UNREACHABLE_MIN_US in
+ * gossip.c), so that it uses the share of a process that has just started. */
 #define LONG_PAUSE_US 1000000
 
 uint32_t
@@ -19,7 +19,8 @@
 		gateway->gossip, shard->id, shard->zone_id, comet_timers_now_us());
 }
 
-/* Logs the last of the requests that were not sent to cold endpoints since the last call. */
+/* Logs the latest request that was not sent or granted to a cold endpoint, and the number of such
+ * requests since the last log line. */
 static void
 log_refusal(struct comet_gateway *gateway, const struct comet_cold_vms *vms, uint64_t now_us)
 {
--- a/libcometspindle/adapters/gateway/gateway_grants.c
+++ b/libcometspindle/adapters/gateway/gateway_grants.c
@@ -238,7 +238,8 @@
 	return left_ms > 0 ? now_us + (uint64_t)left_ms * 1000 : 0;
 }
 
-/* Placement replaces such values by the bound. */
+/* Logs times of a slot request that exceed their bound, by which placement replaces them. order_ms
+ * is the delay plus 1; 0: not known. */
 static void
 log_if_out_of_bounds(const comet_SlotAsk *ask)
 {
--- a/libcometspindle/adapters/gateway/gateway_metrics.c
+++ b/libcometspindle/adapters/gateway/gateway_metrics.c
@@ -77,8 +77,8 @@
 		counts->slot_requests_unanswered, counts->slot_requests_answered);
 }
 
-/* Writes the requests that were not sent or granted to cold endpoints with a free slot, and the
- * fraction of the VMs on which the share of this VM is based. */
+/* Writes the number of requests that were not sent or granted to cold endpoints with a free slot,
+ * and the fraction of the VMs on which the share of this VM is based. */
 static void
 put_cold_endpoints(GString *out, const struct comet_gateway *gateway)
 {
@@ -438,7 +438,9 @@
 		       : &gateway->crossing[COMET_GATEWAY_USE_PEERS];
 }
 
-/* Writes the bytes of one use or kind of datagram. label: its name */
+/* Writes the bytes of one use, or of one kind of datagram, in both directions.
+ * @param label name of the label, "use" or "kind"
+ * @param value value of the label */
 static void
 put_bytes_of(GString *out, const char *family, const char *label, const char *value,
 	const struct comet_byte_counters *bytes)
--- a/libcometspindle/adapters/gateway/gateway_private.h
+++ b/libcometspindle/adapters/gateway/gateway_private.h
@@ -32,7 +32,8 @@
 	uint64_t retried;
 	uint64_t resumed;
 	uint64_t replacements_requested;  /**< for silent attempts of started responses */
-	uint64_t replaced;                /**< of these: the next attempt had a slot or a VM */
+	uint64_t replaced;                /**< of these: the next attempt was sent, or the silent
+					       one ended before */
 	uint64_t replacements_cancelled;  /**< of these: the attempt went on */
 	uint64_t peer_attempts;           /**< attempts through other VMs */
 	uint64_t granted;                 /**< slots granted by other VMs */
@@ -41,8 +42,8 @@
 	uint64_t denied;                  /**< slot requests that were denied */
 	uint64_t stream_versions_known;   /**< resumed streams whose version was found */
 	uint64_t stream_versions_unknown; /**< resumed streams that were refused or cut off */
-	uint64_t samples_sent;            /**< of streams that went on, to owners */
-	uint64_t samples_received;        /**< of streams at other VMs that went on */
+	uint64_t samples_sent;            /**< samples of unfinished streams, sent to owners */
+	uint64_t samples_received;        /**< samples of unfinished streams of other VMs */
 	uint64_t slowdowns_stated;        /**< responses that stated another speed than the usual */
 	uint64_t slowdowns_ignored;       /**< statements out of bounds */
 	uint64_t slot_waits_expired; /**< slot requests that waited at the owner without a grant */
@@ -124,9 +125,10 @@
 	const struct comet_exchange_events *response_events; /**< handle responses to attempts */
 	struct comet_route_table *table;                     /**< NULL until one has been read */
 	struct comet_gateway_counts counts;
-	struct comet_byte_counters bytes[COMET_GATEWAY_USES];    /**< within this zone, or of an
-								      unknown zone */
-	struct comet_byte_counters crossing[COMET_GATEWAY_USES]; /**< to and from other zones */
+	struct comet_byte_counters bytes[COMET_GATEWAY_USES];    /**< within this zone; all bytes of
+								      callers and directory */
+	struct comet_byte_counters crossing[COMET_GATEWAY_USES]; /**< to and from other zones, and
+								      VMs not known as alive */
 	struct comet_latency_histogram
 		routes_lag;             /**< from the report of a document until it is in force */
 	struct comet_counter_set *ends; /**< requests by outcome, kind and rank */
@@ -146,9 +148,9 @@
 	uint64_t last_loop_us;          /**< when the event loop last waited */
 	uint64_t suspended_us;          /**< total time suspended, as last read */
 	uint64_t pause_detected_us;     /**< when a pause was last detected; 0: never */
-	uint64_t long_pause_us;         /**< when other VMs may last have taken this one for dead,
-					   because it paused; 0: never */
-	uint64_t cold_refusals_logged;  /**< refused requests to cold endpoints that were logged */
+	uint64_t long_pause_us;         /**< end of the last pause in which other VMs may have
+					   taken this one for dead; 0: none */
+	uint64_t cold_refusals_logged;  /**< requests not sent to cold endpoints, as last logged */
 	struct comet_fetch *resyncing;  /**< fetch of a snapshot or delta; NULL: none */
 	uint64_t first_snapshot_due_us; /**< when to request the first snapshot again */
 	GHashTable *older_peers;        /**< set of peers that do not know packed responses */
--- a/libcometspindle/adapters/gateway/gateway_returns.c
+++ b/libcometspindle/adapters/gateway/gateway_returns.c
@@ -203,8 +203,8 @@
 		comet_gateway_returns_source_name(proxy->item.retry_source), retry_after_ms,
 		refused.due_us / 1000, left_us / 1000,
 		owner_vm != 0 ? comet_datagram_socket_format_address(owner_vm, text) : "-");
-	/* Under a lasting overload callers without room would go before all newcomers, which would
-	 * then be refused first and served late. */
+	/* Only if the overload is expected to end in time. Under a lasting one, returned callers
+	 * would go before all newcomers, which would then be refused first and served late. */
 	if (proxy->item.return_expected)
 		comet_returning_callers_record(returns->callers, owner_vm, &refused, now_us);
 }
--- a/libcometspindle/adapters/gateway/gateway_send.c
+++ b/libcometspindle/adapters/gateway/gateway_send.c
@@ -300,8 +300,8 @@
 		return;
 	}
 	struct comet_instance *instance = comet_proxy_request_instance(proxy);
-	/* Once for each silence: ejected at every check, an endpoint was closed to the streams of
-	 * other silent endpoints until their deadlines. */
+	/* Each silence ejects the endpoint only once. When every check ejected it again, it was
+	 * closed to the streams of other silent endpoints until their deadlines. */
 	bool ejected = instance != NULL && proxy->attempt->ejected_for_us != last_us &&
 		       comet_instance_eject_if_silent(instance, last_us, now_us);
 	proxy->attempt->ejected_for_us = last_us;
@@ -376,8 +376,8 @@
 }
 
 /* Goes on with the replacement of an attempt that has ended by itself: as after a broken attempt,
- * with the same slot request. @return false if the request must not be sent again, and the
- * replacement was cancelled */
+ * with the same slot request. @return false if nothing is held or requested any more, or if the
+ * request must not be sent again, so that the replacement was cancelled */
 static bool
 continue_replacement(struct comet_proxy_request *proxy)
 {
@@ -472,7 +472,8 @@
 {
 	struct comet_gateway *gateway = ctx;
 	struct comet_proxy_request *proxy = item->user_data;
-	/* A copy, since the end of a replaced attempt may lead to other decisions. */
+	/* A copy, since the end of the replaced attempt may lead to other decisions, which
+	 * overwrite this one. */
 	const struct comet_placement_decision decision =
 		*comet_placement_decision(gateway->placement);
 	const struct comet_placement_decision *reason = &decision;
--- a/libcometspindle/adapters/gateway/gateway_speed.c
+++ b/libcometspindle/adapters/gateway/gateway_speed.c
@@ -21,7 +21,9 @@
 	return percent == COMET_SLOWDOWN_USUAL_PERCENT;
 }
 
-/* Sends the owner a sample of the stream that goes on. events is 0 if it has only the slowdown. */
+/* Sends the owner a sample of an unfinished stream, if the grant asked for it.
+ * @param taken_us time from the first to the last of the events, without the stated slowdown
+ * @param events 0: only the slowdown is sent */
 static void
 send_sample(struct comet_proxy_request *proxy, const struct comet_instance *instance,
 	uint64_t taken_us, uint32_t events, uint64_t now_us)
--- a/libcometspindle/adapters/gateway/proxy_request.h
+++ b/libcometspindle/adapters/gateway/proxy_request.h
@@ -31,7 +31,7 @@
 	void (*on_version_known)(struct comet_proxy_request *proxy, uint64_t now_us);
 	/** Called if it is not known. */
 	void (*on_version_unknown)(struct comet_proxy_request *proxy, uint32_t retry_after_ms);
-	uint32_t peer_version_id;  /* version that the VM states that forwarded the request */
+	uint32_t peer_version_id;  /* version stated by the VM that forwarded the request */
 	bool resolving;            /* the version of its stream is being looked up */
 	const char *retry_reason;  /* code of the reason of a held retry */
 	GList *open_link;          /* link in gateway->open_requests */
--- a/libcometspindle/gateway/endpoints/cold_share.c
+++ b/libcometspindle/gateway/endpoints/cold_share.c
@@ -8,9 +8,9 @@
 #include <libcometspindle/gateway/fleet/discovery.h>
 
 /* Shares of the limit by position, of young and of other processes. The first VM gets half, since
- * it owns the shard as long as no VM fails. Within a second that counts, a young process may have
- * replaced another one, and while links fail two VMs with all others between them may be at the
- * second position: 1/2 + 1/4 + 2 x 1/8 = 1. */
+ * it owns the shard as long as no VM fails. Within any second the sum is 1/2 + 2 x 1/8 + 1/4 = 1 at
+ * most: while links fail, the VMs at the second position may form two groups, in each of which the
+ * fractions of the VMs add up to 1, and young processes may have replaced others. */
 #define POSITIONS 2
 static const double young_shares[POSITIONS] = {1.0 / 4, 0};
 static const double shares[POSITIONS] = {1.0 / 2, 1.0 / 8};
@@ -24,7 +24,7 @@
 #define YOUNG_US 1200000
 
 /* The same if other VMs are older: until they receive gossip from it, they count one VM less in the
- * positions. By this age this VM is an owner to them (gossip_owners.c). */
+ * positions. From this age on, they accept it as an owner (OWNER_MIN_AGE_US in gossip_owners.c). */
 #define YOUNGER_US 3000000
 
 /* More than half of all VMs are on at most one side of a partition. This side sends a request to an
@@ -79,7 +79,8 @@
 	double observed = MIN(1, (double)vms->heard / known);
 	uint32_t passed = advance(&fraction->slice, now_us);
 
-	/* Of two VMs that both hear most VMs, each learns of the other from a VM that both hear. */
+	/* Two VMs that each hear most VMs learn of each other, from a VM that both hear. One that
+	 * hears fewer may not know of others that decide as well. */
 	if (vms->discovering && vms->heard < MAJORITY * vms->known)
 		observed = 0;
 	if (vms->discovering || !fraction->discovered)
--- a/libcometspindle/gateway/endpoints/cold_share.h
+++ b/libcometspindle/gateway/endpoints/cold_share.h
@@ -5,8 +5,8 @@
  * The limit applies to all VMs together, and VMs may disagree about the owner of a shard. So the
  * share of a VM does not depend on which requests reach it, but on what it knows itself: its
  * position among the VMs that may own the shard, the fraction of the VMs that it hears, and the
- * age of its process. docs/design/cold-endpoints.md proves that the shares add up to one at most.
- * This module uses no clock.
+ * age of its process. docs/design/cold-endpoints.md states the assumptions under which the shares
+ * add up to one at most. This module uses no clock.
  */
 #ifndef COMETSPINDLE_GATEWAY_COLD_SHARE_H
 #define COMETSPINDLE_GATEWAY_COLD_SHARE_H
@@ -15,8 +15,8 @@
 #include <stdint.h>
 
 /** Slices of time for which the worst position and fraction are kept, and their length. A better
- * one thus counts after 1.5 s: this covers the second of the limit, the delay of requests, and the
- * time by which VMs learn of a change later than others. */
+ * one thus counts after a hold time of 1.5 to 2 s: this covers the second of the limit, the delay
+ * of requests, and the time by which VMs learn of a change later than others (0.3 s). */
 #define COMET_COLD_SHARE_SLICES 4
 #define COMET_COLD_SHARE_SLICE_US 500000
 
@@ -25,7 +25,7 @@
 {
 	uint32_t position;    /**< number of VMs that are preferred over this one */
 	uint64_t checked_us;  /**< time of the last update; 0: none */
-	uint64_t reformed_us; /**< when the shard was formed of others; 0: it was not */
+	uint64_t reformed_us; /**< when the shard was formed anew from others; 0: never */
 	uint64_t slice;       /**< index of the newest slice */
 	uint32_t worst[COMET_COLD_SHARE_SLICES]; /**< by slice, a ring buffer */
 };
@@ -53,7 +53,7 @@
 enum comet_cold_age
 {
 	COMET_COLD_AGE_STARTED, /**< it decides on nothing */
-	COMET_COLD_AGE_YOUNG,   /**< requests count that others sent before it started */
+	COMET_COLD_AGE_YOUNG,   /**< requests that others sent before it started still count */
 	COMET_COLD_AGE_GROWN,   /**< such requests no longer count */
 };
 
@@ -71,7 +71,7 @@
 comet_cold_position_update(
 	struct comet_cold_position *position, uint32_t observed, uint64_t now_us);
 
-/** Records that the shard was formed of others, in which other VMs had the shares. */
+/** Records that the shard was formed anew from others, whose owners may have been other VMs. */
 void
 comet_cold_position_reformed(struct comet_cold_position *position, uint64_t now_us);
 
--- a/libcometspindle/gateway/endpoints/current_speed.c
+++ b/libcometspindle/gateway/endpoints/current_speed.c
@@ -7,17 +7,17 @@
 
 #include <glib.h>
 
-/* Bounds of a statement, the same as those of the relative latency: faults slow an endpoint down by
- * a factor of 10, and hardware generations differ by a factor of 3. */
+/* Bounds of a statement, in percent, the same as those of the relative latency: faults slow an
+ * endpoint down by a factor of 10, and hardware generations differ by a factor of 3. */
 #define PERCENT_MIN 20
 #define PERCENT_MAX 2000
 
-/* Time after which a statement says nothing. Endpoints that share hardware with others change their
- * speed about as often. */
+/* Time after which a statement says nothing. Endpoints that share hardware with others are slow for
+ * about 600 ms at a time. */
 #define FRESH_US 600000
 
-/* Statements that differ by no more than this are taken for the same, since endpoints measure the
- * figure that they state. */
+/* Statements that differ by no more than this many percentage points are taken for the same, since
+ * endpoints measure the figure that they state. */
 #define SAME_PERCENT 15
 
 static bool
--- a/libcometspindle/gateway/endpoints/instance.h
+++ b/libcometspindle/gateway/endpoints/instance.h
@@ -72,7 +72,7 @@
 	const struct comet_slow_start_config *slow_start_config; /**< shared by its service */
 	struct comet_advertised_limit limit;                     /**< on its request rate */
 	struct comet_brittleness brittleness;
-	struct comet_current_speed speed; /**< as it states */
+	struct comet_current_speed speed; /**< at present, as it states */
 	GHashTable *leaving;              /**< set of the instances that said that they leave */
 	GHashTable *limited;              /**< set of the instances with a limit to report */
 	GHashTable *busy;                 /**< set of the instances with dispatches of this VM */
@@ -91,12 +91,12 @@
 	uint64_t reported_us;      /**< time of that response; 0: none */
 	double relative_latency;   /**< learned; see comet_instance_relative_latency() */
 	double recorded_latency;   /**< as recorded in the latency model; 0: no samples yet */
-	uint64_t needed_us;    /**< when a request was last picked for it, or waited for it, that a
-				  slower instance would not have served in time; 0: never */
-	uint32_t samples;      /**< number of samples of the relative latency */
-	uint64_t last_seen_us; /**< last time it sent data on any connection; 0: never */
-	uint32_t failures;     /**< consecutive */
-	double error_rate;     /**< moving average, 0 to 1 */
+	uint64_t needed_us;        /**< when it was last picked, or waited for, for a request that a
+				      slower instance would have served late; 0: never */
+	uint32_t samples;          /**< number of samples of the relative latency */
+	uint64_t last_seen_us;     /**< last time it sent data on any connection; 0: never */
+	uint32_t failures;         /**< consecutive */
+	double error_rate;         /**< moving average, 0 to 1 */
 	uint64_t ejected_until_us; /**< no requests before then, then a probe; 0: not ejected */
 	bool probe_in_flight;
 	uint64_t probe_started_us; /**< time at which the probe was sent or granted */
@@ -149,9 +149,10 @@
 bool
 comet_instance_wants_samples(const struct comet_instance *instance);
 
-/** Updates the relative latency and the latency model from a response: a plain one after taken_us,
- * or events of a stream within taken_us, each as long as it usually takes. A plain response with
- * taken_us 0 and a stream of fewer than two events are ignored. */
+/** Updates the relative latency and the latency model from a response. A plain response with
+ * taken_us 0 and a stream of fewer than two events are ignored.
+ * @param taken_us time of a plain response, or from the first to the last event, without the stated
+ * slowdown (comet_current_speed_usual_us()) */
 void
 comet_instance_add_sample(
 	struct comet_instance *instance, bool stream, uint64_t taken_us, uint32_t events);
@@ -181,7 +182,7 @@
 void
 comet_instance_begin_slow_start(struct comet_instance *instance, uint64_t now_us);
 
-/** Presumes that an instance is cold, for which only the lack of requests speaks. */
+/** Starts a cold period that is only presumed (comet_slow_start_presume()). */
 void
 comet_instance_presume_cold(struct comet_instance *instance, uint64_t now_us);
 
--- a/libcometspindle/gateway/endpoints/instances.c
+++ b/libcometspindle/gateway/endpoints/instances.c
@@ -270,7 +270,8 @@
 	instance->warm_until_us =
 		record->warm_up_ms > 0 ? now_us + (uint64_t)record->warm_up_ms * 1000 : 0;
 	/* An endpoint that disappeared from the directory and is listed again may have been cold
-	 * for some time. The entry of a new one states its warm-up. */
+	 * for some time, so it counts as known to be cold. A new one is only presumed to be cold,
+	 * since its entry states its warm-up. */
 	if (is_new)
 		comet_instance_presume_cold(instance, now_us);
 	else if (!instance->listed)
--- a/libcometspindle/gateway/endpoints/latency_model.h
+++ b/libcometspindle/gateway/endpoints/latency_model.h
@@ -57,8 +57,8 @@
 comet_latency_model_record_relative(
 	struct comet_latency_model *latency_model, double recorded, double current);
 
-/** @return the relative latency of a typical endpoint, weighted by how much work endpoints do in
- * the same time; 1 until one is recorded. */
+/** @return the relative latency of a typical endpoint: the harmonic mean, which weights endpoints
+ * by how much work they do in the same time; 1 until one is recorded. */
 double
 comet_latency_model_typical_relative(const struct comet_latency_model *latency_model);
 
--- a/libcometspindle/gateway/endpoints/slow_start.h
+++ b/libcometspindle/gateway/endpoints/slow_start.h
@@ -27,7 +27,7 @@
 struct comet_slow_start
 {
 	uint64_t until_us;          /**< end of the cold period */
-	uint64_t presumed_until_us; /**< end of a cold period that nothing but idleness suggests */
+	uint64_t presumed_until_us; /**< end of a cold period that is presumed, see below */
 	uint64_t last_us;           /**< time of the last request; 0: none */
 	uint64_t slice;             /**< index of the newest slice */
 	uint32_t counts[COMET_SLOW_START_SLICES]; /**< requests per slice, a ring buffer */
@@ -38,8 +38,8 @@
 comet_slow_start_begin(struct comet_slow_start *start, const struct comet_slow_start_config *config,
 	uint64_t now_us);
 
-/** Starts a cold period that is only presumed: the directory states no warm-up for the endpoint,
- * and no failure of it was seen. */
+/** Starts a cold period that is only presumed: the endpoint is new to this process or got no
+ * request for some time, but no warm-up is stated and no failure was seen. */
 void
 comet_slow_start_presume(struct comet_slow_start *start,
 	const struct comet_slow_start_config *config, uint64_t now_us);
@@ -53,7 +53,7 @@
 comet_slow_start_count(struct comet_slow_start *start, const struct comet_slow_start_config *config,
 	uint64_t now_us);
 
-/** Requests per second to a cold endpoint on which this VM decides (cold_share.h). */
+/** Requests per second to a cold endpoint that this VM may send or grant (cold_share.h). */
 struct comet_slow_start_allowance
 {
 	uint32_t known;    /**< if the endpoint is known to be cold */
@@ -72,7 +72,7 @@
 	const struct comet_slow_start_config *config,
 	const struct comet_slow_start_allowance *allowance, uint64_t now_us);
 
-/** Returns the number of requests that this VM has counted in the last second or a little more. */
+/** Returns the number of requests that this VM has counted in the last 1.1 to 1.2 s. */
 uint32_t
 comet_slow_start_recent(const struct comet_slow_start *start, uint64_t now_us);
 
--- a/libcometspindle/gateway/fleet/discovery.c
+++ b/libcometspindle/gateway/fleet/discovery.c
@@ -6,8 +6,8 @@
 
 #include <glib.h>
 
-/* After the start, discovery is complete once no further VM has appeared for the quiet time or for
- * some gossip rounds, and at the latest after DISCOVERY_MAX_US. */
+/* After the start, discovery is complete once no further VM has appeared for the quiet time and for
+ * two gossip rounds, and at the latest after DISCOVERY_MAX_US. */
 #define DISCOVERY_QUIET_US 200000
 #define DISCOVERY_QUIET_ROUNDS 2
 #define DISCOVERY_MAX_US 4000000
--- a/libcometspindle/gateway/fleet/discovery.h
+++ b/libcometspindle/gateway/fleet/discovery.h
@@ -12,7 +12,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-/** Number of VMs that a VM assumes at least while it discovers them. */
+/** Minimum number of VMs that a VM assumes during discovery. */
 #define COMET_DISCOVERY_ASSUMED_VMS 128
 
 /** Discovery of one process; all other fields are zero at first. */
--- a/libcometspindle/gateway/fleet/gossip.h
+++ b/libcometspindle/gateway/fleet/gossip.h
@@ -96,9 +96,9 @@
 comet_gossip_count_preferred(
 	const struct comet_gossip *gossip, uint32_t key, uint32_t zone, uint64_t now_us);
 
-/** Counts the VMs that this one hears, and all that may be alive, and compares their ages. A VM
- * discovers others while it has received no gossip from one that it knows of, for some seconds
- * after its start. */
+/** Counts the VMs that this one hears, and all that may be alive, and compares their ages. This VM
+ * counts as discovering for 4 s after its start at most, while it has received no gossip from a VM
+ * that it knows of. */
 void
 comet_gossip_observe_vms(
 	const struct comet_gossip *gossip, struct comet_cold_vms *vms, uint64_t now_us);
--- a/libcometspindle/gateway/fleet/gossip_loads.c
+++ b/libcometspindle/gateway/fleet/gossip_loads.c
@@ -5,12 +5,13 @@
  */
 #include <libcometspindle/gateway/fleet/gossip_state.h>
 
-/* Bounds on what one VM may report at an endpoint: the sums over all VMs stay in range. */
+/* Bounds on what one VM may report at an endpoint, so that the 32-bit sums over all VMs do not
+ * overflow. */
 #define REPORTED_REQUESTS_MAX 1000000
 #define REPORTED_PROMPT_TOKENS_MAX 1000000
 
 /* A gossip message that arrives up to this time after a grant may have been sent before the grant
- * reached its VM: the grant waits up to 40 ms and a round trip for its VM, and the message takes a
+ * reached its VM: the VM waits up to 40 ms and a round trip for the grant, and the message takes a
  * round trip more if it is forwarded. */
 #define GRANT_IN_FLIGHT_US 150000
 
@@ -54,7 +55,8 @@
 	}
 }
 
-/* Otherwise each gossip message changes the sums only by its own endpoints. */
+/* Sums all loads only after endpoints were added or removed. Otherwise each gossip message changes
+ * the sums of the endpoints that it reports, and no others. */
 void
 comet_gossip_refresh_loads(struct comet_gossip *gossip)
 {
--- a/libcometspindle/gateway/fleet/gossip_state.h
+++ b/libcometspindle/gateway/fleet/gossip_state.h
@@ -78,9 +78,9 @@
 	uint64_t zone_sent_us;
 	uint64_t all_sent_us;
 	/* Numbers of VMs that stopped sending gossip without announcing that they leave, and have
-	 * not sent any since: in the current and in the previous period (gossip_cold.c). */
+	 * not sent any since: in period lost_period and in the one before (gossip_cold.c). */
 	uint32_t lost_vms[2];
-	uint64_t lost_period; /* index of this period */
+	uint64_t lost_period; /* index of the period in which a VM was last lost */
 	bool is_seed;         /* this VM is one of its own seeds */
 	uint32_t next_team;   /* where the next gossip message continues the list of teams */
 	uint32_t next_limit;  /* where the next gossip message continues the list of limits */
--- a/libcometspindle/gateway/replacement.h
+++ b/libcometspindle/gateway/replacement.h
@@ -10,7 +10,7 @@
 
 enum comet_replacement
 {
-	/** Wait for the endpoint, and do not check again: no other attempt may follow. */
+	/** Wait for the endpoint, and do not check again: no attempt follows this silent one. */
 	COMET_REPLACEMENT_KEEP,
 	/** Wait for the endpoint, and check again later. */
 	COMET_REPLACEMENT_RECHECK,
--- a/scripts/soak_gateway.py
+++ b/scripts/soak_gateway.py
@@ -52,9 +52,9 @@
           "bulk": ALL_FAULTS + ["document_large"] * 8 + ["document", "drain", "kill", "stop"] * 2}
 BULK_VMS_MIN = 9  # of one zone, in which some read for the others
 BULK_ROUTES_MAX = 4000
-UNEVEN_CALLERS = 4  # times as many, so that some are refused
+UNEVEN_CALLERS = 4  # factor on the number of callers, so that some are refused
 UNEVEN_DEADLINES_MS = [400, 1000, 4000]
-LARGE_PART, LARGE_SIZE = 0.1, 20  # share of large requests, in sizes of the usual one
+LARGE_PART, LARGE_SIZE = 0.1, 20  # share of large requests; their size, that of a usual one being 1
 TOKENS_PER_SIZE = 50
 ABSURD_HINTS = [10 ** 12, 10 ** 6 + 1, -1, "x"]
 LIMITS = ["0.5", "2", "8", "many"]  # that servers advertise; the last one is malformed
@@ -231,9 +231,9 @@
         self.with_answers = "answer_stop" in self.kinds
         self.attempts = 3 if self.with_answers else 2  # of a stream that may be resumed
         self.vms_n, self.servers_n, self.callers_n = SIZES[scale]
-        self.uneven = "hints" in self.kinds  # until all is well again
-        self.absurd_hints = 0  # faults during which all hints are out of bounds
-        self.left_out = 0  # lines about hints that the VMs left out
+        self.uneven = "hints" in self.kinds  # until the final checks, which send usual requests
+        self.absurd_hints = 0  # number of present faults that put all hints out of bounds
+        self.left_out = 0  # log lines about hints that the VMs left out, because of their budget
         if self.uneven:
             self.callers_n *= UNEVEN_CALLERS
         self.bulk = kinds == "bulk"
--- a/scripts/soak_pieces.py
+++ b/scripts/soak_pieces.py
@@ -13,7 +13,7 @@
 NAMED = re.compile(rb"data: [0-9a-f]{16} (\d+) (\S+) ")
 MALFORMED = re.compile(r"^ts=(\S+)Z \S+ \S+ pid=(\d+) event=(output_hint_ignored|slowdown_ignored|header_ignored"
                        r"|refusal_record_bounded) ", re.MULTILINE)
-LOG_SPANS_S = range(1, 6)  # a budget that fails by little is seen in the longer ones
+LOG_SPANS_S = range(1, 6)  # the longer ones show a budget that is exceeded by little
 LOGGED_PER_S = 8  # REPEATED_PER_S in libcometspindle/log_budget.c
 CLOCK_ERROR_S = 0.01  # the budget uses CLOCK_BOOTTIME, lines are stamped with CLOCK_REALTIME
 
--- a/scripts/soak_servers.py
+++ b/scripts/soak_servers.py
@@ -25,7 +25,7 @@
 PHASE_S = 0.6  # for which the speed of a server stays the same
 PHASE_PERCENT = 250  # of the usual time, in a slow phase
 SLOW_PHASES_PART = 0.3
-STEP_S = 0.05  # of work, after which the speed is looked at again
+STEP_S = 0.05  # time of work at the usual speed, after which the speed is determined again
 ABSURD_PERCENTS = [0, 10 ** 9, 10 ** 12]  # the last one makes the header malformed
 ABSURD_PART = 0.2  # of the responses
 
--- a/tests/unit/speed_simulation.h
+++ b/tests/unit/speed_simulation.h
@@ -114,7 +114,7 @@
 	std::vector<result> results;        /* by kind */
 	std::map<uint32_t, result> by_zone; /* by zone of the VM */
 	std::vector<double> zone_weights;   /* demand by zone; empty: equal */
-	double slow_share = 0;              /* of the time during which an endpoint is slow */
+	double slow_share = 0;              /* fraction of the time in which an endpoint is slow */
 	bool states_slowdown = false;
 	uint64_t crossing = 0; /* requests sent to another zone */
 	uint64_t sent = 0;
@@ -230,7 +230,8 @@
 		crossing += number % all.shape.zones != request.vm % all.shape.zones ? 1 : 0;
 	}
 
-	/* Changes the slowdowns that are due: slow for 600 ms at a time. */
+	/* Changes the slowdowns that are due. An endpoint is slow for 600 ms at a time, and its
+	 * usual speed lasts so long on average that slow_share of the time is slow. */
 	void
 	change_slowdowns()
 	{
