Tests: keep the port of a cut link reserved

A cut closes the relay's listener, and the kernel gave its port to a stand-in of the other run's tests. The VM without links reached that server under the name i-0: its plain answer ("i-0 got" and 8 bytes, body_bytes=16, no event) counted as a broken stream, twice, and the caller got 502. The daemon acted as it should.

Change: the relay's port is reserved for the whole process, as the ports of gateways and stand-ins are.

--- a/tests/system/cut_links.py
+++ b/tests/system/cut_links.py
@@ -11,7 +11,7 @@
 import threading
 
 from gateway_world import BUILD
-from platform_standin import listen
+from platform_standin import listen, reserve_port
 
 KINDS = ("hang", "reset", "live")
 
@@ -35,8 +35,8 @@
         self.fillers = []
         self.restored = threading.Event()
         self.restored.set()
-        self.listener = listen()
-        self.own_port = self.listener.getsockname()[1]
+        self.own_port = reserve_port("127.0.0.1")  # also while the link is cut and nothing listens
+        self.listener = listen(port=self.own_port)
         self.serve(self.listener)
 
     def serve(self, listener):
