--- a/libcometspindle/gateway/placement/return_schedule.h
+++ b/libcometspindle/gateway/placement/return_schedule.h
@@ -85,8 +85,8 @@
 comet_return_schedule_is_refusal_final(const struct comet_return_schedule *schedule, uint32_t rank,
 	uint64_t latest_us, uint64_t until_us, uint64_t now_us);
 
-/** @return when the next caller of a rank would be told to come back, if the requests that wait now
- * are served at room_us. */
+/** @return the return time that the next refused caller of a rank gets, if the requests that wait
+ * now are served at room_us. */
 uint64_t
 comet_return_schedule_room_us(
 	const struct comet_return_schedule *schedule, uint32_t rank, uint64_t room_us);
