Count requests that arrive on a connection after its close

Change: event=data_after_close and comet_data_after_close_total. The metrics of the crash tracker move to its own file.

--- a/libcometspindle/adapters/callers/http_server.c
+++ b/libcometspindle/adapters/callers/http_server.c
@@ -69,6 +69,7 @@
 	GByteArray *ahead; /* read and not yet parsed */
 	GByteArray *body;
 	size_t unsent_bytes; /* unsent bytes of the last response at the last check */
+	uint64_t ended_us;   /* when it stopped accepting requests; 0: it accepts them */
 	enum connection_state state;
 	bool got_byte;   /* a request has begun to arrive */
 	bool got_head;   /* its head is complete */
@@ -79,6 +80,7 @@
 	bool no_body;    /* the response has no body: HEAD, 204, 304 */
 	bool started;    /* the head of the response is sent */
 	bool parsing;    /* inside read_on() */
+	bool late_data;  /* data arrived after it stopped accepting requests */
 };
 
 static void
@@ -158,6 +160,7 @@
 static void
 end_connection(struct connection *connection)
 {
+	connection->ended_us = comet_timers_now_us();
 	comet_socket_shutdown(connection->socket);
 	if (comet_socket_queued(connection->socket) == 0)
 	{
@@ -318,13 +321,36 @@
 	comet_socket_pause(connection->socket, held && connection->ahead->len >= READ_AHEAD_BYTES);
 }
 
+/* @return whether the rest of a request is still due, whose response was early. */
+static bool
+is_within_request(const struct connection *connection)
+{
+	return connection->got_byte && !connection->complete;
+}
+
+/* Counts data that belongs to a further request on a connection that has been closed. */
+static void
+count_late_data(struct connection *connection)
+{
+	if (connection->late_data || is_within_request(connection))
+		return;
+	connection->late_data = true;
+	connection->http_server->counts.late++;
+	comet_log(COMET_LOG_NOTICE,
+		"event=data_after_close idle=%d closed_ms_ago=%" G_GUINT64_FORMAT,
+		!connection->got_byte, (comet_timers_now_us() - connection->ended_us) / 1000);
+}
+
 static void
 on_data(void *ctx, const char *data, size_t length)
 {
 	struct connection *connection = ctx;
 
 	if (connection->state == CONNECTION_ENDING || connection->state == CONNECTION_LINGERING)
+	{
+		count_late_data(connection);
 		return;
+	}
 	g_byte_array_append(connection->ahead, (const guint8 *)data, (guint)length);
 	read_on(connection);
 }
--- a/libcometspindle/adapters/callers/http_server.h
+++ b/libcometspindle/adapters/callers/http_server.h
@@ -46,6 +46,7 @@
 	uint64_t requests;
 	uint64_t malformed;
 	uint64_t left; /**< callers that disconnected before their response */
+	uint64_t late; /**< connections on which a request arrived after their close */
 };
 
 struct comet_http_server;
--- a/libcometspindle/adapters/gateway/gateway_crashes.c
+++ b/libcometspindle/adapters/gateway/gateway_crashes.c
@@ -273,3 +273,19 @@
 	comet_crash_tracker_process_crashed(
 		gateway->crash_tracker, instance->key, instance->last_seen_us, now_us);
 }
+
+void
+comet_gateway_crashes_put_metrics(const struct comet_gateway *gateway, GString *out)
+{
+	const struct comet_crash_tracker_counts counts =
+		comet_crash_tracker_count(gateway->crash_tracker);
+
+	g_string_append_printf(out,
+		"# TYPE comet_crash_records gauge\n"
+		"comet_crash_records %u\n"
+		"# TYPE comet_crash_suspects gauge\n"
+		"comet_crash_suspects %u\n"
+		"# TYPE comet_requests_barred gauge\n"
+		"comet_requests_barred %u\n",
+		counts.records, counts.crash_suspects, counts.quarantined);
+}
--- a/libcometspindle/adapters/gateway/gateway_crashes.h
+++ b/libcometspindle/adapters/gateway/gateway_crashes.h
@@ -20,4 +20,8 @@
 comet_gateway_process_crashed(
 	struct comet_gateway *gateway, const struct comet_instance *instance, const char *why);
 
+/** Appends the metrics of the crash tracker. */
+void
+comet_gateway_crashes_put_metrics(const struct comet_gateway *gateway, GString *out);
+
 #endif
--- a/libcometspindle/adapters/gateway/gateway_metrics.c
+++ b/libcometspindle/adapters/gateway/gateway_metrics.c
@@ -2,6 +2,7 @@
  * gateway_metrics.c
  * writes the metrics of a gateway in the Prometheus text format
  */
+#include <libcometspindle/adapters/gateway/gateway_crashes.h>
 #include <libcometspindle/adapters/gateway/gateway_private.h>
 #include <libcometspindle/adapters/gateway/gateway_reachability.h>
 #include <libcometspindle/adapters/gateway/gateway_returns.h>
@@ -143,17 +144,6 @@
 	put(out, "directory_reading", "gauge", gateway->reading);
 }
 
-static void
-put_crashes(GString *out, const struct comet_gateway *gateway)
-{
-	const struct comet_crash_tracker_counts counts =
-		comet_crash_tracker_count(gateway->crash_tracker);
-
-	put(out, "crash_records", "gauge", counts.records);
-	put(out, "crash_suspects", "gauge", counts.crash_suspects);
-	put(out, "requests_barred", "gauge", counts.quarantined);
-}
-
 /* State of one response. */
 struct page
 {
@@ -557,6 +547,8 @@
 	comet_counter_set_print(gateway->ends, out, "comet_request_ends_total");
 	put_latencies(out, gateway);
 	put(out, "requests_open", "gauge", gateway->open_request_count);
+	put(out, "data_after_close_total", "counter",
+		(double)comet_http_server_counts(gateway->callers)->late);
 	put_services(&page);
 	put_teams(&page);
 	put(out, "dispatches_total", "counter", (double)gateway->counts.dispatched);
@@ -577,7 +569,7 @@
 	put_quota_requests(out, &gateway->counts);
 	comet_gateway_returns_put_metrics(gateway->returns, out);
 	put_directory_calls(out, gateway);
-	put_crashes(out, gateway);
+	comet_gateway_crashes_put_metrics(gateway, out);
 	put_evacuations(out, gateway);
 	put(out, "endpoints_unreachable", "gauge",
 		comet_gateway_links_are_lost(gateway->links) ? 1 : 0);
