Keep idle connections open at a stop while a request on them is unread

Callers of a VM that stops saw a connection close without a response to a request that the VM had received before it closed the connection. Cause: comet_http_server_close_idle() closed connections without looking for input that the loop had not delivered yet; only the idle timeout did. Evidence: HttpServer.RequestThatArrivedBeforeAnIdleCloseIsAnswered failed with 0 requests handled instead of 1. Change: both use has_waiting_request(). The request is handled by the next turn of the loop, and its response closes the connection.

--- a/libcometspindle/adapters/callers/http_server.c
+++ b/libcometspindle/adapters/callers/http_server.c
@@ -178,6 +178,14 @@
 	return comet_socket_queued(connection->socket) < ANSWERS_WAITING_BYTES;
 }
 
+/* @return whether a request has arrived that is not parsed yet. After a pause of this process,
+ * timers and signals are handled before requests that have arrived are read. */
+static bool
+has_waiting_request(const struct connection *connection)
+{
+	return connection->ahead->len > 0 || comet_socket_has_pending_events(connection->socket);
+}
+
 static void
 set_timer(struct connection *connection, uint64_t delay_ms);
 
@@ -187,9 +195,7 @@
 	struct connection *connection = ctx;
 
 	connection->timer = NULL;
-	/* After a pause of this process, timers fire before requests that have arrived are read.
-	 */
-	if (is_read(connection) && comet_socket_has_pending_events(connection->socket))
+	if (is_read(connection) && has_waiting_request(connection))
 	{
 		set_timer(connection, connection->http_server->limits.header_timeout_ms);
 		return;
@@ -535,7 +541,8 @@
 	for (GList *at = all; at != NULL; at = at->next)
 	{
 		struct connection *connection = at->data;
-		if (connection->state == CONNECTION_READING && !connection->got_byte)
+		if (connection->state == CONNECTION_READING && !connection->got_byte &&
+			!has_waiting_request(connection))
 			end_connection(connection);
 	}
 	g_list_free(all);
