Leave requests that arrive after the close of a connection unread

Callers sent a request on a kept connection while the VM closed it. The VM read the request, discarded it, and held the connection for a second; the caller got neither a response nor a refusal, and could not know that the request had not run. Cause: a closed connection was read further, so that the rest of a request with an early response does not cause a reset. The same was done to whole further requests. Evidence: HttpServer.RequestThatCrossesAnIdleCloseIsNotRead and HttpServer.RequestBehindTheLastResponseIsNotRead failed: the next write of the caller succeeded, because the request had been read. Change: unless a request is incomplete, a connection that ends is watched for its end only. An idle one is dropped as soon as data arrives, so that the reset tells the caller at once; one that has just sent a response lingers as before, so that the reset does not overtake the response.

--- a/libcometspindle/adapters/callers/http_server.c
+++ b/libcometspindle/adapters/callers/http_server.c
@@ -68,8 +68,9 @@
 	struct comet_timer *timer;
 	GByteArray *ahead; /* read and not yet parsed */
 	GByteArray *body;
-	size_t unsent_bytes; /* unsent bytes of the last response at the last check */
-	uint64_t ended_us;   /* when it stopped accepting requests; 0: it accepts them */
+	size_t unsent_bytes;   /* unsent bytes of the last response at the last check */
+	uint64_t responded_us; /* when its last response was completed; 0: never */
+	uint64_t ended_us;     /* when it stopped accepting requests; 0: it accepts them */
 	enum connection_state state;
 	bool got_byte;   /* a request has begun to arrive */
 	bool got_head;   /* its head is complete */
@@ -80,7 +81,6 @@
 	bool no_body;    /* the response has no body: HEAD, 204, 304 */
 	bool started;    /* the head of the response is sent */
 	bool parsing;    /* inside read_on() */
-	bool late_data;  /* data arrived after it stopped accepting requests */
 };
 
 static void
@@ -156,11 +156,21 @@
 		STALLED_US, on_progress_due, connection);
 }
 
-/* Accepts no further request on this connection. */
+/* @return whether the rest of a request is still due, whose response was early. */
+static bool
+is_within_request(const struct connection *connection)
+{
+	return connection->got_byte && !connection->complete;
+}
+
+/* Accepts no further request on this connection. A request that arrives now is left unread, so that
+ * its caller learns by a reset that it may send it again. */
 static void
 end_connection(struct connection *connection)
 {
 	connection->ended_us = comet_timers_now_us();
+	if (!is_within_request(connection))
+		comet_socket_stop_reading(connection->socket);
 	comet_socket_shutdown(connection->socket);
 	if (comet_socket_queued(connection->socket) == 0)
 	{
@@ -327,40 +337,33 @@
 	comet_socket_pause(connection->socket, held && connection->ahead->len >= READ_AHEAD_BYTES);
 }
 
-/* @return whether the rest of a request is still due, whose response was early. */
-static bool
-is_within_request(const struct connection *connection)
-{
-	return connection->got_byte && !connection->complete;
-}
-
-/* Counts data that belongs to a further request on a connection that has been closed. */
-static void
-count_late_data(struct connection *connection)
-{
-	if (connection->late_data || is_within_request(connection))
-		return;
-	connection->late_data = true;
-	connection->http_server->counts.late++;
-	comet_log(COMET_LOG_NOTICE,
-		"event=data_after_close idle=%d closed_ms_ago=%" G_GUINT64_FORMAT,
-		!connection->got_byte, (comet_timers_now_us() - connection->ended_us) / 1000);
-}
-
 static void
 on_data(void *ctx, const char *data, size_t length)
 {
 	struct connection *connection = ctx;
 
 	if (connection->state == CONNECTION_ENDING || connection->state == CONNECTION_LINGERING)
-	{
-		count_late_data(connection);
 		return;
-	}
 	g_byte_array_append(connection->ahead, (const guint8 *)data, (guint)length);
 	read_on(connection);
 }
 
+/* Handles a request that arrives on a connection that has been closed. The reset must not overtake
+ * the last response. */
+static void
+on_unread(void *ctx)
+{
+	struct connection *connection = ctx;
+
+	connection->http_server->counts.late++;
+	comet_log(COMET_LOG_NOTICE,
+		"event=data_after_close idle=%d closed_ms_ago=%" G_GUINT64_FORMAT,
+		!connection->got_byte, (comet_timers_now_us() - connection->ended_us) / 1000);
+	if (connection->state == CONNECTION_LINGERING &&
+		comet_timers_now_us() - connection->responded_us >= LINGER_US)
+		drop(connection);
+}
+
 static void
 on_closed(void *ctx, bool orderly)
 {
@@ -391,7 +394,7 @@
 }
 
 static const struct comet_socket_events socket_events = {
-	.data = on_data, .closed = on_closed, .drained = on_drained};
+	.data = on_data, .closed = on_closed, .drained = on_drained, .unread = on_unread};
 
 static void
 take_connection(struct comet_http_server *http_server, int fd)
@@ -639,6 +642,7 @@
 
 	if (connection->chunked)
 		comet_socket_write(connection->socket, "0\r\n\r\n", 5);
+	connection->responded_us = comet_timers_now_us();
 	/* Once nothing more is accepted, a connection is closed even if its caller may keep it: a
 	 * further request would reach a process that is about to end. */
 	if (!connection->keep_alive || connection->http_server->listener == NULL)
--- a/libcometspindle/adapters/socket.c
+++ b/libcometspindle/adapters/socket.c
@@ -43,11 +43,12 @@
 	int error; /* errno of a failed connection attempt; 0: none */
 	bool connecting;
 	bool paused;
-	bool ended;        /* the peer has closed its direction */
-	bool shutting;     /* close this direction once the queue is empty */
-	bool write_failed; /* bytes were lost: no more are written, and the end is not orderly */
-	bool owes_drained; /* the queue became empty within a write, and the event is still to be
-			      sent */
+	bool reading_stopped; /* further data is left unread */
+	bool ended;           /* the peer has closed its direction */
+	bool shutting;        /* close this direction once the queue is empty */
+	bool write_failed;    /* bytes were lost: no more are written, and the end is not orderly */
+	bool owes_drained;    /* the queue became empty within a write, and the event is still to be
+				 sent */
 	bool broken;
 };
 
@@ -193,6 +194,25 @@
 		socket->events->drained(socket->ctx);
 }
 
+/* Handles the end of the connection, or data that is left unread. */
+static void
+watch_end(struct comet_socket *socket)
+{
+	char byte = 0;
+	ssize_t got = recv(socket->fd, &byte, 1, MSG_PEEK);
+
+	if (got == 0)
+		report_closed(socket, true);
+	else if (got < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR)
+		report_closed(socket, false);
+	else if (got > 0)
+	{
+		comet_socket_pause(socket, true); /* the loop would report the data again */
+		if (socket->events->unread != NULL)
+			socket->events->unread(socket->ctx);
+	}
+}
+
 static void
 on_readable(struct comet_socket *socket)
 {
@@ -204,6 +224,11 @@
 			report_closed(socket, false);
 		return;
 	}
+	if (socket->reading_stopped)
+	{
+		watch_end(socket);
+		return;
+	}
 	ssize_t got = recv(socket->fd, buffer, sizeof buffer, 0);
 
 	if (got > 0 && socket->bytes != NULL)
@@ -325,6 +350,12 @@
 	update_flags(socket);
 }
 
+void
+comet_socket_stop_reading(struct comet_socket *socket)
+{
+	socket->reading_stopped = true;
+}
+
 void
 comet_socket_shutdown(struct comet_socket *socket)
 {
--- a/libcometspindle/adapters/socket.h
+++ b/libcometspindle/adapters/socket.h
@@ -25,6 +25,8 @@
 	void (*closed)(void *ctx, bool orderly);
 	/** The queue of bytes to write has become empty; may be NULL. */
 	void (*drained)(void *ctx);
+	/** Data arrived after comet_socket_stop_reading(), at most once; may be NULL. */
+	void (*unread)(void *ctx);
 };
 
 /** Parses "a.b.c.d:port". */
@@ -57,6 +59,11 @@
 void
 comet_socket_pause(struct comet_socket *socket, bool paused);
 
+/** Leaves all further data unread, but still reports the end of the connection if no data precedes
+ * it. A connection that is freed with unread data ends in a reset. */
+void
+comet_socket_stop_reading(struct comet_socket *socket);
+
 /** Closes this direction once the queue is written; reading continues. */
 void
 comet_socket_shutdown(struct comet_socket *socket);
