Answer a request that was read together with the one before it, also during a stop

Callers that had sent their next request while a response was under way lost it at a stop: the connection closed behind the response. Cause: a finished response ended its connection once the VM stopped listening, whatever had been read or had arrived behind it. Evidence: HttpServer.RequestReadBeforeAStopIsAnswered failed with 1 request handled instead of 2.

--- a/libcometspindle/adapters/callers/http_server.c
+++ b/libcometspindle/adapters/callers/http_server.c
@@ -644,8 +644,10 @@
 		comet_socket_write(connection->socket, "0\r\n\r\n", 5);
 	connection->responded_us = comet_timers_now_us();
 	/* Once nothing more is accepted, a connection is closed even if its caller may keep it: a
-	 * further request would reach a process that is about to end. */
-	if (!connection->keep_alive || connection->http_server->listener == NULL)
+	 * further request would reach a process that is about to end. One that has arrived is
+	 * answered before. */
+	if (!connection->keep_alive ||
+		(connection->http_server->listener == NULL && !has_waiting_request(connection)))
 	{
 		end_connection(connection);
 		return;
