--- a/tests/system/test_gateway.py
+++ b/tests/system/test_gateway.py
@@ -331,6 +331,27 @@
     release.set()
 
 
+def test_requests_open_at_the_end_of_a_stop_are_answered():
+    """A request that still runs, and one that waits for a slot, when the grace period ends: their connections closed
+    without a response, although the process knew that it had to end."""
+    world = World(servers=1, leave_ms=100, grace_s=1)
+    release = threading.Event()
+
+    def hang(server, sock, path, headers, body):
+        server.ran(path, headers, body)
+        release.wait(20)
+    world.script("hang", hang)
+    socks = [connect(world.gateway.ports["callers"]) for _ in range(16)]  # one server with 4 slots
+    for sock in socks:
+        sock.sendall(request("/once/hang", method="POST", deadline_ms=20000)[1])
+    wait_for(lambda: len(world.servers[0].runs) >= 4)
+    world.gateway.stop()
+    statuses = sorted(answer_of(sock)[0] for sock in socks)
+    assert statuses.count(502) >= 4 and set(statuses) <= {502, 503}, statuses
+    world.gateway.end(stopping=True)
+    release.set()
+
+
 def test_paused_before_request():
     """Requests on idle connections that arrive while the gateway process is stopped must be answered once it continues.
 
@@ -459,5 +480,5 @@
          test_broken_before_answer, test_foreign_answer, test_unframed_and_truncated, test_streams, test_output_hints,
          test_caller_leaves, test_status_pages],
         [test_paused_before_request, test_forged_headers, test_only_server_fails, test_limit_at_start,
-         test_planned_stop, test_stop_with_open_connections, test_signal_while_starting, test_log_reader_stops,
-         test_bad_settings])
+         test_planned_stop, test_stop_with_open_connections, test_requests_open_at_the_end_of_a_stop_are_answered,
+         test_signal_while_starting, test_log_reader_stops, test_bad_settings])
