Answer the requests that are open when a stop ends

Callers whose requests were open at the end of the grace period saw their connections close without a response. Cause: the process freed its open requests with their connections, although it knew that it had to end. Evidence: test_requests_open_at_the_end_of_a_stop_are_answered failed: 16 of 16 connections closed without a response. Change: requests that were not sent are refused (503, not run), waiting ones first so that no slot is given to them; requests that may have run get 502; started responses are cut off as before.

--- a/libcometspindle/adapters/gateway/gateway.c
+++ b/libcometspindle/adapters/gateway/gateway.c
@@ -130,6 +130,7 @@
 		return;
 	comet_log(COMET_LOG_NOTICE, "event=stopped open=%u after_ms=%" G_GUINT64_FORMAT,
 		gateway->open_request_count, passed_us / 1000);
+	comet_proxy_request_end_all(gateway);
 	gateway->stopped = true;
 }
 
--- a/libcometspindle/adapters/gateway/gateway_admit.c
+++ b/libcometspindle/adapters/gateway/gateway_admit.c
@@ -32,9 +32,6 @@
 #define NOT_READY_RETRY_S "0.5"
 #define OUTAGE_RETRY_S "4"
 
-/* Retry-After of a VM that is stopping: the other VMs can take the request immediately. */
-#define STOPPING_RETRY_S "0.05"
-
 /* Retry-After of a request that is suspected of having just crashed a third endpoint. A crash is
  * detected within one second if the endpoint refuses connections, and within four if it is silent.
  */
@@ -306,8 +303,10 @@
 	{
 		/* The request might not finish before this process exits. */
 		gateway->counts.refused_early++;
-		comet_http_server_respond(
-			request, 503, "Retry-After: " STOPPING_RETRY_S "\r\n", "", 0);
+		char headers[64];
+		g_snprintf(headers, sizeof headers, "Retry-After: %u.%03u\r\n",
+			COMET_STOPPING_RETRY_MS / 1000, COMET_STOPPING_RETRY_MS % 1000);
+		comet_http_server_respond(request, 503, headers, "", 0);
 		return;
 	}
 	struct comet_proxy_request *proxy = talloc_zero(gateway, struct comet_proxy_request);
--- a/libcometspindle/adapters/gateway/proxy_request.c
+++ b/libcometspindle/adapters/gateway/proxy_request.c
@@ -182,6 +182,41 @@
 	comet_proxy_request_respond_error(proxy, status, reason, 0);
 }
 
+/* Gives a request its final answer because this process ends. */
+static void
+end_stopping(struct comet_proxy_request *proxy)
+{
+	if (proxy->attempt != NULL)
+	{
+		proxy->may_have_run = proxy->may_have_run || proxy->attempt->exchange == NULL ||
+				      comet_exchange_sent(proxy->attempt->exchange);
+		comet_proxy_request_end_attempt(proxy, COMET_DISPATCH_CANCELLED);
+	}
+	if (proxy->response_started || proxy->may_have_run)
+		comet_proxy_request_fail(proxy, 502, "stopping");
+	else
+		comet_proxy_request_refuse(proxy, "stopping", COMET_STOPPING_RETRY_MS);
+}
+
+void
+comet_proxy_request_end_all(struct comet_gateway *gateway)
+{
+	GList *link = gateway->open_requests.head;
+
+	/* Waiting requests first: the slots of the others would be given to them. */
+	while (link != NULL)
+	{
+		struct comet_proxy_request *proxy = link->data;
+		link = link->next;
+		if (proxy->attempt != NULL)
+			continue;
+		end_stopping(proxy);
+		link = gateway->open_requests.head; /* the call may have ended other requests too */
+	}
+	while ((link = gateway->open_requests.head) != NULL)
+		end_stopping(link->data);
+}
+
 void
 comet_proxy_request_version_unknown(struct comet_proxy_request *proxy, uint32_t retry_after_ms)
 {
--- a/libcometspindle/adapters/gateway/proxy_request.h
+++ b/libcometspindle/adapters/gateway/proxy_request.h
@@ -112,6 +112,14 @@
 void
 comet_proxy_request_refuse_all_quarantined(struct comet_gateway *gateway);
 
+/** Retry-After of a VM that is stopping, in milliseconds: the other VMs can take the request
+ * immediately. */
+#define COMET_STOPPING_RETRY_MS 50
+
+/** Gives all open requests their final answers because this process ends. */
+void
+comet_proxy_request_end_all(struct comet_gateway *gateway);
+
 /** Answers with an error of the gateway and frees the request. No Retry-After header is sent if
  * retry_after_ms is 0. */
 void
