--- a/libcometspindle/adapters/gateway/gateway_admit.c
+++ b/libcometspindle/adapters/gateway/gateway_admit.c
@@ -146,6 +146,27 @@
 	proxy->fingerprint = comet_fingerprint_compute(&parts);
 }
 
+/* Computes the identities of the shared parts of the prompt. A header that is malformed is logged
+ * and ignored. */
+static void
+compute_parts(struct comet_proxy_request *proxy)
+{
+	const char *text =
+		comet_http_head_get(proxy->request->head, proxy->gateway->names->prompt_parts);
+	const char *team = proxy->team != NULL ? proxy->team->name : NULL;
+	struct comet_header_part parts[COMET_HEADER_PARTS_MAX];
+	size_t count = text != NULL ? comet_header_parse_parts(text, parts) : 0;
+
+	if (text != NULL && count == 0 && strchr(text, ',') != NULL)
+		comet_log_repeated(COMET_LOG_WARNING,
+			"event=prompt_parts_ignored request=%s team=%s value=%.32s", proxy->id,
+			team != NULL ? team : "-", text);
+	for (size_t i = 0; i < count; i++)
+		proxy->parts[i] =
+			comet_fingerprint_compute_part(team, parts[i].id, parts[i].length);
+	proxy->n_parts = (uint32_t)count;
+}
+
 /* Computes the caller's deadline, and the time after which the request is not sent any more. */
 static void
 compute_deadlines(struct comet_proxy_request *proxy)
@@ -324,6 +345,7 @@
 	if (!find_route(proxy) || !find_team(proxy))
 		return;
 	compute_fingerprint(proxy);
+	compute_parts(proxy);
 	if (comet_proxy_request_is_quarantined(proxy))
 	{
 		comet_proxy_request_refuse_quarantined(proxy);
--- a/libcometspindle/adapters/gateway/gateway_crashes.c
+++ b/libcometspindle/adapters/gateway/gateway_crashes.c
@@ -204,6 +204,26 @@
 	       comet_exchange_sent(proxy->attempt->exchange);
 }
 
+/* Logs an attempt that ended without a response, with the digests of the parts of its prompt, so
+ * that what is common to the attempts at crashed endpoints can be found. */
+static void
+log_suspect(const struct comet_proxy_request *proxy, enum comet_dispatch_result result)
+{
+	GString *parts = g_string_new(NULL);
+
+	for (uint32_t i = 0; i < proxy->n_parts; i++)
+		g_string_append_printf(parts, "%s%016" G_GINT64_MODIFIER "x", i > 0 ? "," : "",
+			proxy->parts[i].digest);
+	comet_log(COMET_LOG_INFO,
+		"event=crash_suspect request=%s endpoint=%s result=%s status=%u events=%u "
+		"sent_ms_ago=%" G_GUINT64_FORMAT " parts=%s",
+		proxy->id, proxy->attempt->instance_id, comet_dispatch_result_name(result),
+		proxy->attempt->head != NULL ? proxy->attempt->head->status : 0,
+		comet_proxy_request_events(proxy) - proxy->attempt->prior_events,
+		(comet_timers_now_us() - proxy->attempt->sent_us) / 1000, parts->str);
+	g_string_free(parts, TRUE);
+}
+
 void
 comet_gateway_attempt_ending(struct comet_proxy_request *proxy, enum comet_dispatch_result result)
 {
@@ -218,6 +238,7 @@
 		comet_gateway_process_crashed(gateway, instance, "address_reused");
 	if (!is_suspect(proxy, result))
 		return;
+	log_suspect(proxy, result);
 	uint64_t last_seen_us =
 		instance != NULL ? instance->last_seen_us : proxy->attempt->last_byte_us;
 	struct comet_crash_attempt attempt = {
--- a/libcometspindle/adapters/gateway/proxy_request.h
+++ b/libcometspindle/adapters/gateway/proxy_request.h
@@ -8,6 +8,7 @@
 #include <libcometspindle/adapters/gateway/attempt.h>
 #include <libcometspindle/adapters/gateway/gateway_private.h>
 #include <libcometspindle/gateway/event_stream.h>
+#include <libcometspindle/gateway/header_names.h>
 #include <libcometspindle/gateway/admission/fingerprint.h>
 
 /** A caller's request, until it is answered or its caller disconnects. */
@@ -20,6 +21,8 @@
 	const struct comet_route_team *team; /* NULL on an open route */
 	const char *id;
 	struct comet_fingerprint fingerprint;
+	struct comet_fingerprint parts[COMET_HEADER_PARTS_MAX]; /* shared parts of its prompt */
+	uint32_t n_parts;
 	char *service;
 	struct comet_placement_item item;
 	struct comet_attempt *attempt;         /* the current attempt, or NULL */
--- a/libcometspindle/gateway/admission/fingerprint.h
+++ b/libcometspindle/gateway/admission/fingerprint.h
@@ -34,6 +34,11 @@
 struct comet_fingerprint
 comet_fingerprint_compute(const struct comet_fingerprint_parts *parts);
 
+/** The identity of a part of a team's prompts. @param team NULL for an open route
+ * @param id hexadecimal, in any case; not terminated */
+struct comet_fingerprint
+comet_fingerprint_compute_part(const char *team, const char *id, size_t length);
+
 static inline bool
 comet_fingerprint_equal(const struct comet_fingerprint *a, const struct comet_fingerprint *b)
 {
--- a/libcometspindle/gateway/header_names.c
+++ b/libcometspindle/gateway/header_names.c
@@ -72,6 +72,36 @@
 	return true;
 }
 
+/* Parses one "ID:TOKENS". @return the character after it, or NULL if it is malformed. */
+static const char *
+parse_part(const char *text, struct comet_header_part *part)
+{
+	part->id = text;
+	while (g_ascii_isxdigit(*text))
+		text++;
+	part->length = (size_t)(text - part->id);
+	if (part->length == 0 || *text++ != ':' || !g_ascii_isdigit(*text))
+		return NULL;
+	while (g_ascii_isdigit(*text))
+		text++;
+	return text;
+}
+
+size_t
+comet_header_parse_parts(const char *text, struct comet_header_part parts[COMET_HEADER_PARTS_MAX])
+{
+	struct comet_header_part part;
+	size_t count = 0;
+
+	while ((text = parse_part(text, &part)) != NULL && *text == ',')
+	{
+		if (count < COMET_HEADER_PARTS_MAX)
+			parts[count++] = part;
+		text++;
+	}
+	return text != NULL && *text == '\0' ? count : 0;
+}
+
 bool
 comet_header_parse_load(const char *text, struct comet_header_load *load)
 {
--- a/libcometspindle/gateway/header_names.h
+++ b/libcometspindle/gateway/header_names.h
@@ -6,6 +6,7 @@
 #define COMETSPINDLE_GATEWAY_HEADER_NAMES_H
 
 #include <stdbool.h>
+#include <stddef.h>
 #include <stdint.h>
 
 /** Header of a request that another VM forwards, because it reaches no endpoint. Never sent to
@@ -29,7 +30,9 @@
 	const char *load;        /**< on responses: running requests, waiting requests and slots */
 	const char *tokens;      /**< number of prompt tokens and maximum number of output tokens */
 	const char *output_hint; /**< expected number of output tokens */
-	const char *last_event;  /**< id of the last event that the client received */
+	const char *prompt_parts; /**< the parts of the prompt, in order; the last one belongs to
+				     the request or to its session alone */
+	const char *last_event;   /**< id of the last event that the client received */
 	const char *authorization;
 	const char *key_scheme; /**< scheme before the key in authorization */
 	/** NULL-terminated list of request headers that only the gateway sets towards endpoints,
@@ -58,6 +61,22 @@
 bool
 comet_header_parse_tokens(const char *text, uint32_t *prompt, uint32_t *output);
 
+/** Shared parts of a prompt that are read at most. A prompt consists of a few: instructions, tools,
+ * documents. */
+#define COMET_HEADER_PARTS_MAX 16
+
+/** The id of a part of a prompt, within the text of its header. */
+struct comet_header_part
+{
+	const char *id; /**< not terminated */
+	size_t length;
+};
+
+/** Parses "ID:TOKENS,ID:TOKENS", with hexadecimal ids, and leaves out the last part.
+ * @return the number of parts; 0 if the text is malformed or has only one. */
+size_t
+comet_header_parse_parts(const char *text, struct comet_header_part parts[COMET_HEADER_PARTS_MAX]);
+
 /** Parses "running,waiting,slots" or "running,waiting,slots,slowdown". @return false unless the
  * text is three or four whole numbers in range. */
 bool
