--- a/libcometspindle/adapters/gateway/gateway.c
+++ b/libcometspindle/adapters/gateway/gateway.c
@@ -178,6 +178,7 @@
 	comet_gateway_streams_tick(gateway->streams, now_us);
 	comet_gateway_returns_tick(gateway->returns, now_us);
 	comet_crash_tracker_tick(gateway->crash_tracker, now_us);
+	comet_crash_tracker_tick(gateway->crashing_parts, now_us);
 	comet_proxy_request_refuse_all_quarantined(gateway);
 	comet_placement_run(gateway->placement, now_us);
 	comet_gateway_tick_reader_election(gateway, now_us);
@@ -281,6 +282,7 @@
 		.far_bytes_per_s = gateway->settings->far_bytes_per_s,
 		.cpu_percent = gateway->settings->cpu_percent,
 		.crash_tracker = gateway->crash_tracker,
+		.crashing_parts = gateway->crashing_parts,
 	};
 
 	randombytes_buf(&config.incarnation, sizeof config.incarnation);
@@ -364,8 +366,10 @@
 	gateway->links = comet_gateway_links_create(gateway, &comet_gateway_links_ops);
 	gateway->response_events = &comet_proxy_request_response_events;
 	gateway->older_peers = g_hash_table_new(NULL, NULL);
-	gateway->crash_tracker =
-		comet_crash_tracker_create(gateway, &comet_gateway_crashes_ops, gateway);
+	gateway->crash_tracker = comet_crash_tracker_create(
+		gateway, &comet_crash_tracker_requests, &comet_gateway_crashes_ops, gateway);
+	gateway->crashing_parts = comet_crash_tracker_create(
+		gateway, &comet_crash_tracker_parts, &comet_gateway_crashing_parts_ops, gateway);
 	gateway->placement_ops = comet_gateway_placement_ops;
 	if (!settings->returning_callers)
 		gateway->placement_ops.find_caller = NULL;
--- a/libcometspindle/adapters/gateway/gateway_admit.c
+++ b/libcometspindle/adapters/gateway/gateway_admit.c
@@ -4,6 +4,7 @@
  */
 #include <libcometspindle/adapters/gateway/proxy_request.h>
 
+#include <libcometspindle/adapters/gateway/gateway_crashes.h>
 #include <libcometspindle/adapters/gateway/gateway_reachability.h>
 #include <libcometspindle/adapters/gateway/gateway_streams.h>
 #include <libcometspindle/hash.h>
@@ -346,7 +347,7 @@
 		return;
 	compute_fingerprint(proxy);
 	compute_parts(proxy);
-	if (comet_proxy_request_is_quarantined(proxy))
+	if (comet_proxy_request_is_quarantined(proxy) && !comet_gateway_take_part_trials(proxy))
 	{
 		comet_proxy_request_refuse_quarantined(proxy);
 		return;
--- a/libcometspindle/adapters/gateway/gateway_crashes.c
+++ b/libcometspindle/adapters/gateway/gateway_crashes.c
@@ -64,7 +64,70 @@
 		gateway->newly_quarantined || event == COMET_CRASH_TRACKER_QUARANTINED;
 }
 
-const struct comet_crash_tracker_ops comet_gateway_crashes_ops = {.on_change = on_tracker_event};
+static bool
+is_explained_by_part(void *ctx, uint32_t incarnation_key)
+{
+	const struct comet_gateway *gateway = ctx;
+
+	return comet_crash_tracker_explains(gateway->crashing_parts, incarnation_key);
+}
+
+const struct comet_crash_tracker_ops comet_gateway_crashes_ops = {
+	.on_change = on_tracker_event, .is_explained = is_explained_by_part};
+
+static void
+on_part_event(void *ctx, const struct comet_fingerprint *part, enum comet_crash_tracker_event event,
+	uint32_t incarnations, bool own)
+{
+	struct comet_gateway *gateway = ctx;
+	comet_log_writer *write = own ? comet_log : comet_log_repeated;
+
+	write(event == COMET_CRASH_TRACKER_COUNTED ? COMET_LOG_INFO : COMET_LOG_NOTICE,
+		"event=part_%s part=%016" G_GINT64_MODIFIER "x team_hash=%08x crashes=%u remote=%d",
+		event_name(event), part->digest, part->team, incarnations, !own);
+	if (own)
+		comet_gossip_schedule_broadcast(gateway->gossip);
+	gateway->newly_quarantined =
+		gateway->newly_quarantined || event == COMET_CRASH_TRACKER_QUARANTINED;
+	/* Requests that only ran beside the part are not blamed for its crashes. */
+	if (event == COMET_CRASH_TRACKER_QUARANTINED || event == COMET_CRASH_TRACKER_RELEASED)
+		comet_crash_tracker_review(gateway->crash_tracker, comet_timers_now_us());
+}
+
+const struct comet_crash_tracker_ops comet_gateway_crashing_parts_ops = {
+	.on_change = on_part_event};
+
+bool
+comet_gateway_take_part_trials(struct comet_proxy_request *proxy)
+{
+	struct comet_crash_tracker *tracker = proxy->gateway->crashing_parts;
+	uint64_t now_us = comet_timers_now_us();
+
+	if (comet_crash_tracker_is_quarantined(proxy->gateway->crash_tracker, &proxy->fingerprint))
+		return false;
+	proxy->part_trial = true;
+	for (uint32_t i = 0; i < proxy->n_parts; i++)
+	{
+		if (!comet_crash_tracker_is_quarantined(tracker, &proxy->parts[i]) ||
+			comet_crash_tracker_take_trial(tracker, &proxy->parts[i], now_us))
+			continue;
+		proxy->part_trial = false;
+		return false;
+	}
+	comet_log(COMET_LOG_NOTICE, "event=part_trial request=%s", proxy->id);
+	return true;
+}
+
+void
+comet_gateway_return_part_trials(struct comet_proxy_request *proxy)
+{
+	if (!proxy->part_trial)
+		return;
+	proxy->part_trial = false;
+	for (uint32_t i = 0; i < proxy->n_parts; i++)
+		comet_crash_tracker_return_trial(
+			proxy->gateway->crashing_parts, &proxy->parts[i], comet_timers_now_us());
+}
 
 static int
 crash_check_destroy(struct crash_check *check)
@@ -224,6 +287,34 @@
 	g_string_free(parts, TRUE);
 }
 
+static void
+mark_served(const struct comet_proxy_request *proxy, uint64_t now_us)
+{
+	struct comet_gateway *gateway = proxy->gateway;
+
+	comet_crash_tracker_mark_served(gateway->crash_tracker, &proxy->fingerprint, now_us);
+	for (uint32_t i = 0; i < proxy->n_parts; i++)
+		comet_crash_tracker_mark_served(gateway->crashing_parts, &proxy->parts[i], now_us);
+}
+
+/* Records the request of an attempt, and the parts of its prompt, as suspects. */
+static void
+add_suspect(const struct comet_proxy_request *proxy, const struct comet_crash_attempt *attempt,
+	uint64_t now_us)
+{
+	struct comet_gateway *gateway = proxy->gateway;
+	struct comet_crash_attempt suspect = *attempt;
+
+	suspect.request_digest = proxy->fingerprint.digest;
+	suspect.subject = proxy->fingerprint;
+	comet_crash_tracker_add_suspect(gateway->crash_tracker, &suspect, now_us);
+	for (uint32_t i = 0; i < proxy->n_parts; i++)
+	{
+		suspect.subject = proxy->parts[i];
+		comet_crash_tracker_add_suspect(gateway->crashing_parts, &suspect, now_us);
+	}
+}
+
 void
 comet_gateway_attempt_ending(struct comet_proxy_request *proxy, enum comet_dispatch_result result)
 {
@@ -232,8 +323,7 @@
 	uint64_t now_us = comet_timers_now_us();
 
 	if (result == COMET_DISPATCH_SERVED && proves_completion(proxy->attempt->head))
-		comet_crash_tracker_mark_served(
-			gateway->crash_tracker, &proxy->fingerprint, now_us);
+		mark_served(proxy, now_us);
 	if (instance != NULL && result == COMET_DISPATCH_WRONG_INSTANCE)
 		comet_gateway_process_crashed(gateway, instance, "address_reused");
 	if (!is_suspect(proxy, result))
@@ -242,13 +332,13 @@
 	uint64_t last_seen_us =
 		instance != NULL ? instance->last_seen_us : proxy->attempt->last_byte_us;
 	struct comet_crash_attempt attempt = {
-		.request = proxy->fingerprint,
 		.incarnation_key = proxy->attempt->incarnation_key,
 		.last_seen_us = last_seen_us,
 		.cancelled = result == COMET_DISPATCH_CANCELLED &&
 			     now_us - MAX(last_seen_us, proxy->attempt->sent_us) < UNSEEN_US,
 	};
-	comet_crash_tracker_add_suspect(gateway->crash_tracker, &attempt, now_us);
+	proxy->part_trial = false; /* used: the endpoint may have run the request */
+	add_suspect(proxy, &attempt, now_us);
 	if (instance != NULL && !attempt.cancelled && result != COMET_DISPATCH_SERVED)
 		start_crash_check(gateway, instance);
 }
@@ -265,12 +355,11 @@
 		if (proxy->attempt->incarnation_key != instance->key ||
 			now_us - last_seen_us < UNSEEN_US)
 			continue;
-		struct comet_crash_attempt attempt = {
-			.request = proxy->fingerprint,
+		const struct comet_crash_attempt attempt = {
 			.incarnation_key = proxy->attempt->incarnation_key,
 			.last_seen_us = instance->last_seen_us,
 		};
-		comet_crash_tracker_add_suspect(gateway->crash_tracker, &attempt, now_us);
+		add_suspect(proxy, &attempt, now_us);
 	}
 }
 
@@ -283,6 +372,7 @@
 	if (comet_instance_is_leaving(instance))
 	{
 		comet_crash_tracker_process_exited(gateway->crash_tracker, instance->key);
+		comet_crash_tracker_process_exited(gateway->crashing_parts, instance->key);
 		return;
 	}
 	suspect_unseen(gateway, instance, now_us);
@@ -291,6 +381,9 @@
 		"last_seen_ms_ago=%" G_GUINT64_FORMAT,
 		instance->id, why, instance->local_requests,
 		instance->last_seen_us != 0 ? (now_us - instance->last_seen_us) / 1000 : 0);
+	/* Parts first: they explain the crashes of requests that only ran beside them. */
+	comet_crash_tracker_process_crashed(
+		gateway->crashing_parts, instance->key, instance->last_seen_us, now_us);
 	comet_crash_tracker_process_crashed(
 		gateway->crash_tracker, instance->key, instance->last_seen_us, now_us);
 }
@@ -300,6 +393,8 @@
 {
 	const struct comet_crash_tracker_counts counts =
 		comet_crash_tracker_count(gateway->crash_tracker);
+	const struct comet_crash_tracker_counts parts =
+		comet_crash_tracker_count(gateway->crashing_parts);
 
 	g_string_append_printf(out,
 		"# TYPE comet_crash_records gauge\n"
@@ -307,6 +402,11 @@
 		"# TYPE comet_crash_suspects gauge\n"
 		"comet_crash_suspects %u\n"
 		"# TYPE comet_requests_barred gauge\n"
-		"comet_requests_barred %u\n",
-		counts.records, counts.crash_suspects, counts.quarantined);
+		"comet_requests_barred %u\n"
+		"# TYPE comet_crash_part_records gauge\n"
+		"comet_crash_part_records %u\n"
+		"# TYPE comet_parts_quarantined gauge\n"
+		"comet_parts_quarantined %u\n",
+		counts.records, counts.crash_suspects, counts.quarantined, parts.records,
+		parts.quarantined);
 }
--- a/libcometspindle/adapters/gateway/gateway_crashes.h
+++ b/libcometspindle/adapters/gateway/gateway_crashes.h
@@ -11,6 +11,19 @@
 /** Logs and broadcasts the crash tracker's findings about requests (crash_tracker.h). */
 extern const struct comet_crash_tracker_ops comet_gateway_crashes_ops;
 
+/** The same for parts of prompts. */
+extern const struct comet_crash_tracker_ops comet_gateway_crashing_parts_ops;
+
+/** Takes the trials of the quarantined parts of a request's prompt, if all of them are due.
+ * @return whether the request may be sent once, although it has quarantined parts; false if the
+ * request itself is quarantined */
+bool
+comet_gateway_take_part_trials(struct comet_proxy_request *proxy);
+
+/** Returns the trials that a request has taken and not used. */
+void
+comet_gateway_return_part_trials(struct comet_proxy_request *proxy);
+
 /** Handles the end of an attempt: the request is a suspect if the endpoint may have crashed. */
 void
 comet_gateway_attempt_ending(struct comet_proxy_request *proxy, enum comet_dispatch_result result);
--- a/libcometspindle/adapters/gateway/gateway_metrics.c
+++ b/libcometspindle/adapters/gateway/gateway_metrics.c
@@ -38,6 +38,7 @@
 		{"refused_early", counts->refused_early},
 		{"refused_team", counts->refused_team},
 		{"refused_crashing", counts->refused_quarantined},
+		{"refused_crashing_part", counts->refused_parts},
 		{"refused_other", counts->refused_other},
 		{"failed", counts->failed},
 		{"cut", counts->aborted},
--- a/libcometspindle/adapters/gateway/gateway_private.h
+++ b/libcometspindle/adapters/gateway/gateway_private.h
@@ -57,6 +57,7 @@
 	uint64_t refused_early;       /**< not run, with a time to retry after */
 	uint64_t refused_team;        /**< over the team's limit */
 	uint64_t refused_quarantined; /**< quarantined, because they crash endpoints */
+	uint64_t refused_parts;       /**< with a quarantined part in their prompts */
 	uint64_t refused_other;
 	uint64_t failed;               /**< may have run, without a complete response */
 	uint64_t aborted;              /**< the response could not be completed */
@@ -109,7 +110,8 @@
 	struct comet_placement_ops placement_ops;
 	struct comet_rate_limiter *rate_limiter;
 	struct comet_retry_budget *retries;
-	struct comet_crash_tracker *crash_tracker;
+	struct comet_crash_tracker *crash_tracker;  /**< requests that crash endpoints */
+	struct comet_crash_tracker *crashing_parts; /**< parts of prompts that do */
 	struct comet_gossip *gossip;
 	struct comet_grants *grants;
 	struct comet_streams *streams;         /**< versions of streams */
--- a/libcometspindle/adapters/gateway/proxy_request.c
+++ b/libcometspindle/adapters/gateway/proxy_request.c
@@ -4,6 +4,7 @@
  */
 #include <libcometspindle/adapters/gateway/proxy_request.h>
 
+#include <libcometspindle/adapters/gateway/gateway_crashes.h>
 #include <libcometspindle/adapters/gateway/gateway_returns.h>
 #include <libcometspindle/adapters/gateway/gateway_streams.h>
 
@@ -22,6 +23,7 @@
 	comet_quota_requests_cancel(gateway->quota_requests, proxy);
 	comet_gateway_streams_cancel(gateway->streams, proxy);
 	comet_gateway_returns_cancel(gateway->returns, proxy);
+	comet_gateway_return_part_trials(proxy);
 	talloc_free(proxy);
 	comet_placement_run(gateway->placement, comet_timers_now_us());
 }
@@ -104,11 +106,34 @@
 	comet_quota_requests_refund(gateway->quota_requests, proxy->quota_owner_vm, &quota_request);
 }
 
+/* The status is 503, or 502 if the request may have run: a part may be blamed by mistake, and is
+ * tried again after the time that the caller is asked to wait. */
+static void
+refuse_quarantined_part(struct comet_proxy_request *proxy)
+{
+	static const char reason[] = "part_crashes_endpoints";
+
+	proxy->gateway->counts.refused_parts++;
+	if (proxy->may_have_run)
+	{
+		comet_proxy_request_respond_error(proxy, 502, reason, 0);
+		return;
+	}
+	comet_proxy_request_refund_quota(proxy);
+	comet_proxy_request_respond_error(
+		proxy, 503, reason, (uint32_t)(comet_crash_tracker_parts.trial_us / 1000));
+}
+
 /* The status is 400 because callers do not retry it. 503 asks callers to retry later, and some
  * callers retry immediately after 502. */
 void
 comet_proxy_request_refuse_quarantined(struct comet_proxy_request *proxy)
 {
+	if (!comet_crash_tracker_is_quarantined(proxy->gateway->crash_tracker, &proxy->fingerprint))
+	{
+		refuse_quarantined_part(proxy);
+		return;
+	}
 	comet_log(COMET_LOG_INFO,
 		"event=quarantined_request_refused request=%s fingerprint=%016" G_GINT64_MODIFIER
 		"x",
--- a/libcometspindle/adapters/gateway/proxy_request.h
+++ b/libcometspindle/adapters/gateway/proxy_request.h
@@ -23,6 +23,7 @@
 	struct comet_fingerprint fingerprint;
 	struct comet_fingerprint parts[COMET_HEADER_PARTS_MAX]; /* shared parts of its prompt */
 	uint32_t n_parts;
+	bool part_trial; /* sent once although it has quarantined parts; false once that was done */
 	char *service;
 	struct comet_placement_item item;
 	struct comet_attempt *attempt;         /* the current attempt, or NULL */
@@ -137,7 +138,12 @@
 bool
 comet_proxy_request_is_quarantined(const struct comet_proxy_request *proxy);
 
-/** Refuses a request that crashes endpoints, with a status that callers do not retry. Frees it. */
+/** Returns whether a part of the prompt is known to crash endpoints, and this is not its trial. */
+bool
+comet_proxy_request_has_quarantined_part(const struct comet_proxy_request *proxy);
+
+/** Refuses a request that crashes endpoints, with a status that callers do not retry, or one with
+ * such a part, with a time to retry after: a part is inferred from several requests. Frees it. */
 void
 comet_proxy_request_refuse_quarantined(struct comet_proxy_request *proxy);
 
--- a/libcometspindle/adapters/gateway/proxy_request_state.c
+++ b/libcometspindle/adapters/gateway/proxy_request_state.c
@@ -40,11 +40,25 @@
 	return (now_us - then_us) / 1000;
 }
 
+bool
+comet_proxy_request_has_quarantined_part(const struct comet_proxy_request *proxy)
+{
+	for (uint32_t i = 0; i < proxy->n_parts && !proxy->part_trial; i++)
+	{
+		if (comet_crash_tracker_is_quarantined(
+			    proxy->gateway->crashing_parts, &proxy->parts[i]))
+			return true;
+	}
+	return false;
+}
+
 bool
 comet_proxy_request_is_quarantined(const struct comet_proxy_request *proxy)
 {
-	return proxy->route != NULL && comet_crash_tracker_is_quarantined(
-					       proxy->gateway->crash_tracker, &proxy->fingerprint);
+	return proxy->route != NULL &&
+	       (comet_crash_tracker_is_quarantined(
+			proxy->gateway->crash_tracker, &proxy->fingerprint) ||
+		       comet_proxy_request_has_quarantined_part(proxy));
 }
 
 struct comet_quota_request
--- a/libcometspindle/gateway/admission/crash_suspects.c
+++ b/libcometspindle/gateway/admission/crash_suspects.c
@@ -33,7 +33,8 @@
 /* An attempt that ended without a response. */
 struct suspect
 {
-	struct comet_fingerprint request;
+	struct comet_fingerprint subject;
+	uint64_t request_digest;
 	uint32_t incarnation_key;
 	uint64_t at_us;
 	bool cancelled; /* the caller disconnected while the process was running the request */
@@ -94,7 +95,7 @@
 
 	for (GList *link = crash_suspects->suspects.tail; link != NULL; link = link->prev)
 	{
-		if (((const struct suspect *)link->data)->request.team != team)
+		if (((const struct suspect *)link->data)->subject.team != team)
 			continue;
 		oldest_of_team = link;
 		team_count++;
@@ -114,9 +115,10 @@
 comet_crash_suspects_add(struct comet_crash_suspects *crash_suspects,
 	const struct comet_crash_attempt *attempt, uint64_t now_us)
 {
-	evict_if_full(crash_suspects, attempt->request.team);
+	evict_if_full(crash_suspects, attempt->subject.team);
 	struct suspect *suspect = g_new0(struct suspect, 1);
-	suspect->request = attempt->request;
+	suspect->subject = attempt->subject;
+	suspect->request_digest = attempt->request_digest;
 	suspect->incarnation_key = attempt->incarnation_key;
 	suspect->at_us = now_us;
 	suspect->cancelled = attempt->cancelled;
@@ -148,19 +150,22 @@
 	uint32_t incarnation_key, uint64_t last_seen_us, uint64_t now_us)
 {
 	GList *removed = remove_suspects(crash_suspects, incarnation_key);
-	GList *requests = NULL;
+	GList *subjects = NULL;
 
 	crash_suspects->crashed[crash_suspects->next_crashed++ % CRASHED_PROCESSES_MAX] =
 		(struct crashed_process){.incarnation_key = incarnation_key, .at_us = now_us};
 	for (GList *link = removed; link != NULL; link = link->next)
 	{
 		const struct suspect *suspect = link->data;
-		if (last_seen_us <= suspect->at_us + LAST_SEEN_MARGIN_US)
-			requests = g_list_prepend(
-				requests, g_memdup2(&suspect->request, sizeof suspect->request));
+		if (last_seen_us > suspect->at_us + LAST_SEEN_MARGIN_US)
+			continue;
+		struct comet_crash_suspect *found = g_new(struct comet_crash_suspect, 1);
+		found->subject = suspect->subject;
+		found->request_digest = suspect->request_digest;
+		subjects = g_list_prepend(subjects, found);
 	}
 	g_list_free_full(removed, g_free);
-	return g_list_reverse(requests);
+	return g_list_reverse(subjects);
 }
 
 void
@@ -170,8 +175,8 @@
 }
 
 uint32_t
-comet_crash_suspects_count_request(const struct comet_crash_suspects *crash_suspects,
-	const struct comet_fingerprint *request, uint64_t now_us)
+comet_crash_suspects_count_subject(const struct comet_crash_suspects *crash_suspects,
+	const struct comet_fingerprint *subject, uint64_t now_us)
 {
 	uint32_t sum = 0;
 
@@ -180,7 +185,7 @@
 		const struct suspect *suspect = link->data;
 		if (now_us - suspect->at_us > CRASH_DETECTION_US)
 			break;
-		if (!suspect->cancelled && comet_fingerprint_equal(&suspect->request, request))
+		if (!suspect->cancelled && comet_fingerprint_equal(&suspect->subject, subject))
 			sum++;
 	}
 	return sum;
--- a/libcometspindle/gateway/admission/crash_suspects.h
+++ b/libcometspindle/gateway/admission/crash_suspects.h
@@ -29,10 +29,17 @@
 comet_crash_suspects_has_crashed(const struct comet_crash_suspects *crash_suspects,
 	uint32_t incarnation_key, uint64_t last_seen_us);
 
+/** A subject that an incarnation ran when it crashed. */
+struct comet_crash_suspect
+{
+	struct comet_fingerprint subject;
+	uint64_t request_digest; /**< of the request of the attempt */
+};
+
 /**
  * Records that an incarnation has crashed; last_seen_us is when it was last seen alive.
- * @return the struct comet_fingerprint of each request whose attempt ended with the process, oldest
- * first. The caller frees the list with g_list_free_full(list, g_free).
+ * @return the struct comet_crash_suspect of each attempt that ended with the process, oldest first.
+ * The caller frees the list with g_list_free_full(list, g_free).
  */
 GList *
 comet_crash_suspects_process_crashed(struct comet_crash_suspects *crash_suspects,
@@ -42,10 +49,10 @@
 void
 comet_crash_suspects_forget(struct comet_crash_suspects *crash_suspects, uint32_t incarnation_key);
 
-/** @return the number of recent attempts of a request whose process may have crashed. */
+/** @return the number of recent attempts of a subject whose process may have crashed. */
 uint32_t
-comet_crash_suspects_count_request(const struct comet_crash_suspects *crash_suspects,
-	const struct comet_fingerprint *request, uint64_t now_us);
+comet_crash_suspects_count_subject(const struct comet_crash_suspects *crash_suspects,
+	const struct comet_fingerprint *subject, uint64_t now_us);
 
 /** Drops expired suspects. */
 void
--- a/libcometspindle/gateway/admission/crash_tracker.c
+++ b/libcometspindle/gateway/admission/crash_tracker.c
@@ -1,6 +1,6 @@
 /*
  * crash_tracker.c
- * requests that crash endpoint processes, as seen by this VM and by its peers
+ * requests, or parts of prompts, that crash endpoint processes, as seen by this VM and by its peers
  */
 #include <libcometspindle/gateway/admission/crash_tracker.h>
 
@@ -10,21 +10,28 @@
 #include <string.h>
 #include <talloc.h>
 
-/* Crashes after which a request is quarantined; the requirement allows three. A lower limit would
- * reject requests whose endpoints failed twice in a row for unrelated reasons. */
-#define QUARANTINE_CRASHES 3
+/* The requirement allows three crashes of a request. A lower limit would reject requests whose
+ * endpoints failed twice in a row for unrelated reasons. */
+const struct comet_crash_tracker_rules comet_crash_tracker_requests = {.crashes = 3};
 
-/* A request that was served within this time is not blamed for a crash: a request that many callers
- * send is running on any endpoint that fails. An engine that starts to crash under a request it
+/* The requirement allows five crashes of a part; one of them may go unnoticed, because the VM that
+ * saw it has failed. A request that crashes endpoints with all its parts is no reason to blame
+ * them. A part may be one that all prompts of a team share, so a mistake must not last: after the
+ * trial time the endpoints that crashed run again. */
+const struct comet_crash_tracker_rules comet_crash_tracker_parts = {
+	.crashes = 4, .several_requests = true, .trial_us = 10000000};
+
+/* A subject that was served within this time is not blamed for a crash: a subject that many callers
+ * send is running on any endpoint that fails. An engine that starts to crash under a subject it
  * served before is detected this much later. */
 #define RECENTLY_SERVED_US 30000000
 
-/* Slots of the table of served requests; a power of two. At 20 requests per second it covers three
- * minutes. */
+/* Slots of the table of served subjects; a power of two. At 20 requests per second it covers three
+ * minutes of them, and more of the parts that they share. */
 #define SERVED_MAX 4096
 
 /* Time after the last crash for which a record is kept. A repaired engine is deployed by then, and
- * a request that was quarantined by mistake can be served again. */
+ * a subject that was quarantined by mistake can be served again. */
 #define RECORD_LIFETIME_US 3600000000
 
 /* Records of one team, and of all teams: 4096 records take 0.6 MB. No team evicts the records of
@@ -39,26 +46,30 @@
  * two seconds apart, and one may be lost. */
 #define NEW_RECORD_US 5000000
 
-/* What is known of a request. */
+/* What is known of a subject. */
 struct record
 {
-	struct comet_fingerprint request;
+	struct comet_fingerprint subject;
 	struct comet_incarnation_set crashed;
-	struct comet_incarnation_set excused; /* crashes that the request did not cause */
+	struct comet_incarnation_set excused; /* crashes that the subject did not cause */
+	uint64_t request_digest;              /* of the first request that crashed */
 	uint64_t last_crash_us;
 	uint64_t changed_us;
+	uint64_t trial_due_us; /* when this VM may send it once more; 0: never */
+	bool several_requests; /* another request has crashed as well */
 	bool quarantined;
 };
 
-/* A request that was served. */
+/* A subject that was served. */
 struct served
 {
-	struct comet_fingerprint request;
+	struct comet_fingerprint subject;
 	uint64_t at_us; /* 0: the slot is empty */
 };
 
 struct comet_crash_tracker
 {
+	const struct comet_crash_tracker_rules *rules;
 	const struct comet_crash_tracker_ops *ops;
 	void *ctx;
 	GHashTable *records; /* fingerprint -> struct record */
@@ -72,9 +83,9 @@
 static guint
 hash_fingerprint(gconstpointer key)
 {
-	const struct comet_fingerprint *request = key;
+	const struct comet_fingerprint *subject = key;
 
-	return (guint)(request->digest ^ request->team);
+	return (guint)(subject->digest ^ subject->team);
 }
 
 static gboolean
@@ -91,10 +102,12 @@
 }
 
 struct comet_crash_tracker *
-comet_crash_tracker_create(void *parent, const struct comet_crash_tracker_ops *ops, void *ctx)
+comet_crash_tracker_create(void *parent, const struct comet_crash_tracker_rules *rules,
+	const struct comet_crash_tracker_ops *ops, void *ctx)
 {
 	struct comet_crash_tracker *crash_tracker = talloc_zero(parent, struct comet_crash_tracker);
 
+	crash_tracker->rules = rules;
 	crash_tracker->ops = ops;
 	crash_tracker->ctx = ctx;
 	crash_tracker->records =
@@ -106,12 +119,12 @@
 
 static struct record *
 find_record(
-	const struct comet_crash_tracker *crash_tracker, const struct comet_fingerprint *request)
+	const struct comet_crash_tracker *crash_tracker, const struct comet_fingerprint *subject)
 {
-	return g_hash_table_lookup(crash_tracker->records, request);
+	return g_hash_table_lookup(crash_tracker->records, subject);
 }
 
-/* Crashes that are not excused, before those explained by other requests are subtracted. */
+/* Crashes that are not excused, before those explained by other subjects are subtracted. */
 static uint32_t
 count_crashes(const struct record *record)
 {
@@ -125,7 +138,7 @@
 	return count;
 }
 
-/* Returns whether another request, with more crashes than this one, explains a crash. */
+/* Returns whether another subject, with more crashes than this one, explains a crash. */
 static bool
 is_explained_by_other(
 	const GPtrArray *candidates, const struct record *record, uint32_t incarnation_key)
@@ -143,8 +156,16 @@
 	return false;
 }
 
+static bool
+is_explained_elsewhere(const struct comet_crash_tracker *crash_tracker, uint32_t incarnation_key)
+{
+	return crash_tracker->ops->is_explained != NULL &&
+	       crash_tracker->ops->is_explained(crash_tracker->ctx, incarnation_key);
+}
+
 static uint32_t
-count_unexplained_crashes(const GPtrArray *candidates, const struct record *record)
+count_unexplained_crashes(const struct comet_crash_tracker *crash_tracker,
+	const GPtrArray *candidates, const struct record *record)
 {
 	uint32_t count = 0;
 
@@ -152,18 +173,41 @@
 	{
 		uint32_t incarnation_key = record->crashed.incarnations[i];
 		if (!comet_incarnation_set_has(&record->excused, incarnation_key) &&
-			!is_explained_by_other(candidates, record, incarnation_key))
+			!is_explained_by_other(candidates, record, incarnation_key) &&
+			!is_explained_elsewhere(crash_tracker, incarnation_key))
 			count++;
 	}
 	return count;
 }
 
-/* Decides again which requests are quarantined. The result depends on the records alone, so VMs
- * with the same records agree. If the first request to reach the limit were blamed, a VM that
- * learned of another request first would blame that one, and both would be released once the VMs
+/* Returns whether a subject has enough crashes to be quarantined if no other one explains them. */
+static bool
+is_candidate(const struct comet_crash_tracker *crash_tracker, const struct record *record)
+{
+	return count_crashes(record) >= crash_tracker->rules->crashes &&
+	       (record->several_requests || !crash_tracker->rules->several_requests);
+}
+
+/* Applies a decision. The VM that detected the last crash itself gets a trial: few VMs do. */
+static void
+set_quarantined(struct comet_crash_tracker *crash_tracker, struct record *record, bool quarantined,
+	bool detected_here, uint64_t now_us)
+{
+	uint64_t trial_us = crash_tracker->rules->trial_us;
+
+	record->quarantined = quarantined;
+	record->trial_due_us = quarantined && detected_here && trial_us > 0 ? now_us + trial_us : 0;
+	crash_tracker->ops->on_change(crash_tracker->ctx, &record->subject,
+		quarantined ? COMET_CRASH_TRACKER_QUARANTINED : COMET_CRASH_TRACKER_RELEASED,
+		count_crashes(record), detected_here);
+}
+
+/* Decides again which subjects are quarantined. The result depends on the records alone, so VMs
+ * with the same records agree. If the first subject to reach the limit were blamed, a VM that
+ * learned of another subject first would blame that one, and both would be released once the VMs
  * exchanged their records. */
 static void
-update_quarantine(struct comet_crash_tracker *crash_tracker, bool detected_here)
+update_quarantine(struct comet_crash_tracker *crash_tracker, bool detected_here, uint64_t now_us)
 {
 	GPtrArray *candidates = g_ptr_array_new();
 	GHashTableIter iter;
@@ -172,23 +216,18 @@
 	g_hash_table_iter_init(&iter, crash_tracker->records);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 	{
-		if (count_crashes(value) >= QUARANTINE_CRASHES)
+		if (is_candidate(crash_tracker, value))
 			g_ptr_array_add(candidates, value);
 	}
 	g_hash_table_iter_init(&iter, crash_tracker->records);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 	{
 		struct record *record = value;
-		bool quarantined =
-			count_crashes(record) >= QUARANTINE_CRASHES &&
-			count_unexplained_crashes(candidates, record) >= QUARANTINE_CRASHES;
-		if (quarantined == record->quarantined)
-			continue;
-		record->quarantined = quarantined;
-		crash_tracker->ops->on_change(crash_tracker->ctx, &record->request,
-			quarantined ? COMET_CRASH_TRACKER_QUARANTINED
-				    : COMET_CRASH_TRACKER_RELEASED,
-			count_crashes(record), detected_here);
+		bool quarantined = is_candidate(crash_tracker, record) &&
+				   count_unexplained_crashes(crash_tracker, candidates, record) >=
+					   crash_tracker->rules->crashes;
+		if (quarantined != record->quarantined)
+			set_quarantined(crash_tracker, record, quarantined, detected_here, now_us);
 	}
 	g_ptr_array_free(candidates, TRUE);
 }
@@ -220,30 +259,30 @@
 		struct record *record = value;
 		if (victim == NULL || is_evicted_before(record, victim))
 			victim = record;
-		if (record->request.team != team)
+		if (record->subject.team != team)
 			continue;
 		team_count++;
 		if (team_victim == NULL || is_evicted_before(record, team_victim))
 			team_victim = record;
 	}
 	if (team_count >= TEAM_RECORDS_MAX)
-		g_hash_table_remove(crash_tracker->records, &team_victim->request);
+		g_hash_table_remove(crash_tracker->records, &team_victim->subject);
 	else if (g_hash_table_size(crash_tracker->records) >= RECORDS_MAX)
-		g_hash_table_remove(crash_tracker->records, &victim->request);
+		g_hash_table_remove(crash_tracker->records, &victim->subject);
 }
 
 static struct record *
 find_or_add_record(
-	struct comet_crash_tracker *crash_tracker, const struct comet_fingerprint *request)
+	struct comet_crash_tracker *crash_tracker, const struct comet_fingerprint *subject)
 {
-	struct record *record = find_record(crash_tracker, request);
+	struct record *record = find_record(crash_tracker, subject);
 
 	if (record == NULL)
 	{
-		evict_if_full(crash_tracker, request->team);
+		evict_if_full(crash_tracker, subject->team);
 		record = g_new0(struct record, 1);
-		record->request = *request;
-		g_hash_table_insert(crash_tracker->records, &record->request, record);
+		record->subject = *subject;
+		g_hash_table_insert(crash_tracker->records, &record->subject, record);
 	}
 	return record;
 }
@@ -262,19 +301,19 @@
 }
 
 static struct served *
-served_slot(struct comet_crash_tracker *crash_tracker, const struct comet_fingerprint *request)
+served_slot(struct comet_crash_tracker *crash_tracker, const struct comet_fingerprint *subject)
 {
-	return &crash_tracker->served[hash_fingerprint(request) % SERVED_MAX];
+	return &crash_tracker->served[hash_fingerprint(subject) % SERVED_MAX];
 }
 
 static bool
 was_recently_served(struct comet_crash_tracker *crash_tracker,
-	const struct comet_fingerprint *request, uint64_t now_us)
+	const struct comet_fingerprint *subject, uint64_t now_us)
 {
-	const struct served *served = served_slot(crash_tracker, request);
+	const struct served *served = served_slot(crash_tracker, subject);
 
 	return served->at_us != 0 && now_us - served->at_us < RECENTLY_SERVED_US &&
-	       comet_fingerprint_equal(&served->request, request);
+	       comet_fingerprint_equal(&served->subject, subject);
 }
 
 /* Reports a changed record and updates the quarantine. */
@@ -283,23 +322,49 @@
 	uint64_t now_us)
 {
 	record->changed_us = now_us;
-	if (was_recently_served(crash_tracker, &record->request, now_us) && excuse_all(record))
+	if (was_recently_served(crash_tracker, &record->subject, now_us) && excuse_all(record))
 		crash_tracker->ops->on_change(
-			crash_tracker->ctx, &record->request, COMET_CRASH_TRACKER_EXCUSED, 0, true);
+			crash_tracker->ctx, &record->subject, COMET_CRASH_TRACKER_EXCUSED, 0, true);
 	else
-		crash_tracker->ops->on_change(crash_tracker->ctx, &record->request,
+		crash_tracker->ops->on_change(crash_tracker->ctx, &record->subject,
 			COMET_CRASH_TRACKER_COUNTED, count_crashes(record), detected_here);
-	update_quarantine(crash_tracker, detected_here);
+	update_quarantine(crash_tracker, detected_here, now_us);
+}
+
+/* Notes a request whose attempt crashed with the subject. @return whether that is news */
+static bool
+add_request(struct record *record, uint64_t request_digest, bool several_requests)
+{
+	bool known = record->several_requests;
+
+	if (record->request_digest == 0)
+		record->request_digest = request_digest;
+	record->several_requests =
+		known || several_requests ||
+		(request_digest != 0 && request_digest != record->request_digest);
+	return record->several_requests != known;
 }
 
-/* Counts the crash of a process against a request. */
+/* Returns whether no crash is recorded for a subject. A part that is served all the time runs on
+ * every endpoint that crashes; its records would delay those of others in gossip. */
+static bool
+is_beyond_suspicion(struct comet_crash_tracker *crash_tracker,
+	const struct comet_fingerprint *subject, uint64_t now_us)
+{
+	return crash_tracker->rules->several_requests &&
+	       was_recently_served(crash_tracker, subject, now_us);
+}
+
+/* Counts the crash of a process against a subject. */
 static void
-add_crash(struct comet_crash_tracker *crash_tracker, const struct comet_fingerprint *request,
+add_crash(struct comet_crash_tracker *crash_tracker, const struct comet_crash_suspect *suspect,
 	uint32_t incarnation_key, uint64_t now_us)
 {
-	struct record *record = find_or_add_record(crash_tracker, request);
-
-	if (!comet_incarnation_set_add(&record->crashed, incarnation_key))
+	if (is_beyond_suspicion(crash_tracker, &suspect->subject, now_us))
+		return;
+	struct record *record = find_or_add_record(crash_tracker, &suspect->subject);
+	bool changed = add_request(record, suspect->request_digest, false);
+	if (!comet_incarnation_set_add(&record->crashed, incarnation_key) && !changed)
 		return;
 	record->last_crash_us = now_us;
 	apply_change(crash_tracker, record, true, now_us);
@@ -307,34 +372,85 @@
 
 bool
 comet_crash_tracker_is_quarantined(
-	struct comet_crash_tracker *crash_tracker, const struct comet_fingerprint *request)
+	struct comet_crash_tracker *crash_tracker, const struct comet_fingerprint *subject)
 {
-	const struct record *record = find_record(crash_tracker, request);
+	const struct record *record = find_record(crash_tracker, subject);
 
 	return record != NULL && record->quarantined;
 }
 
 bool
 comet_crash_tracker_is_undecided(struct comet_crash_tracker *crash_tracker,
-	const struct comet_fingerprint *request, uint64_t now_us)
+	const struct comet_fingerprint *subject, uint64_t now_us)
 {
-	const struct record *record = find_record(crash_tracker, request);
+	const struct record *record = find_record(crash_tracker, subject);
 	uint32_t count = record != NULL ? count_crashes(record) : 0;
 
 	if (count == 0)
 		return false;
-	return count + comet_crash_suspects_count_request(
-			       crash_tracker->crash_suspects, request, now_us) >=
-	       QUARANTINE_CRASHES;
+	return count + comet_crash_suspects_count_subject(
+			       crash_tracker->crash_suspects, subject, now_us) >=
+	       crash_tracker->rules->crashes;
+}
+
+bool
+comet_crash_tracker_take_trial(struct comet_crash_tracker *crash_tracker,
+	const struct comet_fingerprint *subject, uint64_t now_us)
+{
+	struct record *record = find_record(crash_tracker, subject);
+
+	if (record == NULL || record->trial_due_us == 0 || now_us < record->trial_due_us)
+		return false;
+	record->trial_due_us = 0;
+	return true;
+}
+
+void
+comet_crash_tracker_return_trial(struct comet_crash_tracker *crash_tracker,
+	const struct comet_fingerprint *subject, uint64_t now_us)
+{
+	struct record *record = find_record(crash_tracker, subject);
+
+	if (record != NULL && record->quarantined)
+		record->trial_due_us = now_us + crash_tracker->rules->trial_us;
+}
+
+bool
+comet_crash_tracker_explains(
+	const struct comet_crash_tracker *crash_tracker, uint32_t incarnation_key)
+{
+	GHashTableIter iter;
+	gpointer value = NULL;
+
+	g_hash_table_iter_init(&iter, crash_tracker->records);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+	{
+		const struct record *record = value;
+		if (record->quarantined &&
+			comet_incarnation_set_has(&record->crashed, incarnation_key) &&
+			!comet_incarnation_set_has(&record->excused, incarnation_key))
+			return true;
+	}
+	return false;
+}
+
+void
+comet_crash_tracker_review(struct comet_crash_tracker *crash_tracker, uint64_t now_us)
+{
+	update_quarantine(crash_tracker, false, now_us);
 }
 
 void
 comet_crash_tracker_add_suspect(struct comet_crash_tracker *crash_tracker,
 	const struct comet_crash_attempt *attempt, uint64_t now_us)
 {
+	const struct comet_crash_suspect suspect = {attempt->subject, attempt->request_digest};
+
+	if (is_beyond_suspicion(crash_tracker, &attempt->subject, now_us))
+		return;
 	if (comet_crash_suspects_has_crashed(
 		    crash_tracker->crash_suspects, attempt->incarnation_key, attempt->last_seen_us))
-		add_crash(crash_tracker, &attempt->request, attempt->incarnation_key, now_us);
+		add_crash(crash_tracker, &suspect, attempt->incarnation_key, now_us);
 	else
 		comet_crash_suspects_add(crash_tracker->crash_suspects, attempt, now_us);
 }
@@ -343,12 +459,12 @@
 comet_crash_tracker_process_crashed(struct comet_crash_tracker *crash_tracker,
 	uint32_t incarnation_key, uint64_t last_seen_us, uint64_t now_us)
 {
-	GList *requests = comet_crash_suspects_process_crashed(
+	GList *suspects = comet_crash_suspects_process_crashed(
 		crash_tracker->crash_suspects, incarnation_key, last_seen_us, now_us);
 
-	for (GList *link = requests; link != NULL; link = link->next)
+	for (GList *link = suspects; link != NULL; link = link->next)
 		add_crash(crash_tracker, link->data, incarnation_key, now_us);
-	g_list_free_full(requests, g_free);
+	g_list_free_full(suspects, g_free);
 }
 
 void
@@ -360,18 +476,18 @@
 
 void
 comet_crash_tracker_mark_served(struct comet_crash_tracker *crash_tracker,
-	const struct comet_fingerprint *request, uint64_t now_us)
+	const struct comet_fingerprint *subject, uint64_t now_us)
 {
-	struct record *record = find_record(crash_tracker, request);
+	struct record *record = find_record(crash_tracker, subject);
 
-	*served_slot(crash_tracker, request) =
-		(struct served){.request = *request, .at_us = now_us};
+	*served_slot(crash_tracker, subject) =
+		(struct served){.subject = *subject, .at_us = now_us};
 	if (record == NULL || !excuse_all(record))
 		return;
 	record->changed_us = now_us;
 	crash_tracker->ops->on_change(
-		crash_tracker->ctx, request, COMET_CRASH_TRACKER_EXCUSED, 0, true);
-	update_quarantine(crash_tracker, true);
+		crash_tracker->ctx, subject, COMET_CRASH_TRACKER_EXCUSED, 0, true);
+	update_quarantine(crash_tracker, true, now_us);
 }
 
 void
@@ -401,11 +517,17 @@
 }
 
 static void
-encode_record(const struct record *record, comet_Crashed *out, uint64_t now_us)
+encode_record(const struct comet_crash_tracker *crash_tracker, const struct record *record,
+	comet_Crashed *out, uint64_t now_us)
 {
 	memset(out, 0, sizeof *out);
-	out->digest = record->request.digest;
-	out->team = record->request.team;
+	out->digest = record->subject.digest;
+	out->team = record->subject.team;
+	if (crash_tracker->rules->several_requests)
+	{
+		out->request = record->request_digest;
+		out->several_requests = record->several_requests;
+	}
 	encode_set(&record->crashed, out->lives, &out->lives_count);
 	encode_set(&record->excused, out->excused, &out->excused_count);
 	out->age_ms = (uint32_t)((now_us - record->last_crash_us) / 1000);
@@ -434,18 +556,44 @@
 	{
 		const struct record *record = value;
 		if (is_new(record, now_us) == only_new && index++ >= *position)
-			encode_record(record, &records[count++], now_us);
+			encode_record(crash_tracker, record, &records[count++], now_us);
 	}
 	*position = count < max_records ? 0 : index;
 	return count;
 }
 
+/* Returns the new record with the most crashes, if it has several: the VMs have to add up what each
+ * of them saw before the subject crashes more endpoints. */
+static const struct record *
+find_worst_new(const struct comet_crash_tracker *crash_tracker, uint64_t now_us)
+{
+	const struct record *worst = NULL;
+	uint32_t most = 1;
+	GHashTableIter iter;
+	gpointer value = NULL;
+
+	g_hash_table_iter_init(&iter, crash_tracker->records);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+	{
+		const struct record *record = value;
+		if (!is_new(record, now_us) || count_crashes(record) <= most)
+			continue;
+		most = count_crashes(record);
+		worst = record;
+	}
+	return worst;
+}
+
 size_t
 comet_crash_tracker_encode(struct comet_crash_tracker *crash_tracker, comet_Crashed *records,
 	size_t max_records, uint64_t now_us)
 {
-	size_t count = encode_some(crash_tracker, records, max_records - 1, true, now_us);
+	const struct record *worst = find_worst_new(crash_tracker, now_us);
+	size_t count = 0;
 
+	if (worst != NULL)
+		encode_record(crash_tracker, worst, &records[count++], now_us);
+	count += encode_some(crash_tracker, records + count, max_records - 1 - count, true, now_us);
 	return count +
 	       encode_some(crash_tracker, records + count, max_records - count, false, now_us);
 }
@@ -454,14 +602,15 @@
 comet_crash_tracker_merge(
 	struct comet_crash_tracker *crash_tracker, const comet_Crashed *reported, uint64_t now_us)
 {
-	const struct comet_fingerprint request = {
+	const struct comet_fingerprint subject = {
 		.digest = reported->digest, .team = reported->team};
 	uint64_t age_us = (uint64_t)reported->age_ms * 1000;
 	bool changed = false;
 
 	if (reported->lives_count == 0 || age_us > RECORD_LIFETIME_US)
 		return;
-	struct record *record = find_or_add_record(crash_tracker, &request);
+	struct record *record = find_or_add_record(crash_tracker, &subject);
+	changed = add_request(record, reported->request, reported->several_requests);
 	for (pb_size_t i = 0; i < reported->lives_count; i++)
 		changed =
 			comet_incarnation_set_add(&record->crashed, reported->lives[i]) || changed;
--- a/libcometspindle/gateway/admission/crash_tracker.h
+++ b/libcometspindle/gateway/admission/crash_tracker.h
@@ -1,16 +1,17 @@
 /*
  * crash_tracker.h
- * requests that crash endpoint processes, as seen by this VM and by its peers
+ * requests, or parts of prompts, that crash endpoint processes, as seen by this VM and by its peers
  *
- * A request that crashes every endpoint which runs it arrives again under other ids at any VM. Each
- * VM counts the processes that crashed under a request, from its own attempts and from gossip. The
- * count is the size of a set of incarnations, so the order, the number and the source of the
- * reports do not matter. After the third crash the request is quarantined: it is sent to no
- * endpoint.
+ * A request that crashes every endpoint which runs it arrives again under other ids at any VM, and
+ * so does a part that the prompts of different requests share. A tracker watches subjects of one of
+ * these two kinds. Each VM counts the processes that crashed under a subject, from its own attempts
+ * and from gossip. The count is the size of a set of incarnations, so the order, the number and the
+ * source of the reports do not matter. After some crashes (the tracker's rules) the subject is
+ * quarantined: it is sent to no endpoint.
  *
- * A request that only ran at the same time as such a request, or whose endpoint crashed for another
- * reason, is not quarantined: a successful response excuses all earlier crashes of the request, and
- * a crash that is explained by a request with more crashes does not count. This module uses no
+ * A subject that only ran at the same time as such a subject, or whose endpoint crashed for another
+ * reason, is not quarantined: a successful response excuses all earlier crashes of the subject, and
+ * a crash that is explained by a subject with more crashes does not count. This module uses no
  * sockets and no clock; the caller passes the time.
  */
 #ifndef COMETSPINDLE_GATEWAY_CRASH_TRACKER_H
@@ -22,57 +23,100 @@
 #include <stddef.h>
 #include <stdint.h>
 
-/** A change in what is known of a request. */
+/** When a subject is quarantined, and how it is released. */
+struct comet_crash_tracker_rules
+{
+	uint32_t crashes;      /**< after which a subject is quarantined */
+	bool several_requests; /**< only if different requests were among them */
+	uint64_t trial_us;     /**< time in quarantine, in microseconds, after which the VM that saw
+				  the last crash sends the subject once more; 0: never */
+};
+
+/** Rules for requests. */
+extern const struct comet_crash_tracker_rules comet_crash_tracker_requests;
+
+/** Rules for parts of prompts. */
+extern const struct comet_crash_tracker_rules comet_crash_tracker_parts;
+
+/** A change in what is known of a subject. */
 enum comet_crash_tracker_event
 {
-	COMET_CRASH_TRACKER_COUNTED,     /**< another process crashed under the request */
-	COMET_CRASH_TRACKER_QUARANTINED, /**< the request must not be sent any more */
-	COMET_CRASH_TRACKER_RELEASED,    /**< the request may be sent again */
+	COMET_CRASH_TRACKER_COUNTED,     /**< another process crashed under the subject */
+	COMET_CRASH_TRACKER_QUARANTINED, /**< the subject must not be sent any more */
+	COMET_CRASH_TRACKER_RELEASED,    /**< the subject may be sent again */
 	COMET_CRASH_TRACKER_EXCUSED,     /**< it was served, so its earlier crashes are excused */
 };
 
 struct comet_crash_tracker_ops
 {
-	/** Reports a change, with the number of processes whose crashes count against the request.
+	/** Reports a change, with the number of processes whose crashes count against the subject.
 	 * detected_here is false if a peer reported the change. */
-	void (*on_change)(void *ctx, const struct comet_fingerprint *request,
+	void (*on_change)(void *ctx, const struct comet_fingerprint *subject,
 		enum comet_crash_tracker_event event, uint32_t incarnations, bool detected_here);
+	/** @return whether the crash of an incarnation has a cause that this tracker does not
+	 * watch. May be NULL. */
+	bool (*is_explained)(void *ctx, uint32_t incarnation_key);
 };
 
 /** Sizes of the tracker's tables. */
 struct comet_crash_tracker_counts
 {
-	uint32_t records;     /**< requests under which at least one process crashed */
-	uint32_t quarantined; /**< quarantined requests */
+	uint32_t records;     /**< subjects under which at least one process crashed */
+	uint32_t quarantined; /**< quarantined subjects */
 	uint32_t crash_suspects;
 };
 
 struct comet_crash_tracker;
 
 struct comet_crash_tracker *
-comet_crash_tracker_create(void *parent, const struct comet_crash_tracker_ops *ops, void *ctx);
+comet_crash_tracker_create(void *parent, const struct comet_crash_tracker_rules *rules,
+	const struct comet_crash_tracker_ops *ops, void *ctx);
 
-/** @return whether the request must not be sent to any endpoint. */
+/** @return whether the subject must not be sent to any endpoint. */
 bool
 comet_crash_tracker_is_quarantined(
-	struct comet_crash_tracker *crash_tracker, const struct comet_fingerprint *request);
+	struct comet_crash_tracker *crash_tracker, const struct comet_fingerprint *subject);
 
 /**
- * @return whether a request that has crashed an endpoint has further attempts whose processes may
- * have crashed too, which would quarantine it. The caller must not send the request until that is
+ * @return whether a subject that has crashed an endpoint has further attempts whose processes may
+ * have crashed too, which would quarantine it. The caller must not send the subject until that is
  * known.
  */
 bool
 comet_crash_tracker_is_undecided(struct comet_crash_tracker *crash_tracker,
-	const struct comet_fingerprint *request, uint64_t now_us);
+	const struct comet_fingerprint *subject, uint64_t now_us);
+
+/**
+ * Takes the trial of a quarantined subject: one attempt that shows whether it was blamed by
+ * mistake.
+ * @return whether this VM has a trial that is due; the caller then sends the subject once
+ */
+bool
+comet_crash_tracker_take_trial(struct comet_crash_tracker *crash_tracker,
+	const struct comet_fingerprint *subject, uint64_t now_us);
+
+/** Returns a trial that has shown nothing, because no endpoint ran the subject. It is due later. */
+void
+comet_crash_tracker_return_trial(struct comet_crash_tracker *crash_tracker,
+	const struct comet_fingerprint *subject, uint64_t now_us);
+
+/** @return whether an incarnation crashed under a quarantined subject. */
+bool
+comet_crash_tracker_explains(
+	const struct comet_crash_tracker *crash_tracker, uint32_t incarnation_key);
+
+/** Decides again which subjects are quarantined, after is_explained() may have changed. */
+void
+comet_crash_tracker_review(struct comet_crash_tracker *crash_tracker, uint64_t now_us);
 
-/** An attempt of a request at an endpoint that ended without a response. */
+/** An attempt at an endpoint that ended without a response. */
 struct comet_crash_attempt
 {
-	struct comet_fingerprint request;
-	uint32_t incarnation_key; /**< of the endpoint's process */
-	uint64_t last_seen_us;    /**< when that incarnation was last seen alive */
+	struct comet_fingerprint subject; /**< the request, or a part of its prompt */
+	uint32_t incarnation_key;         /**< of the endpoint's process */
+	uint64_t last_seen_us;            /**< when that incarnation was last seen alive */
 	bool cancelled; /**< the caller disconnected while the process was running the request */
+	uint64_t request_digest; /**< of the request's fingerprint */
 };
 
 /** Records an attempt. It counts as a crash if its incarnation has crashed or crashes later, and
@@ -91,17 +135,17 @@
 comet_crash_tracker_process_exited(
 	struct comet_crash_tracker *crash_tracker, uint32_t incarnation_key);
 
-/** An endpoint returned a successful response to the request. */
+/** An endpoint returned a successful response to a request with the subject. */
 void
 comet_crash_tracker_mark_served(struct comet_crash_tracker *crash_tracker,
-	const struct comet_fingerprint *request, uint64_t now_us);
+	const struct comet_fingerprint *subject, uint64_t now_us);
 
 /** Drops expired records and suspects; call at least once a second. */
 void
 comet_crash_tracker_tick(struct comet_crash_tracker *crash_tracker, uint64_t now_us);
 
-/** Encodes at most max_records records for a gossip message: recently changed ones first, then the
- * others in turn. @return the number of encoded records */
+/** Encodes at most max_records records for a gossip message: of the recently changed ones the one
+ * with the most crashes, then the others in turn. @return the number of encoded records */
 size_t
 comet_crash_tracker_encode(struct comet_crash_tracker *crash_tracker, comet_Crashed *records,
 	size_t max_records, uint64_t now_us);
--- a/libcometspindle/gateway/fleet/gossip.c
+++ b/libcometspindle/gateway/fleet/gossip.c
@@ -83,6 +83,7 @@
 	gossip->instances = instances;
 	gossip->rate_limiter = rate_limiter;
 	gossip->crash_tracker = config->crash_tracker;
+	gossip->crashing_parts = config->crashing_parts;
 	gossip->ops = ops;
 	gossip->ctx = ctx;
 	gossip->view_bytes = 100;
@@ -222,6 +223,8 @@
 			gossip, peer, &view->spent[i], view->age_ms < gossip->window_ms, now_us);
 	for (pb_size_t i = 0; gossip->crash_tracker != NULL && i < view->crashed_count; i++)
 		comet_crash_tracker_merge(gossip->crash_tracker, &view->crashed[i], now_us);
+	for (pb_size_t i = 0; gossip->crashing_parts != NULL && i < view->crashed_parts_count; i++)
+		comet_crash_tracker_merge(gossip->crashing_parts, &view->crashed_parts[i], now_us);
 	for (pb_size_t i = 0; i < view->limits_count; i++)
 		merge_limit(gossip, &view->limits[i], now_us);
 	for (pb_size_t i = 0; i < view->leaving_endpoints_count; i++)
--- a/libcometspindle/gateway/fleet/gossip.h
+++ b/libcometspindle/gateway/fleet/gossip.h
@@ -33,7 +33,8 @@
 	uint32_t near_bytes_per_s; /**< byte budget for gossip messages to VMs of the same zone */
 	uint32_t far_bytes_per_s;  /**< byte budget for gossip messages to VMs of other zones */
 	uint32_t cpu_percent;      /**< CPU allowance of this VM, in percent of a core */
-	struct comet_crash_tracker *crash_tracker; /**< exchanged by gossip; NULL: not exchanged */
+	struct comet_crash_tracker *crash_tracker;  /**< exchanged by gossip; NULL: not exchanged */
+	struct comet_crash_tracker *crashing_parts; /**< the same for parts of prompts */
 };
 
 struct comet_gossip_ops
--- a/libcometspindle/gateway/fleet/gossip_rounds.c
+++ b/libcometspindle/gateway/fleet/gossip_rounds.c
@@ -356,6 +356,10 @@
 	if (gossip->crash_tracker != NULL)
 		view->crashed_count = (pb_size_t)comet_crash_tracker_encode(
 			gossip->crash_tracker, view->crashed, G_N_ELEMENTS(view->crashed), now_us);
+	if (gossip->crashing_parts != NULL)
+		view->crashed_parts_count =
+			(pb_size_t)comet_crash_tracker_encode(gossip->crashing_parts,
+				view->crashed_parts, G_N_ELEMENTS(view->crashed_parts), now_us);
 	view->pass_on = PASS_ON_ALL; /* the size must include the field that forwarders receive */
 	while (comet_datagram_encode(datagram, data) == 0 && view->busy_count > 0)
 	{
--- a/libcometspindle/gateway/fleet/gossip_state.h
+++ b/libcometspindle/gateway/fleet/gossip_state.h
@@ -67,7 +67,8 @@
 	uint32_t cpu_percent;
 	struct comet_instances *instances;
 	struct comet_rate_limiter *rate_limiter;
-	struct comet_crash_tracker *crash_tracker; /* or NULL */
+	struct comet_crash_tracker *crash_tracker;  /* or NULL */
+	struct comet_crash_tracker *crashing_parts; /* or NULL */
 	const struct comet_gossip_ops *ops;
 	void *ctx;
 	GHashTable *peers; /* address -> struct comet_gossip_peer */
--- a/libcometspindle/proto/view.pb.c
+++ b/libcometspindle/proto/view.pb.c
@@ -66,7 +66,7 @@
 PB_BIND(comet_StreamAnswer, comet_StreamAnswer, AUTO)
 
 
-PB_BIND(comet_Datagram, comet_Datagram, 2)
+PB_BIND(comet_Datagram, comet_Datagram, 4)
 
 
 
--- a/tests/unit/grants_fleet.h
+++ b/tests/unit/grants_fleet.h
@@ -181,7 +181,7 @@
 			comet_instances_update(one.instances, &record, now_us);
 		}
 		comet_gossip_config config = {address, address + now_us, now_us, 8000, seeds, 1,
-			zone.c_str(), 100000, 100000, cpu_percent, nullptr};
+			zone.c_str(), 100000, 100000, cpu_percent, nullptr, nullptr};
 		one.gossip = comet_gossip_create(
 			one.instances, &config, one.instances, one.rate_limiter, &gossip_ops, &one);
 		one.placement = comet_placement_create(one.instances, one.instances,
--- a/tests/unit/test_crash_tracker.cc
+++ b/tests/unit/test_crash_tracker.cc
@@ -25,7 +25,8 @@
 {
 	Vm()
 	{
-		crash_tracker = comet_crash_tracker_create(nullptr, &ops, this);
+		crash_tracker = comet_crash_tracker_create(
+			nullptr, &comet_crash_tracker_requests, &ops, this);
 	}
 
 	~Vm()
@@ -48,7 +49,7 @@
 		uint64_t last_seen_us, uint64_t now_us, bool cancelled = false)
 	{
 		const comet_crash_attempt attempt = {
-			request, incarnation_key, last_seen_us, cancelled};
+			request, incarnation_key, last_seen_us, cancelled, request.digest};
 
 		comet_crash_tracker_add_suspect(crash_tracker, &attempt, now_us);
 	}
@@ -85,7 +86,7 @@
 	int events[4] = {};
 };
 
-const comet_crash_tracker_ops Vm::ops = {on_event};
+const comet_crash_tracker_ops Vm::ops = {on_event, nullptr};
 
 const comet_fingerprint REQUEST = {77, 1};
 
--- a/tests/unit/test_gossip.cc
+++ b/tests/unit/test_gossip.cc
@@ -73,7 +73,7 @@
 			"i", "llm", "127.0.0.1:1", "z", 4, 0, false, 0, "v1"};
 		comet_instances_update(one.instances, &record, now_us);
 		comet_gossip_config config = {address, incarnation, now_us, 8000, seeds, 1,
-			zone.c_str(), bytes_per_s, bytes_per_s, 100, nullptr};
+			zone.c_str(), bytes_per_s, bytes_per_s, 100, nullptr, nullptr};
 		one.gossip = comet_gossip_create(
 			one.instances, &config, one.instances, one.rate_limiter, &ops, &one);
 	}
