Send the records of crashes in gossip without gaps; unit tests of crashing parts

Cause: the message after the last record of a turn contained none of the new records, because the next turn began one message later. A part that had been released stayed quarantined at other VMs for that long. Change: a turn that is over begins again in the same message.

--- a/libcometspindle/gateway/admission/crash_tracker.c
+++ b/libcometspindle/gateway/admission/crash_tracker.c
@@ -539,26 +539,51 @@
 	return now_us - record->changed_us < NEW_RECORD_US;
 }
 
+/* Returns the next record that is new, or not, after those that the last messages contained; NULL
+ * if all were sent. */
+static const struct record *
+find_next(const struct comet_crash_tracker *crash_tracker, uint32_t position,
+	const struct record *except, bool only_new, uint64_t now_us)
+{
+	uint32_t index = 0;
+	GHashTableIter iter;
+	gpointer value = NULL;
+
+	g_hash_table_iter_init(&iter, crash_tracker->records);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+	{
+		const struct record *record = value;
+		if (record != except && is_new(record, now_us) == only_new && index++ >= position)
+			return record;
+	}
+	return NULL;
+}
+
 /* Encodes records that are new, or the others. Each call continues where the last one stopped, so
  * that a team whose requests crash many endpoints does not delay the records of other teams. */
 static size_t
 encode_some(struct comet_crash_tracker *crash_tracker, comet_Crashed *records, size_t max_records,
-	bool only_new, uint64_t now_us)
+	const struct record *except, bool only_new, uint64_t now_us)
 {
 	uint32_t *position = only_new ? &crash_tracker->new_position : &crash_tracker->old_position;
 	size_t count = 0;
-	uint32_t index = 0;
-	GHashTableIter iter;
-	gpointer value = NULL;
 
-	g_hash_table_iter_init(&iter, crash_tracker->records);
-	while (count < max_records && g_hash_table_iter_next(&iter, NULL, &value))
+	while (count < max_records)
 	{
-		const struct record *record = value;
-		if (is_new(record, now_us) == only_new && index++ >= *position)
-			encode_record(crash_tracker, record, &records[count++], now_us);
+		const struct record *record =
+			find_next(crash_tracker, *position, except, only_new, now_us);
+		if (record == NULL && (*position == 0 || count > 0))
+			break;
+		if (record == NULL)
+		{
+			*position = 0; /* from the first one on again */
+			continue;
+		}
+		encode_record(crash_tracker, record, &records[count++], now_us);
+		++*position;
 	}
-	*position = count < max_records ? 0 : index;
+	if (count < max_records)
+		*position = 0;
 	return count;
 }
 
@@ -593,9 +618,10 @@
 
 	if (worst != NULL)
 		encode_record(crash_tracker, worst, &records[count++], now_us);
-	count += encode_some(crash_tracker, records + count, max_records - 1 - count, true, now_us);
-	return count +
-	       encode_some(crash_tracker, records + count, max_records - count, false, now_us);
+	count += encode_some(
+		crash_tracker, records + count, max_records - 1 - count, worst, true, now_us);
+	return count + encode_some(crash_tracker, records + count, max_records - count, worst,
+			       false, now_us);
 }
 
 void
--- a/tests/unit/test_crash_tracker.cc
+++ b/tests/unit/test_crash_tracker.cc
@@ -43,6 +43,12 @@
 		((Vm *)ctx)->events[event]++;
 	}
 
+	static bool
+	is_explained(void *ctx, uint32_t incarnation_key)
+	{
+		return incarnation_key <= ((Vm *)ctx)->explained_up_to;
+	}
+
 	/* An attempt at that incarnation ends without a response. */
 	void
 	add_suspect(const comet_fingerprint &request, uint32_t incarnation_key,
@@ -84,9 +90,10 @@
 	static const comet_crash_tracker_ops ops;
 	comet_crash_tracker *crash_tracker;
 	int events[4] = {};
+	uint32_t explained_up_to = 0; /* incarnations whose crash a part of a prompt explains */
 };
 
-const comet_crash_tracker_ops Vm::ops = {on_event, nullptr};
+const comet_crash_tracker_ops Vm::ops = {on_event, is_explained};
 
 const comet_fingerprint REQUEST = {77, 1};
 
@@ -105,6 +112,21 @@
 
 /* Two teams may send the same bytes, and a team may construct a body with the digest of another
  * team's request. */
+/* A request that was repeated beside a part of other prompts that crashes endpoints. */
+TEST(Crashes, RequestBesideACrashingPartIsNotBlamed)
+{
+	Vm vm;
+
+	for (uint32_t incarnation_key = 1; incarnation_key <= 3; incarnation_key++)
+		vm.crash(REQUEST, incarnation_key, MINUTE_US);
+	EXPECT_TRUE(vm.is_quarantined(REQUEST));
+	vm.explained_up_to = 1; /* found out only now */
+	comet_crash_tracker_review(vm.crash_tracker, MINUTE_US);
+	EXPECT_FALSE(vm.is_quarantined(REQUEST));
+	vm.crash(REQUEST, 4, MINUTE_US);
+	EXPECT_TRUE(vm.is_quarantined(REQUEST));
+}
+
 TEST(Crashes, RequestsOfTwoTeamsAreDistinct)
 {
 	Vm vm;
