Test: a part whose responses have no length is blamed for endpoints that crash by themselves

Cause: a response that ends with its connection excuses nothing, since the endpoint may have crashed.

--- a/tests/system/test_crashing_parts.py
+++ b/tests/system/test_crashing_parts.py
@@ -150,14 +150,10 @@
     fleet.end()
 
 
-def test_endpoints_that_crash_by_themselves():
-    """No part is blamed for endpoints that crash one after the other while requests with it run."""
+def check_crashes_blame_no_part(answer):
+    """Endpoints crash one after the other while requests with a common part and with a rare one run."""
     fleet = Fleet(servers=8)
-
-    def slow(server, sock, path, headers, body):
-        time.sleep(0.1)
-        server.plain(sock, path, headers, body)
-    fleet.script("say", slow)
+    fleet.script("say", answer)
     with Senders(4, lambda: send(fleet, FIRST, SOUND)) as common, Senders(2, lambda: send(fleet, "b2")) as rare:
         wait_for(lambda: common.served() >= 20 and rare.served() >= 5)
         for number in range(16):
@@ -170,8 +166,27 @@
     fleet.end()
 
 
+def test_endpoints_that_crash_by_themselves():
+    def slow(server, sock, path, headers, body):
+        time.sleep(0.1)
+        server.plain(sock, path, headers, body)
+    check_crashes_blame_no_part(slow)
+
+
+def test_parts_of_answers_without_length():
+    """All responses end with their connections. No such response proves that it is whole, so the part was blamed for
+    endpoints that crashed by themselves, although its requests were served all the time."""
+    def slow(server, sock, path, headers, body):
+        time.sleep(0.1)
+        sock.sendall((f"HTTP/1.1 200 OK\r\nX-Cometspindle-Request-Id: {headers['x-cometspindle-request-id']}\r\n"
+                      f"X-Cometspindle-Server-Stamp: {server.name}\r\n\r\nwhole").encode())
+        return False
+    check_crashes_blame_no_part(slow)
+
+
 if __name__ == "__main__":
     run_tests([], [test_part_crashes_before_the_response, test_part_crashes_in_a_stream,
                    test_part_crashes_retryable_requests, test_part_makes_servers_silent,
                    test_end_of_an_answer_without_length_excuses_no_part, test_starting_vm_receives_parts,
-                   test_part_of_another_team_is_served, test_endpoints_that_crash_by_themselves])
+                   test_part_of_another_team_is_served, test_endpoints_that_crash_by_themselves,
+                   test_parts_of_answers_without_length])
