Excuse crashes by responses without a length once their endpoint is seen alive

Callers whose responses have neither a length nor chunks were refused: their part was quarantined for endpoints that crashed by themselves. Cause: such a response proved nothing, since its end may be a crash, and it went on proving nothing when its endpoint lived on. Change: an attempt with such a response stays a crash suspect; if its process is seen alive more than 0.1 s later, it counts as served. The same holds for whole requests.

--- a/libcometspindle/adapters/gateway/gateway_crashes.c
+++ b/libcometspindle/adapters/gateway/gateway_crashes.c
@@ -72,8 +72,21 @@
 	return comet_crash_tracker_explains(gateway->crashing_parts, incarnation_key);
 }
 
+static uint64_t
+last_seen_us(void *ctx, uint32_t incarnation_key)
+{
+	const struct comet_gateway *gateway = ctx;
+	const struct comet_instance *instance =
+		comet_instances_find_key(gateway->instances, incarnation_key);
+
+	return instance != NULL ? instance->last_seen_us : 0;
+}
+
 const struct comet_crash_tracker_ops comet_gateway_crashes_ops = {
-	.on_change = on_tracker_event, .is_explained = is_explained_by_part};
+	.on_change = on_tracker_event,
+	.is_explained = is_explained_by_part,
+	.last_seen_us = last_seen_us,
+};
 
 static void
 on_part_event(void *ctx, const struct comet_fingerprint *part, enum comet_crash_tracker_event event,
@@ -95,7 +108,7 @@
 }
 
 const struct comet_crash_tracker_ops comet_gateway_crashing_parts_ops = {
-	.on_change = on_part_event};
+	.on_change = on_part_event, .last_seen_us = last_seen_us};
 
 bool
 comet_gateway_take_part_trials(struct comet_proxy_request *proxy)
@@ -251,6 +264,14 @@
 	return head->status >= 200 && head->status < 300 && is_framed(head);
 }
 
+static bool
+is_success(const struct comet_proxy_request *proxy)
+{
+	const struct comet_http_head *head = proxy->attempt->head;
+
+	return head != NULL && head->status >= 200 && head->status < 300;
+}
+
 /* Returns whether the attempt may have ended because the process crashed. */
 static bool
 is_suspect(const struct comet_proxy_request *proxy, enum comet_dispatch_result result)
@@ -329,13 +350,13 @@
 	if (!is_suspect(proxy, result))
 		return;
 	log_suspect(proxy, result);
-	uint64_t last_seen_us =
-		instance != NULL ? instance->last_seen_us : proxy->attempt->last_byte_us;
+	uint64_t seen_us = instance != NULL ? instance->last_seen_us : proxy->attempt->last_byte_us;
 	struct comet_crash_attempt attempt = {
 		.incarnation_key = proxy->attempt->incarnation_key,
-		.last_seen_us = last_seen_us,
+		.last_seen_us = seen_us,
 		.cancelled = result == COMET_DISPATCH_CANCELLED &&
-			     now_us - MAX(last_seen_us, proxy->attempt->sent_us) < UNSEEN_US,
+			     now_us - MAX(seen_us, proxy->attempt->sent_us) < UNSEEN_US,
+		.answered = result == COMET_DISPATCH_SERVED && is_success(proxy),
 	};
 	proxy->part_trial = false; /* used: the endpoint may have run the request */
 	add_suspect(proxy, &attempt, now_us);
--- a/libcometspindle/gateway/admission/crash_suspects.c
+++ b/libcometspindle/gateway/admission/crash_suspects.c
@@ -38,6 +38,7 @@
 	uint32_t incarnation_key;
 	uint64_t at_us;
 	bool cancelled; /* the caller disconnected while the process was running the request */
+	bool answered;  /* its response is complete unless the process has crashed */
 };
 
 /* An incarnation that crashed. */
@@ -122,6 +123,7 @@
 	suspect->incarnation_key = attempt->incarnation_key;
 	suspect->at_us = now_us;
 	suspect->cancelled = attempt->cancelled;
+	suspect->answered = attempt->answered;
 	g_queue_push_tail(&crash_suspects->suspects, suspect);
 }
 
@@ -145,6 +147,37 @@
 	return g_list_reverse(removed);
 }
 
+static struct comet_crash_suspect *
+copy_suspect(const struct suspect *suspect)
+{
+	struct comet_crash_suspect *copy = g_new(struct comet_crash_suspect, 1);
+
+	copy->subject = suspect->subject;
+	copy->request_digest = suspect->request_digest;
+	return copy;
+}
+
+GList *
+comet_crash_suspects_take_proven(struct comet_crash_suspects *crash_suspects,
+	uint64_t (*last_seen_us)(void *ctx, uint32_t incarnation_key), void *ctx)
+{
+	GList *proven = NULL;
+	GList *next = NULL;
+
+	for (GList *link = crash_suspects->suspects.head; link != NULL; link = next)
+	{
+		struct suspect *suspect = link->data;
+		next = link->next;
+		if (!suspect->answered || last_seen_us(ctx, suspect->incarnation_key) <=
+						  suspect->at_us + LAST_SEEN_MARGIN_US)
+			continue;
+		proven = g_list_prepend(proven, copy_suspect(suspect));
+		g_free(suspect);
+		g_queue_delete_link(&crash_suspects->suspects, link);
+	}
+	return proven;
+}
+
 GList *
 comet_crash_suspects_process_crashed(struct comet_crash_suspects *crash_suspects,
 	uint32_t incarnation_key, uint64_t last_seen_us, uint64_t now_us)
@@ -159,10 +192,7 @@
 		const struct suspect *suspect = link->data;
 		if (last_seen_us > suspect->at_us + LAST_SEEN_MARGIN_US)
 			continue;
-		struct comet_crash_suspect *found = g_new(struct comet_crash_suspect, 1);
-		found->subject = suspect->subject;
-		found->request_digest = suspect->request_digest;
-		subjects = g_list_prepend(subjects, found);
+		subjects = g_list_prepend(subjects, copy_suspect(suspect));
 	}
 	g_list_free_full(removed, g_free);
 	return g_list_reverse(subjects);
--- a/libcometspindle/gateway/admission/crash_tracker.c
+++ b/libcometspindle/gateway/admission/crash_tracker.c
@@ -490,6 +490,21 @@
 	update_quarantine(crash_tracker, true, now_us);
 }
 
+/* Without this, a subject whose responses all end with their connections would count as never
+ * served, and be blamed for endpoints that crash by themselves. */
+static void
+mark_proven_served(struct comet_crash_tracker *crash_tracker, uint64_t now_us)
+{
+	if (crash_tracker->ops->last_seen_us == NULL)
+		return;
+	GList *proven = comet_crash_suspects_take_proven(crash_tracker->crash_suspects,
+		crash_tracker->ops->last_seen_us, crash_tracker->ctx);
+	for (GList *link = proven; link != NULL; link = link->next)
+		comet_crash_tracker_mark_served(crash_tracker,
+			&((const struct comet_crash_suspect *)link->data)->subject, now_us);
+	g_list_free_full(proven, g_free);
+}
+
 void
 comet_crash_tracker_tick(struct comet_crash_tracker *crash_tracker, uint64_t now_us)
 {
@@ -499,6 +514,7 @@
 	if (now_us - crash_tracker->last_tick_us < TICK_US)
 		return;
 	crash_tracker->last_tick_us = now_us;
+	mark_proven_served(crash_tracker, now_us);
 	comet_crash_suspects_tick(crash_tracker->crash_suspects, now_us);
 	g_hash_table_iter_init(&iter, crash_tracker->records);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
--- a/libcometspindle/gateway/admission/crash_tracker.h
+++ b/libcometspindle/gateway/admission/crash_tracker.h
@@ -56,6 +56,8 @@
 	/** @return whether the crash of an incarnation has a cause that this tracker does not
 	 * watch. May be NULL. */
 	bool (*is_explained)(void *ctx, uint32_t incarnation_key);
+	/** @return when an incarnation was last seen alive; 0: not known. May be NULL. */
+	uint64_t (*last_seen_us)(void *ctx, uint32_t incarnation_key);
 };
 
 /** Sizes of the tracker's tables. */
@@ -109,7 +111,7 @@
 void
 comet_crash_tracker_review(struct comet_crash_tracker *crash_tracker, uint64_t now_us);
 
-/** An attempt at an endpoint that ended without a response. */
+/** An attempt at an endpoint that ended without a response, or with one that its end delimits. */
 struct comet_crash_attempt
 {
 	struct comet_fingerprint subject; /**< the request, or a part of its prompt */
@@ -117,6 +119,7 @@
 	uint64_t last_seen_us;            /**< when that incarnation was last seen alive */
 	bool cancelled; /**< the caller disconnected while the process was running the request */
 	uint64_t request_digest; /**< of the request's fingerprint */
+	bool answered; /**< with a response that is complete unless the process has crashed */
 };
 
 /** Records an attempt. It counts as a crash if its incarnation has crashed or crashes later, and
--- a/tests/unit/test_crash_tracker.cc
+++ b/tests/unit/test_crash_tracker.cc
@@ -49,13 +49,20 @@
 		return incarnation_key <= ((Vm *)ctx)->explained_up_to;
 	}
 
+	static uint64_t
+	last_seen(void *ctx, uint32_t)
+	{
+		return ((Vm *)ctx)->seen_us;
+	}
+
 	/* An attempt at that incarnation ends without a response. */
 	void
 	add_suspect(const comet_fingerprint &request, uint32_t incarnation_key,
-		uint64_t last_seen_us, uint64_t now_us, bool cancelled = false)
+		uint64_t last_seen_us, uint64_t now_us, bool cancelled = false,
+		bool answered = false)
 	{
-		const comet_crash_attempt attempt = {
-			request, incarnation_key, last_seen_us, cancelled, request.digest};
+		const comet_crash_attempt attempt = {request, incarnation_key, last_seen_us,
+			cancelled, request.digest, answered};
 
 		comet_crash_tracker_add_suspect(crash_tracker, &attempt, now_us);
 	}
@@ -90,10 +97,11 @@
 	static const comet_crash_tracker_ops ops;
 	comet_crash_tracker *crash_tracker;
 	int events[4] = {};
+	uint64_t seen_us = 0;         /* when all incarnations were last seen alive */
 	uint32_t explained_up_to = 0; /* incarnations whose crash a part of a prompt explains */
 };
 
-const comet_crash_tracker_ops Vm::ops = {on_event, is_explained};
+const comet_crash_tracker_ops Vm::ops = {on_event, is_explained, last_seen};
 
 const comet_fingerprint REQUEST = {77, 1};
 
@@ -127,6 +135,22 @@
 	EXPECT_TRUE(vm.is_quarantined(REQUEST));
 }
 
+/* A response that ends with its connection is complete if the process is seen alive after it. */
+TEST(Crashes, AnswerWithoutLengthExcusesOnceItsProcessIsSeen)
+{
+	Vm vm;
+
+	for (uint32_t incarnation_key = 1; incarnation_key <= 3; incarnation_key++)
+		vm.crash(REQUEST, incarnation_key, MINUTE_US);
+	vm.add_suspect(REQUEST, 4, MINUTE_US, MINUTE_US, false, true);
+	vm.seen_us = MINUTE_US + SECOND_US / 20; /* bytes that arrived before the end */
+	comet_crash_tracker_tick(vm.crash_tracker, MINUTE_US + SECOND_US);
+	EXPECT_TRUE(vm.is_quarantined(REQUEST));
+	vm.seen_us = MINUTE_US + SECOND_US;
+	comet_crash_tracker_tick(vm.crash_tracker, MINUTE_US + 2 * SECOND_US);
+	EXPECT_FALSE(vm.is_quarantined(REQUEST));
+}
+
 TEST(Crashes, RequestsOfTwoTeamsAreDistinct)
 {
 	Vm vm;
--- a/tests/unit/test_crashing_parts.cc
+++ b/tests/unit/test_crashing_parts.cc
@@ -47,7 +47,8 @@
 	crash(const comet_fingerprint &part, uint64_t request, uint32_t incarnation_key,
 		uint64_t now_us)
 	{
-		const comet_crash_attempt attempt = {part, incarnation_key, now_us, false, request};
+		const comet_crash_attempt attempt = {
+			part, incarnation_key, now_us, false, request, false};
 
 		comet_crash_tracker_add_suspect(tracker, &attempt, now_us);
 		comet_crash_tracker_process_crashed(tracker, incarnation_key, now_us, now_us);
@@ -86,7 +87,7 @@
 	comet_crash_tracker *tracker;
 };
 
-const comet_crash_tracker_ops Vm::ops = {on_change, nullptr};
+const comet_crash_tracker_ops Vm::ops = {on_change, nullptr, nullptr};
 
 TEST(CrashingParts, FourCrashesOfDifferentRequestsQuarantine)
 {
