Cut off endpoints whose bytes are no answer and never end

Callers of a VM waited while it read and discarded such bytes with all of its processor time, until the deadline of the request. Cause: what precedes the answer to a request (interim answers, answers to other requests), and bodies that are not forwarded, were read without a bound. Change: after 1 MB before the head of the answer, or 64 KB of a body that is not forwarded, the connection is closed. A refusal counts as one by its head; anything else is a broken attempt.

--- a/libcometspindle/adapters/endpoints/upstream.c
+++ b/libcometspindle/adapters/endpoints/upstream.c
@@ -32,6 +32,11 @@
 /* Limit of a response head, as large as servers commonly allow. */
 #define HEAD_MAX_BYTES (64 * 1024)
 
+/* Bytes of answers to other requests, and of interim answers, that are discarded before the answer
+ * to this one. An answer to an earlier request may be a whole one; an endpoint that never ends it
+ * must not take the processor time of this VM until the deadline. */
+#define FOREIGN_MAX_BYTES (1024 * 1024)
+
 struct comet_upstream
 {
 	struct tevent_context *ev;
@@ -77,7 +82,9 @@
 	char *id_header;
 	char *id;
 	struct comet_timer *timer;
+	size_t foreign_bytes; /* received before the head of the answer */
 	bool sent;
+	bool answered; /* the head of the answer has been read */
 	bool head_only;
 };
 
@@ -202,6 +209,7 @@
 		return false;
 	}
 	link->idle_us = idle_time(head);
+	exchange->answered = true;
 	exchange->events->head(exchange->ctx, head);
 	return link->exchange != NULL && exchange->head_only;
 }
@@ -249,6 +257,8 @@
 		talloc_free(link); /* data on an idle connection is unexpected */
 		return;
 	}
+	if (!link->exchange->answered)
+		link->exchange->foreign_bytes += length;
 	while (length > 0)
 	{
 		size_t taken = 0;
@@ -268,9 +278,11 @@
 			answer_complete(link, length > 0);
 			return;
 		}
-		if (result == COMET_HTTP_READER_END && link->keep_alive)
+		bool endless = !link->exchange->answered &&
+			       link->exchange->foreign_bytes > FOREIGN_MAX_BYTES;
+		if (result == COMET_HTTP_READER_END && link->keep_alive && !endless)
 			continue; /* a foreign response was discarded */
-		if (result != COMET_HTTP_READER_MORE)
+		if (result != COMET_HTTP_READER_MORE || endless)
 		{
 			link->upstream->counts.malformed++;
 			finish(link->exchange, COMET_EXCHANGE_BROKEN);
--- a/libcometspindle/adapters/gateway/gateway_answer.c
+++ b/libcometspindle/adapters/gateway/gateway_answer.c
@@ -15,6 +15,10 @@
  * request can be retried if the endpoint breaks off. Larger ones are forwarded as they arrive. */
 #define PLAIN_BUFFER_BYTES (256 * 1024)
 
+/* Bytes of a body that is not forwarded, such as the text of a refusal, that are read so that the
+ * connection can be used again. */
+#define DISCARDED_BODY_BYTES (64 * 1024)
+
 /* Reading from the endpoint is paused once this much is queued for a slow caller. */
 #define PAUSE_THRESHOLD_BYTES (256 * 1024)
 
@@ -180,6 +184,21 @@
 	pause_for_slow_caller(proxy);
 }
 
+/* Ends an attempt whose response is not forwarded and may never end. */
+static void
+end_discarded(struct comet_proxy_request *proxy)
+{
+	comet_log(COMET_LOG_NOTICE,
+		"event=answer_given_up request=%s endpoint=%s status=%u "
+		"body_bytes=%" G_GUINT64_FORMAT,
+		proxy->id, proxy->attempt->instance_id, proxy->attempt->head->status,
+		proxy->attempt->body_bytes);
+	if (proxy->attempt->not_executed && proxy->attempt->peer_vm == 0)
+		comet_proxy_request_attempt_refused(proxy);
+	else
+		comet_proxy_request_attempt_failed(proxy, COMET_DISPATCH_BROKEN);
+}
+
 static void
 on_response_data(void *ctx, const char *data, size_t length)
 {
@@ -218,6 +237,8 @@
 		forward_plain_body(proxy, data, length);
 		break;
 	case BODY_DISCARDED:
+		if (proxy->attempt->body_bytes > DISCARDED_BODY_BYTES)
+			end_discarded(proxy);
 		break;
 	}
 }
