Close the longest idle connections when a VM runs short of descriptors

Callers of a VM that got most new connections were not served: nothing was accepted, and no connection to an endpoint opened, until connections had been idle for the whole idle time. Cause: the number of connections was not bounded, and idle ones were closed by time alone. Change: connections of callers take three quarters of the process's descriptors at most; beyond that a new one closes the longest idle one that has no request. If descriptors run out nevertheless, the bound is lowered to three quarters of what is open. Metric comet_connections_displaced_total.

--- a/libcometspindle/adapters/callers/http_server.c
+++ b/libcometspindle/adapters/callers/http_server.c
@@ -55,6 +55,8 @@
 	struct comet_http_server_counts counts;
 	struct comet_byte_counters *bytes; /* counters for connections; NULL: none */
 	GHashTable *connections;
+	GQueue idle; /* of struct connection without a request, the longest idle one first */
+	uint32_t max_connections; /* 0: no limit */
 	int fd;
 	bool closing;
 };
@@ -66,6 +68,7 @@
 	struct comet_socket *socket;
 	struct comet_http_reader *reader;
 	struct comet_timer *timer;
+	GList *idle_link;  /* link in http_server->idle, or NULL */
 	GByteArray *ahead; /* read and not yet parsed */
 	GByteArray *body;
 	size_t unsent_bytes;   /* unsent bytes of the last response at the last check */
@@ -98,9 +101,25 @@
 	talloc_free(connection);
 }
 
+static void
+set_idle(struct connection *connection)
+{
+	g_queue_push_tail(&connection->http_server->idle, connection);
+	connection->idle_link = g_queue_peek_tail_link(&connection->http_server->idle);
+}
+
+static void
+unset_idle(struct connection *connection)
+{
+	if (connection->idle_link != NULL)
+		g_queue_delete_link(&connection->http_server->idle, connection->idle_link);
+	connection->idle_link = NULL;
+}
+
 static int
 connection_destroy(struct connection *connection)
 {
+	unset_idle(connection);
 	g_hash_table_remove(connection->http_server->connections, connection);
 	connection->http_server->counts.connections--;
 	g_byte_array_free(connection->ahead, TRUE);
@@ -168,6 +187,7 @@
 static void
 end_connection(struct connection *connection)
 {
+	unset_idle(connection);
 	connection->ended_us = comet_timers_now_us();
 	if (!is_within_request(connection))
 		comet_socket_stop_reading(connection->socket);
@@ -300,6 +320,7 @@
 		return false;
 	if (!connection->got_byte)
 	{
+		unset_idle(connection);
 		connection->got_byte = true;
 		connection->request.received_us = comet_timers_now_us();
 		set_timer(connection, connection->http_server->limits.header_timeout_ms);
@@ -413,6 +434,7 @@
 	http_server->counts.connections++;
 	g_hash_table_add(http_server->connections, connection);
 	talloc_set_destructor(connection, connection_destroy);
+	set_idle(connection);
 	set_timer(connection, http_server->limits.idle_timeout_ms);
 }
 
@@ -426,6 +448,45 @@
 		tevent_fd_set_flags(http_server->listener, TEVENT_FD_READ);
 }
 
+/* Closes the connection that has been idle for the longest time, so that another caller can be
+ * served. A response that has just been sent is not followed by a reset.
+ * @return false if there is none */
+static bool
+close_longest_idle(struct comet_http_server *http_server)
+{
+	for (GList *link = http_server->idle.head; link != NULL; link = link->next)
+	{
+		struct connection *connection = link->data;
+		if (has_waiting_request(connection) || comet_socket_queued(connection->socket) > 0)
+			continue;
+		http_server->counts.displaced++;
+		if (comet_timers_now_us() - connection->responded_us >= LINGER_US)
+			drop(connection);
+		else
+			end_connection(connection);
+		return true;
+	}
+	return false;
+}
+
+/* Handles a lack of descriptors: leaves a quarter of those that connections take now for
+ * connections to endpoints and other VMs. @return whether any has become free */
+static bool
+free_descriptors(struct comet_http_server *http_server)
+{
+	uint32_t open = http_server->counts.connections;
+
+	comet_http_server_set_max_connections(http_server, MAX(open / 4 * 3, 1));
+	while (http_server->counts.connections > http_server->max_connections)
+	{
+		if (!close_longest_idle(http_server))
+			break;
+	}
+	comet_log(COMET_LOG_WARNING, "event=descriptors_short open=%u closed=%u", open,
+		open - http_server->counts.connections);
+	return http_server->counts.connections < open;
+}
+
 static void
 on_acceptable(struct tevent_context *ev, struct tevent_fd *event, uint16_t flags, void *data)
 {
@@ -439,11 +500,16 @@
 		if (fd >= 0)
 		{
 			take_connection(http_server, fd);
+			if (http_server->max_connections > 0 &&
+				http_server->counts.connections > http_server->max_connections)
+				close_longest_idle(http_server);
 			continue;
 		}
 		if (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR ||
 			errno == ECONNABORTED)
 			return;
+		if ((errno == EMFILE || errno == ENFILE) && free_descriptors(http_server))
+			continue;
 		comet_log(COMET_LOG_WARNING, "event=accept_failed error=\"%s\" open=%u",
 			g_strerror(errno), http_server->counts.connections);
 		tevent_fd_set_flags(event, 0);
@@ -520,6 +586,13 @@
 			((struct connection *)connection)->reader, limits->header_bytes);
 }
 
+void
+comet_http_server_set_max_connections(
+	struct comet_http_server *http_server, uint32_t max_connections)
+{
+	http_server->max_connections = max_connections;
+}
+
 void
 comet_http_server_set_draining(struct comet_http_server *http_server)
 {
@@ -653,6 +726,7 @@
 		return;
 	}
 	connection->state = CONNECTION_READING;
+	set_idle(connection);
 	connection->got_byte = false;
 	connection->got_head = false;
 	connection->complete = false;
--- a/libcometspindle/adapters/callers/http_server.h
+++ b/libcometspindle/adapters/callers/http_server.h
@@ -45,8 +45,9 @@
 	uint64_t accepted;
 	uint64_t requests;
 	uint64_t malformed;
-	uint64_t left; /**< callers that disconnected before their response */
-	uint64_t late; /**< connections on which a request arrived after their close */
+	uint64_t left;      /**< callers that disconnected before their response */
+	uint64_t displaced; /**< idle connections closed for new ones */
+	uint64_t late;      /**< connections on which a request arrived after their close */
 };
 
 struct comet_http_server;
@@ -66,6 +67,12 @@
 comet_http_server_set_limits(
 	struct comet_http_server *http_server, const struct comet_http_limits *limits);
 
+/** Sets the number of connections beyond which a new one closes the longest idle one; 0: no limit.
+ */
+void
+comet_http_server_set_max_connections(
+	struct comet_http_server *http_server, uint32_t max_connections);
+
 /** Starts draining: responses ask callers to close, and each connection ends with its next
  * response. */
 void
--- a/libcometspindle/adapters/gateway/gateway.c
+++ b/libcometspindle/adapters/gateway/gateway.c
@@ -15,6 +15,7 @@
 #include <signal.h>
 #include <sodium.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <talloc.h>
 
 /* Interval of the periodic work on queued requests, gossip and unreachable VMs: half the shortest
@@ -296,6 +297,18 @@
 		gateway, config.address, &comet_gateway_quota_ops, gateway);
 }
 
+/* Returns how many connections of callers this process keeps: a quarter of its descriptors is left
+ * for endpoints, other VMs and files. 0: no limit is known. */
+static uint32_t
+caller_connections_max(void)
+{
+	struct rlimit limit;
+
+	if (getrlimit(RLIMIT_NOFILE, &limit) != 0 || limit.rlim_cur == RLIM_INFINITY)
+		return 0;
+	return (uint32_t)MIN(limit.rlim_cur / 4 * 3, UINT32_MAX);
+}
+
 /* Opens the listening sockets. @return false with error set. */
 static bool
 open_sockets(struct comet_gateway *gateway, GError **error)
@@ -319,6 +332,7 @@
 	comet_http_server_set_byte_counters(
 		gateway->control, &gateway->bytes[COMET_GATEWAY_USE_PEERS]);
 	comet_http_server_set_limits(gateway->callers, &initial_limits);
+	comet_http_server_set_max_connections(gateway->callers, caller_connections_max());
 	comet_http_server_set_limits(gateway->readiness, &internal_limits);
 	comet_http_server_set_limits(gateway->control, &internal_limits);
 	gateway->datagram_socket = comet_datagram_socket_create(
--- a/libcometspindle/adapters/gateway/gateway_metrics.c
+++ b/libcometspindle/adapters/gateway/gateway_metrics.c
@@ -548,6 +548,8 @@
 	comet_counter_set_print(gateway->ends, out, "comet_request_ends_total");
 	put_latencies(out, gateway);
 	put(out, "requests_open", "gauge", gateway->open_request_count);
+	put(out, "connections_displaced_total", "counter",
+		(double)comet_http_server_counts(gateway->callers)->displaced);
 	put(out, "data_after_close_total", "counter",
 		(double)comet_http_server_counts(gateway->callers)->late);
 	put_services(&page);
--- a/tests/unit/test_http_server.cc
+++ b/tests/unit/test_http_server.cc
@@ -16,6 +16,7 @@
 #include <sys/socket.h>
 #include <talloc.h>
 #include <unistd.h>
+#include <vector>
 
 namespace
 {
@@ -237,4 +238,24 @@
 	EXPECT_NE(text.find("Connection: close\r\n\r\nok"), std::string::npos);
 }
 
+/* Callers that keep idle connections must not keep new ones out. */
+TEST_F(HttpServer, NewConnectionReplacesTheLongestIdleOne)
+{
+	std::vector<int> others;
+
+	comet_http_server_set_max_connections(server, 2);
+	connect_caller();
+	for (int i = 0; i < 2; i++)
+	{
+		others.push_back(::socket(AF_INET, SOCK_STREAM, 0));
+		ASSERT_EQ(connect(others.back(), (sockaddr *)&at, sizeof at), 0);
+		run_until([&] { return comet_http_server_counts(server)->accepted == i + 2U; });
+	}
+	EXPECT_EQ(received(), " end");
+	EXPECT_EQ(comet_http_server_counts(server)->displaced, 1U);
+	EXPECT_EQ(comet_http_server_counts(server)->connections, 2U);
+	for (int other : others)
+		close(other);
+}
+
 } // namespace
