--- a/tests/system/test_crashing_parts.py
+++ b/tests/system/test_crashing_parts.py
@@ -7,6 +7,8 @@
     event=request_counted fingerprint=... crashes=1 remote=0
 """
 import itertools
+import random
+import signal
 import threading
 import time
 
@@ -56,8 +58,8 @@
         return sum(status == 200 for status, _ in self.answers)
 
 
-def crash_on_part(fleet, how, after=lambda server, sock, headers: None):
-    """Makes each server crash that begins to run a request with the crashing part."""
+def crash_on_part(fleet, how, after=lambda server, sock, headers: None, **times):
+    """Makes each server crash that begins to run a request with the crashing part. times: of Server.crash()"""
     def script(server, sock, path, headers, body):
         if f"{CRASHING}:" not in headers.get("x-cometspindle-prefix-hash", ""):
             server.plain(sock, path, headers, body)
@@ -66,17 +68,17 @@
         try:
             after(server, sock, headers)
         finally:
-            server.crash(how)
+            server.crash(how, **times)
         return None if how == "silence" else False
     fleet.script("say", script)
 
 
-def check_part(how, path, after=lambda server, sock, headers: None, **more):
-    fleet = Fleet(servers=8)
-    crash_on_part(fleet, how, after)
+def check_part(how, path, after=lambda server, sock, headers: None, times=None, servers=8, callers=2, **more):
+    fleet = Fleet(servers=servers)
+    crash_on_part(fleet, how, after, **times or {})
     with Senders(3, lambda: send(fleet, FIRST, SOUND)) as sound:
         wait_for(lambda: sound.served() >= 20)
-        with Senders(2, lambda: send(fleet, FIRST, CRASHING, path=path, **more)) as crashing:
+        with Senders(callers, lambda: send(fleet, FIRST, CRASHING, path=path, **more)) as crashing:
             wait_for(lambda: fleet.crashed() >= CRASHES)
             time.sleep(CONTACT_S)
             before = len(fleet.attempts)
@@ -108,6 +110,12 @@
     check_part("silence", "/once/say", deadline_ms=1500)
 
 
+def test_part_makes_servers_silent_that_stay_listed():
+    """Until the directory removes silent servers, their crashes are only suspected. More of them than would quarantine
+    the part are enough to hold it back."""
+    check_part("silence", "/once/say", times={"lapse_s": 3.5, "away_s": 4.5}, servers=40, callers=10, deadline_ms=1000)
+
+
 def test_end_of_an_answer_without_length_excuses_no_part():
     """A response that ends with its connection may have been cut off by the crash."""
     def half(server, sock, headers):
@@ -166,6 +174,35 @@
     fleet.end()
 
 
+def test_part_of_requests_that_are_not_admitted_yet():
+    """A part is quarantined while requests with it wait for the version of their streams. The VM crashed when it refused
+    them, because it looked up the queue of a service that was not known yet."""
+    fleet = Fleet(servers=8)
+    one, two = fleet.vms
+    crash_on_part(fleet, "reset")
+
+    def send_to_one(path, **more):
+        number = next(numbers)
+        prompt = f"{FIRST}:60,{CRASHING}:60,{number:08x}:500"
+        _, data = request(path, method="POST", body=b"%d" % number, X_Cometspindle_Prefix_Hash=prompt, **more)
+        return call_at(one, data)
+    while fleet.crashed() < 3:
+        send_to_one("/once/say")
+    two.process.send_signal(signal.SIGSTOP)  # lookups of versions stay open
+    pauses = random.Random(1)
+
+    def resume():
+        time.sleep(pauses.random() * 0.3)
+        return send_to_one("/again/say", Last_Event_Id=3, X_Cometspindle_Resumes="00000000000000aa")
+    with Senders(40, resume):
+        time.sleep(0.3)
+        while b"event=part_quarantined" not in one.log_text():
+            send_to_one("/once/say")
+    assert one.process.poll() is None
+    two.process.send_signal(signal.SIGCONT)
+    fleet.end()
+
+
 def test_endpoints_that_crash_by_themselves():
     def slow(server, sock, path, headers, body):
         time.sleep(0.1)
@@ -187,6 +224,8 @@
 if __name__ == "__main__":
     run_tests([], [test_part_crashes_before_the_response, test_part_crashes_in_a_stream,
                    test_part_crashes_retryable_requests, test_part_makes_servers_silent,
+                   test_part_makes_servers_silent_that_stay_listed,
                    test_end_of_an_answer_without_length_excuses_no_part, test_starting_vm_receives_parts,
-                   test_part_of_another_team_is_served, test_endpoints_that_crash_by_themselves,
+                   test_part_of_another_team_is_served, test_part_of_requests_that_are_not_admitted_yet,
+                   test_endpoints_that_crash_by_themselves,
                    test_parts_of_answers_without_length])
--- a/tests/system/test_gateway.py
+++ b/tests/system/test_gateway.py
@@ -352,6 +352,33 @@
     release.set()
 
 
+def test_deadline_that_passes_before_the_request_is_complete():
+    """The request was sent to an endpoint with an absurd deadline, and had no deadline timer at the VM."""
+    world = World(servers=1)
+    _, data = request("/once/x", method="POST", body=b"x" * 10, deadline_ms=300)
+    sock = connect(world.gateway.ports["callers"])
+    sock.sendall(data[:-5])
+    time.sleep(0.6)
+    sock.sendall(data[-5:])
+    assert answer_of(sock)[0] == 503
+    assert not world.servers[0].runs
+    world.gateway.end()
+
+
+def test_promises_of_endpoints_without_stamp_are_not_forwarded():
+    """A response without the endpoint's stamp may be any process's: its 503 does not say that the request has not run."""
+    world = World(servers=1)
+    for status in (408, 429, 503):
+        def says_busy(server, sock, path, headers, body, status=status):
+            server.ran(path, headers, body)
+            ident = headers["x-cometspindle-request-id"]
+            sock.sendall(f"HTTP/1.1 {status} Word\r\nX-Cometspindle-Request-Id: {ident}\r\n"
+                         "Content-Length: 0\r\n\r\n".encode())
+        world.script("busy", says_busy)
+        assert call(world.gateway, "/once/busy", method="POST")[1] == 502, status
+    world.gateway.end()
+
+
 def test_paused_before_request():
     """Requests on idle connections that arrive while the gateway process is stopped must be answered once it continues.
 
@@ -481,4 +508,5 @@
          test_caller_leaves, test_status_pages],
         [test_paused_before_request, test_forged_headers, test_only_server_fails, test_limit_at_start,
          test_planned_stop, test_stop_with_open_connections, test_requests_open_at_the_end_of_a_stop_are_answered,
-         test_signal_while_starting, test_log_reader_stops, test_bad_settings])
+         test_deadline_that_passes_before_the_request_is_complete,
+         test_promises_of_endpoints_without_stamp_are_not_forwarded, test_signal_while_starting, test_log_reader_stops, test_bad_settings])
--- a/tests/system/test_replaced_attempts.py
+++ b/tests/system/test_replaced_attempts.py
@@ -40,6 +40,32 @@
     return found
 
 
+def test_stream_goes_on_after_a_refusal():
+    """The endpoint of a started stream is silent, and the next one refuses the request as not run. The refusal used up
+    the attempts of the route, and the stream was cut off although an endpoint could still finish it."""
+    for refusal in ("503 Full", "421 Other"):
+        world = World(servers=2, retry_slack=5000)
+        seen = []
+
+        def silent_then_refused(server, sock, path, headers, body, refusal=refusal):
+            seen.append(server.name)
+            if len(seen) == 2:
+                ident = headers["x-cometspindle-request-id"]
+                sock.sendall(f"HTTP/1.1 {refusal}\r\nX-Cometspindle-Request-Id: {ident}\r\n"
+                             "X-Cometspindle-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n".encode())
+                return
+            server.write_head(sock, headers, extra="Content-Type: text/event-stream\r\n")
+            if len(seen) == 1:
+                server.events(sock, 1, 2)
+                return  # silent from here on
+            server.events(sock, int(headers["last-event-id"]) + 1, 4)
+            sock.sendall(b"0\r\n\r\n")
+        world.script("stream", silent_then_refused)
+        _, status, _, body, whole = call(world.gateway, "/again/stream", method="POST", deadline_ms=PATIENCE_MS)
+        assert (status, whole) == (200, True) and body.count(b"id: ") == 4, (refusal, status, whole, body, seen)
+        world.gateway.end()
+
+
 class Owner:
     """Another VM, preferred as the owner of all shards, which receives slot requests and denies them, or is mute."""
 
@@ -234,4 +260,4 @@
 if __name__ == "__main__":
     run_tests([], [test_slot_denied, test_slot_denied_for_a_request_of_another_vm, test_owner_does_not_answer,
                    test_slot_granted, test_attempt_breaks_while_the_slot_is_requested, test_caller_leaves,
-                   test_all_endpoints_silent_together])
+                   test_all_endpoints_silent_together, test_stream_goes_on_after_a_refusal])
--- a/tests/unit/test_http_server.cc
+++ b/tests/unit/test_http_server.cc
@@ -238,6 +238,21 @@
 	EXPECT_NE(text.find("Connection: close\r\n\r\nok"), std::string::npos);
 }
 
+/* The same if the first response starts after the stop: it must not ask the caller to close. */
+TEST_F(HttpServer, RequestBehindAnOpenOneIsAnsweredDuringAStop)
+{
+	held = true;
+	connect_caller();
+	send_request();
+	send_request();
+	ASSERT_TRUE(run_until([this] { return open != nullptr; }));
+	comet_http_server_set_draining(server);
+	held = false;
+	comet_http_server_respond(open, 200, nullptr, "first", 5);
+	ASSERT_TRUE(run_until([this] { return ends_with(" end"); }));
+	EXPECT_EQ(requests, 2);
+}
+
 /* Callers that keep idle connections must not keep new ones out. */
 TEST_F(HttpServer, NewConnectionReplacesTheLongestIdleOne)
 {
@@ -251,7 +266,7 @@
 		ASSERT_EQ(connect(others.back(), (sockaddr *)&at, sizeof at), 0);
 		run_until([&] { return comet_http_server_counts(server)->accepted == i + 2U; });
 	}
-	EXPECT_EQ(received(), " end");
+	EXPECT_EQ(received(), " end"); /* and not the newest one */
 	EXPECT_EQ(comet_http_server_counts(server)->displaced, 1U);
 	EXPECT_EQ(comet_http_server_counts(server)->connections, 2U);
 	for (int other : others)
