Refuse requests that are not admitted yet without the wait of a queue

All callers of a VM lost their requests when the VM ended by a signal. Cause: when a request or part was quarantined, the waiting requests with it were refused with the expected wait of their service's queue; one that still waited for its quota or for the version of its stream has no service yet. Change: such a request is refused without a time to retry after.

--- a/libcometspindle/adapters/gateway/proxy_request.c
+++ b/libcometspindle/adapters/gateway/proxy_request.c
@@ -196,11 +196,16 @@
 	}
 	if (!proxy->may_have_run || comet_proxy_request_is_quarantined(proxy))
 	{
-		proxy->item.retry_source = COMET_RETRY_QUEUE;
-		comet_proxy_request_refuse(proxy, reason,
-			(uint32_t)(comet_placement_wait_us(proxy->gateway->placement, &proxy->item,
-					   comet_timers_now_us()) /
-				   1000));
+		uint64_t wait_us = 0;
+		/* A request that waits for its quota or for the version of its stream has no queue
+		 * yet. */
+		if (proxy->item.service != NULL)
+		{
+			proxy->item.retry_source = COMET_RETRY_QUEUE;
+			wait_us = comet_placement_wait_us(
+				proxy->gateway->placement, &proxy->item, comet_timers_now_us());
+		}
+		comet_proxy_request_refuse(proxy, reason, (uint32_t)(wait_us / 1000));
 		return;
 	}
 	proxy->gateway->counts.failed++;
