Keep a started stream when the next endpoint refuses it as not run

Callers saw streams cut off after 0.6 s of silence of a sound endpoint. Cause: the attempt at the silent endpoint is given up for the next one; if that one refuses the request (full, or another process at its address), the refused attempt counted against the attempts of the route, and the response was ended. Evidence: test_stream_goes_on_after_a_refusal failed: the caller got two of four events and the end of the connection. Change: an attempt that was not run does not count for a started response; if the retry budget has no token, the next one is tried every 0.2 s until the deadline.

--- a/libcometspindle/adapters/gateway/gateway_send.c
+++ b/libcometspindle/adapters/gateway/gateway_send.c
@@ -430,6 +430,28 @@
 		comet_proxy_request_fail(proxy, 502, "endpoint_broke");
 }
 
+static void
+retry_later(struct comet_proxy_request *proxy);
+
+static void
+on_retry_due(void *ctx)
+{
+	struct comet_proxy_request *proxy = ctx;
+
+	if (comet_proxy_request_may_retry(proxy))
+		comet_proxy_request_retry(proxy, "endpoint_full");
+	else
+		retry_later(proxy);
+}
+
+/* Tries a started response again once the retry budget allows it. Its deadline ends the wait. */
+static void
+retry_later(struct comet_proxy_request *proxy)
+{
+	comet_timers_add(
+		proxy->gateway->timers, proxy, COMET_SILENCE_RECHECK_US, on_retry_due, proxy);
+}
+
 void
 comet_proxy_request_attempt_refused(struct comet_proxy_request *proxy)
 {
@@ -448,9 +470,15 @@
 		proxy->attempt->body_bytes);
 	comet_proxy_request_end_attempt(
 		proxy, wrong_instance ? COMET_DISPATCH_WRONG_INSTANCE : COMET_DISPATCH_REFUSED);
+	/* A started response must not end because an endpoint did not run the request: the attempt
+	 * before it, which was given up for this one, could still have finished it. */
+	if (proxy->response_started)
+		proxy->attempts--;
 	if (comet_proxy_request_may_retry(proxy))
 		comet_proxy_request_retry(
 			proxy, wrong_instance ? "wrong_instance" : "endpoint_full");
+	else if (proxy->response_started && comet_timers_now_us() < proxy->deadline_us)
+		retry_later(proxy);
 	else if (proxy->response_started)
 		comet_proxy_request_abort(proxy, "endpoint_full");
 	else
