Refuse requests whose deadline has passed when they are admitted

Callers got no answer at all, and endpoints a deadline of centuries, if the rest of a request arrived after its deadline, or if its VM was paused. Cause: no deadline timer was set then, the request was sent nevertheless, and the remaining time underflowed. Evidence: test_deadline_that_passes_before_the_request_is_complete failed. Change: such a request is refused as not run; the remaining time has one function, which can't underflow.

--- a/libcometspindle/adapters/gateway/gateway_admit.c
+++ b/libcometspindle/adapters/gateway/gateway_admit.c
@@ -221,10 +221,15 @@
 	proxy->buffered_body = g_byte_array_new();
 	if (comet_proxy_request_is_stream(proxy))
 		proxy->events = comet_event_stream_create(proxy);
-	if (proxy->deadline_us > now_us)
-		proxy->deadline_timer = comet_timers_add(
-			gateway->timers, proxy, proxy->deadline_us - now_us, on_deadline, proxy);
 	gateway->counts.admitted++;
+	/* A slow caller, a pause of this process, or a wait for the quota may have used it up. */
+	if (now_us >= proxy->deadline_us)
+	{
+		comet_proxy_request_refuse(proxy, "deadline", 0);
+		return;
+	}
+	proxy->deadline_timer = comet_timers_add(
+		gateway->timers, proxy, proxy->deadline_us - now_us, on_deadline, proxy);
 	if (comet_proxy_request_send_through_peer(proxy))
 		return;
 	if (proxy->from_peer && comet_gateway_links_are_lost(gateway->links))
--- a/libcometspindle/adapters/gateway/gateway_endpoint_attempt.c
+++ b/libcometspindle/adapters/gateway/gateway_endpoint_attempt.c
@@ -17,7 +17,7 @@
 {
 	const GByteArray *body = proxy->request->body;
 	struct comet_forward_params forward = {
-		.remaining_ms = MAX((proxy->deadline_us - now_us) / 1000, 1),
+		.remaining_ms = comet_proxy_request_remaining_ms(proxy, now_us),
 		.instance = instance->id,
 		.team = proxy->team != NULL ? proxy->team->name : NULL,
 		.last_event = proxy->resuming ? comet_event_stream_last_id(proxy->events) : NULL,
--- a/libcometspindle/adapters/gateway/gateway_send.c
+++ b/libcometspindle/adapters/gateway/gateway_send.c
@@ -114,8 +114,8 @@
 		proxy->item.n_attempted = 0; /* all endpoints have been tried: allow them again */
 		proxy->retry_same_endpoint = true;
 	}
-	proxy->item.dispatch_deadline_us =
-		MAX(proxy->item.dispatch_deadline_us, now_us + (proxy->deadline_us - now_us) / 2);
+	proxy->item.dispatch_deadline_us = MAX(proxy->item.dispatch_deadline_us,
+		now_us + comet_proxy_request_remaining_ms(proxy, now_us) * 1000 / 2);
 	proxy->item.response_started = proxy->response_started;
 	proxy->item.replaces_attempt = proxy->replacing;
 	/* Once the response has started, the relevant latency is the gap that the caller sees. */
--- a/libcometspindle/adapters/gateway/proxy_request.h
+++ b/libcometspindle/adapters/gateway/proxy_request.h
@@ -89,6 +89,12 @@
 uint64_t
 comet_proxy_request_elapsed_ms(uint64_t then_us, uint64_t now_us);
 
+/** Returns the time until the caller's deadline in milliseconds, at least 1: what an endpoint is
+ * told.
+ */
+uint64_t
+comet_proxy_request_remaining_ms(const struct comet_proxy_request *proxy, uint64_t now_us);
+
 /** Counts the end of a request under reason, which is a stable code. */
 void
 comet_proxy_request_count_end(const struct comet_proxy_request *proxy, const char *reason);
--- a/libcometspindle/adapters/gateway/proxy_request_state.c
+++ b/libcometspindle/adapters/gateway/proxy_request_state.c
@@ -40,6 +40,12 @@
 	return (now_us - then_us) / 1000;
 }
 
+uint64_t
+comet_proxy_request_remaining_ms(const struct comet_proxy_request *proxy, uint64_t now_us)
+{
+	return MAX((proxy->deadline_us - MIN(now_us, proxy->deadline_us)) / 1000, 1);
+}
+
 bool
 comet_proxy_request_has_quarantined_part(const struct comet_proxy_request *proxy)
 {
