Do not ask a caller to close whose next request has arrived already

A caller that had sent its next request behind an open one lost it if a stop began before the response. Cause: the response asked to close, so that its connection ended behind it. Evidence: HttpServer.RequestBehindAnOpenOneIsAnsweredDuringAStop failed. Change: the response to the last request that has arrived asks to close.

--- a/libcometspindle/adapters/callers/http_server.c
+++ b/libcometspindle/adapters/callers/http_server.c
@@ -659,7 +659,8 @@
 	bool head_only =
 		head != NULL && strcmp(head->method != NULL ? head->method : "", "HEAD") == 0;
 
-	if (connection->http_server->closing)
+	/* A further request that has arrived is answered on this connection first. */
+	if (connection->http_server->closing && !has_waiting_request(connection))
 		connection->keep_alive = false;
 	connection->started = true;
 	connection->no_body = head_only || status == 204 || status == 304;
