Close only as many connections as a lack of descriptors needs

Callers lost all their idle connections when a VM ran out of descriptors, and later ones were closed although descriptors were there again. Cause: connections that have just sent a response linger, so that their number did not fall and the loop went on to the last one; the lowered bound was never raised; a new connection could be closed for itself. Evidence: test_shortage_closes_a_part_of_the_connections failed with 0 of 40 kept. Change: the loop counts what it closes; the bound holds for 10 s after a shortage; the newest connection is left out.

--- a/libcometspindle/adapters/callers/http_server.c
+++ b/libcometspindle/adapters/callers/http_server.c
@@ -32,6 +32,10 @@
 /* Connections accepted in one iteration of the event loop. */
 #define ACCEPTS_PER_TURN 32
 
+/* Time after a lack of descriptors for which fewer connections are kept: as long as callers may
+ * open them in a burst. */
+#define SHORTAGE_US 10000000
+
 /* Delay before accepting again after the descriptors ran out. */
 #define ACCEPT_RETRY_US 50000
 
@@ -57,6 +61,8 @@
 	GHashTable *connections;
 	GQueue idle; /* of struct connection without a request, the longest idle one first */
 	uint32_t max_connections; /* 0: no limit */
+	uint32_t max_while_short; /* the limit after descriptors ran out */
+	uint64_t short_us;        /* when they last ran out; 0: never */
 	int fd;
 	bool closing;
 };
@@ -417,7 +423,7 @@
 static const struct comet_socket_events socket_events = {
 	.data = on_data, .closed = on_closed, .drained = on_drained, .unread = on_unread};
 
-static void
+static struct connection *
 take_connection(struct comet_http_server *http_server, int fd)
 {
 	struct connection *connection = talloc_zero(http_server, struct connection);
@@ -436,6 +442,7 @@
 	talloc_set_destructor(connection, connection_destroy);
 	set_idle(connection);
 	set_timer(connection, http_server->limits.idle_timeout_ms);
+	return connection;
 }
 
 static void
@@ -450,14 +457,16 @@
 
 /* Closes the connection that has been idle for the longest time, so that another caller can be
  * served. A response that has just been sent is not followed by a reset.
+ * @param except a connection that has just been accepted, or NULL
  * @return false if there is none */
 static bool
-close_longest_idle(struct comet_http_server *http_server)
+close_longest_idle(struct comet_http_server *http_server, const struct connection *except)
 {
 	for (GList *link = http_server->idle.head; link != NULL; link = link->next)
 	{
 		struct connection *connection = link->data;
-		if (has_waiting_request(connection) || comet_socket_queued(connection->socket) > 0)
+		if (connection == except || has_waiting_request(connection) ||
+			comet_socket_queued(connection->socket) > 0)
 			continue;
 		http_server->counts.displaced++;
 		if (comet_timers_now_us() - connection->responded_us >= LINGER_US)
@@ -475,18 +484,27 @@
 free_descriptors(struct comet_http_server *http_server)
 {
 	uint32_t open = http_server->counts.connections;
-
-	comet_http_server_set_max_connections(http_server, MAX(open / 4 * 3, 1));
-	while (http_server->counts.connections > http_server->max_connections)
-	{
-		if (!close_longest_idle(http_server))
-			break;
-	}
-	comet_log(COMET_LOG_WARNING, "event=descriptors_short open=%u closed=%u", open,
-		open - http_server->counts.connections);
+	uint32_t closed = 0;
+
+	http_server->short_us = comet_timers_now_us();
+	http_server->max_while_short = MAX(open / 4 * 3, 1);
+	while (open - closed > http_server->max_while_short &&
+		close_longest_idle(http_server, NULL))
+		closed++;
+	comet_log(COMET_LOG_WARNING, "event=descriptors_short open=%u closed=%u", open, closed);
 	return http_server->counts.connections < open;
 }
 
+/* @return the number of connections beyond which a new one closes another; 0: no limit */
+static uint32_t
+max_connections(const struct comet_http_server *http_server)
+{
+	bool is_short = http_server->short_us != 0 &&
+			comet_timers_now_us() - http_server->short_us < SHORTAGE_US;
+
+	return is_short ? http_server->max_while_short : http_server->max_connections;
+}
+
 static void
 on_acceptable(struct tevent_context *ev, struct tevent_fd *event, uint16_t flags, void *data)
 {
@@ -499,10 +517,10 @@
 		int fd = accept4(http_server->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
 		if (fd >= 0)
 		{
-			take_connection(http_server, fd);
-			if (http_server->max_connections > 0 &&
-				http_server->counts.connections > http_server->max_connections)
-				close_longest_idle(http_server);
+			const struct connection *accepted = take_connection(http_server, fd);
+			uint32_t max = max_connections(http_server);
+			if (max > 0 && http_server->counts.connections > max)
+				close_longest_idle(http_server, accepted);
 			continue;
 		}
 		if (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR ||
