--- a/libcometspindle/adapters/gateway/gateway_answer.c
+++ b/libcometspindle/adapters/gateway/gateway_answer.c
@@ -343,6 +343,14 @@
 		return;
 	}
 	proxy->may_have_run = true;
+	/* Forwarded, the status would promise that the request has not run. The endpoint's own
+	 * responses are forwarded as they are. */
+	if (comet_proxy_request_promises_not_run(proxy->attempt->head->status) &&
+		!has_server_stamp(proxy))
+	{
+		comet_proxy_request_attempt_failed(proxy, COMET_DISPATCH_BROKEN);
+		return;
+	}
 	/* An endpoint that was already tried would fail again, so the error response is forwarded
 	 * if no untried endpoint is left. */
 	if (server_error && proxy->attempt->peer_vm == 0 && !proxy->response_started &&
--- a/libcometspindle/adapters/gateway/gateway_peer_attempt.c
+++ b/libcometspindle/adapters/gateway/gateway_peer_attempt.c
@@ -20,10 +20,8 @@
 /* Retry-After if another VM refused a request and stated no time. */
 #define RETRY_AFTER_MS 200
 
-/* Returns whether a response without the stamp of an endpoint promises that the request has not run
- * and will not. */
-static bool
-promises_not_run(uint16_t status)
+bool
+comet_proxy_request_promises_not_run(uint16_t status)
 {
 	return status == 408 || status == 421 || status == 429 || status == 503;
 }
@@ -186,7 +184,7 @@
 
 	if (proxy->attempt->peer_vm == 0 || from_endpoint || status < 400)
 		return COMET_PEER_RESPONSE_FORWARDED;
-	if (promises_not_run(status))
+	if (comet_proxy_request_promises_not_run(status))
 	{
 		handle_refusal(proxy);
 		return COMET_PEER_RESPONSE_HANDLED;
--- a/libcometspindle/adapters/gateway/proxy_request.h
+++ b/libcometspindle/adapters/gateway/proxy_request.h
@@ -196,6 +196,11 @@
 enum comet_peer_response
 comet_proxy_request_handle_peer_response(struct comet_proxy_request *proxy, bool from_endpoint);
 
+/** Returns whether a response with this status that is not an endpoint's own promises that the
+ * request has not run and will not. */
+bool
+comet_proxy_request_promises_not_run(uint16_t status);
+
 /** Refunds the team's quota for a request that was not run. */
 void
 comet_proxy_request_refund_quota(struct comet_proxy_request *proxy);
