Leave out more than loads of endpoints from views that are too large

Other VMs took a VM for unreachable, and its crashes were not known to them, while many teams spent and crashes were recorded. Cause: a view that exceeds a frame gave up loads only. With 48 spending teams and seven records of crashes it did not fit without any load, and empty datagrams were sent. Records of parts made it likelier. Change: records of crashes beyond the first of each kind go first, then loads beyond 16, limits, spending. Result: Gossip.LargestViewIsSent, with every entry at its largest, passes.

--- a/libcometspindle/gateway/fleet/gossip_rounds.c
+++ b/libcometspindle/gateway/fleet/gossip_rounds.c
@@ -361,11 +361,8 @@
 			(pb_size_t)comet_crash_tracker_encode(gossip->crashing_parts,
 				view->crashed_parts, G_N_ELEMENTS(view->crashed_parts), now_us);
 	view->pass_on = PASS_ON_ALL; /* the size must include the field that forwarders receive */
-	while (comet_datagram_encode(datagram, data) == 0 && view->busy_count > 0)
-	{
-		/* Too large for one frame: the remaining endpoints are left out. */
-		view->busy_count /= 2;
-	}
+	if (comet_datagram_encode_view(datagram, data) == 0)
+		return 0;
 	view->pass_on = PASS_ON_NONE;
 	return comet_datagram_encode(datagram, data);
 }
--- a/libcometspindle/gateway/messages/datagram.c
+++ b/libcometspindle/gateway/messages/datagram.c
@@ -16,6 +16,41 @@
 	return pb_encode(&stream, comet_Datagram_fields, datagram) ? stream.bytes_written : 0;
 }
 
+/* Loads that are kept in a view while it holds other entries that can be left out. */
+#define VIEW_BUSY_MIN 16
+
+/* Leaves out some entries of a view. @return false if there is nothing left to leave out */
+static bool
+shrink_view(comet_View *view)
+{
+	if (view->crashed_count > 1)
+		view->crashed_count--;
+	else if (view->crashed_parts_count > 1)
+		view->crashed_parts_count--;
+	else if (view->busy_count > VIEW_BUSY_MIN)
+		view->busy_count /= 2;
+	else if (view->limits_count > 0)
+		view->limits_count /= 2;
+	else if (view->spent_count > 0)
+		view->spent_count /= 2;
+	else if (view->busy_count > 0)
+		view->busy_count /= 2;
+	else
+		return false;
+	return true;
+}
+
+size_t
+comet_datagram_encode_view(comet_Datagram *datagram, uint8_t data[COMET_DATAGRAM_BYTES_MAX])
+{
+	size_t length = 0;
+
+	while ((length = comet_datagram_encode(datagram, data)) == 0 &&
+		shrink_view(&datagram->body.view))
+		;
+	return length;
+}
+
 bool
 comet_datagram_decode(const uint8_t *data, size_t length, comet_Datagram *datagram)
 {
--- a/libcometspindle/gateway/messages/datagram.h
+++ b/libcometspindle/gateway/messages/datagram.h
@@ -31,6 +31,14 @@
 comet_datagram_encode(const comet_Datagram *datagram,
 	uint8_t data[COMET_DATAGRAM_BYTES_MAX]) G_GNUC_WARN_UNUSED_RESULT;
 
+/** Encodes a view, and leaves out entries until it fits: first all but one record of crashes of
+ * either kind, then loads of endpoints, limits, and at last spending. The first entries of each
+ * kind stay.
+ * @return the encoded length; 0 only if not even the fields without entries fit */
+size_t
+comet_datagram_encode_view(
+	comet_Datagram *datagram, uint8_t data[COMET_DATAGRAM_BYTES_MAX]) G_GNUC_WARN_UNUSED_RESULT;
+
 /** @return false when the data is not a valid Datagram message. */
 bool
 comet_datagram_decode(
--- a/tests/unit/test_gossip.cc
+++ b/tests/unit/test_gossip.cc
@@ -153,6 +153,40 @@
 	return view;
 }
 
+/* A view with all its entries at their largest did not fit into a datagram, also without loads. The
+ * VM sent empty datagrams, and the others took it for unreachable. */
+TEST(Gossip, LargestViewIsSent)
+{
+	comet_Datagram datagram = {};
+	comet_View &view = datagram.body.view;
+	uint8_t data[COMET_DATAGRAM_BYTES_MAX];
+
+	datagram.which_body = comet_Datagram_view_tag;
+	memset(&view, 0xff, sizeof view);
+	view.leaving = view.endpoints_unreachable = view.stores_streams = true;
+	view.busy_count = G_N_ELEMENTS(view.busy);
+	view.spent_count = G_N_ELEMENTS(view.spent);
+	view.peers_count = G_N_ELEMENTS(view.peers);
+	view.crashed_count = G_N_ELEMENTS(view.crashed);
+	view.crashed_parts_count = G_N_ELEMENTS(view.crashed_parts);
+	view.limits_count = G_N_ELEMENTS(view.limits);
+	view.leaving_endpoints_count = G_N_ELEMENTS(view.leaving_endpoints);
+	for (comet_Crashed *record :
+		{&view.crashed[0], &view.crashed[1], &view.crashed[2], &view.crashed[3],
+			&view.crashed_parts[0], &view.crashed_parts[1], &view.crashed_parts[2]})
+	{
+		record->lives_count = G_N_ELEMENTS(record->lives);
+		record->excused_count = G_N_ELEMENTS(record->excused);
+		record->several_requests = true;
+	}
+	for (comet_AdvertisedLimit &limit : view.limits)
+		limit.active = true;
+	EXPECT_EQ(comet_datagram_encode(&datagram, data), 0U);
+	EXPECT_GT(comet_datagram_encode_view(&datagram, data), 0U);
+	EXPECT_EQ(view.crashed_parts_count, 1U);
+	EXPECT_GE(view.spent_count, 6U);
+}
+
 /* Anyone who could reach the gossip port could name any number of VMs and teams, and all were
  * stored. The entries must be bounded, and the real VMs must remain known. */
 TEST(Gossip, EntriesFromViewsAreBounded)
