Give the trials of a quarantined part to one VM at a time, and repeat them

Callers whose prompts share a part that was blamed by mistake would be refused for an hour if its only trial failed, was lost with its VM, or showed nothing; elsewhere several VMs tried the part at once. Cause: the VM whose own crash made the quarantine had one trial; with crashes at several VMs none had it, or several. A trial was taken although another part of the prompt had none, and was sent again on a route that allows repetitions. All parts of a prompt need one; it is used once the request is sent, and returned if the endpoint did not run it.

--- a/libcometspindle/adapters/gateway/gateway_crashes.c
+++ b/libcometspindle/adapters/gateway/gateway_crashes.c
@@ -118,15 +118,15 @@
 
 	if (comet_crash_tracker_is_quarantined(proxy->gateway->crash_tracker, &proxy->fingerprint))
 		return false;
-	proxy->part_trial = true;
 	for (uint32_t i = 0; i < proxy->n_parts; i++)
 	{
-		if (!comet_crash_tracker_is_quarantined(tracker, &proxy->parts[i]) ||
-			comet_crash_tracker_take_trial(tracker, &proxy->parts[i], now_us))
-			continue;
-		proxy->part_trial = false;
-		return false;
+		if (comet_crash_tracker_is_quarantined(tracker, &proxy->parts[i]) &&
+			!comet_crash_tracker_has_trial(tracker, &proxy->parts[i], now_us))
+			return false;
 	}
+	for (uint32_t i = 0; i < proxy->n_parts; i++)
+		comet_crash_tracker_take_trial(tracker, &proxy->parts[i], now_us);
+	proxy->part_trial = true;
 	comet_log(COMET_LOG_NOTICE, "event=part_trial request=%s", proxy->id);
 	return true;
 }
@@ -138,8 +138,7 @@
 		return;
 	proxy->part_trial = false;
 	for (uint32_t i = 0; i < proxy->n_parts; i++)
-		comet_crash_tracker_return_trial(
-			proxy->gateway->crashing_parts, &proxy->parts[i], comet_timers_now_us());
+		comet_crash_tracker_return_trial(proxy->gateway->crashing_parts, &proxy->parts[i]);
 }
 
 static int
@@ -358,7 +357,6 @@
 			     now_us - MAX(seen_us, proxy->attempt->sent_us) < UNSEEN_US,
 		.answered = result == COMET_DISPATCH_SERVED && is_success(proxy),
 	};
-	proxy->part_trial = false; /* used: the endpoint may have run the request */
 	add_suspect(proxy, &attempt, now_us);
 	if (instance != NULL && !attempt.cancelled && result != COMET_DISPATCH_SERVED)
 		start_crash_check(gateway, instance);
--- a/libcometspindle/adapters/gateway/gateway_endpoint_attempt.c
+++ b/libcometspindle/adapters/gateway/gateway_endpoint_attempt.c
@@ -161,6 +161,8 @@
 
 	comet_gateway_links_attempt_ended(proxy->gateway->links, result);
 	comet_gateway_attempt_ending(proxy, result);
+	proxy->part_trial = attempt->part_trial &&
+			    (attempt->not_executed || result == COMET_DISPATCH_UNREACHABLE);
 	if (instance != NULL)
 		record_result(attempt, instance, result, events, now_us);
 	release_slot(attempt, result, events);
@@ -176,6 +178,8 @@
 	struct comet_attempt *attempt = comet_attempt_create(proxy, &endpoint_attempt, now_us);
 
 	proxy->gateway->counts.dispatched++;
+	attempt->part_trial = proxy->part_trial;
+	proxy->part_trial = false; /* no further attempt: the endpoint may run the request */
 	attempt->instance_id = talloc_strdup(attempt, instance->id);
 	attempt->process_start_ms = instance->process_start_ms;
 	attempt->incarnation_key = instance->key;
--- a/libcometspindle/adapters/gateway/gateway_peer_attempt.c
+++ b/libcometspindle/adapters/gateway/gateway_peer_attempt.c
@@ -117,6 +117,7 @@
 
 	attempt->peer_vm = vm;
 	attempt->instance_id = callers_address(attempt, gateway, vm);
+	proxy->part_trial = false; /* the other VM decides whether it has a trial */
 	proxy->peer_attempts++;
 	gateway->counts.peer_attempts++;
 	comet_log(COMET_LOG_INFO,
--- a/libcometspindle/adapters/gateway/proxy_request.h
+++ b/libcometspindle/adapters/gateway/proxy_request.h
@@ -23,7 +23,7 @@
 	struct comet_fingerprint fingerprint;
 	struct comet_fingerprint parts[COMET_HEADER_PARTS_MAX]; /* shared parts of its prompt */
 	uint32_t n_parts;
-	bool part_trial; /* sent once although it has quarantined parts; false once that was done */
+	bool part_trial; /* to be sent once although its prompt has quarantined parts */
 	char *service;
 	struct comet_placement_item item;
 	struct comet_attempt *attempt;         /* the current attempt, or NULL */
--- a/libcometspindle/gateway/admission/crash_tracker.c
+++ b/libcometspindle/gateway/admission/crash_tracker.c
@@ -30,6 +30,10 @@
  * minutes of them, and more of the parts that they share. */
 #define SERVED_MAX 4096
 
+/* Ratio of two intervals between trials of a quarantined subject: each trial of a subject that
+ * crashes endpoints costs one of them. */
+#define TRIAL_FACTOR 3
+
 /* Time after the last crash for which a record is kept. A repaired engine is deployed by then, and
  * a subject that was quarantined by mistake can be served again. */
 #define RECORD_LIFETIME_US 3600000000
@@ -52,10 +56,12 @@
 	struct comet_fingerprint subject;
 	struct comet_incarnation_set crashed;
 	struct comet_incarnation_set excused; /* crashes that the subject did not cause */
+	struct comet_incarnation_set own;     /* crashes that this VM counted itself */
 	uint64_t request_digest;              /* of the first request that crashed */
 	uint64_t last_crash_us;
 	uint64_t changed_us;
-	uint64_t trial_due_us; /* when this VM may send it once more; 0: never */
+	uint64_t quarantined_us;
+	uint32_t trials;       /* intervals of trials that are over or used at this VM */
 	bool several_requests; /* another request has crashed as well */
 	bool quarantined;
 };
@@ -188,15 +194,13 @@
 	       (record->several_requests || !crash_tracker->rules->several_requests);
 }
 
-/* Applies a decision. The VM that detected the last crash itself gets a trial: few VMs do. */
 static void
 set_quarantined(struct comet_crash_tracker *crash_tracker, struct record *record, bool quarantined,
 	bool detected_here, uint64_t now_us)
 {
-	uint64_t trial_us = crash_tracker->rules->trial_us;
-
 	record->quarantined = quarantined;
-	record->trial_due_us = quarantined && detected_here && trial_us > 0 ? now_us + trial_us : 0;
+	record->quarantined_us = now_us;
+	record->trials = 0;
 	crash_tracker->ops->on_change(crash_tracker->ctx, &record->subject,
 		quarantined ? COMET_CRASH_TRACKER_QUARANTINED : COMET_CRASH_TRACKER_RELEASED,
 		count_crashes(record), detected_here);
@@ -364,6 +368,7 @@
 		return;
 	struct record *record = find_or_add_record(crash_tracker, &suspect->subject);
 	bool changed = add_request(record, suspect->request_digest, false);
+	comet_incarnation_set_add(&record->own, incarnation_key);
 	if (!comet_incarnation_set_add(&record->crashed, incarnation_key) && !changed)
 		return;
 	record->last_crash_us = now_us;
@@ -393,26 +398,74 @@
 	       crash_tracker->rules->crashes;
 }
 
+/* Returns the interval of trials that a time in quarantine falls into; 0: it is too early. Each one
+ * is TRIAL_FACTOR times as long as the one before. */
+static uint32_t
+trial_interval(const struct comet_crash_tracker *crash_tracker, uint64_t quarantine_us)
+{
+	uint32_t interval = 0;
+	uint64_t begin_us = crash_tracker->rules->trial_us;
+
+	while (begin_us > 0 && quarantine_us >= begin_us)
+	{
+		begin_us *= TRIAL_FACTOR;
+		interval++;
+	}
+	return interval;
+}
+
+/* Returns whether this VM has the trial of an interval. It belongs to the VM that counted one of
+ * the crashes itself, in the order of incarnations, on which all VMs agree: so the fleet has one
+ * trial in each interval, at a VM that gets such requests. If that VM has failed, the trial of the
+ * next interval is another's. */
+static bool
+is_own_trial(const struct record *record, uint32_t interval)
+{
+	struct comet_incarnation_set left = record->crashed;
+	uint32_t place = (interval - 1) % MAX(left.count, 1);
+	uint32_t smallest = 0;
+
+	for (uint32_t i = 0; i <= place && left.count > 0; i++)
+	{
+		uint32_t at = 0;
+		for (uint32_t j = 1; j < left.count; j++)
+			at = left.incarnations[j] < left.incarnations[at] ? j : at;
+		smallest = left.incarnations[at];
+		left.incarnations[at] = left.incarnations[--left.count];
+	}
+	return comet_incarnation_set_has(&record->own, smallest);
+}
+
 bool
-comet_crash_tracker_take_trial(struct comet_crash_tracker *crash_tracker,
+comet_crash_tracker_has_trial(struct comet_crash_tracker *crash_tracker,
 	const struct comet_fingerprint *subject, uint64_t now_us)
 {
-	struct record *record = find_record(crash_tracker, subject);
+	const struct record *record = find_record(crash_tracker, subject);
 
-	if (record == NULL || record->trial_due_us == 0 || now_us < record->trial_due_us)
+	if (record == NULL || !record->quarantined)
 		return false;
-	record->trial_due_us = 0;
-	return true;
+	uint32_t interval = trial_interval(crash_tracker, now_us - record->quarantined_us);
+	return interval > record->trials && is_own_trial(record, interval);
 }
 
 void
-comet_crash_tracker_return_trial(struct comet_crash_tracker *crash_tracker,
+comet_crash_tracker_take_trial(struct comet_crash_tracker *crash_tracker,
 	const struct comet_fingerprint *subject, uint64_t now_us)
 {
 	struct record *record = find_record(crash_tracker, subject);
 
 	if (record != NULL && record->quarantined)
-		record->trial_due_us = now_us + crash_tracker->rules->trial_us;
+		record->trials = trial_interval(crash_tracker, now_us - record->quarantined_us);
+}
+
+void
+comet_crash_tracker_return_trial(
+	struct comet_crash_tracker *crash_tracker, const struct comet_fingerprint *subject)
+{
+	struct record *record = find_record(crash_tracker, subject);
+
+	if (record != NULL && record->trials > 0)
+		record->trials--;
 }
 
 bool
--- a/libcometspindle/gateway/admission/crash_tracker.h
+++ b/libcometspindle/gateway/admission/crash_tracker.h
@@ -28,8 +28,9 @@
 {
 	uint32_t crashes;      /**< after which a subject is quarantined */
 	bool several_requests; /**< only if different requests were among them */
-	uint64_t trial_us;     /**< time in quarantine, in microseconds, after which the VM that saw
-				  the last crash sends the subject once more; 0: never */
+	uint64_t trial_us; /**< time in quarantine, in microseconds, after which one VM sends the
+			      subject once more; 0: never. Each further trial comes after three
+			      times that time. */
 };
 
 /** Rules for requests. */
@@ -88,20 +89,22 @@
 comet_crash_tracker_is_undecided(struct comet_crash_tracker *crash_tracker,
 	const struct comet_fingerprint *subject, uint64_t now_us);
 
-/**
- * Takes the trial of a quarantined subject: one attempt that shows whether it was blamed by
- * mistake.
- * @return whether this VM has a trial that is due; the caller then sends the subject once
- */
+/** @return whether this VM has a trial of a quarantined subject that is due: one attempt that shows
+ * whether it was blamed by mistake */
 bool
-comet_crash_tracker_take_trial(struct comet_crash_tracker *crash_tracker,
+comet_crash_tracker_has_trial(struct comet_crash_tracker *crash_tracker,
 	const struct comet_fingerprint *subject, uint64_t now_us);
 
-/** Returns a trial that has shown nothing, because no endpoint ran the subject. It is due later. */
+/** Takes the trial: the caller sends the subject once. */
 void
-comet_crash_tracker_return_trial(struct comet_crash_tracker *crash_tracker,
+comet_crash_tracker_take_trial(struct comet_crash_tracker *crash_tracker,
 	const struct comet_fingerprint *subject, uint64_t now_us);
 
+/** Returns a trial that has shown nothing, because no endpoint ran the subject. */
+void
+comet_crash_tracker_return_trial(
+	struct comet_crash_tracker *crash_tracker, const struct comet_fingerprint *subject);
+
 /** @return whether an incarnation crashed under a quarantined subject. */
 bool
 comet_crash_tracker_explains(
--- a/tests/unit/test_crashing_parts.cc
+++ b/tests/unit/test_crashing_parts.cc
@@ -69,7 +69,11 @@
 	bool
 	take_trial(const comet_fingerprint &part, uint64_t now_us)
 	{
-		return comet_crash_tracker_take_trial(tracker, &part, now_us);
+		bool due = comet_crash_tracker_has_trial(tracker, &part, now_us);
+
+		if (due)
+			comet_crash_tracker_take_trial(tracker, &part, now_us);
+		return due;
 	}
 
 	void
@@ -179,9 +183,10 @@
 	EXPECT_FALSE(two.take_trial(PART, due_us)); /* it saw none of the crashes */
 	EXPECT_TRUE(one.take_trial(PART, due_us));
 	EXPECT_FALSE(one.take_trial(PART, due_us)); /* one request only */
-	comet_crash_tracker_return_trial(one.tracker, &PART, due_us);
-	EXPECT_FALSE(one.take_trial(PART, due_us + 1));
-	due_us += comet_crash_tracker_parts.trial_us;
+	comet_crash_tracker_return_trial(one.tracker, &PART);
+	EXPECT_TRUE(one.take_trial(PART, due_us + 1));
+	due_us = MINUTE_US + 3 * comet_crash_tracker_parts.trial_us;
+	EXPECT_FALSE(one.take_trial(PART, due_us - 1));
 	EXPECT_TRUE(one.take_trial(PART, due_us));
 	one.serve(PART, due_us);
 	one.gossip_to(two, due_us);
@@ -189,6 +194,33 @@
 	EXPECT_FALSE(two.is_quarantined(PART));
 }
 
+/* Each VM saw one of the crashes: the trials are theirs in turn, so that there is one in an
+ * interval, and none is lost for good with a VM that has failed. */
+TEST(CrashingParts, OneVmHasTheTrialOfAnInterval)
+{
+	std::vector<std::unique_ptr<Vm>> vms;
+
+	for (uint32_t i = 0; i < 4; i++)
+	{
+		vms.push_back(std::make_unique<Vm>());
+		vms[i]->crash(PART, i + 1, 40 - i, MINUTE_US);
+	}
+	for (auto &from : vms)
+	{
+		for (auto &to : vms)
+			from->gossip_to(*to, MINUTE_US);
+	}
+	for (uint32_t interval = 0; interval < 3; interval++)
+	{
+		uint64_t factor = interval == 0 ? 1 : interval == 1 ? 3 : 9;
+		for (uint32_t i = 0; i < 4; i++)
+			EXPECT_EQ(vms[i]->take_trial(PART,
+					  MINUTE_US + factor * comet_crash_tracker_parts.trial_us),
+				i == 3 - interval)
+				<< interval << " " << i;
+	}
+}
+
 TEST(CrashingParts, LastPartIsNotShared)
 {
 	comet_header_part parts[COMET_HEADER_PARTS_MAX];
