Hold back parts whose requests all end without a response

Callers of endpoints that a part makes silent lost their answers for longer than three seconds after the fifth crash: silent endpoints stay listed for seconds, and their crashes are only suspected until then. Cause: a part was held back by counted crashes alone. Change: as for requests, suspected crashes count; for a part that was not served recently they do so before the first one is known.

--- a/libcometspindle/adapters/gateway/gateway_admit.c
+++ b/libcometspindle/adapters/gateway/gateway_admit.c
@@ -357,8 +357,7 @@
 		comet_proxy_request_refuse_quarantined(proxy);
 		return;
 	}
-	if (comet_crash_tracker_is_undecided(
-		    gateway->crash_tracker, &proxy->fingerprint, comet_timers_now_us()))
+	if (comet_proxy_request_is_undecided(proxy, comet_timers_now_us()))
 	{
 		comet_proxy_request_refuse(proxy, "may_crash_endpoints", SUSPECT_RETRY_AFTER_MS);
 		return;
--- a/libcometspindle/adapters/gateway/gateway_send.c
+++ b/libcometspindle/adapters/gateway/gateway_send.c
@@ -29,8 +29,7 @@
 is_held_back_as_suspect(const struct comet_proxy_request *proxy, uint64_t now_us)
 {
 	return comet_proxy_request_is_quarantined(proxy) ||
-	       comet_crash_tracker_is_undecided(
-		       proxy->gateway->crash_tracker, &proxy->fingerprint, now_us);
+	       comet_proxy_request_is_undecided(proxy, now_us);
 }
 
 bool
--- a/libcometspindle/adapters/gateway/proxy_request.h
+++ b/libcometspindle/adapters/gateway/proxy_request.h
@@ -144,6 +144,11 @@
 bool
 comet_proxy_request_is_quarantined(const struct comet_proxy_request *proxy);
 
+/** Returns whether the request, or a part of its prompt, is suspected of having just crashed as
+ * many endpoints as would quarantine it. It must not be sent until that is known. */
+bool
+comet_proxy_request_is_undecided(const struct comet_proxy_request *proxy, uint64_t now_us);
+
 /** Returns whether a part of the prompt is known to crash endpoints, and this is not its trial. */
 bool
 comet_proxy_request_has_quarantined_part(const struct comet_proxy_request *proxy);
--- a/libcometspindle/adapters/gateway/proxy_request_state.c
+++ b/libcometspindle/adapters/gateway/proxy_request_state.c
@@ -58,6 +58,19 @@
 	return false;
 }
 
+bool
+comet_proxy_request_is_undecided(const struct comet_proxy_request *proxy, uint64_t now_us)
+{
+	const struct comet_gateway *gateway = proxy->gateway;
+	bool undecided = comet_crash_tracker_is_undecided(
+		gateway->crash_tracker, &proxy->fingerprint, now_us);
+
+	for (uint32_t i = 0; i < proxy->n_parts && !proxy->part_trial && !undecided; i++)
+		undecided = comet_crash_tracker_is_undecided(
+			gateway->crashing_parts, &proxy->parts[i], now_us);
+	return undecided;
+}
+
 bool
 comet_proxy_request_is_quarantined(const struct comet_proxy_request *proxy)
 {
--- a/libcometspindle/gateway/admission/crash_suspects.c
+++ b/libcometspindle/gateway/admission/crash_suspects.c
@@ -215,7 +215,8 @@
 		const struct suspect *suspect = link->data;
 		if (now_us - suspect->at_us > CRASH_DETECTION_US)
 			break;
-		if (!suspect->cancelled && comet_fingerprint_equal(&suspect->subject, subject))
+		if (!suspect->cancelled && !suspect->answered &&
+			comet_fingerprint_equal(&suspect->subject, subject))
 			sum++;
 	}
 	return sum;
--- a/libcometspindle/gateway/admission/crash_tracker.c
+++ b/libcometspindle/gateway/admission/crash_tracker.c
@@ -391,7 +391,11 @@
 	const struct record *record = find_record(crash_tracker, subject);
 	uint32_t count = record != NULL ? count_crashes(record) : 0;
 
-	if (count == 0)
+	/* A part whose requests all end without a response is held back before the first crash is
+	 * known: endpoints that turn silent stay listed for seconds. */
+	if (crash_tracker->rules->several_requests
+			? was_recently_served(crash_tracker, subject, now_us)
+			: count == 0)
 		return false;
 	return count + comet_crash_suspects_count_subject(
 			       crash_tracker->crash_suspects, subject, now_us) >=
--- a/libcometspindle/gateway/admission/crash_tracker.h
+++ b/libcometspindle/gateway/admission/crash_tracker.h
@@ -81,9 +81,9 @@
 	struct comet_crash_tracker *crash_tracker, const struct comet_fingerprint *subject);
 
 /**
- * @return whether a subject that has crashed an endpoint has further attempts whose processes may
- * have crashed too, which would quarantine it. The caller must not send the subject until that is
- * known.
+ * @return whether a request that has crashed an endpoint, or a part that was not served recently,
+ * has further attempts whose processes may have crashed too, which would quarantine it. The caller
+ * must not send the subject until that is known.
  */
 bool
 comet_crash_tracker_is_undecided(struct comet_crash_tracker *crash_tracker,
