Send records of several crashing parts, and of single crashes, in turn

Callers lost answers to a crashing part for longer where several parts crashed endpoints at once, or the fleet was large. Cause: each gossip message had the record with the most crashes; all others shared one place, and a VM's only crash had none of its own. CrashingParts.SeveralPartsReachOtherVmsInTurn does not show it: it passes before the change as well, and guards the turns. Change: one place for records with several crashes, the one that was sent least first; one for crashes that this VM has counted, twice.

--- a/libcometspindle/gateway/admission/crash_tracker.c
+++ b/libcometspindle/gateway/admission/crash_tracker.c
@@ -46,6 +46,10 @@
 /* Interval of the search for expired entries; their lifetimes are seconds and longer. */
 #define TICK_US 1000000
 
+/* Messages that contain a crash which this VM has counted itself before others take their turn: one
+ * may be lost. */
+#define OWN_CHANGE_MESSAGES 2
+
 /* Time after a change for which a record is sent first in each gossip message: messages are at most
  * two seconds apart, and one may be lost. */
 #define NEW_RECORD_US 5000000
@@ -60,6 +64,8 @@
 	uint64_t request_digest;              /* of the first request that crashed */
 	uint64_t last_crash_us;
 	uint64_t changed_us;
+	uint32_t sent;   /* messages that contained the record since it changed */
+	bool own_change; /* its last change was detected here */
 	uint64_t quarantined_us;
 	uint32_t trials;       /* intervals of trials that are over or used at this VM */
 	bool several_requests; /* another request has crashed as well */
@@ -326,6 +332,8 @@
 	uint64_t now_us)
 {
 	record->changed_us = now_us;
+	record->sent = 0;
+	record->own_change = detected_here;
 	if (was_recently_served(crash_tracker, &record->subject, now_us) && excuse_all(record))
 		crash_tracker->ops->on_change(
 			crash_tracker->ctx, &record->subject, COMET_CRASH_TRACKER_EXCUSED, 0, true);
@@ -542,6 +550,7 @@
 	if (record == NULL || !excuse_all(record))
 		return;
 	record->changed_us = now_us;
+	record->sent = 0;
 	crash_tracker->ops->on_change(
 		crash_tracker->ctx, subject, COMET_CRASH_TRACKER_EXCUSED, 0, true);
 	update_quarantine(crash_tracker, true, now_us);
@@ -616,7 +625,7 @@
  * if all were sent. */
 static const struct record *
 find_next(const struct comet_crash_tracker *crash_tracker, uint32_t position,
-	const struct record *except, bool only_new, uint64_t now_us)
+	struct record *const except[2], bool only_new, uint64_t now_us)
 {
 	uint32_t index = 0;
 	GHashTableIter iter;
@@ -626,7 +635,8 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 	{
 		const struct record *record = value;
-		if (record != except && is_new(record, now_us) == only_new && index++ >= position)
+		if (record != except[0] && record != except[1] &&
+			is_new(record, now_us) == only_new && index++ >= position)
 			return record;
 	}
 	return NULL;
@@ -636,7 +646,7 @@
  * that a team whose requests crash many endpoints does not delay the records of other teams. */
 static size_t
 encode_some(struct comet_crash_tracker *crash_tracker, comet_Crashed *records, size_t max_records,
-	const struct record *except, bool only_new, uint64_t now_us)
+	struct record *const except[2], bool only_new, uint64_t now_us)
 {
 	uint32_t *position = only_new ? &crash_tracker->new_position : &crash_tracker->old_position;
 	size_t count = 0;
@@ -660,40 +670,59 @@
 	return count;
 }
 
-/* Returns the new record with the most crashes, if it has several: the VMs have to add up what each
- * of them saw before the subject crashes more endpoints. */
-static const struct record *
-find_worst_new(const struct comet_crash_tracker *crash_tracker, uint64_t now_us)
+/* Returns the new record to send before the others, or NULL. Two kinds must reach the other VMs
+ * before the subject crashes more endpoints: records with several crashes, and crashes that only
+ * this VM has counted, of which each VM may have one. Of either kind the one that was sent least
+ * since it changed goes first, then the one with the most crashes, so that several such subjects
+ * take turns. */
+static struct record *
+find_urgent(const struct comet_crash_tracker *crash_tracker, const struct record *except,
+	bool own_change, uint64_t now_us)
 {
-	const struct record *worst = NULL;
-	uint32_t most = 1;
+	struct record *found = NULL;
+	uint32_t found_crashes = 0;
 	GHashTableIter iter;
 	gpointer value = NULL;
 
 	g_hash_table_iter_init(&iter, crash_tracker->records);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 	{
-		const struct record *record = value;
-		if (!is_new(record, now_us) || count_crashes(record) <= most)
+		struct record *record = value;
+		if (record == except || !is_new(record, now_us) ||
+			(own_change &&
+				(!record->own_change || record->sent >= OWN_CHANGE_MESSAGES)))
 			continue;
-		most = count_crashes(record);
-		worst = record;
+		uint32_t crashes = count_crashes(record);
+		if (crashes < (own_change ? 1 : 2) ||
+			(found != NULL &&
+				(record->sent > found->sent ||
+					(record->sent == found->sent && crashes <= found_crashes))))
+			continue;
+		found = record;
+		found_crashes = crashes;
 	}
-	return worst;
+	return found;
 }
 
 size_t
 comet_crash_tracker_encode(struct comet_crash_tracker *crash_tracker, comet_Crashed *records,
 	size_t max_records, uint64_t now_us)
 {
-	const struct record *worst = find_worst_new(crash_tracker, now_us);
+	struct record *urgent[2] = {NULL, NULL};
 	size_t count = 0;
 
-	if (worst != NULL)
-		encode_record(crash_tracker, worst, &records[count++], now_us);
+	urgent[0] = find_urgent(crash_tracker, NULL, false, now_us);
+	urgent[1] = find_urgent(crash_tracker, urgent[0], true, now_us);
+	for (size_t i = 0; i < G_N_ELEMENTS(urgent) && count + 1 < max_records; i++)
+	{
+		if (urgent[i] == NULL)
+			continue;
+		urgent[i]->sent++;
+		encode_record(crash_tracker, urgent[i], &records[count++], now_us);
+	}
 	count += encode_some(
-		crash_tracker, records + count, max_records - 1 - count, worst, true, now_us);
-	return count + encode_some(crash_tracker, records + count, max_records - count, worst,
+		crash_tracker, records + count, max_records - 1 - count, urgent, true, now_us);
+	return count + encode_some(crash_tracker, records + count, max_records - count, urgent,
 			       false, now_us);
 }
 
--- a/libcometspindle/gateway/admission/crash_tracker.h
+++ b/libcometspindle/gateway/admission/crash_tracker.h
@@ -150,8 +150,9 @@
 void
 comet_crash_tracker_tick(struct comet_crash_tracker *crash_tracker, uint64_t now_us);
 
-/** Encodes at most max_records records for a gossip message: of the recently changed ones the one
- * with the most crashes, then the others in turn. @return the number of encoded records */
+/** Encodes at most max_records records for a gossip message: of the recently changed ones one with
+ * several crashes and one that this VM has counted, then the others in turn. @return the number of
+ * encoded records */
 size_t
 comet_crash_tracker_encode(struct comet_crash_tracker *crash_tracker, comet_Crashed *records,
 	size_t max_records, uint64_t now_us);
--- a/tests/unit/test_crashing_parts.cc
+++ b/tests/unit/test_crashing_parts.cc
@@ -142,6 +142,23 @@
 	EXPECT_TRUE(two.is_quarantined(PART));
 }
 
+/* The record with the most crashes was sent again and again, and the others waited for it. */
+TEST(CrashingParts, SeveralPartsReachOtherVmsInTurn)
+{
+	Vm one;
+	Vm two;
+
+	for (uint32_t part = 1; part <= 6; part++)
+	{
+		for (uint32_t i = 0; i < 3 + part; i++)
+			one.crash({part, part}, i, part * 100 + i, MINUTE_US);
+	}
+	for (uint64_t message = 0; message < 6; message++)
+		one.gossip_to(two, MINUTE_US + message * SECOND_US / 2);
+	for (uint32_t part = 1; part <= 6; part++)
+		EXPECT_TRUE(two.is_quarantined({part, part})) << part;
+}
+
 TEST(CrashingParts, PartThatIsServedAllTheTimeGetsNoRecord)
 {
 	Vm vm;
