Drop records whose crashes are all excused after a minute

Callers lost answers for longer to a part, or request, whose earlier crashes had been excused. Cause: sets of incarnations are full with eight and keep the smallest keys; excused ones took their places for an hour after the last crash. Evidence: CrashingParts.ExcusedRecordsHideNoLaterCrashes failed. Change: such records are dropped after 60 s, and reports of them from other VMs make no new ones.

--- a/libcometspindle/gateway/admission/crash_tracker.c
+++ b/libcometspindle/gateway/admission/crash_tracker.c
@@ -34,6 +34,10 @@
  * crashes endpoints costs one of them. */
 #define TRIAL_FACTOR 3
 
+/* Records without a crash that counts are dropped after this time; until then they tell other VMs
+ * of the excuse. Their sets may be full, and would hide new crashes. */
+#define EXCUSED_LIFETIME_US 60000000
+
 /* Time after the last crash for which a record is kept. A repaired engine is deployed by then, and
  * a subject that was quarantined by mistake can be served again. */
 #define RECORD_LIFETIME_US 3600000000
@@ -586,7 +590,9 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 	{
 		const struct record *record = value;
-		if (now_us - record->last_crash_us > RECORD_LIFETIME_US)
+		if (now_us - record->last_crash_us > RECORD_LIFETIME_US ||
+			(count_crashes(record) == 0 &&
+				now_us - record->changed_us > EXCUSED_LIFETIME_US))
 			g_hash_table_iter_remove(&iter);
 	}
 }
@@ -726,6 +732,22 @@
 			       false, now_us);
 }
 
+/* Returns whether all crashes of a reported record are excused. */
+static bool
+is_excused(const comet_Crashed *reported)
+{
+	struct comet_incarnation_set excused = {.count = reported->excused_count};
+
+	memcpy(excused.incarnations, reported->excused,
+		reported->excused_count * sizeof reported->excused[0]);
+	for (pb_size_t i = 0; i < reported->lives_count; i++)
+	{
+		if (!comet_incarnation_set_has(&excused, reported->lives[i]))
+			return false;
+	}
+	return true;
+}
+
 void
 comet_crash_tracker_merge(
 	struct comet_crash_tracker *crash_tracker, const comet_Crashed *reported, uint64_t now_us)
@@ -735,7 +757,8 @@
 	uint64_t age_us = (uint64_t)reported->age_ms * 1000;
 	bool changed = false;
 
-	if (reported->lives_count == 0 || age_us > RECORD_LIFETIME_US)
+	if (reported->lives_count == 0 || age_us > RECORD_LIFETIME_US ||
+		(find_record(crash_tracker, &subject) == NULL && is_excused(reported)))
 		return;
 	struct record *record = find_or_add_record(crash_tracker, &subject);
 	changed = add_request(record, reported->request, reported->several_requests);
--- a/tests/unit/test_crashing_parts.cc
+++ b/tests/unit/test_crashing_parts.cc
@@ -185,6 +185,24 @@
 	EXPECT_FALSE(one.is_quarantined(PART));
 }
 
+/* A part that was excused often had a full set of incarnations, in which new crashes had no place.
+ */
+TEST(CrashingParts, ExcusedRecordsHideNoLaterCrashes)
+{
+	Vm vm;
+	uint64_t now_us = MINUTE_US;
+
+	for (uint32_t i = 1; i <= 8; i++)
+		vm.crash(PART, i, i, now_us);
+	vm.serve(PART, now_us);
+	EXPECT_FALSE(vm.is_quarantined(PART));
+	now_us += 2 * MINUTE_US;
+	comet_crash_tracker_tick(vm.tracker, now_us);
+	for (uint32_t i = 1; i <= 4; i++)
+		vm.crash(PART, i, 100 + i, now_us);
+	EXPECT_TRUE(vm.is_quarantined(PART));
+}
+
 /* Without a trial, a part that is blamed by mistake would stay quarantined for an hour, because no
  * request with it is sent that could be served. */
 TEST(CrashingParts, TrialReleasesAPartThatIsBlamedByMistake)
