Suspect the parts of a prompt only until its answer has gone on for two seconds

Innocent parts were suspected of each crash beside which they ran, also after they had been answered for seconds: many records, which delayed those of others in gossip. Cause: every attempt at a crashed endpoint counted against all its parts. Change: an endpoint that crashes over a part does so when it begins to answer; an attempt whose first byte came over 2 s ago counts against its request alone.

--- a/libcometspindle/adapters/gateway/gateway_crashes.c
+++ b/libcometspindle/adapters/gateway/gateway_crashes.c
@@ -22,6 +22,10 @@
  * stream has several events a second. */
 #define UNSEEN_US 500000
 
+/* Time after the first byte of a response within which an endpoint crashes that can't answer a part
+ * of the prompt. It covers the detection of a broken connection. */
+#define BEGIN_US 2000000
+
 /* Checks whether an endpoint whose connection broke has crashed. */
 struct crash_check
 {
@@ -317,6 +321,16 @@
 		comet_crash_tracker_mark_served(gateway->crashing_parts, &proxy->parts[i], now_us);
 }
 
+/* Returns whether the endpoint may have crashed because it began to answer the attempt. Otherwise a
+ * crash would be counted against the parts of all prompts that the endpoint was answering. */
+static bool
+may_have_crashed_at_begin(const struct comet_proxy_request *proxy, uint64_t now_us)
+{
+	const struct comet_attempt *attempt = proxy->attempt;
+
+	return attempt->first_byte_us == 0 || now_us - attempt->first_byte_us < BEGIN_US;
+}
+
 /* Records the request of an attempt, and the parts of its prompt, as suspects. */
 static void
 add_suspect(const struct comet_proxy_request *proxy, const struct comet_crash_attempt *attempt,
@@ -328,7 +342,7 @@
 	suspect.request_digest = proxy->fingerprint.digest;
 	suspect.subject = proxy->fingerprint;
 	comet_crash_tracker_add_suspect(gateway->crash_tracker, &suspect, now_us);
-	for (uint32_t i = 0; i < proxy->n_parts; i++)
+	for (uint32_t i = 0; i < proxy->n_parts && may_have_crashed_at_begin(proxy, now_us); i++)
 	{
 		suspect.subject = proxy->parts[i];
 		comet_crash_tracker_add_suspect(gateway->crashing_parts, &suspect, now_us);
