Keep the number of crashes of a record that are not excused

Change: the count is kept with the record. The comparison itself is still quadratic in the candidates: open. Result: 51 unit tests of the trackers and of gossip pass; not measured again.

--- a/libcometspindle/gateway/admission/crash_tracker.c
+++ b/libcometspindle/gateway/admission/crash_tracker.c
@@ -68,8 +68,9 @@
 	uint64_t request_digest;              /* of the first request that crashed */
 	uint64_t last_crash_us;
 	uint64_t changed_us;
-	uint32_t sent;   /* messages that contained the record since it changed */
-	bool own_change; /* its last change was detected here */
+	uint32_t crashes; /* that are not excused; kept, since all records are compared */
+	uint32_t sent;    /* messages that contained the record since it changed */
+	bool own_change;  /* its last change was detected here */
 	uint64_t quarantined_us;
 	uint32_t trials;       /* intervals of trials that are over or used at this VM */
 	bool several_requests; /* another request has crashed as well */
@@ -144,14 +145,18 @@
 static uint32_t
 count_crashes(const struct record *record)
 {
-	uint32_t count = 0;
+	return record->crashes;
+}
 
+static void
+recount(struct record *record)
+{
+	record->crashes = 0;
 	for (uint32_t i = 0; i < record->crashed.count; i++)
-		count +=
+		record->crashes +=
 			comet_incarnation_set_has(&record->excused, record->crashed.incarnations[i])
 				? 0
 				: 1;
-	return count;
 }
 
 /* Returns whether another subject, with more crashes than this one, explains a crash. */
@@ -311,6 +316,7 @@
 		changed = comet_incarnation_set_add(
 				  &record->excused, record->crashed.incarnations[i]) ||
 			  changed;
+	recount(record);
 	return changed;
 }
 
@@ -335,6 +341,7 @@
 apply_change(struct comet_crash_tracker *crash_tracker, struct record *record, bool detected_here,
 	uint64_t now_us)
 {
+	recount(record);
 	record->changed_us = now_us;
 	record->sent = 0;
 	record->own_change = detected_here;
