Take responses without a length for complete once a crash would be known

Parts whose responses have no length would be blamed in a large fleet for endpoints that crash seconds after them. Cause: such a response was proven only when this VM saw the same endpoint again, which takes it half a minute with 600 endpoints (calculated by a reviewer); until then a crash counted against its part. Change: after 5 s with its incarnation still in use it counts as served.

--- a/libcometspindle/gateway/admission/crash_suspects.c
+++ b/libcometspindle/gateway/admission/crash_suspects.c
@@ -159,7 +159,7 @@
 
 GList *
 comet_crash_suspects_take_proven(struct comet_crash_suspects *crash_suspects,
-	uint64_t (*last_seen_us)(void *ctx, uint32_t incarnation_key), void *ctx)
+	uint64_t (*last_seen_us)(void *ctx, uint32_t incarnation_key), void *ctx, uint64_t now_us)
 {
 	GList *proven = NULL;
 	GList *next = NULL;
@@ -168,8 +168,10 @@
 	{
 		struct suspect *suspect = link->data;
 		next = link->next;
-		if (!suspect->answered || last_seen_us(ctx, suspect->incarnation_key) <=
-						  suspect->at_us + LAST_SEEN_MARGIN_US)
+		uint64_t seen_us =
+			suspect->answered ? last_seen_us(ctx, suspect->incarnation_key) : 0;
+		bool outlived = now_us - suspect->at_us > CRASH_DETECTION_US;
+		if (seen_us == 0 || (seen_us <= suspect->at_us + LAST_SEEN_MARGIN_US && !outlived))
 			continue;
 		proven = g_list_prepend(proven, copy_suspect(suspect));
 		g_free(suspect);
--- a/libcometspindle/gateway/admission/crash_suspects.h
+++ b/libcometspindle/gateway/admission/crash_suspects.h
@@ -47,12 +47,13 @@
 
 /**
  * Removes the attempts whose response turned out to be complete, because their process was seen
- * alive after it. @param last_seen_us as in struct comet_crash_tracker_ops
+ * alive after it, or its incarnation is still in use when a crash would be known.
+ * @param last_seen_us as in struct comet_crash_tracker_ops
  * @return their struct comet_crash_suspect; the caller frees the list
  */
 GList *
 comet_crash_suspects_take_proven(struct comet_crash_suspects *crash_suspects,
-	uint64_t (*last_seen_us)(void *ctx, uint32_t incarnation_key), void *ctx);
+	uint64_t (*last_seen_us)(void *ctx, uint32_t incarnation_key), void *ctx, uint64_t now_us);
 
 /** Drops the suspects of an incarnation that exited as planned. */
 void
--- a/libcometspindle/gateway/admission/crash_tracker.c
+++ b/libcometspindle/gateway/admission/crash_tracker.c
@@ -575,7 +575,7 @@
 	if (crash_tracker->ops->last_seen_us == NULL)
 		return;
 	GList *proven = comet_crash_suspects_take_proven(crash_tracker->crash_suspects,
-		crash_tracker->ops->last_seen_us, crash_tracker->ctx);
+		crash_tracker->ops->last_seen_us, crash_tracker->ctx, now_us);
 	for (GList *link = proven; link != NULL; link = link->next)
 		comet_crash_tracker_mark_served(crash_tracker,
 			&((const struct comet_crash_suspect *)link->data)->subject, now_us);
--- a/libcometspindle/gateway/admission/crash_tracker.h
+++ b/libcometspindle/gateway/admission/crash_tracker.h
@@ -57,7 +57,8 @@
 	/** @return whether the crash of an incarnation has a cause that this tracker does not
 	 * watch. May be NULL. */
 	bool (*is_explained)(void *ctx, uint32_t incarnation_key);
-	/** @return when an incarnation was last seen alive; 0: not known. May be NULL. */
+	/** @return when an incarnation was last seen alive; 0: it is not in use any more. May be
+	 * NULL. */
 	uint64_t (*last_seen_us)(void *ctx, uint32_t incarnation_key);
 };
 
--- a/tests/unit/test_crash_tracker.cc
+++ b/tests/unit/test_crash_tracker.cc
@@ -149,6 +149,16 @@
 	vm.seen_us = MINUTE_US + SECOND_US;
 	comet_crash_tracker_tick(vm.crash_tracker, MINUTE_US + 2 * SECOND_US);
 	EXPECT_FALSE(vm.is_quarantined(REQUEST));
+	/* in a large fleet a VM seldom meets the same endpoint again */
+	Vm other;
+	for (uint32_t incarnation_key = 1; incarnation_key <= 3; incarnation_key++)
+		other.crash(REQUEST, incarnation_key, MINUTE_US);
+	other.add_suspect(REQUEST, 4, MINUTE_US, MINUTE_US, false, true);
+	other.seen_us = MINUTE_US;
+	comet_crash_tracker_tick(other.crash_tracker, MINUTE_US + 4 * SECOND_US);
+	EXPECT_TRUE(other.is_quarantined(REQUEST));
+	comet_crash_tracker_tick(other.crash_tracker, MINUTE_US + 6 * SECOND_US);
+	EXPECT_FALSE(other.is_quarantined(REQUEST));
 }
 
 TEST(Crashes, RequestsOfTwoTeamsAreDistinct)
