--- a/libcometspindle/adapters/callers/http_server.c
+++ b/libcometspindle/adapters/callers/http_server.c
@@ -2,7 +2,7 @@
  * http_server.c
  * the caller side: an HTTP/1.1 server that hands over whole requests
  */
-#include <libcometspindle/adapters/callers/http_server.h>
+#include <libcometspindle/adapters/callers/http_server_private.h>
 
 #include <errno.h>
 #include <libcometspindle/adapters/socket.h>
@@ -39,83 +39,21 @@
 /* Delay before accepting again after the descriptors ran out. */
 #define ACCEPT_RETRY_US 50000
 
-enum connection_state
-{
-	CONNECTION_READING,   /* reading a request, or idle */
-	CONNECTION_OPEN,      /* a request is open: its response is not complete */
-	CONNECTION_ENDING,    /* the last response is being written */
-	CONNECTION_LINGERING, /* the last response is written: waiting until the caller closes */
-};
-
-struct comet_http_server
-{
-	struct tevent_context *ev;
-	struct comet_timers *timers;
-	struct tevent_fd *listener;
-	struct comet_timer *accept_again;
-	const struct comet_http_server_events *events;
-	void *ctx;
-	struct comet_http_limits limits;
-	struct comet_http_server_counts counts;
-	struct comet_byte_counters *bytes; /* counters for connections; NULL: none */
-	GHashTable *connections;
-	GQueue idle; /* of struct connection without a request, the longest idle one first */
-	uint32_t max_connections; /* 0: no limit */
-	uint32_t max_while_short; /* the limit after descriptors ran out */
-	uint64_t short_us;        /* when they last ran out; 0: never */
-	int fd;
-	bool closing;
-};
-
-struct connection
-{
-	struct comet_http_server_request request; /* first member: a request is its connection */
-	struct comet_http_server *http_server;
-	struct comet_socket *socket;
-	struct comet_http_reader *reader;
-	struct comet_timer *timer;
-	GList *idle_link;  /* link in http_server->idle, or NULL */
-	GByteArray *ahead; /* read and not yet parsed */
-	GByteArray *body;
-	size_t unsent_bytes;   /* unsent bytes of the last response at the last check */
-	uint64_t responded_us; /* when its last response was completed; 0: never */
-	uint64_t ended_us;     /* when it stopped accepting requests; 0: it accepts them */
-	enum connection_state state;
-	bool got_byte;   /* a request has begun to arrive */
-	bool got_head;   /* its head is complete */
-	bool complete;   /* it is complete */
-	bool keep_alive; /* the caller allows another request */
-	bool too_large;  /* its body is over the limit */
-	bool chunked;    /* the response is chunked */
-	bool no_body;    /* the response has no body: HEAD, 204, 304 */
-	bool started;    /* the head of the response is sent */
-	bool parsing;    /* inside read_on() */
-};
-
-static void
-read_on(struct connection *connection);
-
-static struct connection *
-connection_of(const struct comet_http_server_request *request)
-{
-	return (struct connection *)request;
-}
-
 static void
-drop(struct connection *connection)
+drop(struct comet_http_connection *connection)
 {
 	talloc_free(connection);
 }
 
-static void
-set_idle(struct connection *connection)
+void
+comet_http_connection_set_idle(struct comet_http_connection *connection)
 {
 	g_queue_push_tail(&connection->http_server->idle, connection);
 	connection->idle_link = g_queue_peek_tail_link(&connection->http_server->idle);
 }
 
 static void
-unset_idle(struct connection *connection)
+unset_idle(struct comet_http_connection *connection)
 {
 	if (connection->idle_link != NULL)
 		g_queue_delete_link(&connection->http_server->idle, connection->idle_link);
@@ -123,7 +61,7 @@
 }
 
 static int
-connection_destroy(struct connection *connection)
+connection_destroy(struct comet_http_connection *connection)
 {
 	unset_idle(connection);
 	g_hash_table_remove(connection->http_server->connections, connection);
@@ -136,7 +74,7 @@
 static void
 on_linger_over(void *ctx)
 {
-	struct connection *connection = ctx;
+	struct comet_http_connection *connection = ctx;
 
 	connection->timer = NULL;
 	drop(connection);
@@ -144,7 +82,7 @@
 
 /* Handles the end of the last response of a connection. */
 static void
-linger(struct connection *connection)
+linger(struct comet_http_connection *connection)
 {
 	connection->state = CONNECTION_LINGERING;
 	comet_timer_cancel(&connection->timer);
@@ -153,12 +91,12 @@
 }
 
 static void
-watch_progress(struct connection *connection);
+watch_progress(struct comet_http_connection *connection);
 
 static void
 on_progress_due(void *ctx)
 {
-	struct connection *connection = ctx;
+	struct comet_http_connection *connection = ctx;
 	size_t unsent_bytes = comet_socket_queued(connection->socket);
 
 	connection->timer = NULL;
@@ -173,7 +111,7 @@
 
 /* A slow caller receives its complete last response, however long that takes. */
 static void
-watch_progress(struct connection *connection)
+watch_progress(struct comet_http_connection *connection)
 {
 	connection->unsent_bytes = comet_socket_queued(connection->socket);
 	comet_timer_cancel(&connection->timer);
@@ -183,15 +121,15 @@
 
 /* @return whether the rest of a request is still due, whose response was early. */
 static bool
-is_within_request(const struct connection *connection)
+is_within_request(const struct comet_http_connection *connection)
 {
 	return connection->got_byte && !connection->complete;
 }
 
 /* Accepts no further request on this connection. A request that arrives now is left unread, so that
  * its caller learns by a reset that it may send it again. */
-static void
-end_connection(struct connection *connection)
+void
+comet_http_connection_end(struct comet_http_connection *connection)
 {
 	unset_idle(connection);
 	connection->ended_us = comet_timers_now_us();
@@ -209,31 +147,29 @@
 
 /* @return whether the caller reads its responses. */
 static bool
-is_read(const struct connection *connection)
+is_read(const struct comet_http_connection *connection)
 {
 	return comet_socket_queued(connection->socket) < ANSWERS_WAITING_BYTES;
 }
 
 /* @return whether a request has arrived that is not parsed yet. After a pause of this process,
  * timers and signals are handled before requests that have arrived are read. */
-static bool
-has_waiting_request(const struct connection *connection)
+bool
+comet_http_connection_has_waiting_request(const struct comet_http_connection *connection)
 {
 	return connection->ahead->len > 0 || comet_socket_has_pending_events(connection->socket);
 }
 
-static void
-set_timer(struct connection *connection, uint64_t delay_ms);
-
 static void
 on_timeout(void *ctx)
 {
-	struct connection *connection = ctx;
+	struct comet_http_connection *connection = ctx;
 
 	connection->timer = NULL;
-	if (is_read(connection) && has_waiting_request(connection))
+	if (is_read(connection) && comet_http_connection_has_waiting_request(connection))
 	{
-		set_timer(connection, connection->http_server->limits.header_timeout_ms);
+		comet_http_connection_set_timer(
+			connection, connection->http_server->limits.header_timeout_ms);
 		return;
 	}
 	if (connection->got_byte && !connection->complete)
@@ -242,11 +178,11 @@
 		comet_http_server_respond(&connection->request, 408, NULL, "", 0);
 		return;
 	}
-	end_connection(connection);
+	comet_http_connection_end(connection);
 }
 
-static void
-set_timer(struct connection *connection, uint64_t delay_ms)
+void
+comet_http_connection_set_timer(struct comet_http_connection *connection, uint64_t delay_ms)
 {
 	comet_timer_cancel(&connection->timer);
 	if (delay_ms > 0)
@@ -257,7 +193,7 @@
 static bool
 on_head(void *ctx, struct comet_http_head *head)
 {
-	struct connection *connection = ctx;
+	struct comet_http_connection *connection = ctx;
 
 	connection->got_head = true;
 	connection->request.head = head;
@@ -270,7 +206,7 @@
 static void
 on_body(void *ctx, const char *data, size_t length)
 {
-	struct connection *connection = ctx;
+	struct comet_http_connection *connection = ctx;
 
 	connection->too_large =
 		connection->too_large ||
@@ -282,7 +218,7 @@
 static void
 on_end(void *ctx, bool keep_alive)
 {
-	struct connection *connection = ctx;
+	struct comet_http_connection *connection = ctx;
 
 	connection->complete = true;
 	connection->keep_alive = keep_alive;
@@ -293,7 +229,7 @@
 
 /* Refuses a malformed request; the connection is closed after that. */
 static void
-refuse_malformed(struct connection *connection, unsigned int status)
+refuse_malformed(struct comet_http_connection *connection, unsigned int status)
 {
 	connection->http_server->counts.malformed++;
 	connection->keep_alive = false;
@@ -302,7 +238,7 @@
 }
 
 static void
-hand_over(struct connection *connection)
+hand_over(struct comet_http_connection *connection)
 {
 	struct comet_http_server *http_server = connection->http_server;
 
@@ -316,7 +252,7 @@
 
 /* Parses buffered bytes. @return false if nothing more can be done now. */
 static bool
-parse_some(struct connection *connection)
+parse_some(struct comet_http_connection *connection)
 {
 	size_t taken = 0;
 	enum comet_http_reader_result result = COMET_HTTP_READER_MORE;
@@ -329,7 +265,8 @@
 		unset_idle(connection);
 		connection->got_byte = true;
 		connection->request.received_us = comet_timers_now_us();
-		set_timer(connection, connection->http_server->limits.header_timeout_ms);
+		comet_http_connection_set_timer(
+			connection, connection->http_server->limits.header_timeout_ms);
 	}
 	result = comet_http_reader_feed(connection->reader, (const char *)connection->ahead->data,
 		connection->ahead->len, &taken);
@@ -345,14 +282,15 @@
 		if (connection->complete)
 			hand_over(connection);
 		else if (connection->got_head)
-			set_timer(connection, connection->http_server->limits.idle_timeout_ms);
+			comet_http_connection_set_timer(
+				connection, connection->http_server->limits.idle_timeout_ms);
 	}
 	return true;
 }
 
 /* Parses until a request is open or all bytes are consumed. */
-static void
-read_on(struct connection *connection)
+void
+comet_http_connection_read_on(struct comet_http_connection *connection)
 {
 	if (connection->parsing)
 		return; /* a handler responded during the call: the loop below continues */
@@ -367,12 +305,12 @@
 static void
 on_data(void *ctx, const char *data, size_t length)
 {
-	struct connection *connection = ctx;
+	struct comet_http_connection *connection = ctx;
 
 	if (connection->state == CONNECTION_ENDING || connection->state == CONNECTION_LINGERING)
 		return;
 	g_byte_array_append(connection->ahead, (const guint8 *)data, (guint)length);
-	read_on(connection);
+	comet_http_connection_read_on(connection);
 }
 
 /* Handles a request that arrives on a connection that has been closed. The reset must not overtake
@@ -380,7 +318,7 @@
 static void
 on_unread(void *ctx)
 {
-	struct connection *connection = ctx;
+	struct comet_http_connection *connection = ctx;
 
 	connection->http_server->counts.late++;
 	comet_log(COMET_LOG_NOTICE,
@@ -394,7 +332,7 @@
 static void
 on_closed(void *ctx, bool orderly)
 {
-	struct connection *connection = ctx;
+	struct comet_http_connection *connection = ctx;
 	struct comet_http_server *http_server = connection->http_server;
 
 	(void)orderly;
@@ -409,13 +347,13 @@
 static void
 on_drained(void *ctx)
 {
-	struct connection *connection = ctx;
+	struct comet_http_connection *connection = ctx;
 	struct comet_http_server *http_server = connection->http_server;
 
 	if (connection->state == CONNECTION_OPEN && http_server->events->drained != NULL)
 		http_server->events->drained(http_server->ctx, &connection->request);
 	else if (connection->state == CONNECTION_READING)
-		read_on(connection);
+		comet_http_connection_read_on(connection);
 	else if (connection->state == CONNECTION_ENDING)
 		linger(connection);
 }
@@ -423,10 +361,11 @@
 static const struct comet_socket_events socket_events = {
 	.data = on_data, .closed = on_closed, .drained = on_drained, .unread = on_unread};
 
-static struct connection *
+static struct comet_http_connection *
 take_connection(struct comet_http_server *http_server, int fd)
 {
-	struct connection *connection = talloc_zero(http_server, struct connection);
+	struct comet_http_connection *connection =
+		talloc_zero(http_server, struct comet_http_connection);
 
 	connection->http_server = http_server;
 	connection->ahead = g_byte_array_new();
@@ -440,8 +379,8 @@
 	http_server->counts.connections++;
 	g_hash_table_add(http_server->connections, connection);
 	talloc_set_destructor(connection, connection_destroy);
-	set_idle(connection);
-	set_timer(connection, http_server->limits.idle_timeout_ms);
+	comet_http_connection_set_idle(connection);
+	comet_http_connection_set_timer(connection, http_server->limits.idle_timeout_ms);
 	return connection;
 }
 
@@ -460,19 +399,20 @@
  * @param except a connection that has just been accepted, or NULL
  * @return false if there is none */
 static bool
-close_longest_idle(struct comet_http_server *http_server, const struct connection *except)
+close_longest_idle(
+	struct comet_http_server *http_server, const struct comet_http_connection *except)
 {
 	for (GList *link = http_server->idle.head; link != NULL; link = link->next)
 	{
-		struct connection *connection = link->data;
-		if (connection == except || has_waiting_request(connection) ||
+		struct comet_http_connection *connection = link->data;
+		if (connection == except || comet_http_connection_has_waiting_request(connection) ||
 			comet_socket_queued(connection->socket) > 0)
 			continue;
 		http_server->counts.displaced++;
 		if (comet_timers_now_us() - connection->responded_us >= LINGER_US)
 			drop(connection);
 		else
-			end_connection(connection);
+			comet_http_connection_end(connection);
 		return true;
 	}
 	return false;
@@ -517,7 +457,8 @@
 		int fd = accept4(http_server->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
 		if (fd >= 0)
 		{
-			const struct connection *accepted = take_connection(http_server, fd);
+			const struct comet_http_connection *accepted =
+				take_connection(http_server, fd);
 			uint32_t max = max_connections(http_server);
 			if (max > 0 && http_server->counts.connections > max)
 				close_longest_idle(http_server, accepted);
@@ -601,7 +542,7 @@
 	g_hash_table_iter_init(&at, http_server->connections);
 	while (g_hash_table_iter_next(&at, &connection, NULL))
 		comet_http_reader_set_max_head(
-			((struct connection *)connection)->reader, limits->header_bytes);
+			((struct comet_http_connection *)connection)->reader, limits->header_bytes);
 }
 
 void
@@ -634,10 +575,10 @@
 
 	for (GList *at = all; at != NULL; at = at->next)
 	{
-		struct connection *connection = at->data;
+		struct comet_http_connection *connection = at->data;
 		if (connection->state == CONNECTION_READING && !connection->got_byte &&
-			!has_waiting_request(connection))
-			end_connection(connection);
+			!comet_http_connection_has_waiting_request(connection))
+			comet_http_connection_end(connection);
 	}
 	g_list_free(all);
 }
@@ -647,134 +588,3 @@
 {
 	return &http_server->counts;
 }
-
-size_t
-comet_http_server_unsent_bytes(const struct comet_http_server *http_server)
-{
-	GHashTableIter at;
-	gpointer connection = NULL;
-	size_t bytes = 0;
-
-	g_hash_table_iter_init(&at, http_server->connections);
-	while (g_hash_table_iter_next(&at, &connection, NULL))
-		bytes += comet_socket_queued(((struct connection *)connection)->socket);
-	return bytes;
-}
-
-void
-comet_http_server_close_after_response(struct comet_http_server_request *request)
-{
-	connection_of(request)->keep_alive = false;
-}
-
-void
-comet_http_server_start_response(struct comet_http_server_request *request, unsigned int status,
-	const char *reason, const char *headers, int64_t length)
-{
-	struct connection *connection = connection_of(request);
-	const struct comet_http_head *head = request->head;
-	GString *out = g_string_sized_new(512);
-	bool head_only =
-		head != NULL && strcmp(head->method != NULL ? head->method : "", "HEAD") == 0;
-
-	/* A further request that has arrived is answered on this connection first. */
-	if (connection->http_server->closing && !has_waiting_request(connection))
-		connection->keep_alive = false;
-	connection->started = true;
-	connection->no_body = head_only || status == 204 || status == 304;
-	bool unknown = length < 0 && !connection->no_body;
-	connection->chunked = unknown && !head->http_1_0;
-	if (unknown && head->http_1_0)
-	{
-		connection->keep_alive = false;
-		/* If the process is killed, the kernel's close must not look like the end of the
-		 * response. */
-		comet_socket_set_reset(connection->socket);
-	}
-	g_string_append_printf(out, "HTTP/1.1 %u %s\r\n", status,
-		reason != NULL && *reason != '\0' ? reason : comet_http_reason(status));
-	if (headers != NULL)
-		g_string_append(out, headers);
-	if (connection->chunked)
-		comet_http_write_header(out, "Transfer-Encoding", "chunked");
-	else if (length >= 0 && status != 204)
-		g_string_append_printf(out, "Content-Length: %" G_GINT64_FORMAT "\r\n", length);
-	if (!connection->keep_alive)
-		comet_http_write_header(out, "Connection", "close");
-	g_string_append(out, "\r\n");
-	comet_socket_write(connection->socket, out->str, out->len);
-	g_string_free(out, TRUE);
-}
-
-void
-comet_http_server_send_body(
-	struct comet_http_server_request *request, const char *data, size_t length)
-{
-	struct connection *connection = connection_of(request);
-
-	if (length == 0 || connection->no_body)
-		return;
-	if (!connection->chunked)
-	{
-		comet_socket_write(connection->socket, data, length);
-		return;
-	}
-	GString *chunk = g_string_sized_new(length + 16);
-	g_string_append_printf(chunk, "%zx\r\n", length);
-	g_string_append_len(chunk, data, (gssize)length);
-	g_string_append(chunk, "\r\n");
-	comet_socket_write(connection->socket, chunk->str, chunk->len);
-	g_string_free(chunk, TRUE);
-}
-
-void
-comet_http_server_finish_response(struct comet_http_server_request *request)
-{
-	struct connection *connection = connection_of(request);
-
-	if (connection->chunked)
-		comet_socket_write(connection->socket, "0\r\n\r\n", 5);
-	connection->responded_us = comet_timers_now_us();
-	/* Once nothing more is accepted, a connection is closed even if its caller may keep it: a
-	 * further request would reach a process that is about to end. One that has arrived is
-	 * answered before. */
-	if (!connection->keep_alive ||
-		(connection->http_server->listener == NULL && !has_waiting_request(connection)))
-	{
-		end_connection(connection);
-		return;
-	}
-	connection->state = CONNECTION_READING;
-	set_idle(connection);
-	connection->got_byte = false;
-	connection->got_head = false;
-	connection->complete = false;
-	connection->started = false;
-	connection->too_large = false;
-	connection->request.head = NULL;
-	g_byte_array_set_size(connection->body, 0);
-	set_timer(connection, connection->http_server->limits.idle_timeout_ms);
-	read_on(connection);
-}
-
-void
-comet_http_server_respond(struct comet_http_server_request *request, unsigned int status,
-	const char *headers, const char *body, size_t length)
-{
-	comet_http_server_start_response(request, status, NULL, headers, (int64_t)length);
-	comet_http_server_send_body(request, body, length);
-	comet_http_server_finish_response(request);
-}
-
-void
-comet_http_server_abort_response(struct comet_http_server_request *request)
-{
-	/* The missing last chunk, the length or the reset shows that the response is incomplete. */
-	drop(connection_of(request));
-}
-
-size_t
-comet_http_server_queued_bytes(const struct comet_http_server_request *request)
-{
-	return comet_socket_queued(connection_of(request)->socket);
-}
--- /dev/null
+++ b/libcometspindle/adapters/callers/http_server_private.h
@@ -0,0 +1,91 @@
+/*
+ * http_server_private.h
+ * the server and its connections, shared by its source files
+ */
+#ifndef COMETSPINDLE_ADAPTERS_HTTP_SERVER_PRIVATE_H
+#define COMETSPINDLE_ADAPTERS_HTTP_SERVER_PRIVATE_H
+
+#include <libcometspindle/adapters/callers/http_server.h>
+#include <libcometspindle/adapters/socket.h>
+
+enum comet_http_connection_state
+{
+	CONNECTION_READING,   /* reading a request, or idle */
+	CONNECTION_OPEN,      /* a request is open: its response is not complete */
+	CONNECTION_ENDING,    /* the last response is being written */
+	CONNECTION_LINGERING, /* the last response is written: waiting until the caller closes */
+};
+
+struct comet_http_server
+{
+	struct tevent_context *ev;
+	struct comet_timers *timers;
+	struct tevent_fd *listener;
+	struct comet_timer *accept_again;
+	const struct comet_http_server_events *events;
+	void *ctx;
+	struct comet_http_limits limits;
+	struct comet_http_server_counts counts;
+	struct comet_byte_counters *bytes; /* counters for connections; NULL: none */
+	GHashTable *connections;
+	GQueue idle; /* of struct comet_http_connection without a request, the longest idle one
+			first */
+	uint32_t max_connections; /* 0: no limit */
+	uint32_t max_while_short; /* the limit after descriptors ran out */
+	uint64_t short_us;        /* when they last ran out; 0: never */
+	int fd;
+	bool closing;
+};
+
+struct comet_http_connection
+{
+	struct comet_http_server_request request; /* first member: a request is its connection */
+	struct comet_http_server *http_server;
+	struct comet_socket *socket;
+	struct comet_http_reader *reader;
+	struct comet_timer *timer;
+	GList *idle_link;  /* link in http_server->idle, or NULL */
+	GByteArray *ahead; /* read and not yet parsed */
+	GByteArray *body;
+	size_t unsent_bytes;   /* unsent bytes of the last response at the last check */
+	uint64_t responded_us; /* when its last response was completed; 0: never */
+	uint64_t ended_us;     /* when it stopped accepting requests; 0: it accepts them */
+	enum comet_http_connection_state state;
+	bool got_byte;   /* a request has begun to arrive */
+	bool got_head;   /* its head is complete */
+	bool complete;   /* it is complete */
+	bool keep_alive; /* the caller allows another request */
+	bool too_large;  /* its body is over the limit */
+	bool chunked;    /* the response is chunked */
+	bool no_body;    /* the response has no body: HEAD, 204, 304 */
+	bool started;    /* the head of the response is sent */
+	bool parsing;    /* inside read_on() */
+};
+
+static inline struct comet_http_connection *
+connection_of(const struct comet_http_server_request *request)
+{
+	return (struct comet_http_connection *)request;
+}
+
+/** Parses until a request is open or all bytes are consumed. */
+void
+comet_http_connection_read_on(struct comet_http_connection *connection);
+
+/** Accepts no further request on the connection, and closes it once its response is written. */
+void
+comet_http_connection_end(struct comet_http_connection *connection);
+
+/** @return whether a request has arrived that is not parsed yet. */
+bool
+comet_http_connection_has_waiting_request(const struct comet_http_connection *connection);
+
+/** Sets the time in which the next bytes must arrive. */
+void
+comet_http_connection_set_timer(struct comet_http_connection *connection, uint64_t delay_ms);
+
+/** Marks the connection as idle from now on. */
+void
+comet_http_connection_set_idle(struct comet_http_connection *connection);
+
+#endif
