Tests: one VM gets nine tenths of all requests

The simulated fleet asks for the owner in the zone of the endpoint and can leave prefer_own_zone off.

--- a/tests/unit/grants_fleet.h
+++ b/tests/unit/grants_fleet.h
@@ -41,6 +41,7 @@
 	uint32_t zones = 1;
 	uint32_t slots = grants_fleet::slots;
 	bool returning_callers = true; /* the setting of this name */
+	bool prefer_own_zone = true;   /* the same; it has no effect within one zone */
 };
 
 struct fleet;
@@ -186,7 +187,7 @@
 			one.instances, &config, one.instances, one.rate_limiter, &gossip_ops, &one);
 		one.placement = comet_placement_create(one.instances, one.instances,
 			shape.returning_callers ? &all_ops : &ops_without_returns, &one, address);
-		if (shape.zones > 1)
+		if (shape.zones > 1 && shape.prefer_own_zone)
 			comet_placement_prefer_own_zone(one.placement);
 		one.grants = comet_grants_create(one.instances, address, &grants_ops, &one);
 		one.callers =
@@ -587,7 +588,7 @@
 		comet_shards *shards = comet_shards_create(nullptr, vms[observer].instances);
 		comet_shards_for_service(shards, "llm");
 		uint32_t owner = comet_gossip_find_owner(
-			vms[observer].gossip, any->shard, comet_hash_name("z"), now_us);
+			vms[observer].gossip, any->shard, comet_hash_name(any->zone), now_us);
 		talloc_free(shards);
 		return owner;
 	}
