Send more slot requests at once while owners grant them at once

Callers of a VM that suddenly got nine tenths of all requests were refused for their expected wait while most slots were free, once the VM read answers of owners 30 ms late or later. Cause: as soon as one request is queued, all others are queued behind it, and queued ones send slot requests only while fewer than four are pending, so that a VM gets at most four slots in a round trip. Change: the bound of four is the minimum. A slot that is granted at once to a queued request raises it by one, to 128 at most; a denial or a wait at an owner halves it.

--- a/libcometspindle/gateway/placement/placement.c
+++ b/libcometspindle/gateway/placement/placement.c
@@ -42,6 +42,7 @@
 	placement->shards = comet_shards_create(placement, instances);
 	comet_random_init(&placement->picker.rng, seed);
 	comet_placement_set_vms(placement, 1, 1);
+	placement->max_slot_requests = COMET_PLACEMENT_SLOT_REQUESTS_MIN;
 	placement->ops = ops;
 	placement->ctx = ctx;
 	placement->queues = comet_placement_queues_create();
@@ -344,6 +345,8 @@
 	if (!item->slot_requested)
 		return false; /* already dispatched; a second slot is not needed */
 	end_slot_request(placement, item);
+	if (item->queue_position != NULL && !item->queued_at_owner)
+		comet_placement_slot_granted_at_once(placement);
 	if (item->queue_position != NULL)
 		comet_placement_dequeue(placement, item);
 	if (instance == NULL || strcmp(instance->service, item->service) != 0 ||
@@ -389,6 +392,7 @@
 	struct comet_shard *shard = comet_shards_find(placement->shards, shard_id);
 	double jitter = 0.5 + comet_random_double(&placement->picker.rng);
 
+	comet_placement_slots_are_short(placement);
 	if (shard != NULL)
 	{
 		const struct comet_shard_denial denial = {
--- a/libcometspindle/gateway/placement/placement_find.c
+++ b/libcometspindle/gateway/placement/placement_find.c
@@ -66,6 +66,7 @@
 		return;
 	item->slot_requested = true;
 	item->waits_at_owner = wait_us > 0;
+	item->queued_at_owner = false;
 	placement->n_slot_requests++;
 	placement->ops->request_slot(placement->ctx, item, shard, &request);
 }
@@ -299,13 +300,17 @@
 	return find_slot(placement, item, true, now_us);
 }
 
-/* A queued request sends a slot request only while fewer than this are pending. Any more would rank
- * behind these at any owner. */
-#define QUEUED_SLOT_REQUESTS_MAX 4
+/* While the first items of a queue have overtaken others, this many slot requests more may be
+ * pending. A slot request waits at its owner for 300 ms, in which few requests of a VM overtake
+ * others. */
+#define OVERTAKING_SLOT_REQUESTS 4
 
-/* Maximum number of pending slot requests while the first items of a queue have overtaken others. A
- * slot request waits at its owner for 300 ms, in which few requests of a VM overtake others. */
-#define SLOT_REQUESTS_MAX 8
+/* Maximum of max_slot_requests: the requests that a VM with a quarter of a core can read within the
+ * longest round trip to an owner (200 ms). */
+#define SLOT_REQUESTS_MAX 128
+
+/* Number of items behind one that are searched for pending slot requests. */
+#define OVERTAKEN_MAX 8
 
 /* Returns whether an item that is close behind this one in the queue has a pending slot request. */
 static bool
@@ -313,7 +318,7 @@
 {
 	GSequenceIter *iter = g_sequence_iter_next(item->queue_position);
 
-	for (uint32_t i = 0; i < SLOT_REQUESTS_MAX && !g_sequence_iter_is_end(iter); i++)
+	for (uint32_t i = 0; i < OVERTAKEN_MAX && !g_sequence_iter_is_end(iter); i++)
 	{
 		const struct comet_placement_item *behind = g_sequence_get(iter);
 		if (behind->slot_requested)
@@ -323,15 +328,30 @@
 	return false;
 }
 
+void
+comet_placement_slot_granted_at_once(struct comet_placement *placement)
+{
+	placement->max_slot_requests = MIN(placement->max_slot_requests + 1, SLOT_REQUESTS_MAX);
+}
+
+void
+comet_placement_slots_are_short(struct comet_placement *placement)
+{
+	placement->max_slot_requests =
+		MAX(placement->max_slot_requests / 2, COMET_PLACEMENT_SLOT_REQUESTS_MIN);
+}
+
 bool
 comet_placement_may_request_slot(const struct comet_placement *placement,
 	const struct comet_placement_item *item, guint position)
 {
 	if (item->slot_requested)
 		return false;
-	return placement->n_slot_requests < QUEUED_SLOT_REQUESTS_MAX ||
-	       (position < QUEUED_SLOT_REQUESTS_MAX &&
-		       placement->n_slot_requests < SLOT_REQUESTS_MAX && has_overtaken(item));
+	return placement->n_slot_requests < placement->max_slot_requests ||
+	       (position < OVERTAKING_SLOT_REQUESTS &&
+		       placement->n_slot_requests <
+			       placement->max_slot_requests + OVERTAKING_SLOT_REQUESTS &&
+		       has_overtaken(item));
 }
 
 void
--- a/libcometspindle/gateway/placement/placement_item.h
+++ b/libcometspindle/gateway/placement/placement_item.h
@@ -95,6 +95,7 @@
 	/* The members below are private to placement. */
 	bool slot_requested;  /* a slot request is pending at an owner */
 	bool waits_at_owner;  /* the last slot request may wait at the owner */
+	bool queued_at_owner; /* the owner has answered that it waits there */
 	bool was_queued;      /* has been in the queue since it was submitted */
 	bool late;            /* a response can no longer begin by soft_deadline_us */
 	bool deferred;        /* endpoints with capacity would miss the soft deadline */
--- a/libcometspindle/gateway/placement/placement_returns.c
+++ b/libcometspindle/gateway/placement/placement_returns.c
@@ -210,7 +210,11 @@
 comet_placement_set_expected_wait(struct comet_placement *placement,
 	struct comet_placement_item *item, uint64_t expected_us, uint64_t now_us)
 {
-	if (!item->slot_requested || item->queue_position == NULL ||
+	if (!item->slot_requested)
+		return;
+	item->queued_at_owner = true;
+	comet_placement_slots_are_short(placement);
+	if (item->queue_position == NULL ||
 		!comet_placement_waits_in_vain(placement, item, expected_us, now_us))
 		return;
 	if (item->caller_pending)
--- a/libcometspindle/gateway/placement/placement_state.h
+++ b/libcometspindle/gateway/placement/placement_state.h
@@ -67,7 +67,8 @@
 	GHashTable *queues; /* service name -> struct comet_placement_queue */
 	struct comet_placement_decision decision;
 	struct comet_placement_announcement announcement;
-	uint32_t n_slot_requests; /* pending at owners, for queued and for new requests */
+	uint32_t n_slot_requests;   /* pending at owners, for queued and for new requests */
+	uint32_t max_slot_requests; /* while this many are pending, queued requests send no more */
 	uint64_t next_sequence;
 	uint64_t pass; /* number of the current pass over a queue */
 	bool running;
@@ -271,7 +272,19 @@
 comet_placement_find_local(
 	struct comet_placement *placement, struct comet_placement_item *item, uint64_t now_us);
 
-/** @return whether a queued item may send a slot request. While QUEUED_SLOT_REQUESTS_MAX are
+/** Minimum and initial value of max_slot_requests. While slots are short, any more of a VM's
+ * requests would rank behind these at any owner. */
+#define COMET_PLACEMENT_SLOT_REQUESTS_MIN 4
+
+/** Raises max_slot_requests after a queued request was granted a slot at once. */
+void
+comet_placement_slot_granted_at_once(struct comet_placement *placement);
+
+/** Lowers max_slot_requests after an owner denied a slot or lets a request wait for one. */
+void
+comet_placement_slots_are_short(struct comet_placement *placement);
+
+/** @return whether a queued item may send a slot request. While max_slot_requests are
  * pending, only the first items of a queue may do so, and only if items that they have overtaken
  * have pending ones; otherwise a small request would wait until those of large ones end.
  * @param position number of items ahead of it in the queue */
