--- a/tests/unit/test_limits_fleet.cc
+++ b/tests/unit/test_limits_fleet.cc
@@ -101,6 +101,7 @@
 	std::set<uint32_t> unreachable; /* VMs that exchange no datagrams with others */
 	uint32_t owner_vm = 1;          /* of all quotas */
 	uint32_t crowded_vm = 0;        /* gets nine tenths of all requests; 0: none */
+	uint64_t late_us = 0;           /* until crowded_vm reads a datagram */
 	uint32_t cut_off_vm = 0;        /* it and crowded_vm exchange no quota requests; 0: none */
 	uint32_t detected_unreachable = 0; /* number of VMs that are known to be unreachable */
 	uint64_t partitioned_since_us = 0;
@@ -167,12 +168,22 @@
 		}
 	}
 
+	void
+	in_flight_add(uint32_t from, uint32_t to, std::string bytes)
+	{
+		uint64_t due_us = now_us + step_us + (to == crowded_vm ? late_us : 0);
+		auto at = in_flight.end();
+		while (at != in_flight.begin() && std::prev(at)->due_us > due_us)
+			--at;
+		in_flight.insert(at, {due_us, from, to, std::move(bytes)});
+	}
+
 	static void
 	on_send(void *ctx, uint32_t address, const uint8_t *data, size_t length)
 	{
 		auto *one = static_cast<vm *>(ctx);
-		one->cluster->in_flight.push_back({one->cluster->now_us + step_us, one->address,
-			address, std::string((const char *)data, length)});
+		one->cluster->in_flight_add(
+			one->address, address, std::string((const char *)data, length));
 	}
 
 	static void
@@ -531,6 +542,42 @@
 	}
 }
 
+/* Checks that a crowded VM rejects at most a quarter of the requests of teams within their limits
+ * while it reads datagrams late. */
+void
+expect_admitted_at_late_vm(uint32_t count, uint64_t late_us)
+{
+	fleet cluster(count, three_teams());
+	cluster.advance(9 * second_us, load_factors(0.8, 0.8));
+	EXPECT_EQ(rejected(cluster, "hot"), 0U);
+	for (auto &one : cluster.teams)
+		one.admitted = 0;
+	cluster.crowded_vm = 5;
+	cluster.late_us = late_us;
+	cluster.advance(9 * second_us, load_factors(1, 1));
+	expect_bounds(cluster);
+	for (const auto &one : cluster.teams)
+		EXPECT_LE(one.rejected, (one.admitted + one.rejected) / 4)
+			<< one.name << ", " << count << " VMs";
+}
+
+TEST(LimitsFleet, CrowdedVmReadsAnswersLate)
+{
+	for (uint64_t late_us : {60000, 150000})
+	{
+		expect_admitted_at_late_vm(9, late_us);
+		expect_admitted_at_late_vm(60, late_us);
+	}
+}
+
+/* The answers of all owners arrive after the longest timeout of a quota request (240 ms). The VM
+ * decides by gossip, and takes each other VM to have spent as much as itself. */
+TEST(LimitsFleet, CrowdedVmReadsAnswersAfterTheTimeout)
+{
+	expect_admitted_at_late_vm(9, 300000);
+	expect_admitted_at_late_vm(60, 300000);
+}
+
 /* The owner receives what it charged again in the requesting VM's reports, and counts it once. */
 TEST(LimitsFleet, ChargedAmountIsNotCountedAgainWhenReported)
 {
