Soak: judge answers that end with their connections

Cause: the soak's servers wrote answers without length or chunks only as streams that never ended between events, and the check took every answer that looked whole and was not for a fault. Change: a run can be unframed. Its answer may look whole though its end is missing, if its connection was not reset and, in a stream, if it does not end inside an event.

--- a/scripts/soak_pieces.py
+++ b/scripts/soak_pieces.py
@@ -30,6 +30,7 @@
         self.line_end = line_end
         self.size = 0  # of its work; 1: that of a usual request
         self.error = None  # (status, body) of a run that failed
+        self.unframed = False  # its answer ends with its connection
         self.did = "whole"  # for those who trace a finding
 
     @functools.lru_cache(maxsize=1000)
@@ -42,6 +43,10 @@
             lines.append(f"data: more {filler[:9]}")
         return self.line_end.join(line.encode() for line in lines) + self.line_end * 2
 
+    def may_end_early(self):
+        """Its answer looks whole wherever its connection ends in order."""
+        return self.unframed and not self.did.startswith("reset")
+
     def plain(self):
         return f"{self.name} got {self.ident}".encode()
 
@@ -62,6 +67,7 @@
     number = first
     last_id = 0
     end = 0
+    last = None
     for match in EVENT.finditer(answer):
         piece = match.group()
         end = match.end()
@@ -72,11 +78,13 @@
         if int(named[1]) != number:
             return "out_of_order", f"event {number} is {int(named[1])} of {run.name}", last_id
         last_id = number if run.ids else last_id
+        last = run
         number += 1
     rest = answer[end:]
     if rest and not any(run.event(number).startswith(rest) for run in made.values()):
         return "joined_piece", f"rest after event {number - 1}: {told(rest)}", last_id
-    if whole and (rest or number != EVENTS + 1):
+    early = any(run.may_end_early() for run in made.values() if run is last or run.first == number)
+    if whole and (rest or (number != EVENTS + 1 and not early)):
         return "looks_complete", f"ends after event {number - 1} and {told(rest)}", last_id
     return None, "", last_id
 
@@ -86,9 +94,10 @@
     return re.sub(r"[0-9a-f]{40,}", "..", repr(piece))
 
 
-def check_body(bodies, answer, whole):
-    """The same for an answer without events: all of one run's body, or its beginning if it broke off."""
-    if whole and answer in bodies:
+def check_body(bodies, answer, whole, unframed=()):
+    """The same for an answer without events: all of one run's body, or its beginning if it broke off or is one of those
+    bodies whose end cannot be told from an early one."""
+    if whole and (answer in bodies or any(body.startswith(answer) for body in unframed)):
         return None, ""
     if not any(body.startswith(answer) for body in bodies):
         good = max((common(body, answer) for body in bodies), default=0)
