Soak: shared parts, crowds, hushes, unframed and endless answers (--kinds shared)

Change: new list of faults. part: one part of prompts crashes each server that begins to answer a request with it; crowd: one VM gets most new connections, one a request; servers that fall silent for a second and go on, whose answers end with their connections, and that write until their connection is closed. Promises: part_sent_on, parts_refused, and endless_read (no VM reads 64 MB of what is no answer). part_sent_on is checked at the end, as sent_on, and while faults go on unless a VM was killed, stopped or paused within the 3 s after the fifth crash.

--- a/scripts/soak_gateway.py
+++ b/scripts/soak_gateway.py
@@ -49,6 +49,8 @@
           "links": ALL_FAULTS + ANSWER_FAULTS + ["cut"] * 8 + ["limit"] * 3 + ["brittle"] * 2,
           "evacuations": ALL_FAULTS + ANSWER_FAULTS + ["evacuate"] * 6,
           "uneven": ALL_FAULTS + ANSWER_FAULTS + ["hints"] * 6,
+          "shared": ALL_FAULTS + ANSWER_FAULTS + ["crash"] + ["part"] * 6 + ["crowd"] * 3 +
+                    ["answer_hush", "answer_unframed", "answer_endless"] * 3,
           "bulk": ALL_FAULTS + ["document_large"] * 8 + ["document", "drain", "kill", "stop"] * 2}
 BULK_VMS_MIN = 9  # of one zone, in which some read for the others
 BULK_ROUTES_MAX = 4000
@@ -60,11 +62,17 @@
 LIMITS = ["0.5", "2", "8", "many"]  # that servers advertise; the last one is malformed
 CRASHES_MAX = 3  # of one request, and so many sendings more once all must know of them
 KNOWN_AFTER_S = 3
+PART_CRASHES = 5  # servers that end under one part, after which CRASHES_MAX more requests with it may be sent
+PART_S = 8  # for which requests with such a part come
+COMMON_PARTS = "a1:60,50d4:60"  # of the prompts of all requests
+PART_REFUSED = re.compile(r"event=refused request=(\S+) status=\d+ reason=part_crashes_endpoints")
+CROWD_PART = 0.8  # of the new connections, which go to one VM
 HELD_BACK_S = 3  # longer than any fault holds back what was sent before
 TAKEN_UP_MAX = 3  # times that a caller goes on with a stream that broke off
 VERSIONED = re.compile(rb"data: [0-9a-f]{16} \d+ (\S+)\.\d+ ")  # the server of an event
 Outcome = collections.namedtuple("Outcome", "status whole last_id ident versions retry_after_s")
 Load = collections.namedtuple("Load", "deadline_ms headers body")  # body None: the id of the request
+Part = collections.namedtuple("Part", "ident how sent ended")  # when requests reached servers and when these ended
 LEFT_OUT = re.compile(r"event=lines_left_out .*output_hint_ignored=(\d+)")
 FOREIGN = ["", "{", "[]", "null", "\x00", '{"service":"svc"}', '{"service":5,"state":"ready"}']
 
@@ -240,7 +248,8 @@
         if self.bulk:
             self.vms_n = max(self.vms_n, BULK_VMS_MIN)
         self.counts = {"requests": 0, "resent": 0, "served": 0, "refused": 0, "failed": 0, "no_answer": 0,
-                       "broke_off": 0, "taken_up": 0, "taken_up_whole": 0}
+                       "broke_off": 0, "taken_up": 0, "taken_up_whole": 0,
+                       "parts_watched": 0}
         self.faults = {}
         self.pairs = set()
         self.active = {}
@@ -250,10 +259,16 @@
                        "not_served_after": [], "bad_exit": [], "sanitizer": [],
                        "sent_on": [], "refused_for_good": [], "not_in_force": [], "sent_to_evacuated": [],
                        "mixed_versions": [], "sent_to_leaving": [], "sent_in_rest": [],
-                       "over_log_budget": []}
+                       "over_log_budget": [], "part_sent_on": [], "parts_refused": [], "endless_read": []}
         self.evacuating = threading.Lock()  # one zone at a time
         self.leaving = threading.Lock()  # one server at a time
         self.crashed = {}  # body of a request that crashes servers -> names of those that ran it
+        self.with_parts = "part" in self.kinds
+        self.parts = {}
+        self.with_bad_part = set()  # ids of requests
+        self.sharing = threading.Lock()  # one part at a time
+        self.crowded = []  # VMs that get most new connections just now
+        self.out_of_touch = []  # [begin, end] of each time in which a VM was not running
         self.told_not_run = set()
         self.once = set()
         self.lock = threading.Lock()
@@ -279,6 +294,7 @@
                 server.publish(version=f"v{number % 2}")
             server.epoch_of = lambda vm: self.vms[int(vm)].epoch
             server.scripts["crash"] = self.crash_server
+            server.scripts["part"] = self.part_server
             self.servers.append(server)
             self.proxies.append(proxy)
         ports = free_ports(address_of(0))
@@ -310,6 +326,7 @@
         more = load.headers + f"X-Vm: {self.vms.index(vm)}\r\n"
         more += f"Last-Event-Id: {last_id}\r\n" if last_id else ""
         more += f"Resumes: {stream}\r\n" if stream else ""
+        more += f"X-Cometspindle-Prefix-Hash: {COMMON_PARTS},{ident}:500\r\n" if self.with_parts else ""
         data = (f"POST /{route}/{script} HTTP/1.1\r\nHost: {HOST}\r\nX-Cometspindle-Request-Id: "
                 f"{ident}\r\nX-Cometspindle-Deadline-Ms: {load.deadline_ms}\r\nAuthorization: Token {key}\r\n{more}"
                 f"Content-Length: {len(body)}\r\n\r\n").encode() + body
@@ -365,7 +382,9 @@
             *found, last_id = check_stream(runs, answer, whole, last_id + 1)
         else:
             good = [run for run in runs if run.error is None]
-            found = check_body([run.large() if script == "large" else run.plain() for run in good], answer, whole)
+            bodies = {run: run.large() if script == "large" else run.plain() for run in good}
+            found = check_body(list(bodies.values()), answer, whole,
+                               [body for run, body in bodies.items() if run.may_end_early()])
         if found[0]:
             self.breach(found[0], f"{ident} {route}/{script} status={status} whole={whole} stamp={stamp}: {found[1]}; "
                         f"runs {[(run.name, run.first, run.did) for run in runs]}")
@@ -431,7 +450,10 @@
             key = draw.choice(["k1", "k1", "k1", "k2", "never"])
             load = self.draw_load(more) if self.uneven else None
             begun = time.monotonic()
-            if draw.random() < 0.5:  # keeps a connection until the process is gone
+            crowded = self.crowded[:]
+            if crowded and more.random() < CROWD_PART:
+                vm = crowded[-1]
+            if draw.random() < 0.5 and not crowded:  # keeps a connection until the process is gone
                 if sock is None:
                     try:
                         sock = (vm, socket.create_connection((vm.ip, vm.callers), 2))
@@ -457,9 +479,13 @@
         proxy = self.draw.choice(self.proxies)
         number = self.draw.randrange(len(self.servers))
         action = getattr(self, "fault_" + kind.split("_", maxsplit=1)[0])
+        span = [time.monotonic(), float("inf")]
+        if kind in PROCESS_FAULTS - {"hup"}:
+            self.out_of_touch.append(span)
         try:
             action(kind, length, vm, proxy, number)
         finally:
+            span[1] = time.monotonic()
             with self.lock:
                 self.active.pop(threading.get_ident(), None)
                 if kind in PROCESS_FAULTS:
@@ -655,24 +681,44 @@
 
     def crash_server(self, server, sock, _path, headers, body):
         """A script of servers: the request crashes its server, in a way and at a moment that its body tells."""
-        how, _, when = body.decode().split(" ")[:3]
         self.crashed[body].append(server.name)
+        return self.crash_as_told(server, sock, headers, body)
+
+    def part_server(self, server, sock, _path, headers, body):
+        """The same for all requests with one part in their prompts."""
+        part = self.parts[body.decode().split(" ")[3]]
+        part.sent.append(time.monotonic())
+        try:
+            return self.crash_as_told(server, sock, headers, body, lambda: part.ended.append(time.monotonic()))
+        except OSError:  # its connection was gone before; it crashes nevertheless
+            server.crash(part.how, away_s=0.8, lapse_s=0.5)
+            return False
+
+    def crash_as_told(self, server, sock, headers, body, ended=lambda: None):
+        how, _, when = body.decode().split(" ")[:3]
         if when == "late":
             time.sleep(0.2)
         if when == "inside":
             server.write_head(sock, headers, extra="Content-Type: text/event-stream\r\n")
             server.events(sock, 1, 2)
+        if not server.dead:
+            ended()
         server.crash(how, away_s=0.8, lapse_s=0.5)
         return None if how == "silence" else False
 
-    def send_crashing(self, vm, body):
+    def send_crashing(self, vm, body, part=None):
         """Sends such a request, under a new id. Returns its status; 0: none."""
         with self.lock:
             self.serial += 1
             ident = f"{self.serial:016x}"
         route = body.decode().split(" ")[1]
-        data = (f"POST /{route}/crash HTTP/1.1\r\nHost: {HOST}\r\nX-Cometspindle-Request-Id: {ident}\r\n"
-                f"X-Cometspindle-Deadline-Ms: 1500\r\nAuthorization: Token k1\r\n"
+        prompt = ""
+        if part:
+            self.with_bad_part.add(ident)
+            prompt = f"X-Cometspindle-Prefix-Hash: {COMMON_PARTS},{part.ident}:60,{ident}:500\r\n"
+        script = "part" if part else "crash"
+        data = (f"POST /{route}/{script} HTTP/1.1\r\nHost: {HOST}\r\nX-Cometspindle-Request-Id: {ident}\r\n"
+                f"X-Cometspindle-Deadline-Ms: 1500\r\nAuthorization: Token k1\r\n{prompt}"
                 f"Content-Length: {len(body)}\r\n\r\n").encode() + body
         try:
             with socket.create_connection((vm.ip, vm.callers), 2) as sock:
@@ -705,6 +751,54 @@
             if len(names) - before > CRASHES_MAX:
                 self.breach("sent_on", f"{body}: {before} crashes, then {len(names) - before}; {told}; {names}")
 
+    def send_part(self, vm, part, draw):
+        """Sends a request with a part that crashes servers; no two are alike."""
+        body = " ".join([part.how, draw.choice(["safe", "once", "again", "sse"]),
+                         draw.choice(["at_once", "late", "inside"]), part.ident, f"{draw.random()}"]).encode()
+        return self.send_crashing(vm, body, part)
+
+    def fault_part(self, _kind, length, _vm, _proxy, number):
+        """VMs in touch hardly send any more requests with a part once it is known to end servers."""
+        if not self.sharing.acquire(blocking=False):
+            return
+        draw = random.Random(f"part {self.seed} {number} {len(self.parts)}")
+        ident = f"{draw.getrandbits(64):016x}"
+        part = self.parts[ident] = Part(ident, draw.choice(["reset", "end", "silence"]), [], [])
+        end = time.monotonic() + PART_S + length
+        while time.monotonic() < end:
+            self.send_part(draw.choice(self.vms), part, draw)
+            time.sleep(draw.random() * 0.2)
+        self.sharing.release()
+        if len(part.ended) < PART_CRASHES:
+            return
+        fifth = sorted(part.ended)[PART_CRASHES - 1]
+        known = fifth + KNOWN_AFTER_S
+        in_touch = not any(span[0] < known and span[1] > fifth for span in self.out_of_touch)
+        later = [round(sent - known, 2) for sent in part.sent if sent > known]
+        self.counts["parts_watched"] += in_touch
+        if in_touch and len(later) > CRASHES_MAX:
+            self.breach("part_sent_on", f"{part.ident} ({part.how}): {len(part.ended)} ended, sent at {later}")
+
+    def check_parts(self):
+        """The same once all is well."""
+        if not self.parts:
+            return
+        time.sleep(KNOWN_AFTER_S)
+        for part in self.parts.values():
+            before = len(part.sent)
+            if len(part.ended) < PART_CRASHES:
+                continue
+            told = [self.send_part(vm, part, random.Random(f"{part.ident} {at}"))
+                    for at, vm in enumerate(self.vms * 2)]
+            if len(part.sent) - before > CRASHES_MAX:
+                self.breach("part_sent_on", f"{part.ident} ({part.how}): {before}, then {len(part.sent) - before}; "
+                            f"{told}")
+
+    def fault_crowd(self, _kind, length, vm, *_):
+        self.crowded.append(vm)
+        time.sleep(2 * length)
+        self.crowded.remove(vm)
+
     def choose_vm(self, kind):
         """A VM for a fault: those on processes overlap on different VMs, and one VM is spared."""
         if kind not in PROCESS_FAULTS:
@@ -757,6 +851,7 @@
                 self.breach("not_served_after", f"{vm.ip}: {last[-20:]}")
         self.check_in_force()
         self.check_crashing()
+        self.check_parts()
         self.over = True
         time.sleep(0.5)
         runs = {}
@@ -765,6 +860,7 @@
                 runs[run[0]] = runs.get(run[0], 0) + 1
         for server in self.servers:
             self.broken["sent_in_rest"] += server.too_many_in_rest
+            self.broken["endless_read"] += server.read_on
         self.broken["twice"] += [i for i in self.once if runs.get(i, 0) > 1]
         # Runs are listed in made as they begin, also those whose error response could not be written.
         begun = set(runs).union(*(server.made for server in self.servers))
@@ -777,6 +873,8 @@
             if code != 0 or vm.bad_exits:
                 self.broken["bad_exit"].append([code] + vm.bad_exits)
             self.broken["over_log_budget"] += check_log_budget(text)
+            self.broken["parts_refused"] += [ident for ident in PART_REFUSED.findall(text)
+                                             if ident not in self.with_bad_part]
             self.left_out += sum(map(int, LEFT_OUT.findall(text)))
             if "Sanitizer" in text or "runtime error" in text:
                 self.broken["sanitizer"].append(text[-2000:])
@@ -820,6 +918,7 @@
     print(json.dumps({"bench": "soak", "seed": args.seed, "scale": args.scale, **soak.counts,
                       "faults": soak.faults, "pairs": len(soak.pairs), "hints_left_out": soak.left_out,
                       "crashing": [len(names) for names in soak.crashed.values()],
+                      "parts": [(len(part.sent), len(part.ended)) for part in soak.parts.values()],
                       "broken": {kind: len(found) for kind, found in soak.broken.items()},
                       "first": {kind: str(found[0])[:600] for kind, found in soak.broken.items() if found}}))
     sys.exit(1 if broken else 0)
--- a/scripts/soak_servers.py
+++ b/scripts/soak_servers.py
@@ -15,7 +15,8 @@
 sys.path.insert(0, os.path.join(os.path.dirname(__file__), "..", "tests", "system"))
 from platform_standin import Server  # noqa: E402
 
-TROUBLES = {"stop", "end", "reset", "refuse", "error"}  # one a request; bare and unnamed come with any of them
+# one a request; bare, unnamed, hush and unframed come with any of them
+TROUBLES = {"stop", "end", "reset", "refuse", "error", "endless"}
 HABIT_PART = 0.7  # of the requests that come while a server has a habit
 REST_SETTLE_S = 0.5  # requests that were under way when a VM was asked for a rest do not count
 REST_REQUESTS_MAX = 2
@@ -25,6 +26,10 @@
 PHASE_S = 0.6  # for which the speed of a server stays the same
 PHASE_PERCENT = 250  # of the usual time, in a slow phase
 SLOW_PHASES_PART = 0.3
+HUSH_S = (0.7, 1.3)
+ENDLESS_BYTES = 64 << 20  # more than the buffers of a connection and what a VM may read of such an answer
+ENDLESS = {"garbage": (None, b"no answer at all\n"), "interim": (None, b"HTTP/1.1 100 Continue\r\n\r\n"),
+           "unstamped": ("", b"x"), "unstamped chunks": ("Transfer-Encoding: chunked\r\n", b"4\r\nmore\r\n")}
 STEP_S = 0.05  # time of work at the usual speed, after which the speed is determined again
 ABSURD_PERCENTS = [0, 10 ** 9, 10 ** 12]  # the last one makes the header malformed
 ABSURD_PART = 0.2  # of the responses
@@ -57,7 +62,8 @@
 
 
 class PieceServer(Server):
-    """habits: what it does just now (stop, end, reset, refuse, error, bare, unnamed), as often as it was told to."""
+    """habits: what it does just now (stop, end, reset, refuse, error, endless, bare, unnamed, hush, unframed), as often
+    as it was told to."""
 
     def __init__(self, store, name, service, slots, seed):
         self.seed = seed
@@ -69,6 +75,7 @@
         self.rest_s = 0  # stated with rejections; 0: not stated
         self.rests = {}  # VM -> (its epoch, begin and end of the rest that it was asked for, requests in that time)
         self.too_many_in_rest = []
+        self.read_on = []  # what was endless and was read nevertheless
         self.epoch_of = lambda vm: 0  # counts the restarts and pauses of a VM
         self.said_wrong = False  # that another process has its address: true once it starts again
         super().__init__(store, name, service, slots)
@@ -95,6 +102,9 @@
         if trouble == "error":
             self.fail(sock, draw, headers, run, path.endswith("/large"))
         self.ran(path, headers, body)
+        if trouble == "endless":
+            self.write_endless(sock, draw, headers, run)
+        run.unframed = "unframed" in self.habits and draw.random() < HABIT_PART
         return draw, run if run.error is None else None, trouble
 
     def count_in_rest(self, vm):
@@ -135,10 +145,25 @@
         data = self.head(headers, status, more, stamped=status != 200) + body
         self.write(sock, draw, data, largest=max(200, len(data) // 8))
 
+    def write_endless(self, sock, draw, headers, run):
+        """Bytes that are no answer, until the connection is closed."""
+        kind = draw.choice(sorted(ENDLESS))
+        run.error = (0, b"")
+        run.did = f"endless {kind}"
+        more, piece = ENDLESS[kind]
+        block = piece * (65536 // len(piece))
+        if more is not None:
+            sock.sendall(self.head(headers, 200, more, stamped=False))
+        for _ in range(ENDLESS_BYTES // len(block)):
+            sock.sendall(block)
+        self.read_on.append(f"{run.ident} {kind} at {self.name}")
+        sock.shutdown(socket.SHUT_RDWR)
+
     def write(self, sock, draw, data, never=frozenset(), largest=200, size=0):
         """Writes in pieces, some of them of one byte; none ends at the places that are named. The work for a request
         of this size is spread over the bytes."""
         singles = draw.randrange(len(data)) if draw.random() < 0.2 else len(data)
+        hush_at = draw.randrange(len(data)) if "hush" in self.habits and draw.random() < HABIT_PART else None
         at = 0
         while at < len(data):
             end = at + (1 if singles <= at < singles + 150 else draw.randint(1, largest))
@@ -147,6 +172,8 @@
             if self.speed:
                 self.speed.work(size * len(data[at:end]) / len(data))
             sock.sendall(data[at:end])
+            if hush_at is not None and at <= hush_at < end:
+                time.sleep(draw.uniform(*HUSH_S))
             at = end
             if draw.random() < (0.02 if singles <= at < singles + 150 else 0.25):
                 time.sleep(draw.random() * 0.02)
@@ -188,19 +215,22 @@
             return None
         time.sleep(0.02)
         answer = make(run)
-        if draw.random() < 0.5:
+        if run.unframed:
+            data = self.head(headers, 200, draw.choice(["", "Connection: close\r\n"])) + answer
+        elif draw.random() < 0.5:
             data = self.head(headers, 200, f"Content-Length: {len(answer)}\r\n") + answer
         else:
             data = self.head(headers, 200, "Transfer-Encoding: chunked\r\n") + \
                 chunked(draw, answer, 60000) + b"0\r\n\r\n"
-        return self.write_with(sock, draw, run, kind, data, draw.randrange(len(data) * 2 // 3, len(data)),
-                               largest=max(200, len(data) // 8))
+        end = self.write_with(sock, draw, run, kind, data, draw.randrange(len(data) * 2 // 3, len(data)),
+                              largest=max(200, len(data) // 8))
+        return False if run.unframed else end
 
     def stream(self, sock, path, headers, body):
         draw, run, kind = self.begin(sock, path, headers, body)
         if run is None:
             return None
-        bare = "bare" in self.habits and draw.random() < HABIT_PART
+        bare = ("bare" in self.habits and draw.random() < HABIT_PART) or run.unframed
         framing = "Connection: close\r\n" if bare else "Transfer-Encoding: chunked\r\n"
         data = self.head(headers, 200, f"Content-Type: text/event-stream\r\n{framing}")
         starts = []
@@ -214,11 +244,13 @@
         at = 0
         if kind is not None:
             which = draw.randrange(len(starts) - 1)
-            at = draw.randrange(starts[which] + 1, starts[which + 1])
+            between = run.unframed and draw.random() < 0.3
+            at = starts[which] if between else draw.randrange(starts[which] + 1, starts[which + 1])
         if bare:
-            # An end in order between events would be a whole answer: whatever ends it early is inside one.
-            end = self.write_with(sock, draw, run, kind, data, at, never=frozenset(starts[:-1]))
-            run.did += " bare"
+            # An end in order between events would be a whole answer: if bare, whatever ends it early is inside one.
+            never = frozenset() if run.unframed else frozenset(starts[:-1])
+            end = self.write_with(sock, draw, run, kind, data, at, never=never)
+            run.did += " unframed" if run.unframed else " bare"
             return False if end is None else end
         if kind == "end" and draw.random() < 0.3:
             # the chunks come to their end in order, the event does not
