Soak: two callers send requests with a crashing part at a time

Cause: with one sender no two VMs had requests with the part at once. Change: two senders, at any VMs.

--- a/scripts/soak_gateway.py
+++ b/scripts/soak_gateway.py
@@ -765,9 +765,16 @@
         ident = f"{draw.getrandbits(64):016x}"
         part = self.parts[ident] = Part(ident, draw.choice(["reset", "end", "silence"]), [], [])
         end = time.monotonic() + PART_S + length
-        while time.monotonic() < end:
-            self.send_part(draw.choice(self.vms), part, draw)
-            time.sleep(draw.random() * 0.2)
+
+        def send():
+            while time.monotonic() < end:
+                self.send_part(draw.choice(self.vms), part, draw)
+                time.sleep(draw.random() * 0.2)
+        senders = [threading.Thread(target=send) for _ in range(2)]
+        for sender in senders:
+            sender.start()
+        for sender in senders:
+            sender.join()
         self.sharing.release()
         if len(part.ended) < PART_CRASHES:
             return
