Tests: simulate the crowded VM in the same order in each run

Cause: requests ended in the order of their addresses in memory. Change: they end in the order of their arrival; the bounds stay.

--- a/tests/unit/test_crowded_vm.cc
+++ b/tests/unit/test_crowded_vm.cc
@@ -4,7 +4,7 @@
  */
 #include "grants_fleet.h"
 
-#include <cmath>
+#include <list>
 #include <random>
 
 namespace
@@ -48,6 +48,7 @@
 
 struct open_request
 {
+	comet_placement_item *item;
 	uint32_t address;
 	count *counted;
 	uint64_t due_us;
@@ -57,7 +58,7 @@
 {
 	shape of;
 	fleet all;
-	std::map<comet_placement_item *, open_request> open;
+	std::list<open_request> open; /* in the order of arrival */
 	std::mt19937 random{5};
 	count before;
 	count after;
@@ -87,7 +88,8 @@
 		one->dispatch_deadline_us = all.now_us + patience_us;
 		one->early_refusal_us = all.now_us + soft_deadline_us / 4;
 		one->soft_deadline_us = all.now_us + soft_deadline_us;
-		open[one] = {address, counted, (uint64_t)(of.mean_s * relative(random) * 1e6)};
+		open.push_back(
+			{one, address, counted, (uint64_t)(of.mean_s * relative(random) * 1e6)});
 		counted->submitted++;
 		all.items.push_back(std::move(item));
 		comet_placement_submit(all.vms[address].placement, one, all.now_us);
@@ -100,18 +102,18 @@
 		for (auto at = open.begin(); at != open.end();)
 		{
 			auto one = at++;
-			auto &vm = all.vms[one->second.address];
-			if (vm.refused.count(one->first) != 0)
+			auto &vm = all.vms[one->address];
+			if (vm.refused.count(one->item) != 0)
 			{
-				one->second.counted->refused++;
+				one->counted->refused++;
 				open.erase(one);
 			}
-			else if (vm.sent.count(one->first) != 0 &&
-				 all.now_us >= all.sent_us[one->first] + one->second.due_us)
+			else if (vm.sent.count(one->item) != 0 &&
+				 all.now_us >= all.sent_us[one->item] + one->due_us)
 			{
-				auto ended = *one;
+				open_request ended = *one;
 				open.erase(one);
-				all.end(ended.second.address, ended.first, 100, ended.second.due_us,
+				all.end(ended.address, ended.item, 100, ended.due_us,
 					COMET_DISPATCH_SERVED);
 			}
 		}
