--- a/libcometspindle/gateway/admission/crash_tracker.c
+++ b/libcometspindle/gateway/admission/crash_tracker.c
@@ -292,7 +292,7 @@
 	update_quarantine(crash_tracker, detected_here, now_us);
 }
 
-/* Notes a request whose attempt crashed with the subject. @return whether that is news */
+/* Notes a request whose attempt crashed with the subject. @return whether that is new */
 bool
 comet_crash_record_add_request(
 	struct comet_crash_record *record, uint64_t request_digest, bool several_requests)
