--- a/libcometspindle/adapters/gateway/proxy_request.h
+++ b/libcometspindle/adapters/gateway/proxy_request.h
@@ -89,9 +89,8 @@
 uint64_t
 comet_proxy_request_elapsed_ms(uint64_t then_us, uint64_t now_us);
 
-/** Returns the time until the caller's deadline in milliseconds, at least 1: what an endpoint is
- * told.
- */
+/** Returns the time until the caller's deadline in milliseconds, at least 1, as it is sent to an
+ * endpoint. */
 uint64_t
 comet_proxy_request_remaining_ms(const struct comet_proxy_request *proxy, uint64_t now_us);
 
