--- a/review/common/world.py
+++ b/review/common/world.py
@@ -494,12 +494,17 @@
     """Runs a case: run(record, fleets) returns True if the rule held. fleets collects what has to be ended."""
     record = Record(folder)
     fleets = []
+
+    def stop(number, frame):
+        raise CannotRun("stopped from outside")
+    signal.signal(signal.SIGTERM, stop)
+    signal.signal(signal.SIGINT, stop)
     try:
         held = run(record, fleets)
         code = 0 if held else 1
-    except CannotRun as why:
-        record.say(f"could not run: {why}")
-        print(f"could not run: {why}")
+    except Exception as why:  # whatever it is, it says nothing about the rule
+        record.say(f"could not run: {why!r}")
+        print(f"could not run: {why!r}")
         code = 2
     finally:
         for fleet in fleets:
