RECOVER: a VM whose link is full refuses new connections unread

What callers saw: while a VM on a narrow link got most new connections, half of the requests that it read were not served in time.

Cause: every body was read at once, so that all were complete late; and the VM went on to accept more than its link carries, although other VMs were idle.

Change: once a connection has waited unread for 100 ms (300 ms while control data is received), a new connection is closed unread, if another VM is alive. Its caller may send any request again at once. Kept connections are not closed. Log connection_refused, metric connections_refused_unread_total. The bound on what waits to be sent now follows from what was sent and the rate of the link, not from queues: a caller that does not read its response would have kept the others waiting. For the same reason a body that gets less than a 64th of the link does not count.

--- a/libcometspindle/adapters/byte_counters.h
+++ b/libcometspindle/adapters/byte_counters.h
@@ -7,12 +7,11 @@
 
 #include <stdint.h>
 
-/** Without headers of the network. */
+/** Monotonic, without headers of the network. */
 struct comet_byte_counters
 {
-	uint64_t received; /**< monotonic */
-	uint64_t sent;     /**< monotonic */
-	uint64_t queued;   /**< to be sent, not taken by the kernel yet */
+	uint64_t received;
+	uint64_t sent;
 };
 
 #endif
--- a/libcometspindle/adapters/callers/http_server.h
+++ b/libcometspindle/adapters/callers/http_server.h
@@ -48,10 +48,11 @@
 	uint64_t accepted;
 	uint64_t requests;
 	uint64_t malformed;
-	uint64_t left;      /**< callers that disconnected before their response */
-	uint64_t displaced; /**< idle connections closed for new ones */
-	uint64_t late;      /**< connections on which a request arrived after their close */
-	uint64_t waited;    /**< requests that waited unread, since the link was full */
+	uint64_t left;           /**< callers that disconnected before their response */
+	uint64_t displaced;      /**< idle connections closed for new ones */
+	uint64_t late;           /**< connections on which a request arrived after their close */
+	uint64_t waited;         /**< requests that waited unread, since the link was full */
+	uint64_t refused_unread; /**< new connections closed unread, since the link was full */
 };
 
 struct comet_http_server;
--- a/libcometspindle/adapters/callers/http_server_intake.c
+++ b/libcometspindle/adapters/callers/http_server_intake.c
@@ -2,18 +2,20 @@
  * http_server_intake.c
  * which requests of callers are read while the VM's link is full
  *
- * A connection whose request is not read yet waits paused, in the order of arrival.
+ * A connection whose request is not read yet waits paused, in the order of arrival. A new one is
+ * closed unread once others have waited for too long: its caller may send any request again.
  */
 #include <libcometspindle/adapters/callers/http_server_private.h>
 
+#include <libcometspindle/log.h>
 #include <talloc.h>
 
 /* Interval at which waiting connections are reconsidered besides the end of each request. */
 #define RECHECK_US 10000
 
-/* A caller that has sent nothing for this time does not use the link: the others are not kept
- * waiting for it. */
-#define STALLED_US 100000
+/* Interval at which the progress of a request is checked. A slow caller does not use the link: the
+ * others are not kept waiting for it. */
+#define PROGRESS_US 100000
 
 /* Counted for a body that announces no length. */
 #define UNKNOWN_BODY_BYTES (16 * 1024)
@@ -25,6 +27,30 @@
 	connection->counted_bytes = bytes;
 }
 
+static uint64_t
+received_bytes(const struct comet_http_connection *connection)
+{
+	return connection->body->len + (connection->got_head ? COMET_LINK_HEAD_BYTES : 0);
+}
+
+static uint64_t
+progress_bytes(const struct comet_http_connection *connection)
+{
+	return received_bytes(connection) -
+	       MIN(connection->checked_bytes, received_bytes(connection));
+}
+
+static void
+link_receiving(struct comet_http_connection *connection)
+{
+	GQueue *receiving = &connection->http_server->receiving;
+
+	connection->checked_us = comet_timers_now_us();
+	connection->checked_bytes = received_bytes(connection);
+	g_queue_push_tail(receiving, connection);
+	connection->receiving_link = g_queue_peek_tail_link(receiving);
+}
+
 static void
 unlink_receiving(struct comet_http_connection *connection)
 {
@@ -35,45 +61,53 @@
 	set_counted(connection, 0);
 }
 
-/* Counts what is still expected of the request that is being read. */
+/* Counts what is still expected of the request that is being read, unless its caller is slow. */
 static void
 count(struct comet_http_connection *connection)
 {
 	struct comet_http_server *http_server = connection->http_server;
-	const struct comet_http_head *head = connection->request.head;
 	uint64_t received = connection->body->len;
 	uint64_t missing = COMET_LINK_HEAD_BYTES;
 
 	if (connection->got_head)
 	{
-		const char *length = comet_http_head_get(head, "Content-Length");
+		const char *length =
+			comet_http_head_get(connection->request.head, "Content-Length");
 		uint64_t announced = length != NULL ? g_ascii_strtoull(length, NULL, 10)
 						    : received + UNKNOWN_BODY_BYTES;
 		missing = announced - MIN(received, announced);
 	}
-	unlink_receiving(connection);
-	connection->data_us = comet_timers_now_us();
-	g_queue_push_tail(&http_server->receiving, connection);
-	connection->receiving_link = g_queue_peek_tail_link(&http_server->receiving);
+	if (connection->receiving_link == NULL)
+		link_receiving(connection);
 	set_counted(connection, comet_link_share_count(http_server->link, received, missing));
 }
 
-/* Stops counting callers that have stalled. They are counted again when they send. */
+/* Stops counting slow callers. */
 static void
-discount_stalled(struct comet_http_server *http_server)
+discount_slow(struct comet_http_server *http_server)
 {
 	struct comet_http_connection *oldest = NULL;
 	uint64_t now_us = comet_timers_now_us();
 
 	while ((oldest = g_queue_peek_head(&http_server->receiving)) != NULL &&
-		now_us - oldest->data_us >= STALLED_US)
+		now_us - oldest->checked_us >= PROGRESS_US)
+	{
+		bool slow = progress_bytes(oldest) < comet_link_share_slow_bytes(http_server->link,
+							     now_us - oldest->checked_us);
+		uint64_t counted = oldest->counted_bytes;
 		unlink_receiving(oldest);
+		link_receiving(oldest);
+		if (slow)
+			unlink_receiving(oldest);
+		else
+			set_counted(oldest, counted);
+	}
 }
 
 static bool
 has_room(struct comet_http_server *http_server)
 {
-	discount_stalled(http_server);
+	discount_slow(http_server);
 	if (http_server->events->update_link != NULL)
 		http_server->events->update_link(http_server->ctx);
 	return comet_link_share_may_read(http_server->link, http_server->counted_bytes);
@@ -118,6 +152,29 @@
 			http_server->timers, http_server, RECHECK_US, on_recheck, http_server);
 }
 
+static uint64_t
+longest_wait_us(struct comet_http_server *http_server)
+{
+	const struct comet_http_connection *first = g_queue_peek_head(&http_server->waiting);
+
+	return first != NULL ? comet_timers_now_us() - first->waiting_since_us : 0;
+}
+
+/* Closes a connection whose request has not been read, which resets it. */
+static void
+refuse_unread(struct comet_http_connection *connection)
+{
+	struct comet_http_server *http_server = connection->http_server;
+
+	http_server->counts.refused_unread++;
+	comet_log_repeated(COMET_LOG_NOTICE,
+		"event=connection_refused reason=link_full waiting=%u longest_ms=%" G_GUINT64_FORMAT
+		" receiving=%u counted_bytes=%" G_GUINT64_FORMAT,
+		http_server->waiting.length, longest_wait_us(http_server) / 1000,
+		http_server->receiving.length, http_server->counted_bytes);
+	talloc_free(connection);
+}
+
 bool
 comet_http_intake_may_read(void *ctx)
 {
@@ -128,10 +185,21 @@
 		connection->admitted || connection->got_byte)
 		return true;
 	if (connection->waiting_link != NULL)
+	{
+		comet_socket_pause(connection->socket, true);
+		return false;
+	}
+	if (connection->responded_us == 0 &&
+		comet_link_share_refuses(http_server->link, longest_wait_us(http_server)))
+	{
+		refuse_unread(connection);
 		return false;
+	}
 	g_queue_push_tail(&http_server->waiting, connection);
 	connection->waiting_link = g_queue_peek_tail_link(&http_server->waiting);
 	http_server->counts.waited += http_server->waiting.length > 1 ? 1 : 0;
+	connection->waiting_since_us = comet_timers_now_us();
+	comet_socket_pause(connection->socket, true);
 	admit_waiting(http_server);
 	return connection->admitted;
 }
@@ -139,7 +207,13 @@
 void
 comet_http_intake_progress(struct comet_http_connection *connection)
 {
-	if (connection->http_server->link != NULL)
+	const struct comet_link_share *link = connection->http_server->link;
+
+	if (link == NULL)
+		return;
+	bool slow = connection->receiving_link == NULL && connection->checked_us != 0 &&
+		    progress_bytes(connection) < comet_link_share_slow_bytes(link, PROGRESS_US);
+	if (!slow)
 		count(connection);
 }
 
@@ -149,6 +223,7 @@
 	if (connection->http_server->link == NULL)
 		return;
 	connection->admitted = false;
+	connection->checked_us = 0;
 	unlink_waiting(connection);
 	unlink_receiving(connection);
 	admit_waiting(connection->http_server);
--- a/libcometspindle/adapters/callers/http_server_private.h
+++ b/libcometspindle/adapters/callers/http_server_private.h
@@ -32,7 +32,7 @@
 			first */
 	struct comet_link_share *link; /* NULL: requests are read as they arrive */
 	uint64_t counted_bytes;        /* counted for the requests that are being read */
-	GQueue receiving; /* of struct comet_http_connection that are counted, longest without data
+	GQueue receiving; /* of struct comet_http_connection that are counted, longest unchecked
 			     first */
 	GQueue waiting;   /* of struct comet_http_connection whose request is not read yet */
 	struct comet_timer *intake_timer; /* NULL: none waits */
@@ -54,8 +54,10 @@
 	GList *waiting_link;    /* link in http_server->waiting, or NULL */
 	GList *receiving_link;  /* link in http_server->receiving, or NULL */
 	uint64_t counted_bytes; /* its part of http_server->counted_bytes */
-	uint64_t data_us;       /* when data of its request last arrived */
-	GByteArray *ahead;      /* read and not yet parsed */
+	uint64_t checked_us;    /* when the progress of its request was checked; 0: never */
+	uint64_t checked_bytes; /* received by then */
+	uint64_t waiting_since_us;
+	GByteArray *ahead; /* read and not yet parsed */
 	GByteArray *body;
 	size_t unsent_bytes;   /* unsent bytes of the last response at the last check */
 	uint64_t responded_us; /* when its last response was completed; 0: never */
--- a/libcometspindle/adapters/gateway/gateway.c
+++ b/libcometspindle/adapters/gateway/gateway.c
@@ -174,6 +174,7 @@
 	comet_gossip_tick(gateway->gossip, now_us);
 	comet_gossip_count_peers(gateway->gossip, &known, &alive);
 	set_vms(gateway, alive + 1, known + 1, now_us);
+	comet_link_share_set_alternatives(gateway->link, alive > 0);
 	comet_gateway_tick_endpoints(gateway, now_us);
 	comet_gateway_links_tick(gateway->links, now_us);
 	comet_gateway_streams_tick(gateway->streams, now_us);
--- a/libcometspindle/adapters/gateway/gateway_callers.c
+++ b/libcometspindle/adapters/gateway/gateway_callers.c
@@ -46,15 +46,18 @@
 on_update_link(void *ctx)
 {
 	struct comet_gateway *gateway = ctx;
+	const struct comet_byte_counters *const traffic[] = {
+		&gateway->bytes[COMET_GATEWAY_USE_CALLERS],
+		&gateway->bytes[COMET_GATEWAY_USE_ENDPOINTS],
+		&gateway->crossing[COMET_GATEWAY_USE_ENDPOINTS],
+	};
 	uint64_t sent = 0;
-	uint64_t queued = 0;
 
-	for (size_t i = 0; i < COMET_GATEWAY_USES; i++)
+	for (size_t i = 0; i < G_N_ELEMENTS(traffic); i++)
 	{
-		sent += gateway->bytes[i].sent + gateway->crossing[i].sent;
-		queued += gateway->bytes[i].queued + gateway->crossing[i].queued;
+		sent += traffic[i]->sent;
 	}
-	comet_link_share_update(gateway->link, sent, queued, comet_timers_now_us());
+	comet_link_share_update(gateway->link, sent, comet_timers_now_us());
 	comet_link_share_set_control(
 		gateway->link, gateway->resyncing != NULL || gateway->fetching_document != NULL ||
 				       gateway->directory->ops->is_receiving(gateway->directory));
--- a/libcometspindle/adapters/gateway/gateway_metrics.c
+++ b/libcometspindle/adapters/gateway/gateway_metrics.c
@@ -550,6 +550,8 @@
 	put(out, "requests_open", "gauge", gateway->open_request_count);
 	put(out, "connections_displaced_total", "counter",
 		(double)comet_http_server_counts(gateway->callers)->displaced);
+	put(out, "connections_refused_unread_total", "counter",
+		(double)comet_http_server_counts(gateway->callers)->refused_unread);
 	put(out, "requests_waited_unread_total", "counter",
 		(double)comet_http_server_counts(gateway->callers)->waited);
 	put(out, "data_after_close_total", "counter",
--- a/libcometspindle/adapters/socket.c
+++ b/libcometspindle/adapters/socket.c
@@ -38,8 +38,7 @@
 	void *ctx;
 	struct comet_byte_counters *bytes; /* counters of its owner; NULL: not counted */
 	GByteArray *queue;
-	size_t written;        /* part of the queue that is already written */
-	size_t counted_queued; /* queued bytes that are counted in bytes */
+	size_t written; /* part of the queue that is already written */
 	int fd;
 	int error; /* errno of a failed connection attempt; 0: none */
 	bool connecting;
@@ -144,20 +143,9 @@
 	shutdown(socket->fd, SHUT_WR);
 }
 
-/* Updates the counter of queued bytes after a change of the queue. */
-static void
-count_queued(struct comet_socket *socket)
-{
-	size_t queued = socket->queue->len - socket->written;
-
-	if (socket->bytes != NULL)
-		socket->bytes->queued += queued - socket->counted_queued;
-	socket->counted_queued = queued;
-}
-
 /* Writes as much as the kernel accepts. @return false if the connection broke. */
 static bool
-flush_queue(struct comet_socket *socket)
+flush(struct comet_socket *socket)
 {
 	while (socket->queue->len > socket->written)
 	{
@@ -180,15 +168,6 @@
 	return true;
 }
 
-static bool
-flush(struct comet_socket *socket)
-{
-	bool flushed = flush_queue(socket);
-
-	count_queued(socket);
-	return flushed;
-}
-
 /* Reads report the end, after the bytes that have arrived; a write does not. */
 static void
 fail_writes(struct comet_socket *socket)
@@ -197,7 +176,6 @@
 	socket->owes_drained = false;
 	g_byte_array_set_size(socket->queue, 0);
 	socket->written = 0;
-	count_queued(socket);
 	shutdown(socket->fd, SHUT_RDWR); /* some failures leave the connection as it is */
 	update_flags(socket);
 }
@@ -252,10 +230,7 @@
 		return;
 	}
 	if (socket->events->may_read != NULL && !socket->events->may_read(socket->ctx))
-	{
-		comet_socket_pause(socket, true);
 		return;
-	}
 	ssize_t got = recv(socket->fd, buffer, sizeof buffer, 0);
 
 	if (got > 0 && socket->bytes != NULL)
@@ -290,9 +265,6 @@
 {
 	talloc_free(socket->event);
 	close(socket->fd);
-	g_byte_array_set_size(socket->queue, 0);
-	socket->written = 0;
-	count_queued(socket);
 	g_byte_array_free(socket->queue, TRUE);
 	return 0;
 }
@@ -351,9 +323,7 @@
 		return;
 	bool waited = socket->queue->len > socket->written;
 	g_byte_array_append(socket->queue, (const guint8 *)data, (guint)length);
-	if (socket->connecting)
-		count_queued(socket);
-	else if (!flush(socket))
+	if (!socket->connecting && !flush(socket))
 	{
 		fail_writes(socket);
 		return;
@@ -373,8 +343,6 @@
 comet_socket_count(struct comet_socket *socket, struct comet_byte_counters *bytes)
 {
 	socket->bytes = bytes;
-	socket->counted_queued = 0;
-	count_queued(socket);
 }
 
 void
--- a/libcometspindle/adapters/socket.h
+++ b/libcometspindle/adapters/socket.h
@@ -27,8 +27,8 @@
 	void (*drained)(void *ctx);
 	/** Data arrived after comet_socket_stop_reading(), at most once; may be NULL. */
 	void (*unread)(void *ctx);
-	/** Data or the end of the stream can be read. @return false to leave it unread, which
-	 * pauses the socket; NULL: it is always read */
+	/** Data or the end of the stream can be read. @return false if the callee has paused or
+	 * freed the socket, which is left unread; NULL: it is always read */
 	bool (*may_read)(void *ctx);
 };
 
--- a/libcometspindle/gateway/admission/link_share.c
+++ b/libcometspindle/gateway/admission/link_share.c
@@ -11,6 +11,22 @@
  * busy for a few round trips between caller and VM. */
 #define WINDOW_MS 50
 
+/* A body that gets a smaller part of the link does not keep others waiting. */
+#define SLOW_PART 64
+
+/* Share of the link that is filled with what is sent: the rest is for control and headers. */
+#define USED_SHARE 0.8
+
+/* Bound of what is assumed to be on its way, in windows. */
+#define CARRYING_WINDOWS_MAX 4
+
+/* A wait beyond this is longer than a new connection to another VM takes. A clump of requests is
+ * over sooner. */
+#define WAIT_MAX_US 100000
+
+/* The same while control data is received, which is soon over. */
+#define CONTROL_WAIT_MAX_US 300000
+
 #define SECOND_US 1000000
 
 /* A body counts for at most this part of the window, and for less once that much has arrived. */
@@ -22,10 +38,10 @@
 	uint64_t bytes_per_s;  /* 0: unknown */
 	uint64_t window_bytes; /* 0: not limited */
 	bool control;          /* control data is being received */
+	bool alternatives;     /* callers can reach other VMs */
 	uint64_t sent;         /* as last reported */
 	uint64_t updated_us;   /* when that was; 0: never */
-	uint64_t carrying;     /* sent bytes that the link cannot have carried yet */
-	uint64_t backlog;      /* these and the queued ones */
+	uint64_t carrying;     /* sent bytes that the link may not have carried yet */
 };
 
 struct comet_link_share *
@@ -47,20 +63,28 @@
 	return MIN(missing, part);
 }
 
-/* The kernel takes what is written, but the link carries no more than its rate. */
+uint64_t
+comet_link_share_slow_bytes(const struct comet_link_share *link, uint64_t for_us)
+{
+	return link->bytes_per_s * for_us / SECOND_US / SLOW_PART;
+}
+
+/* The kernel takes what is written, but the link carries no more than its rate. What peers do not
+ * read is not sent, and does not count. */
 void
-comet_link_share_update(
-	struct comet_link_share *link, uint64_t sent, uint64_t queued, uint64_t now_us)
+comet_link_share_update(struct comet_link_share *link, uint64_t sent, uint64_t now_us)
 {
 	if (link->updated_us != 0)
 	{
-		uint64_t carried = link->bytes_per_s * (now_us - link->updated_us) / SECOND_US;
+		uint64_t carried = (uint64_t)((double)(link->bytes_per_s *
+						       (now_us - link->updated_us) / SECOND_US) *
+					      USED_SHARE);
 		link->carrying += sent - link->sent;
 		link->carrying -= MIN(carried, link->carrying);
+		link->carrying = MIN(link->carrying, CARRYING_WINDOWS_MAX * link->window_bytes);
 	}
 	link->sent = sent;
 	link->updated_us = now_us;
-	link->backlog = link->carrying + queued;
 }
 
 void
@@ -69,12 +93,26 @@
 	link->control = receiving;
 }
 
+void
+comet_link_share_set_alternatives(struct comet_link_share *link, bool alternatives)
+{
+	link->alternatives = alternatives;
+}
+
+bool
+comet_link_share_refuses(const struct comet_link_share *link, uint64_t waited_us)
+{
+	uint64_t max_us = link->control ? CONTROL_WAIT_MAX_US : WAIT_MAX_US;
+
+	return link->alternatives && waited_us >= max_us;
+}
+
 bool
 comet_link_share_may_read(const struct comet_link_share *link, uint64_t counted)
 {
 	if (link->window_bytes == 0)
 		return true;
-	if (link->backlog >= link->window_bytes)
+	if (link->carrying >= link->window_bytes)
 		return false;
 	return counted < (link->control ? 1 : link->window_bytes);
 }
--- a/libcometspindle/gateway/admission/link_share.h
+++ b/libcometspindle/gateway/admission/link_share.h
@@ -26,15 +26,28 @@
 uint64_t
 comet_link_share_count(const struct comet_link_share *link, uint64_t received, uint64_t missing);
 
-/** Reports what this VM has sent in all, and what is queued to be sent. */
+/** Returns the bytes below which a body that has been read for this time does not use the link: its
+ * caller is slow. */
+uint64_t
+comet_link_share_slow_bytes(const struct comet_link_share *link, uint64_t for_us);
+
+/** Reports what this VM has sent to callers and endpoints in all. */
 void
-comet_link_share_update(
-	struct comet_link_share *link, uint64_t sent, uint64_t queued, uint64_t now_us);
+comet_link_share_update(struct comet_link_share *link, uint64_t sent, uint64_t now_us);
 
 /** Sets whether control data is being received. */
 void
 comet_link_share_set_control(struct comet_link_share *link, bool receiving);
 
+/** Sets whether callers can reach other VMs instead. */
+void
+comet_link_share_set_alternatives(struct comet_link_share *link, bool alternatives);
+
+/** Returns whether a new connection is closed unread, because another VM will answer it sooner.
+ * @param waited_us longest time for which a connection has waited to be read; 0: none waits */
+bool
+comet_link_share_refuses(const struct comet_link_share *link, uint64_t waited_us);
+
 /** Returns whether another request may be read: its body will be sent to an endpoint.
  * @param counted sum of comet_link_share_count() of the requests that are being read */
 bool
