LOST: kept connections hold no memory of answered bodies

Cause: the body of a connection, the copy in an exchange and the queue of a socket were emptied, which keeps their allocation until the connection is closed; and glibc keeps freed blocks of that size once one was freed.

--- a/cli/cometspindled/main.c
+++ b/cli/cometspindled/main.c
@@ -8,6 +8,7 @@
 #include <libcometspindle/adapters/gateway/gateway.h>
 #include <libcometspindle/log.h>
 #include <libcometspindle/settings.h>
+#include <malloc.h>
 #include <platform/directory.h>
 #include <signal.h>
 #include <sodium.h>
@@ -19,6 +20,9 @@
 #define PROGRAM "cometspindled"
 #define EXIT_USAGE 2
 
+/* Allocations from this size on are mapped one by one. */
+#define BODY_MMAP_BYTES (128 * 1024)
+
 struct options
 {
 	struct arg_file *settings;
@@ -98,6 +102,10 @@
 
 	if (settings == NULL)
 		return report_settings(path, error);
+	/* Each freed body is returned to the system. By default glibc keeps them once one was
+	 * freed. */
+	mallopt(M_MMAP_THRESHOLD, BODY_MMAP_BYTES);
+	mallopt(M_TRIM_THRESHOLD, BODY_MMAP_BYTES);
 	comet_log_init(PROGRAM, (enum comet_log_level)settings->log_level);
 	comet_log_set_budget(settings->log_lines_per_s);
 	if (check_only)
--- a/libcometspindle/adapters/endpoints/upstream.c
+++ b/libcometspindle/adapters/endpoints/upstream.c
@@ -327,7 +327,8 @@
 	comet_timer_cancel(&exchange->timer);
 	exchange->sent = true;
 	comet_socket_write(link->socket, (const char *)exchange->bytes->data, exchange->bytes->len);
-	g_byte_array_set_size(exchange->bytes, 0);
+	g_byte_array_free(exchange->bytes, TRUE); /* the socket has a copy */
+	exchange->bytes = g_byte_array_new();
 }
 
 static void
--- a/libcometspindle/adapters/socket.c
+++ b/libcometspindle/adapters/socket.c
@@ -17,6 +17,9 @@
 /* Bytes read at once; few events have more. */
 #define READ_BYTES 16384
 
+/* Allocation of its queue that a connection keeps: a usual request or response. */
+#define QUEUE_KEPT_BYTES 4096
+
 /* A connection breaks if the peer acknowledges nothing for this time. */
 #define USER_TIMEOUT_MS 5000
 
@@ -143,6 +146,20 @@
 	shutdown(socket->fd, SHUT_WR);
 }
 
+/* An emptied array keeps its allocation: one that was large is freed. */
+static void
+empty_queue(struct comet_socket *socket)
+{
+	bool large = socket->queue->len > QUEUE_KEPT_BYTES;
+
+	g_byte_array_set_size(socket->queue, 0);
+	socket->written = 0;
+	if (!large)
+		return;
+	g_byte_array_free(socket->queue, TRUE);
+	socket->queue = g_byte_array_new();
+}
+
 /* Writes as much as the kernel accepts. @return false if the connection broke. */
 static bool
 flush(struct comet_socket *socket)
@@ -161,8 +178,7 @@
 		if (socket->bytes != NULL)
 			socket->bytes->sent += (uint64_t)done;
 	}
-	g_byte_array_set_size(socket->queue, 0);
-	socket->written = 0;
+	empty_queue(socket);
 	if (socket->shutting)
 		end_in_order(socket);
 	return true;
@@ -174,8 +190,7 @@
 {
 	socket->write_failed = true;
 	socket->owes_drained = false;
-	g_byte_array_set_size(socket->queue, 0);
-	socket->written = 0;
+	empty_queue(socket);
 	shutdown(socket->fd, SHUT_RDWR); /* some failures leave the connection as it is */
 	update_flags(socket);
 }
