LOST: the memory of request bodies is bounded by memory_mb

Cause: nothing counted or bounded the bodies under way.

Change: memory for a body is reserved when its head announces it, or as it grows if it announces no length (gateway/admission/body_budget.c): two copies, in a quarter of the new setting memory_mb, of which large bodies leave a quarter to small ones. A request without room is refused at once, 503 with Retry-After 0.5 s, before it is handed over: it has not run. It is released with the response. Metrics body_bytes_reserved, requests_refused_memory_total; log refused_memory. Settings and counts of the HTTP server moved to a file of their own.

--- a/libcometspindle/adapters/callers/http_server.c
+++ b/libcometspindle/adapters/callers/http_server.c
@@ -67,6 +67,7 @@
 	comet_http_intake_done(connection);
 	g_hash_table_remove(connection->http_server->connections, connection);
 	connection->http_server->counts.connections--;
+	comet_http_memory_release(connection);
 	g_byte_array_free(connection->ahead, TRUE);
 	g_byte_array_free(connection->body, TRUE);
 	return 0;
@@ -134,6 +135,7 @@
 {
 	unset_idle(connection);
 	comet_http_intake_done(connection);
+	comet_http_memory_release(connection);
 	connection->ended_us = comet_timers_now_us();
 	if (!is_within_request(connection))
 		comet_socket_stop_reading(connection->socket);
@@ -199,8 +201,9 @@
 
 	connection->got_head = true;
 	connection->request.head = head;
+	comet_http_memory_announced(connection, head);
 	const char *expect = comet_http_head_get(head, "Expect");
-	if (expect != NULL && strcasecmp(expect, "100-continue") == 0)
+	if (!connection->no_room && expect != NULL && strcasecmp(expect, "100-continue") == 0)
 		comet_socket_write(connection->socket, "HTTP/1.1 100 Continue\r\n\r\n", 25);
 	return false;
 }
@@ -214,6 +217,8 @@
 		connection->too_large ||
 		connection->body->len + length > connection->http_server->limits.body_bytes;
 	if (!connection->too_large)
+		comet_http_memory_growing(connection, connection->body->len + length);
+	if (!connection->too_large && !connection->no_room)
 		g_byte_array_append(connection->body, (const guint8 *)data, (guint)length);
 }
 
@@ -290,6 +295,8 @@
 		refuse_malformed(connection, 431);
 	else if (connection->too_large)
 		refuse_malformed(connection, 413);
+	else if (connection->no_room)
+		comet_http_memory_refuse(connection);
 	else
 	{
 		g_byte_array_remove_range(connection->ahead, 0, (guint)taken);
@@ -540,33 +547,6 @@
 	return http_server;
 }
 
-void
-comet_http_server_set_byte_counters(
-	struct comet_http_server *http_server, struct comet_byte_counters *bytes)
-{
-	http_server->bytes = bytes;
-}
-
-void
-comet_http_server_set_limits(
-	struct comet_http_server *http_server, const struct comet_http_limits *limits)
-{
-	GHashTableIter at;
-	gpointer connection = NULL;
-
-	http_server->limits = *limits;
-	g_hash_table_iter_init(&at, http_server->connections);
-	while (g_hash_table_iter_next(&at, &connection, NULL))
-		comet_http_reader_set_max_head(
-			((struct comet_http_connection *)connection)->reader, limits->header_bytes);
-}
-
-void
-comet_http_server_set_draining(struct comet_http_server *http_server)
-{
-	http_server->closing = true;
-}
-
 void
 comet_http_server_stop_listening(struct comet_http_server *http_server)
 {
@@ -591,9 +571,3 @@
 	}
 	g_list_free(all);
 }
-
-const struct comet_http_server_counts *
-comet_http_server_counts(const struct comet_http_server *http_server)
-{
-	return &http_server->counts;
-}
--- a/libcometspindle/adapters/callers/http_server.h
+++ b/libcometspindle/adapters/callers/http_server.h
@@ -13,6 +13,7 @@
 #include <libcometspindle/adapters/byte_counters.h>
 #include <libcometspindle/adapters/http_reader.h>
 #include <libcometspindle/adapters/timers.h>
+#include <libcometspindle/gateway/admission/body_budget.h>
 #include <libcometspindle/gateway/admission/link_share.h>
 #include <libcometspindle/http_limits.h>
 #include <stdbool.h>
@@ -53,6 +54,7 @@
 	uint64_t late;           /**< connections on which a request arrived after their close */
 	uint64_t waited;         /**< requests that waited unread, since the link was full */
 	uint64_t refused_unread; /**< new connections closed unread, since the link was full */
+	uint64_t refused_memory; /**< requests for whose body there was no memory */
 };
 
 struct comet_http_server;
@@ -83,6 +85,11 @@
 void
 comet_http_server_set_link(struct comet_http_server *http_server, struct comet_link_share *link);
 
+/** Sets the bound on the memory of bodies; NULL: none. Call it before connections are accepted. */
+void
+comet_http_server_set_body_budget(
+	struct comet_http_server *http_server, struct comet_body_budget *bodies);
+
 /** Starts draining: responses ask callers to close, and each connection ends with its next
  * response. */
 void
--- a/libcometspindle/adapters/callers/http_server_intake.c
+++ b/libcometspindle/adapters/callers/http_server_intake.c
@@ -228,16 +228,3 @@
 	unlink_receiving(connection);
 	admit_waiting(connection->http_server);
 }
-
-void
-comet_http_server_set_link(struct comet_http_server *http_server, struct comet_link_share *link)
-{
-	http_server->link = link;
-}
-
-void
-comet_http_server_set_max_connections(
-	struct comet_http_server *http_server, uint32_t max_connections)
-{
-	http_server->max_connections = max_connections;
-}
--- a/libcometspindle/adapters/callers/http_server_private.h
+++ b/libcometspindle/adapters/callers/http_server_private.h
@@ -36,6 +36,7 @@
 			     first */
 	GQueue waiting;   /* of struct comet_http_connection whose request is not read yet */
 	struct comet_timer *intake_timer; /* NULL: none waits */
+	struct comet_body_budget *bodies; /* NULL: their memory is not bounded */
 	uint32_t max_connections;         /* 0: no limit */
 	uint32_t max_while_short;         /* the limit after descriptors ran out */
 	uint64_t short_us;                /* when they last ran out; 0: never */
@@ -50,12 +51,13 @@
 	struct comet_socket *socket;
 	struct comet_http_reader *reader;
 	struct comet_timer *timer;
-	GList *idle_link;       /* link in http_server->idle, or NULL */
-	GList *waiting_link;    /* link in http_server->waiting, or NULL */
-	GList *receiving_link;  /* link in http_server->receiving, or NULL */
-	uint64_t counted_bytes; /* its part of http_server->counted_bytes */
-	uint64_t checked_us;    /* when the progress of its request was checked; 0: never */
-	uint64_t checked_bytes; /* received by then */
+	GList *idle_link;        /* link in http_server->idle, or NULL */
+	GList *waiting_link;     /* link in http_server->waiting, or NULL */
+	GList *receiving_link;   /* link in http_server->receiving, or NULL */
+	uint64_t counted_bytes;  /* its part of http_server->counted_bytes */
+	uint64_t checked_us;     /* when the progress of its request was checked; 0: never */
+	uint64_t checked_bytes;  /* received by then */
+	uint64_t reserved_bytes; /* of its body */
 	uint64_t waiting_since_us;
 	GByteArray *ahead; /* read and not yet parsed */
 	GByteArray *body;
@@ -69,6 +71,7 @@
 	bool complete;   /* it is complete */
 	bool keep_alive; /* the caller allows another request */
 	bool too_large;  /* its body is over the limit */
+	bool no_room;    /* there is no memory for its body */
 	bool chunked;    /* the response is chunked */
 	bool no_body;    /* the response has no body: HEAD, 204, 304 */
 	bool started;    /* the head of the response is sent */
@@ -109,6 +112,23 @@
 void
 comet_http_intake_done(struct comet_http_connection *connection);
 
+/** Reserves memory for the body that a head announces. */
+void
+comet_http_memory_announced(
+	struct comet_http_connection *connection, const struct comet_http_head *head);
+
+/** Reserves memory for a body of this length, which may be larger than announced. */
+void
+comet_http_memory_growing(struct comet_http_connection *connection, uint64_t body_bytes);
+
+/** Refuses a request for whose body there is no memory; the connection is closed after that. */
+void
+comet_http_memory_refuse(struct comet_http_connection *connection);
+
+/** Frees the memory of the request. */
+void
+comet_http_memory_release(struct comet_http_connection *connection);
+
 /** Marks the connection as idle from now on. */
 void
 comet_http_connection_set_idle(struct comet_http_connection *connection);
--- a/libcometspindle/adapters/callers/http_server_response.c
+++ b/libcometspindle/adapters/callers/http_server_response.c
@@ -113,14 +113,7 @@
 	connection->started = false;
 	connection->too_large = false;
 	connection->request.head = NULL;
-	/* An emptied array keeps its allocation, as long as the caller keeps its connection. */
-	g_byte_array_free(connection->body, TRUE);
-	connection->body = g_byte_array_new();
-	if (connection->ahead->len == 0)
-	{
-		g_byte_array_free(connection->ahead, TRUE);
-		connection->ahead = g_byte_array_new();
-	}
+	comet_http_memory_release(connection);
 	comet_http_connection_set_timer(
 		connection, connection->http_server->limits.idle_timeout_ms);
 	comet_http_connection_read_on(connection);
--- a/libcometspindle/adapters/gateway/gateway.c
+++ b/libcometspindle/adapters/gateway/gateway.c
@@ -334,6 +334,8 @@
 		gateway->control, &gateway->bytes[COMET_GATEWAY_USE_PEERS]);
 	gateway->link = comet_link_share_create(gateway, settings->link_bytes_per_s);
 	comet_http_server_set_link(gateway->callers, gateway->link);
+	gateway->bodies = comet_body_budget_create(gateway, settings->memory_bytes);
+	comet_http_server_set_body_budget(gateway->callers, gateway->bodies);
 	comet_http_server_set_limits(gateway->callers, &initial_limits);
 	comet_http_server_set_max_connections(gateway->callers, caller_connections_max());
 	comet_http_server_set_limits(gateway->readiness, &internal_limits);
--- a/libcometspindle/adapters/gateway/gateway_callers.c
+++ b/libcometspindle/adapters/gateway/gateway_callers.c
@@ -68,3 +68,29 @@
 	.gone = on_caller_disconnected,
 	.update_link = on_update_link,
 	.drained = on_caller_drained};
+
+void
+comet_gateway_callers_put_metrics(const struct comet_gateway *gateway, GString *out)
+{
+	const struct comet_http_server_counts *counts = comet_http_server_counts(gateway->callers);
+	const struct
+	{
+		const char *name;
+		uint64_t count;
+	} counters[] = {
+		{"connections_displaced_total", counts->displaced},
+		{"connections_refused_unread_total", counts->refused_unread},
+		{"data_after_close_total", counts->late},
+		{"requests_refused_memory_total", counts->refused_memory},
+		{"requests_waited_unread_total", counts->waited},
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(counters); i++)
+		g_string_append_printf(out,
+			"# TYPE comet_%s counter\ncomet_%s %" G_GUINT64_FORMAT "\n",
+			counters[i].name, counters[i].name, counters[i].count);
+	g_string_append_printf(out,
+		"# TYPE comet_body_bytes_reserved gauge\n"
+		"comet_body_bytes_reserved %" G_GUINT64_FORMAT "\n",
+		comet_body_budget_reserved(gateway->bodies));
+}
--- a/libcometspindle/adapters/gateway/gateway_metrics.c
+++ b/libcometspindle/adapters/gateway/gateway_metrics.c
@@ -548,14 +548,7 @@
 	comet_counter_set_print(gateway->ends, out, "comet_request_ends_total");
 	put_latencies(out, gateway);
 	put(out, "requests_open", "gauge", gateway->open_request_count);
-	put(out, "connections_displaced_total", "counter",
-		(double)comet_http_server_counts(gateway->callers)->displaced);
-	put(out, "connections_refused_unread_total", "counter",
-		(double)comet_http_server_counts(gateway->callers)->refused_unread);
-	put(out, "requests_waited_unread_total", "counter",
-		(double)comet_http_server_counts(gateway->callers)->waited);
-	put(out, "data_after_close_total", "counter",
-		(double)comet_http_server_counts(gateway->callers)->late);
+	comet_gateway_callers_put_metrics(gateway, out);
 	put_services(&page);
 	put_teams(&page);
 	put(out, "dispatches_total", "counter", (double)gateway->counts.dispatched);
--- a/libcometspindle/adapters/gateway/gateway_private.h
+++ b/libcometspindle/adapters/gateway/gateway_private.h
@@ -11,6 +11,7 @@
 #include <libcometspindle/adapters/gateway/gateway.h>
 #include <libcometspindle/adapters/peers/datagram_socket.h>
 #include <libcometspindle/random.h>
+#include <libcometspindle/gateway/admission/body_budget.h>
 #include <libcometspindle/gateway/admission/link_share.h>
 #include <libcometspindle/gateway/admission/quota_requests.h>
 #include <libcometspindle/gateway/directory.h>
@@ -112,6 +113,7 @@
 	struct comet_rate_limiter *rate_limiter;
 	struct comet_retry_budget *retries;
 	struct comet_link_share *link;
+	struct comet_body_budget *bodies;
 	struct comet_crash_tracker *crash_tracker;  /**< requests that crash endpoints */
 	struct comet_crash_tracker *crashing_parts; /**< parts of prompts that do */
 	struct comet_gossip *gossip;
@@ -178,6 +180,10 @@
 /** Handles the requests of callers (gateway_callers.c). */
 extern const struct comet_http_server_events comet_gateway_caller_events;
 
+/** Writes the metrics of callers' connections (gateway_callers.c). */
+void
+comet_gateway_callers_put_metrics(const struct comet_gateway *gateway, GString *out);
+
 /** Applies updates of the directory (gateway_directory.c). */
 extern const struct comet_directory_events comet_gateway_directory_events;
 
--- a/libcometspindle/gateway/settings.c
+++ b/libcometspindle/gateway/settings.c
@@ -20,6 +20,10 @@
 /* More than any link of an entry VM carries per second. */
 #define BYTES_PER_S_MAX 1000000000
 
+/* More than any entry VM has. */
+#define MEMORY_MB_MAX 16777216
+#define BYTES_IN_MB 1048576
+
 /* More than any link of an entry VM carries. */
 #define LINK_MBPS_MAX 1000000
 #define BYTES_PER_S_IN_MBPS 125000
@@ -128,6 +132,9 @@
 	settings->link_bytes_per_s =
 		(uint64_t)(comet_json_validator_number(object, "link_mbps", 0, LINK_MBPS_MAX, 0) *
 			   BYTES_PER_S_IN_MBPS);
+	settings->memory_bytes =
+		(uint64_t)(comet_json_validator_number(object, "memory_mb", 0, MEMORY_MB_MAX, 0) *
+			   BYTES_IN_MB);
 	settings->ask_keepers = comet_json_validator_bool(object, "ask_keepers", true);
 	settings->prefer_own_zone = comet_json_validator_bool(object, "prefer_own_zone", false);
 	settings->returning_callers = comet_json_validator_bool(object, "returning_callers", false);
--- a/libcometspindle/gateway/settings.h
+++ b/libcometspindle/gateway/settings.h
@@ -31,6 +31,7 @@
 	uint32_t near_bytes_per_s; /**< byte budget of gossip to VMs of the same zone */
 	uint32_t far_bytes_per_s;  /**< byte budget of gossip to VMs of other zones */
 	uint32_t cpu_percent;      /**< CPU allowance of this VM, in percent of a core */
+	uint64_t memory_bytes;     /**< what this process may use; 0: unknown */
 	uint64_t link_bytes_per_s; /**< rate of this VM's link in each direction; 0: unknown */
 	bool ask_keepers;     /**< request slots from the owner of a shard; otherwise only gossip is
 				 used */
--- a/tests/system/platform_standin.py
+++ b/tests/system/platform_standin.py
@@ -382,7 +382,7 @@
                 line, headers = reader.head()
                 if line is None:
                     return
-                body, _ = reader.body(headers)
+                body, _ = self.body_of(reader, headers)
                 if self.dead or self.name != process_name:
                     while reader.more():
                         pass  # keeps the connection open without answering
@@ -397,6 +397,9 @@
         finally:
             self.sockets.discard(sock)
 
+    def body_of(self, reader, headers):
+        return reader.body(headers)
+
     def ran(self, path, headers, body):
         self.runs.append((headers["x-cometspindle-request-id"], path, headers, body))
 
--- a/tests/system/test_large_bodies.py
+++ b/tests/system/test_large_bodies.py
@@ -1,10 +1,12 @@
-"""test_large_bodies.py: the memory of a gateway before callers that send large bodies"""
+"""test_large_bodies.py: the memory of a gateway before callers that send large bodies, and servers that read them slowly"""
 import os
+import threading
 
-from gateway_world import World, answer_of, connect, document, request, run_tests
-from platform_standin import wait_for
+from gateway_world import Gateway, World, answer_of, connect, document, request, run_tests
+from platform_standin import Server, wait_for
 from test_narrow_links import metric
 
+MEMORY_MB = 110
 BODY_BYTES = 4190000  # max_body_bytes is 4,194,304
 KEPT = 20
 # the sanitizer keeps freed blocks by default
@@ -12,7 +14,7 @@
 
 
 def large_world():
-    world = World(env=ENV)
+    world = World(memory_mb=MEMORY_MB, env=ENV)
     text = document(2)
     text["limits"]["max_body_bytes"] = 4194304
     world.store.put("op/config", text)
@@ -42,5 +44,41 @@
     world.gateway.end()
 
 
+def test_bodies_that_wait_for_slow_servers():
+    """Bodies that waited for servers that were slow to read were kept three times each, without a bound. Now those beyond
+    the bound are refused as not run, and small ones are served."""
+    world = large_world()
+    reading, slow = threading.Event(), Server.body_of
+    statuses, lock = [], threading.Lock()
+
+    def upload():
+        ident, data = request("/once/plain", method="POST", body=b"b" * BODY_BYTES)
+        sock = connect(world.gateway.ports["callers"])
+        sock.sendall(data)
+        status, headers, _, whole = answer_of(sock)
+        assert whole
+        with lock:
+            statuses.append((ident, status, headers.get("retry-after")))
+    Server.body_of = lambda server, reader, headers: (
+        int(headers.get("content-length", 0)) < 100000 or reading.wait(20), slow(server, reader, headers))[1]
+    threads = [threading.Thread(target=upload) for _ in range(KEPT)]
+    for thread in threads:
+        thread.start()
+    wait_for(lambda: len(statuses) >= KEPT - 2)
+    assert metric(world.gateway, "body_bytes_reserved") <= MEMORY_MB * 1048576 / 4
+    sock = connect(world.gateway.ports["callers"])
+    sock.sendall(request("/once/plain", method="POST", body=b"small")[1])
+    assert answer_of(sock)[0] == 200
+    reading.set()
+    for thread in threads:
+        thread.join()
+    Server.body_of = slow
+    refused = [(ident, retry) for ident, status, retry in statuses if status == 503]
+    assert len(refused) == KEPT - 2 and [status for _, status, _ in statuses].count(200) == 2, statuses
+    assert all(world.runs(ident) == 0 and float(retry) > 0 for ident, retry in refused)
+    assert metric(world.gateway, "body_bytes_reserved") == 0
+    world.gateway.end()
+
+
 if __name__ == "__main__":
-    run_tests([], [test_kept_connections_hold_their_largest_bodies])
+    run_tests([], [test_kept_connections_hold_their_largest_bodies, test_bodies_that_wait_for_slow_servers])
--- a/tests/unit/test_socket.cc
+++ b/tests/unit/test_socket.cc
@@ -111,7 +111,8 @@
 	int drains = 0;
 };
 
-const comet_socket_events Socket::events = {nullptr, on_data, on_closed, on_drained, nullptr, nullptr};
+const comet_socket_events Socket::events = {
+	nullptr, on_data, on_closed, on_drained, nullptr, nullptr};
 
 TEST_F(Socket, AnOrderlyEndIsTold)
 {
