Intake: no access to the link and the memory budget after their owner is freed

Cause, found by reading: at exit the gateway frees its children in the reverse order of their creation, the budget and the directory before the server, whose connections then asked them. And a control transfer held back bodies on wide links too, where both fit.

Change: the server drops both before it frees its connections; beside control data a 64th of the window is left to bodies, which is one at a time only on a narrow link; a pause of the process counts for a second of the link at most.

Measured: the unit tests of link share, budget, HTTP server and sockets pass; test_crowded_narrow_vm passes.

--- a/libcometspindle/adapters/callers/http_server.c
+++ b/libcometspindle/adapters/callers/http_server.c
@@ -506,6 +506,8 @@
 {
 	GList *all = g_hash_table_get_keys(http_server->connections);
 
+	comet_http_server_set_link(http_server, NULL); /* its owner may have freed them */
+	comet_http_server_set_body_budget(http_server, NULL);
 	for (GList *at = all; at != NULL; at = at->next)
 		talloc_free(at->data); /* it removes itself from the table */
 	g_list_free(all);
--- a/libcometspindle/adapters/callers/http_server_memory.c
+++ b/libcometspindle/adapters/callers/http_server_memory.c
@@ -64,7 +64,7 @@
 void
 comet_http_memory_release(struct comet_http_connection *connection)
 {
-	if (connection->reserved_bytes > 0)
+	if (connection->http_server->bodies != NULL)
 		comet_body_budget_release(
 			connection->http_server->bodies, connection->reserved_bytes);
 	connection->reserved_bytes = 0;
--- a/libcometspindle/adapters/callers/http_server_settings.c
+++ b/libcometspindle/adapters/callers/http_server_settings.c
@@ -47,6 +47,11 @@
 void
 comet_http_server_set_link(struct comet_http_server *http_server, struct comet_link_share *link)
 {
+	if (link == NULL)
+	{
+		g_queue_clear(&http_server->waiting);
+		g_queue_clear(&http_server->receiving);
+	}
 	http_server->link = link;
 }
 
--- a/libcometspindle/gateway/admission/link_share.c
+++ b/libcometspindle/gateway/admission/link_share.c
@@ -11,6 +11,10 @@
  * busy for a few round trips between caller and VM. */
 #define WINDOW_MS 50
 
+/* Part of the window that is left to bodies while control data is received: one at a time on a
+ * narrow link. */
+#define CONTROL_PART 64
+
 /* A body that gets a smaller part of the link does not keep others waiting. */
 #define SLOW_PART 64
 
@@ -76,8 +80,8 @@
 {
 	if (link->updated_us != 0)
 	{
-		uint64_t carried = (uint64_t)((double)(link->bytes_per_s *
-						       (now_us - link->updated_us) / SECOND_US) *
+		uint64_t passed_us = MIN(now_us - link->updated_us, SECOND_US);
+		uint64_t carried = (uint64_t)((double)(link->bytes_per_s * passed_us / SECOND_US) *
 					      USED_SHARE);
 		link->carrying += sent - link->sent;
 		link->carrying -= MIN(carried, link->carrying);
@@ -114,5 +118,8 @@
 		return true;
 	if (link->carrying >= link->window_bytes)
 		return false;
-	return counted < (link->control ? 1 : link->window_bytes);
+	uint64_t window_bytes =
+		link->control ? link->window_bytes / CONTROL_PART : link->window_bytes;
+
+	return counted < MAX(window_bytes, 1);
 }
--- a/libcometspindle/gateway/admission/link_share.h
+++ b/libcometspindle/gateway/admission/link_share.h
@@ -4,7 +4,7 @@
  *
  * Connections share a full link equally. A hundred bodies that are read at once are all complete
  * late, and leave a routing document a hundredth of the link. Bodies are therefore read a few at a
- * time, and one at a time while control data is received.
+ * time, and on a narrow link one at a time while control data is received.
  */
 #ifndef COMETSPINDLE_GATEWAY_LINK_SHARE_H
 #define COMETSPINDLE_GATEWAY_LINK_SHARE_H
