Link share: a report after a long time is no overload

Cause, found by reading: what was sent in ten seconds was compared with what the link carries in one, so that a VM with few requests and long responses would have held back the next one for up to a quarter of a second. Change: the time counts in full, up to an hour. Measured: LinkShare.AReportAfterALongTimeIsNoOverload fails before and passes; one play of test_crowded_narrow_vm as before.

--- a/libcometspindle/gateway/admission/link_share.c
+++ b/libcometspindle/gateway/admission/link_share.c
@@ -33,6 +33,7 @@
 #define CONTROL_WAIT_MAX_US 300000
 
 #define SECOND_US 1000000
+#define HOUR_US (3600ULL * SECOND_US) /* far more than any window, and no overflow */
 
 /* A body counts for at most this part of the window, and for less once that much has arrived. */
 #define BODY_PART 4
@@ -84,7 +85,7 @@
 {
 	if (link->updated_us != 0)
 	{
-		uint64_t passed_us = MIN(now_us - link->updated_us, SECOND_US);
+		uint64_t passed_us = MIN(now_us - link->updated_us, HOUR_US);
 		uint64_t carried = link->bytes_per_s * passed_us / SECOND_US;
 		uint64_t used = (uint64_t)((double)carried * USED_SHARE);
 		link->carrying += sent - link->sent;
--- a/tests/unit/test_link_share.cc
+++ b/tests/unit/test_link_share.cc
@@ -82,6 +82,13 @@
 	EXPECT_GT(count_bodies(600), 0U);
 }
 
+TEST_F(LinkShare, AReportAfterALongTimeIsNoOverload)
+{
+	comet_link_share_update(link, 0, 0, MS);
+	comet_link_share_update(link, 5 * RATE, 0, 10000 * MS);
+	EXPECT_GT(count_bodies(600), 0U);
+}
+
 TEST_F(LinkShare, ALongOverloadIsForgotten)
 {
 	comet_link_share_update(link, 0, 0, MS);
