Link share: a VM that receives a document refuses no few callers

That VM had four to seven connections waiting, since it received a document, for which bodies get half of the link.

Change: a new connection is refused only if the link needs as long for the bodies that wait as the longest wait that is allowed: eight of 16 KB on a link of 10 Mbit/s, 23 beside control data.

--- a/libcometspindle/adapters/callers/http_server_intake.c
+++ b/libcometspindle/adapters/callers/http_server_intake.c
@@ -17,9 +17,6 @@
  * others are not kept waiting for it. */
 #define PROGRESS_US 100000
 
-/* Counted for a body that announces no length, and for a request whose head is not read yet. */
-#define UNKNOWN_BODY_BYTES (16 * 1024)
-
 static void
 set_counted(struct comet_http_connection *connection, uint64_t bytes)
 {
@@ -67,14 +64,14 @@
 {
 	struct comet_http_server *http_server = connection->http_server;
 	uint64_t received = connection->body->len;
-	uint64_t missing = UNKNOWN_BODY_BYTES;
+	uint64_t missing = COMET_LINK_UNKNOWN_BODY_BYTES;
 
 	if (connection->got_head)
 	{
 		const char *length =
 			comet_http_head_get(connection->request.head, "Content-Length");
 		uint64_t announced = length != NULL ? g_ascii_strtoull(length, NULL, 10)
-						    : received + UNKNOWN_BODY_BYTES;
+						    : received + COMET_LINK_UNKNOWN_BODY_BYTES;
 		missing = announced - MIN(received, announced);
 	}
 	if (connection->receiving_link == NULL)
@@ -190,7 +187,8 @@
 		return false;
 	}
 	if (connection->responded_us == 0 &&
-		comet_link_share_refuses(http_server->link, longest_wait_us(http_server)))
+		comet_link_share_refuses(http_server->link, http_server->waiting.length,
+			longest_wait_us(http_server)))
 	{
 		refuse_unread(connection);
 		return false;
--- a/libcometspindle/gateway/admission/link_share.c
+++ b/libcometspindle/gateway/admission/link_share.c
@@ -113,12 +113,15 @@
 	link->alternatives = alternatives;
 }
 
+/* The longest wait tells that the link has been full, and the bytes that wait that it will be. */
 bool
-comet_link_share_refuses(const struct comet_link_share *link, uint64_t waited_us)
+comet_link_share_refuses(const struct comet_link_share *link, uint32_t waiting, uint64_t waited_us)
 {
 	uint64_t max_us = link->control ? CONTROL_WAIT_MAX_US : WAIT_MAX_US;
+	uint64_t waiting_bytes = (uint64_t)waiting * COMET_LINK_UNKNOWN_BODY_BYTES;
 
-	return link->alternatives && waited_us >= max_us;
+	return link->alternatives && waited_us >= max_us &&
+	       waiting_bytes >= link->bytes_per_s * max_us / SECOND_US;
 }
 
 bool
--- a/libcometspindle/gateway/admission/link_share.h
+++ b/libcometspindle/gateway/admission/link_share.h
@@ -41,10 +41,14 @@
 void
 comet_link_share_set_alternatives(struct comet_link_share *link, bool alternatives);
 
+/** Counted for a body that announces no length, and for a request whose head is not read yet. */
+#define COMET_LINK_UNKNOWN_BODY_BYTES (16 * 1024)
+
 /** Returns whether a new connection is closed unread, because another VM will answer it sooner.
- * @param waited_us longest time for which a connection has waited to be read; 0: none waits */
+ * @param waiting connections that wait to be read
+ * @param waited_us longest time for which one of them has waited */
 bool
-comet_link_share_refuses(const struct comet_link_share *link, uint64_t waited_us);
+comet_link_share_refuses(const struct comet_link_share *link, uint32_t waiting, uint64_t waited_us);
 
 /** Returns whether another request may be read: its body will be sent to an endpoint.
  * @param counted sum of comet_link_share_count() of the requests that are being read */
--- a/tests/unit/test_link_share.cc
+++ b/tests/unit/test_link_share.cc
@@ -99,10 +99,12 @@
 
 TEST_F(LinkShare, NewConnectionsAreRefusedOnlyIfAnotherVmCanTakeThem)
 {
-	EXPECT_FALSE(comet_link_share_refuses(link, 1000 * MS));
+	EXPECT_FALSE(comet_link_share_refuses(link, 100, 1000 * MS));
 	comet_link_share_set_alternatives(link, true);
-	EXPECT_TRUE(comet_link_share_refuses(link, 1000 * MS));
-	EXPECT_FALSE(comet_link_share_refuses(link, 0));
+	EXPECT_TRUE(comet_link_share_refuses(link, 100, 1000 * MS));
+	EXPECT_FALSE(comet_link_share_refuses(link, 100, 0));
+	/* a few that wait for a document are read soon after it */
+	EXPECT_FALSE(comet_link_share_refuses(link, 5, 1000 * MS));
 }
 
 TEST_F(LinkShare, AnUnknownLinkIsNotLimited)
