ORDER: a stream that no VM knows goes on only if one version is proved

Callers saw: all VMs were killed at once while the endpoints of the old version left; about 11 s after the kill a resumed stream got 200 and went on at the new version.

Cause: without a record, one version known for two timeouts of the route (10 s at least) was taken as proof, as if no stream were older.

Change: the bound is 600 s, the longest time of a record, and another VM must confirm it. It starts again when changes of the directory may have been missed. Before that, a VM reads the directory's changes from the first one on: if none is forgotten and the service had one version only, its streams go on at once. Changes since a later revision prove nothing of older streams, so they are not used.

All 17 pass with the fix.

--- a/libcometspindle/adapters/gateway/gateway_directory.c
+++ b/libcometspindle/adapters/gateway/gateway_directory.c
@@ -3,6 +3,7 @@
  * applies updates of the directory: routes, endpoints, evacuations, and outages of the directory
  */
 #include <libcometspindle/adapters/gateway/gateway_crashes.h>
+#include <libcometspindle/adapters/gateway/gateway_streams.h>
 
 #include <libcometspindle/log.h>
 #include <string.h>
@@ -368,6 +369,26 @@
 		gateway->answered_us != 0 ? (now_us - gateway->answered_us) / 1000 : 0);
 }
 
+static void
+on_changes_missed(void *ctx)
+{
+	const struct comet_gateway *gateway = ctx;
+
+	comet_instances_restart_versions(gateway->instances, comet_timers_now_us());
+}
+
+static void
+on_past_endpoint(void *ctx, const struct comet_instance_record *record)
+{
+	comet_gateway_streams_past_endpoint(((struct comet_gateway *)ctx)->streams, record);
+}
+
+static void
+on_history_read(void *ctx, enum comet_directory_history result)
+{
+	comet_gateway_streams_history_read(((struct comet_gateway *)ctx)->streams, result);
+}
+
 const struct comet_directory_events comet_gateway_directory_events = {
 	.routes = on_routes,
 	.instance = on_instance,
@@ -380,4 +401,7 @@
 	.called = on_called,
 	.answered = on_answered,
 	.availability_changed = on_availability_changed,
+	.changes_missed = on_changes_missed,
+	.past_endpoint = on_past_endpoint,
+	.history_read = on_history_read,
 };
--- a/libcometspindle/adapters/gateway/gateway_streams.c
+++ b/libcometspindle/adapters/gateway/gateway_streams.c
@@ -4,13 +4,15 @@
  *
  * The VM that forwards the first event of a stream records the version of the endpoint, and sends
  * the record to two other VMs before it forwards the event. So the version is known after the VM
- * has failed. Without a record a stream goes on only if its service has had one version all the
- * time.
+ * has failed. Without a record a stream goes on only if it is proved that its service has had one
+ * version all the time: by what this VM or another one has known for longer than any stream lasts,
+ * or by the directory, if it still has its whole history.
  */
 #include <libcometspindle/adapters/gateway/gateway_streams.h>
 
 #include <libcometspindle/adapters/gateway/forward_head.h>
 #include <libcometspindle/adapters/gateway/proxy_request.h>
+#include <libcometspindle/gateway/streams/past_versions.h>
 #include <libcometspindle/gateway/streams/stream_lookups.h>
 #include <libcometspindle/gateway/streams/stream_versions.h>
 #include <libcometspindle/hash.h>
@@ -18,26 +20,47 @@
 #include <string.h>
 #include <talloc.h>
 
-/* A stream is as old as its caller's patience at most. The bounds cover routes without a timeout,
- * and callers that state another timeout with each attempt. */
+/* Bounds on the time for which the version of a stream is recorded. They cover routes without a
+ * timeout, and callers that state another timeout with each attempt. */
 #define LIFETIME_MIN_US 10000000
 #define LIFETIME_MAX_US 600000000
 
 /* Callers come back within several timeouts of a route at most. */
 #define LIFETIME_TIMEOUTS 2
 
-/* Retry-After if VMs that may know the version did not answer, and if all have answered. */
+/* A stream that no VM knows may be this old. Nothing that a VM can read bounds the time after which
+ * a caller resumes a stream: timeouts change, and callers choose their own. */
+#define UNKNOWN_AGE_US LIFETIME_MAX_US
+
+/* A complete read of the directory's history is valid for this time, so that callers which return
+ * together after a failure of all VMs cause one read. */
+#define HISTORY_VALID_US 1000000
+
+/* Retry-After if VMs that may know the version did not answer, or the directory is not read, and if
+ * all have answered. */
 #define UNANSWERED_RETRY_MS 1000
 #define UNKNOWN_RETRY_MS 5000
 
 /* Interval at which expired records are removed. */
 #define EXPIRY_INTERVAL_US 1000000
 
+/* A request that waits for the directory's history. */
+struct waiting_request
+{
+	struct comet_proxy_request *proxy;
+	struct comet_stream_lookup_result result;
+};
+
 struct comet_streams
 {
 	struct comet_gateway *gateway;
 	struct comet_stream_versions *versions;
 	struct comet_stream_lookups *lookups;
+	struct comet_past_versions *past; /* as of the last read of the directory's history */
+	uint64_t past_us;                 /* when that read was complete; 0: it was not */
+	bool reading_history;
+	bool history_gone;   /* the directory has forgotten a part of it */
+	GQueue waiting;      /* of struct waiting_request */
 	bool copies_missing; /* a VM that kept copies has changed */
 	uint64_t expired_us; /* when expired records were last removed */
 	uint64_t now_us;     /* while records are sent */
@@ -217,8 +240,7 @@
 	return comet_stream_versions_count(streams->versions);
 }
 
-/* How long after now the caller of a request may resume its stream, and how long ago it may have
- * begun. */
+/* How long after now the version of a request's stream is recorded. */
 static uint64_t
 lifetime_us(const struct comet_proxy_request *proxy)
 {
@@ -386,55 +408,134 @@
 		answer->only_ms = (uint32_t)MIN((now_us - only.since_us) / 1000, UINT32_MAX);
 }
 
-/* Returns the only version that the stream can have begun at, because no VM has known another one
- * since before it began; 0: there is none. */
-static uint32_t
+/* Returns the only version that this VM and those that it has asked know; 0: there is none, or
+ * several are known. */
+static struct comet_only_version
 find_only_version(const struct comet_proxy_request *proxy,
 	const struct comet_stream_lookup_result *result, uint64_t now_us)
 {
 	const struct comet_only_version only = only_version(proxy->gateway, proxy->service, now_us);
 
-	if (only.version_id == 0 || result->several ||
+	if (result->several ||
 		(result->only_version_id != 0 && result->only_version_id != only.version_id))
-		return 0;
-	return MAX(now_us - only.since_us, result->only_us) >= lifetime_us(proxy) ? only.version_id
-										  : 0;
+		return (struct comet_only_version){0};
+	return only;
+}
+
+/* Returns whether the directory's history shows that the service has had this version only. */
+static bool
+proves_only_version(const struct comet_streams *streams, const char *service, uint32_t version_id)
+{
+	return comet_past_versions_only(streams->past, comet_hash_name(service)) == version_id;
+}
+
+static void
+read_history(struct comet_streams *streams, struct comet_proxy_request *proxy,
+	const struct comet_stream_lookup_result *result)
+{
+	struct comet_directory *directory = streams->gateway->directory;
+	struct waiting_request *waiting = g_new0(struct waiting_request, 1);
+
+	waiting->proxy = proxy;
+	waiting->result = *result;
+	g_queue_push_tail(&streams->waiting, waiting);
+	if (streams->reading_history)
+		return;
+	streams->reading_history = true;
+	talloc_free(streams->past);
+	streams->past = comet_past_versions_create(streams);
+	directory->ops->read_history(directory);
 }
 
 static void
 end_resolution(struct comet_proxy_request *proxy, const struct comet_stream_lookup_result *result,
-	const char *source)
+	uint32_t version_id, const char *source)
 {
 	struct comet_gateway *gateway = proxy->gateway;
-	uint64_t now_us = comet_timers_now_us();
-	uint32_t version_id = result->version_id;
 
 	proxy->resolving = false;
-	if (version_id == 0)
-	{
-		version_id = find_only_version(proxy, result, now_us);
-		source = "only_version";
-	}
 	if (version_id != 0)
 	{
 		gateway->counts.stream_versions_known++;
 		set_version(proxy, version_id, result->service_id, source);
-		proxy->on_version_known(proxy, now_us);
+		proxy->on_version_known(proxy, comet_timers_now_us());
 		return;
 	}
 	gateway->counts.stream_versions_unknown++;
 	comet_log(COMET_LOG_NOTICE,
-		"event=stream_version_unknown request=%s asked=%u answered=%u several=%d",
-		proxy->id, result->asked, result->answered, result->several);
+		"event=stream_version_unknown request=%s asked=%u answered=%u several=%d "
+		"history_gone=%d",
+		proxy->id, result->asked, result->answered, result->several,
+		gateway->streams->history_gone);
+	bool may_be_known_soon =
+		result->answered < result->asked || !gateway->listed || gateway->directory_lost;
 	proxy->on_version_unknown(
-		proxy, result->answered < result->asked ? UNANSWERED_RETRY_MS : UNKNOWN_RETRY_MS);
+		proxy, may_be_known_soon ? UNANSWERED_RETRY_MS : UNKNOWN_RETRY_MS);
+}
+
+/* Decides on a stream that no VM knows. */
+static void
+resolve_unknown(struct comet_proxy_request *proxy, const struct comet_stream_lookup_result *result)
+{
+	struct comet_streams *streams = proxy->gateway->streams;
+	uint64_t now_us = comet_timers_now_us();
+	const struct comet_only_version only = find_only_version(proxy, result, now_us);
+	/* A VM that is cut off does not know of new versions. */
+	bool confirmed = result->asked == 0 || result->only_version_id == only.version_id;
+	bool long_known = only.version_id != 0 && confirmed &&
+			  MAX(now_us - only.since_us, result->only_us) >= UNKNOWN_AGE_US;
+	bool read = streams->past_us != 0 && now_us - streams->past_us < HISTORY_VALID_US;
+
+	if (long_known)
+		end_resolution(proxy, result, only.version_id, "only_version");
+	else if (only.version_id != 0 && !read && !streams->history_gone)
+		read_history(streams, proxy, result);
+	else if (read && proves_only_version(streams, proxy->service, only.version_id))
+		end_resolution(proxy, result, only.version_id, "history");
+	else
+		end_resolution(proxy, result, 0, NULL);
+}
+
+void
+comet_gateway_streams_past_endpoint(
+	struct comet_streams *streams, const struct comet_instance_record *record)
+{
+	const char *version = record->software_version;
+
+	comet_past_versions_add(streams->past, comet_hash_name(record->service),
+		comet_hash_name(version != NULL ? version : ""));
+}
+
+void
+comet_gateway_streams_history_read(
+	struct comet_streams *streams, enum comet_directory_history result)
+{
+	struct waiting_request *waiting = NULL;
+	uint64_t now_us = comet_timers_now_us();
+
+	streams->reading_history = false;
+	streams->past_us = result == COMET_DIRECTORY_HISTORY_COMPLETE ? now_us : 0;
+	streams->history_gone = result == COMET_DIRECTORY_HISTORY_GONE;
+	while ((waiting = g_queue_pop_head(&streams->waiting)) != NULL)
+	{
+		struct comet_proxy_request *proxy = waiting->proxy;
+		const struct comet_only_version only =
+			find_only_version(proxy, &waiting->result, now_us);
+		bool proved = streams->past_us != 0 && only.version_id != 0 &&
+			      proves_only_version(streams, proxy->service, only.version_id);
+		end_resolution(proxy, &waiting->result, proved ? only.version_id : 0, "history");
+		g_free(waiting);
+	}
 }
 
 static void
 on_lookup_ended(void *ctx, void *user_data, const struct comet_stream_lookup_result *result)
 {
 	(void)ctx;
-	end_resolution(user_data, result, "other_vm");
+	if (result->version_id != 0)
+		end_resolution(user_data, result, result->version_id, "other_vm");
+	else
+		resolve_unknown(user_data, result);
 }
 
 void
@@ -462,20 +563,40 @@
 	if (n_vms > 0)
 		comet_stream_lookups_start(streams->lookups, proxy, proxy->stream_key,
 			comet_hash_name(proxy->service), vms, n_vms, now_us);
+	else if (result.version_id != 0)
+		end_resolution(proxy, &result, result.version_id,
+			begun != NULL ? "this_vm" : "peer_request");
 	else
-		end_resolution(proxy, &result, begun != NULL ? "this_vm" : "peer_request");
+		resolve_unknown(proxy, &result);
 }
 
 void
 comet_gateway_streams_cancel(struct comet_streams *streams, const struct comet_proxy_request *proxy)
 {
-	if (proxy->resolving)
-		comet_stream_lookups_cancel(streams->lookups, proxy);
+	if (!proxy->resolving)
+		return;
+	comet_stream_lookups_cancel(streams->lookups, proxy);
+	for (GList *at = streams->waiting.head; at != NULL; at = at->next)
+	{
+		const struct waiting_request *waiting = at->data;
+		if (waiting->proxy != proxy)
+			continue;
+		g_free(at->data);
+		g_queue_delete_link(&streams->waiting, at);
+		return;
+	}
 }
 
 static const struct comet_stream_lookups_ops lookups_ops = {
 	.send = send_datagram, .ended = on_lookup_ended, .answer = answer_lookup};
 
+static int
+streams_destroy(struct comet_streams *streams)
+{
+	g_queue_clear_full(&streams->waiting, g_free);
+	return 0;
+}
+
 struct comet_streams *
 comet_gateway_streams_create(struct comet_gateway *gateway, uint32_t address)
 {
@@ -483,6 +604,9 @@
 
 	streams->gateway = gateway;
 	streams->versions = comet_stream_versions_create(streams);
+	streams->past = comet_past_versions_create(streams);
+	g_queue_init(&streams->waiting);
+	talloc_set_destructor(streams, streams_destroy);
 	streams->lookups = comet_stream_lookups_create(streams, address, &lookups_ops, streams);
 	return streams;
 }
--- a/libcometspindle/adapters/gateway/gateway_streams.h
+++ b/libcometspindle/adapters/gateway/gateway_streams.h
@@ -5,6 +5,7 @@
 #ifndef COMETSPINDLE_ADAPTERS_GATEWAY_STREAMS_H
 #define COMETSPINDLE_ADAPTERS_GATEWAY_STREAMS_H
 
+#include <libcometspindle/gateway/directory.h>
 #include <libcometspindle/gateway/messages/datagram.h>
 #include <stdbool.h>
 #include <stddef.h>
@@ -35,6 +36,16 @@
 comet_gateway_streams_cancel(
 	struct comet_streams *streams, const struct comet_proxy_request *proxy);
 
+/** Records an endpoint that a read of the directory's history has found. */
+void
+comet_gateway_streams_past_endpoint(
+	struct comet_streams *streams, const struct comet_instance_record *record);
+
+/** Decides on the requests that wait for the directory's history. */
+void
+comet_gateway_streams_history_read(
+	struct comet_streams *streams, enum comet_directory_history result);
+
 /** Records the version of the endpoint whose first event is about to be forwarded. */
 void
 comet_gateway_streams_began(struct comet_proxy_request *proxy);
--- a/libcometspindle/gateway/directory.h
+++ b/libcometspindle/gateway/directory.h
@@ -63,6 +63,14 @@
 	COMET_DIRECTORY_CALL_FAILED,     /**< refused or unanswered */
 };
 
+/** Outcome of a read of the history. */
+enum comet_directory_history
+{
+	COMET_DIRECTORY_HISTORY_COMPLETE, /**< all endpoints that were ever listed were reported */
+	COMET_DIRECTORY_HISTORY_GONE,     /**< the directory has forgotten a part of it for good */
+	COMET_DIRECTORY_HISTORY_UNREAD,   /**< refused or unanswered */
+};
+
 #define COMET_DIRECTORY_CALLS (COMET_DIRECTORY_CALL_FAILED + 1)
 
 struct comet_directory_events
@@ -94,6 +102,13 @@
 	void (*answered)(void *ctx);
 	/** The directory answers again (available) or has stopped answering. */
 	void (*availability_changed)(void *ctx, bool available, const char *why);
+	/** Changes may have been missed: endpoints may have been listed for a time without being
+	 * reported. */
+	void (*changes_missed)(void *ctx);
+	/** A read of the history has found a present or past state of an endpoint. */
+	void (*past_endpoint)(void *ctx, const struct comet_instance_record *record);
+	/** A read of the history has ended. */
+	void (*history_read)(void *ctx, enum comet_directory_history result);
 };
 
 /** How a VM reads the directory. */
@@ -140,6 +155,9 @@
 	uint64_t (*missing_document)(const struct comet_directory *directory);
 	/** Reads the routing document from the directory itself. */
 	void (*read_document)(struct comet_directory *directory);
+	/** Reads all endpoints that were ever listed, and calls history_read() at the end. Does
+	 * nothing while such a read is in progress. */
+	void (*read_history)(struct comet_directory *directory);
 	/** Encodes all data for a peer. @return NULL while data is missing. */
 	GBytes *(*snapshot)(struct comet_directory *directory);
 	/** Applies a peer's snapshot or delta if it is newer. */
--- a/libcometspindle/gateway/endpoints/instances.c
+++ b/libcometspindle/gateway/endpoints/instances.c
@@ -153,6 +153,20 @@
 			       : (struct comet_only_version){0};
 }
 
+void
+comet_instances_restart_versions(struct comet_instances *instances, uint64_t now_us)
+{
+	GHashTableIter at;
+	gpointer history = NULL;
+
+	g_hash_table_iter_init(&at, instances->version_histories);
+	while (g_hash_table_iter_next(&at, NULL, &history))
+	{
+		comet_version_history_restart(history);
+		comet_version_history_only(history, now_us); /* records the time of the restart */
+	}
+}
+
 /* Returns the slow start settings of a service. Instances hold pointers to them, so that they are
  * updated in place. */
 static struct comet_slow_start_config *
--- a/libcometspindle/gateway/endpoints/instances.h
+++ b/libcometspindle/gateway/endpoints/instances.h
@@ -132,6 +132,10 @@
 const char *
 comet_instances_service_name(struct comet_instances *instances, uint32_t service_id);
 
+/** Forgets since when each service has had one version, because changes may have been missed. */
+void
+comet_instances_restart_versions(struct comet_instances *instances, uint64_t now_us);
+
 /** @return the only software version of a service, and since when no other one has been known. */
 struct comet_only_version
 comet_instances_only_version(
--- a/libcometspindle/gateway/endpoints/version_history.c
+++ b/libcometspindle/gateway/endpoints/version_history.c
@@ -59,6 +59,12 @@
 		g_hash_table_remove(history->counts, GUINT_TO_POINTER(version_id));
 }
 
+void
+comet_version_history_restart(struct comet_version_history *history)
+{
+	history->changed = true;
+}
+
 struct comet_only_version
 comet_version_history_only(struct comet_version_history *history, uint64_t now_us)
 {
--- a/libcometspindle/gateway/endpoints/version_history.h
+++ b/libcometspindle/gateway/endpoints/version_history.h
@@ -29,6 +29,10 @@
 void
 comet_version_history_remove(struct comet_version_history *history, uint32_t version_id);
 
+/** Forgets since when there has been one version: others may have been missed. */
+void
+comet_version_history_restart(struct comet_version_history *history);
+
 /** @return the only version. The time of a change is that of the first call after it, so that it
  * may be later than the change, but never earlier. */
 struct comet_only_version
--- a/tests/system/test_stream_versions.py
+++ b/tests/system/test_stream_versions.py
@@ -2,6 +2,7 @@
 import itertools
 import re
 import threading
+import time
 
 from gateway_world import connect, document, request, run_tests
 from platform_standin import wait_for
@@ -288,6 +289,82 @@
     group.end()
 
 
+def kill_all(group):
+    for vm in group.vms:
+        vm.process.kill()
+    for vm in group.vms:
+        vm.process.wait()
+
+
+def start_all(group):
+    group.vms = [group.start(number) for number in range(len(group.vms))]
+    for vm in group.vms:
+        wait_for(lambda vm=vm: vm.ready() and vm.log_text().count(b"event=vm_heard") >= 2)
+
+
+def check_versions_are_not_joined(leave_when, history=True):
+    """The endpoints of v1 leave around a failure of all VMs. No caller gets another version, however late it returns."""
+    group = Group()
+    streams = group.begin_all([0, 1, 2])
+
+    def leave():
+        for server in group.servers:
+            if server.entry["version"] == "v1":
+                group.store.remove("servers/" + server.name)
+        if not history:
+            group.store.forgotten = group.store.revision
+    if leave_when == "before":
+        leave()
+        time.sleep(0.3)
+    kill_all(group)
+    if leave_when == "down":
+        leave()
+    start_all(group)
+    if leave_when == "after":
+        leave()
+    over = time.monotonic() + 12
+    while time.monotonic() < over:
+        for number, (ident, _, first) in enumerate(streams):
+            _, status, body, _ = group.resume(number % 3, ident, 2)
+            assert status == 503 or (status == 200 and len(group.versions(first + body)) == 1), (status, first + body)
+        time.sleep(1)
+    group.end()
+
+
+def test_versions_are_not_joined_after_all_vms_failed():
+    check_versions_are_not_joined("before")
+
+
+def test_versions_are_not_joined_when_one_left_while_all_vms_were_down():
+    check_versions_are_not_joined("down", history=False)
+
+
+def test_versions_are_not_joined_when_one_left_after_all_vms_failed():
+    check_versions_are_not_joined("after")
+
+
+def test_stream_goes_on_at_once_after_all_vms_failed_if_there_was_one_version():
+    group = Group(versions=["v1"] * 3)
+    streams = group.begin_all([0, 1, 2])
+    kill_all(group)
+    start_all(group)
+    for number, (ident, _, first) in enumerate(streams):
+        group.check_resumed(number % 3, ident, first)
+    group.end()
+
+
+def test_forgotten_history_proves_no_version():
+    group = Group(versions=["v1"] * 3)
+    streams = group.begin_all([0, 1, 2])
+    kill_all(group)
+    group.store.put("servers/i-0", group.servers[0].entry)
+    group.store.forgotten = group.store.revision
+    start_all(group)
+    for number, (ident, _, _) in enumerate(streams):
+        group.check_refused(number % 3, ident)
+    group.end()
+
+
 TESTS = [test_stream_goes_on_at_its_version_inside_an_answer, test_stream_goes_on_at_its_version_at_another_vm,
          test_stream_goes_on_at_its_version_after_its_vm_was_killed,
          test_stream_goes_on_at_its_version_at_a_vm_that_started_later,
@@ -298,7 +375,12 @@
          test_unfinished_answer_ends_when_no_endpoint_of_its_version_is_left,
          test_stream_through_another_vm_goes_on_at_its_version,
          test_stream_through_another_vm_goes_on_at_its_version_when_that_vm_is_killed,
-         test_stream_goes_on_when_all_endpoints_have_one_version]
+         test_stream_goes_on_when_all_endpoints_have_one_version,
+         test_versions_are_not_joined_after_all_vms_failed,
+         test_versions_are_not_joined_when_one_left_while_all_vms_were_down,
+         test_versions_are_not_joined_when_one_left_after_all_vms_failed,
+         test_stream_goes_on_at_once_after_all_vms_failed_if_there_was_one_version,
+         test_forgotten_history_proves_no_version]
 
 if __name__ == "__main__":
     run_tests([], TESTS)
