--- a/libcometspindle/adapters/gateway/gateway.c
+++ b/libcometspindle/adapters/gateway/gateway.c
@@ -177,6 +177,7 @@
 	comet_link_share_set_alternatives(gateway->link, alive > 0);
 	comet_gateway_tick_endpoints(gateway, now_us);
 	comet_gateway_links_tick(gateway->links, now_us);
+	gateway->unsent_bytes = comet_http_server_unsent_bytes(gateway->callers);
 	comet_gateway_streams_tick(gateway->streams, now_us);
 	comet_gateway_returns_tick(gateway->returns, now_us);
 	comet_crash_tracker_tick(gateway->crash_tracker, now_us);
--- a/libcometspindle/adapters/gateway/gateway_answer.c
+++ b/libcometspindle/adapters/gateway/gateway_answer.c
@@ -135,11 +135,19 @@
 	return BODY_PLAIN;
 }
 
+/* Returns how many bytes of the response may be kept. */
+static uint64_t
+max_kept_bytes(const struct comet_proxy_request *proxy, uint64_t most_bytes)
+{
+	return comet_body_budget_response_bytes(
+		proxy->gateway->bodies, proxy->gateway->unsent_bytes, most_bytes);
+}
+
 static void
 pause_for_slow_caller(struct comet_proxy_request *proxy)
 {
-	if (proxy->attempt->upstream_paused ||
-		comet_http_server_queued_bytes(proxy->request) < PAUSE_THRESHOLD_BYTES)
+	if (proxy->attempt->upstream_paused || comet_http_server_queued_bytes(proxy->request) <
+						       max_kept_bytes(proxy, PAUSE_THRESHOLD_BYTES))
 		return;
 	proxy->attempt->upstream_paused = true;
 	comet_exchange_pause(proxy->attempt->exchange, true);
@@ -175,13 +183,15 @@
 		return;
 	}
 	g_byte_array_append(proxy->buffered_body, (const guint8 *)data, (guint)length);
-	if (proxy->buffered_body->len < PLAIN_BUFFER_BYTES)
+	if (proxy->buffered_body->len < max_kept_bytes(proxy, PLAIN_BUFFER_BYTES))
 		return;
 	const char *length_text = comet_http_head_get(proxy->attempt->head, "Content-Length");
 	start_response(proxy, length_text != NULL ? g_ascii_strtoll(length_text, NULL, 10) : -1);
 	comet_http_server_send_body(proxy->request, (const char *)proxy->buffered_body->data,
 		proxy->buffered_body->len);
-	g_byte_array_set_size(proxy->buffered_body, 0);
+	/* An emptied array keeps its allocation, for as long as the caller takes to read. */
+	g_byte_array_free(proxy->buffered_body, TRUE);
+	proxy->buffered_body = g_byte_array_new();
 	pause_for_slow_caller(proxy);
 }
 
--- a/libcometspindle/adapters/gateway/gateway_private.h
+++ b/libcometspindle/adapters/gateway/gateway_private.h
@@ -114,6 +114,7 @@
 	struct comet_retry_budget *retries;
 	struct comet_link_share *link;
 	struct comet_body_budget *bodies;
+	uint64_t unsent_bytes; /* of responses that callers have not read, at the last tick */
 	struct comet_crash_tracker *crash_tracker;  /**< requests that crash endpoints */
 	struct comet_crash_tracker *crashing_parts; /**< parts of prompts that do */
 	struct comet_gossip *gossip;
--- a/libcometspindle/gateway/admission/body_budget.c
+++ b/libcometspindle/gateway/admission/body_budget.c
@@ -1,6 +1,6 @@
 /*
  * body_budget.c
- * bounds the memory of request bodies, so that they never end the process
+ * bounds the memory of request bodies and of responses, so that they never end the process
  */
 #include <libcometspindle/gateway/admission/body_budget.h>
 
@@ -19,6 +19,11 @@
 /* Room for small bodies alone, as a part of that for all. */
 #define SMALL_PART 4
 
+/* Unread responses of slow callers may use this part of what bodies may use. Beyond it each further
+ * response is read from its endpoint in small steps. */
+#define RESPONSES_PART 2
+#define RESPONSE_STEP_BYTES (16 * 1024)
+
 struct comet_body_budget
 {
 	uint64_t max_bytes; /* 0: not bounded */
@@ -54,6 +59,15 @@
 	budget->reserved -= body_bytes * COPIES;
 }
 
+uint64_t
+comet_body_budget_response_bytes(
+	const struct comet_body_budget *budget, uint64_t unsent_bytes, uint64_t most_bytes)
+{
+	return budget->max_bytes == 0 || unsent_bytes < budget->max_bytes / RESPONSES_PART
+		       ? most_bytes
+		       : RESPONSE_STEP_BYTES;
+}
+
 uint64_t
 comet_body_budget_reserved(const struct comet_body_budget *budget)
 {
--- a/tests/system/test_large_bodies.py
+++ b/tests/system/test_large_bodies.py
@@ -1,8 +1,10 @@
 """test_large_bodies.py: the memory of a gateway before callers that send large bodies, and servers that read them slowly"""
 import os
+import socket
 import threading
+import time
 
-from gateway_world import Gateway, World, answer_of, connect, document, request, run_tests
+from gateway_world import ADDRESS, Gateway, World, answer_of, connect, document, request, run_tests
 from platform_standin import Server, wait_for
 from test_narrow_links import metric
 
@@ -17,6 +19,8 @@
     world = World(memory_mb=MEMORY_MB, env=ENV)
     text = document(2)
     text["limits"]["max_body_bytes"] = 4194304
+    for route in text["routes"]:
+        route["timeout_ms"] = 60000
     world.store.put("op/config", text)
     wait_for(lambda: metric(world.gateway, "routes_version") == 2)
     return world
@@ -80,5 +84,37 @@
     world.gateway.end()
 
 
+def test_responses_that_wait_for_slow_callers():
+    """Callers that did not read their responses took 0.2 MB each, without a bound. The responses are delivered late."""
+    world = large_world()
+    for server in world.servers:
+        server.publish(slots=200)
+    callers, response = 200, b"r" * 3000000  # the kernel's buffers hold most of each
+    started, lock = [], threading.Lock()
+
+    def large(server, sock, path, headers, body):
+        with lock:
+            started.append(server.name)
+        server.write_head(sock, headers, length=len(response))
+        sock.sendall(response)
+    world.script("large", large)
+    before = memory_bytes(world.gateway)
+    socks = []
+    for number in range(callers):
+        socks.append(socket.socket())
+        socks[-1].setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        socks[-1].connect((ADDRESS, world.gateway.ports["callers"]))
+        socks[-1].sendall(request("/safe/large", deadline_ms=60000)[1])
+        wait_for(lambda number=number: len(started) > number)
+    time.sleep(1)
+    grown = memory_bytes(world.gateway) - before
+    assert grown < MEMORY_MB * 1048576 / 4, grown
+    for sock in socks[::20]:
+        status, _, body, whole = answer_of(sock)
+        assert status == 200 and whole and body == response, (status, len(body))
+    world.gateway.end()
+
+
 if __name__ == "__main__":
-    run_tests([], [test_kept_connections_hold_their_largest_bodies, test_bodies_that_wait_for_slow_servers])
+    run_tests([], [test_kept_connections_hold_their_largest_bodies, test_bodies_that_wait_for_slow_servers,
+                   test_responses_that_wait_for_slow_callers])
