QUOTA: gossip names the teams nearest to their limits first

Cause: a gossip message took the first 48 teams with recent spending in the order of a hash table, so that others were never reported, and the next owner of their quota granted the burst again.

--- a/libcometspindle/gateway/admission/rate_limiter.c
+++ b/libcometspindle/gateway/admission/rate_limiter.c
@@ -496,6 +496,8 @@
 		};
 		comet_spending_window_advance(&quota->window, now_us);
 		report.own_spent_in_window = (uint64_t)comet_spending_window_own(&quota->window);
+		if (quota->limit > 0)
+			report.limit_part = (double)report.own_spent_in_window / quota->limit;
 		/* An assumption is not reported as knowledge. */
 		if (quota->reported || is_window_known(rate_limiter, quota))
 			report.all_spent_in_window =
--- a/libcometspindle/gateway/admission/rate_limiter.h
+++ b/libcometspindle/gateway/admission/rate_limiter.h
@@ -112,6 +112,7 @@
 	uint64_t own_spent_in_window; /**< by this VM in the last window */
 	uint64_t all_spent_in_window; /**< by all VMs in the last window; 0: not known */
 	uint64_t last_us;             /**< when this VM last spent something; 0: never */
+	double limit_part; /**< own_spent_in_window as a part of the limit; 0: no limit */
 };
 
 /** Records that all other VMs have received what this VM has spent so far. */
--- a/libcometspindle/gateway/fleet/gossip_rounds.c
+++ b/libcometspindle/gateway/fleet/gossip_rounds.c
@@ -171,30 +171,40 @@
 	};
 }
 
-struct add_spending
+static void
+collect_report(void *ctx, const struct comet_rate_limiter_report *report)
 {
-	comet_View *view;
-	uint64_t now_us;
-	uint32_t skipped;     /* teams without recent spending that earlier messages reported */
-	uint32_t other_count; /* teams without recent spending so far */
-	uint32_t other_added; /* of them, those added to this gossip message */
-};
+	g_array_append_vals(ctx, report, 1);
+}
 
-/* Adds the teams with recent spending, and some of the others in turn. */
-static void
-add_spending(void *ctx, const struct comet_rate_limiter_report *report)
+/* Orders teams by the part of their limit that they spent through this VM, the largest first, and
+ * teams without recent spending last. The next owner of a quota must know most of all of the teams
+ * that are near their limits. */
+static int
+compare_reports(const void *one, const void *other)
 {
-	struct add_spending *context = ctx;
-	comet_View *view = context->view;
-	bool recent_spender =
-		report->last_us != 0 && context->now_us - report->last_us < RECENT_SPENDING_US;
+	const struct comet_rate_limiter_report *a = one;
+	const struct comet_rate_limiter_report *b = other;
+
+	if (a->limit_part != b->limit_part)
+		return a->limit_part > b->limit_part ? -1 : 1;
+	if (a->last_us != b->last_us)
+		return a->last_us > b->last_us ? -1 : 1;
+	return a->team_id < b->team_id ? -1 : a->team_id > b->team_id;
+}
 
-	if (!recent_spender && (context->other_count++ < context->skipped ||
-				       context->other_added >= OTHER_TEAMS_PER_VIEW))
-		return;
-	if (view->spent_count >= G_N_ELEMENTS(view->spent))
-		return;
-	context->other_added += recent_spender ? 0 : 1;
+static int
+compare_teams(const void *one, const void *other)
+{
+	uint32_t a = ((const struct comet_rate_limiter_report *)one)->team_id;
+	uint32_t b = ((const struct comet_rate_limiter_report *)other)->team_id;
+
+	return a < b ? -1 : a > b;
+}
+
+static void
+add_spent(comet_View *view, const struct comet_rate_limiter_report *report)
+{
 	view->spent[view->spent_count++] = (comet_Spent){
 		.team = report->team_id,
 		.amount = report->spent,
@@ -203,6 +213,43 @@
 	};
 }
 
+/* Adds the teams with recent spending, as far as they leave room for some of the others, which take
+ * turns. When teams were added in a fixed order, those behind the first ones were never reported.
+ */
+static void
+add_spending(struct comet_gossip *gossip, comet_View *view, uint64_t now_us)
+{
+	GArray *reports = g_array_new(FALSE, FALSE, sizeof(struct comet_rate_limiter_report));
+	guint most = G_N_ELEMENTS(view->spent) - OTHER_TEAMS_PER_VIEW;
+	guint first = 0;
+
+	comet_rate_limiter_each(gossip->rate_limiter, now_us, collect_report, reports);
+	g_array_sort(reports, compare_reports);
+	for (; first < reports->len && first < most; first++)
+	{
+		const struct comet_rate_limiter_report *report =
+			&g_array_index(reports, struct comet_rate_limiter_report, first);
+		if (report->last_us == 0 || now_us - report->last_us >= RECENT_SPENDING_US)
+			break;
+		add_spent(view, report);
+	}
+	g_array_remove_range(reports, 0, first);
+	g_array_sort(reports, compare_teams);
+	guint next = 0;
+	while (next < reports->len &&
+		g_array_index(reports, struct comet_rate_limiter_report, next).team_id <=
+			gossip->last_team)
+		next++;
+	for (guint i = 0; i < MIN(reports->len, OTHER_TEAMS_PER_VIEW); i++)
+	{
+		const struct comet_rate_limiter_report *report = &g_array_index(
+			reports, struct comet_rate_limiter_report, (next + i) % reports->len);
+		add_spent(view, report);
+		gossip->last_team = report->team_id;
+	}
+	g_array_free(reports, TRUE);
+}
+
 struct add_limits
 {
 	comet_View *view;
@@ -328,8 +375,6 @@
 {
 	comet_Datagram *datagram = &gossip->outgoing;
 	comet_View *view = &datagram->body.view;
-	struct add_spending context = {
-		.view = view, .now_us = now_us, .skipped = gossip->next_team};
 
 	memset(datagram, 0, sizeof *datagram);
 	datagram->which_body = comet_Datagram_view_tag;
@@ -344,12 +389,9 @@
 	view->cpu_percent = gossip->cpu_percent;
 	view->age_ms = (uint32_t)MIN((now_us - gossip->started_us) / 1000, UINT32_MAX);
 	comet_instances_each_busy(gossip->instances, add_load, view);
-	comet_rate_limiter_each(gossip->rate_limiter, now_us, add_spending, &context);
+	add_spending(gossip, view, now_us);
 	if (all_zones)
 		comet_rate_limiter_mark_reported(gossip->rate_limiter);
-	gossip->next_team += context.other_added;
-	if (gossip->next_team >= context.other_count)
-		gossip->next_team = 0;
 	add_peers(gossip, view, zone);
 	add_limits(gossip, view, now_us);
 	add_leaving_endpoints(gossip, view, now_us);
--- a/libcometspindle/gateway/fleet/gossip_state.h
+++ b/libcometspindle/gateway/fleet/gossip_state.h
@@ -83,8 +83,8 @@
 	uint32_t lost_vms[2];
 	uint64_t lost_period; /* index of the period in which a VM was last lost */
 	bool is_seed;         /* this VM is one of its own seeds */
-	uint32_t next_team;   /* where the next gossip message continues the list of teams */
-	uint32_t next_limit;  /* where the next gossip message continues the list of limits */
+	uint32_t last_team; /* the last of the other teams that a gossip message reported in turn */
+	uint32_t next_limit; /* where the next gossip message continues the list of limits */
 	uint32_t
 		next_leaving; /* where the next gossip message continues the endpoints that leave */
 	uint32_t next_peer;   /* where the next gossip message continues the list of VMs */
--- a/tests/unit/test_gossip.cc
+++ b/tests/unit/test_gossip.cc
@@ -153,6 +153,39 @@
 	return view;
 }
 
+/* A gossip message has room for 48 teams. Those that came behind the first ones in a hash table
+ * were in none, so that the next owner of a quota did not know what they had spent. */
+TEST(Gossip, TeamsNearTheirLimitsAreReported)
+{
+	vms fleet(2);
+	uint64_t now_us = 20 * 1000000;
+	comet_http_limits limits = {};
+	comet_route_table *table = comet_route_table_create(1, &limits);
+	std::vector<uint32_t> teams;
+
+	for (int i = 0; i < 480; i++)
+	{
+		std::string name = "team" + std::to_string(i);
+		comet_route_team team = {};
+		team.name = name.data();
+		team.rate_per_s = 1000;
+		comet_route_table_add_team(table, &team, nullptr, 0);
+		teams.push_back(comet_hash_name(name.c_str()));
+	}
+	for (auto &one : fleet.all)
+		comet_rate_limiter_set_teams(one.second.rate_limiter, table, now_us);
+	for (size_t i = 0; i < teams.size(); i++)
+		comet_rate_limiter_add_own(
+			fleet.all[1].rate_limiter, teams[i], i % 24 == 0 ? 7000 : 10, now_us);
+	for (int i = 0; i < 60; i++, now_us += 50000)
+		fleet.step(now_us);
+	for (size_t i = 0; i < teams.size(); i += 24)
+		EXPECT_LE(comet_rate_limiter_remaining(fleet.all[2].rate_limiter, teams[i], now_us),
+			1000)
+			<< i;
+	comet_route_table_unref(table);
+}
+
 /* A view with all its entries at their largest did not fit into a datagram, also without loads. The
  * VM sent empty datagrams, and the others took it for unreachable. */
 TEST(Gossip, LargestViewIsSent)
