QUOTA: VMs that are not heard count for limits

Cause: a VM took those that it hears for the whole fleet. VMs were forgotten after 20 s, a VM that had heard none counted its seeds, and it took its spending as reported in rounds that no VM received.

Change: limits and retry budgets are divided by the known VMs and those that expired without notice (counted before for cold endpoints only); a VM that has found no other assumes 128; spending is reported only if a VM receives it.

--- a/libcometspindle/adapters/gateway/gateway.c
+++ b/libcometspindle/adapters/gateway/gateway.c
@@ -153,9 +153,11 @@
 		known = MAX(known, COMET_DISCOVERY_ASSUMED_VMS);
 		alive = known;
 	}
-	comet_rate_limiter_set_vms(gateway->rate_limiter, alive, known,
+	uint32_t spenders =
+		discovering ? known : comet_gossip_count_spenders(gateway->gossip, now_us);
+	comet_rate_limiter_set_vms(gateway->rate_limiter, alive, spenders,
 		discovering ? 0 : comet_gossip_unreachable_since_us(gateway->gossip));
-	comet_retry_budget_set_vms(gateway->retries, known);
+	comet_retry_budget_set_vms(gateway->retries, spenders);
 	comet_placement_set_vms(gateway->placement, alive, known);
 	comet_gateway_update_cold_shares(gateway, now_us);
 	gateway->directory->ops->set_vms(gateway->directory, alive);
--- a/libcometspindle/gateway/fleet/gossip.h
+++ b/libcometspindle/gateway/fleet/gossip.h
@@ -184,6 +184,13 @@
 void
 comet_gossip_leave(struct comet_gossip *gossip, uint64_t now_us);
 
+/** Counts the VMs that may spend shared limits, this one included: also those that expired without
+ * notice within the last minutes, which may be alive on the other side of a partition.
+ * @return COMET_DISCOVERY_ASSUMED_VMS at least if this VM has received no gossip and is not alone
+ * by its settings, since it does not know how many there are */
+uint32_t
+comet_gossip_count_spenders(const struct comet_gossip *gossip, uint64_t now_us);
+
 /** Counts the other VMs that have not stopped, and those of them that are reachable. If no VM was
  * ever reachable, the seeds count as known. */
 void
--- a/libcometspindle/gateway/fleet/gossip_cold.c
+++ b/libcometspindle/gateway/fleet/gossip_cold.c
@@ -1,10 +1,11 @@
 /*
  * gossip_cold.c
- * answers what the share of this VM in the requests to cold endpoints depends on: which VMs may be
- * alive, which of them are preferred as owners, and which are older
+ * answers what the share of this VM in limits and in the requests to cold endpoints depends on:
+ * which VMs may be alive, which of them are preferred as owners, and which are older
  *
  * docs/design/cold-endpoints.md states why the shares of all VMs add up to one at most.
  */
+#include <libcometspindle/gateway/fleet/discovery.h>
 #include <libcometspindle/gateway/fleet/gossip_state.h>
 
 #include <libcometspindle/hash.h>
@@ -89,6 +90,18 @@
 	return gossip->lost_vms[0] + (passed == 0 ? gossip->lost_vms[1] : 0);
 }
 
+uint32_t
+comet_gossip_count_spenders(const struct comet_gossip *gossip, uint64_t now_us)
+{
+	uint32_t known = 0;
+	uint32_t alive = 0;
+
+	comet_gossip_count_peers(gossip, &known, &alive);
+	if (known > 0 && !gossip->has_found_peers)
+		return MAX(known + 1, COMET_DISCOVERY_ASSUMED_VMS);
+	return known + 1 + count_lost(gossip, now_us);
+}
+
 void
 comet_gossip_observe_vms(
 	const struct comet_gossip *gossip, struct comet_cold_vms *vms, uint64_t now_us)
@@ -124,6 +137,7 @@
 {
 	uint32_t *lost = &gossip->lost_vms[gossip->lost_vms[0] > 0 ? 0 : 1];
 
+	gossip->has_found_peers = true;
 	*lost -= MIN(*lost, 1);
 }
 
--- a/libcometspindle/gateway/fleet/gossip_rounds.c
+++ b/libcometspindle/gateway/fleet/gossip_rounds.c
@@ -375,6 +375,8 @@
 {
 	comet_Datagram *datagram = &gossip->outgoing;
 	comet_View *view = &datagram->body.view;
+	uint32_t known = 0;
+	uint32_t alive = 0;
 
 	memset(datagram, 0, sizeof *datagram);
 	datagram->which_body = comet_Datagram_view_tag;
@@ -390,7 +392,9 @@
 	view->age_ms = (uint32_t)MIN((now_us - gossip->started_us) / 1000, UINT32_MAX);
 	comet_instances_each_busy(gossip->instances, add_load, view);
 	add_spending(gossip, view, now_us);
-	if (all_zones)
+	/* Without a VM that receives it, nothing is reported. */
+	comet_gossip_count_peers(gossip, &known, &alive);
+	if (all_zones && alive > 0)
 		comet_rate_limiter_mark_reported(gossip->rate_limiter);
 	add_peers(gossip, view, zone);
 	add_limits(gossip, view, now_us);
--- a/libcometspindle/gateway/fleet/gossip_state.h
+++ b/libcometspindle/gateway/fleet/gossip_state.h
@@ -82,6 +82,7 @@
 	 * not sent any since: in period lost_period and in the one before (gossip_cold.c). */
 	uint32_t lost_vms[2];
 	uint64_t lost_period; /* index of the period in which a VM was last lost */
+	bool has_found_peers; /* this VM has received gossip */
 	bool is_seed;         /* this VM is one of its own seeds */
 	uint32_t last_team; /* the last of the other teams that a gossip message reported in turn */
 	uint32_t next_limit; /* where the next gossip message continues the list of limits */
--- a/tests/unit/test_gossip.cc
+++ b/tests/unit/test_gossip.cc
@@ -186,6 +186,67 @@
 	comet_route_table_unref(table);
 }
 
+/* VMs that were not heard for 20 s were forgotten. After a longer partition the VMs of each side
+ * took themselves for all, and granted nearly the whole of each limit. */
+TEST(Gossip, VmsOnTheOtherSideOfAPartitionCountForLimits)
+{
+	vms fleet(4);
+	uint64_t now_us = 1000000;
+
+	for (int i = 0; i < 100; i++, now_us += 50000)
+		fleet.step(now_us);
+	for (int i = 0; i < 900; i++, now_us += 50000)
+		fleet.step(now_us, 4);
+	EXPECT_EQ(comet_gossip_count_spenders(fleet.all[2].gossip, now_us), 4U);
+	EXPECT_EQ(comet_gossip_count_spenders(fleet.all[4].gossip, now_us), 4U);
+	for (int i = 0; i < 100; i++, now_us += 50000)
+		fleet.step(now_us);
+	EXPECT_EQ(comet_gossip_count_spenders(fleet.all[2].gossip, now_us), 4U);
+}
+
+/* A VM that starts while it reaches no seed took the seeds and itself for all VMs. Several such VMs
+ * exceeded the limits together. */
+TEST(Gossip, VmThatHasFoundNoOtherTakesASmallShareOfLimits)
+{
+	vms fleet(2);
+	uint64_t now_us = 1000000;
+
+	for (int i = 0; i < 200; i++, now_us += 50000)
+		fleet.step(now_us, 2);
+	EXPECT_GE(comet_gossip_count_spenders(fleet.all[2].gossip, now_us), 100U);
+	EXPECT_EQ(comet_gossip_count_spenders(fleet.all[1].gossip, now_us), 1U);
+	for (int i = 0; i < 100; i++, now_us += 50000)
+		fleet.step(now_us);
+	EXPECT_EQ(comet_gossip_count_spenders(fleet.all[2].gossip, now_us), 2U);
+}
+
+/* A VM that reached no other forgot with each round what it had not reported, and spent the share
+ * of the others again. */
+TEST(Gossip, SpendingThatNoVmReceivedStaysUnreported)
+{
+	vms fleet(2);
+	uint64_t now_us = 20 * 1000000;
+	uint32_t team = 0;
+	uint32_t admitted = 0;
+
+	comet_rate_limiter *rate_limiter = fleet.all[2].rate_limiter;
+	comet_route_table_each_team(
+		fleet.table,
+		[](void *ctx, const comet_route_team *one)
+		{ *static_cast<uint32_t *>(ctx) = one->id; },
+		&team);
+	comet_rate_limiter_set_vms(rate_limiter, 128, 128, 0);
+	for (int i = 0; i < 80; i++, now_us += 50000)
+	{
+		fleet.step(now_us, 2);
+		admitted += comet_rate_limiter_spend(rate_limiter, team, 0, 10,
+				    COMET_RATE_LIMITER_GOSSIP, now_us) == 0
+				    ? 1
+				    : 0;
+	}
+	EXPECT_LE(admitted, 8U);
+}
+
 /* A view with all its entries at their largest did not fit into a datagram, also without loads. The
  * VM sent empty datagrams, and the others took it for unreachable. */
 TEST(Gossip, LargestViewIsSent)
