BUDGET: a late report of an excused crash excuses no later ones

Callers see nothing of it unless a part that was served begins to crash endpoints while a VM still reports an earlier crash, which a response has excused since: merging that report excused all crashes of the record, so that the part was released.

Cause: the first crash of a report was merged before it was compared with the last response. Change: crashes that only such a report names are excused; those known here, which are later, stay.

Test: CrashingParts.LateReportOfAnExcusedCrashExcusesNoLaterOnes failed before.

--- a/libcometspindle/gateway/admission/crash_tracker_gossip.c
+++ b/libcometspindle/gateway/admission/crash_tracker_gossip.c
@@ -211,18 +211,32 @@
 		comet_crash_tracker_find_or_add(crash_tracker, &subject);
 	changed = comet_crash_record_add_request(
 		record, reported->request, reported->several_requests);
+	uint64_t own_served_us = comet_crash_tracker_served_us(crash_tracker, &subject);
+	/* The sender does not know yet that the subject was served after its first crash. Crashes
+	 * that only such a report names are excused; those known here are of a later time. */
+	bool superseded = first_crash_us != 0 &&
+			  first_crash_us <= MAX(MAX(record->served_us, served_us), own_served_us);
+	bool excused_here = false;
 	for (pb_size_t i = 0; i < reported->lives_count; i++)
-		changed =
-			comet_incarnation_set_add(&record->crashed, reported->lives[i]) || changed;
+	{
+		if (!comet_incarnation_set_add(&record->crashed, reported->lives[i]))
+			continue;
+		changed = true;
+		if (superseded)
+			excused_here =
+				comet_incarnation_set_add(&record->excused, reported->lives[i]) ||
+				excused_here;
+	}
 	for (pb_size_t i = 0; i < reported->excused_count; i++)
 		changed = comet_incarnation_set_add(&record->excused, reported->excused[i]) ||
 			  changed;
+	record->last_served_us = MAX(record->last_served_us, reported_us);
+	changed = comet_crash_tracker_merge_times(
+			  record, served_us, superseded ? 0 : first_crash_us) ||
+		  changed;
+	excused_here = comet_crash_tracker_merge_times(record, own_served_us, 0) || excused_here;
 	/* The time of the last crash stays unchanged as well: peers that report the record to each
 	 * other would make it younger each time. */
-	record->last_served_us = MAX(record->last_served_us, reported_us);
-	changed = comet_crash_tracker_merge_times(record, served_us, first_crash_us) || changed;
-	bool excused_here = comet_crash_tracker_merge_times(
-		record, comet_crash_tracker_served_us(crash_tracker, &subject), 0);
 	if (!changed && !excused_here)
 		return;
 	record->last_crash_us = MAX(record->last_crash_us, now_us - MIN(age_us, now_us));
--- a/tests/unit/test_crashing_parts.cc
+++ b/tests/unit/test_crashing_parts.cc
@@ -212,6 +212,24 @@
 	EXPECT_FALSE(vm.is_quarantined(PART));
 }
 
+/* A VM that had not learned of a response reported the crash before it again, and this excused all
+ * later crashes. */
+TEST(CrashingParts, LateReportOfAnExcusedCrashExcusesNoLaterOnes)
+{
+	Vm vm;
+	Vm late;
+
+	late.crash(PART, 1, 1, MINUTE_US);
+	late.gossip_to(vm, MINUTE_US);
+	vm.serve(PART, MINUTE_US + 1);
+	for (uint32_t i = 2; i <= 6; i++)
+		vm.crash(PART, i, i, MINUTE_US + SECOND_US + i, MINUTE_US + SECOND_US + i);
+	comet_crash_tracker_tick(vm.tracker, MINUTE_US + 3 * SECOND_US);
+	EXPECT_TRUE(vm.is_quarantined(PART));
+	late.gossip_to(vm, MINUTE_US + 3 * SECOND_US);
+	EXPECT_TRUE(vm.is_quarantined(PART));
+}
+
 /* A part in service runs on all endpoints of a zone that fails, and would be blamed for it. */
 TEST(CrashingParts, PartInServiceIsNotBlamedForEndpointsThatFailTogether)
 {
