--- a/libcometspindle/gateway/admission/crash_tracker_private.h
+++ b/libcometspindle/gateway/admission/crash_tracker_private.h
@@ -42,7 +42,7 @@
 	struct comet_incarnation_set own;     /* crashes that this VM counted itself */
 	uint64_t request_digest;              /* of the first request that crashed */
 	uint64_t last_served_us; /* when its newest known successful response began; 0: none */
-	uint64_t served_us;      /* the same, if it may be earlier, but not later */
+	uint64_t served_us;      /* a lower bound of it, less the delay of reports */
 	uint64_t first_crash_us; /* since that response; 0: none */
 	uint64_t last_crash_us;
 	uint64_t candidate_us; /* since when it has enough crashes to be quarantined; 0: it has not
