Callers that pause: the progress of each request is checked once

Callers saw: on a VM without link_mbps nobody was answered any more after one caller had paused inside its head or its body; the process took a whole core.

Cause: discount_slow() took the time once, put each connection that it had checked back at the end of its list with a newer time, and subtracted the newer time from the older one, unsigned, when it met the connection again. Without a rate no caller is slow, so that the list never became empty. With a rate a caller that had just been checked counted as slow, and more requests were read at once than the link carries.

Change: the list of requests that are being read is a module of its own, receiving.c, which gets the time from its caller, checks each request at most once a call, and never subtracts a younger time. After an interval in which the process may have been suspended the next one decides.

Looked at for the same pattern: every subtraction of a stored time in libcometspindle/gateway, libcometspindle/adapters and platform (160 places) and every loop whose end depends on a time: pending RPCs (grants, quota requests, returning callers), timers, crash_tracker_trials, scheduler leases. Those loops remove what they take and compare it with a fixed time. No second case found by reading; none of them was played.

--- a/libcometspindle/adapters/callers/http_server.h
+++ b/libcometspindle/adapters/callers/http_server.h
@@ -15,6 +15,7 @@
 #include <libcometspindle/adapters/timers.h>
 #include <libcometspindle/gateway/admission/body_budget.h>
 #include <libcometspindle/gateway/admission/link_share.h>
+#include <libcometspindle/gateway/admission/receiving.h>
 #include <libcometspindle/http_limits.h>
 #include <stdbool.h>
 #include <stdint.h>
--- a/libcometspindle/adapters/callers/http_server_intake.c
+++ b/libcometspindle/adapters/callers/http_server_intake.c
@@ -13,56 +13,10 @@
 /* Interval at which waiting connections are reconsidered besides the end of each request. */
 #define RECHECK_US 10000
 
-/* Interval at which the progress of a request is checked. A slow caller does not use the link: the
- * others are not kept waiting for it. */
-#define PROGRESS_US 100000
-
-static void
-set_counted(struct comet_http_connection *connection, uint64_t bytes)
-{
-	connection->http_server->counted_bytes += bytes - connection->counted_bytes;
-	connection->counted_bytes = bytes;
-}
-
-static uint64_t
-received_bytes(const struct comet_http_connection *connection)
-{
-	return connection->body->len + (connection->got_head ? 1 : 0);
-}
-
-static uint64_t
-progress_bytes(const struct comet_http_connection *connection)
-{
-	return received_bytes(connection) -
-	       MIN(connection->checked_bytes, received_bytes(connection));
-}
-
-static void
-link_receiving(struct comet_http_connection *connection)
-{
-	GQueue *receiving = &connection->http_server->receiving;
-
-	connection->checked_us = comet_timers_now_us();
-	connection->checked_bytes = received_bytes(connection);
-	g_queue_push_tail(receiving, connection);
-	connection->receiving_link = g_queue_peek_tail_link(receiving);
-}
-
-static void
-unlink_receiving(struct comet_http_connection *connection)
-{
-	if (connection->receiving_link != NULL)
-		g_queue_delete_link(
-			&connection->http_server->receiving, connection->receiving_link);
-	connection->receiving_link = NULL;
-	set_counted(connection, 0);
-}
-
-/* Counts what is still expected of the request that is being read, unless its caller is slow. */
+/* Counts the request that is being read, unless its caller is slow. */
 static void
 count(struct comet_http_connection *connection)
 {
-	struct comet_http_server *http_server = connection->http_server;
 	uint64_t received = connection->body->len;
 	uint64_t missing = COMET_LINK_UNKNOWN_BODY_BYTES;
 
@@ -73,41 +27,20 @@
 		uint64_t announced = length != NULL ? g_ascii_strtoull(length, NULL, 10)
 						    : received + COMET_LINK_UNKNOWN_BODY_BYTES;
 		missing = announced - MIN(received, announced);
+		received++; /* a complete head is progress */
 	}
-	if (connection->receiving_link == NULL)
-		link_receiving(connection);
-	set_counted(connection, comet_link_share_count(http_server->link, received, missing));
-}
-
-/* Stops counting slow callers. */
-static void
-discount_slow(struct comet_http_server *http_server)
-{
-	struct comet_http_connection *oldest = NULL;
-	uint64_t now_us = comet_timers_now_us();
-
-	while ((oldest = g_queue_peek_head(&http_server->receiving)) != NULL &&
-		now_us - oldest->checked_us >= PROGRESS_US)
-	{
-		bool slow = progress_bytes(oldest) < comet_link_share_slow_bytes(http_server->link,
-							     now_us - oldest->checked_us);
-		uint64_t counted = oldest->counted_bytes;
-		unlink_receiving(oldest);
-		link_receiving(oldest);
-		if (slow)
-			unlink_receiving(oldest);
-		else
-			set_counted(oldest, counted);
-	}
+	comet_receiving_progress(connection->http_server->receiving, &connection->receiving,
+		received, missing, comet_timers_now_us());
 }
 
 static bool
 has_room(struct comet_http_server *http_server)
 {
-	discount_slow(http_server);
+	comet_receiving_check(http_server->receiving, comet_timers_now_us());
 	if (http_server->events->update_link != NULL)
 		http_server->events->update_link(http_server->ctx);
-	return comet_link_share_may_read(http_server->link, http_server->counted_bytes);
+	return comet_link_share_may_read(
+		http_server->link, comet_receiving_counted_bytes(http_server->receiving));
 }
 
 static void
@@ -168,7 +101,8 @@
 		"event=connection_refused reason=link_full waiting=%u longest_ms=%" G_GUINT64_FORMAT
 		" receiving=%u counted_bytes=%" G_GUINT64_FORMAT,
 		http_server->waiting.length, longest_wait_us(http_server) / 1000,
-		http_server->receiving.length, http_server->counted_bytes);
+		comet_receiving_length(http_server->receiving),
+		comet_receiving_counted_bytes(http_server->receiving));
 	talloc_free(connection);
 }
 
@@ -205,13 +139,7 @@
 void
 comet_http_intake_progress(struct comet_http_connection *connection)
 {
-	const struct comet_link_share *link = connection->http_server->link;
-
-	if (link == NULL)
-		return;
-	bool slow = connection->receiving_link == NULL && connection->checked_us != 0 &&
-		    progress_bytes(connection) < comet_link_share_slow_bytes(link, PROGRESS_US);
-	if (!slow)
+	if (connection->http_server->link != NULL)
 		count(connection);
 }
 
@@ -221,8 +149,7 @@
 	if (connection->http_server->link == NULL)
 		return;
 	connection->admitted = false;
-	connection->checked_us = 0;
 	unlink_waiting(connection);
-	unlink_receiving(connection);
+	comet_receiving_remove(connection->http_server->receiving, &connection->receiving);
 	admit_waiting(connection->http_server);
 }
--- a/libcometspindle/adapters/callers/http_server_private.h
+++ b/libcometspindle/adapters/callers/http_server_private.h
@@ -30,11 +30,9 @@
 	GHashTable *connections;
 	GQueue idle; /* of struct comet_http_connection without a request, the longest idle one
 			first */
-	struct comet_link_share *link; /* NULL: requests are read as they arrive */
-	uint64_t counted_bytes;        /* counted for the requests that are being read */
-	GQueue receiving; /* of struct comet_http_connection that are counted, longest unchecked
-			     first */
-	GQueue waiting;   /* of struct comet_http_connection whose request is not read yet */
+	struct comet_link_share *link;     /* NULL: requests are read as they arrive */
+	struct comet_receiving *receiving; /* NULL without a link */
+	GQueue waiting; /* of struct comet_http_connection whose request is not read yet */
 	struct comet_timer *intake_timer; /* NULL: none waits */
 	struct comet_body_budget *bodies; /* NULL: their memory is not bounded */
 	uint32_t max_connections;         /* 0: no limit */
@@ -51,12 +49,9 @@
 	struct comet_socket *socket;
 	struct comet_http_reader *reader;
 	struct comet_timer *timer;
-	GList *idle_link;        /* link in http_server->idle, or NULL */
-	GList *waiting_link;     /* link in http_server->waiting, or NULL */
-	GList *receiving_link;   /* link in http_server->receiving, or NULL */
-	uint64_t counted_bytes;  /* its part of http_server->counted_bytes */
-	uint64_t checked_us;     /* when the progress of its request was checked; 0: never */
-	uint64_t checked_bytes;  /* received by then */
+	GList *idle_link;    /* link in http_server->idle, or NULL */
+	GList *waiting_link; /* link in http_server->waiting, or NULL */
+	struct comet_receiving_request receiving;
 	uint64_t reserved_bytes; /* of its body */
 	uint64_t waiting_since_us;
 	GByteArray *ahead; /* read and not yet parsed */
--- a/libcometspindle/adapters/callers/http_server_settings.c
+++ b/libcometspindle/adapters/callers/http_server_settings.c
@@ -4,6 +4,8 @@
  */
 #include <libcometspindle/adapters/callers/http_server_private.h>
 
+#include <talloc.h>
+
 void
 comet_http_server_set_byte_counters(
 	struct comet_http_server *http_server, struct comet_byte_counters *bytes)
@@ -48,10 +50,10 @@
 comet_http_server_set_link(struct comet_http_server *http_server, struct comet_link_share *link)
 {
 	if (link == NULL)
-	{
 		g_queue_clear(&http_server->waiting);
-		g_queue_clear(&http_server->receiving);
-	}
+	TALLOC_FREE(http_server->receiving);
+	if (link != NULL)
+		http_server->receiving = comet_receiving_create(http_server, link);
 	http_server->link = link;
 }
 
--- /dev/null
+++ b/tests/system/test_pausing_callers.py
@@ -0,0 +1,28 @@
+"""test_pausing_callers.py: callers that stop inside a request and go on later, or never"""
+import time
+
+from caller_crowd import check_served, crowd_of, crowded_group
+from gateway_world import answer_of, request, run_tests
+
+
+def test_callers_that_pause_inside_a_request():
+    """One caller that paused in its head or in its body kept a VM without link_mbps busy for good."""
+    whole = request("/once/plain", method="POST", body=b"b" * 3000, deadline_ms=600000)[1]
+    head = whole.index(b"\r\n\r\n")
+    for link_mbps in (None, 10, 100):
+        group = crowded_group(link_mbps=link_mbps)
+        for at in (60, head + 2, len(whole) - 1):
+            for callers in (1, 8):
+                socks = crowd_of(group, whole[:at], callers)
+                for _ in range(3):  # the progress of requests is checked after 100 ms, when another one arrives
+                    check_served(group)
+                    time.sleep(0.15)
+                for sock in socks:
+                    sock.sendall(whole[at:])
+                    assert answer_of(sock)[0] == 200, (link_mbps, at, callers)
+                check_served(group)
+        group.end()
+
+
+if __name__ == "__main__":
+    run_tests([], [test_callers_that_pause_inside_a_request])
