Heads of callers: work proportional to their bytes

Callers saw: one head of 16 KB with a long Connection list, or with thousands of short lines and none, kept a VM busy for 0.16 s; 200 of them silenced it for 7 s, so that the other VM reported vm_lost.

Cause: comet_http_head_hop_by_hop() went through all headers for each header that was forwarded, and split each Connection list again. While a body arrived, the whole head was searched for Content-Length at each piece of it.

The length of a body is read once, when its head is complete.

Evidence: test_long_connection_lists (eight heads of 64 KB: long lists, differing names, many short lists) and test_complete_heads_of_short_lines (200 heads of 16 KB whose requests run at the same time, and their memory during the requests and afterwards) failed on (ordinary requests without an answer in the 20 s of the sockets; 181 MB more) and pass, release build and sanitizers.

--- a/libcometspindle/adapters/callers/http_server_intake.c
+++ b/libcometspindle/adapters/callers/http_server_intake.c
@@ -22,10 +22,9 @@
 
 	if (connection->got_head)
 	{
-		const char *length =
-			comet_http_head_get(connection->request.head, "Content-Length");
-		uint64_t announced = length != NULL ? g_ascii_strtoull(length, NULL, 10)
-						    : received + COMET_LINK_UNKNOWN_BODY_BYTES;
+		uint64_t announced = connection->has_length
+					     ? connection->announced_bytes
+					     : received + COMET_LINK_UNKNOWN_BODY_BYTES;
 		missing = announced - MIN(received, announced);
 		received++; /* a complete head is progress */
 	}
--- a/libcometspindle/adapters/callers/http_server_memory.c
+++ b/libcometspindle/adapters/callers/http_server_memory.c
@@ -32,11 +32,12 @@
 	struct comet_http_connection *connection, const struct comet_http_head *head)
 {
 	const char *length = comet_http_head_get(head, "Content-Length");
-	uint64_t announced = length != NULL ? g_ascii_strtoull(length, NULL, 10) : 0;
 
+	connection->has_length = length != NULL;
+	connection->announced_bytes = length != NULL ? g_ascii_strtoull(length, NULL, 10) : 0;
 	/* A larger one is refused for its size. */
-	if (announced <= connection->http_server->limits.body_bytes)
-		reserve(connection, announced);
+	if (connection->announced_bytes <= connection->http_server->limits.body_bytes)
+		reserve(connection, connection->announced_bytes);
 }
 
 void
--- a/libcometspindle/adapters/callers/http_server_private.h
+++ b/libcometspindle/adapters/callers/http_server_private.h
@@ -52,7 +52,8 @@
 	GList *idle_link;    /* link in http_server->idle, or NULL */
 	GList *waiting_link; /* link in http_server->waiting, or NULL */
 	struct comet_receiving_request receiving;
-	uint64_t reserved_bytes; /* of its body */
+	uint64_t announced_bytes; /* length of its body, if has_length */
+	uint64_t reserved_bytes;  /* of its body */
 	uint64_t waiting_since_us;
 	GByteArray *ahead; /* read and not yet parsed */
 	GByteArray *body;
@@ -63,6 +64,7 @@
 	bool admitted;   /* its next request may be read */
 	bool got_byte;   /* a request has begun to arrive */
 	bool got_head;   /* its head is complete */
+	bool has_length; /* its head announces the length of its body */
 	bool complete;   /* it is complete */
 	bool keep_alive; /* the caller allows another request */
 	bool too_large;  /* its body is over the limit */
--- a/libcometspindle/adapters/gateway/forward_head.c
+++ b/libcometspindle/adapters/gateway/forward_head.c
@@ -4,11 +4,13 @@
  */
 #include <libcometspindle/adapters/gateway/forward_head.h>
 
+#include <libcometspindle/adapters/http_hops.h>
 #include <strings.h>
+#include <talloc.h>
 
 /* Returns whether a header of the caller's request is forwarded to the endpoint. */
 static bool
-should_forward(const struct comet_http_head *head, const char *name,
+should_forward(const struct comet_http_hops *hops, const char *name,
 	const struct comet_header_names *names, const struct comet_forward_params *params)
 {
 	if (comet_header_is_reserved(names, name) ||
@@ -21,7 +23,7 @@
 		return false;
 	/* The request id is forwarded even if the caller's Connection header lists it as
 	 * hop-by-hop, because it identifies the request end to end. */
-	return strcasecmp(name, names->request_id) == 0 || !comet_http_head_hop_by_hop(head, name);
+	return strcasecmp(name, names->request_id) == 0 || !comet_http_hops_contain(hops, name);
 }
 
 uint32_t
@@ -36,14 +38,16 @@
 comet_forward_write_head(GString *out, const struct comet_http_head *head,
 	const struct comet_header_names *names, const struct comet_forward_params *params)
 {
+	struct comet_http_hops *hops = comet_http_hops_create(NULL, head);
 	struct comet_http_header header = {0};
 
 	g_string_append_printf(out, "%s %s HTTP/1.1\r\n", head->method, head->target);
 	while (comet_http_head_next(head, &header))
 	{
-		if (should_forward(head, header.name, names, params))
+		if (should_forward(hops, header.name, names, params))
 			comet_http_write_header(out, header.name, header.value);
 	}
+	talloc_free(hops);
 	g_string_append_printf(
 		out, "%s: %" G_GUINT64_FORMAT "\r\n", names->deadline_ms, params->remaining_ms);
 	if (params->to_peer)
--- a/libcometspindle/adapters/gateway/gateway_answer.c
+++ b/libcometspindle/adapters/gateway/gateway_answer.c
@@ -7,6 +7,7 @@
 #include <libcometspindle/adapters/gateway/gateway_streams.h>
 #include <libcometspindle/adapters/gateway/proxy_request.h>
 
+#include <libcometspindle/adapters/http_hops.h>
 #include <libcometspindle/log.h>
 #include <string.h>
 #include <strings.h>
@@ -28,12 +29,13 @@
 start_response(struct comet_proxy_request *proxy, int64_t length)
 {
 	const struct comet_http_head *head = proxy->attempt->head;
+	struct comet_http_hops *hops = comet_http_hops_create(NULL, head);
 	struct comet_http_header header = {0};
 	GString *headers = g_string_sized_new(512);
 
 	while (comet_http_head_next(head, &header))
 	{
-		if (!comet_http_head_hop_by_hop(head, header.name) &&
+		if (!comet_http_hops_contain(hops, header.name) &&
 			strcasecmp(header.name, COMET_HEADER_STREAM_VERSION) != 0)
 			comet_http_write_header(headers, header.name, header.value);
 	}
@@ -43,6 +45,7 @@
 	comet_http_server_start_response(
 		proxy->request, head->status, head->reason, headers->str, length);
 	g_string_free(headers, TRUE);
+	talloc_free(hops);
 	proxy->response_started = true;
 	proxy->response_status = head->status;
 	proxy->content_type = talloc_strdup(proxy, comet_http_head_get(head, "Content-Type"));
--- a/libcometspindle/adapters/http_reader.c
+++ b/libcometspindle/adapters/http_reader.c
@@ -93,40 +93,6 @@
 	return copy;
 }
 
-/* @return whether name is one of the comma-separated words of list. */
-static bool
-list_names(const char *list, const char *name)
-{
-	char **words = g_strsplit(list, ",", -1);
-	bool found = false;
-
-	for (char **word = words; *word != NULL; word++)
-		found = found || strcasecmp(g_strstrip(*word), name) == 0;
-	g_strfreev(words);
-	return found;
-}
-
-bool
-comet_http_head_hop_by_hop(const struct comet_http_head *head, const char *name)
-{
-	static const char *const names[] = {"Connection", "Keep-Alive", "Proxy-Connection",
-		"Proxy-Authenticate", "Proxy-Authorization", "TE", "Trailer", "Transfer-Encoding",
-		"Upgrade", "Content-Length", "Expect"};
-	struct comet_http_header header = {0};
-
-	for (size_t i = 0; i < G_N_ELEMENTS(names); i++)
-	{
-		if (strcasecmp(name, names[i]) == 0)
-			return true;
-	}
-	while (comet_http_head_next(head, &header))
-	{
-		if (strcasecmp(header.name, "Connection") == 0 && list_names(header.value, name))
-			return true;
-	}
-	return false;
-}
-
 void
 comet_http_write_header(GString *out, const char *name, const char *value)
 {
--- a/libcometspindle/adapters/http_reader.h
+++ b/libcometspindle/adapters/http_reader.h
@@ -52,10 +52,6 @@
 size_t
 comet_http_head_count(const struct comet_http_head *head, const char *name);
 
-/** @return whether a header concerns one connection only and is not to be passed on. */
-bool
-comet_http_head_hop_by_hop(const struct comet_http_head *head, const char *name);
-
 /** Appends "name: value" and a line's end. */
 void
 comet_http_write_header(GString *out, const char *name, const char *value);
--- a/tests/system/test_misbehaving_callers.py
+++ b/tests/system/test_misbehaving_callers.py
@@ -1,8 +1,11 @@
 """test_misbehaving_callers.py: requests inside the limits, made to cost the VM as much as they can"""
-from caller_crowd import CROWD, check_memory, check_served, crowd_of, crowded_group, head_of, memory_bytes, received
-from gateway_world import run_tests
+from caller_crowd import (CROWD, HEAD_BYTES, check_memory, check_served, crowd_of, crowded_group, head_of, memory_bytes,
+                          received, wait_for_all)
+from gateway_world import answer_of, run_tests
 from platform_standin import wait_for
 
+LONG_HEAD_BYTES = 65536
+
 
 def same_lines():
     while True:
@@ -42,5 +45,41 @@
         group.end()
 
 
+def test_complete_heads_of_short_lines():
+    """Complete heads took as much while their requests ran, and afterwards for as long as callers kept their
+    connections."""
+    for what, lines in LINES.items():
+        group = crowded_group()
+        check_served(group)
+        before = memory_bytes(group.vms[0])
+        socks = [sock for _ in range(CROWD) for sock in crowd_of(group, head_of(lines(), path="/safe/hold"), 1)]
+        wait_for_all(group, socks)
+        check_memory(group, before, what)
+        check_served(group)
+        group.release.set()
+        statuses = [answer_of(sock)[0] for sock in socks]
+        assert set(statuses) <= {200, 429, 503}, statuses
+        check_memory(group, before, what)
+        check_served(group)
+        group.end()
+
+
+def test_long_connection_lists():
+    """Each list was split again for each header: eight heads took a VM minutes, so that it answered nobody."""
+    lists = {
+        "long": [b"Connection: " + b",".join(b"a" for _ in range(LONG_HEAD_BYTES // 4))],
+        "differing": [b"Connection: " + b",".join(b"%x" % n for n in range(LONG_HEAD_BYTES // 12))],
+        "many": [b"Connection: a,b"] * (LONG_HEAD_BYTES // 40),
+    }
+    for value in lists.values():
+        group = crowded_group(LONG_HEAD_BYTES)
+        socks = crowd_of(group, head_of(value + [b"%x:" % n for n in range(LONG_HEAD_BYTES)], LONG_HEAD_BYTES), 8)
+        check_served(group)
+        statuses = [answer_of(sock)[0] for sock in socks]
+        assert set(statuses) <= {200, 429, 503}, statuses
+        check_served(group)
+        group.end()
+
+
 if __name__ == "__main__":
-    run_tests([], [test_heads_that_never_end])
+    run_tests([], [test_heads_that_never_end, test_complete_heads_of_short_lines, test_long_connection_lists])
--- a/tests/unit/test_platform.cc
+++ b/tests/unit/test_platform.cc
@@ -7,6 +7,7 @@
 
 extern "C"
 {
+#include <libcometspindle/adapters/http_hops.h>
 #include <libcometspindle/adapters/http_reader.h>
 #include <platform/replica.h>
 }
@@ -683,12 +684,16 @@
 
 TEST(HttpReader, HopByHopHeadersAreRecognized)
 {
-	head_fields fields(
-		std::vector<std::pair<std::string, std::string>>{{"Connection", "close, X-Mine"}});
-
-	EXPECT_TRUE(comet_http_head_hop_by_hop(&fields.head, "keep-alive"));
-	EXPECT_TRUE(comet_http_head_hop_by_hop(&fields.head, "x-mine"));
-	EXPECT_FALSE(comet_http_head_hop_by_hop(&fields.head, "X-Other"));
+	head_fields fields(std::vector<std::pair<std::string, std::string>>{
+		{"Connection", "close, X-Mine"}, {"A", "b"}, {"connection", ",, \tX-2 ,"}});
+	comet_http_hops *hops = comet_http_hops_create(nullptr, &fields.head);
+
+	EXPECT_TRUE(comet_http_hops_contain(hops, "keep-alive"));
+	EXPECT_TRUE(comet_http_hops_contain(hops, "x-mine"));
+	EXPECT_TRUE(comet_http_hops_contain(hops, "X-2"));
+	EXPECT_FALSE(comet_http_hops_contain(hops, "X-Other"));
+	EXPECT_FALSE(comet_http_hops_contain(hops, ""));
+	talloc_free(hops);
 }
 
 } // namespace
