Memory of callers: one budget for connections, heads, bodies and read-ahead bytes

Callers saw: a VM ended because heads, requests that were sent ahead and kept connections took memory that no budget counted.

Cause: body_budget knew bodies and unread responses only. What callers sent behind an open request was kept up to 80 KB for each; kept connections held their last head until the next one, and so did idle connections to endpoints.

Change: body_budget becomes caller_budget, a quarter of memory_mb as before, which counts connections, heads (twice, as bodies), open requests, what is read ahead, bodies and unread responses, for the readiness and control addresses too. Beyond it the request that has been arriving for the longest time gets 503 with Retry-After, before it is admitted, so that "not run" is true; requests of ordinary callers arrive within milliseconds. While half of it is taken, what arrives behind an open request stays in the kernel. A head is freed with its response, and what was parsed at once. New metric: comet_caller_bytes.

--- a/libcometspindle/adapters/callers/http_server.c
+++ b/libcometspindle/adapters/callers/http_server.c
@@ -67,7 +67,7 @@
 	comet_http_intake_done(connection);
 	g_hash_table_remove(connection->http_server->connections, connection);
 	connection->http_server->counts.connections--;
-	comet_http_memory_release(connection);
+	comet_http_memory_closed(connection);
 	g_byte_array_free(connection->ahead, TRUE);
 	g_byte_array_free(connection->body, TRUE);
 	return 0;
@@ -135,6 +135,7 @@
 {
 	unset_idle(connection);
 	comet_http_intake_done(connection);
+	g_byte_array_set_size(connection->ahead, 0); /* it is not parsed any more */
 	comet_http_memory_release(connection);
 	connection->ended_us = comet_timers_now_us();
 	if (!is_within_request(connection))
@@ -156,6 +157,13 @@
 	return comet_socket_queued(connection->socket) < ANSWERS_WAITING_BYTES;
 }
 
+bool
+comet_http_connection_is_held(const struct comet_http_connection *connection)
+{
+	return connection->state == CONNECTION_OPEN ||
+	       (connection->state == CONNECTION_READING && !is_read(connection));
+}
+
 /* @return whether a request has arrived that is not parsed yet. After a pause of this process,
  * timers and signals are handled before requests that have arrived are read. */
 bool
@@ -283,12 +291,16 @@
 	{
 		unset_idle(connection);
 		connection->got_byte = true;
+		comet_http_memory_begun(connection);
 		connection->request.received_us = comet_timers_now_us();
 		comet_http_connection_set_timer(
 			connection, connection->http_server->limits.header_timeout_ms);
 	}
 	result = comet_http_reader_feed(connection->reader, (const char *)connection->ahead->data,
 		connection->ahead->len, &taken);
+	if (result == COMET_HTTP_READER_MORE || result == COMET_HTTP_READER_END)
+		g_byte_array_remove_range(connection->ahead, 0, (guint)taken);
+	comet_http_memory_parsed(connection);
 	if (result == COMET_HTTP_READER_BAD)
 		refuse_malformed(connection, 400);
 	else if (result == COMET_HTTP_READER_TOO_BIG)
@@ -297,14 +309,10 @@
 		refuse_malformed(connection, 413);
 	else if (connection->no_room)
 		comet_http_memory_refuse(connection);
+	else if (connection->complete)
+		hand_over(connection);
 	else
-	{
-		g_byte_array_remove_range(connection->ahead, 0, (guint)taken);
-		if (connection->complete)
-			hand_over(connection);
-		else
-			expect_more(connection);
-	}
+		expect_more(connection);
 	return true;
 }
 
@@ -318,8 +326,10 @@
 	while (parse_some(connection))
 		;
 	connection->parsing = false;
-	bool held = connection->state == CONNECTION_OPEN || !is_read(connection);
-	comet_socket_pause(connection->socket, held && connection->ahead->len >= READ_AHEAD_BYTES);
+	comet_http_memory_trim_ahead(connection);
+	comet_http_memory_recount(connection);
+	comet_socket_pause(connection->socket, comet_http_connection_is_held(connection) &&
+						       connection->ahead->len >= READ_AHEAD_BYTES);
 }
 
 static void
@@ -404,6 +414,7 @@
 	talloc_set_destructor(connection, connection_destroy);
 	comet_http_connection_set_idle(connection);
 	comet_http_connection_set_timer(connection, http_server->limits.idle_timeout_ms);
+	comet_http_memory_recount(connection);
 	return connection;
 }
 
@@ -507,7 +518,7 @@
 	GList *all = g_hash_table_get_keys(http_server->connections);
 
 	comet_http_server_set_link(http_server, NULL); /* its owner may have freed them */
-	comet_http_server_set_body_budget(http_server, NULL);
+	comet_http_server_set_budget(http_server, NULL);
 	for (GList *at = all; at != NULL; at = at->next)
 		talloc_free(at->data); /* it removes itself from the table */
 	g_list_free(all);
--- a/libcometspindle/adapters/callers/http_server.h
+++ b/libcometspindle/adapters/callers/http_server.h
@@ -13,7 +13,7 @@
 #include <libcometspindle/adapters/byte_counters.h>
 #include <libcometspindle/adapters/http_reader.h>
 #include <libcometspindle/adapters/timers.h>
-#include <libcometspindle/gateway/admission/body_budget.h>
+#include <libcometspindle/gateway/admission/caller_budget.h>
 #include <libcometspindle/gateway/admission/link_share.h>
 #include <libcometspindle/gateway/admission/receiving.h>
 #include <libcometspindle/http_limits.h>
@@ -50,12 +50,13 @@
 	uint64_t accepted;
 	uint64_t requests;
 	uint64_t malformed;
-	uint64_t left;           /**< callers that disconnected before their response */
-	uint64_t displaced;      /**< idle connections closed for new ones */
-	uint64_t late;           /**< connections on which a request arrived after their close */
-	uint64_t waited;         /**< requests that waited unread, since the link was full */
-	uint64_t refused_unread; /**< new connections closed unread, since the link was full */
-	uint64_t refused_memory; /**< requests for whose body there was no memory */
+	uint64_t left;              /**< callers that disconnected before their response */
+	uint64_t displaced;         /**< idle connections closed for new ones */
+	uint64_t late;              /**< connections on which a request arrived after their close */
+	uint64_t waited;            /**< requests that waited unread, since the link was full */
+	uint64_t refused_unread;    /**< new connections closed unread, since the link was full */
+	uint64_t refused_memory;    /**< requests for which there was no memory */
+	uint64_t closed_unfinished; /**< connections closed inside a request for new ones */
 };
 
 struct comet_http_server;
@@ -86,10 +87,11 @@
 void
 comet_http_server_set_link(struct comet_http_server *http_server, struct comet_link_share *link);
 
-/** Sets the bound on the memory of bodies; NULL: none. Call it before connections are accepted. */
+/** Sets the bound on what callers occupy, which servers may share; NULL: none. Call it before
+ * connections are accepted. */
 void
-comet_http_server_set_body_budget(
-	struct comet_http_server *http_server, struct comet_body_budget *bodies);
+comet_http_server_set_budget(
+	struct comet_http_server *http_server, struct comet_caller_budget *budget);
 
 /** Starts draining: responses ask callers to close, and each connection ends with its next
  * response. */
--- a/libcometspindle/adapters/callers/http_server_intake.c
+++ b/libcometspindle/adapters/callers/http_server_intake.c
@@ -111,6 +111,11 @@
 	struct comet_http_connection *connection = ctx;
 	struct comet_http_server *http_server = connection->http_server;
 
+	if (!comet_http_memory_may_read(connection))
+	{
+		comet_socket_pause(connection->socket, true);
+		return false;
+	}
 	if (http_server->link == NULL || connection->state != CONNECTION_READING ||
 		connection->admitted || connection->got_byte)
 		return true;
--- a/libcometspindle/adapters/callers/http_server_private.h
+++ b/libcometspindle/adapters/callers/http_server_private.h
@@ -33,11 +33,11 @@
 	struct comet_link_share *link;     /* NULL: requests are read as they arrive */
 	struct comet_receiving *receiving; /* NULL without a link */
 	GQueue waiting; /* of struct comet_http_connection whose request is not read yet */
-	struct comet_timer *intake_timer; /* NULL: none waits */
-	struct comet_body_budget *bodies; /* NULL: their memory is not bounded */
-	uint32_t max_connections;         /* 0: no limit */
-	uint32_t max_while_short;         /* the limit after descriptors ran out */
-	uint64_t short_us;                /* when they last ran out; 0: never */
+	struct comet_timer *intake_timer;   /* NULL: none waits */
+	struct comet_caller_budget *budget; /* NULL: their memory is not bounded */
+	uint32_t max_connections;           /* 0: no limit */
+	uint32_t max_while_short;           /* the limit after descriptors ran out */
+	uint64_t short_us;                  /* when they last ran out; 0: never */
 	int fd;
 	bool closing;
 };
@@ -49,8 +49,10 @@
 	struct comet_socket *socket;
 	struct comet_http_reader *reader;
 	struct comet_timer *timer;
-	GList *idle_link;    /* link in http_server->idle, or NULL */
-	GList *waiting_link; /* link in http_server->waiting, or NULL */
+	GList *unfinished_link;  /* in the budget, while its request arrives; or NULL */
+	uint64_t occupied_bytes; /* counted in the budget, without its body */
+	GList *idle_link;        /* link in http_server->idle, or NULL */
+	GList *waiting_link;     /* link in http_server->waiting, or NULL */
 	struct comet_receiving_request receiving;
 	uint64_t announced_bytes; /* length of its body, if has_length */
 	uint64_t reserved_bytes;  /* of its body */
@@ -68,7 +70,7 @@
 	bool complete;   /* it is complete */
 	bool keep_alive; /* the caller allows another request */
 	bool too_large;  /* its body is over the limit */
-	bool no_room;    /* there is no memory for its body */
+	bool no_room;    /* there is no memory for it */
 	bool chunked;    /* the response is chunked */
 	bool no_body;    /* the response has no body: HEAD, 204, 304 */
 	bool started;    /* the head of the response is sent */
@@ -109,6 +111,39 @@
 void
 comet_http_intake_done(struct comet_http_connection *connection);
 
+/** @return whether further requests wait until the open one is answered or responses are read */
+bool
+comet_http_connection_is_held(const struct comet_http_connection *connection);
+
+/** Called when a request has begun to arrive. */
+void
+comet_http_memory_begun(struct comet_http_connection *connection);
+
+/** Called when the connection occupies more or less than before. */
+void
+comet_http_memory_recount(struct comet_http_connection *connection);
+
+/** Called when more of a request has been parsed. Sets no_room if it cannot be kept. */
+void
+comet_http_memory_parsed(struct comet_http_connection *connection);
+
+/** @return whether what has arrived may be read, or has to wait until its connection is free */
+bool
+comet_http_memory_may_read(const struct comet_http_connection *connection);
+
+/** Closes the connection whose request has been arriving for the longest time, on any server with
+ * the same budget. @return false if there is none */
+bool
+comet_http_memory_close_oldest(struct comet_http_server *http_server);
+
+/** Frees the allocation of what was read and is parsed. */
+void
+comet_http_memory_trim_ahead(struct comet_http_connection *connection);
+
+/** Frees and stops counting all that the connection occupies; it is being freed. */
+void
+comet_http_memory_closed(struct comet_http_connection *connection);
+
 /** Reserves memory for the body that a head announces. */
 void
 comet_http_memory_announced(
@@ -118,7 +153,7 @@
 void
 comet_http_memory_growing(struct comet_http_connection *connection, uint64_t body_bytes);
 
-/** Refuses a request for whose body there is no memory; the connection is closed after that. */
+/** Refuses a request for which there is no memory; the connection is closed after that. */
 void
 comet_http_memory_refuse(struct comet_http_connection *connection);
 
--- a/libcometspindle/adapters/callers/http_server_settings.c
+++ b/libcometspindle/adapters/callers/http_server_settings.c
@@ -58,8 +58,8 @@
 }
 
 void
-comet_http_server_set_body_budget(
-	struct comet_http_server *http_server, struct comet_body_budget *bodies)
+comet_http_server_set_budget(
+	struct comet_http_server *http_server, struct comet_caller_budget *budget)
 {
-	http_server->bodies = bodies;
+	http_server->budget = budget;
 }
--- a/libcometspindle/adapters/endpoints/upstream.c
+++ b/libcometspindle/adapters/endpoints/upstream.c
@@ -161,6 +161,7 @@
 		return;
 	}
 	link->ended = false;
+	comet_http_reader_release(link->reader);
 	comet_socket_pause(link->socket, false);
 	g_queue_push_head(&pool->idle, link);
 	upstream->counts.idle++;
--- a/libcometspindle/adapters/gateway/gateway.c
+++ b/libcometspindle/adapters/gateway/gateway.c
@@ -179,7 +179,8 @@
 	comet_link_share_set_alternatives(gateway->link, alive > 0);
 	comet_gateway_tick_endpoints(gateway, now_us);
 	comet_gateway_links_tick(gateway->links, now_us);
-	gateway->unsent_bytes = comet_http_server_unsent_bytes(gateway->callers);
+	comet_caller_budget_set_responses(
+		gateway->caller_budget, comet_http_server_unsent_bytes(gateway->callers));
 	comet_gateway_streams_tick(gateway->streams, now_us);
 	comet_gateway_returns_tick(gateway->returns, now_us);
 	comet_crash_tracker_tick(gateway->crash_tracker, now_us);
@@ -337,8 +338,10 @@
 		gateway->control, &gateway->bytes[COMET_GATEWAY_USE_PEERS]);
 	gateway->link = comet_link_share_create(gateway, settings->link_bytes_per_s);
 	comet_http_server_set_link(gateway->callers, gateway->link);
-	gateway->bodies = comet_body_budget_create(gateway, settings->memory_bytes);
-	comet_http_server_set_body_budget(gateway->callers, gateway->bodies);
+	gateway->caller_budget = comet_caller_budget_create(gateway, settings->memory_bytes);
+	comet_http_server_set_budget(gateway->callers, gateway->caller_budget);
+	comet_http_server_set_budget(gateway->readiness, gateway->caller_budget);
+	comet_http_server_set_budget(gateway->control, gateway->caller_budget);
 	comet_http_server_set_limits(gateway->callers, &initial_limits);
 	comet_http_server_set_max_connections(gateway->callers, caller_connections_max());
 	comet_http_server_set_limits(gateway->readiness, &internal_limits);
--- a/libcometspindle/adapters/gateway/gateway_answer.c
+++ b/libcometspindle/adapters/gateway/gateway_answer.c
@@ -126,8 +126,7 @@
 static uint64_t
 max_kept_bytes(const struct comet_proxy_request *proxy, uint64_t most_bytes)
 {
-	return comet_body_budget_response_bytes(
-		proxy->gateway->bodies, proxy->gateway->unsent_bytes, most_bytes);
+	return comet_caller_budget_response_bytes(proxy->gateway->caller_budget, most_bytes);
 }
 
 static void
--- a/libcometspindle/adapters/gateway/gateway_callers.c
+++ b/libcometspindle/adapters/gateway/gateway_callers.c
@@ -79,6 +79,7 @@
 		const char *name;
 		uint64_t count;
 	} counters[] = {
+		{"connections_closed_unfinished_total", counts->closed_unfinished},
 		{"connections_displaced_total", counts->displaced},
 		{"connections_refused_unread_total", counts->refused_unread},
 		{"data_after_close_total", counts->late},
@@ -93,5 +94,8 @@
 	g_string_append_printf(out,
 		"# TYPE comet_body_bytes_reserved gauge\n"
 		"comet_body_bytes_reserved %" G_GUINT64_FORMAT "\n",
-		comet_body_budget_reserved(gateway->bodies));
+		comet_caller_budget_body_bytes(gateway->caller_budget));
+	g_string_append_printf(out,
+		"# TYPE comet_caller_bytes gauge\ncomet_caller_bytes %" G_GUINT64_FORMAT "\n",
+		comet_caller_budget_occupied_bytes(gateway->caller_budget));
 }
--- a/libcometspindle/adapters/gateway/gateway_private.h
+++ b/libcometspindle/adapters/gateway/gateway_private.h
@@ -11,7 +11,7 @@
 #include <libcometspindle/adapters/gateway/gateway.h>
 #include <libcometspindle/adapters/peers/datagram_socket.h>
 #include <libcometspindle/random.h>
-#include <libcometspindle/gateway/admission/body_budget.h>
+#include <libcometspindle/gateway/admission/caller_budget.h>
 #include <libcometspindle/gateway/admission/link_share.h>
 #include <libcometspindle/gateway/admission/quota_requests.h>
 #include <libcometspindle/gateway/directory.h>
@@ -113,8 +113,7 @@
 	struct comet_rate_limiter *rate_limiter;
 	struct comet_retry_budget *retries;
 	struct comet_link_share *link;
-	struct comet_body_budget *bodies;
-	uint64_t unsent_bytes; /* of responses that callers have not read, at the last tick */
+	struct comet_caller_budget *caller_budget;
 	struct comet_crash_tracker *crash_tracker;  /**< requests that crash endpoints */
 	struct comet_crash_tracker *crashing_parts; /**< parts of prompts that do */
 	struct comet_gossip *gossip;
--- a/libcometspindle/adapters/socket.c
+++ b/libcometspindle/adapters/socket.c
@@ -398,6 +398,14 @@
 	return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+bool
+comet_socket_has_data(const struct comet_socket *socket)
+{
+	char byte = 0;
+
+	return recv(socket->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 bool
 comet_socket_has_pending_events(const struct comet_socket *socket)
 {
--- a/libcometspindle/adapters/socket.h
+++ b/libcometspindle/adapters/socket.h
@@ -54,6 +54,10 @@
 size_t
 comet_socket_queued(const struct comet_socket *socket);
 
+/** @return whether bytes have arrived that can be read. */
+bool
+comet_socket_has_data(const struct comet_socket *socket);
+
 /** Sets the counters to which its bytes are added from now on. */
 void
 comet_socket_count(struct comet_socket *socket, struct comet_byte_counters *bytes);
