Descriptors: requests that pause inside are closed in a shortage

Callers saw: on a VM whose connections all paused inside a head or a body nobody was accepted any more, and no endpoint was reached, until their time limits, which a caller that sends a byte now and then never meets.

Cause: in a shortage of descriptors only idle connections were closed. Connections at the readiness and control addresses did not count at all.

Change: in a shortage the connection whose request has been arriving for the longest time is closed when none is idle, on any address, at least one for each attempt to accept. It is reset: its request has not been admitted.

--- a/libcometspindle/adapters/callers/http_server.c
+++ b/libcometspindle/adapters/callers/http_server.c
@@ -453,30 +453,51 @@
 }
 
 /* Handles a lack of descriptors: leaves a quarter of those that connections take now for
- * connections to endpoints and other VMs. @return whether any has become free */
+ * connections to endpoints and other VMs. If no connection is idle, those whose requests have been
+ * arriving for the longest time are closed: a caller that pauses inside a request keeps its
+ * connection as long as it likes. @return whether any has become free */
 static bool
 free_descriptors(struct comet_http_server *http_server)
 {
 	uint32_t open = http_server->counts.connections;
 	uint32_t closed = 0;
+	bool freed = false;
 
 	http_server->short_us = comet_timers_now_us();
 	http_server->max_while_short = MAX(open / 4 * 3, 1);
-	while (open - closed > http_server->max_while_short &&
-		close_longest_idle(http_server, NULL))
+	/* Connections of another server may have taken them: at least one is closed. */
+	while (closed == 0 || open > http_server->max_while_short + closed)
+	{
+		if (!close_longest_idle(http_server, NULL))
+		{
+			if (!comet_http_memory_close_oldest(http_server))
+				break;
+			freed = true;
+		}
 		closed++;
+	}
 	comet_log(COMET_LOG_WARNING, "event=descriptors_short open=%u closed=%u", open, closed);
-	return http_server->counts.connections < open;
+	return freed || http_server->counts.connections < open;
+}
+
+static bool
+is_short(const struct comet_http_server *http_server)
+{
+	return http_server->short_us != 0 &&
+	       comet_timers_now_us() - http_server->short_us < SHORTAGE_US;
 }
 
-/* @return the number of connections beyond which a new one closes another; 0: no limit */
-static uint32_t
-max_connections(const struct comet_http_server *http_server)
+/* Closes a connection for one that has been accepted, if there are too many. */
+static void
+displace(struct comet_http_server *http_server, const struct comet_http_connection *accepted)
 {
-	bool is_short = http_server->short_us != 0 &&
-			comet_timers_now_us() - http_server->short_us < SHORTAGE_US;
+	bool shortage = is_short(http_server);
+	uint32_t max = shortage ? http_server->max_while_short : http_server->max_connections;
 
-	return is_short ? http_server->max_while_short : http_server->max_connections;
+	if (max == 0 || http_server->counts.connections <= max)
+		return;
+	if (!close_longest_idle(http_server, accepted) && shortage)
+		comet_http_memory_close_oldest(http_server);
 }
 
 static void
@@ -491,11 +512,7 @@
 		int fd = accept4(http_server->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
 		if (fd >= 0)
 		{
-			const struct comet_http_connection *accepted =
-				take_connection(http_server, fd);
-			uint32_t max = max_connections(http_server);
-			if (max > 0 && http_server->counts.connections > max)
-				close_longest_idle(http_server, accepted);
+			displace(http_server, take_connection(http_server, fd));
 			continue;
 		}
 		if (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR ||
--- a/tests/system/test_pausing_callers.py
+++ b/tests/system/test_pausing_callers.py
@@ -1,8 +1,12 @@
 """test_pausing_callers.py: callers that stop inside a request and go on later, or never"""
+import os
+import resource
 import time
 
 from caller_crowd import check_served, crowd_of, crowded_group
-from gateway_world import answer_of, request, run_tests
+from gateway_world import answer_of, connect, request, run_tests
+
+DESCRIPTORS = 120
 
 
 def test_callers_that_pause_inside_a_request():
@@ -24,5 +28,23 @@
         group.end()
 
 
+def test_paused_requests_take_all_descriptors():
+    """Connections that paused inside a head were never closed for new ones: a VM without descriptors accepted nobody
+    and reached no endpoint."""
+    group = crowded_group(vms=1)
+    pid = group.vms[0].process.pid
+    resource.prlimit(pid, resource.RLIMIT_NOFILE, (DESCRIPTORS, DESCRIPTORS))
+    for port in ("callers", "readiness", "control"):
+        socks = []
+        for _ in range(2 * DESCRIPTORS):
+            socks.append(connect(group.ports[port], group.vms[0].address))
+            socks[-1].sendall(b"GET / HTTP/1.1\r\nHost:")
+        check_served(group)
+        assert len(os.listdir(f"/proc/{pid}/fd")) <= DESCRIPTORS
+        for sock in socks:
+            sock.close()
+    group.end()
+
+
 if __name__ == "__main__":
-    run_tests([], [test_callers_that_pause_inside_a_request])
+    run_tests([], [test_callers_that_pause_inside_a_request, test_paused_requests_take_all_descriptors])
