Soak: half of the VMs without link_mbps and memory_mb, and requests that pause inside

Now every second VM gets the limits that the deploy template gives, and one of 16 requests pauses at a place that moves through head and body.

--- a/scripts/soak_gateway.py
+++ b/scripts/soak_gateway.py
@@ -58,6 +58,9 @@
 UNEVEN_DEADLINES_MS = [400, 1000, 4000]
 LARGE_PART, LARGE_SIZE = 0.1, 20  # share of large requests; their size, that of a usual one being 1
 TOKENS_PER_SIZE = 50
+# One of so many requests pauses inside, at a place that moves on by this many bytes from one to the next.
+PAUSES, PAUSE_STEP, PAUSE_S, PAUSED_DEADLINE_MS = 16, 37, 0.25, 4000
+STATED_LIMITS = {"link_mbps": 1000, "memory_mb": 256}  # settings that the deploy template gives, on half of the VMs
 ABSURD_HINTS = [10 ** 12, 10 ** 6 + 1, -1, "x"]
 LIMITS = ["0.5", "2", "8", "many"]  # that servers advertise; the last one is malformed
 CRASHES_MAX = 3  # of one request, and so many sendings more once all must know of them
@@ -307,7 +310,8 @@
         self.vms = [Vm(n, ports, seeds, self.store_proxy.port, "z0" if self.bulk else f"z{n % 3}",
                        narrow(BUILD) if self.bulk and n % 3 else
                        self.links[n].environment() if self.links[n] else None,
-                       SuspendedClock(BUILD) if "suspend" in self.kinds else None, **more)
+                       SuspendedClock(BUILD) if "suspend" in self.kinds else None,
+                       **more, **(STATED_LIMITS if n % 2 else {}))
                     for n in range(self.vms_n)]
         wait_for(lambda: all(self.attempt(vm, "safe", "plain", "k1").status == 200 for vm in self.vms))
 
@@ -336,6 +340,11 @@
             if own:
                 sock = socket.create_connection((vm.ip, vm.callers), 2)
                 sock.settimeout(8)
+            if self.serial % PAUSES == 0 and load.deadline_ms >= PAUSED_DEADLINE_MS:
+                at = int(ident, 16) * PAUSE_STEP % len(data)  # in the head or in the body
+                sock.sendall(data[:at])
+                time.sleep(PAUSE_S)
+                data = data[at:]
             sock.sendall(data)
             reader = CallerReader(sock)
             line, headers = reader.head()
