Memory of callers: requests that never end make room; ids of heads counted

It also checks that what was refused has a Retry-After and never ran.

The id of a request is copied for each attempt and may be as long as the head: a head is counted three times.

--- a/libcometspindle/adapters/callers/http_server_memory.c
+++ b/libcometspindle/adapters/callers/http_server_memory.c
@@ -17,8 +17,9 @@
  * its attempt and the connection to an endpoint. */
 #define REQUEST_BYTES 4096
 
-/* A head is kept for further attempts, and queued for an endpoint. */
-#define HEAD_COPIES 2
+/* A head is kept for further attempts and queued for an endpoint; the request's id is copied for
+ * the attempt, and may be as long as the head. */
+#define HEAD_COPIES 3
 
 /* Retry-After of a request that finds no room: another VM has room at once, and this one when its
  * endpoints have read the bodies that wait for them. */
--- a/tests/system/caller_crowd.py
+++ b/tests/system/caller_crowd.py
@@ -38,8 +38,8 @@
 
 
 def hold(group, server, sock, headers):
-    """Answers a request once the test releases all of them. Until then it sends a byte at a time, since a silent endpoint
-    gets no further requests."""
+    """Answers a request once the test releases all of them. Until then it sends a byte at a time: a silent endpoint gets
+    no further requests."""
     group.held.add(headers["x-cometspindle-request-id"])
     server.write_head(sock, headers)
     while not group.release.wait(0.2):
@@ -80,8 +80,8 @@
 
 
 def run_requests(group, data_of):
-    """Opens a connection for each request of the crowd. Each of them runs, or is answered, before the next ones are sent:
-    the endpoints of the tests accept connections slowly."""
+    """Opens a connection for each request of the crowd. Most of them run, or are answered, before the next one is sent,
+    since the endpoints of the tests accept connections slowly."""
     socks = []
     poller = select.poll()
     for _ in range(CROWD):
--- a/tests/system/test_pausing_callers.py
+++ b/tests/system/test_pausing_callers.py
@@ -1,12 +1,16 @@
 """test_pausing_callers.py: callers that stop inside a request and go on later, or never"""
 import os
 import resource
+import select
 import time
 
-from caller_crowd import check_served, crowd_of, crowded_group
+from caller_crowd import CROWD, check_served, crowd_of, crowded_group, head_of
 from gateway_world import answer_of, connect, request, run_tests
+from test_misbehaving_callers import same_lines
 
 DESCRIPTORS = 120
+TINY_MEMORY_MB = 16
+BODY_BYTES = 16000
 
 
 def test_callers_that_pause_inside_a_request():
@@ -46,5 +50,35 @@
     group.end()
 
 
+def test_unfinished_requests_take_all_memory():
+    """Callers that never finished their requests kept the memory for them; others were refused."""
+    group = crowded_group(memory_mb=TINY_MEMORY_MB)
+    unfinished = {
+        "bodies": lambda: head_of([b"Content-Length: %d" % BODY_BYTES]) + b"b",
+        "trickled": lambda: head_of([b"Transfer-Encoding: chunked"]) + b"4000\r\n" + b"b" * 0x3fff,
+        "heads": lambda: head_of(same_lines())[:-2],
+    }
+    for what, data_of in unfinished.items():
+        arrived = sum(len(times) for times in group.arrivals.values())
+        socks = [sock for _ in range(CROWD) for sock in crowd_of(group, data_of(), 1)]
+        for number in range(len(group.vms)):
+            status = group.call(number, "/once/x", method="POST", body=b"b" * BODY_BYTES, deadline_ms=600000)[1]
+            assert status == 200, (what, status)
+        refused = 0
+        for sock in socks:
+            sock.settimeout(0)
+            if select.select([sock], [], [], 0)[0]:
+                sock.settimeout(20)
+                status, headers, _, whole = answer_of(sock)
+                assert (status, whole) == (503, True) and float(headers["retry-after"]) > 0, (what, status)
+                refused += 1
+        assert 0 < refused < CROWD, (what, refused)
+        assert sum(len(times) for times in group.arrivals.values()) == arrived + len(group.vms), what
+        for sock in socks:
+            sock.close()
+    group.end()
+
+
 if __name__ == "__main__":
-    run_tests([], [test_callers_that_pause_inside_a_request, test_paused_requests_take_all_descriptors])
+    run_tests([], [test_callers_that_pause_inside_a_request, test_paused_requests_take_all_descriptors,
+                   test_unfinished_requests_take_all_memory])
