Memory of callers: a refused connection is no longer counted as an open request

Cause: a connection that ends released its memory before its state changed, so that the budget counted 4 KB for an open request until the connection was gone, up to a second or, with a caller that reads nothing, five. A crowd of refused callers kept others out. Found by reading the diff; the effect alone was not played.

test_unfinished_requests_take_all_memory and test_paused_requests_take_all_descriptors pass (release build).

--- a/libcometspindle/adapters/callers/http_server.c
+++ b/libcometspindle/adapters/callers/http_server.c
@@ -135,6 +135,7 @@
 {
 	unset_idle(connection);
 	comet_http_intake_done(connection);
+	connection->state = CONNECTION_ENDING;       /* no longer counted as an open request */
 	g_byte_array_set_size(connection->ahead, 0); /* it is not parsed any more */
 	comet_http_memory_release(connection);
 	connection->ended_us = comet_timers_now_us();
@@ -146,7 +147,6 @@
 		linger(connection);
 		return;
 	}
-	connection->state = CONNECTION_ENDING;
 	watch_progress(connection);
 }
 
