--- a/review/deployment_2.py
+++ b/review/deployment_2.py
@@ -11,6 +11,7 @@
 import subprocess
 import sys
 import tempfile
+import threading
 import time
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
@@ -119,9 +120,11 @@
     def __init__(self, path):
         self.file = open(path, "w")
         self.began = time.monotonic()
+        self.lock = threading.Lock()
 
     def __call__(self, text):
-        line = f"{time.monotonic() - self.began:8.3f} s  {text}"
-        self.file.write(line + "\n")
-        self.file.flush()
-        print(line, flush=True)
+        with self.lock:
+            line = f"{time.monotonic() - self.began:8.3f} s  {text}"
+            self.file.write(line + "\n")
+            self.file.flush()
+            print(line, flush=True)
