--- a/review/deployment_2.py
+++ b/review/deployment_2.py
@@ -79,9 +79,15 @@
         net = f"127.{1 + os.getpid() % 250}.{1 + os.getpid() // 250 % 250}."
         ports = free_ports(net + "1")
         seeds = ",".join(f"{net}{n + 1}:{ports['control']}" for n in range(min(vms, 3)))
-        self.vms = [Vm(n, f"{net}{n + 1}", ports, seeds, self.store.port, self.folder.name) for n in range(vms)]
-        for vm in self.vms:
-            wait_for(vm.ready, 20)
+        self.vms = []
+        try:
+            for n in range(vms):
+                self.vms.append(Vm(n, f"{net}{n + 1}", ports, seeds, self.store.port, self.folder.name))
+            for vm in self.vms:
+                wait_for(vm.ready, 20)
+        except BaseException:
+            self.end()
+            raise
 
     def end(self):
         for vm in self.vms:
